--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them is part of the tests."""
--- /dev/null
+++ b/ragwortchute/client/__init__.py
@@ -0,0 +1,1 @@
+"""Caller client: address queries, resends and fail-over."""
--- /dev/null
+++ b/ragwortchute/clock.py
@@ -0,0 +1,93 @@
+"""Sources of time, handed to every part that needs one."""
+
+import abc
+import asyncio
+import heapq
+import itertools
+import time
+
+
+class Clock(abc.ABC):
+    """A source of time; all values are in seconds."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def monotonic(self) -> float:
+        """Returns seconds that never step back and include suspended time."""
+
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch; may step."""
+
+    @abc.abstractmethod
+    async def sleep(self, delay_s: float) -> None:
+        """Waits for the given seconds."""
+
+
+class SystemClock(Clock):
+    """The clock of the machine.
+
+    CLOCK_BOOTTIME goes on while the machine is suspended, so a lease can't
+    outlive a suspension.
+    """
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Returns seconds since boot, suspended time included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch."""
+        return time.time()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Waits on the event loop."""
+        await asyncio.sleep(delay_s)
+
+
+class ManualClock(Clock):
+    """A clock that only a test moves."""
+
+    __slots__ = ('_now_s', '_order', '_sleepers', 'wall_offset_s')
+
+    def __init__(self, now_s: float = 1000.0) -> None:
+        self._now_s = now_s
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self.wall_offset_s = 1_700_000_000.0
+
+    def monotonic(self) -> float:
+        """Returns the time set by the test."""
+        return self._now_s
+
+    def wall(self) -> float:
+        """Returns the time set by the test plus `wall_offset_s`."""
+        return self._now_s + self.wall_offset_s
+
+    async def sleep(self, delay_s: float) -> None:
+        """Waits until a test has moved the clock far enough."""
+        fut = asyncio.get_running_loop().create_future()
+        item = (self._now_s + max(0.0, delay_s), next(self._order), fut)
+        heapq.heappush(self._sleepers, item)
+        await fut
+
+    async def advance(self, delay_s: float) -> None:
+        """Moves the time forward and wakes sleepers in order."""
+        end_s = self._now_s + delay_s
+        await settle()
+        while self._sleepers and self._sleepers[0][0] <= end_s:
+            due_s, _, fut = heapq.heappop(self._sleepers)
+            self._now_s = max(self._now_s, due_s)
+            if not fut.done():
+                fut.set_result(None)
+            await settle()
+        self._now_s = end_s
+        await settle()
+
+
+async def settle(rounds: int = 20) -> None:
+    """Lets tasks that are ready run until they wait again."""
+    for _ in range(rounds):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/ragwortchute/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/ragwortchute/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one call from admission to its answer."""
--- /dev/null
+++ b/ragwortchute/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of documents and domain orders."""
--- /dev/null
+++ b/ragwortchute/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The listener for operators."""
--- /dev/null
+++ b/ragwortchute/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What this host knows of each target."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that ragwortchute meets."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the tree mirrors the package."""
--- /dev/null
+++ b/tests/test_kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules at the top of the package."""
