Add a loopback deployment of entry host processes

Cause: demo, benchmarks and failure tests need hosts as processes that can be killed, paused and stopped.

Change: standins/deployment.py starts store, targets and hosts, writes the documents and reads CPU and memory of each host.

--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,368 @@
+"""A whole deployment on loopback: store, targets and entry hosts."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import aiohttp
+import msgspec
+
+from ragwortchute import documents
+from ragwortchute import stores
+from standins import object_api
+from standins import targets as targets_lib
+
+OPERATOR_TOKEN = 'operator-token-of-the-stand-in'
+DEPLOYMENT_KEY = 'deployment-key-of-the-stand-in'
+_READY_POLL_S = 0.05
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+class HostSpec(msgspec.Struct, frozen=True):
+    """Name and place of an entry host."""
+
+    host: str
+    failure_domain: str
+    region: str
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """Size of a service.
+
+    Attributes:
+        service: Name of the service.
+        count: Number of targets, spread over the failure domains.
+        slots: Slots of each target.
+        balancer: Registered name of the policy.
+        hosts_per_service: Size of the serving set in each region.
+    """
+
+    service: str
+    count: int
+    slots: int
+    balancer: str = 'slot_shares'
+    hosts_per_service: int = 4
+
+
+class HostProcess:
+    """One entry host as a process of its own.
+
+    Args:
+        spec: Name and place.
+        settings: Further settings by name.
+    """
+
+    def __init__(self, spec: HostSpec, settings: dict[str, object]) -> None:
+        self.spec = spec
+        self.ports = tuple(free_port() for _ in range(3))
+        self._settings = settings
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def caller_url(self) -> str:
+        """Base URL for callers."""
+        return f'http://127.0.0.1:{self.ports[0]}'
+
+    @property
+    def operator_url(self) -> str:
+        """Base URL for operators."""
+        return f'http://127.0.0.1:{self.ports[1]}'
+
+    @property
+    def peer_address(self) -> str:
+        """`IP:port` for peers."""
+        return f'127.0.0.1:{self.ports[2]}'
+
+    @property
+    def pid(self) -> int:
+        """Process id of the running process."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.poll() is None
+
+    def listed(self) -> stores.ListedHost:
+        """Returns the entry of the platform's host list."""
+        return stores.ListedHost(
+            host=self.spec.host,
+            peer_address=self.peer_address,
+            caller_url=self.caller_url,
+            failure_domain=self.spec.failure_domain,
+            region=self.spec.region,
+        )
+
+    def start(self) -> None:
+        """Starts the process."""
+        settings = {
+            'host': self.spec.host,
+            'region': self.spec.region,
+            'failure_domain': self.spec.failure_domain,
+            'caller_address': f'127.0.0.1:{self.ports[0]}',
+            'operator_address': f'127.0.0.1:{self.ports[1]}',
+            'peer_address': f'127.0.0.1:{self.ports[2]}',
+            'deployment_key': DEPLOYMENT_KEY,
+            'operator_token': OPERATOR_TOKEN,
+            'log_level': 'warning',
+            **self._settings,
+        }
+        environ = {
+            **os.environ,
+            **{
+                f'RAGWORTCHUTE_{name.upper()}': str(value)
+                for name, value in settings.items()
+            },
+        }
+        self._process = subprocess.Popen(
+            [sys.executable, '-m', 'ragwortchute.daemon'],
+            cwd=_ROOT,
+            env=environ,
+        )
+
+    def kill(self) -> None:
+        """Ends the process without notice."""
+        self._signal(signal.SIGKILL)
+        if self._process:
+            self._process.wait()
+
+    def pause(self) -> None:
+        """Stops the process until `resume`."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a paused process go on."""
+        self._signal(signal.SIGCONT)
+
+    async def stop(self, timeout_s: float = 40.0) -> int:
+        """Asks for a planned stop and returns the exit code."""
+        self._signal(signal.SIGTERM)
+        end_s = time.monotonic() + timeout_s
+        while self.running and time.monotonic() < end_s:
+            await asyncio.sleep(_READY_POLL_S)
+        if self.running:
+            self.kill()
+        assert self._process is not None
+        return self._process.returncode
+
+    def cpu_s(self) -> float:
+        """Returns user and system CPU of the process so far, in seconds."""
+        path = pathlib.Path(f'/proc/{self.pid}/stat')
+        fields = path.read_text().rpartition(')')[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+    def resident_bytes(self) -> int:
+        """Returns the resident memory of the process, in bytes."""
+        pages = pathlib.Path(f'/proc/{self.pid}/statm').read_text().split()[1]
+        return int(pages) * os.sysconf('SC_PAGE_SIZE')
+
+    def _signal(self, number: int) -> None:
+        if self.running:
+            os.kill(self.pid, number)
+
+
+class Deployment:
+    """Store, targets and entry hosts with the documents of all services.
+
+    Args:
+        hosts: Entry hosts.
+        services: Services; their targets lie in the hosts' failure domains.
+        seed: Seed of the targets' service times.
+        settings: Settings for all hosts.
+        routes: Routes of every service; the default has one for reads and
+            one for writes.
+        host_lag_s: Lag of the platform's host list, in seconds.
+    """
+
+    def __init__(
+        self,
+        hosts: list[HostSpec],
+        services: list[ServiceSpec],
+        *,
+        seed: int = 1,
+        settings: dict[str, object] | None = None,
+        routes: tuple[documents.Route, ...] | None = None,
+        cold_start: documents.ColdStart | None = None,
+        host_lag_s: float = 0.0,
+    ) -> None:
+        self.host_specs = hosts
+        self.services = services
+        self.routes = routes or default_routes()
+        self.cold_start = cold_start or documents.ColdStart()
+        self.targets = targets_lib.TargetSet(seed)
+        self.api = object_api.ObjectApi(host_lag_s=host_lag_s)
+        self.hosts: dict[str, HostProcess] = {}
+        self._settings = settings or {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, *, warm: bool = True) -> None:
+        """Starts all parts and waits until every host is ready."""
+        await self.api.start()
+        await self._start_targets(warm=warm)
+        self._seed_documents()
+        for spec in self.host_specs:
+            self.add_host(spec)
+        self._session = aiohttp.ClientSession(
+            headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'}
+        )
+        for host in self.hosts.values():
+            await self.wait_ready(host.spec.host)
+
+    async def stop(self) -> None:
+        """Ends all parts."""
+        for host in self.hosts.values():
+            host.resume()
+            host.kill()
+        if self._session:
+            await self._session.close()
+        await self.targets.stop()
+        await self.api.stop()
+
+    def add_host(self, spec: HostSpec) -> HostProcess:
+        """Starts an entry host and puts it on the host list."""
+        seeds = ','.join(
+            f'{host.spec.host}={host.peer_address}'
+            for host in self.hosts.values()
+        )
+        host = HostProcess(
+            spec,
+            {
+                'store_url': self.api.url,
+                'seed_hosts': seeds,
+                **self._settings,
+            },
+        )
+        self.hosts[spec.host] = host
+        self.api.publish_host(host.listed())
+        host.start()
+        return host
+
+    def caller_urls(self) -> list[str]:
+        """Returns the base URLs of all hosts for callers."""
+        return [host.caller_url for host in self.hosts.values()]
+
+    async def operator(
+        self, host: str, path: str, method: str = 'GET'
+    ) -> dict[str, object]:
+        """Calls the operators' listener of a host and returns its JSON.
+
+        Raises:
+            ClientError: The host can't be reached or refuses.
+        """
+        assert self._session is not None
+        url = self.hosts[host].operator_url + path
+        async with self._session.request(
+            method, url, timeout=aiohttp.ClientTimeout(total=5)
+        ) as resp:
+            resp.raise_for_status()
+            return await resp.json()
+
+    async def wait_ready(self, host: str, timeout_s: float = 30.0) -> None:
+        """Waits until a host serves calls and is in the view.
+
+        Raises:
+            TimeoutError: It did not become ready in time.
+        """
+        end_s = time.monotonic() + timeout_s
+        while time.monotonic() < end_s:
+            try:
+                status = await self.operator(host, '/status')
+            except (aiohttp.ClientError, TimeoutError):
+                status = {}
+            view = status.get('view') or {}
+            if status.get('ready') and host in view.get('members', ()):
+                return
+            await asyncio.sleep(_READY_POLL_S)
+        raise TimeoutError(f'host {host} is not ready after {timeout_s} s')
+
+    def service_document(self, spec: ServiceSpec) -> documents.ServiceDocument:
+        """Returns the document of a service."""
+        entries = []
+        for name, target in self.targets.targets.items():
+            if not name.startswith(f'{spec.service}-'):
+                continue
+            domain = self._domain_of(int(name.rpartition('-')[2]))
+            entries.append(
+                documents.Target(
+                    name=name,
+                    address=target.address,
+                    failure_domain=domain.failure_domain,
+                    region=domain.region,
+                    slots=target.slots,
+                )
+            )
+        return documents.ServiceDocument(
+            service=spec.service,
+            targets=tuple(entries),
+            routes=self.routes,
+            cold_start=self.cold_start,
+            balancer=spec.balancer,
+            hosts_per_service=spec.hosts_per_service,
+        )
+
+    def put_document(self, spec: ServiceSpec) -> None:
+        """Writes a service's document past all checks."""
+        document = self.service_document(spec)
+        self.api.store.seed(
+            f'documents/{spec.service}', msgspec.json.encode(document)
+        )
+
+    async def _start_targets(self, *, warm: bool) -> None:
+        for spec in self.services:
+            for index in range(spec.count):
+                await self.targets.add(
+                    f'{spec.service}-{index}', spec.slots, warm=warm
+                )
+
+    def _domain_of(self, index: int) -> HostSpec:
+        """Returns a host in the failure domain of the n-th target."""
+        domains = {spec.failure_domain: spec for spec in self.host_specs}
+        names = sorted(domains)
+        return domains[names[index % len(names)]]
+
+    def _seed_documents(self) -> None:
+        regions = {s.failure_domain: s.region for s in self.host_specs}
+        deployment = documents.DeploymentDocument(
+            failure_domains={
+                name: documents.DomainEntry(region=region)
+                for name, region in regions.items()
+            },
+            store_region=self.host_specs[0].region,
+        )
+        self.api.store.seed(
+            f'documents/{documents.DEPLOYMENT_NAME}',
+            msgspec.json.encode(deployment),
+        )
+        for spec in self.services:
+            self.put_document(spec)
+
+
+def default_routes() -> tuple[documents.Route, ...]:
+    """Returns a route for reads and one for writes."""
+    return (
+        documents.Route(name='read', methods=('GET',), idempotent=True),
+        documents.Route(name='write', methods=('POST',), idempotent=False),
+    )
+
+
+def manila_hosts(per_domain: int = 3) -> list[HostSpec]:
+    """Returns entry hosts in the four failure domains of Manila."""
+    names = ('luzon-makati', 'luzon-pasig', 'visayas-cebu', 'visayas-iloilo')
+    return [
+        HostSpec(f'{name}-{index}', name, name.partition('-')[0])
+        for index in range(per_domain)
+        for name in names
+    ]
+
+
+def free_port() -> int:
+    """Returns a loopback port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
