Add documents, stores and the stand-in of the object API

Cause: documents had models but no loading, checks, matching or diff, and there was no client of the object API and nothing to run it against.

`stores` has `memory` and `http`; the document writer resolves lost answers by change id and keeps 20 versions in one history object. `standins.object_api` serves the memory store over HTTP with faults.

Writes use POST: aiohttp resends a PUT by itself when an idle connection turns out to be closed.

A document write costs 2 reads and 2 writes of the store, history included.

--- /dev/null
+++ b/tests/test_stores/test_stores.py
@@ -0,0 +1,185 @@
+"""Tests of both stores, the HTTP one against the stand-in."""
+
+import asyncio
+
+import pytest
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.stores import http
+from ragwortchute.stores import memory
+from standins import object_api
+
+
+@pytest.fixture(params=['memory', 'http'])
+async def pair(request):
+    """Yields a store under test and the memory store behind it."""
+    if request.param == 'memory':
+        store = memory.MemoryStore()
+        yield store, store
+        return
+    async with object_api.ObjectApi() as api:
+        store = stores.REGISTRY.get('http')(api.url)
+        yield store, api.store
+        await store.close()
+
+
+async def until(condition):
+    """Waits for a condition of the server, which runs on the same loop."""
+    for _ in range(10_000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    pytest.fail('the condition was not met')
+
+
+class TestStore:
+    """Both stores must behave alike, or tests on memory prove nothing."""
+
+    async def test_conditional_put(self, pair):
+        store, _ = pair
+        assert await store.get('a/b c') is None
+        first = await store.put('a/b c', b'\x00\xff', expected_version=0)
+        assert await store.get('a/b c') == first
+        for expected in (0, first.version + 1):
+            with pytest.raises(errors.VersionConflict) as caught:
+                await store.put('a/b c', b'2', expected_version=expected)
+            assert caught.value.current_version == first.version
+        second = await store.put('a/b c', b'2', expected_version=first.version)
+        assert second.version > first.version
+        await store.put('b', b'3', expected_version=0)
+        assert await store.list('a/') == [second]
+
+    async def test_lost_answer_of_a_write(self, pair):
+        store, behind = pair
+        behind.set_faults(lose_answers=1)
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await store.put('a', b'1', expected_version=0)
+        assert caught.value.maybe_applied
+        assert behind.peek('a').value == b'1'
+        assert behind.counters.put == 1
+
+    async def test_down_and_back(self, pair):
+        store, behind = pair
+        behind.set_faults(down=True)
+        for call in (store.get('a'), store.list('')):
+            with pytest.raises(errors.StoreUnavailable) as caught:
+                await call
+            assert not caught.value.maybe_applied
+        behind.set_faults(down=False)
+        assert await store.get('a') is None
+
+    async def test_stale_reads(self, pair):
+        store, behind = pair
+        old = await store.put('a', b'1', expected_version=0)
+        behind.set_faults(stale_reads=True)
+        await store.put('a', b'2', expected_version=old.version)
+        assert await store.get('a') == old
+        behind.set_faults(stale_reads=False)
+        assert (await store.get('a')).value == b'2'
+
+    async def test_value_over_the_limit(self, pair):
+        store, _ = pair
+        with pytest.raises(errors.StoreError) as caught:
+            await store.put('a', bytes(1_000_001), expected_version=0)
+        assert not isinstance(caught.value, errors.StoreUnavailable)
+
+    async def test_watch_sees_each_change_once(self, pair):
+        store, behind = pair
+        first = await store.watch('a/', after_revision=0, timeout_s=5)
+        assert first.revision > 0  # 0 would ask for everything again
+        pending = asyncio.create_task(
+            store.watch('a/', after_revision=first.revision, timeout_s=5)
+        )
+        await until(lambda: behind.counters.watch == 2)
+        await store.put('b/x', b'other', expected_version=0)
+        put = await store.put('a/x', b'1', expected_version=0)
+        answer = await pending
+        assert answer.objects == (put,)
+        behind.remove('a/x')
+        answer = await store.watch(
+            'a/', after_revision=answer.revision, timeout_s=5
+        )
+        assert answer.removed == ('a/x',)
+        quiet = await store.watch(
+            'a/', after_revision=answer.revision, timeout_s=0
+        )
+        assert not quiet.objects and not quiet.removed
+
+    async def test_watch_from_an_earlier_life_gets_everything(self, pair):
+        store, behind = pair
+        put = behind.seed('a', b'1')
+        answer = await store.watch('', after_revision=10**6, timeout_s=5)
+        assert answer.objects == (put,)
+        assert answer.revision < 10**6
+
+    async def test_pending_watch_fails_when_the_store_goes_down(self, pair):
+        store, behind = pair
+        pending = asyncio.create_task(
+            store.watch('', after_revision=1, timeout_s=60)
+        )
+        await until(lambda: behind.counters.watch)
+        behind.set_faults(down=True)
+        with pytest.raises(errors.StoreUnavailable):
+            await pending
+
+
+class TestHttpStore:
+    """Failures on the wire must never hide or repeat a write."""
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            b'',
+            b'HTTP/1.1 200 OK\r\nObject-Version: 7\r\nContent-Le',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 502 Bad\r\nContent-Length: 0\r\n\r\n',
+            b'nonsense\r\n\r\n',
+        ],
+    )
+    async def test_broken_answer_on_a_reused_connection(self, answer):
+        """A library that resends on a closed idle connection writes twice."""
+        seen = []
+        good = b'HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n'
+
+        async def serve(reader, writer):
+            while head := await reader.readuntil(b'\r\n\r\n'):
+                seen.append(head.split(b' ')[0])
+                if head.startswith(b'POST'):
+                    break
+                writer.write(good)
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        store = http.HttpStore(f'http://127.0.0.1:{port}')
+        await store.get('a')
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await store.put('a', b'1', expected_version=0)
+        assert caught.value.maybe_applied
+        assert seen == [b'GET', b'POST']
+        await store.close()
+        server.close()
+
+    async def test_refused_connection_proves_that_nothing_was_applied(self):
+        async with object_api.ObjectApi() as api:
+            store = http.HttpStore(api.url)
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await store.put('a', b'1', expected_version=0)
+        assert not caught.value.maybe_applied
+        await store.close()
+
+    async def test_slow_answer_of_a_write_times_out_as_maybe_applied(self):
+        async with object_api.ObjectApi() as api:
+            api.set_faults(slow_s=30)
+            store = http.HttpStore(api.url, timeout_s=0.05)
+            with pytest.raises(errors.StoreUnavailable) as caught:
+                await store.put('a', b'1', expected_version=0)
+            assert caught.value.maybe_applied
+            await store.close()
+
+    def test_url_without_scheme_is_refused(self):
+        with pytest.raises(errors.SettingError):
+            http.HttpStore('127.0.0.1:80')
--- /dev/null
+++ b/tests/test_stores/test_writing.py
@@ -0,0 +1,158 @@
+"""Tests of the document writer."""
+
+import itertools
+
+import pytest
+
+from ragwortchute import documents
+from ragwortchute import errors
+from ragwortchute.stores import memory
+from ragwortchute.stores import writing
+from tests.test_documents import samples
+
+
+def make_writer(store, prefix='c'):
+    ids = (f'{prefix}{number}' for number in itertools.count(1))
+    return writing.DocumentWriter(
+        store, wall=lambda: 1.0, new_id=lambda: next(ids)
+    )
+
+
+def version(number: int) -> documents.ServiceDocument:
+    return samples.service(max_queue=number)
+
+
+class LossyStore(memory.MemoryStore):
+    """Loses answers of document writes and runs a step after each loss."""
+
+    applied = True
+    after_loss = None
+
+    async def put(self, name, value, *, expected_version):
+        if not name.startswith('documents/') or self.after_loss is None:
+            return await super().put(
+                name, value, expected_version=expected_version
+            )
+        step, self.after_loss = self.after_loss, None
+        if self.applied:
+            await super().put(name, value, expected_version=expected_version)
+        await step()
+        raise errors.StoreUnavailable('answer lost', maybe_applied=True)
+
+
+class TestWrite:
+    """An operator must learn the true fate of a write."""
+
+    async def test_write_sets_change_id_and_reports_changes(self):
+        store = memory.MemoryStore()
+        writer = make_writer(store)
+        await writer.write(version(1), author='ann')
+        second = (await writer.write(version(2), author='ben')).unwrap()
+        assert [str(c) for c in second.changes] == ['~ max_queue: 1 -> 2']
+        now = await writer.read('dispatch')
+        assert (now.document.change_id, now.document.author) == ('c2', 'ben')
+
+    async def test_equal_content_writes_nothing(self):
+        store = memory.MemoryStore()
+        writer = make_writer(store)
+        first = (await writer.write(version(1), author='ann')).unwrap()
+        store.counters = memory.Counters()
+        again = (await writer.write(version(1), author='ben')).unwrap()
+        assert again.version == first.version
+        assert store.counters.put == 0
+
+    async def test_stale_base_is_a_conflict_with_the_difference(self):
+        store = memory.MemoryStore()
+        base = (await make_writer(store).write(version(1), author='a')).unwrap()
+        await make_writer(store, 'x').write(version(2), author='b')
+        conflict = (
+            await make_writer(store).write(
+                version(3), author='a', expected_version=base.version
+            )
+        ).failure()
+        assert [str(c) for c in conflict.changes] == ['~ max_queue: 2 -> 3']
+        assert conflict.current.author == 'b'
+
+    @pytest.mark.parametrize('applied', [True, False])
+    async def test_lost_answer(self, applied):
+        store = LossyStore()
+        store.applied = applied
+
+        async def nothing():
+            pass
+
+        store.after_loss = nothing
+        written = await make_writer(store).write(version(1), author='a')
+        now = await make_writer(store).read('dispatch')
+        assert written.unwrap().change_id == now.document.change_id == 'c1'
+
+    @pytest.mark.parametrize('applied', [True, False])
+    async def test_lost_answer_and_another_write(self, applied):
+        """Ours must be told apart from one that never took effect."""
+        store = LossyStore()
+        store.applied = applied
+
+        async def other():
+            await make_writer(store, 'x').write(version(9), author='b')
+
+        store.after_loss = other
+        outcome = await make_writer(store).write(version(1), author='a')
+        if applied:
+            assert outcome.unwrap().superseded
+        else:
+            assert outcome.failure().maybe_applied
+            assert outcome.failure().current.change_id == 'x1'
+
+    async def test_store_down_after_a_loss_stays_unknown(self):
+        store = LossyStore()
+
+        async def down():
+            store.set_faults(down=True)
+
+        store.after_loss = down
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await make_writer(store).write(version(1), author='a')
+        assert caught.value.maybe_applied
+
+
+class TestHistory:
+    """A lost or unbounded history makes going back impossible."""
+
+    async def test_keeps_the_last_twenty_newest_first(self):
+        store = memory.MemoryStore()
+        writer = make_writer(store)
+        for number in range(1, 26):
+            await writer.write(version(number), author='a')
+        entries = await writer.history('dispatch')
+        assert [e.change_id for e in entries] == [
+            f'c{number}' for number in range(25, 5, -1)
+        ]
+
+    async def test_costs_two_calls_for_a_write(self):
+        store = memory.MemoryStore()
+        await make_writer(store).write(version(1), author='a')
+        assert store.counters == memory.Counters(get=2, put=2)
+
+    async def test_next_write_adds_a_version_that_is_missing(self):
+        store = memory.MemoryStore()
+        writer = make_writer(store)
+        await writer.write(version(1), author='a')
+        store.remove('history/dispatch')
+        await writer.write(version(2), author='a')
+        entries = await writer.history('dispatch')
+        assert [e.change_id for e in entries] == ['c2', 'c1']
+
+    async def test_large_documents_stay_below_the_value_limit(self):
+        store = memory.MemoryStore()
+        writer = make_writer(store)
+        for number in range(1, 4):
+            big = samples.service(
+                *(
+                    documents.Route(f'r{i}', path_prefix='/' + 'p' * 300)
+                    for i in range(900)
+                ),
+                max_queue=number,
+            )
+            written = (await writer.write(big, author='a')).unwrap()
+            assert written.history_kept
+        assert 1 <= len(await writer.history('dispatch')) < 3
