--- a/ragwortchute/wire.py
+++ b/ragwortchute/wire.py
@@ -296,13 +296,26 @@
 
 
 class RecordHandover(Message, frozen=True):
-    """Part of a request record; answered by `Done`."""
+    """Part of a request record; answered by `Done`.
+
+    Attributes:
+        host: Origin of the record.
+        incarnation: Its incarnation.
+        entries: The entries of this part.
+        last: True for the last part of the transfer.
+        evicted_expiry: Highest expiry that the origin evicted.
+        transfer_id: Id of the transfer; only parts of one transfer add up to
+            a complete record.
+        part: Number of this part, from 0.
+    """
 
     host: str
     incarnation: int
     entries: tuple[RecordEntry, ...]
     last: bool
     evicted_expiry: float = 0.0
+    transfer_id: int = 0
+    part: int = 0
 
 
 class Done(Message, frozen=True):
--- /dev/null
+++ b/tests/test_records/cluster.py
@@ -0,0 +1,172 @@
+"""Several recorders on a fake network, for tests."""
+
+import asyncio
+
+from returns import result
+
+from ragwortchute import calls
+from ragwortchute import clock as clock_lib
+from ragwortchute import errors
+from ragwortchute import wire
+from ragwortchute.records import recorder
+from ragwortchute.records import tokens
+from tests import fakes
+
+KEY = 'deployment-key-for-tests'
+
+
+class Membership(fakes.FakeMembership):
+    """Members with real incarnations and regions."""
+
+    def __init__(self, cluster, host, incarnation):
+        super().__init__(host, ())
+        self.cluster = cluster
+        self.incarnation = incarnation
+
+    @property
+    def me(self):
+        return self.cluster.member(self.host, self.incarnation)
+
+    def live_members(self):
+        return [host.member for host in self.cluster.hosts.values()]
+
+
+class Transport(fakes.FakeTransport):
+    """Stands still while its host is paused; requests time out."""
+
+    cluster = None
+
+    async def request(self, host, message, *, timeout_s, bulk=False):
+        pending = asyncio.ensure_future(
+            super().request(host, message, timeout_s=timeout_s, bulk=bulk)
+        )
+        timer = asyncio.ensure_future(self.cluster.clock.sleep(timeout_s))
+        await asyncio.wait(
+            {pending, timer}, return_when=asyncio.FIRST_COMPLETED
+        )
+        timer.cancel()
+        if pending.done():
+            return pending.result()
+        self.cluster.strays.append(pending)
+        raise errors.PeerTimeout('no answer', step='request', peer=host)
+
+    async def _deliver(self, host, message):
+        if host in self.cluster.paused:
+            await self.cluster.paused[host].wait()
+        return await super()._deliver(host, message)
+
+
+class Host:
+    """One process of an entry host."""
+
+    def __init__(self, cluster, name, incarnation, record_bytes):
+        self.cluster = cluster
+        self.member = cluster.member(name, incarnation)
+        self.transport = Transport(cluster.network, name)
+        self.transport.cluster = cluster
+        cluster.network.transports[name] = self.transport
+        self.recorder = recorder.OriginRecorder(
+            clock=cluster.clock,
+            transport=self.transport,
+            membership=Membership(cluster, name, incarnation),
+            tokens=cluster.mint,
+            record_bytes=record_bytes,
+            addresses=lambda call: calls.AddressAnswer((), 5000),
+        )
+        self.recorder.start(self.run)
+
+    async def run(self, call):
+        """Dispatches a call; what happens is set by the test."""
+        if self.cluster.clock.monotonic() >= call.deadline_s:
+            return refused(calls.Outcome.NOT_RUN)
+        return await self.cluster.dispatch(self, call)
+
+
+class Cluster:
+    """Hosts a, b and c in luzon and v in visayas.
+
+    Attributes:
+        ran: Keys and hosts of the dispatches, in order.
+        gate: Dispatches wait while it is closed.
+        outcome: What dispatches return in place of an answer.
+    """
+
+    def __init__(self, hosts='abcv', record_bytes=1 << 20):
+        self.clock = clock_lib.ManualClock()
+        self.network = fakes.FakeNetwork()
+        self.mint = tokens.TokenMint(KEY, self.clock, 120.0)
+        self.record_bytes = record_bytes
+        self.paused = {}
+        self.strays = []
+        self.ran = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.outcome = None
+        self.body_bytes = 0
+        self.incarnations = 0
+        self.hosts = {}
+        for name in hosts:
+            self.start(name)
+
+    def member(self, name, incarnation):
+        region = 'visayas' if name == 'v' else 'luzon'
+        return wire.Member(name, incarnation, '', '', region + '-1', region)
+
+    def start(self, name):
+        """Starts a process; an older one of the same name is dead."""
+        self.incarnations += 1
+        self.network.down.discard(name)
+        host = Host(self, name, self.incarnations, self.record_bytes)
+        self.hosts[name] = host
+        return host
+
+    async def kill(self, name):
+        """Ends a process without notice."""
+        self.network.down.add(name)
+        host = self.hosts.pop(name)
+        await host.recorder.close()
+
+    def pause(self, name):
+        self.paused[name] = asyncio.Event()
+
+    def resume(self, name):
+        self.paused.pop(name).set()
+
+    def token(self, name):
+        return self.mint.mint(self.hosts[name].member)
+
+    async def dispatch(self, host, call):
+        self.ran.append((call.key, host.member.host))
+        await self.gate.wait()
+        if self.outcome is not None:
+            return self.outcome
+        body = b'answer to ' + call.body + bytes(self.body_bytes)
+        return result.Success(calls.Answer(200, [('x', 'y')], body))
+
+    async def send(self, name, call):
+        """Sends a call to a host as its caller."""
+        host = self.hosts[name]
+        return await host.recorder.execute(call, host.run)
+
+    def spawn(self, name, call):
+        return asyncio.ensure_future(self.send(name, call))
+
+    def call(self, token, key='k1', *, first=True, body=b'one', **kwargs):
+        kwargs.setdefault('deadline_s', self.clock.monotonic() + 2.0)
+        return calls.Call(
+            call_id='c', service='billing', method='POST', path='/pay',
+            headers=[], body=body, tenant='t', idempotent=False, key=key,
+            origin_token=token, first_send=first, **kwargs,
+        )  # fmt: skip
+
+
+def refused(outcome, reason='test'):
+    return result.Failure(calls.Refusal(outcome, reason, 'dispatch', 503))
+
+
+def shown(outcome):
+    """Returns `ran`, or outcome and reason of a refusal, for comparison."""
+    if isinstance(outcome, result.Success):
+        return outcome.unwrap().body.rstrip(b'\0').decode()
+    refusal = outcome.failure()
+    return f'{refusal.outcome} {refusal.reason}'
