Add the caller client and describe the caller protocol

Cause: at-most-once execution depends on what callers state about a send; a library that resends by itself makes that statement false.

Refusals are told from answers by the header Ragwortchute-Refusal, because a target may hand on a problem document of another service. Refusals of resends say when another resend can tell more.

--- /dev/null
+++ b/ragwortchute/client/protocol.py
@@ -0,0 +1,132 @@
+"""Requests and responses of the protocol in docs/caller-protocol.md."""
+
+from collections import abc
+import urllib.parse
+
+import msgspec
+
+from ragwortchute import calls
+
+# Set by the entry host on each refusal. A target may answer with a problem
+# document of its own, such as a refusal that it got from another service, so
+# the content type alone does not make a refusal.
+REFUSAL_HEADER = 'ragwortchute-refusal'
+
+PROBLEM_TYPE = 'application/problem+json'
+
+# Refusals at this step were given before the record was asked, so in answer
+# to a resend they say nothing about earlier sends.
+ADMIT_STEP = 'admit'
+
+_HOP_HEADERS = frozenset(
+    ('connection', 'content-length', 'keep-alive', 'transfer-encoding')
+)
+
+
+class Request(msgspec.Struct, frozen=True):
+    """What a caller asks for.
+
+    Attributes:
+        service: Name of the service.
+        method: HTTP method.
+        path: Path and query at the target, with a leading slash, encoded.
+        body: The whole body.
+        headers: End-to-end headers.
+        tenant: Tenant, or an empty string.
+        deadline_s: Deadline on the client's monotonic clock, in seconds.
+        key: Request key; empty if the request may run more than once.
+    """
+
+    service: str
+    method: str
+    path: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...]
+    tenant: str
+    deadline_s: float
+    key: str = ''
+
+
+class _Problem(msgspec.Struct, frozen=True):
+    outcome: calls.Outcome
+    reason: str = ''
+    step: str = ''
+    detail: str = ''
+    retry_after_ms: int = -1
+    addresses: calls.AddressAnswer | None = None
+
+
+def address_path(request: Request) -> str:
+    """Returns path and query of the address query of a request."""
+    query = urllib.parse.urlencode(
+        {
+            'service': request.service,
+            'tenant': request.tenant,
+            'method': request.method,
+            'path': request.path.partition('?')[0],
+        }
+    )
+    return f'/addresses?{query}'
+
+
+def call_path(request: Request) -> str:
+    """Returns path and query of a call."""
+    return f'/call/{urllib.parse.quote(request.service)}{request.path}'
+
+
+def call_headers(
+    request: Request, *, remaining_s: float, token: str, first_send: bool
+) -> list[tuple[str, str]]:
+    """Returns the headers of one send.
+
+    Args:
+        request: The request.
+        remaining_s: Seconds until its deadline.
+        token: Origin token of the key; not used without a key.
+        first_send: True only if no byte of the key's request may have left.
+    """
+    headers = list(request.headers)
+    remaining_ms = max(1, int(remaining_s * 1000))
+    headers.append(('Ragwortchute-Deadline-Ms', str(remaining_ms)))
+    if request.tenant:
+        headers.append(('Ragwortchute-Tenant', request.tenant))
+    if request.key:
+        headers.append(('Idempotency-Key', request.key))
+        headers.append(('Ragwortchute-Origin', token))
+    if request.key and first_send:
+        headers.append(('Ragwortchute-First-Send', '1'))
+    return headers
+
+
+def parse_response(
+    status: int, headers: abc.Iterable[tuple[str, str]], body: bytes
+) -> calls.Answer | calls.Refusal:
+    """Returns the answer of a target, or the refusal of an entry host.
+
+    Args:
+        status: HTTP status.
+        headers: Response headers, names in lower case.
+        body: The whole body.
+    """
+    kept = [item for item in headers if item[0] not in _HOP_HEADERS]
+    if not calls.header(kept, REFUSAL_HEADER):
+        return calls.Answer(status=status, headers=kept, body=body)
+    try:
+        problem = msgspec.json.decode(body, type=_Problem)
+    except msgspec.DecodeError:
+        return calls.Refusal(
+            outcome=calls.Outcome.UNKNOWN,
+            reason='bad-refusal',
+            step='client',
+            status=status,
+            detail='the refusal could not be decoded',
+        )
+    return calls.Refusal(
+        outcome=problem.outcome,
+        reason=problem.reason,
+        step=problem.step,
+        status=status,
+        detail=problem.detail,
+        retry_after_ms=problem.retry_after_ms,
+        addresses=problem.addresses,
+    )
--- a/ragwortchute/records/recorder.py
+++ b/ragwortchute/records/recorder.py
@@ -124,10 +124,12 @@
     ) -> records.Outcome:
         if not _key_allowed(call.key):
             detail = f'the key must have 1 to {MAX_KEY_CHARS} printable ASCII'
-            return self._refuse(call, 'bad-key', 400, detail)
+            return self._refuse(call, 'bad-key', 400, detail, first_retry_ms=-1)
         if call.homes and self._me.region not in call.homes:
             detail = f'region {self._me.region!r} is not a home region'
-            return self._refuse(call, 'home-regions', 421, detail)
+            return self._refuse(
+                call, 'home-regions', 421, detail, resend_retry_ms=0
+            )
         if not call.origin_token:
             return await self._without_token(call)
         parsed = self._tokens.parse(call.origin_token)
@@ -142,7 +144,7 @@
             return self._from_adopted(call, token, adopted)
         if forwarded:
             detail = f'host {token.host!r} has no record of this origin'
-            return self._refuse(call, 'origin-gone', 503, detail)
+            return self._origin_gone(call, detail)
         return await self._forward(call, token)
 
     async def _without_token(self, call: calls.Call) -> records.Outcome:
@@ -168,7 +170,7 @@
             bound = self.record.bind(entry, token.token_id, token.expires_at)
             if not bound and entry.state is record_lib.State.PENDING:
                 # If it ends in `not-run`, this token could run it again.
-                return _unknown('too-many-tokens', 503)
+                return _unknown('too-many-tokens', 503, retry_after_ms=100)
             return await self._recorded(entry, call)
         refusal = self._check_new(call, token)
         if refusal is not None:
@@ -189,7 +191,14 @@
                 self.record.restart(entry)
         if not added:
             detail = 'the request record of the origin is full'
-            return self._refuse(call, 'record-full', 503, detail, 1000)
+            return self._refuse(
+                call,
+                'record-full',
+                503,
+                detail,
+                first_retry_ms=100,
+                resend_retry_ms=1000,
+            )
         return await self._start_run(entry, call, run)
 
     def _check_new(
@@ -203,7 +212,7 @@
             # sends of the key.
             return self._not_run(call, 'leaving')
         if self._clock.monotonic() >= call.deadline_s:
-            return self._refuse(call, 'deadline', 504)
+            return self._refuse(call, 'deadline', 504, first_retry_ms=-1)
         return None
 
     async def _start_run(
@@ -319,10 +328,10 @@
             return self._refuse(call, 'home-regions', 421, detail)
         host = self._handover.successor(token.origin) or token.host
         if host == self._me.host:
-            return self._refuse(call, 'origin-gone', 503)
+            return self._origin_gone(call, 'this host was restarted')
         left_s = call.deadline_s - self._clock.monotonic()
         if left_s <= 0:
-            return self._refuse(call, 'deadline', 504)
+            return self._refuse(call, 'deadline', 504, first_retry_ms=-1)
         message = wire.CallForward(
             call=msgspec.structs.replace(call, deadline_s=0.0),
             remaining_ms=max(1, int(left_s * 1000)),
@@ -333,16 +342,18 @@
             )
         except errors.PeerUnreachable:
             detail = f'origin {host!r} is unreachable'
-            return self._refuse(call, 'origin-unreachable', 503, detail)
+            return self._refuse(
+                call, 'origin-unreachable', 503, detail, resend_retry_ms=200
+            )
         except errors.PeerError as exc:
             # The origin may have dispatched it, even for a first send.
-            return _unknown('forward-lost', 504, str(exc))
+            return _unknown('forward-lost', 504, str(exc), 100)
         if isinstance(answer, wire.CallAnswer):
             if answer.answer is not None:
                 return result.Success(answer.answer)
             if answer.refusal is not None:
                 return result.Failure(answer.refusal)
-        return _unknown('forward-lost', 504, 'the origin sent no outcome')
+        return _unknown('forward-lost', 504, 'no outcome came back', 100)
 
     async def _on_forward(
         self, sender: str, message: wire.CallForward
@@ -387,26 +398,44 @@
         reason: str,
         status: int,
         detail: str = '',
-        retry_after_ms: int = -1,
+        *,
+        first_retry_ms: int = 0,
+        resend_retry_ms: int = -1,
     ) -> records.Outcome:
         """Refuses a send that leaves no trace in the record.
 
         For a first send, nothing else can have run the key. For a resend an
         earlier send may have run, or may still arrive and run.
+
+        Args:
+            call: The refused call.
+            reason: Short fixed word.
+            status: HTTP status.
+            detail: One sentence for people.
+            first_retry_ms: When a first send may be repeated; -1 for never.
+            resend_retry_ms: When another resend may tell more; -1 for never.
         """
-        if call.first_send:
-            return result.Failure(
-                calls.Refusal(
-                    outcome=calls.Outcome.NOT_RUN,
-                    reason=reason,
-                    step=_STEP,
-                    status=status,
-                    detail=detail,
-                    retry_after_ms=max(0, retry_after_ms),
-                    addresses=self._addresses(call),
-                )
+        if not call.first_send:
+            return _unknown(reason, status, detail, resend_retry_ms)
+        return result.Failure(
+            calls.Refusal(
+                outcome=calls.Outcome.NOT_RUN,
+                reason=reason,
+                step=_STEP,
+                status=status,
+                detail=detail,
+                retry_after_ms=first_retry_ms,
+                addresses=(
+                    self._addresses(call) if first_retry_ms >= 0 else None
+                ),
             )
-        return _unknown(reason, status, detail, retry_after_ms)
+        )
+
+    def _origin_gone(self, call: calls.Call, detail: str) -> records.Outcome:
+        # A successor repeats its notice every second.
+        return self._refuse(
+            call, 'origin-gone', 503, detail, resend_retry_ms=500
+        )
 
     def _not_run(self, call: calls.Call, reason: str) -> records.Outcome:
         """Refuses a key that no send under this token will ever run."""
