--- a/ragwortchute/calls.py
+++ b/ragwortchute/calls.py
@@ -65,6 +65,8 @@
       first_send: The caller states that it has not sent this key before.
       homes: Regions that may serve the request; empty means any.
       route: Name of the route that matched.
+      retries: Largest number of further attempts.
+      hedge: Whether a second attempt may run at the same time.
     """
 
     call_id: str
@@ -82,6 +84,8 @@
     first_send: bool = False
     homes: tuple[str, ...] = ()
     route: str = ''
+    retries: int = 2
+    hedge: bool = True
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/ragwortchute/errors.py
+++ b/ragwortchute/errors.py
@@ -108,9 +108,18 @@
 
 
 class TargetShed(TargetError):
-    """The target refused the request explicitly before running it."""
+    """The target refused the request explicitly before running it.
+
+    Attributes:
+      incarnation: Header `Target-Incarnation`, or an empty string.
+      running: Running requests by header `Target-Load`; -1 if absent.
+      draining: Whether header `Target-Draining` was set.
+    """
 
     not_run = True
+    incarnation = ''
+    running = -1
+    draining = False
 
 
 class ConnectionLost(TargetError):
@@ -121,5 +130,9 @@
     """The answer ended before its announced length."""
 
 
+class AnswerTooLarge(TargetError):
+    """The target ran the request, but its answer exceeds the limit."""
+
+
 class AttemptTimeout(TargetError):
     """The target did not answer before the deadline."""
