--- a/ragwortchute/callers/__init__.py
+++ b/ragwortchute/callers/__init__.py
@@ -50,7 +50,15 @@
         path: str,
         tenant: str,
     ) -> RouteMatch | None:
-        """Returns the rules for a call, or None if no route matches."""
+        """Returns the rules for a call, or None if no route matches.
+
+        Args:
+            document: The document in force.
+            method: HTTP method.
+            path: Path at the target as received, percent-encoded, without
+                a query.
+            tenant: Tenant, or an empty string.
+        """
 
     @abc.abstractmethod
     def refusal_reason(self, service: str) -> str:
--- a/ragwortchute/callers/application.py
+++ b/ragwortchute/callers/application.py
@@ -21,6 +21,7 @@
 from ragwortchute import clock as clocks
 from ragwortchute import events as event_table
 from ragwortchute import records
+from ragwortchute.callers import durations
 from ragwortchute.callers import heads
 
 Scope = dict[str, Any]
@@ -30,6 +31,13 @@
 # Key of the ASGI scope under which `serving` offers to report a disconnect.
 DISCONNECT_EXTENSION = 'ragwortchute.disconnect'
 
+# Targets can't set it, so it tells a refusal of this host from an answer of a
+# target that happens to be a problem document.
+REFUSAL_HEADER = 'ragwortchute-refusal'
+
+# Step of refusals that are given before the record is asked.
+ADMIT_STEP = 'admit'
+
 _CALL_PREFIX = '/call/'
 _RETRY_AFTER_MS = 100
 _MAX_HEADERS = 64
@@ -103,6 +111,7 @@
         self._id_numbers = itertools.count(1)
         self.running = 0
         self.answered = 0
+        self.durations = durations.Durations()
         self.refused: dict[str, int] = {}
 
     async def __call__(
@@ -214,7 +223,7 @@
         except heads.HeadError as exc:
             raise _refused(exc.reason, exc.status, str(exc)) from exc
         method = scope['method']
-        match = directory.match(document, method, path, head.tenant)
+        match = directory.match(document, method, raw_path, head.tenant)
         if match is None:
             raise _refused('no-route', 404, 'no route matches')
         route = match.route
@@ -223,7 +232,7 @@
                 'home-region',
                 421,
                 'this region may not serve the call',
-                directory.addresses(service, head.tenant, method, path),
+                directory.addresses(service, head.tenant, method, raw_path),
             )
         if method == 'CONNECT':
             raise _refused('method', 405, 'CONNECT is not supported')
@@ -232,7 +241,7 @@
                 'key-missing', 400, 'the call needs an Idempotency-Key'
             )
         if route.idempotent:
-            self._check_place(service, head.tenant, method, path)
+            self._check_place(service, head.tenant, method, raw_path)
         if head.length > self._limits.max_body_bytes:
             raise self._too_large()
         deadline_ms = min(head.deadline_ms or route.deadline_ms,
@@ -337,7 +346,9 @@
                 call.path.partition('?')[0],
             )
         except _Refused as exc:
-            return result.Failure(exc.refusal)
+            return result.Failure(
+                msgspec.structs.replace(exc.refusal, step='dispatch')
+            )
         return await self._dispatch(call)
 
     def _too_large(self) -> '_Refused':
@@ -367,7 +378,10 @@
         self, send: Send, refusal: calls.Refusal, close: bool
     ) -> None:
         self._count(refusal.reason)
-        headers = [(b'content-type', b'application/problem+json')]
+        headers = [
+            (b'content-type', b'application/problem+json'),
+            (REFUSAL_HEADER.encode(), b'1'),
+        ]
         if close:
             headers.append((b'connection', b'close'))
         await self._send(send, refusal.status, headers, encode_problem(refusal))
@@ -408,6 +422,7 @@
             self.answered += 1
         if call is None:
             return
+        self.durations.add(self._clock.monotonic() - started_s)
         outcome = 'answered' if refusal is None else refusal.outcome.value
         if self._events is not None:
             self._events.emit('call-ended', call=call, outcome=outcome)
@@ -545,7 +560,7 @@
         calls.Refusal(
             calls.Outcome.NOT_RUN,
             reason,
-            'admit',
+            ADMIT_STEP,
             status,
             detail,
             _RETRY_AFTER_MS if retry else -1,
--- a/ragwortchute/dispatch/dispatcher.py
+++ b/ragwortchute/dispatch/dispatcher.py
@@ -23,8 +23,8 @@
 class Budget(Protocol):
     """Limits how often something happens."""
 
-    def take(self) -> bool:
-        """Takes one unit; returns False if none is left."""
+    def try_spend(self) -> bool:
+        """Takes one spending if the budget allows it."""
         ...
 
 
@@ -170,7 +170,7 @@
             return False
         if call.deadline_s <= self._clock.monotonic():
             return False
-        if not self._retry_budget(call.service).take():
+        if not self._retry_budget(call.service).try_spend():
             self.counts.retries_denied += 1
             return False
         self.counts.retries += 1
@@ -202,7 +202,7 @@
 
     def take_hedge(self, call: calls.Call) -> bool:
         """Takes a hedge from the budget of the call's service."""
-        if not self._hedge_budget(call.service).take():
+        if not self._hedge_budget(call.service).try_spend():
             self.counts.hedges_denied += 1
             return False
         self.counts.hedges += 1
--- /dev/null
+++ b/ragwortchute/operators/metrics.py
@@ -0,0 +1,176 @@
+"""Metrics in the Prometheus text format.
+
+The parts count in plain attributes; the values are copied when they are
+scraped. Updating a collector costs several microseconds, too much for the
+path of a call.
+"""
+
+from collections import abc
+import resource
+import time
+
+import aioprometheus
+from aioprometheus import collectors
+
+from ragwortchute.callers import application as caller_application
+from ragwortchute.dispatch import dispatcher as dispatch
+
+# Labels come from this table or from documents, never from callers, so the
+# number of series is bounded.
+REASONS = frozenset(
+    {
+        'answer-invalid',
+        'answer-too-large',
+        'answer-truncated',
+        'body-timeout',
+        'body-too-large',
+        'caller-gone',
+        'connect-failed',
+        'connection-lost',
+        'content-length',
+        'crashes-targets',
+        'deadline',
+        'deadline-invalid',
+        'domain-out',
+        'header-repeated',
+        'home-region',
+        'internal',
+        'key-missing',
+        'lease',
+        'leaving',
+        'method',
+        'no-route',
+        'no-service',
+        'no-slot',
+        'no-target',
+        'not-ready',
+        'path',
+        'query',
+        'queue-full',
+        'shed',
+        'too-many-calls',
+        'too-many-headers',
+        'upgrade',
+        'wrong-host',
+    }
+)
+_OTHER = 'other'
+_PAGE_BYTES = resource.getpagesize()
+_STATM = '/proc/self/statm'
+
+# Returns values by label value; an empty label value means no label.
+Source = abc.Callable[[], abc.Mapping[str, float]]
+
+
+class Metrics:
+    """A set of metrics that are read when they are scraped."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self._sources: list[tuple[collectors.Collector, str, Source]] = []
+
+    def add_counter(
+        self, name: str, help_text: str, source: Source, label: str = ''
+    ) -> None:
+        """Adds a total; its name ends in `_total` and carries the unit."""
+        self._add(
+            aioprometheus.Counter(name, help_text, registry=self._registry),
+            label,
+            source,
+        )
+
+    def add_gauge(
+        self, name: str, help_text: str, source: Source, label: str = ''
+    ) -> None:
+        """Adds a value that goes up and down; its name carries the unit."""
+        self._add(
+            aioprometheus.Gauge(name, help_text, registry=self._registry),
+            label,
+            source,
+        )
+
+    def render(self, accept: abc.Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Returns the metrics and the headers of the answer."""
+        for collector, label, source in self._sources:
+            # Drops the series of labels that are gone, such as old targets.
+            collector.values.clear()
+            for value, number in source().items():
+                collector.set({label: value} if label else {}, number)
+        return aioprometheus.render(self._registry, accept)
+
+    def _add(
+        self, collector: collectors.Collector, label: str, source: Source
+    ) -> None:
+        self._sources.append((collector, label, source))
+
+
+def by_reason(refused: abc.Mapping[str, int]) -> dict[str, float]:
+    """Returns counts by known reason; the rest are counted as `other`."""
+    values: dict[str, float] = {}
+    for reason, count in refused.items():
+        label = reason if reason in REASONS else _OTHER
+        values[label] = values.get(label, 0) + count
+    return values
+
+
+def add_process(metrics: Metrics) -> None:
+    """Adds CPU time and memory of this process."""
+    metrics.add_counter(
+        'ragwortchute_process_cpu_seconds_total',
+        'CPU time of the process in seconds.',
+        lambda: {'': time.process_time()},
+    )
+    metrics.add_gauge(
+        'ragwortchute_process_resident_bytes',
+        'Resident memory of the process in bytes.',
+        lambda: {'': resident_bytes()},
+    )
+
+
+def add_call_path(
+    metrics: Metrics,
+    app: caller_application.CallerApplication,
+    counts: dispatch.DispatchCounts,
+) -> None:
+    """Adds the metrics of calls and attempts."""
+    metrics.add_gauge(
+        'ragwortchute_calls_running',
+        'Calls that run at this moment.',
+        lambda: {'': app.running},
+    )
+    metrics.add_counter(
+        'ragwortchute_calls_total',
+        'Calls that got an answer of a target.',
+        lambda: {'': app.answered},
+    )
+    metrics.add_counter(
+        'ragwortchute_refusals_total',
+        'Refused calls by reason.',
+        lambda: by_reason(app.refused),
+        'reason',
+    )
+    metrics.add_counter(
+        'ragwortchute_call_seconds_total',
+        'Time of all ended calls in seconds.',
+        lambda: {'': app.durations.total_s},
+    )
+    metrics.add_counter(
+        'ragwortchute_calls_within_milliseconds_total',
+        'Ended calls by upper bound of their duration in milliseconds.',
+        app.durations.by_bound,
+        'bound',
+    )
+    metrics.add_counter(
+        'ragwortchute_attempts_total',
+        'Attempts on targets and decisions on further ones, by kind.',
+        lambda: {
+            name: getattr(counts, name) for name in type(counts).__slots__
+        },
+        'kind',
+    )
+
+
+def resident_bytes() -> int:
+    """Returns the resident memory of this process."""
+    with open(_STATM, encoding='ascii') as file:
+        return int(file.read().split()[1]) * _PAGE_BYTES
--- a/ragwortchute/serving.py
+++ b/ragwortchute/serving.py
@@ -22,6 +22,7 @@
 _REFUSAL = (
     b'HTTP/1.1 %d %s\r\n'
     b'content-type: application/problem+json\r\n'
+    b'ragwortchute-refusal: 1\r\n'
     b'connection: close\r\n'
     b'content-length: %d\r\n\r\n%s'
 )
@@ -272,7 +273,13 @@
 
 def _encode_refusal(status: int, reason: str, detail: str) -> bytes:
     body = application.encode_problem(
-        calls.Refusal(calls.Outcome.NOT_RUN, reason, 'admit', status, detail)
+        calls.Refusal(
+            calls.Outcome.NOT_RUN,
+            reason,
+            application.ADMIT_STEP,
+            status,
+            detail,
+        )
     )
     phrase = http.HTTPStatus(status).phrase.encode()
     return _REFUSAL % (status, phrase, len(body), body)
--- a/ragwortchute/upstream/http.py
+++ b/ragwortchute/upstream/http.py
@@ -403,7 +403,7 @@
                 draining = value == '1'
             elif name == 'content-length':
                 length = value
-            else:
+            elif not name.startswith('ragwortchute-'):
                 headers.append((name, value))
         running = _parse_running(load)
         if shed and message.code == 503:
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -179,7 +179,7 @@
     def __init__(self, units: int = 100) -> None:
         self.units = units
 
-    def take(self) -> bool:
+    def try_spend(self) -> bool:
         self.units -= 1
         return self.units >= 0
 
--- a/tests/test_callers/test_application.py
+++ b/tests/test_callers/test_application.py
@@ -68,6 +68,7 @@
     async def refusal(self, *args, **kwargs):
         resp, body = await self.ask(*args, **kwargs)
         assert resp.content_type == 'application/problem+json'
+        assert resp.headers['ragwortchute-refusal'] == '1'
         problem = json.loads(body)
         assert problem['outcome'] == 'not-run'
         assert problem['status'] == resp.status
@@ -399,3 +400,24 @@
             assert answer['hosts'][0]['host'] == 'h2'
             resp, _ = await host.refusal(path='/addresses?service=none')
             assert resp.status == 404
+
+
+class TestAccessLog:
+    """The line per call."""
+
+    async def test_line_of_a_call_with_homes(self, monkeypatch):
+        """Guards against paths of restricted calls, and keys, in the log."""
+        lines = []
+        monkeypatch.setattr(
+            application.logging, 'info', lambda *args: lines.append(args[-1])
+        )
+        async with Host().serve() as host:
+            host.app._access_log = True
+            await host.ask(path='/call/billing/open?q=secret')
+            host.directory.homes = ('luzon',)
+            await host.ask('POST', '/call/billing/private', headers=KEY)
+        logged = [json.loads(line) for line in lines if 'route' in str(line)]
+        assert [line.get('path') for line in logged] == ['/open', None]
+        assert logged[1]['route'] == 'pay'
+        assert 'secret' not in str(lines)
+        assert '"k"' not in str(lines)
--- a/tests/test_upstream/test_http.py
+++ b/tests/test_upstream/test_http.py
@@ -65,6 +65,7 @@
         data = (
             b'HTTP/1.1 302 Found\r\nTarget-Incarnation: i7\r\n'
             b'Target-Load: 3/4\r\nTarget-Draining: 1\r\nSet-Cookie: a=b\r\n'
+            b'Ragwortchute-Refusal: 1\r\n'
             b'Connection: x-hop\r\nX-Hop: 1\r\nContent-Encoding: gzip\r\n'
             b'Location: /other\r\nContent-Length: 4\r\n\r\nzzzz'
         )
