--- a/ragwortchute/wire.py
+++ b/ragwortchute/wire.py
@@ -40,6 +40,8 @@
         members: Members in join order.
         witnesses: Hosts whose majority confirms leases; an odd number.
         previous_witnesses: Witnesses of the epoch before.
+        passive: Members that own no target, because their failure domain
+            is out.
     """
 
     region: str
@@ -48,6 +50,7 @@
     members: tuple[Member, ...]
     witnesses: tuple[str, ...] = ()
     previous_witnesses: tuple[str, ...] = ()
+    passive: tuple[str, ...] = ()
 
 
 class Heartbeat(Message, frozen=True):
@@ -73,6 +76,7 @@
         epoch: Highest epoch that it adopted.
         digest: Digest of its documents and orders.
         joined: True if the sender is a member of that epoch.
+        suspects: Members that the witness has not heard for `suspect_s`.
     """
 
     host: str
@@ -80,6 +84,7 @@
     epoch: int
     digest: int
     joined: bool
+    suspects: tuple[str, ...] = ()
 
 
 class ViewNotice(Message, frozen=True):
