--- /dev/null
+++ b/ragwortchute/commands/exits.py
@@ -0,0 +1,80 @@
+"""Exit codes of the tool and the errors that lead to them."""
+
+from collections import abc
+import enum
+import functools
+from typing import Any
+
+import typer
+
+from ragwortchute import errors
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes; 2 is given by the parser of the command line."""
+
+    OK = 0
+    NEGATIVE = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    UNKNOWN = 5
+    TIMEOUT = 6
+    REFUSED = 7
+
+
+MEANINGS = {
+    ExitCode.OK: 'done',
+    ExitCode.NEGATIVE: 'document invalid, documents differ, call not run',
+    ExitCode.USAGE: 'wrong use of the command line',
+    ExitCode.CONFLICT: 'somebody else changed the document; nothing written',
+    ExitCode.UNAVAILABLE: 'store or host not reachable; nothing changed',
+    ExitCode.UNKNOWN: 'no answer; the change or call may have taken effect',
+    ExitCode.TIMEOUT: '--wait ended before the version was in force',
+    ExitCode.REFUSED: 'the host or store refused the request',
+}
+
+
+def epilog() -> str:
+    """Returns the table of exit codes for the help text."""
+    listed = '; '.join(f'{c.value} {MEANINGS[c]}' for c in ExitCode)
+    return f'Exit codes: {listed}.'
+
+
+def code_of(exc: errors.RagwortchuteError) -> ExitCode:
+    """Returns the exit code of an error."""
+    if isinstance(exc, errors.StoreUnavailable):
+        return ExitCode.UNKNOWN if exc.maybe_applied else ExitCode.UNAVAILABLE
+    if isinstance(exc, errors.PeerUnreachable):
+        return ExitCode.UNAVAILABLE
+    if isinstance(exc, errors.PeerTimeout):
+        return ExitCode.UNKNOWN
+    if isinstance(exc, errors.DocumentError):
+        return ExitCode.NEGATIVE
+    if isinstance(exc, errors.SettingError):
+        return ExitCode.USAGE
+    return ExitCode.REFUSED
+
+
+def handled(command: abc.Callable[..., None]) -> abc.Callable[..., None]:
+    """Returns a command that prints errors and ends with their exit code."""
+
+    @functools.wraps(command)
+    def run(*args: Any, **kwargs: Any) -> None:
+        try:
+            command(*args, **kwargs)
+        except errors.RagwortchuteError as exc:
+            typer.echo(f'error: {exc}', err=True)
+            code = code_of(exc)
+            if code in (ExitCode.UNKNOWN, ExitCode.UNAVAILABLE):
+                typer.echo(f'result: {MEANINGS[code]}', err=True)
+            raise typer.Exit(code) from exc
+
+    return run
+
+
+def stop(code: ExitCode, message: str = '') -> typer.Exit:
+    """Prints a message to the error output; returns the exception to raise."""
+    if message:
+        typer.echo(message, err=True)
+    return typer.Exit(code)
--- /dev/null
+++ b/ragwortchute/commands/operator_client.py
@@ -0,0 +1,172 @@
+"""Client of an entry host's listener for operators."""
+
+from collections import abc
+import types
+from typing import Any
+from urllib import parse
+
+import aiohttp
+import msgspec
+import yarl
+
+from ragwortchute import errors
+
+TIMEOUT_S = 5.0
+_MAX_DETAIL_CHARS = 300
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A document in force on a host."""
+
+    version: int
+    since: float = 0.0
+
+
+class Domain(msgspec.Struct, frozen=True):
+    """State of a failure domain as a host sees it."""
+
+    state: str
+    damped_until: float | None = None
+
+
+class View(msgspec.Struct, frozen=True):
+    """The view that a host adopted."""
+
+    epoch: int = 0
+    leader: str = ''
+    members: list[Any] = []
+
+    def hosts(self) -> list[str]:
+        """Returns the names of the members, given by name or as objects."""
+        return [
+            str(m.get('host', '')) if isinstance(m, dict) else str(m)
+            for m in self.members
+        ]
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Answer of `GET /status`."""
+
+    host: str
+    region: str
+    failure_domain: str
+    incarnation: int
+    ready: bool
+    leaving: bool
+    documents: dict[str, Document] = {}
+    domains: dict[str, Domain] = {}
+    view: View | None = None
+
+
+class Refused(errors.PeerError):
+    """The host answered with an error status."""
+
+
+class OperatorClient:
+    """Talks to one entry host; used as an asynchronous context manager.
+
+    Args:
+        url: Base URL of the listener.
+        token: Bearer token.
+        timeout_s: Longest wait for an answer in seconds.
+    """
+
+    def __init__(
+        self, url: str, token: str, *, timeout_s: float = TIMEOUT_S
+    ) -> None:
+        parts = parse.urlsplit(url)
+        if parts.scheme not in ('http', 'https') or not parts.netloc:
+            raise errors.SettingError(
+                f'{url!r} is not the base URL of an operator listener',
+                step='operator',
+            )
+        self.url = url.rstrip('/')
+        self._peer = parts.netloc
+        self._token = token
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> 'OperatorClient':
+        headers = {'Authorization': f'Bearer {self._token}'}
+        self._session = aiohttp.ClientSession(
+            headers=headers, timeout=self._timeout
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def status(self) -> Status:
+        """Returns the status of the host.
+
+        Raises:
+            PeerUnreachable: No answer.
+            Refused: The host answered with an error or nonsense.
+        """
+        buf = await self._send('GET', '/status')
+        return self._decode(buf, Status)
+
+    async def get(
+        self, path: str, query: abc.Mapping[str, str] | None = None
+    ) -> Any:
+        """Returns the JSON answer of a read; errors as in `status`."""
+        if query:
+            path = f'{path}?{parse.urlencode(query)}'
+        return self._decode(await self._send('GET', path), Any)
+
+    async def order(self, failure_domain: str, state: str) -> Any:
+        """Takes a failure domain `out` or `in`.
+
+        Raises:
+            PeerUnreachable: No connection; nothing was sent.
+            PeerTimeout: No answer; the order may be in force.
+            Refused: The host answered with an error.
+        """
+        name = parse.quote(failure_domain, safe='')
+        buf = await self._send('POST', f'/domains/{name}/{state}')
+        return self._decode(buf, Any) if buf else {}
+
+    async def _send(self, method: str, path: str) -> bytes:
+        assert self._session is not None
+        try:
+            async with self._session.request(
+                method,
+                yarl.URL(self.url + path, encoded=True),
+                allow_redirects=False,
+            ) as resp:
+                buf = await resp.read()
+                status = resp.status
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as exc:
+            raise self._unreachable(f'no connection: {exc}') from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            message = f'no answer: {str(exc) or type(exc).__name__}'
+            if method == 'GET':
+                raise self._unreachable(message) from exc
+            raise errors.PeerTimeout(
+                message, step='operator', peer=self._peer
+            ) from exc
+        if status >= 300:
+            detail = buf.decode(errors='replace')[:_MAX_DETAIL_CHARS]
+            raise Refused(
+                f'status {status} for {method} {path}: {detail}',
+                step='operator',
+                peer=self._peer,
+            )
+        return buf
+
+    def _decode(self, buf: bytes, kind: Any) -> Any:
+        try:
+            return msgspec.json.decode(buf, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise Refused(
+                f'malformed answer: {exc}', step='operator', peer=self._peer
+            ) from exc
+
+    def _unreachable(self, message: str) -> errors.PeerUnreachable:
+        return errors.PeerUnreachable(message, step='operator', peer=self._peer)
--- a/ragwortchute/documents/checks.py
+++ b/ragwortchute/documents/checks.py
@@ -25,7 +25,7 @@
 _AMBIGUOUS_PATH = re.compile(r'//|/\.{1,2}(/|\Z)')
 
 
-def balancer_names() -> tuple[str, ...]:
+def registered_balancers() -> tuple[str, ...]:
     """Returns the registered balancers after importing their modules."""
     for module in pkgutil.iter_modules(balancers.__path__):
         importlib.import_module(f'{balancers.__name__}.{module.name}')
@@ -60,7 +60,7 @@
     found.author(document.author)
     names = balancer_names
     if names is None:
-        names = globals()['balancer_names']()
+        names = registered_balancers()
     if document.balancer not in names:
         found.unknown('balancer', 'balancer', document.balancer, names)
     _check_targets(found, document.targets, deployment)
--- a/ragwortchute/stores/http.py
+++ b/ragwortchute/stores/http.py
@@ -18,6 +18,7 @@
 
 import aiohttp
 import msgspec
+import yarl
 
 from ragwortchute import errors
 from ragwortchute import stores
@@ -135,7 +136,8 @@
         try:
             async with self._open().request(
                 method,
-                self._url + path,
+                # Without `encoded`, yarl resolves dot segments in names.
+                yarl.URL(self._url + path, encoded=True),
                 data=body,
                 headers=headers,
                 timeout=timeout,
--- a/tests/test_standins/__init__.py
+++ b/tests/test_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of `standins`."""
+"""Tests of the stand-ins."""
--- a/tests/test_stores/test_stores.py
+++ b/tests/test_stores/test_stores.py
@@ -50,6 +50,13 @@
         await store.put('b', b'3', expected_version=0)
         assert await store.list('a/') == [second]
 
+    async def test_names_are_taken_as_they_are(self, pair):
+        """URL libraries resolve dot segments, which names another object."""
+        store, behind = pair
+        for name in ('a/../b', 'a%2Fb', 'ü?x=1#y'):
+            put = await store.put(name, b'1', expected_version=0)
+            assert behind.peek(name) == put == await store.get(name)
+
     async def test_lost_answer_of_a_write(self, pair):
         store, behind = pair
         behind.set_faults(lose_answers=1)
