Judge lost document writes truthfully when the history is unreachable

Cause: a seeded test of four concurrent writers with lost answers found a write reported as "nothing changed" although it had been in force: after a lost answer and a conflict the history could not be read, and that error replaced the knowledge of the loss. `doc history` of a document without history ended with a traceback.

Change: an unreadable history counts as no proof, so the report stays "maybe applied". A lost answer of a history write is resolved by reading it again. After a write, a service and the deployment document are checked against each other once more, because they are two objects. Base URLs are checked when a client is made.

--- a/ragwortchute/commands/document_commands.py
+++ b/ragwortchute/commands/document_commands.py
@@ -212,18 +212,18 @@
         return await _writer(store).history(name)
 
     entries = _with_store(store_url, read)
-    olders = [*(_decode(name, entry) for entry in entries[1:]), None]
+    found = [_decode(name, entry) for entry in entries]
     rows = [
         {
             'version': entry.version,
             'change': entry.change_id,
             'author': entry.author,
             'written': output.time_text(entry.written_at),
-            'changes': len(diffing.diff(older, _decode(name, entry)))
-            if older
-            else None,
+            'changes': len(diffing.diff(older, newer)) if older else None,
         }
-        for entry, older in zip(entries, olders, strict=True)
+        for entry, newer, older in zip(
+            entries, found, [*found[1:], None], strict=False
+        )
     ]
     if form is output.Output.JSON:
         output.print_json(rows)
--- a/ragwortchute/commands/operator_client.py
+++ b/ragwortchute/commands/operator_client.py
@@ -10,6 +10,7 @@
 import yarl
 
 from ragwortchute import errors
+from ragwortchute.stores import http
 
 TIMEOUT_S = 5.0
 _MAX_DETAIL_CHARS = 300
@@ -74,14 +75,7 @@
     def __init__(
         self, url: str, token: str, *, timeout_s: float = TIMEOUT_S
     ) -> None:
-        parts = parse.urlsplit(url)
-        if parts.scheme not in ('http', 'https') or not parts.netloc:
-            raise errors.SettingError(
-                f'{url!r} is not the base URL of an operator listener',
-                step='operator',
-            )
-        self.url = url.rstrip('/')
-        self._peer = parts.netloc
+        self.url, self._peer = http.parse_base_url(url)
         self._token = token
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
         self._session: aiohttp.ClientSession | None = None
--- a/ragwortchute/stores/applying.py
+++ b/ragwortchute/stores/applying.py
@@ -111,6 +111,7 @@
     if isinstance(outcome, result.Failure):
         return outcome
     written = outcome.unwrap()
+    notes += await _recheck(store, writer, document, deployment)
     if not written.history_kept:
         notes += ('the history was not written; the next write adds it',)
     return result.Success(
@@ -169,6 +170,34 @@
     return tuple(found)
 
 
+async def _recheck(
+    store: stores.Store,
+    writer: writing.DocumentWriter,
+    document: loading.Document,
+    deployment: documents.DeploymentDocument | None,
+) -> tuple[str, ...]:
+    """Checks once more against documents that changed during the write.
+
+    A service document and the deployment document are two objects. Of two
+    concurrent writers that each check after their write, at least one sees
+    the other.
+    """
+    try:
+        if isinstance(document, documents.DeploymentDocument):
+            problems = await _check_services(store, document)
+        else:
+            now = await read_deployment(writer)
+            if now is None or now == deployment:
+                return ()
+            problems = checks.check_service(document, now)
+    except errors.RagwortchuteError as exc:
+        return (f'written, but not checked again: {exc}',)
+    return tuple(
+        f'written, but a concurrent change makes it invalid: {problem}'
+        for problem in problems
+    )
+
+
 def _based_on(
     req: Request, document: loading.Document, current: writing.Current
 ) -> bool:
--- a/ragwortchute/stores/http.py
+++ b/ragwortchute/stores/http.py
@@ -49,13 +49,7 @@
     """
 
     def __init__(self, url: str, *, timeout_s: float = TIMEOUT_S) -> None:
-        parts = parse.urlsplit(url)
-        if parts.scheme not in ('http', 'https') or not parts.netloc:
-            raise errors.SettingError(
-                f'{url!r} is not the base URL of an object API', step='store'
-            )
-        self._url = url.rstrip('/')
-        self._peer = parts.netloc
+        self._url, self._peer = parse_base_url(url)
         self._timeout_s = timeout_s
         self._session: aiohttp.ClientSession | None = None
 
@@ -203,6 +197,25 @@
         )
 
 
+def parse_base_url(text: str) -> tuple[str, str]:
+    """Returns a base URL without its last slash, and its `host:port`.
+
+    Raises:
+        SettingError: The text is not a base URL.
+    """
+    try:
+        url = yarl.URL(text)
+        valid = bool(url.scheme in ('http', 'https') and url.host)
+    except ValueError:
+        valid = False
+    if not valid or url.query_string or url.fragment:
+        raise errors.SettingError(
+            f'{text!r} is not a base URL such as http://10.0.0.1:8500',
+            step='url',
+        )
+    return text.rstrip('/'), url.authority
+
+
 class _Reply(msgspec.Struct, frozen=True):
     """A whole answer."""
 
--- a/ragwortchute/stores/writing.py
+++ b/ragwortchute/stores/writing.py
@@ -226,13 +226,19 @@
         if now.document and now.document.change_id == document.change_id:
             return Written(now.version, document.change_id, ())
         if lost:
-            for entry in await self.history(name):
+            for entry in await self._history_or_nothing(name):
                 if entry.change_id == document.change_id:
                     return Written(
                         entry.version, entry.change_id, (), superseded=True
                     )
         return _conflict(now, document, lost)
 
+    async def _history_or_nothing(self, name: str) -> tuple[HistoryEntry, ...]:
+        try:
+            return await self.history(name)
+        except errors.StoreError:
+            return ()
+
     async def _read_after_loss(self, name: str) -> Current:
         try:
             return await self.read(name)
@@ -251,25 +257,32 @@
             self._wall(),
             encoding.encode(document),
         )
-        try:
-            for _ in range(_ATTEMPTS):
+        problem: Exception | None = None
+        for _ in range(_ATTEMPTS):
+            try:
                 history_version, entries = await self._read_history(name)
-                entries = _merge(entries, before, new)
-                try:
-                    await self._store.put(
-                        HISTORY_PREFIX + name,
-                        msgspec.json.encode(entries),
-                        expected_version=history_version,
-                    )
+                if any(entry.version == version for entry in entries):
                     return True
-                except errors.VersionConflict:
-                    continue
-        except (errors.StoreError, msgspec.MsgspecError) as exc:
-            logging.warning(
-                'documents: history not written, document=%s error=%s',
-                name,
-                exc,
-            )
+                await self._store.put(
+                    HISTORY_PREFIX + name,
+                    msgspec.json.encode(_merge(entries, before, new)),
+                    expected_version=history_version,
+                )
+                return True
+            except errors.VersionConflict as exc:
+                problem = exc
+            except errors.StoreUnavailable as exc:
+                problem = exc
+                if not exc.maybe_applied:
+                    break
+            except errors.StoreError as exc:
+                problem = exc
+                break
+        logging.warning(
+            'documents: history not written, document=%s error=%s',
+            name,
+            problem,
+        )
         return False
 
     async def _read_history(self, name: str) -> tuple[int, list[HistoryEntry]]:
--- a/tests/test_commands/test_document_commands.py
+++ b/tests/test_commands/test_document_commands.py
@@ -144,6 +144,11 @@
         applied(doc, text)
         assert doc('diff', file=text) == (0, '')
 
+    def test_document_without_history(self, doc):
+        code, shown = doc('history', 'dispatch')
+        assert code == 0
+        assert len(shown.splitlines()) == 1
+
     def test_unknown_change_names_the_known_ones(self, doc):
         change = applied(doc, samples.SERVICE_YAML)['change_id']
         code, shown = doc('get', 'dispatch', '--change', 'x')
--- a/tests/test_stores/test_stores.py
+++ b/tests/test_stores/test_stores.py
@@ -187,6 +187,9 @@
             assert caught.value.maybe_applied
             await store.close()
 
-    def test_url_without_scheme_is_refused(self):
+    @pytest.mark.parametrize(
+        'url', ['127.0.0.1:80', 'http://', 'http://a:b', 'http://a?b', '']
+    )
+    def test_malformed_url_is_refused_at_start(self, url):
         with pytest.raises(errors.SettingError):
-            http.HttpStore('127.0.0.1:80')
+            http.HttpStore(url)
--- a/tests/test_stores/test_writing.py
+++ b/tests/test_stores/test_writing.py
@@ -1,8 +1,12 @@
 """Tests of the document writer."""
 
+import asyncio
 import itertools
+import json
+import random
 
 import pytest
+from returns import result
 
 from ragwortchute import documents
 from ragwortchute import errors
@@ -156,3 +160,60 @@
             written = (await writer.write(big, author='a')).unwrap()
             assert written.history_kept
         assert 1 <= len(await writer.history('dispatch')) < 3
+
+
+@pytest.mark.parametrize('seed', range(20))
+async def test_reports_of_concurrent_writers_agree_with_the_store(seed):
+    """Lost answers and conflicts must never yield a false report."""
+    rng = random.Random(seed)
+    accepted: list[str] = []
+
+    class Flaky(memory.MemoryStore):
+        async def put(self, name, value, *, expected_version):
+            await asyncio.sleep(0)
+            if rng.random() < 0.2:
+                raise errors.StoreUnavailable('lost', maybe_applied=True)
+            stored = await super().put(
+                name, value, expected_version=expected_version
+            )
+            if name.startswith('documents/'):
+                accepted.append(json.loads(value)['change_id'])
+            if rng.random() < 0.2:
+                raise errors.StoreUnavailable('lost', maybe_applied=True)
+            return stored
+
+        async def get(self, name):
+            await asyncio.sleep(0)
+            if rng.random() < 0.1:
+                raise errors.StoreUnavailable('no answer')
+            return await super().get(name)
+
+    store = Flaky()
+
+    async def operate(number):
+        ids = (f'{number}-{i}' for i in itertools.count())
+        done = []
+        for step in range(10):
+            change_id = next(ids)
+            writer = writing.DocumentWriter(
+                store, wall=lambda: 1.0, new_id=lambda c=change_id: c
+            )
+            document = version(1 + number + 10 * step)
+            try:
+                outcome = await writer.write(document, author='a')
+            except errors.StoreUnavailable as exc:
+                done.append((change_id, 'maybe' if exc.maybe_applied else 'no'))
+                continue
+            if isinstance(outcome, result.Success):
+                same = outcome.unwrap().change_id != change_id
+                done.append((change_id, 'no' if same else 'yes'))
+            else:
+                lost = outcome.failure().maybe_applied
+                done.append((change_id, 'maybe' if lost else 'no'))
+        return done
+
+    reports = await asyncio.gather(*map(operate, range(4)))
+    for change_id, report in itertools.chain(*reports):
+        if report != 'maybe':
+            assert (change_id in accepted) == (report == 'yes')
+    assert len(accepted) == len(set(accepted))
