Use the listener's own types and the caller client in the tool

Cause: the operators' listener and the caller client have landed, so the tool's copies of the status types and the deferred import are not needed.

Change: status is decoded as `operators.HostStatus`; `targets` takes `--service`; `calls send` uses `client.caller`.

--- a/ragwortchute/commands/call_commands.py
+++ b/ragwortchute/commands/call_commands.py
@@ -4,7 +4,6 @@
 import pathlib
 import sys
 from typing import Annotated
-from typing import Any
 
 import msgspec
 from returns import result
@@ -13,6 +12,7 @@
 from ragwortchute import calls
 from ragwortchute import config
 from ragwortchute import errors
+from ragwortchute.client import caller
 from ragwortchute.commands import exits
 from ragwortchute.commands import options
 from ragwortchute.commands import output
@@ -26,10 +26,8 @@
 }
 
 
-def make_client(urls: list[str], tenant: str) -> Any:
+def make_client(urls: list[str], tenant: str) -> caller.CallerClient:
     """Returns the caller client."""
-    from ragwortchute.client import caller
-
     return caller.CallerClient(urls, tenant=tenant)
 
 
--- a/ragwortchute/commands/host_commands.py
+++ b/ragwortchute/commands/host_commands.py
@@ -129,7 +129,7 @@
             'state': domain.state,
             'damped_until': domain.damped_until
             if form is output.Output.JSON
-            else output.time_text(domain.damped_until or 0.0),
+            else output.time_text(domain.damped_until),
         }
         for name, domain in sorted(found.domains.items())
     ]
@@ -141,12 +141,16 @@
 
 @exits.handled
 def targets(
+    service: Annotated[
+        str, typer.Option(help='Only the targets of this service.')
+    ] = '',
     operator_url: options.OperatorUrl = '',
     operator_token: options.OperatorToken = '',
     form: options.Form = output.Output.TABLE,
 ) -> None:
     """Shows the targets as one host sees them."""
-    _show('/targets', None, operator_url, operator_token, form)
+    query = {'service': service} if service else None
+    _show('/targets', query, operator_url, operator_token, form)
 
 
 @exits.handled
@@ -236,7 +240,7 @@
     if state.status is None:
         return {'host': state.url, 'ready': 'no answer'}
     found = state.status
-    view = found.view or operator_client.View()
+    view = found.view
     held = sorted(found.documents.items())
     return {
         'host': found.host,
@@ -244,9 +248,9 @@
         'failure_domain': found.failure_domain,
         'ready': found.ready,
         'leaving': found.leaving,
-        'epoch': view.epoch,
-        'leader': view.leader,
-        'members': len(view.members),
+        'epoch': view.epoch if view else None,
+        'leader': view.leader if view else None,
+        'members': len(view.members) if view else 0,
         'documents': ' '.join(f'{name}={doc.version}' for name, doc in held),
         'out': ' '.join(
             name
--- a/ragwortchute/commands/operator_client.py
+++ b/ragwortchute/commands/operator_client.py
@@ -10,55 +10,13 @@
 import yarl
 
 from ragwortchute import errors
+from ragwortchute import operators
 from ragwortchute.stores import http
 
 TIMEOUT_S = 5.0
 _MAX_DETAIL_CHARS = 300
 
 
-class Document(msgspec.Struct, frozen=True):
-    """A document in force on a host."""
-
-    version: int
-    since: float = 0.0
-
-
-class Domain(msgspec.Struct, frozen=True):
-    """State of a failure domain as a host sees it."""
-
-    state: str
-    damped_until: float | None = None
-
-
-class View(msgspec.Struct, frozen=True):
-    """The view that a host adopted."""
-
-    epoch: int = 0
-    leader: str = ''
-    members: list[Any] = []
-
-    def hosts(self) -> list[str]:
-        """Returns the names of the members, given by name or as objects."""
-        return [
-            str(m.get('host', '')) if isinstance(m, dict) else str(m)
-            for m in self.members
-        ]
-
-
-class Status(msgspec.Struct, frozen=True):
-    """Answer of `GET /status`."""
-
-    host: str
-    region: str
-    failure_domain: str
-    incarnation: int
-    ready: bool
-    leaving: bool
-    documents: dict[str, Document] = {}
-    domains: dict[str, Domain] = {}
-    view: View | None = None
-
-
 class Refused(errors.PeerError):
     """The host answered with an error status."""
 
@@ -96,7 +54,7 @@
         if self._session is not None:
             await self._session.close()
 
-    async def status(self) -> Status:
+    async def status(self) -> operators.HostStatus:
         """Returns the status of the host.
 
         Raises:
@@ -104,7 +62,7 @@
             Refused: The host answered with an error or nonsense.
         """
         buf = await self._send('GET', '/status')
-        return self._decode(buf, Status)
+        return self._decode(buf, operators.HostStatus)
 
     async def get(
         self, path: str, query: abc.Mapping[str, str] | None = None
--- a/ragwortchute/commands/waiting.py
+++ b/ragwortchute/commands/waiting.py
@@ -7,6 +7,7 @@
 
 from ragwortchute import clock
 from ragwortchute import errors
+from ragwortchute import operators
 from ragwortchute.commands import operator_client
 
 POLL_S = 0.2
@@ -29,7 +30,7 @@
     """
 
     url: str
-    status: operator_client.Status | None
+    status: operators.HostStatus | None
     error: str = ''
 
     def lacks(self, wanted: abc.Iterable[Wanted]) -> list[str]:
@@ -108,7 +109,7 @@
         host
         for status in answered
         if status.view
-        for host in status.view.hosts()
+        for host in status.view.members
     }
     return sorted(members - {status.host for status in answered})
 
--- a/tests/test_commands/servers.py
+++ b/tests/test_commands/servers.py
@@ -100,7 +100,7 @@
             'documents': {'dispatch': {'version': version, 'since': 1.0}},
             'domains': {
                 'luzon-makati': {'state': 'in', 'damped_until': 1.0},
-                'luzon-pasig': {'state': 'out', 'damped_until': None},
+                'luzon-pasig': {'state': 'out', 'damped_until': 0.0},
             },
             'view': {'epoch': 4, 'leader': 'm1', 'members': ['m1', 'm2']},
         }
--- a/tests/test_commands/test_host_commands.py
+++ b/tests/test_commands/test_host_commands.py
@@ -1,6 +1,7 @@
 """Tests of the commands that talk to entry hosts."""
 
 import json
+import shlex
 
 import pytest
 from returns import result
@@ -22,13 +23,14 @@
         host.stop()
 
 
-def run(*words, urls=()):
+def run(line, *hosts):
+    """Returns exit code, output and error output of a command line."""
     env = {
-        'RAGWORTCHUTE_OPERATOR_URL': ' '.join(urls),
+        'RAGWORTCHUTE_OPERATOR_URL': ' '.join(host.url for host in hosts),
         'RAGWORTCHUTE_OPERATOR_TOKEN': TOKEN,
         'RAGWORTCHUTE_CALLER_URLS': 'http://127.0.0.1:1',
     }
-    found = testing.CliRunner().invoke(main.app, list(words), env=env)
+    found = testing.CliRunner().invoke(main.app, shlex.split(line), env=env)
     return found.exit_code, found.stdout, found.stderr
 
 
@@ -38,62 +40,43 @@
     def test_wait_shows_progress_until_all_hosts_have_it(self, hosts):
         hosts[1].versions = [3, 3, 4]
         hosts[0].versions = [3, 5]
-        code, _, progress = run(
-            'status', '--wait', 'dispatch=4', urls=[h.url for h in hosts]
-        )
+        code, _, progress = run('status --wait dispatch=4', *hosts)
         assert code == 0
-        assert [line[:17] for line in progress.splitlines()] == [
-            'in force on 0 of ',
-            'in force on 1 of ',
-            'in force on 2 of ',
-        ]
+        counts = [line.split()[3] for line in progress.splitlines()]
+        assert counts == ['0', '1', '2']
 
     def test_wait_ends_with_its_own_code(self, hosts):
-        code, _, shown = run(
-            'status',
-            '--wait',
-            'dispatch=4',
-            '--timeout-s',
-            '0',
-            urls=[hosts[0].url],
-        )
+        line = 'status --wait dispatch=4 --timeout-s 0'
+        code, _, shown = run(line, hosts[0])
         assert code == 6
         assert hosts[0].url in shown
         assert 'not asked, but in the view: m2' in shown
 
     def test_host_without_answer_counts_as_missing(self, hosts):
         hosts[1].stop()
-        urls = [host.url for host in hosts]
-        code, shown, _ = run('status', '--output', 'json', urls=urls)
+        code, shown, _ = run('status --output json', *hosts)
         assert code == 4
         assert [s['status'] is None for s in json.loads(shown)] == [0, 1]
-        wait = ('status', '--wait', 'dispatch=3', '--timeout-s', '0')
-        assert run(*wait, urls=urls)[0] == 6
+        line = 'status --wait dispatch=3 --timeout-s 0'
+        assert run(line, *hosts)[0] == 6
 
     def test_table_shows_domains_that_are_out(self, hosts):
-        _, shown, _ = run('status', urls=[hosts[0].url])
-        assert shown.splitlines()[1].split()[-2:] == [
-            'dispatch=3',
-            'luzon-pasig',
-        ]
+        _, shown, _ = run('status', hosts[0])
+        row = shown.splitlines()[1].split()
+        assert row[-2:] == ['dispatch=3', 'luzon-pasig']
 
 
 class TestDomain:
     """An operator must know whether an order was taken."""
 
     def test_order_and_list(self, hosts):
-        hosts[0].answers['POST /domains/luzon-makati/out'] = (200, {})
-        code, _, _ = run('domain', 'out', 'luzon-makati', urls=[hosts[0].url])
-        assert code == 0
-        assert hosts[0].seen == [
-            ('POST', '/domains/luzon-makati/out', f'Bearer {TOKEN}')
-        ]
-        _, shown, _ = run('domain', 'list', urls=[hosts[0].url])
-        assert shown.splitlines()[1].split()[:3] == [
-            'luzon-makati',
-            'in',
-            '1970-01-01',
-        ]
+        path = '/domains/luzon-makati/out'
+        hosts[0].answers[f'POST {path}'] = (200, {})
+        assert run('domain out luzon-makati', hosts[0])[0] == 0
+        assert hosts[0].seen == [('POST', path, f'Bearer {TOKEN}')]
+        _, shown, _ = run('domain list', hosts[0])
+        row = shown.splitlines()[1].split()
+        assert row[:3] == ['luzon-makati', 'in', '1970-01-01']
 
     @pytest.mark.parametrize(
         ('answer', 'expected'),
@@ -101,17 +84,14 @@
     )
     def test_failures_have_codes(self, hosts, answer, expected):
         hosts[0].answers['POST /domains/luzon-makati/in'] = answer
-        code, _, shown = run(
-            'domain', 'in', 'luzon-makati', urls=[hosts[0].url]
-        )
+        code, _, shown = run('domain in luzon-makati', hosts[0])
         assert code == expected
         assert TOKEN not in shown
         assert len(hosts[0].seen) == 1
 
     def test_host_that_is_down(self, hosts):
         hosts[0].stop()
-        words = ('domain', 'out', 'luzon-makati')
-        assert run(*words, urls=[hosts[0].url])[0] == 4
+        assert run('domain out luzon-makati', hosts[0])[0] == 4
 
 
 class TestReads:
@@ -119,15 +99,8 @@
 
     def test_explain_encodes_the_query(self, hosts):
         hosts[0].answers['GET /explain'] = (200, {'route': 'r', 'homes': []})
-        code, shown, _ = run(
-            'explain',
-            'dispatch',
-            'get',
-            '/a b?c=d&e',
-            '--tenant',
-            'x&y',
-            urls=[hosts[0].url],
-        )
+        line = "explain dispatch get '/a b?c=d&e' --tenant 'x&y'"
+        code, shown, _ = run(line, hosts[0])
         assert code == 0
         assert hosts[0].seen[0][1] == (
             '/explain?service=dispatch&method=GET&'
@@ -137,13 +110,13 @@
 
     def test_control_characters_do_not_reach_the_terminal(self, hosts):
         hosts[0].answers['GET /targets'] = (200, [{'name': 'a\x1b[2Jb'}])
-        _, shown, _ = run('targets', urls=[hosts[0].url])
+        _, shown, _ = run('targets --service x', hosts[0])
         assert shown.splitlines() == ['NAME', 'a?[2Jb']
+        assert hosts[0].seen[0][1] == '/targets?service=x'
 
     def test_missing_url_and_malformed_wait_are_usage_errors(self, hosts):
         assert run('dump')[0] == 2
-        words = ('status', '--wait', 'dispatch')
-        assert run(*words, urls=[hosts[0].url])[0] == 2
+        assert run('status --wait dispatch', hosts[0])[0] == 2
 
 
 class TestCallsSend:
@@ -151,18 +124,7 @@
 
     @pytest.mark.parametrize(
         ('outcome', 'expected'),
-        [
-            (result.Success(calls.Answer(200, [('a', 'b')], b'hi')), 0),
-            *(
-                (
-                    result.Failure(
-                        calls.Refusal(calls.Outcome(name), 'r', 's', 503)
-                    ),
-                    code,
-                )
-                for name, code in (('not-run', 1), ('unknown', 5), ('ran', 7))
-            ),
-        ],
+        [(None, 0), ('not-run', 1), ('unknown', 5), ('ran', 7)],
     )
     def test_exit_code(self, monkeypatch, outcome, expected):
         seen = []
@@ -170,7 +132,10 @@
         class Client:
             async def call(self, *args, **kwargs):
                 seen.append((args, kwargs))
-                return outcome
+                if outcome is None:
+                    return result.Success(calls.Answer(200, [], b'hi'))
+                state = calls.Outcome(outcome)
+                return result.Failure(calls.Refusal(state, 'r', 's', 503))
 
             async def close(self):
                 pass
@@ -178,10 +143,16 @@
         monkeypatch.setattr(
             call_commands, 'make_client', lambda urls, tenant: Client()
         )
-        words = ('--body', 'x', '--header', 'A-B: c', '--output', 'json')
-        code, shown, _ = run('calls', 'send', 'dispatch', 'post', '/a', *words)
+        line = "calls send dispatch post /a --body x --header 'A-B: c'"
+        code, shown, _ = run(f'{line} --output json')
         assert code == expected
         json.loads(shown)
         args, kwargs = seen[0]
         assert args == ('dispatch', 'POST', '/a')
         assert (kwargs['body'], kwargs['headers']) == (b'x', [('a-b', 'c')])
+
+    def test_no_host_answers(self):
+        """Nothing was sent, so the outcome must be `not-run`."""
+        code, shown, _ = run('calls send dispatch POST /a --timeout-s 0.2')
+        assert code == 1
+        assert 'not-run' in shown
