--- a/tests/test_stores/test_stores.py
+++ b/tests/test_stores/test_stores.py
@@ -50,6 +50,13 @@
         await store.put('b', b'3', expected_version=0)
         assert await store.list('a/') == [second]
 
+    async def test_names_are_taken_as_they_are(self, pair):
+        """URL libraries resolve dot segments, which names another object."""
+        store, behind = pair
+        for name in ('a/../b', 'a%2Fb', 'ü?x=1#y'):
+            put = await store.put(name, b'1', expected_version=0)
+            assert behind.peek(name) == put == await store.get(name)
+
     async def test_lost_answer_of_a_write(self, pair):
         store, behind = pair
         behind.set_faults(lose_answers=1)
@@ -180,6 +187,9 @@
             assert caught.value.maybe_applied
             await store.close()
 
-    def test_url_without_scheme_is_refused(self):
+    @pytest.mark.parametrize(
+        'url', ['127.0.0.1:80', 'http://', 'http://a:b', 'http://a?b', '']
+    )
+    def test_malformed_url_is_refused_at_start(self, url):
         with pytest.raises(errors.SettingError):
-            http.HttpStore('127.0.0.1:80')
+            http.HttpStore(url)
