--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 demo: setup
 	$(PY) -m benchmarks.demo
+
+bench-path: setup
+	$(PY) -m benchmarks.path
