--- /dev/null
+++ b/tests/test_membership/test_regional.py
@@ -0,0 +1,342 @@
+"""Failure tests of the regional membership on a manual clock."""
+
+import pytest
+
+from ragwortchute import wire
+from ragwortchute.membership import regional
+from tests import simulation
+
+_HOSTS = {f'h{i}': ('luzon-a', 'luzon-b', 'luzon-c')[i % 3] for i in range(7)}
+
+
+@pytest.fixture
+async def cluster():
+    """Seven hosts of one region, led by h0, all leases valid."""
+    cluster = simulation.Cluster(_HOSTS)
+    cluster.start('h0')
+    await cluster.advance(1)
+    cluster.start(*list(_HOSTS)[1:])
+    await cluster.advance(14)
+    yield cluster
+    await cluster.close()
+
+
+def _members(cluster, host):
+    return {member.host for member in cluster.view(host).members}
+
+
+def _all_owned(cluster):
+    return all(len(cluster.owners(t)) == 1 for t in cluster.targets)
+
+
+async def _recovers(cluster, delay_s=40):
+    await cluster.advance(delay_s)
+    for host in cluster.hosts:
+        assert _members(cluster, host) == set(cluster.hosts)
+    assert len(set(cluster.epochs().values())) == 1
+    assert _all_owned(cluster)
+
+
+class TestStart:
+    """A region must form one view, whatever order its hosts start in."""
+
+    async def test_hosts_join_in_one_write(self, cluster):
+        assert set(cluster.epochs().values()) == {2}
+        assert _all_owned(cluster)
+        domains = [_HOSTS[host] for host in cluster.view('h0').witnesses]
+        assert len(domains) == 5
+        assert max(map(domains.count, domains)) == 2
+
+    async def test_hosts_that_start_at_once_agree(self):
+        cluster = simulation.Cluster(_HOSTS)
+        cluster.start()
+        await _recovers(cluster, 20)
+        await cluster.close()
+
+    async def test_restart_changes_no_view_and_needs_no_store(self, cluster):
+        cluster.store.down = True
+        epochs = cluster.epochs()
+        for host in ('h0', 'h1', 'h6'):
+            cluster.kill(host)
+            await cluster.advance(1)
+            cluster.start(host)
+            await cluster.advance(12)
+        assert cluster.epochs() == epochs
+        assert _all_owned(cluster)
+        live = {
+            m.host: m for m in cluster.hosts['h1'].membership.live_members()
+        }
+        assert live['h6'].incarnation == cluster.hosts['h6'].member.incarnation
+
+    async def test_whole_region_under_new_names_takes_the_view_over(
+        self, cluster
+    ):
+        for host in list(cluster.hosts):
+            cluster.kill(host)
+            cluster.store.remove(f'hosts/{host}')
+        for number in range(3):
+            cluster.domains[f'n{number}'] = 'luzon-a'
+            cluster.list_host(f'n{number}')
+        cluster.start('n0', 'n1', 'n2')
+        await _recovers(cluster, 80)
+
+
+class TestLosses:
+    """Losing hosts must not stop the others nor create two owners."""
+
+    async def test_killed_host_is_suspected_then_removed(self, cluster):
+        cluster.store.down = True
+        cluster.kill('h6')
+        await cluster.advance(6)
+        for host in cluster.hosts.values():
+            live = {member.host for member in host.membership.live_members()}
+            assert 'h6' not in live
+            chosen = host.membership.serving_set('s', 7)
+            assert 'h6' not in {member.host for member in chosen}
+        assert set(cluster.epochs().values()) == {2}
+        cluster.store.down = False
+        await _recovers(cluster, 12)
+
+    async def test_paused_host_loses_its_lease_and_suspects_nobody(
+        self, cluster
+    ):
+        cluster.pause('h0')
+        await cluster.advance(3.2)
+        assert not cluster.hosts['h0'].membership.lease_valid()
+        await cluster.advance(10)
+        await cluster.resume('h0')
+        await cluster.advance(1)
+        assert len(cluster.hosts['h0'].membership.live_members()) >= 6
+        await _recovers(cluster)
+
+    @pytest.mark.parametrize('host', ['h0', 'h1', 'h6'])
+    async def test_pause_shorter_than_a_lease(self, cluster, host):
+        cluster.pause(host)
+        await cluster.advance(2)
+        await cluster.resume(host)
+        await _recovers(cluster, 6)
+        assert set(cluster.epochs().values()) == {2}
+
+    async def test_lost_leader_is_replaced(self, cluster):
+        cluster.kill('h0')
+        await cluster.advance(6)
+        assert cluster.view('h5').leader == 'h1'
+        assert sum(h.membership.takeovers for h in cluster.hosts.values()) == 1
+        await _recovers(cluster, 12)
+
+    async def test_leader_and_its_successors_are_lost(self, cluster):
+        for host in ('h0', 'h1', 'h2'):
+            cluster.kill(host)
+            cluster.store.remove(f'hosts/{host}')
+        await _recovers(cluster, 30)
+
+    async def test_failure_domain_with_the_witness_majority_is_lost(
+        self, cluster
+    ):
+        await self._lose_majority(cluster)
+        assert not any(cluster.owners(t) for t in cluster.targets)
+        for host in list(cluster.domains):
+            if host not in cluster.hosts:
+                cluster.store.remove(f'hosts/{host}')
+        await _recovers(cluster, 40)
+
+    async def _lose_majority(self, cluster):
+        for host in cluster.view('h0').witnesses[:3]:
+            cluster.kill(host)
+        await cluster.advance(30)
+
+    async def test_many_losses_are_written_at_once(self, cluster):
+        before = cluster.store.calls['put']
+        for host in ('h3', 'h4', 'h6'):
+            cluster.kill(host)
+        await _recovers(cluster, 14)
+        assert cluster.store.calls['put'] - before <= 2
+
+
+class TestPartitions:
+    """Sides of a partition must neither share owners nor take turns."""
+
+    async def test_minority_with_the_leader(self, cluster):
+        left, right = ['h0', 'h3'], ['h1', 'h2', 'h4', 'h5', 'h6']
+        cluster.network.partition(left, right)
+        await cluster.advance(30)
+        assert _members(cluster, 'h1') == set(right)
+        assert _all_owned(cluster)
+        epoch = cluster.view('h1').epoch
+        await cluster.advance(60)
+        assert cluster.view('h1').epoch == epoch
+        assert not cluster.hosts['h0'].membership.lease_valid()
+        cluster.network.heal()
+        await _recovers(cluster)
+
+    async def test_three_sides_settle_on_one(self, cluster):
+        sides = [['h0', 'h1'], ['h2', 'h3'], ['h4', 'h5', 'h6']]
+        for index, side in enumerate(sides):
+            for other in sides[index + 1 :]:
+                cluster.network.partition(side, other)
+        await cluster.advance(40)
+        stored = {cluster.view(host).epoch for host in cluster.hosts}
+        await cluster.advance(60)
+        assert {cluster.view(host).epoch for host in cluster.hosts} == stored
+        cluster.network.heal()
+        await _recovers(cluster)
+
+    async def test_majority_without_the_store_keeps_its_leases(self, cluster):
+        left, right = ['h0', 'h3'], ['h1', 'h2', 'h4', 'h5', 'h6']
+        cluster.network.partition(left, right)
+        cluster.store.cut = set(right)
+        await cluster.advance(40)
+        assert cluster.hosts['h5'].membership.lease_valid()
+        assert not cluster.hosts['h0'].membership.gains_allowed()
+        cluster.network.heal()
+        cluster.store.cut = set()
+        await _recovers(cluster)
+
+    async def test_leader_that_one_host_can_not_reach_stays(self, cluster):
+        cluster.network.partition(['h0'], ['h1'])
+        await cluster.advance(30)
+        assert {cluster.view(h).leader for h in cluster.hosts} == {'h0'}
+
+
+class TestStore:
+    """Faults of the store must not change more than the next view."""
+
+    async def test_leases_outlive_an_outage(self, cluster):
+        cluster.store.down = True
+        await cluster.advance(60)
+        assert _all_owned(cluster)
+        assert set(cluster.epochs().values()) == {2}
+
+    async def test_write_whose_answer_is_lost_is_adopted(self, cluster):
+        cluster.store.lose_answers = 1
+        cluster.kill('h6')
+        await cluster.advance(10)
+        assert set(cluster.epochs().values()) == {3}
+        await _recovers(cluster, 10)
+
+    async def test_takeover_whose_answer_is_lost_is_adopted(self, cluster):
+        cluster.store.lose_answers = 1
+        cluster.kill('h0')
+        await cluster.advance(12)
+        assert cluster.view('h5').leader == 'h1'
+        await _recovers(cluster, 12)
+
+    async def test_two_takers_race_for_one_epoch(self, cluster):
+        # Both sides hear the same number of members and have equal rank
+        # delays once the three hosts after the leader are lost as well.
+        cluster.network.partition(['h1', 'h2', 'h3'], ['h4', 'h5', 'h6'])
+        cluster.kill('h0')
+        await cluster.advance(30)
+        leaders = {cluster.view(host).leader for host in cluster.hosts}
+        assert len(leaders) == 1
+        cluster.network.heal()
+        await _recovers(cluster)
+
+    async def test_stale_read_does_not_turn_a_view_back(self, cluster):
+        for host in cluster.hosts:
+            cluster.store.make_stale(host)
+        cluster.kill('h6')
+        await cluster.advance(20)
+        cluster.store.stale.clear()
+        await _recovers(cluster)
+
+    async def test_host_list_that_lags_removes_nobody(self, cluster):
+        for host in ('h1', 'h2', 'h4'):
+            cluster.store.remove(f'hosts/{host}')
+        await cluster.advance(40)
+        assert set(cluster.epochs().values()) == {2}
+        assert _all_owned(cluster)
+
+    async def test_reads_do_not_grow_with_the_fleet(self, cluster):
+        membership = cluster.hosts['h0'].membership
+        small = len(_HOSTS) / membership._list_s()
+        members = [cluster.view('h0').members[0]] * 60
+        membership._members = {str(i): m for i, m in enumerate(members)}
+        assert 60 / membership._list_s() < 2 * small
+
+
+class TestOwners:
+    """Owners must follow from the epoch alone."""
+
+    async def test_domain_that_is_out_owns_nothing(self, cluster):
+        for host in cluster.hosts.values():
+            host.membership.domain_out = lambda name: name == 'luzon-b'
+        await cluster.advance(12)
+        owners = {o for t in cluster.targets for o in cluster.owners(t)}
+        assert owners
+        assert 'luzon-b' not in {_HOSTS[host] for host in owners}
+        chosen = cluster.hosts['h0'].membership.serving_set('s', 7)
+        assert 'luzon-b' not in {member.failure_domain for member in chosen}
+
+    async def test_change_of_size_suspends_targets_that_move(self, cluster):
+        host = cluster.hosts['h0'].membership
+        before = {t: host.owner('s', t, 4) for t in cluster.targets}
+        during = {t: host.owner('s', t, 2) for t in cluster.targets}
+        await cluster.advance(10.1)
+        after = {t: host.owner('s', t, 2) for t in cluster.targets}
+        assert before != after
+        for target, owner in during.items():
+            kept = before[target] == after[target]
+            assert owner == (after[target] if kept else '')
+
+    async def test_serving_set_takes_failure_domains_in_turn(self, cluster):
+        for service in ('dispatch', 'billing', 'wash-till'):
+            chosen = cluster.hosts['h3'].membership.serving_set(service, 3)
+            assert len({member.failure_domain for member in chosen}) == 3
+
+
+class TestRegions:
+    """Members of other regions must be known without a common view."""
+
+    async def test_members_of_other_regions_are_learned(self):
+        domains = {'a0': 'luzon-a', 'a1': 'luzon-b', 'b0': 'visayas-a'}
+        cluster = simulation.Cluster(domains)
+        cluster.start()
+        await cluster.advance(20)
+        for host in cluster.hosts.values():
+            live = {member.host for member in host.membership.live_members()}
+            assert live == set(domains)
+        cluster.domains['b1'] = 'visayas-b'
+        cluster.list_host('b1')
+        cluster.start('b1')
+        await cluster.advance(20)
+        live = cluster.hosts['a0'].membership.live_members()
+        assert {member.host for member in live} == {*domains, 'b1'}
+        await cluster.close()
+
+
+class TestMessages:
+    """A message must not be taken for one of another host."""
+
+    async def test_heartbeat_under_another_name_is_ignored(self, cluster):
+        membership = cluster.hosts['h0'].membership
+        beat = wire.Heartbeat(cluster.make_member('h6'), 2, 0)
+        assert await membership._on_heartbeat('h5', beat) is None
+
+    async def test_second_process_of_a_name_does_not_replace_the_first(
+        self, cluster
+    ):
+        member = cluster.make_member('h6')
+        other = wire.Member(
+            'h6', 99, '127.0.9.9:1', '', member.failure_domain, member.region
+        )
+        membership = cluster.hosts['h0'].membership
+        for _ in range(10):
+            ack = await membership._on_heartbeat(
+                'h6', wire.Heartbeat(other, 2, 0)
+            )
+            assert not ack.joined
+            await cluster.advance(1)
+        assert set(cluster.epochs().values()) == {2}
+
+
+class TestTiming:
+    """Heartbeats must not fall below two per lease in a large region."""
+
+    @pytest.mark.parametrize('count', [1, 7, 13, 30, 60, 200])
+    async def test_interval(self, cluster, count):
+        membership = cluster.hosts['h0'].membership
+        membership._members = dict.fromkeys(range(count))
+        timing = regional.Timing()
+        assert membership._interval() <= timing.lease_s / 2
+        assert membership._suspect_s() >= 2.5 * membership._interval()
