--- /dev/null
+++ b/tests/test_membership/test_stateful.py
@@ -0,0 +1,152 @@
+"""Random faults against the rule that a target has at most one owner."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from tests import simulation
+
+_HOSTS = {f'h{i}': ('luzon-a', 'luzon-b')[i % 2] for i in range(6)}
+_NAMES = st.sampled_from(sorted(_HOSTS))
+
+
+class FaultMachine(stateful.RuleBasedStateMachine):
+    """Kills, pauses and separates hosts, and disturbs the store.
+
+    `Cluster.advance` checks the safety rule at every step: at no instant do
+    two hosts hold a valid lease with gains allowed as owner of one target,
+    and epochs never go back.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.paused = set()
+        self.run(self.setup())
+
+    def run(self, coro):
+        return self.loop.run_until_complete(coro)
+
+    async def setup(self):
+        self.cluster = simulation.Cluster(_HOSTS, targets=6)
+        self.cluster.start('h0')
+        await self.cluster.advance(1)
+        self.cluster.start(*sorted(_HOSTS)[1:])
+        await self.cluster.advance(12)
+
+    @stateful.rule(delay_s=st.sampled_from([0.3, 1.0, 2.5, 4.0, 8.0, 15.0]))
+    def advance(self, delay_s):
+        self.run(self.cluster.advance(delay_s))
+
+    @stateful.rule(host=_NAMES, listed=st.booleans())
+    def kill(self, host, listed):
+        if host in self.cluster.hosts and len(self.cluster.hosts) > 2:
+            self.paused.discard(host)
+            self.run(self.kill_now(host))
+            if not listed:
+                self.cluster.store.remove(f'hosts/{host}')
+
+    async def kill_now(self, host):
+        self.cluster.kill(host)
+
+    @stateful.rule(host=_NAMES)
+    def restart(self, host):
+        self.run(self.restart_now(host))
+
+    async def restart_now(self, host):
+        if host in self.cluster.hosts:
+            self.paused.discard(host)
+            self.cluster.kill(host)
+        self.cluster.list_host(host)
+        self.cluster.start(host)
+
+    @stateful.rule(host=_NAMES)
+    def pause(self, host):
+        if host in self.cluster.hosts:
+            self.cluster.pause(host)
+            self.paused.add(host)
+
+    @stateful.rule(host=_NAMES)
+    def resume(self, host):
+        if host in self.paused:
+            self.paused.discard(host)
+            self.run(self.cluster.resume(host))
+
+    @stateful.rule(sides=st.lists(st.integers(0, 2), min_size=6, max_size=6))
+    def partition(self, sides):
+        self.cluster.network.heal()
+        groups = [
+            [name for name, side in zip(sorted(_HOSTS), sides, strict=True)
+             if side == group]
+            for group in range(3)
+        ]  # fmt: skip
+        for index, group in enumerate(groups):
+            for other in groups[index + 1 :]:
+                self.cluster.network.partition(group, other)
+
+    @stateful.rule(left=_NAMES, right=_NAMES)
+    def cut_one_way(self, left, right):
+        self.cluster.network.cut.add((left, right))
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.network.heal()
+        self.cluster.store.cut.clear()
+        self.cluster.store.stale.clear()
+
+    @stateful.rule(down=st.booleans())
+    def store_outage(self, down):
+        self.cluster.store.down = down
+
+    @stateful.rule(hosts=st.sets(_NAMES))
+    def cut_store(self, hosts):
+        self.cluster.store.cut = hosts
+
+    @stateful.rule(host=_NAMES)
+    def lag_store(self, host):
+        self.cluster.store.make_stale(host)
+
+    @stateful.rule()
+    def lose_answer(self):
+        self.cluster.store.lose_answers = 1
+
+    def teardown(self):
+        self.run(self.recover())
+        self.run(self.cluster.close())
+        self.loop.close()
+
+    async def recover(self):
+        """Without faults the region must come back to one full view."""
+        cluster = self.cluster
+        cluster.network.heal()
+        cluster.store.down = False
+        cluster.store.cut.clear()
+        cluster.store.stale.clear()
+        cluster.store.lose_answers = 0
+        for host in sorted(self.paused):
+            await cluster.resume(host)
+        for host in _HOSTS:
+            if host not in cluster.hosts:
+                cluster.list_host(host)
+                cluster.start(host)
+        await cluster.advance(60, step_s=0.1)
+        views = [cluster.view(host) for host in cluster.hosts]
+        assert {view.epoch for view in views} == {views[0].epoch}
+        assert {member.host for member in views[0].members} == set(_HOSTS)
+        assert all(len(cluster.owners(t)) == 1 for t in cluster.targets)
+
+
+@pytest.mark.filterwarnings('ignore::RuntimeWarning')
+class TestFaults(FaultMachine.TestCase):
+    """Guards against two owners of a target and against lasting faults."""
+
+    settings = settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=25,
+        stateful_step_count=25,
+    )
