Add slot selection, cold starts, loans and the admission queue

Cause: calls need a target and a slot, and a cold target must never get more than it bears, summed over all hosts.

Change: targets/ keeps the state of each target; slots/ computes shares, lends slots, decides when a target is cold or warm and carries the messages; balancers/ has the five policies; admission/ the deadline queue; budgets the retry, hedge and link budgets.

A new owner of a cold target asks the other hosts to stop before it sends; a host that cannot be asked is waited for until the longest deadline after gains are allowed. A target is announced as warm in two steps, so that a late notice never covers a process that replaced it. The id of a loan carries a digest of the serving set, so that a borrower recognises a loan granted under another one.

--- /dev/null
+++ b/ragwortchute/balancers/round_robin.py
@@ -0,0 +1,34 @@
+"""Baseline policy: each target in turn."""
+
+from collections import abc
+import random
+
+from ragwortchute import balancers
+
+
+@balancers.REGISTRY.register('round_robin')
+class RoundRobin(balancers.Balancer):
+    """Chooses the target that follows the last one in order of names."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._last = ''
+
+    def choose(
+        self, candidates: abc.Sequence[balancers.Candidate]
+    ) -> balancers.Candidate | None:
+        """Returns the next target, or None without targets."""
+        if not candidates:
+            return None
+        first = following = None
+        for candidate in candidates:
+            name = candidate.name
+            if first is None or name < first.name:
+                first = candidate
+            if name > self._last and (
+                following is None or name < following.name
+            ):
+                following = candidate
+        chosen = following or first
+        self._last = chosen.name
+        return chosen
--- /dev/null
+++ b/ragwortchute/slots/loans.py
@@ -0,0 +1,158 @@
+"""Books of lent and borrowed slots."""
+
+from collections import abc
+import itertools
+import random
+
+import msgspec
+import xxhash
+
+from ragwortchute import wire
+
+# A lender counts a loan 10 % longer than its borrower uses it, so that clocks
+# of different speed never let both use the slot.
+LENDER_MARGIN = 1.1
+
+
+_COUNTER_BITS = 32
+
+
+def set_digest(hosts: abc.Iterable[str]) -> int:
+    """Returns a 31-bit digest of a serving set."""
+    return xxhash.xxh3_64_intdigest('\0'.join(sorted(hosts)).encode()) >> 33
+
+
+def digest_of(loan_id: int) -> int:
+    """Returns the digest of the serving set that a loan was granted under.
+
+    Host and borrower may follow different views for a moment. A slot lent
+    under one serving set may belong to a third host under another, so the
+    borrower must recognise such a loan.
+    """
+    return loan_id >> _COUNTER_BITS
+
+
+class Loan(msgspec.Struct):
+    """Slots of one target in a loan.
+
+    Attributes:
+        loan_id: Id given by the lender.
+        peer: The other host.
+        target: Name of the target.
+        count: Slots that are still lent.
+        until_s: End of the term on the monotonic clock, in seconds.
+    """
+
+    loan_id: int
+    peer: str
+    target: str
+    count: int
+    until_s: float
+
+
+class _Book:
+    """Loans with their totals by target."""
+
+    __slots__ = ('_loans', '_totals')
+
+    def __init__(self) -> None:
+        self._loans: list[Loan] = []
+        self._totals: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._loans)
+
+    def total(self, target: str) -> int:
+        """Returns the slots of a target over all loans."""
+        return self._totals.get(target, 0)
+
+    def loans(self) -> list[Loan]:
+        """Returns all loans."""
+        return list(self._loans)
+
+    def add(self, loan: Loan) -> None:
+        """Enters a loan."""
+        self._loans.append(loan)
+        self._totals[loan.target] = self.total(loan.target) + loan.count
+
+    def reduce(self, loan: Loan, count: int) -> int:
+        """Takes slots out of a loan and returns how many."""
+        count = max(0, min(count, loan.count))
+        loan.count -= count
+        self._totals[loan.target] -= count
+        if loan.count == 0:
+            self._loans.remove(loan)
+        return count
+
+    def expire(self, now_s: float) -> set[str]:
+        """Drops the loans past their term; returns their targets."""
+        if not self._loans:
+            return set()
+        ended = [loan for loan in self._loans if loan.until_s <= now_s]
+        for loan in ended:
+            self.reduce(loan, loan.count)
+        return {loan.target for loan in ended}
+
+
+class LentBook(_Book):
+    """What this host lent to others.
+
+    Args:
+        rng: Draws the first number, so that the return of a loan of an
+            earlier process of this host matches nothing.
+    """
+
+    __slots__ = ('_numbers',)
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__()
+        self._numbers = itertools.count(rng.getrandbits(_COUNTER_BITS))
+
+    def lend(
+        self,
+        host: str,
+        targets: abc.Iterable[str],
+        until_s: float,
+        hosts: abc.Iterable[str],
+    ) -> int:
+        """Enters one slot of each target for a borrower.
+
+        Args:
+            host: The borrower.
+            targets: A target name per slot.
+            until_s: End of the term in seconds.
+            hosts: The serving set.
+
+        Returns:
+            The id of the loan.
+        """
+        number = next(self._numbers) % (1 << _COUNTER_BITS)
+        loan_id = set_digest(hosts) << _COUNTER_BITS | number
+        for target in targets:
+            self.add(Loan(loan_id, host, target, 1, until_s))
+        return loan_id
+
+    def returned(self, message: wire.SlotReturn) -> bool:
+        """Enters a return; False if the loan is unknown or has expired."""
+        for loan in self.loans():
+            if (loan.loan_id, loan.peer, loan.target) == (
+                message.loan_id,
+                message.host,
+                message.target,
+            ):
+                self.reduce(loan, message.count)
+                return True
+        return False
+
+
+class BorrowedBook(_Book):
+    """What this host borrowed."""
+
+    __slots__ = ()
+
+    def clear(self) -> set[str]:
+        """Drops all loans; returns their targets."""
+        targets = {loan.target for loan in self._loans}
+        self._loans.clear()
+        self._totals.clear()
+        return targets
--- /dev/null
+++ b/tests/test_slots/test_manager.py
@@ -0,0 +1,416 @@
+"""Failure tests of cold starts, loans and shares across hosts."""
+
+import asyncio
+
+from returns import pipeline
+
+from ragwortchute import documents
+from ragwortchute import slots
+from ragwortchute import wire
+from ragwortchute.slots import service as service_
+from ragwortchute.targets import state as state_
+from tests.test_slots import cluster as cluster_
+
+Phase = state_.Phase
+Kind = slots.AttemptKind
+
+
+def check_limits(cluster):
+    """Asserts that no target has more in flight than its age allows."""
+    for target, process in cluster.processes.items():
+        assert process.running <= cluster.limit(target), target
+
+
+class TestColdStart:
+    """Cold targets over several hosts."""
+
+    async def test_sum_over_hosts_stays_within_the_ramp(self):
+        """Guards against several hosts sending to one cold target."""
+        async with cluster_.Cluster() as cluster:
+            for host in ('h1', 'h2'):
+                assert cluster.send(host) is None
+            await cluster.drive(
+                cluster_.RAMP_S * 1.5, check=lambda: check_limits(cluster)
+            )
+            await cluster.clock.advance(0.5)
+            for host in cluster.hosts.values():
+                assert host.state('t0').proved_warm()
+
+    async def test_no_lease_or_gains_means_no_request(self):
+        """Guards against an owner that sends without a valid lease."""
+        async with cluster_.Cluster() as cluster:
+            membership = cluster.hosts['h0'].membership
+            membership.lease = False
+            assert cluster.send('h0') is None
+            membership.lease = True
+            membership.gains = False
+            assert cluster.send('h0') is None
+            membership.gains = True
+            await cluster.clock.advance(0.1)
+            assert cluster.send('h0') is not None
+
+    async def test_two_views_never_share_a_cold_target(self):
+        """Guards against a new owner that starts beside the old one."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            old, new = cluster.hosts['h0'], cluster.hosts['h1']
+            running = [cluster.send('h0')]
+            new.membership.epoch = 2
+            new.membership.owners = {'t0': 'h1'}
+            new.membership.gains = False
+            cluster.network.partition(['h0'], ['h1', 'h2'])
+            for _ in range(30):
+                await cluster.clock.advance(0.1)
+                assert cluster.send('h1') is None
+            old.membership.lease = False
+            new.membership.gains = True
+            await cluster.clock.advance(0.2)
+            # The request of the old owner may run until its deadline.
+            assert cluster.send('h1') is None
+            cluster.lose(running.pop())
+            await cluster.clock.advance(2.0)
+            assert cluster.send('h0') is None
+            assert cluster.send('h1') is not None
+            check_limits(cluster)
+
+    async def test_old_owner_that_is_reachable_is_asked(self):
+        """Guards against waiting or sending while the old owner is busy."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            request = cluster.send('h0')
+            for host in cluster.hosts.values():
+                host.membership.epoch = 2
+                host.membership.owners = {'t0': 'h1'}
+            await cluster.clock.advance(0.5)
+            assert cluster.send('h1') is None
+            cluster.answer(request)
+            await cluster.clock.advance(0.3)
+            assert cluster.send('h0') is None
+            assert cluster.send('h1') is not None
+
+    async def test_paused_owner_wakes_with_an_unusable_lease(self):
+        """Guards against a dispatch after a pause longer than the lease."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            lease = cluster.take('h0')
+            paused = cluster.hosts['h0']
+            paused.task.cancel()
+            paused.membership.lease = False
+            cluster.network.down.add('h0')
+            for name in ('h1', 'h2'):
+                cluster.hosts[name].membership.epoch = 2
+                cluster.hosts[name].membership.owners = {'t0': 'h1'}
+            await cluster.clock.advance(5.0)
+            assert cluster.send('h1') is not None
+            assert cluster.dispatch(lease) is None
+            # Even with a new lease: another host owned the target meanwhile.
+            lease = cluster.take('h0')
+            assert lease is None
+            paused.membership.lease = True
+            paused.membership.epoch = 3
+            paused.membership.gains = False
+            assert cluster.take('h0') is None
+            check_limits(cluster)
+
+    async def test_silent_restart_behind_the_same_address(self):
+        """Guards against full load on a process that nobody warmed up."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            await cluster.warm_up()
+            running = [cluster.send(name) for name in cluster.names]
+            assert all(running)
+            cluster.restart('t0', running)
+            for _ in range(2):
+                for name in cluster.names:
+                    assert cluster.send(name) is None
+                await cluster.clock.advance(0.01)
+            # Until a request shows the new incarnation it is only suspect.
+            await cluster.drive(
+                cluster_.RAMP_S * 2, check=lambda: check_limits(cluster)
+            )
+            for host in cluster.hosts.values():
+                assert host.state('t0').proved_warm()
+                assert host.state('t0').incarnation == 'p0+'
+
+    async def test_lost_connections_of_the_same_process(self):
+        """Guards against a whole ramp after a mere connection loss."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            await cluster.warm_up()
+            for name in ('h0', 'h1'):
+                cluster.hosts[name].upstream.break_all('t0')
+                assert cluster.send(name) is None
+                await cluster.drive(1.0)
+                state = cluster.hosts[name].state('t0')
+                assert state.proved_warm(), name
+
+    async def test_sheds_below_the_slots_stop_all_hosts(self):
+        """Guards against load on a target that turned cold in place."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            await cluster.warm_up()
+            held = cluster.send('h2')
+            request = cluster.send('h1')
+            request.process.running -= 1
+            request.lease.release(
+                cluster_.report(Kind.SHED, 0.001, running=1, incarnation='p0')
+            )
+            await cluster.clock.advance(0.3)
+            for name in cluster.names:
+                assert cluster.hosts[name].state('t0').phase is Phase.COLD
+                # One request of h2 still runs, which is the whole limit.
+                assert cluster.send(name) is None
+            cluster.answer(held)
+            await cluster.clock.advance(0.3)
+            assert cluster.send('h1') is None
+            assert cluster.send('h0') is not None
+
+    async def test_whole_domain_returns(self):
+        """Guards against full load on the targets of a returned domain."""
+        async with cluster_.Cluster(targets=3) as cluster:
+            await cluster.warm_up()
+            for host in cluster.hosts.values():
+                host.domains_out |= {'luzon-0', 'luzon-1'}
+                host.manager.domains_changed()
+            leases = [cluster.take(name) for name in cluster.names * 3]
+            assert {lease.target.name for lease in leases if lease} == {'t2'}
+            for lease in filter(None, leases):
+                lease.release(cluster_.report(Kind.CANCELLED, 0.0))
+            for target in ('t0', 't1'):
+                cluster.restart(target)
+            await cluster.clock.advance(1.0)
+            for host in cluster.hosts.values():
+                host.domains_out.clear()
+                host.manager.domains_changed()
+            await cluster.drive(
+                cluster_.RAMP_S * 2, check=lambda: check_limits(cluster)
+            )
+            assert cluster.hosts['h2'].state('t0').proved_warm()
+
+    async def test_restarted_host_learns_warm_targets(self):
+        """Guards against a ramp of warm targets after a host's restart."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            await cluster.warm_up()
+            for name in ('h0', 'h2'):
+                await cluster.drive(0.1)
+                await cluster.hosts[name].kill()
+                cluster.hosts[name] = cluster_.Host(cluster, name, 7)
+                cluster.hosts[name].start()
+                await cluster.clock.advance(0.2)
+                assert cluster.hosts[name].state('t0').proved_warm()
+                # The earlier process may have lent its slot.
+                assert cluster.take(name) is None
+                await cluster.clock.advance(1.2)
+                assert cluster.send(name) is not None
+
+    async def test_late_notice_does_not_cover_a_new_process(self):
+        """Guards against a delayed notice taken for the new process."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            warmth = cluster.hosts['h1'].service.warmth
+            upstream = cluster.hosts['h1'].upstream
+            notice = wire.TargetNotice('dispatch', 't0', 'p0', 'warming', 1)
+            assert warmth.on_notice('h0', notice).accepted
+            upstream.break_all('t0')
+            await cluster.clock.advance(0.3)
+            assert cluster.hosts['h1'].state('t0').connections
+            late = wire.TargetNotice('dispatch', 't0', 'p0', 'warm', 1)
+            assert not warmth.on_notice('h0', late).accepted
+            assert cluster.take('h1') is None
+
+    async def test_draining_target_gets_no_new_work(self):
+        """Guards against work for a target that is leaving."""
+        async with cluster_.Cluster(targets=1) as cluster:
+            await cluster.warm_up()
+            cluster.answer(cluster.send('h1'), draining=True)
+            await cluster.clock.advance(0.1)
+            for name in cluster.names:
+                assert cluster.take(name) is None
+
+
+class TestLoans:
+    """Loans between hosts that fail."""
+
+    async def borrow(self, cluster, host='h1'):
+        """Makes a host use its shares up and borrow one slot."""
+        await cluster.warm_up()
+        await cluster.clock.advance(0.3)
+        held = []
+        while lease := cluster.take(host):
+            held.append(lease)
+        service = cluster.hosts[host].service
+        service.retry_budget.percent = 0.0
+        service.retry_budget.floor_per_s = 0.0
+        call = cluster.call(timeout_s=30.0)
+        task = asyncio.create_task(service.acquire(call))
+        await cluster.clock.advance(0.02)
+        assert pipeline.is_successful(task.result())
+        return held, task.result().unwrap()
+
+    def holdings(self, cluster, target):
+        return [host.service.holding(target) for host in cluster.hosts.values()]
+
+    async def test_waiting_call_gets_a_lent_slot_and_returns_it(self):
+        """Guards against slots that stay unused while calls wait."""
+        async with cluster_.Cluster(targets=3) as cluster:
+            _, lease = await self.borrow(cluster)
+            target = lease.target.name
+            assert sum(self.holdings(cluster, target)) == cluster.slots
+            assert sorted(self.holdings(cluster, target)) == [0, 1, 2]
+            lease.release(cluster_.report(Kind.ANSWERED, 0.02))
+            await cluster.clock.advance(0.2)
+            assert self.holdings(cluster, target) == [1, 1, 1]
+
+    async def test_lost_borrower(self):
+        """Guards against slots that are lost, or used twice, with a host."""
+        async with cluster_.Cluster(targets=3) as cluster:
+            _, lease = await self.borrow(cluster)
+            target = lease.target.name
+            await cluster.hosts.pop('h1').kill()
+            cluster.network.down.add('h1')
+            await cluster.clock.advance(0.9)
+            assert sum(self.holdings(cluster, target)) == 1
+            await cluster.clock.advance(0.3)
+            assert self.holdings(cluster, target) == [1, 1]
+
+    async def test_lost_lender(self):
+        """Guards against a borrower that goes on after the term."""
+        async with cluster_.Cluster(targets=3) as cluster:
+            _, lease = await self.borrow(cluster)
+            target = lease.target.name
+            borrower = cluster.hosts['h1'].service
+            assert borrower.holding(target) == 2
+            for name in ('h0', 'h2'):
+                cluster.network.down.add(name)
+            await cluster.clock.advance(1.05)
+            assert borrower.holding(target) == 1
+            assert not lease.usable()
+
+    async def test_lost_grant(self):
+        """Guards against a lender that reuses slots of a lost answer."""
+        async with cluster_.Cluster(targets=3) as cluster:
+            await cluster.warm_up()
+            lender = cluster.hosts['h0'].service
+            before = lender.spare(cluster.clock.monotonic())
+            request = wire.SlotRequest('h1', cluster_.SERVICE, 1)
+            assert len(lender.grant(request).slots) == 1
+            assert lender.spare(cluster.clock.monotonic()) == before - 1
+            await cluster.clock.advance(1.05)
+            assert lender.spare(cluster.clock.monotonic()) == before - 1
+            await cluster.clock.advance(0.1)
+            assert lender.spare(cluster.clock.monotonic()) == before
+
+    async def test_loan_of_another_serving_set_is_refused(self):
+        """Guards against use of a slot that a third host owns by now."""
+        async with cluster_.Cluster(targets=3) as cluster:
+            await cluster.warm_up()
+            lender = cluster.hosts['h0']
+            lender.membership.hosts = ['h0', 'h1']
+            lender.membership.epoch = 2
+            lender.manager.view_changed()
+            request = wire.SlotRequest('h1', cluster_.SERVICE, 2)
+            grant = lender.service.grant(request)
+            assert grant.slots
+            borrower = cluster.hosts['h1'].service
+            borrower.granted('h0', grant, cluster.clock.monotonic())
+            assert borrower.borrowed() == 0
+
+
+class TestSpeed:
+    """Slow targets."""
+
+    async def test_share_of_a_slow_target_falls(self):
+        """Guards against calls that go on to a target that turned slow."""
+        async with cluster_.Cluster(hosts=2, targets=4, slots_=4) as cluster:
+            await cluster.warm_up()
+            service = cluster.hosts['h0'].service
+            state = cluster.hosts['h0'].state('t1')
+            assert state.candidate.share == 2
+            lease = service.take_free(
+                frozenset({'t0', 't2', 't3'}), cluster.clock.monotonic()
+            )
+            lease.release(cluster_.report(Kind.ANSWERED, 0.3, incarnation='p0'))
+            assert state.candidate.share == 1
+            taken = [cluster.take('h0') for _ in range(6)]
+            names = {lease.target.name for lease in taken if lease}
+            assert names == {'t0', 't2', 't3'}
+            for lease in filter(None, taken):
+                lease.release(cluster_.report(Kind.CANCELLED, 0.0))
+            for _ in range(20):
+                state.note_latency(0.02)
+            await cluster.clock.advance(0.1)
+            assert state.candidate.share == 2
+
+
+class TestWaiting:
+    """Waiting calls and overflow."""
+
+    async def test_cancelled_call_leaks_no_slot(self):
+        """Guards against slots lost to callers that disconnect."""
+        async with cluster_.Cluster(hosts=1, targets=1) as cluster:
+            await cluster.warm_up()
+            service = cluster.hosts['h0'].service
+            service.retry_budget.floor_per_s = 0.0
+            service.retry_budget.percent = 0.0
+            held = [cluster.take('h0') for _ in range(3)]
+            task = asyncio.create_task(service.acquire(cluster.call()))
+            await cluster.clock.advance(0.01)
+            task.cancel()
+            # The slot becomes free between cancellation and its handling.
+            held.pop().release(cluster_.report(Kind.ANSWERED, 0.02))
+            await cluster.clock.advance(0.01)
+            assert task.cancelled()
+            assert cluster.take('h0') is not None
+
+    async def test_deadline_and_wrong_host(self):
+        """Guards against calls that wait in vain."""
+        async with cluster_.Cluster(hosts=2, targets=1) as cluster:
+            service = cluster.hosts['h1'].service
+            task = asyncio.create_task(service.acquire(cluster.call(0.3)))
+            await cluster.clock.advance(0.35)
+            assert task.result().failure().reason == 'deadline'
+            membership = cluster.hosts['h1'].membership
+            membership.hosts = ['h0']
+            await cluster.clock.advance(0.2)
+            refused = await service.acquire(cluster.call())
+            assert refused.failure().reason == 'wrong-host'
+
+    async def test_overflow_is_bounded(self):
+        """Guards against more than one request beyond the share."""
+        async with cluster_.Cluster(hosts=2, targets=1, slots_=4) as cluster:
+            await cluster.warm_up()
+            cluster.network.partition(['h0'], ['h1'])
+            service = cluster.hosts['h0'].service
+            service.retry_budget.percent = 100.0
+            for _ in range(20):
+                service.retry_budget.note_call(cluster.clock.monotonic())
+            while cluster.take('h0'):
+                pass
+            tasks = [
+                asyncio.create_task(service.acquire(cluster.call(9.0)))
+                for _ in range(3)
+            ]
+            await cluster.clock.advance(0.02)
+            assert sum(task.done() for task in tasks) == 1
+            done = next(task for task in tasks if task.done())
+            assert done.result().unwrap().overflow
+            assert isinstance(service, service_.ServiceSlots)
+            for task in tasks:
+                task.cancel()
+
+
+class TestBaselinePolicies:
+    """Policies that are not bounded."""
+
+    async def test_shares_are_ignored(self):
+        """Guards against a baseline that is bounded by shares."""
+        async with cluster_.Cluster(
+            hosts=3, targets=1, balancer='least_inflight'
+        ) as cluster:
+            await cluster.warm_up()
+            taken = [cluster.take('h1') for _ in range(4)]
+            assert [lease is not None for lease in taken] == [
+                True,
+                True,
+                True,
+                False,
+            ]
+
+
+def test_document_defaults():
+    """Guards against a default policy that is not registered."""
+    document = documents.ServiceDocument('s', (), ())
+    assert document.balancer in service_.balancers.REGISTRY.names()
