--- a/ragwortchute/codecs/messages.capnp
+++ b/ragwortchute/codecs/messages.capnp
@@ -29,6 +29,7 @@
     callForward @20 :Data;
     callAnswer @21 :Data;
     recordHandover @22 :Data;
+    stopping @23 :Stopping;
   }
 }
 
@@ -169,3 +170,8 @@
 struct Done {
   accepted @0 :Bool;
 }
+
+struct Stopping {
+  host @0 :Text;
+  incarnation @1 :Int64;
+}
--- /dev/null
+++ b/ragwortchute/directory.py
@@ -0,0 +1,175 @@
+"""Documents in force and the entry hosts that callers are sent to."""
+
+from collections import abc
+import random
+
+from ragwortchute import callers
+from ragwortchute import calls
+from ragwortchute import documents
+from ragwortchute import membership as membership_lib
+from ragwortchute import wire
+from ragwortchute.documents import matching
+from ragwortchute.membership import rendezvous
+from ragwortchute.records import tokens as tokens_lib
+
+_DEFAULT_SET_SIZE = 4
+
+
+class HostDirectory(callers.Directory):
+    """What the listener for callers needs to know.
+
+    Args:
+        membership: Hosts of all regions and the serving sets of this one.
+        tokens: Makes the origin tokens of address answers.
+        domain_out: Tells whether a failure domain takes no work.
+        rng: Spreads callers over the hosts of a serving set.
+        lifetime_ms: How long callers keep an address answer.
+
+    Attributes:
+        loaded: Whether the documents in force are known.
+        stopping: Whether a planned stop began.
+    """
+
+    def __init__(
+        self,
+        *,
+        membership: membership_lib.Membership,
+        tokens: tokens_lib.TokenMint,
+        domain_out: abc.Callable[[str], bool],
+        rng: random.Random,
+        lifetime_ms: int,
+    ) -> None:
+        self.loaded: abc.Callable[[], bool] = lambda: False
+        self.stopping = False
+        self._membership = membership
+        self._tokens = tokens
+        self._domain_out = domain_out
+        self._rng = rng
+        self._lifetime_ms = lifetime_ms
+        self._services: dict[str, documents.ServiceDocument] = {}
+        self._versions: dict[str, int] = {}
+
+    @property
+    def region(self) -> str:
+        """Region of this host."""
+        return self._membership.me.region
+
+    @property
+    def ready(self) -> bool:
+        """Whether documents are in force and calls can be served."""
+        return self.loaded() and self._membership.view is not None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a planned stop began."""
+        return self.stopping
+
+    @property
+    def services(self) -> abc.Mapping[str, documents.ServiceDocument]:
+        """Service documents in force by service."""
+        return self._services
+
+    def apply(self, document: object, version: int) -> None:
+        """Takes over a document that came into force."""
+        if isinstance(document, documents.ServiceDocument):
+            self._services[document.service] = document
+            self._versions[document.service] = version
+            return
+        self._versions[documents.DEPLOYMENT_NAME] = version
+
+    def document(self, service: str) -> documents.ServiceDocument | None:
+        """Returns the document in force, or None."""
+        return self._services.get(service)
+
+    def match(
+        self,
+        document: documents.ServiceDocument,
+        method: str,
+        path: str,
+        tenant: str,
+    ) -> matching.Match | None:
+        """Returns the rules for a call, or None if no route matches."""
+        return matching.match(document, method, path, tenant)
+
+    def refusal_reason(self, service: str) -> str:
+        """Returns why this host takes no new work of a service, or ''."""
+        me = self._membership.me
+        if self._domain_out(me.failure_domain):
+            return 'domain-out'
+        document = self._services[service]
+        hosts = self._membership.serving_set(
+            service, document.hosts_per_service
+        )
+        if any(member.host == me.host for member in hosts):
+            return ''
+        return 'wrong-host'
+
+    def addresses(
+        self, service: str, tenant: str, method: str = '', path: str = ''
+    ) -> calls.AddressAnswer:
+        """Returns the entry hosts for a call, those of its home regions.
+
+        The serving set of this region comes first, in random order so that
+        callers spread over it, then that of the other regions.
+        """
+        document = self._services.get(service)
+        homes = self._homes(document, method, path, tenant)
+        members = [
+            member
+            for member in self._candidates(service, document)
+            if not homes or member.region in homes
+        ]
+        return calls.AddressAnswer(
+            hosts=tuple(self._address(member) for member in members),
+            lifetime_ms=self._lifetime_ms,
+            versions=dict(self._versions),
+        )
+
+    def remote_set(self, service: str, size: int) -> list[wire.Member]:
+        """Returns the hosts of other regions that serve a service."""
+        regions: dict[str, list[wire.Member]] = {}
+        for member in self._membership.live_members():
+            if member.region == self.region:
+                continue
+            if not self._domain_out(member.failure_domain):
+                regions.setdefault(member.region, []).append(member)
+        return [
+            member
+            for members in regions.values()
+            for member in rendezvous.spread(service, members, size)
+        ]
+
+    def _candidates(
+        self, service: str, document: documents.ServiceDocument | None
+    ) -> list[wire.Member]:
+        size = document.hosts_per_service if document else _DEFAULT_SET_SIZE
+        local = self._membership.serving_set(service, size)
+        if self.stopping:
+            me = self._membership.me.host
+            local = [member for member in local if member.host != me]
+        remote = self.remote_set(service, size)
+        return [*self._shuffled(local), *self._shuffled(remote)]
+
+    def _shuffled(self, members: list[wire.Member]) -> list[wire.Member]:
+        return self._rng.sample(members, len(members))
+
+    def _homes(
+        self,
+        document: documents.ServiceDocument | None,
+        method: str,
+        path: str,
+        tenant: str,
+    ) -> tuple[str, ...]:
+        if document is None or not path:
+            return ()
+        match = matching.match(document, method, path, tenant)
+        return match.homes if match else ()
+
+    def _address(self, member: wire.Member) -> calls.Address:
+        return calls.Address(
+            host=member.host,
+            url=member.caller_url,
+            failure_domain=member.failure_domain,
+            region=member.region,
+            origin_token=self._tokens.mint(member),
+        )
--- a/ragwortchute/operators/metrics.py
+++ b/ragwortchute/operators/metrics.py
@@ -14,6 +14,7 @@
 
 from ragwortchute.callers import application as caller_application
 from ragwortchute.dispatch import dispatcher as dispatch
+from ragwortchute.peers import tcp
 
 # Labels come from this table or from documents, never from callers, so the
 # number of series is bounded.
@@ -170,6 +171,35 @@
     )
 
 
+def add_control(metrics: Metrics, counts: tcp.Counts) -> None:
+    """Adds the traffic and CPU time that messages between hosts take."""
+    metrics.add_counter(
+        'ragwortchute_control_messages_total',
+        'Control messages by direction.',
+        lambda: {
+            'sent': counts.sent_messages,
+            'received': counts.received_messages,
+        },
+        'direction',
+    )
+    metrics.add_counter(
+        'ragwortchute_control_bytes_total',
+        'Bytes of control messages by direction.',
+        lambda: {'sent': counts.sent_bytes, 'received': counts.received_bytes},
+        'direction',
+    )
+    metrics.add_counter(
+        'ragwortchute_control_cpu_seconds_total',
+        'CPU time of encoding and decoding control messages in seconds.',
+        lambda: {'': counts.control_cpu_s},
+    )
+    metrics.add_counter(
+        'ragwortchute_control_dropped_frames_total',
+        'Frames that failed their check.',
+        lambda: {'': counts.dropped_frames},
+    )
+
+
 def resident_bytes() -> int:
     """Returns the resident memory of this process."""
     with open(_STATM, encoding='ascii') as file:
--- a/ragwortchute/wire.py
+++ b/ragwortchute/wire.py
@@ -278,6 +278,13 @@
     successor_incarnation: int
 
 
+class Stopping(Message, frozen=True):
+    """The sender begins a planned stop and takes no new callers."""
+
+    host: str
+    incarnation: int
+
+
 class RecordEntry(msgspec.Struct, frozen=True):
     """One entry of a request record on its way to a successor.
 
