Let the caller client wait for the refusal of the last host

Cause: the client gave up at the deadline, at the instant at which the host refuses, so a true not-run reached the caller as unknown.

Change: the last send waits 0.25 s longer than the deadline. The demo warms up before it counts, since hosts that just started take targets for cold.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,27 @@
 
 bench-path: setup
 	$(PY) -m benchmarks.path
+
+bench-control: setup
+	$(PY) -m benchmarks.control
+
+bench-policy: setup
+	$(PY) -m benchmarks.policy
+
+bench-domain: setup
+	$(PY) -m benchmarks.domain
+
+bench-overload: setup
+	$(PY) -m benchmarks.overload
+
+bench-slopes: setup
+	$(PY) -m benchmarks.slopes
+
+fault-matrix: setup
+	$(PY) -m benchmarks.fault_matrix
+
+fuzz: setup
+	$(PY) -m benchmarks.fuzz
+
+docs: setup
+	$(VENV)/bin/sphinx-build -q -W -b html docs build/docs
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import random
 import sys
@@ -24,6 +25,8 @@
 
 SECONDS = 30.0
 RATE_PER_S = 120.0
+WARM_UP_S = 8.0
+WARM_UP_PER_S = 40.0
 WRITE_SHARE = 0.3
 COLD_AT_S = 6.0
 OUT_AT_S = 12.0
@@ -63,19 +66,28 @@
         self.keys_not_run: list[str] = []
         self.reasons: dict[str, int] = {}
         self._deployment = deployment
+        self._numbers = itertools.count(1)
         self._rng = random.Random(seed)
         self._client = caller_lib.CallerClient(deployment.caller_urls())
         self._tasks: set[asyncio.Task[None]] = set()
 
+    async def warm_up(self, seconds: float, rate_per_s: float) -> None:
+        """Runs calls that count in no figure.
+
+        Hosts that have just started take every target for cold.
+        """
+        await self.run(seconds, rate_per_s)
+        self.tally = Tally()
+        self.reasons.clear()
+        self.latencies.reset()
+
     async def run(self, seconds: float, rate_per_s: float) -> None:
         """Starts calls for some seconds, then waits for the last of them."""
         start_s = time.monotonic()
         due_s = start_s
-        number = 0
         while due_s < start_s + seconds:
             await asyncio.sleep(max(0.0, due_s - time.monotonic()))
-            number += 1
-            task = asyncio.create_task(self._one(number))
+            task = asyncio.create_task(self._one(next(self._numbers)))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             due_s += self._rng.expovariate(rate_per_s)
@@ -191,8 +203,10 @@
         await deployment.start()
         for target in for_targets.targets.values():
             target.behaviour.cold_ramp_s = 2.0
-        _say('ready')
         load = Load(deployment, SEED)
+        _say('warming up')
+        await load.warm_up(WARM_UP_S, WARM_UP_PER_S)
+        _say('ready')
         progress = asyncio.create_task(_progress(load))
         events = asyncio.create_task(_events(deployment))
         await load.run(SECONDS, RATE_PER_S)
--- a/ragwortchute/client/caller.py
+++ b/ragwortchute/client/caller.py
@@ -18,6 +18,9 @@
 
 _STEP = 'client'
 _MIN_SEND_S = 0.05
+# A host refuses a call at its deadline; giving up at the same instant would
+# turn its `not-run` into `unknown`.
+_REFUSAL_GRACE_S = 0.25
 _FREE_FOLLOWS = 2
 _RETRY_DELAY_S = 0.05
 
@@ -94,7 +97,8 @@
             path: Path and query at the target, with a leading slash, encoded.
             body: The whole body.
             headers: End-to-end headers.
-            timeout_s: Seconds until the deadline.
+            timeout_s: Seconds until the deadline. A refusal of the last
+                host is awaited up to 0.25 s longer.
             idempotent: True if the request may run more than once.
             key: New request key; drawn if empty. Not used for idempotent
                 calls. A key that was used in an earlier call must not be
@@ -189,7 +193,7 @@
         # A host that stands still must leave time for a resend elsewhere; a
         # second timeout points at the target, and a resend would not help.
         if progress.timeouts or left_s < 2 * _MIN_SEND_S:
-            return left_s
+            return left_s + _REFUSAL_GRACE_S
         return left_s / 2
 
     async def _after_failure(
