--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -271,7 +271,9 @@
         Raises:
             RagwortchuteError: A listener can't be opened.
         """
-        await self.transport.start(self.cfg.peer_address)
+        await self.transport.start(
+            self.cfg.peer_listen_address or self.cfg.peer_address
+        )
         self.recorder.start(self._run_forwarded, self.spill.on_spill)
         self.crash_guard.start()
         self.transport.on(wire.Stopping, self._on_stopping)
--- a/ragwortchute/config.py
+++ b/ragwortchute/config.py
@@ -54,6 +54,9 @@
             'listener for operators', 'address'),
     Setting('peer_address', '127.0.0.1:8402', '', 'listener for peers',
             'address'),
+    Setting('peer_listen_address', '', '',
+            'listener for peers, if it differs from the address that peers '
+            'use', 'optional_address'),
     Setting('caller_url', '', '',
             'base URL for callers, if it differs from the listener'),
     Setting('store', 'http', '', 'registered store client'),
@@ -223,6 +226,11 @@
         raise ValueError('allowed are letters, digits, hyphen, underscore')
 
 
+def _check_optional_address(value: str) -> None:
+    if value:
+        parse_address(value)
+
+
 def _check_positive(value: float) -> None:
     if not 0 < value < float('inf'):
         raise ValueError('must be a finite number above 0')
@@ -247,6 +255,7 @@
     '': lambda value: None,
     'name': _check_name,
     'address': parse_address,
+    'optional_address': _check_optional_address,
     'seeds': parse_seeds,
     'positive': _check_positive,
     'percent': _check_percent,
--- a/ragwortchute/documents/reference.py
+++ b/ragwortchute/documents/reference.py
@@ -69,6 +69,7 @@
 _CHECKS = {
     'name': 'letters, digits, hyphens, underscores',
     'address': '`IP:port`',
+    'optional_address': '`IP:port`',
     'seeds': '`name=IP:port,...`',
     'key': 'at least 16 characters',
     'positive': 'above 0',
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,9 @@
 OPERATOR_TOKEN = 'operator-token-of-the-stand-in'
 DEPLOYMENT_KEY = 'deployment-key-of-the-stand-in'
 _READY_POLL_S = 0.05
+_PORT_RANGE = (12_000, 32_000)
+# Deployments side by side must not draw the same ports.
+_PORTS = random.SystemRandom()
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -362,7 +366,16 @@
 
 
 def free_port() -> int:
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Returns a loopback port that was free a moment ago.
+
+    It lies below the range that the kernel gives to outgoing connections,
+    one of which could take it before the host listens.
+    """
+    while True:
+        port = _PORTS.randrange(*_PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -47,11 +47,13 @@
         runs: Every execution.
         cold_overloads: Requests that came to a cold target above its limit.
         connections: Connections accepted.
+        drain_arrivals: Requests that came to a draining target.
     """
 
     runs: list[Run] = dataclasses.field(default_factory=list)
     cold_overloads: int = 0
     connections: int = 0
+    drain_arrivals: int = 0
 
     def ran_twice(self) -> list[str]:
         """Returns the request keys that were executed more than once."""
@@ -66,6 +68,42 @@
         return sum(run.call == call for run in self.runs)
 
 
+class Holds:
+    """Keeps requests with a header `X-Hold` at the step that it names.
+
+    The steps are `body` (a part of the request body was read), `run` (the
+    request runs) and `answer` (half of the answer body was written).
+
+    Attributes:
+        held: Pairs of `X-Call` and target name in order of arrival.
+    """
+
+    def __init__(self) -> None:
+        self.held: list[tuple[str, str]] = []
+        self._armed = False
+        self._released = asyncio.Event()
+
+    def arm(self) -> None:
+        """Begins to keep requests."""
+        self.held.clear()
+        self._armed = True
+        self._released = asyncio.Event()
+
+    def release(self) -> None:
+        """Lets all requests go on, later ones too."""
+        self._armed = False
+        self._released.set()
+
+    def wanted(self, headers: list[tuple[str, str]], step: str) -> bool:
+        """Tells whether a request is to be kept at a step."""
+        return self._armed and calls.header(headers, 'x-hold') == step
+
+    async def wait(self, headers: list[tuple[str, str]], target: str) -> None:
+        """Keeps a request until `release`."""
+        self.held.append((calls.header(headers, 'x-call'), target))
+        await self._released.wait()
+
+
 @dataclasses.dataclass(slots=True)
 class Behaviour:
     """What a target does; a test changes the fields at any time.
@@ -114,6 +152,7 @@
         rng: Source of service times.
         clock: Source of time.
         warm: Whether it starts warm.
+        holds: Keeps marked requests at a step.
     """
 
     def __init__(
@@ -125,7 +164,9 @@
         *,
         clock: clock_lib.Clock | None = None,
         warm: bool = True,
+        holds: Holds | None = None,
     ) -> None:
+        self.holds = holds or Holds()
         self.name = name
         self.slots = slots
         self.log = log
@@ -224,6 +265,8 @@
         if req.path.startswith('/_standin/'):
             await self._control(req, conn)
             return
+        if self.behaviour.draining:
+            self.log.drain_arrivals += 1
         if self.behaviour.draining or self._full():
             self._shed(conn)
             return
@@ -253,6 +296,8 @@
         self.running += 1
         self.peak = max(self.peak, self.running)
         try:
+            if self.holds.wanted(req.headers, 'run'):
+                await self.holds.wait(req.headers, self.name)
             if self.behaviour.hang:
                 await asyncio.get_running_loop().create_future()
             overload = max(1.0, self.running / self.slots)
@@ -265,6 +310,12 @@
             {'call': run.call, 'digest': digest(req), 'target': self.name}
         ).encode()
         headers = [('Content-Type', 'application/json'), *self._headers()]
+        if self.holds.wanted(req.headers, 'answer'):
+            half = len(body) // 2
+            conn.respond(200, headers, body, sent=half)
+            await self.holds.wait(req.headers, self.name)
+            conn.write(body[half:])
+            return
         conn.respond(200, headers, body, cut=self.behaviour.truncate)
 
     def _full(self) -> bool:
@@ -356,8 +407,17 @@
         self._headers.append((name.decode('latin-1').lower(), value.decode()))
 
     def on_body(self, body: bytes) -> None:
+        holds = self._target.holds
+        if not self._body and holds.wanted(self._headers, 'body'):
+            self._transport.pause_reading()
+            self._target._spawn(self._hold_body(list(self._headers)))
         self._body.append(body)
 
+    async def _hold_body(self, headers: list[tuple[str, str]]) -> None:
+        await self._target.holds.wait(headers, self._target.name)
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def on_message_complete(self) -> None:
         req = _Request(
             self._parser.get_method().decode(),
@@ -382,8 +442,17 @@
         body: bytes,
         *,
         cut: bool = False,
+        sent: int = -1,
     ) -> None:
-        """Writes an answer, or only half of its body if `cut` is set."""
+        """Writes an answer.
+
+        Args:
+            status: HTTP status.
+            headers: Response headers.
+            body: The whole body.
+            cut: Whether to close the connection after half of the body.
+            sent: Bytes of the body to write; -1 for all of it.
+        """
         if self._transport is None or self._transport.is_closing():
             return
         lines = [f'HTTP/1.1 {status} X', f'Content-Length: {len(body)}']
@@ -393,7 +462,12 @@
             self._transport.write(head + body[: len(body) // 2])
             self._transport.close()
             return
-        self._transport.write(head + body)
+        self._transport.write(head + (body if sent < 0 else body[:sent]))
+
+    def write(self, data: bytes) -> None:
+        """Writes a further part of an answer."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.write(data)
 
     def abort(self) -> None:
         """Breaks the connection without an answer."""
@@ -413,6 +487,7 @@
         self, seed: int = 1, clock: clock_lib.Clock | None = None
     ) -> None:
         self.log = RunLog()
+        self.holds = Holds()
         self.targets: dict[str, Target] = {}
         self._rng = random.Random(seed)
         self._clock = clock
@@ -423,7 +498,13 @@
         """Starts a target."""
         rng = random.Random(self._rng.random())
         target = Target(
-            name, slots, self.log, rng, clock=self._clock, warm=warm
+            name,
+            slots,
+            self.log,
+            rng,
+            clock=self._clock,
+            warm=warm,
+            holds=self.holds,
         )
         await target.start(port)
         self.targets[name] = target
