--- a/standins/harness.py
+++ b/standins/harness.py
@@ -42,7 +42,8 @@
 IN_FORCE_S = 7.0
 CONTROL_BYTES_PER_S = 4096
 MARKER = b'only-in-luzon-' * 3
-_LOAD_PER_S = 30.0
+_LOAD_PER_S = 70.0
+_SERVICE_S = 0.06
 _WRITE_SHARE = 0.35
 _HOMED_SHARE = 0.15
 _POLL_S = 0.05
@@ -135,6 +136,7 @@
         for target in self.targets.targets.values():
             target.behaviour.cold_ramp_s = COLD_RAMP_S
             target.behaviour.cold_crash_s = 0.5
+            target.behaviour.mean_service_s = _SERVICE_S
         self._seed_documents()
         self._session = aiohttp.ClientSession(
             headers={'Authorization': f'Bearer {deployment_lib.OPERATOR_TOKEN}'}
@@ -155,7 +157,8 @@
         """Starts an entry host behind its relays."""
         seeds = ','.join(
             f'{name}={self._relayed[name]["peer_address"]}'
-            for name in self.hosts
+            for name in self._relayed
+            if name != spec.host
         )
         host = _RelayedHost(
             spec, {'seed_hosts': seeds, **self._relayed[spec.host]}
--- /dev/null
+++ b/tests/test_system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole deployments with host processes."""
