--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -26,6 +26,7 @@
 WORKERS = 4
 PAIRS = 20
 WARM_UP_S = 5.0
+_STARTS = 3
 _PAGE = (
     pathlib.Path(__file__).resolve().parent.parent / 'docs' / 'fault-matrix.md'
 )
@@ -98,12 +99,26 @@
     return await cell.run(job.step, faults)
 
 
+async def start_cluster(seed: int) -> harness.Cluster:
+    """Returns a running deployment whose targets are warm."""
+    for attempt in range(_STARTS):
+        cluster = harness.Cluster(seed)
+        try:
+            await cluster.start()
+            await harness.warm_up(cluster, WARM_UP_S)
+            return cluster
+        except TimeoutError:
+            # A port may be taken between the choice and the start.
+            await cluster.stop()
+            if attempt == _STARTS - 1:
+                raise
+    raise AssertionError
+
+
 async def _work(part: list[Job], seed: int) -> list[Done]:
-    cluster = harness.Cluster(seed)
+    cluster = await start_cluster(seed)
     done = []
     try:
-        await cluster.start()
-        await harness.warm_up(cluster, WARM_UP_S)
         for job in part:
             try:
                 async with asyncio.timeout(60.0):
@@ -114,9 +129,7 @@
             done.append(Done(job, verdict))
             if verdict.note:
                 await cluster.stop()
-                cluster = harness.Cluster(seed)
-                await cluster.start()
-                await harness.warm_up(cluster, WARM_UP_S)
+                cluster = await start_cluster(seed)
     finally:
         await cluster.stop()
     return done
--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -37,7 +37,7 @@
     end_s = time.monotonic() + seconds
     last: collections.deque[str] = collections.deque(maxlen=_SHOWN_STEPS)
     totals = harness.Totals()
-    cluster = await _start(seed)
+    cluster = await fault_matrix.start_cluster(seed)
     number = 0
     try:
         while time.monotonic() < end_s:
@@ -63,20 +63,13 @@
             if verdict.note:
                 click.echo(f'   {verdict.note}; starting anew')
                 await cluster.stop()
-                cluster = await _start(seed)
+                cluster = await fault_matrix.start_cluster(seed)
     finally:
         await cluster.stop()
     click.echo(f'seed {seed}: {number - skip} cells passed, {totals}')
     return 0
 
 
-async def _start(seed: int) -> harness.Cluster:
-    cluster = harness.Cluster(seed)
-    await cluster.start()
-    await harness.warm_up(cluster, fault_matrix.WARM_UP_S)
-    return cluster
-
-
 def _report(
     seed: int, verdict: harness.Verdict, last: collections.deque[str]
 ) -> None:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,9 +1,9 @@
 """A whole deployment on loopback: store, targets and entry hosts."""
 
 import asyncio
+import itertools
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -21,9 +21,10 @@
 OPERATOR_TOKEN = 'operator-token-of-the-stand-in'
 DEPLOYMENT_KEY = 'deployment-key-of-the-stand-in'
 _READY_POLL_S = 0.05
-_PORT_RANGE = (12_000, 32_000)
-# Deployments side by side must not draw the same ports.
-_PORTS = random.SystemRandom()
+_FIRST_PORT = 12_000
+_PORT_COUNT = 20_000
+_PORTS_PER_PROCESS = 128
+_PORTS = itertools.count(os.getpid() * _PORTS_PER_PROCESS)
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -369,10 +370,11 @@
     """Returns a loopback port that was free a moment ago.
 
     It lies below the range that the kernel gives to outgoing connections,
-    one of which could take it before the host listens.
+    one of which could take it before the host listens. Processes side by side
+    begin at different ports, so that they do not draw the same one.
     """
     while True:
-        port = _PORTS.randrange(*_PORT_RANGE)
+        port = _FIRST_PORT + next(_PORTS) % _PORT_COUNT
         with socket.socket() as sock:
             try:
                 sock.bind(('127.0.0.1', port))
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -457,6 +457,8 @@
         tasks = [
             asyncio.create_task(self.write(**options)) for _ in range(count)
         ]
+        if body is None:
+            tasks.append(asyncio.create_task(self.read(**options)))
 
         async def finish() -> None:
             await asyncio.gather(*tasks)
@@ -1057,18 +1059,8 @@
 
 async def _record(cell: Cell) -> None:
     """A resend waits at another host for the record of a running write."""
-    url = cell.cluster.hosts[cell.victim].caller_url
     sender = transport_lib.HttpTransport()
-    resp = await sender.send(
-        'GET', f'{url}/addresses?service={SERVICE}', timeout_s=2.0
-    )
-    answer = msgspec.json.decode(resp.body, type=calls.AddressAnswer)
-    origin = next(a for a in answer.hosts if a.region == STORE_REGION)
-    other = next(
-        a
-        for a in answer.hosts
-        if a.region == STORE_REGION and a.host != origin.host
-    )
+    origin, other = await _two_hosts(cell, sender)
     key = f'{cell._name}-record'
     headers = [
         ('x-call', key),
@@ -1099,6 +1091,22 @@
     await asyncio.sleep(0.1)
 
 
+async def _two_hosts(
+    cell: Cell, sender: transport_lib.HttpTransport
+) -> list[calls.Address]:
+    """Returns two hosts of the store's region with their origin tokens."""
+    url = cell.cluster.hosts[cell.victim].caller_url
+    while True:
+        resp = await sender.send(
+            'GET', f'{url}/addresses?service={SERVICE}', timeout_s=2.0
+        )
+        answer = msgspec.json.decode(resp.body, type=calls.AddressAnswer)
+        local = [a for a in answer.hosts if a.region == STORE_REGION]
+        if len(local) >= 2:
+            return local[:2]
+        await asyncio.sleep(_POLL_S)
+
+
 async def _resend(
     sender: transport_lib.HttpTransport,
     url: str,
