Bound buffered bodies and waiting heads, finish requests of moved targets

Cause: 2,000 calls with bodies of 1 MiB do not fit into 64 MB; a connection without a whole head stayed open for ever; a changed target address cut off the requests that ran on the old one.

Change: bodies of running calls are bounded by 16 MiB in sum, a head has 10 s, and the pool of an old address closes each connection after its answer.

Conclusion: each case has a test.

--- a/ragwortchute/callers/application.py
+++ b/ragwortchute/callers/application.py
@@ -54,11 +54,14 @@
         max_body_bytes: Largest request body.
         max_headers: Largest number of headers.
         max_calls: Largest number of calls at once on this host.
+        max_buffered_bytes: Largest sum of the bodies of running calls. A host
+            has 64 MB, so `max_calls` bodies of the largest size do not fit.
     """
 
     max_body_bytes: int = 1 << 20
     max_headers: int = _MAX_HEADERS
     max_calls: int = 2000
+    max_buffered_bytes: int = 16 << 20
 
 
 class _Refused(Exception):
@@ -113,6 +116,7 @@
         self._id_prefix = secrets.token_hex(6)
         self._id_numbers = itertools.count(1)
         self.running = 0
+        self.buffered_bytes = 0
         self.answered = 0
         self.durations = durations.Durations()
         self.refused: dict[str, int] = {}
@@ -145,6 +149,7 @@
         """Returns the number of running calls and totals by reason."""
         return {
             'running': self.running,
+            'buffered_bytes': self.buffered_bytes,
             'answered': self.answered,
             'refused': dict(sorted(self.refused.items())),
         }
@@ -187,13 +192,16 @@
         call: calls.Call | None = None
         try:
             call, length = self._admit(scope, started_s)
-            call.body = await self._read_body(call, length, receive)
+            if length != 0:
+                await self._read_body(call, receive)
             outcome = await self._run(call, scope, receive)
         except _Refused as exc:
             self._ended(call, started_s, exc.refusal, 0)
             raise
         finally:
             self.running -= 1
+            if call is not None:
+                self.buffered_bytes -= len(call.body)
         if outcome is None:
             self._count(_CANCELLED.reason)
             self._ended(call, started_s, _CANCELLED, 0)
@@ -293,35 +301,45 @@
                 retry=True,
             )
 
-    async def _read_body(
-        self, call: calls.Call, length: int, receive: Receive
-    ) -> bytes:
-        if length == 0:
-            return b''
+    async def _read_body(self, call: calls.Call, receive: Receive) -> None:
+        """Reads the body into the call, and counts it as buffered."""
         remaining_s = call.deadline_s - self._clock.monotonic()
         parts: list[bytes] = []
         size = 0
         try:
             async with asyncio.timeout(remaining_s):
-                while True:
+                more = True
+                while more:
                     message = await receive()
                     if message['type'] == 'http.disconnect':
                         raise _CallerGone
                     part = message.get('body', b'')
-                    size += len(part)
-                    if size > self._limits.max_body_bytes:
-                        raise self._too_large()
-                    if not message.get('more_body', False):
-                        break
+                    more = message.get('more_body', False)
                     parts.append(part)
+                    size += len(part)
+                    self.buffered_bytes += len(part)
+                    self._check_size(size)
         except TimeoutError as exc:
             raise _refused(
                 'body-timeout', 408, 'the body came too slowly', close=True
             ) from exc
-        if not parts:
-            return part
-        parts.append(part)
-        return b''.join(parts)
+        else:
+            call.body = b''.join(parts) if len(parts) > 1 else part
+        finally:
+            # The call holds its share only if it got its body.
+            self.buffered_bytes -= size - len(call.body)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._limits.max_body_bytes:
+            raise self._too_large()
+        if self.buffered_bytes > self._limits.max_buffered_bytes:
+            raise _refused(
+                'too-many-bytes',
+                503,
+                'too many bytes of bodies at once',
+                retry=True,
+                close=True,
+            )
 
     async def _run(
         self, call: calls.Call, scope: Scope, receive: Receive
--- a/ragwortchute/operators/metrics.py
+++ b/ragwortchute/operators/metrics.py
@@ -48,6 +48,7 @@
         'query',
         'queue-full',
         'shed',
+        'too-many-bytes',
         'too-many-calls',
         'too-many-headers',
         'upgrade',
@@ -138,6 +139,11 @@
         'Calls that run at this moment.',
         lambda: {'': app.running},
     )
+    metrics.add_gauge(
+        'ragwortchute_calls_buffered_bytes',
+        'Bodies of the running calls in bytes.',
+        lambda: {'': app.buffered_bytes},
+    )
     metrics.add_counter(
         'ragwortchute_calls_total',
         'Calls that got an answer of a target.',
--- a/ragwortchute/serving.py
+++ b/ragwortchute/serving.py
@@ -19,6 +19,8 @@
 
 _BACKLOG = 1024
 _KEEP_ALIVE_S = 75
+# Time for the first or the rest of a head.
+HEAD_S = 10.0
 _START_POLL_S = 0.002
 # A call creates few cycles; the default of 700 new objects collects on every
 # second call.
@@ -59,6 +61,7 @@
         self._head_bytes = 0
         self._in_head = False
         self._mixed = False
+        self._head_timer: asyncio.TimerHandle | None = None
         self._on_disconnect: abc.Callable[[], None] | None = None
         self._gone = False
         self._extensions = {
@@ -66,12 +69,20 @@
             application.RESPOND_EXTENSION: self._respond,
         }
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Begins to wait for a head."""
+        super().connection_made(transport)
+        self._wait_for_head()
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes unless the head grows too large."""
         self._mixed = False
         continued = self._in_head
         super().data_received(data)
         if not self._in_head or self.transport.is_closing():
+            if self._head_timer is not None:
+                self._head_timer.cancel()
+                self._head_timer = None
             return
         if continued:
             self._head_bytes += len(data)
@@ -80,6 +91,8 @@
             self._head_bytes = 0 if self._mixed else len(data)
         if self._head_bytes > self.max_head_bytes:
             self._refuse(self.head_refusal)
+        elif self._head_timer is None:
+            self._wait_for_head()
 
     def send_400_response(self, msg: str) -> None:
         """Refuses bytes that are not HTTP, after the answers still due.
@@ -130,11 +143,24 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the application that the caller is gone."""
         super().connection_lost(exc)
+        if self._head_timer is not None:
+            self._head_timer.cancel()
         self._gone = True
         if self._on_disconnect is not None:
             self._on_disconnect()
             self._on_disconnect = None
 
+    def _wait_for_head(self) -> None:
+        self._head_timer = self.loop.call_later(HEAD_S, self._head_late)
+
+    def _head_late(self) -> None:
+        self._head_timer = None
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.close()
+        else:
+            # An answer is due first on this connection.
+            self._wait_for_head()
+
     def _refuse(self, answer: bytes) -> None:
         cycle = self.cycle
         if cycle is None or cycle.response_complete or cycle.more_body:
--- a/ragwortchute/upstream/http.py
+++ b/ragwortchute/upstream/http.py
@@ -155,6 +155,14 @@
                 return conn
             _abort(conn)
 
+    def retire(self) -> None:
+        """Closes idle connections now and the others after their answer."""
+        self._force_close = True
+        for kept in self._conns.values():
+            for protocol, _ in kept:
+                protocol.close()
+        self._conns.clear()
+
     async def add(self) -> None:
         """Opens one more connection and keeps it idle."""
         protocol = await self._create_connection(self._request, [], _NO_TIMEOUT)
@@ -204,14 +212,14 @@
         remaining_s = call.deadline_s - self._clock.monotonic()
         if remaining_s <= 0:
             raise attempt.error(errors.ConnectFailed, 'deadline passed')
-        pool = await self._pool(service, target)
+        pool = self._pool(service, target)
         return await attempt.run(pool, self._clock, remaining_s)
 
     async def keep_open(
         self, service: str, target: documents.Target, connections: int
     ) -> int:
         """Opens connections without a request; see the base class."""
-        pool = await self._pool(service, target)
+        pool = self._pool(service, target)
         wanted = min(connections, self._limit) - pool.open
         if wanted > 0:
             try:
@@ -229,11 +237,14 @@
         pool = self._pools.get((service, target))
         return pool.open if pool is not None else 0
 
-    async def forget(self, service: str, target: str) -> None:
-        """Closes the connections to a target that is no longer used."""
+    def forget(self, service: str, target: str) -> None:
+        """Lets go of a target that is no longer used.
+
+        Requests that run on it are finished.
+        """
         pool = self._pools.pop((service, target), None)
         if pool is not None:
-            await pool.close()
+            pool.retire()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -249,15 +260,16 @@
             for (service, target), pool in self._pools.items()
         }
 
-    async def _pool(self, service: str, target: documents.Target) -> _Pool:
+    def _pool(self, service: str, target: documents.Target) -> _Pool:
         key = (service, target.name)
         pool = self._pools.get(key)
-        if pool is not None and pool.address == target.address:
-            return pool
-        self._pools[key] = _Pool(service, target, self._listener, self._limit)
         if pool is not None:
-            await pool.close()
-        return self._pools[key]
+            if pool.address == target.address:
+                return pool
+            pool.retire()
+        pool = _Pool(service, target, self._listener, self._limit)
+        self._pools[key] = pool
+        return pool
 
 
 class _Attempt:
--- a/tests/test_callers/test_application.py
+++ b/tests/test_callers/test_application.py
@@ -46,7 +46,9 @@
             dispatch=self.dispatch,
             recorder=self.recorder,
             clock=CLOCK,
-            limits=application.Limits(max_body_bytes=1000, max_calls=2),
+            limits=application.Limits(
+                max_body_bytes=1000, max_calls=2, max_buffered_bytes=1200
+            ),
         )
         self.server = serving.HttpServer(
             self.app, '127.0.0.1', 0, max_head_bytes=4096, stop_s=5
@@ -312,6 +314,14 @@
             assert problem['reason'] == 'too-many-calls'
             host.hold.set()
             await asyncio.gather(*tasks)
+            host.hold = asyncio.Event()
+            task = asyncio.create_task(host.ask('PUT', data=b'x' * 900))
+            await path_fakes.until(lambda: len(host.calls) == 3)
+            _, problem = await host.refusal('PUT', data=b'x' * 400)
+            assert problem['reason'] == 'too-many-bytes'
+            host.hold.set()
+            await task
+            assert host.app.buffered_bytes == 0
 
     async def test_slow_body(self):
         """Guards against a body that never ends."""
@@ -321,9 +331,23 @@
                 b'ragwortchute-deadline-ms: 40\r\ncontent-length: 9\r\n\r\nx'
             )
         assert data.startswith(b'HTTP/1.1 408')
+        assert host.app.buffered_bytes == 0
         assert host.calls == []
 
 
+class TestIdleConnections:
+    """Connections without a whole request."""
+
+    @pytest.mark.parametrize('data', [b'', b'GET /call/bil'])
+    async def test_closed_after_a_while(self, data, monkeypatch):
+        """Guards against connections that take memory and do nothing."""
+        monkeypatch.setattr(serving, 'HEAD_S', 0.05)
+        async with Host().serve() as host:
+            got = await host.raw(data)
+            await path_fakes.until(lambda: not host.server.connections)
+        assert got == b''
+
+
 class TestSyntax:
     """Forms that servers read differently."""
 
--- a/tests/test_upstream/test_http.py
+++ b/tests/test_upstream/test_http.py
@@ -271,6 +271,32 @@
                 await send_all(target, **changes)
         assert target.requests == []
 
+    async def test_target_that_moves(self):
+        """Guards against cutting off requests when an address changes."""
+        go = asyncio.Event()
+
+        async def script(number, writer):
+            await go.wait()
+            return path_fakes.OK
+
+        old, new = path_fakes.RawTarget(script), path_fakes.RawTarget()
+        listener = path_fakes.FakeListener()
+        client = http.HttpUpstream(CLOCK, listener=listener)
+        call = path_fakes.make_call(CLOCK)
+        async with old.serve(), new.serve():
+            await client.keep_open('billing', old.document(), 2)
+            task = asyncio.create_task(
+                client.send('billing', old.document(), call)
+            )
+            await path_fakes.until(lambda: old.requests)
+            await client.send('billing', new.document(), call)
+            await path_fakes.until(lambda: listener.open == 2)
+            go.set()
+            assert (await task).answer.status == 200
+            client.forget('billing', 't1')
+            await path_fakes.until(lambda: listener.open == 0)
+        await client.close()
+
     async def test_connections_are_bounded(self):
         """Guards against taking the connections of other hosts."""
         target = path_fakes.RawTarget()
