--- a/ragwortchute/wire.py
+++ b/ragwortchute/wire.py
@@ -40,6 +40,8 @@
         members: Members in join order.
         witnesses: Hosts whose majority confirms leases; an odd number.
         previous_witnesses: Witnesses of the epoch before.
+        passive: Members that own no target, because their failure domain
+            is out.
     """
 
     region: str
@@ -48,6 +50,7 @@
     members: tuple[Member, ...]
     witnesses: tuple[str, ...] = ()
     previous_witnesses: tuple[str, ...] = ()
+    passive: tuple[str, ...] = ()
 
 
 class Heartbeat(Message, frozen=True):
@@ -73,6 +76,7 @@
         epoch: Highest epoch that it adopted.
         digest: Digest of its documents and orders.
         joined: True if the sender is a member of that epoch.
+        suspects: Members that the witness has not heard for `suspect_s`.
     """
 
     host: str
@@ -80,6 +84,7 @@
     epoch: int
     digest: int
     joined: bool
+    suspects: tuple[str, ...] = ()
 
 
 class ViewNotice(Message, frozen=True):
@@ -273,6 +278,13 @@
     successor_incarnation: int
 
 
+class Stopping(Message, frozen=True):
+    """The sender begins a planned stop and takes no new callers."""
+
+    host: str
+    incarnation: int
+
+
 class RecordEntry(msgspec.Struct, frozen=True):
     """One entry of a request record on its way to a successor.
 
@@ -296,13 +308,26 @@
 
 
 class RecordHandover(Message, frozen=True):
-    """Part of a request record; answered by `Done`."""
+    """Part of a request record; answered by `Done`.
+
+    Attributes:
+        host: Origin of the record.
+        incarnation: Its incarnation.
+        entries: The entries of this part.
+        last: True for the last part of the transfer.
+        evicted_expiry: Highest expiry that the origin evicted.
+        transfer_id: Id of the transfer; only parts of one transfer add up to
+            a complete record.
+        part: Number of this part, from 0.
+    """
 
     host: str
     incarnation: int
     entries: tuple[RecordEntry, ...]
     last: bool
     evicted_expiry: float = 0.0
+    transfer_id: int = 0
+    part: int = 0
 
 
 class Done(Message, frozen=True):
