Check the slot again after waiting for a connection

Cause: a slot was checked before the client waited for a connection, so a request could be sent on a lease that lapsed during the wait.

Change: Upstream.send takes before_send, called right before the write if the client had to wait; the dispatcher passes the check of the slot.

Conclusion: nothing is sent on a lapsed slot; a test covers it.

--- a/ragwortchute/dispatch/dispatcher.py
+++ b/ragwortchute/dispatch/dispatcher.py
@@ -226,11 +226,14 @@
         started_s = self._clock.monotonic()
         report = slots.AttemptReport(slots.AttemptKind.CANCELLED, 0.0)
         try:
-            if not lease.usable() or started_s >= call.deadline_s:
+            slot.check()
+            if started_s >= call.deadline_s:
                 raise LeaseUnusable
             self.counts.attempts += 1
             progress.tried |= {lease.target.name}
-            got = await self._sender.send(call.service, lease.target, call)
+            got = await self._sender.send(
+                call.service, lease.target, call, before_send=slot.check
+            )
             report = slots.AttemptReport(
                 slots.AttemptKind.ANSWERED,
                 self._clock.monotonic() - started_s,
@@ -244,6 +247,9 @@
             report = _report_of(exc, self._clock.monotonic() - started_s)
             self._note(call, lease.target.name, exc, progress)
             return None
+        except LeaseUnusable:
+            progress.tried -= {lease.target.name}
+            raise
         except asyncio.CancelledError:
             report = slots.AttemptReport(
                 slots.AttemptKind.CANCELLED,
@@ -276,7 +282,13 @@
         self.lease = lease
         self.released = False
 
+    def check(self) -> None:
+        """Raises `LeaseUnusable` if the request may no longer be sent."""
+        if not self.lease.usable():
+            raise LeaseUnusable
+
     def release(self, report: slots.AttemptReport) -> None:
+        """Gives the slot back unless that was done."""
         if not self.released:
             self.released = True
             self.lease.release(report)
--- a/ragwortchute/upstream/__init__.py
+++ b/ragwortchute/upstream/__init__.py
@@ -1,6 +1,7 @@
 """Requests to targets."""
 
 import abc
+from collections import abc as abc_
 
 import msgspec
 
@@ -41,10 +42,23 @@
 
     @abc.abstractmethod
     async def send(
-        self, service: str, target: documents.Target, call: calls.Call
+        self,
+        service: str,
+        target: documents.Target,
+        call: calls.Call,
+        *,
+        before_send: abc_.Callable[[], None] | None = None,
     ) -> TargetAnswer:
         """Sends a call once and returns the whole answer.
 
+        Args:
+            service: Name of the service.
+            target: The target.
+            call: The call.
+            before_send: Called right before the request is written, if the
+                client had to wait for a connection. An exception that it
+                raises is passed on, and nothing is sent.
+
         Raises:
             ConnectFailed: No connection; nothing was sent.
             TargetShed: The target refused before running it.
--- a/ragwortchute/upstream/http.py
+++ b/ragwortchute/upstream/http.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import abc
 import select
 
 import aiohttp
@@ -205,7 +206,12 @@
         self._pools: dict[tuple[str, str], _Pool] = {}
 
     async def send(
-        self, service: str, target: documents.Target, call: calls.Call
+        self,
+        service: str,
+        target: documents.Target,
+        call: calls.Call,
+        *,
+        before_send: abc.Callable[[], None] | None = None,
     ) -> upstream.TargetAnswer:
         """Sends a call once; see the base class."""
         attempt = _Attempt(target, call, self._max_answer_bytes)
@@ -213,7 +219,11 @@
         if remaining_s <= 0:
             raise attempt.error(errors.ConnectFailed, 'deadline passed')
         pool = self._pool(service, target)
-        return await attempt.run(pool, self._clock, remaining_s)
+        conn = pool.take_idle()
+        if conn is None:
+            conn = await attempt.connect(pool, remaining_s, before_send)
+            remaining_s = call.deadline_s - self._clock.monotonic()
+        return await attempt.run(conn, remaining_s)
 
     async def keep_open(
         self, service: str, target: documents.Target, connections: int
@@ -297,13 +307,11 @@
         return kind(message, step=step, peer=self._target.name)
 
     async def run(
-        self, pool: _Pool, clock: clocks.Clock, remaining_s: float
+        self, conn: connectors.Connection, remaining_s: float
     ) -> upstream.TargetAnswer:
         """Sends the request and reads the answer."""
-        conn = pool.take_idle() or await self._connect(pool, remaining_s)
         timer: asyncio.TimerHandle | None = None
         try:
-            remaining_s = self._call.deadline_s - clock.monotonic()
             self._write(conn, remaining_s)
             # A timer of the loop costs less than a timeout context.
             timer = asyncio.get_running_loop().call_later(
@@ -321,18 +329,29 @@
         conn.release()
         return answer
 
-    async def _connect(
-        self, pool: _Pool, remaining_s: float
+    async def connect(
+        self,
+        pool: _Pool,
+        remaining_s: float,
+        before_send: abc.Callable[[], None] | None,
     ) -> connectors.Connection:
+        """Waits for a connection; the request may be sent on return."""
         try:
             async with asyncio.timeout(remaining_s):
-                return await pool.take()
+                conn = await pool.take()
         except TimeoutError as exc:
             raise self.error(
                 errors.ConnectFailed, 'no connection before the deadline'
             ) from exc
         except (OSError, aiohttp.ClientError) as exc:
             raise self.error(errors.ConnectFailed, str(exc)) from exc
+        if before_send is not None:
+            try:
+                before_send()
+            except BaseException:
+                conn.release()
+                raise
+        return conn
 
     def _write(self, conn: connectors.Connection, remaining_s: float) -> None:
         if remaining_s <= 0:
--- a/tests/test_dispatch/test_dispatcher.py
+++ b/tests/test_dispatch/test_dispatcher.py
@@ -28,7 +28,7 @@
         self.sent: list[str] = []
         self.cancelled: list[str] = []
 
-    async def send(self, service, target, call):
+    async def send(self, service, target, call, *, before_send=None):
         self.sent.append(target.name)
         step = self.scripts.get(target.name)
         try:
@@ -215,7 +215,7 @@
         """Guards against losing the retry after a hedge."""
 
         class Slow(FakeSender):
-            async def send(self, service, target, call):
+            async def send(self, service, target, call, *, before_send=None):
                 if target.name == 't3':
                     return await super().send(service, target, call)
                 await asyncio.sleep(0.02)
--- a/tests/test_upstream/test_http.py
+++ b/tests/test_upstream/test_http.py
@@ -271,6 +271,25 @@
                 await send_all(target, **changes)
         assert target.requests == []
 
+    async def test_permission_is_asked_after_connecting(self):
+        """Guards against sending on a slot that lapsed during the connect."""
+
+        def revoked():
+            raise LookupError
+
+        target = path_fakes.RawTarget()
+        client = http.HttpUpstream(CLOCK)
+        call = path_fakes.make_call(CLOCK)
+        async with target.serve():
+            with pytest.raises(LookupError):
+                await client.send(
+                    'billing', target.document(), call, before_send=revoked
+                )
+            assert target.requests == []
+            await client.send('billing', target.document(), call)
+            assert target.connections == 1
+            await client.close()
+
     async def test_target_that_moves(self):
         """Guards against cutting off requests when an address changes."""
         go = asyncio.Event()
