Measure an entry host of all its parts

Cause: the benchmark measured the call path on trivial slots and records only.

Change: a fourth process runs EntryHost on a store in memory; payments carry an origin token.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -1,8 +1,9 @@
 """Cost of the call path of one entry host.
 
 Compares, in one run and with the same open-loop load, calls to a target
-directly, through a bare relay (uvicorn and aiohttp without any decision) and
-through an entry host. Reports latency from the scheduled start of each call,
+directly, through a bare relay (uvicorn and aiohttp without any decision),
+through the call path on trivial slots and records, and through an entry host
+of all its real parts. Reports latency from the scheduled start of each call,
 CPU per call from each process's own usage, and resident memory.
 
 Run with `make bench-path`, or with `--profile FILE` to write the cProfile
@@ -21,6 +22,7 @@
 import random
 import re
 import resource
+import socket
 import time
 
 import aiohttp
@@ -30,9 +32,11 @@
 import uvicorn
 import uvloop
 
+from ragwortchute import application as entry_host
 from ragwortchute import callers
 from ragwortchute import calls
 from ragwortchute import clock as clocks
+from ragwortchute import config
 from ragwortchute import documents
 from ragwortchute import records
 from ragwortchute import serving
@@ -40,6 +44,7 @@
 from ragwortchute.callers import application
 from ragwortchute.dispatch import dispatcher
 from ragwortchute.operators import metrics
+from ragwortchute.stores import memory
 from ragwortchute.upstream import http
 
 RATES_PER_S = (500, 1000)
@@ -66,6 +71,7 @@
 _LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
 _HIGHEST_US = 10_000_000
 _CONTROL_S = 30.0
+_POLL_S = 0.1
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -353,8 +359,55 @@
     return server.servers[0].sockets[0].getsockname()[1]
 
 
-async def serve_host(ports: abc.Sequence[int]) -> int:
-    """Starts an entry host; returns its port."""
+async def serve_entry_host(ports: abc.Sequence[int]) -> int:
+    """Starts an entry host of all its real parts on a store in memory."""
+    store = memory.MemoryStore()
+    targets = [
+        documents.Target(
+            f't{number}', f'127.0.0.1:{port}', 'luzon-makati', 'luzon', 8
+        )
+        for number, port in enumerate(ports)
+    ]
+    document = documents.ServiceDocument(
+        'billing',
+        tuple(targets),
+        (
+            documents.Route(name='read', methods=('GET',), idempotent=True),
+            documents.Route(name='pay', methods=('POST',)),
+        ),
+        documents.ColdStart(concurrency=8, rate_per_s=1000.0, ramp_s=0.1),
+    )
+    deployment = documents.DeploymentDocument(
+        {'luzon-makati': documents.DomainEntry('luzon')}, 'luzon'
+    )
+    for name, value in (('billing', document), ('_deployment', deployment)):
+        store.seed(f'documents/{name}', msgspec.json.encode(value))
+    port, operator_port, peer_port = _free_ports(3)
+    cfg = config.Settings(
+        host='h1',
+        region='luzon',
+        failure_domain='luzon-makati',
+        caller_address=f'127.0.0.1:{port}',
+        operator_address=f'127.0.0.1:{operator_port}',
+        peer_address=f'127.0.0.1:{peer_port}',
+        deployment_key='key-of-the-benchmark',
+        operator_token='token-of-the-benchmark',
+        seed=SEED,
+    )
+    await entry_host.EntryHost(cfg, store=store).start()
+    return port
+
+
+def _free_ports(count: int) -> list[int]:
+    socks = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+async def serve_path(ports: abc.Sequence[int]) -> int:
+    """Starts the call path of an entry host on trivial slots."""
     clock = clocks.SystemClock()
     source = Slots(
         [
@@ -466,11 +519,28 @@
         self._port = port
         self._rng = rng
         self._idle: list[CallProtocol] = []
+        self._run = f'{rng.getrandbits(32):x}'.encode()
         self._keys = itertools.count()
+        self._token = b''
         self.latencies_us = histogram.HdrHistogram(1, _HIGHEST_US, 3)
         self.failed = 0
         self.calls = 0
 
+    async def prepare(self, host_port: int) -> None:
+        """Gets an origin token, which entry hosts require of payments."""
+        url = f'http://127.0.0.1:{host_port}/addresses?service=billing'
+        async with (
+            aiohttp.ClientSession() as session,
+            asyncio.timeout(_CONTROL_S),
+        ):
+            while True:
+                async with session.get(url) as resp:
+                    if resp.status == 200:
+                        answer = await resp.json()
+                        break
+                await asyncio.sleep(_POLL_S)
+        self._token = answer['hosts'][0]['origin_token'].encode()
+
     async def run(self, rate_per_s: int, duration_s: float) -> None:
         """Starts calls at exponential intervals; waits for all to end."""
         loop = asyncio.get_running_loop()
@@ -532,9 +602,17 @@
             )
         return (
             b'POST /call/billing/payments HTTP/1.1\r\n%s'
-            b'idempotency-key: k-%d\r\ncontent-type: application/json\r\n'
+            b'idempotency-key: k-%s-%d\r\ncontent-type: application/json\r\n'
+            b'ragwortchute-origin: %s\r\nragwortchute-first-send: 1\r\n'
             b'content-length: %d\r\n\r\n%s'
-        ) % (common, number, len(_REQUEST_BODY), _REQUEST_BODY)
+        ) % (
+            common,
+            self._run,
+            number,
+            self._token,
+            len(_REQUEST_BODY),
+            _REQUEST_BODY,
+        )
 
 
 async def measure(
@@ -545,10 +623,12 @@
     loads = {way: Load(server.port, rng) for way, server in ways.items()}
     cpu_s = dict.fromkeys(ways, 0.0)
     for load in loads.values():
+        await load.prepare(ways['host'].port)
         await load.run(rate_per_s, WARM_UP_S)
         load.reset()
     for _ in range(ROUNDS):
         for way, load in loads.items():
+            await load.prepare(ways['host'].port)
             before = ways[way].usage()
             await load.run(rate_per_s, round_s)
             cpu_s[way] += ways[way].usage().cpu_s - before.cpu_s
@@ -606,7 +686,8 @@
     ways = {
         'direct': targets[0],
         'relay': Server(serve_relay, ports),
-        'host': Server(serve_host, ports, profile_path),
+        'path': Server(serve_path, ports),
+        'host': Server(serve_entry_host, ports, profile_path),
     }
     rows = []
     try:
--- a/ragwortchute/callers/application.py
+++ b/ragwortchute/callers/application.py
@@ -241,7 +241,7 @@
         route = match.route
         if match.homes and directory.region not in match.homes:
             raise _refused(
-                'home-region',
+                'home-regions',
                 421,
                 'this region may not serve the call',
                 directory.addresses(service, head.tenant, method, raw_path),
--- a/ragwortchute/console.py
+++ b/ragwortchute/console.py
@@ -118,7 +118,7 @@
         self, document: documents.ServiceDocument, homes: abc.Sequence[str]
     ) -> dict[str, object]:
         if homes and self._directory.region not in homes:
-            return _refused('home-region', 'this region may not serve it')
+            return _refused('home-regions', 'this region may not serve it')
         if self._directory.leaving:
             return _refused('leaving', 'a planned stop began')
         reason = self._directory.refusal_reason(document.service)
--- a/ragwortchute/serving.py
+++ b/ragwortchute/serving.py
@@ -22,9 +22,8 @@
 # Time for the first or the rest of a head.
 HEAD_S = 10.0
 _START_POLL_S = 0.002
-# A call creates few cycles; the default of 700 new objects collects on every
-# second call.
-_GC_THRESHOLDS = (20_000, 20, 20)
+# Few objects of a call survive it, and a full collection takes milliseconds.
+_GC_THRESHOLDS = (50_000, 20, 100)
 _REFUSAL = (
     b'HTTP/1.1 %d %s\r\n'
     b'content-type: application/problem+json\r\n'
