Read documents from standard input; fix a property test

Cause: `doc apply -` was refused, because the parser of the command line looked for a file of that name.

Change: files are opened by the command itself. The test loads the document under the name that it holds and still requires that both ways agree.

--- a/ragwortchute/commands/document_commands.py
+++ b/ragwortchute/commands/document_commands.py
@@ -68,7 +68,7 @@
 def check(
     files: Annotated[
         list[pathlib.Path],
-        typer.Argument(exists=True, dir_okay=False, allow_dash=True),
+        typer.Argument(help='Files; - is standard input.'),
     ],
     deployment: DeploymentFile = None,
     store_url: options.StoreUrl = '',
--- a/ragwortchute/commands/options.py
+++ b/ragwortchute/commands/options.py
@@ -57,9 +57,6 @@
 DocumentFile = Annotated[
     pathlib.Path,
     typer.Argument(
-        exists=True,
-        dir_okay=False,
-        allow_dash=True,
         help='File in YAML, or JSON if it ends in .json; - is standard input.',
     ),
 ]
--- a/tests/test_commands/test_document_commands.py
+++ b/tests/test_commands/test_document_commands.py
@@ -29,7 +29,7 @@
 def doc(store, tmp_path):
     """Returns a function that runs `doc` and the exit code and output."""
 
-    def run(*args, file=None):
+    def run(*args, file=None, stdin=None):
         words = ['doc', *args]
         if file is not None:
             path = tmp_path / 'document.yaml'
@@ -38,6 +38,7 @@
         found = testing.CliRunner().invoke(
             main.app,
             words,
+            input=stdin,
             env={
                 'RAGWORTCHUTE_STORE_URL': store.url,
                 'RAGWORTCHUTE_AUTHOR': 'ann',
@@ -65,6 +66,12 @@
         assert 'targets[1].slots' in shown
         assert doc('check', file=samples.SERVICE_YAML) == (0, '1 valid\n')
 
+    def test_standard_input_and_missing_file(self, doc):
+        assert doc('check', '-', stdin=samples.SERVICE_YAML)[0] == 0
+        code, shown = doc('check', '/nowhere.yaml')
+        assert code == 2
+        assert 'No such file' in shown
+
     def test_store_gives_the_deployment_document(self, doc):
         applied(doc, samples.DEPLOYMENT_YAML)
         text = samples.SERVICE_YAML.replace('visayas-cebu', 'visayas-cebo')
--- a/tests/test_documents/test_properties.py
+++ b/tests/test_documents/test_properties.py
@@ -45,11 +45,13 @@
     item[key] = data.draw(LEAVES)
     loaded = loading.load(json.dumps(raw), balancer_names=samples.BALANCERS)
     if isinstance(loaded, result.Success):
-        buf = encoding.encode(loaded.unwrap())
+        document = loaded.unwrap()
         again = loading.load(
-            buf, name='dispatch', balancer_names=samples.BALANCERS
+            encoding.encode(document),
+            name=document.service,
+            balancer_names=samples.BALANCERS,
         )
-        assert again.unwrap() == loaded.unwrap()
+        assert again.unwrap() == document
     else:
         assert all(problem.path for problem in loaded.failure())
 
