Read each document once when one is applied

Cause: each call to the object API counts, and `doc apply` read the document twice.

Change: the writer takes the version that its caller has just read.

Figures, calls of the object API for one apply: service document 7 before (counted in the code), 6 after (4 reads, 2 writes); deployment document 8 before (counted in the code), 6 after (2 reads, 2 lists, 2 writes). The figures after are those that the test measures.

--- a/ragwortchute/stores/applying.py
+++ b/ragwortchute/stores/applying.py
@@ -66,9 +66,7 @@
         StoreUnavailable: No answer.
         DocumentError: The stored bytes don't decode.
     """
-    current = await writer.read(documents.DEPLOYMENT_NAME)
-    assert not isinstance(current.document, documents.ServiceDocument)
-    return current.document
+    return _as_deployment(await writer.read(documents.DEPLOYMENT_NAME))
 
 
 async def apply(
@@ -83,13 +81,15 @@
         StoreUnavailable: The store doesn't answer. With `maybe_applied` the
             write may be in force.
     """
-    deployment = await read_deployment(writer)
+    current = await writer.read(documents.DEPLOYMENT_NAME)
+    deployment = _as_deployment(current)
     loaded = loading.load(req.text, fmt=req.fmt, deployment=deployment)
     if isinstance(loaded, result.Failure):
         return loaded
     document = loaded.unwrap()
     name = loading.document_name(document)
-    current = await writer.read(name)
+    if name != documents.DEPLOYMENT_NAME:
+        current = await writer.read(name)
     notes: tuple[str, ...] = ()
     if isinstance(document, documents.DeploymentDocument):
         problems = await _check_services(store, document)
@@ -105,9 +105,7 @@
         return result.Success(
             Applied(name, current.version, changes, notes=notes)
         )
-    outcome = await writer.write(
-        document, author=req.author, expected_version=current.version
-    )
+    outcome = await writer.write(document, author=req.author, before=current)
     if isinstance(outcome, result.Failure):
         return outcome
     written = outcome.unwrap()
@@ -198,6 +196,13 @@
     )
 
 
+def _as_deployment(
+    current: writing.Current,
+) -> documents.DeploymentDocument | None:
+    assert not isinstance(current.document, documents.ServiceDocument)
+    return current.document
+
+
 def _based_on(
     req: Request, document: loading.Document, current: writing.Current
 ) -> bool:
--- a/ragwortchute/stores/writing.py
+++ b/ragwortchute/stores/writing.py
@@ -137,6 +137,7 @@
         *,
         author: str,
         expected_version: int | None = None,
+        before: Current | None = None,
     ) -> result.Result[Written, Conflict]:
         """Writes a checked document.
 
@@ -145,13 +146,15 @@
             author: Who makes the change.
             expected_version: Version that the document is based on; 0 if it
                 must be new. None replaces whatever is read first.
+            before: Version to replace, if the caller has just read it.
 
         Raises:
             StoreUnavailable: The store doesn't answer. With `maybe_applied`
                 the write may be in force.
         """
         name = loading.document_name(document)
-        before = await self.read(name)
+        if before is None:
+            before = await self.read(name)
         if expected_version not in (None, before.version):
             return result.Failure(_conflict(before, document, False))
         changes = diffing.diff(before.document, document)
--- a/tests/test_commands/test_document_commands.py
+++ b/tests/test_commands/test_document_commands.py
@@ -2,6 +2,7 @@
 
 import json
 
+import msgspec
 import pytest
 from typer import testing
 
@@ -102,6 +103,15 @@
         again = applied(doc, samples.SERVICE_YAML)
         assert again['version'] == first['version']
 
+    def test_number_of_store_calls(self, doc, store):
+        """Each call counts against the limits of the object API."""
+        applied(doc, samples.DEPLOYMENT_YAML)
+        deployment = msgspec.structs.asdict(store.api.counters)
+        assert deployment == {'get': 2, 'list': 2, 'put': 2, 'watch': 0}
+        applied(doc, samples.SERVICE_YAML)
+        both = msgspec.structs.asdict(store.api.counters)
+        assert both == {'get': 6, 'list': 2, 'put': 4, 'watch': 0}
+
     def test_store_that_is_down_changes_nothing(self, doc, store):
         store.set_faults(down=True)
         code, shown = doc('apply', file=samples.SERVICE_YAML)
