Refuse paths whose percent-encoding is nested

Cause: `/x/%252e%252e/secret` matched the route of `/x`; a target that decodes twice resolves it to `/secret`, which may have other home regions.

Change: such a path matches no route.

Figures: a percent-encoded path took 3.3 to 3.9 us to match before and 5.4 to 7.1 us after (timeit, best of 5 runs of 20,000; other jobs were running, so the difference is not only due to the change).

--- a/ragwortchute/documents/matching.py
+++ b/ragwortchute/documents/matching.py
@@ -53,8 +53,8 @@
         """Returns the first route that matches, or None.
 
         A path that the target may resolve to another one (dot segments,
-        empty segments, percent-encoding that changes the route) matches
-        nothing: it could reach a resource outside its home regions.
+        empty segments, percent-encoding that is nested or changes the route)
+        matches nothing: it could reach a resource outside its home regions.
 
         Args:
             method: HTTP method in capital letters.
@@ -65,12 +65,13 @@
         if '?' in path:
             path = path[: path.index('?')]
         entry = table.find(path)
-        if '%' in path:
-            path = parse.unquote(path)
-            if table.find(path) is not entry:
-                return None
         if entry is None:
             return None
+        if '%' in path:
+            decoded = _decode(path)
+            if decoded is None or table.find(decoded) is not entry:
+                return None
+            path = decoded
         if ('/.' in path or '//' in path or '\\' in path) and (
             _AMBIGUOUS.search(path)
         ):
@@ -96,6 +97,17 @@
     return matcher.match(method, path, tenant)
 
 
+def _decode(path: str) -> str | None:
+    """Returns a path without percent-encoding, or None if it is nested.
+
+    A target that decodes twice would resolve `%252e` to a dot.
+    """
+    decoded = parse.unquote(path)
+    if '%' in decoded and parse.unquote(decoded) != decoded:
+        return None
+    return decoded
+
+
 class _Entry:
     """A route with its possible results, built once."""
 
--- a/ragwortchute/documents/reference.py
+++ b/ragwortchute/documents/reference.py
@@ -42,8 +42,8 @@
 - A service has 1 to {limits.MAX_TARGETS:,} targets and 1 to
   {limits.MAX_ROUTES:,} routes.
 - The first route that matches counts. A path with empty or dot segments, or
-  whose percent-encoding changes the route, matches none: the target could
-  resolve it to a resource with other home regions.
+  whose percent-encoding is nested or changes the route, matches none: the
+  target could resolve it to a resource with other home regions.
 - `change_id` and `author` are replaced by each write. A file that holds a
   `change_id` is only applied over the version with that id.
 - `state`, `order_id` and `changed_at` of an existing failure domain change only
--- a/tests/test_documents/test_matching.py
+++ b/tests/test_documents/test_matching.py
@@ -67,6 +67,7 @@
             '/x/../secret',
             '/x/..;/secret',
             '/x/%2e%2e/secret',
+            '/x/%252e%252e/secret',
             '//secret',
             '/.//secret',
             '/%73ecret',
