Keep a finished dispatch from ending a later run of its key

Cause: waiting without asyncio.shield saves CPU, but the end of a task is reported one loop pass later; by then the key, refused `not-run`, may be pending again under a new token, and its entry became `unknown` while it ran. test_refused_key_runs_under_a_new_token found it before this change landed.

Change: the report only counts for a task that was cancelled. Waiters are futures of the entry.

--- a/ragwortchute/records/record.py
+++ b/ragwortchute/records/record.py
@@ -19,7 +19,7 @@
 
 # benchmarks/records.py measures the memory of an entry without an answer and
 # without its name; the bound must not be lower than what is allocated.
-ENTRY_BYTES = 640
+ENTRY_BYTES = 480
 _TOKEN_BYTES = 48
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -49,8 +49,7 @@
         more_token_ids: Further tokens under which it was sent.
         homes: Home regions of the request.
         encoded: The recorded answer or refusal.
-        done: Resolved with the outcome; only while pending.
-        waiting: Resends that wait for the outcome.
+        waiters: Sends that wait for the outcome; empty unless pending.
     """
 
     name: str
@@ -61,8 +60,7 @@
     more_token_ids: tuple[int, ...] = ()
     homes: tuple[str, ...] = ()
     encoded: bytes = b''
-    done: asyncio.Future[records.Outcome] | None = None
-    waiting: int = 0
+    waiters: tuple[asyncio.Future[records.Outcome], ...] = ()
 
     def knows_token(self, token_id: int) -> bool:
         """Tells whether the key was already sent under a token."""
--- a/ragwortchute/records/recorder.py
+++ b/ragwortchute/records/recorder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import functools
 
 from absl import logging
 import msgspec
@@ -219,13 +220,21 @@
         self, entry: record_lib.Entry, call: calls.Call, run: records.Run
     ) -> records.Outcome:
         loop = asyncio.get_running_loop()
-        done = entry.done = loop.create_future()
+        done = loop.create_future()
+        entry.waiters = (done,)
         task = loop.create_task(self._complete(entry, call, run))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        # Covers a task that was cancelled before its first step.
-        task.add_done_callback(lambda _: self._finish(entry, _LOST))
-        return await asyncio.shield(done)
+        task.add_done_callback(functools.partial(self._ended, entry))
+        # The dispatch is a task of its own, so it goes on if the caller is
+        # cancelled here.
+        return await done
+
+    def _ended(self, entry: record_lib.Entry, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            # It may have been cancelled before its first step. In other cases
+            # the entry may already be pending under a later token.
+            self._finish(entry, _LOST)
 
     async def _complete(
         self, entry: record_lib.Entry, call: calls.Call, run: records.Run
@@ -244,27 +253,21 @@
         if entry.state is not record_lib.State.PENDING:
             return
         self.record.finish(entry, outcome)
-        if entry.done is not None:
-            entry.done.set_result(outcome)
-            entry.done = None
+        for done in entry.waiters:
+            if not done.done():
+                done.set_result(outcome)
+        entry.waiters = ()
 
     async def _recorded(
         self, entry: record_lib.Entry, call: calls.Call
     ) -> records.Outcome:
         if entry.state is not record_lib.State.PENDING:
             return self._replay(entry, call)
-        if entry.done is None or entry.waiting >= MAX_WAITING:
+        if len(entry.waiters) > MAX_WAITING:
             return _unknown('too-many-resends', 503, retry_after_ms=100)
-        entry.waiting += 1
-        try:
-            return await self._wait(entry.done, call.deadline_s)
-        finally:
-            entry.waiting -= 1
-
-    async def _wait(
-        self, done: asyncio.Future[records.Outcome], deadline_s: float
-    ) -> records.Outcome:
-        left_s = deadline_s - self._clock.monotonic()
+        done = asyncio.get_running_loop().create_future()
+        entry.waiters += (done,)
+        left_s = call.deadline_s - self._clock.monotonic()
         timer = asyncio.ensure_future(self._clock.sleep(left_s))
         try:
             await asyncio.wait(
@@ -272,6 +275,7 @@
             )
         finally:
             timer.cancel()
+            entry.waiters = tuple(w for w in entry.waiters if w is not done)
         if done.done():
             return done.result()
         return _unknown('pending', 504, retry_after_ms=100)
--- a/tests/test_records/cluster.py
+++ b/tests/test_records/cluster.py
@@ -40,14 +40,16 @@
         pending = asyncio.ensure_future(
             super().request(host, message, timeout_s=timeout_s, bulk=bulk)
         )
+        pending.add_done_callback(lambda f: f.cancelled() or f.exception())
         timer = asyncio.ensure_future(self.cluster.clock.sleep(timeout_s))
-        await asyncio.wait(
-            {pending, timer}, return_when=asyncio.FIRST_COMPLETED
-        )
-        timer.cancel()
+        try:
+            await asyncio.wait(
+                {pending, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
         if pending.done():
             return pending.result()
-        pending.add_done_callback(lambda f: f.cancelled() or f.exception())
         raise errors.PeerTimeout('no answer', step='request', peer=host)
 
     async def _deliver(self, host, message):
