--- /dev/null
+++ b/benchmarks/queueing.py
@@ -0,0 +1,590 @@
+"""Waiting times of the balancing policies, by a discrete-event calculation.
+
+Several hosts run the product's own slots, queue, balancers and loans on a
+simulated clock; messages between hosts and requests to targets take 1 ms one
+way. Calls arrive as a Poisson process at a random host of the serving set.
+Service times are lognormal with a mean of 20 ms; each target is slow by a
+factor of 4 in spells that cover a tenth of the time. The load is the arrival
+rate divided by the rate of answers when all slots are always busy.
+
+Targets queue what exceeds their slots, except for `slot_shares`, whose
+overflow counts on sheds. `central` is one queue before all slots that knows at
+once which slot is free; no host can know that, so it is a bound for policies
+without hedging.
+
+    python -m benchmarks.queueing [--calls N] [--seed N] [--policies A,B]
+"""
+
+import argparse
+import collections
+from collections import abc
+import dataclasses
+import functools
+import heapq
+import itertools
+import math
+import random
+
+from returns import result
+
+from ragwortchute import calls
+from ragwortchute import clock as clock_
+from ragwortchute import documents
+from ragwortchute import events
+from ragwortchute import slots
+from ragwortchute import wire
+from ragwortchute.slots import context
+from ragwortchute.slots import service as service_
+from ragwortchute.targets import state as state_
+from ragwortchute.targets import table as table_
+from tests import fakes
+
+SERVICE = 'dispatch'
+ONE_WAY_S = 0.001
+MEAN_S = 0.02
+# With this spread and these spells the central queue has about the p99 of an
+# earlier calculation: 128, 132 and 144 ms.
+SIGMA = 0.8
+SLOW_FACTOR = 4.0
+SLOW_PART = 0.1
+SLOW_SPELL_S = 0.5
+TICK_S = 0.01
+LOAN_S = 1.0
+DEADLINE_S = 5.0
+HOSTS = 4
+POLICIES = (
+    'central',
+    'random',
+    'round_robin',
+    'least_inflight',
+    'two_choices',
+    'slot_shares',
+    'slot_shares+hedge',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """Targets and load of one calculation."""
+
+    targets: int
+    slots: int
+    load: float
+
+
+SCENARIOS = (Scenario(20, 4, 0.7), Scenario(20, 4, 0.85), Scenario(10, 2, 0.6))
+
+
+class SimClock(clock_.Clock):
+    """Time of the calculation."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def monotonic(self) -> float:
+        """Returns the time of the event being processed."""
+        return self.now_s
+
+    def wall(self) -> float:
+        """Returns the same time."""
+        return self.now_s
+
+    async def sleep(self, delay_s: float) -> None:
+        """Is not used."""
+        raise NotImplementedError
+
+
+class Simulation:
+    """Events in order of time."""
+
+    def __init__(self, seed: int) -> None:
+        self.clock = SimClock()
+        self.rng = random.Random(seed)
+        self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.stopped = False
+
+    def after(self, delay_s: float, action: abc.Callable[[], None]) -> None:
+        """Schedules an action."""
+        item = (self.clock.now_s + delay_s, next(self._order), action)
+        heapq.heappush(self._events, item)
+
+    def run(self) -> None:
+        """Processes events until the calculation is stopped."""
+        while self._events and not self.stopped:
+            self.clock.now_s, _, action = heapq.heappop(self._events)
+            action()
+
+
+class Job:
+    """One request on a target."""
+
+    __slots__ = ('answered', 'cancelled', 'running', 'service_s', 'shed')
+
+    def __init__(
+        self,
+        service_s: float,
+        answered: abc.Callable[[], None],
+        shed: abc.Callable[[], None],
+    ) -> None:
+        self.service_s = service_s
+        self.answered = answered
+        self.shed = shed
+        self.cancelled = False
+        self.running = False
+
+
+class SimTarget:
+    """A target with its spells of slowness."""
+
+    def __init__(self, sim: Simulation, slots_: int, sheds: bool) -> None:
+        self._sim = sim
+        self.slots = slots_
+        self._sheds = sheds
+        self.running = 0
+        self._waiting: collections.deque[Job] = collections.deque()
+        self.slow = False
+        self._schedule_spell(sim.rng.random() < SLOW_PART)
+
+    def _schedule_spell(self, slow: bool) -> None:
+        self.slow = slow
+        mean_s = SLOW_SPELL_S
+        if not slow:
+            mean_s *= (1 - SLOW_PART) / SLOW_PART
+        spell_s = self._sim.rng.expovariate(1 / mean_s)
+        self._sim.after(spell_s, lambda: self._schedule_spell(not slow))
+
+    def arrive(self, job: Job) -> None:
+        """Takes a request at the end of its way."""
+        if job.cancelled:
+            return
+        if self.running < self.slots:
+            self._start(job)
+        elif self._sheds:
+            self._sim.after(ONE_WAY_S, job.shed)
+        else:
+            self._waiting.append(job)
+
+    def cancel(self, job: Job) -> None:
+        """Ends a request whose caller no longer wants it."""
+        job.cancelled = True
+        if job.running:
+            job.running = False
+            self._free()
+
+    def _start(self, job: Job) -> None:
+        self.running += 1
+        job.running = True
+        factor = SLOW_FACTOR if self.slow else 1.0
+        self._sim.after(job.service_s * factor, lambda: self._finish(job))
+
+    def _finish(self, job: Job) -> None:
+        if not job.running:
+            return
+        job.running = False
+        self._sim.after(ONE_WAY_S, job.answered)
+        self._free()
+
+    def _free(self) -> None:
+        self.running -= 1
+        while self._waiting and self.running < self.slots:
+            job = self._waiting.popleft()
+            if not job.cancelled:
+                self._start(job)
+
+
+class SimCall:
+    """One call at its host, with up to two attempts."""
+
+    def __init__(self, model: 'Model', service: service_.ServiceSlots) -> None:
+        self.model = model
+        self.service = service
+        self.begun_s = model.sim.clock.now_s
+        self.done = False
+        self.hedged = False
+        self.attempts: list[tuple[service_.Lease, Job, float]] = []
+        self.tried: frozenset[str] = frozenset()
+        self.call = make_call(self.begun_s + DEADLINE_S)
+        # The work of a call is the same wherever it runs a first time; a
+        # hedge draws anew, because much of the spread is in the target.
+        self.service_s = model.draw_service()
+
+    def begin(self) -> None:
+        """Arrives at the host."""
+        service = self.service
+        service.retry_budget.note_call(self.begun_s)
+        service.hedge_budget.note_call(self.begun_s)
+        self._acquire()
+
+    def _acquire(self) -> None:
+        now_s = self.model.sim.clock.now_s
+        if not self.service.waiting:
+            lease = self.service.take_free(self.tried, now_s)
+            if lease is not None:
+                self.dispatch(lease)
+                return
+        pending = service_.Pending(self.call, self.tried, self._acquired)
+        self.service.enqueue(pending, now_s)
+
+    def _acquired(self, outcome: result.Result) -> None:
+        if isinstance(outcome, result.Success):
+            self.dispatch(outcome.unwrap())
+        else:
+            self.model.refused += 1
+            self.model.ended()
+
+    def dispatch(self, lease: service_.Lease) -> None:
+        """Sends the request to a target."""
+        sim = self.model.sim
+        if not lease.usable():
+            raise RuntimeError('lease of a warm target is not usable')
+        now_s = sim.clock.now_s
+        service_s = self.service_s if not self.attempts else None
+        if service_s is None:
+            service_s = self.model.draw_service()
+        target = self.model.targets[lease.target.name]
+        attempt: list[tuple[service_.Lease, Job, float]] = []
+        job = Job(
+            service_s,
+            lambda: self._answered(attempt[0]),
+            lambda: self._shed(attempt[0]),
+        )
+        attempt.append((lease, job, now_s))
+        self.attempts.append(attempt[0])
+        sim.after(ONE_WAY_S, lambda: target.arrive(job))
+        if self.model.hedge and len(self.attempts) == 1:
+            sim.after(self.service.hedge_delay_s(), self._hedge)
+
+    def _hedge(self) -> None:
+        if self.done or self.hedged or not self.attempts:
+            return
+        if self.service.hedge_budget.available() < 1:
+            return
+        first = self.attempts[0][0].target
+        lease = self.service.try_acquire(
+            self.call,
+            exclude=frozenset({first.name}),
+            avoid_domain=first.failure_domain,
+        )
+        if lease is None:
+            # A slot may become free before the answer comes.
+            self.model.sim.after(TICK_S / 2, self._hedge)
+            return
+        self.service.hedge_budget.try_spend()
+        self.hedged = True
+        self.model.hedges += 1
+        self.dispatch(lease)
+
+    def _answered(self, attempt: tuple[service_.Lease, Job, float]) -> None:
+        if attempt not in self.attempts:
+            return
+        lease, _, sent_s = attempt
+        sim = self.model.sim
+        now_s = sim.clock.now_s
+        self.attempts.remove(attempt)
+        target = self.model.targets[lease.target.name]
+        if not self.done:
+            self.done = True
+            self.model.record(now_s - self.begun_s)
+        lease.release(
+            slots.AttemptReport(
+                slots.AttemptKind.ANSWERED,
+                now_s - sent_s,
+                incarnation='p0',
+                running=target.running,
+            )
+        )
+        for other in list(self.attempts):
+            self._cancel(other)
+
+    def _cancel(self, attempt: tuple[service_.Lease, Job, float]) -> None:
+        lease, job, sent_s = attempt
+        self.attempts.remove(attempt)
+        target = self.model.targets[lease.target.name]
+        latency_s = self.model.sim.clock.now_s - sent_s
+        lease.release(
+            slots.AttemptReport(slots.AttemptKind.CANCELLED, latency_s)
+        )
+        self.model.sim.after(ONE_WAY_S, lambda: target.cancel(job))
+
+    def _shed(self, attempt: tuple[service_.Lease, Job, float]) -> None:
+        if attempt not in self.attempts:
+            return
+        lease, _, sent_s = attempt
+        self.model.sheds += 1
+        self.attempts.remove(attempt)
+        self.tried = self.tried | {lease.target.name}
+        lease.release(
+            slots.AttemptReport(
+                slots.AttemptKind.SHED,
+                self.model.sim.clock.now_s - sent_s,
+                incarnation='p0',
+                running=self.model.targets[lease.target.name].slots,
+            )
+        )
+        if not self.done and not self.attempts:
+            self._acquire()
+
+
+class Model:
+    """Hosts, targets and callers of one calculation."""
+
+    def __init__(
+        self, scenario: Scenario, policy: str, calls_: int, seed: int
+    ) -> None:
+        self.sim = Simulation(seed)
+        self.scenario = scenario
+        self.hedge = policy.endswith('+hedge')
+        self.balancer = policy.removesuffix('+hedge')
+        self._calls = calls_
+        self._skip = calls_ // 10
+        self._mu = math.log(MEAN_S) - SIGMA**2 / 2
+        self.latencies: list[float] = []
+        self._ended = 0
+        self.refused = self.hedges = self.sheds = self.loans = 0
+        self.messages = 0
+        self.colds = 0
+        self._events = events.EventTable()
+        self._events.connect('target-changed', self._count_cold)
+        sheds = self.balancer == 'slot_shares'
+        self.targets = {
+            f't{i}': SimTarget(self.sim, scenario.slots, sheds)
+            for i in range(scenario.targets)
+        }
+        self.services: dict[str, service_.ServiceSlots] = {}
+        # Answers per second of a slot that is always busy.
+        slot_rate = (1 - SLOW_PART + SLOW_PART / SLOW_FACTOR) / MEAN_S
+        self._rate = (
+            scenario.load * scenario.targets * scenario.slots * slot_rate
+        )
+
+    def _count_cold(self, service: str, target: str, phase: str) -> None:
+        if self.sim.clock.now_s > 1000.0 and phase == 'warming':
+            self.colds += 1
+
+    def draw_service(self) -> float:
+        """Returns a service time on a quick target."""
+        return self.sim.rng.lognormvariate(self._mu, SIGMA)
+
+    def record(self, latency_s: float) -> None:
+        """Keeps the latency of an answered call."""
+        self.ended()
+        if self._ended > self._skip:
+            self.latencies.append(latency_s)
+
+    def ended(self) -> None:
+        """Counts a call that was answered or refused."""
+        self._ended += 1
+        if self._ended >= self._calls:
+            self.sim.stopped = True
+
+    def run(self) -> None:
+        """Runs the calculation."""
+        if self.balancer == 'central':
+            self._run_central()
+            return
+        names = [f'h{i}' for i in range(HOSTS)]
+        for name in names:
+            self.services[name] = self._make_service(name, names)
+        # Past the time in which an earlier process may have lent slots.
+        self.sim.clock.now_s += 2.0
+        for i, name in enumerate(names):
+            self._tick(name, TICK_S * (1 + i / HOSTS))
+        hosts = list(self.services.values())
+        self._arrive(lambda: SimCall(self, self.sim.rng.choice(hosts)).begin())
+        self.sim.run()
+
+    def _arrive(self, begin: abc.Callable[[], None]) -> None:
+        def arrival() -> None:
+            self._arrive(begin)
+            begin()
+
+        self.sim.after(self.sim.rng.expovariate(self._rate), arrival)
+
+    def _tick(self, name: str, delay_s: float) -> None:
+        def tick() -> None:
+            self.services[name].tick()
+            self._follow_cold(name)
+            self._wake(name, SERVICE)
+            self._tick(name, TICK_S)
+
+        self.sim.after(delay_s, tick)
+
+    def _make_service(
+        self, name: str, names: list[str]
+    ) -> service_.ServiceSlots:
+        table = table_.TargetTable()
+        ctx = context.Context(
+            clock=self.sim.clock,
+            membership=fakes.FakeMembership(name, names),
+            table=table,
+            rng=self.sim.rng,
+            domain_open=lambda domain: True,
+            post=functools.partial(self._post, name),
+            wake=functools.partial(self._wake, name),
+            events=self._events,
+            loan_s=LOAN_S,
+        )
+        document = documents.ServiceDocument(
+            SERVICE,
+            tuple(
+                documents.Target(
+                    target,
+                    f'127.0.0.1:{i + 1}',
+                    f'luzon-{i % 2}',
+                    'luzon',
+                    self.scenario.slots,
+                )
+                for i, target in enumerate(self.targets)
+            ),
+            (),
+            balancer=self.balancer,
+            max_queue=10_000,
+        )
+        service = service_.ServiceSlots(document, ctx)
+        for target, entry in service.warmth.entries.items():
+            table.connection_opened(SERVICE, target)
+            notice = wire.TargetNotice(SERVICE, target, 'p0', 'warm', 1)
+            service.warmth.proved(notice, entry.state.generation)
+        return service
+
+    def _post(self, sender: str, host: str, message: wire.Message) -> None:
+        self.messages += 1
+        service = self.services[host]
+        if isinstance(message, wire.SlotReturn):
+            action = functools.partial(service.returned, message)
+        elif isinstance(message, wire.SlotStatus):
+            action = functools.partial(service.peer_status, message)
+        else:
+            action = functools.partial(self._other, service, sender, message)
+        self.sim.after(ONE_WAY_S, action)
+
+    def _other(
+        self,
+        service: service_.ServiceSlots,
+        sender: str,
+        message: wire.Message,
+    ) -> None:
+        if isinstance(message, wire.TargetSuspect):
+            service.warmth.on_suspect(message)
+            return
+        raise RuntimeError(f'{sender} sent {message} to {service.service}')
+
+    def _follow_cold(self, name: str) -> None:
+        """Lets an owner stop the others, and tell them of warm targets."""
+        warmth = self.services[name].warmth
+        now_s = self.sim.clock.now_s
+        for entry in warmth.to_confirm(now_s):
+            notice = warmth.notice(entry, state_.Phase.COLD)
+            for host in list(entry.unconfirmed):
+                other = self.services[host].warmth
+                if other.on_notice(name, notice).accepted:
+                    warmth.confirmed(entry, host, entry.episode)
+        for entry in warmth.to_announce():
+            for host, incarnation in warmth.others.items():
+                if entry.informed.get(host) == incarnation:
+                    continue
+                other = self.services[host].warmth
+                for phase in (state_.Phase.WARMING, state_.Phase.WARM):
+                    other.on_notice(name, warmth.notice(entry, phase))
+                entry.informed[host] = incarnation
+
+    def _wake(self, name: str, _: str) -> None:
+        service = self.services.get(name)
+        loan = service.loan_request() if service else None
+        if loan is None:
+            return
+        sent_s = self.sim.clock.now_s
+
+        def ask() -> None:
+            self.messages += 2
+            grant = self.services[loan.host].grant(loan.message)
+            self.loans += len(grant.slots)
+            self.sim.after(ONE_WAY_S, lambda: answer(grant))
+
+        def answer(grant: wire.SlotGrant) -> None:
+            service.granted(loan.host, grant, sent_s)
+            self._wake(name, SERVICE)
+
+        self.sim.after(ONE_WAY_S, ask)
+
+    def _run_central(self) -> None:
+        free = [t for t in self.targets.values() for _ in range(t.slots)]
+        waiting: collections.deque[tuple[float, float]] = collections.deque()
+        sim = self.sim
+
+        def serve() -> None:
+            while free and waiting:
+                begun_s, service_s = waiting.popleft()
+                target = free.pop(int(sim.rng.random() * len(free)))
+                done = functools.partial(finish, target, begun_s)
+                target.arrive(Job(service_s, done, lambda: None))
+
+        def finish(target: SimTarget, begun_s: float) -> None:
+            free.append(target)
+            # The way back is in the answer, the way there is added here.
+            self.record(sim.clock.now_s - begun_s + ONE_WAY_S)
+            serve()
+
+        def begin() -> None:
+            waiting.append((sim.clock.now_s, self.draw_service()))
+            serve()
+
+        self._arrive(begin)
+        sim.run()
+
+
+def make_call(deadline_s: float) -> calls.Call:
+    """Returns a call with a deadline."""
+    return calls.Call(
+        call_id='',
+        service=SERVICE,
+        method='GET',
+        path='/',
+        headers=[],
+        body=b'',
+        tenant='',
+        deadline_s=deadline_s,
+        idempotent=True,
+    )
+
+
+def quantile_ms(ordered: list[float], part: float) -> float:
+    """Returns a quantile of sorted seconds in milliseconds."""
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))] * 1000
+
+
+def main() -> None:
+    """Prints the quantiles of all policies in all scenarios."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--calls', type=int, default=100_000)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--policies', default=','.join(POLICIES))
+    args = parser.parse_args()
+    for scenario in SCENARIOS:
+        print(
+            f'{scenario.targets} targets of {scenario.slots} slots at '
+            f'{scenario.load:.0%}, ms'
+        )
+        print(
+            f'{"policy":<20}{"p50":>7}{"p90":>7}{"p99":>7}{"p99.9":>7}'
+            f'{"refused":>9}{"hedged":>8}{"shed":>7}{"lent":>7}{"cold":>6}'
+        )
+        for policy in args.policies.split(','):
+            model = Model(scenario, policy, args.calls, args.seed)
+            model.run()
+            ordered = sorted(model.latencies)
+            quantiles = ''.join(
+                f'{quantile_ms(ordered, part):>7.0f}'
+                for part in (0.5, 0.9, 0.99, 0.999)
+            )
+            print(
+                f'{policy:<20}{quantiles}{model.refused:>9}'
+                f'{model.hedges:>8}{model.sheds:>7}{model.loans:>7}'
+                f'{model.colds:>6}',
+                flush=True,
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/ragwortchute/admission/deadline_queue.py
+++ b/ragwortchute/admission/deadline_queue.py
@@ -5,8 +5,10 @@
 
 from ragwortchute import admission
 
-# The queue counts as overloaded when its oldest call waited this long.
+# The newest call is served first once calls have been too late for this long.
 OVERLOAD_S = 0.1
+# Overload ends this long after the last call that was too late.
+CALM_S = 1.0
 # Weight of the newest interval between two calls that left the queue.
 _INTERVAL_WEIGHT = 0.1
 _NO_DEADLINE_S = float('inf')
@@ -16,9 +18,11 @@
 class DeadlineQueue(admission.AdmissionPolicy):
     """Orders calls by priority, then deadline.
 
-    Once the oldest call has waited for `OVERLOAD_S`, and until the queue is
-    empty, the newest call of a priority is served first, because the old ones
-    are close to their deadlines and would be served in vain.
+    The queue is overloaded while calls cannot meet their deadlines. After
+    `OVERLOAD_S` of that, and until it is empty or calm, the newest call of a
+    priority is served first, because the old ones would be served in vain. A
+    long queue alone is no overload: serving the newest first would only make
+    the oldest wait until the queue is empty.
 
     Args:
         limit: Largest number of waiting calls.
@@ -34,6 +38,8 @@
         self._numbers: dict[int, int] = {}
         self._counts: dict[int, int] = {}
         self._overloaded = False
+        self._late_since_s = 0.0
+        self._last_late_s = float('-inf')
         self._interval_s = 0.0
         self._last_take_s = -1.0
 
@@ -50,6 +56,7 @@
         now_s = waiter.enqueued_s
         wait_s = self._wait_s(waiter)
         if now_s + wait_s + service_s > waiter.deadline_s:
+            self._note_late(now_s)
             return 'deadline'
         if len(self._live) >= self._limit:
             return 'queue-full'
@@ -62,7 +69,7 @@
         """Removes and returns the call to serve next."""
         if not self._live:
             return None
-        self._note_overload(now_s)
+        self._end_overload(now_s)
         number = self._newest() if self._overloaded else self._earliest()
         waiter = self._live[number]
         self._drop(number, waiter)
@@ -73,7 +80,7 @@
         """Removes and returns the calls that can't meet their deadline."""
         if not self._live:
             return []
-        self._note_overload(now_s)
+        self._end_overload(now_s)
         expired = []
         expiry = self._expiry
         while expiry and expiry[0][0] < now_s + service_s:
@@ -82,6 +89,8 @@
             if waiter is not None:
                 self._drop(number, waiter)
                 expired.append(waiter)
+        if expired:
+            self._note_late(now_s)
         return expired
 
     def remove(self, waiter: admission.Waiter) -> None:
@@ -138,11 +147,17 @@
             numbers.pop()
         return numbers[-1]
 
-    def _note_overload(self, now_s: float) -> None:
-        if not self._overloaded:
-            # Insertion order of the dict is the order of arrival.
-            oldest = next(iter(self._live.values()))
-            self._overloaded = now_s - oldest.enqueued_s > OVERLOAD_S
+    def _note_late(self, now_s: float) -> None:
+        """Notes that a call cannot meet its deadline."""
+        if now_s - self._last_late_s > CALM_S:
+            self._late_since_s = now_s
+        self._last_late_s = now_s
+        if self._live and now_s - self._late_since_s > OVERLOAD_S:
+            self._overloaded = True
+
+    def _end_overload(self, now_s: float) -> None:
+        if self._overloaded and now_s - self._last_late_s > CALM_S:
+            self._overloaded = False
 
     def _note_interval(self, now_s: float) -> None:
         """Measures the service rate between takes of a busy queue."""
--- a/ragwortchute/balancers/random.py
+++ b/ragwortchute/balancers/uniform.py
@@ -1,4 +1,8 @@
-"""Baseline policy: a target at random."""
+"""Baseline policy `random`: a target at random.
+
+The module cannot be called `random`, because the package imports the standard
+module of that name.
+"""
 
 from collections import abc
 
--- a/ragwortchute/slots/loans.py
+++ b/ragwortchute/slots/loans.py
@@ -53,11 +53,12 @@
 class _Book:
     """Loans with their totals by target."""
 
-    __slots__ = ('_loans', '_totals')
+    __slots__ = ('_loans', '_next_end_s', '_totals')
 
     def __init__(self) -> None:
         self._loans: list[Loan] = []
         self._totals: dict[str, int] = {}
+        self._next_end_s = float('inf')
 
     def __len__(self) -> int:
         return len(self._loans)
@@ -73,6 +74,7 @@
     def add(self, loan: Loan) -> None:
         """Enters a loan."""
         self._loans.append(loan)
+        self._next_end_s = min(self._next_end_s, loan.until_s)
         self._totals[loan.target] = self.total(loan.target) + loan.count
 
     def reduce(self, loan: Loan, count: int) -> int:
@@ -84,14 +86,17 @@
             self._loans.remove(loan)
         return count
 
-    def expire(self, now_s: float) -> set[str]:
+    def expire(self, now_s: float) -> list[str]:
         """Drops the loans past their term; returns their targets."""
-        if not self._loans:
-            return set()
+        if now_s < self._next_end_s or not self._loans:
+            return []
         ended = [loan for loan in self._loans if loan.until_s <= now_s]
         for loan in ended:
             self.reduce(loan, loan.count)
-        return {loan.target for loan in ended}
+        self._next_end_s = min(
+            (loan.until_s for loan in self._loans), default=float('inf')
+        )
+        return [loan.target for loan in ended]
 
 
 class LentBook(_Book):
--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -18,10 +18,10 @@
 from ragwortchute import wire
 from ragwortchute.admission import deadline_queue as _deadline_queue
 from ragwortchute.balancers import least_inflight as _least_inflight
-from ragwortchute.balancers import random as _random
 from ragwortchute.balancers import round_robin as _round_robin
 from ragwortchute.balancers import slot_shares as _slot_shares
 from ragwortchute.balancers import two_choices as _two_choices
+from ragwortchute.balancers import uniform as _uniform
 from ragwortchute.slots import context
 from ragwortchute.slots import entry as entry_
 from ragwortchute.slots import loans
@@ -33,7 +33,7 @@
 PLUG_INS = (
     _deadline_queue,
     _least_inflight,
-    _random,
+    _uniform,
     _round_robin,
     _slot_shares,
     _two_choices,
@@ -48,6 +48,8 @@
 # A slow target gets a call this often even when it should rest, because only
 # an answer shows that it is quick again.
 PROBE_INTERVAL_S = 0.25
+SLOW_WAIT_PART = 1.0
+OVERFLOW_MIN_WAITING = 0
 CONNECT_BACKOFF_S = 0.1
 REQUEST_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.1
@@ -153,7 +155,8 @@
         warmth: Decides which targets are warm.
         retry_budget: Budget of retries and overflow attempts. Overflow takes
             from it here; the dispatcher takes for each retry.
-        hedge_budget: Budget of hedges; `try_acquire` takes from it.
+        hedge_budget: Budget of hedges; the dispatcher takes from it. Calls
+            are counted in both budgets by `acquire` without exclusions.
         hosts: Serving set of the service in this region.
     """
 
@@ -234,27 +237,31 @@
         exclude: frozenset[str] = _NONE,
         avoid_domain: str = '',
     ) -> slots.SlotLease | None:
-        """Returns a slot that is free now and in budget, or None."""
-        if self._queue or not self._free:
-            return None
+        """Returns a slot that is free now, or None."""
         now_s = self._clock.monotonic()
-        if now_s >= call.deadline_s or self.hedge_budget.available() < 1:
+        if self._borrowed:
+            self._expire_loans(now_s)
+        if self._queue or not self._free or now_s >= call.deadline_s:
             return None
         candidates = [c for n, c in self._free.items() if n not in exclude]
         elsewhere = [c for c in candidates if c.failure_domain != avoid_domain]
-        lease = self._choose(elsewhere or candidates, now_s)
-        if lease is not None:
-            self.hedge_budget.try_spend()
-        return lease
+        return self._choose(elsewhere or candidates, now_s)
 
     def hedge_delay_s(self) -> float:
         """Returns the 95th percentile of recent answers, in seconds."""
         return self._hedge_s
 
+    @property
+    def waiting(self) -> int:
+        """How many calls wait for a slot."""
+        return len(self._queue)
+
     # Taking slots.
 
     def take_free(self, exclude: frozenset[str], now_s: float) -> Lease | None:
         """Takes a slot that is free now, or returns None."""
+        if self._borrowed:
+            self._expire_loans(now_s)
         free = self._free
         while free:
             if exclude:
@@ -347,7 +354,11 @@
         )
         wait_s = (len(self._queue) + 1) * self._mean_s / max(1, fast_slots)
         extra_s = best.latency_ms / 1000 - self._median_s
-        return entry if wait_s >= extra_s or not fast_slots else None
+        return (
+            entry
+            if wait_s >= extra_s * SLOW_WAIT_PART or not fast_slots
+            else None
+        )
 
     def _take_overflow(
         self, exclude: frozenset[str], now_s: float
@@ -383,7 +394,7 @@
         if now_s >= call.deadline_s:
             pending.done(_refuse('deadline', 'deadline passed'))
             return None
-        if not self._queue:
+        if len(self._queue) >= OVERFLOW_MIN_WAITING:
             lease = self._take_overflow(pending.exclude, now_s)
             if lease is not None:
                 pending.done(result.Success(lease))
@@ -589,7 +600,7 @@
             return None
         self._last_request_s = now_s
         self._requesting = True
-        count = min(waiting, spare, LOAN_REQUEST_MAX)
+        count = int(min(waiting, max(spare, 1), LOAN_REQUEST_MAX))
         message = wire.SlotRequest(self._me, self.service, count)
         return LoanRequest(host, message)
 
@@ -857,9 +868,7 @@
         """Ends terms, refuses calls that are too late, opens gates."""
         now_s = self._clock.monotonic()
         self.warmth.tick(now_s)
-        for name in self._lent.expire(now_s) | self._borrowed.expire(now_s):
-            if name in self._entries:
-                self._refresh(self._entries[name])
+        self._expire_loans(now_s)
         if self._own_from_s and now_s >= self._own_from_s:
             self._own_from_s = 0.0
             for entry in self._entries.values():
@@ -875,6 +884,11 @@
             self._return_idle(now_s)
             self._send_status(now_s)
 
+    def _expire_loans(self, now_s: float) -> None:
+        for name in self._lent.expire(now_s) + self._borrowed.expire(now_s):
+            if name in self._entries:
+                self._refresh(self._entries[name])
+
     def _end_backoffs(self, now_s: float) -> None:
         for entry in self._entries.values():
             if 0 < entry.backoff_s <= now_s:
--- a/ragwortchute/slots/warmth.py
+++ b/ragwortchute/slots/warmth.py
@@ -16,7 +16,7 @@
 
 # A target is taken for cold again after this many answers in a row that are
 # slower than the factor times its slow average.
-COLD_FACTOR = 4.0
+COLD_FACTOR = 10.0
 COLD_STREAK = 4
 # A shed without a load report proves little: an overflow request of another
 # host may have taken the slot.
