--- a/ragwortchute/client/caller.py
+++ b/ragwortchute/client/caller.py
@@ -29,6 +29,7 @@
         first_send: False once a byte may have left under the bound token.
         token: Token that the key is bound to; empty if it is not bound.
         refused_tokens: Tokens under which the key will not run any more.
+        refusing_hosts: Hosts that refused; others are asked before them.
         position: Number of the next host in the address answer.
         hosts: Hosts to choose from.
         follows: Refusals with addresses that were followed at once.
@@ -39,6 +40,7 @@
     first_send: bool = True
     token: str = ''
     refused_tokens: set[str] = msgspec.field(default_factory=set)
+    refusing_hosts: set[str] = msgspec.field(default_factory=set)
     position: int = 0
     hosts: tuple[calls.Address, ...] = ()
     follows: int = 0
@@ -165,6 +167,7 @@
         )
         if isinstance(reply, calls.Answer):
             return result.Success(reply)
+        progress.refusing_hosts.add(address.host)
         return await self._after_refusal(request, progress, reply, was_first)
 
     async def _choose(
@@ -174,15 +177,10 @@
             if not progress.hosts or refresh:
                 answer = await self._addresses.get(request, refresh=refresh)
                 progress.hosts = answer.hosts if answer is not None else ()
-            count = len(progress.hosts)
-            for offset in range(count):
-                i = (progress.position + offset) % count
-                address = progress.hosts[i]
-                if progress.token or not request.key:
-                    return address
-                if address.origin_token not in progress.refused_tokens:
-                    progress.position = i
-                    return address
+            i = _next_position(progress, bool(request.key))
+            if i >= 0:
+                progress.position = i
+                return progress.hosts[i]
         return None
 
     def _send_timeout_s(self, progress: _Progress, left_s: float) -> float:
@@ -255,6 +253,29 @@
         return request.deadline_s - self._clock.monotonic()
 
 
+def _next_position(progress: _Progress, keyed: bool) -> int:
+    """Returns the position of the next host to ask, or -1 if there is none.
+
+    An unbound key needs a token under which it was not refused. Hosts that
+    have not refused this call come first: new addresses may begin with the
+    host that refused it.
+    """
+    count = len(progress.hosts)
+    usable = [
+        i % count
+        for i in range(progress.position, progress.position + count)
+        if progress.token
+        or not keyed
+        or progress.hosts[i % count].origin_token not in progress.refused_tokens
+    ]
+    fresh = [
+        i
+        for i in usable
+        if progress.hosts[i].host not in progress.refusing_hosts
+    ]
+    return next(iter(fresh or usable), -1)
+
+
 def _last_refusal(progress: _Progress) -> calls.Refusal:
     """Returns the refusal of a call that ended without a final response."""
     refusal = progress.refusal
--- a/tests/test_client/test_caller.py
+++ b/tests/test_client/test_caller.py
@@ -161,6 +161,15 @@
         assert outcome.unwrap().body == b'done'
         assert (first_sends(b), tokens(b)) == (['1'], ['b-7'])
 
+    async def test_refusing_host_is_not_asked_again_first(self):
+        # New addresses often begin with the host that is full.
+        async with deployment([ANSWER], [ANSWER]) as (client, [a, b]):
+            full = servers.refusal('not-run', addresses=a.addresses())
+            a.script = [full]
+            outcome = await pay(client)
+        assert outcome.unwrap().body == b'done'
+        assert (len(a.sends), len(b.sends)) == (1, 1)
+
     async def test_not_run_of_a_resend_by_the_record_frees_the_key(self):
         script = ['drop', servers.refusal('not-run'), ANSWER]
         async with deployment(script) as (client, [host]):
