--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -196,6 +196,7 @@
             self.events,
             seeds=seeds,
         )
+        self.membership.domain_out = lambda name: name in cluster.out
         self.epochs = []
         self.events.connect(
             'view-changed', lambda view: self.epochs.append(view.epoch)
@@ -209,19 +210,22 @@
     Args:
         hosts: Failure domain by host name; the region is its first part.
         targets: Number of targets whose ownership is checked.
+        size: Size of the serving set that may own them.
     """
 
-    def __init__(self, hosts, *, targets=12, seed=1, host_class=Host):
+    def __init__(self, hosts, *, targets=12, size=4, host_class=Host):
         self.clock = clock.ManualClock()
         self.store = SimStore(self.clock)
         self.network = SimNetwork()
-        self.rng = random.Random(seed)
+        self.rng = random.Random(1)
+        self.size = size
         self.targets = [f't{i}' for i in range(targets)]
         self.hosts = {}
         self.domains = dict(hosts)
         self.host_class = host_class
         self.incarnation = 0
         self.dead = []
+        self.out = set()
         for host in hosts:
             self.list_host(host)
 
@@ -294,7 +298,7 @@
             for name, host in self.hosts.items()
             if host.membership.lease_valid()
             and host.membership.gains_allowed()
-            and host.membership.owner('s', target, 4) == name
+            and host.membership.owner('s', target, self.size) == name
         ]
 
     def check(self):
--- a/tests/test_membership/test_regional.py
+++ b/tests/test_membership/test_regional.py
@@ -259,8 +259,7 @@
     """Owners must follow from the epoch alone."""
 
     async def test_domain_that_is_out_owns_nothing(self, cluster):
-        for host in cluster.hosts.values():
-            host.membership.domain_out = lambda name: name == 'luzon-b'
+        cluster.out = {'luzon-b'}
         await cluster.advance(12)
         owners = {o for t in cluster.targets for o in cluster.owners(t)}
         assert owners
@@ -285,6 +284,57 @@
             assert len({member.failure_domain for member in chosen}) == 3
 
 
+class TestLateGains:
+    """Guards each condition that keeps a second owner from appearing.
+
+    Taking a failure domain out moves owners at once, so a host that was cut
+    off just before still holds a lease. `Cluster.advance` checks the rule.
+    """
+
+    async def test_gains_wait_until_the_last_lease_lapsed(self, cluster):
+        owners = {owner for t in cluster.targets for owner in cluster.owners(t)}
+        cut = max(owners)
+        assert cut != 'h0'
+        cluster.network.partition([cut], set(_HOSTS) - {cut})
+        cluster.store.cut = {cut}
+        cluster.out = {_HOSTS[cut]}
+        await cluster.advance(1.5)
+        assert cluster.hosts[cut].membership.lease_valid()
+        assert cluster.view('h1').epoch == 3
+        await cluster.advance(10)
+        assert all(len(cluster.owners(t)) == 1 for t in cluster.targets)
+
+    async def test_gains_wait_for_the_previous_witnesses(self, cluster):
+        left, right = ['h0', 'h5', 'h6'], ['h1', 'h2', 'h3', 'h4']
+        cluster.network.partition(left, right)
+        cluster.store.cut = set(right)
+        await cluster.advance(15)
+        cluster.kill('h5')
+        cluster.out = {'luzon-a'}
+        await cluster.advance(30)
+        assert cluster.view('h0').epoch >= 4
+        assert cluster.hosts['h1'].membership.lease_valid()
+        assert not cluster.hosts['h0'].membership.gains_allowed()
+
+    async def test_restarted_witness_does_not_return_to_an_old_epoch(
+        self, cluster
+    ):
+        left, right = ['h0', 'h1', 'h2'], ['h3', 'h4', 'h5', 'h6']
+        cluster.network.partition(left, right)
+        cluster.store.cut = set(right)
+        cluster.out = {'luzon-a'}
+        await cluster.advance(6)
+        assert cluster.hosts['h2'].membership.gains_allowed()
+        cluster.kill('h1')
+        cluster.store.down = True
+        cluster.network.heal()
+        cluster.network.partition(['h0', 'h2'], ['h1', *right])
+        cluster.start('h1')
+        await cluster.advance(20)
+        assert cluster.view('h1').epoch == 2
+        assert not cluster.hosts['h5'].membership.lease_valid()
+
+
 class TestRegions:
     """Members of other regions must be known without a common view."""
 
--- a/tests/test_membership/test_stateful.py
+++ b/tests/test_membership/test_stateful.py
@@ -11,6 +11,8 @@
 
 _HOSTS = {f'h{i}': ('luzon-a', 'luzon-b')[i % 2] for i in range(6)}
 _NAMES = st.sampled_from(sorted(_HOSTS))
+_DELAYS = st.sampled_from([0.0, 0.3, 1.0, 2.5, 4.0, 8.0, 15.0])
+_SIDES = st.fixed_dictionaries({name: st.integers(0, 2) for name in _HOSTS})
 
 
 class FaultMachine(stateful.RuleBasedStateMachine):
@@ -31,16 +33,19 @@
         return self.loop.run_until_complete(coro)
 
     async def setup(self):
-        self.cluster = simulation.Cluster(_HOSTS, targets=6)
+        self.cluster = simulation.Cluster(_HOSTS, size=len(_HOSTS))
         self.cluster.start('h0')
         await self.cluster.advance(1)
         self.cluster.start(*sorted(_HOSTS)[1:])
         await self.cluster.advance(12)
 
-    @stateful.rule(delay_s=st.sampled_from([0.3, 1.0, 2.5, 4.0, 8.0, 15.0]))
-    def advance(self, delay_s):
+    def advance_now(self, delay_s):
         self.run(self.cluster.advance(delay_s))
 
+    @stateful.rule(delay_s=_DELAYS)
+    def advance(self, delay_s):
+        self.advance_now(delay_s)
+
     @stateful.rule(host=_NAMES, listed=st.booleans())
     def kill(self, host, listed):
         if host in self.cluster.hosts and len(self.cluster.hosts) > 2:
@@ -75,17 +80,42 @@
             self.paused.discard(host)
             self.run(self.cluster.resume(host))
 
-    @stateful.rule(sides=st.lists(st.integers(0, 2), min_size=6, max_size=6))
-    def partition(self, sides):
+    @stateful.rule(
+        sides=_SIDES, store_sides=st.sets(st.integers(0, 2)), delay_s=_DELAYS
+    )
+    def partition(self, sides, store_sides, delay_s):
         self.cluster.network.heal()
         groups = [
-            [name for name, side in zip(sorted(_HOSTS), sides, strict=True)
-             if side == group]
+            [name for name, side in sides.items() if side == group]
             for group in range(3)
-        ]  # fmt: skip
+        ]
         for index, group in enumerate(groups):
             for other in groups[index + 1 :]:
                 self.cluster.network.partition(group, other)
+        self.cluster.store.cut = {
+            name for name, side in sides.items() if side not in store_sides
+        }
+        self.advance_now(delay_s)
+
+    @stateful.rule(
+        hosts=st.sets(_NAMES, min_size=1, max_size=3), delay_s=_DELAYS
+    )
+    def isolate_with_the_store(self, hosts, delay_s):
+        """Leaves the witnesses' majority without the store."""
+        self.cluster.network.heal()
+        rest = set(_HOSTS) - hosts
+        self.cluster.network.partition(hosts, rest)
+        self.cluster.store.cut = rest
+        self.advance_now(delay_s)
+
+    @stateful.rule(
+        out=st.sets(st.sampled_from(sorted(set(_HOSTS.values()))), max_size=1),
+        delay_s=_DELAYS,
+    )
+    def change_domains(self, out, delay_s):
+        """Moves owners at once, without waiting for a silent host."""
+        self.cluster.out = out
+        self.advance_now(delay_s)
 
     @stateful.rule(left=_NAMES, right=_NAMES)
     def cut_one_way(self, left, right):
@@ -122,6 +152,7 @@
         """Without faults the region must come back to one full view."""
         cluster = self.cluster
         cluster.network.heal()
+        cluster.out = set()
         cluster.store.down = False
         cluster.store.cut.clear()
         cluster.store.stale.clear()
@@ -147,6 +178,6 @@
         derandomize=True,
         database=None,
         deadline=None,
-        max_examples=25,
+        max_examples=15,
         stateful_step_count=25,
     )
