--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -53,7 +53,8 @@
 CONNECT_BACKOFF_S = 0.1
 REQUEST_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.1
-STATUS_LIFE_S = 1.0
+STATUS_LIFE_S = 0.1
+LEND_PART = 0.5
 LOAN_REQUEST_MAX = 10
 _SPEED_INTERVAL_S = 0.05
 _LATENCY_WINDOW = 512
@@ -598,13 +599,14 @@
             or now_s < self._last_request_s + REQUEST_INTERVAL_S
         ):
             return None
-        spare, host = max(
+        # Equal hosts are asked in random order, not always the same one.
+        spare, _, host = max(
             (
-                (self._spare_of(host, now_s), host)
+                (self._spare_of(host, now_s), self._ctx.rng.random(), host)
                 for host in self.hosts
                 if host != self._me
             ),
-            default=(0, ''),
+            default=(0, 0.0, ''),
         )
         if spare <= 0:
             return None
@@ -636,7 +638,9 @@
             self._last_spare = 0
             return wire.SlotGrant(0, term_ms, ())
         self._ctx.rng.shuffle(names)
-        lent = names[: max(0, min(request.count, (len(names) + 1) // 2))]
+        lent = names[
+            : max(0, min(request.count, int((len(names) + 1) * LEND_PART)))
+        ]
         until_s = now_s + self._ctx.loan_s * loans.LENDER_MARGIN
         loan_id = self._lent.lend(request.host, lent, until_s, self.hosts)
         for name in lent:
