Time the benchmark with a clock finer than 1 ms

Cause: uvloop's loop time and timers have a resolution of 1 ms, so the load generator started calls late and measured them in steps: a direct call had 1.46 ms at p99 with 0.2 ms at p50.

Change: the generator uses perf_counter and waits the last 2 ms in turns of the loop; it drops connections closed while idle; rounds are shorter, and the quietest one is reported besides all of them. Directory.match returns the Match of the documents package; RouteMatch is gone.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -43,13 +43,14 @@
 from ragwortchute import slots
 from ragwortchute.callers import application
 from ragwortchute.dispatch import dispatcher
+from ragwortchute.documents import matching
 from ragwortchute.operators import metrics
 from ragwortchute.stores import memory
 from ragwortchute.upstream import http
 
 RATES_PER_S = (500, 1000)
-ROUNDS = 3
-ROUND_S = 8.0
+ROUNDS = 6
+ROUND_S = 4.0
 WARM_UP_S = 2.0
 SEED = 20
 
@@ -72,6 +73,7 @@
 _HIGHEST_US = 10_000_000
 _CONTROL_S = 30.0
 _POLL_S = 0.1
+_SPIN_S = 0.002
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -87,7 +89,11 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """Figures of one way at one rate; CPU is that of the process between."""
+    """Figures of one way at one rate; CPU is that of the process between.
+
+    `best_p99_ms` is that of the quietest round. On a machine that other work
+    shares it shows what the process itself adds.
+    """
 
     way: str
     rate_per_s: int
@@ -95,6 +101,7 @@
     failed: int
     p50_ms: float
     p99_ms: float
+    best_p99_ms: float
     cpu_us: float
     resident_bytes: int
 
@@ -254,8 +261,8 @@
         pay = documents.Route(name='pay', methods=('POST',))
         self._document = documents.ServiceDocument('billing', (), (read, pay))
         self._matches = {
-            'GET': callers.RouteMatch(read),
-            'POST': callers.RouteMatch(pay),
+            'GET': matching.Match(read, (), read.deadline_ms),
+            'POST': matching.Match(pay, (), pay.deadline_ms),
         }
 
     def document(self, service: str) -> documents.ServiceDocument | None:
@@ -268,7 +275,7 @@
         method: str,
         path: str,
         tenant: str,
-    ) -> callers.RouteMatch | None:
+    ) -> matching.Match | None:
         """Matches by method."""
         return self._matches.get(method)
 
@@ -523,6 +530,7 @@
         self._keys = itertools.count()
         self._token = b''
         self.latencies_us = histogram.HdrHistogram(1, _HIGHEST_US, 3)
+        self._rounds: list[histogram.HdrHistogram] = []
         self.failed = 0
         self.calls = 0
 
@@ -543,22 +551,31 @@
 
     async def run(self, rate_per_s: int, duration_s: float) -> None:
         """Starts calls at exponential intervals; waits for all to end."""
+        # Timers and the time of uvloop have a resolution of 1 ms, so the last
+        # 2 ms before a start are spent in turns of the loop.
         loop = asyncio.get_running_loop()
-        start_s = loop.time()
+        start_s = time.perf_counter()
         offset_s = 0.0
         running: set[asyncio.Task[None]] = set()
         while offset_s < duration_s:
             offset_s += self._rng.expovariate(rate_per_s)
             due_s = start_s + offset_s
-            delay_s = due_s - loop.time()
-            if delay_s > 0:
-                await asyncio.sleep(delay_s)
+            while (delay_s := due_s - time.perf_counter()) > 0:
+                await asyncio.sleep(max(0.0, delay_s - _SPIN_S))
             task = loop.create_task(self._call(due_s))
             running.add(task)
             task.add_done_callback(running.discard)
         if running:
             await asyncio.wait(running, timeout=_CONTROL_S)
 
+    def begin_round(self) -> None:
+        """Counts the calls from here on as a round of their own."""
+        self._rounds.append(histogram.HdrHistogram(1, _HIGHEST_US, 3))
+
+    def best_p99_ms(self) -> float:
+        """Returns the 99th percentile of the quietest round."""
+        return min(r.get_value_at_percentile(99) for r in self._rounds) / 1000
+
     def reset(self) -> None:
         """Forgets the calls of the warm-up."""
         self.latencies_us.reset()
@@ -572,15 +589,20 @@
 
     async def _call(self, due_s: float) -> None:
         loop = asyncio.get_running_loop()
-        if self._idle:
+        conn = None
+        while self._idle and conn is None:
             conn = self._idle.pop()
-        else:
+            if conn.transport.is_closing():
+                conn = None
+        if conn is None:
             _, conn = await loop.create_connection(
                 CallProtocol, '127.0.0.1', self._port
             )
         answered = await conn.call(self._request())
-        took_us = (loop.time() - due_s) * 1_000_000
+        took_us = (time.perf_counter() - due_s) * 1_000_000
         self.latencies_us.record_value(max(1, int(took_us)))
+        if self._rounds:
+            self._rounds[-1].record_value(max(1, int(took_us)))
         self.calls += 1
         if answered:
             self._idle.append(conn)
@@ -630,6 +652,7 @@
         for way, load in loads.items():
             await load.prepare(ways['host'].port)
             before = ways[way].usage()
+            load.begin_round()
             await load.run(rate_per_s, round_s)
             cpu_s[way] += ways[way].usage().cpu_s - before.cpu_s
     rows = []
@@ -643,6 +666,7 @@
                 load.failed,
                 load.latencies_us.get_value_at_percentile(50) / 1000,
                 load.latencies_us.get_value_at_percentile(99) / 1000,
+                load.best_p99_ms(),
                 cpu_s[way] / max(1, load.calls) * 1_000_000,
                 ways[way].usage().resident_bytes,
             )
@@ -652,21 +676,26 @@
 
 def report(rows: abc.Sequence[Row]) -> None:
     """Prints the figures and how they compare with the aims."""
-    print('way      rate/s   calls failed   p50 ms   p99 ms  cpu us/call    MB')
+    print(
+        'way      rate/s   calls failed   p50 ms   p99 ms  best p99'
+        '  cpu us/call    MB'
+    )
     for row in rows:
         print(
             f'{row.way:7} {row.rate_per_s:7d} {row.calls:7d} {row.failed:6d} '
-            f'{row.p50_ms:8.3f} {row.p99_ms:8.3f} {row.cpu_us:12.1f} '
+            f'{row.p50_ms:8.3f} {row.p99_ms:8.3f} {row.best_p99_ms:9.3f} '
+            f'{row.cpu_us:12.1f} '
             f'{row.resident_bytes / (1 << 20):5.1f}'
         )
     by_way = {(row.way, row.rate_per_s): row for row in rows}
     for rate in sorted({row.rate_per_s for row in rows}):
         host = by_way['host', rate]
         added_ms = host.p99_ms - by_way['direct', rate].p99_ms
+        best_ms = host.best_p99_ms - by_way['direct', rate].best_p99_ms
         ratio = host.cpu_us / by_way['relay', rate].cpu_us
         print(
             f'{rate}/s: added at p99 {added_ms:.3f} ms '
-            f'(aim {MAX_ADDED_P99_MS}), '
+            f'(quietest rounds {best_ms:.3f}, aim {MAX_ADDED_P99_MS}), '
             f'CPU {ratio:.2f} times the relay (aim {MAX_CPU_RATIO}), '
             f'resident {host.resident_bytes / (1 << 20):.1f} MB '
             f'(aim {MAX_RESIDENT_BYTES >> 20})'
--- a/ragwortchute/callers/__init__.py
+++ b/ragwortchute/callers/__init__.py
@@ -2,22 +2,9 @@
 
 import abc
 
-import msgspec
-
 from ragwortchute import calls
 from ragwortchute import documents
-
-
-class RouteMatch(msgspec.Struct, frozen=True):
-    """Rules for one call.
-
-    Attributes:
-        route: The first route that matches.
-        homes: Regions that may serve the call; empty means any.
-    """
-
-    route: documents.Route
-    homes: tuple[str, ...] = ()
+from ragwortchute.documents import matching
 
 
 class Directory(abc.ABC):
@@ -49,7 +36,7 @@
         method: str,
         path: str,
         tenant: str,
-    ) -> RouteMatch | None:
+    ) -> matching.Match | None:
         """Returns the rules for a call, or None if no route matches.
 
         Args:
--- a/ragwortchute/callers/application.py
+++ b/ragwortchute/callers/application.py
@@ -256,8 +256,7 @@
             self._check_place(service, head.tenant, method, raw_path)
         if head.length > self._limits.max_body_bytes:
             raise self._too_large()
-        deadline_ms = min(head.deadline_ms or route.deadline_ms,
-                          route.deadline_ms)  # fmt: skip
+        deadline_ms = match.bounded_deadline_ms(head.deadline_ms or None)
         query = scope['query_string']
         if query:
             raw_path = f'{raw_path}?{query.decode("latin-1")}'
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -12,6 +12,7 @@
 from ragwortchute import records
 from ragwortchute import slots
 from ragwortchute import upstream
+from ragwortchute.documents import matching
 
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
@@ -234,7 +235,7 @@
         for route in document.routes:
             methods = not route.methods or method in route.methods
             if methods and path.startswith(route.path_prefix):
-                return callers.RouteMatch(route, self.homes)
+                return matching.Match(route, self.homes, route.deadline_ms)
         return None
 
     def refusal_reason(self, service) -> str:
