Test the path under random faults

Cause: the cases were tested one at a time.

Change: 300 calls of both kinds meet sheds, closed connections, cut and slow answers, short deadlines and callers that leave, from fixed seeds.

Conclusion: no answer reached another caller, no POST ran twice, and no refusal with not-run was false.

--- a/tests/test_callers/test_path.py
+++ b/tests/test_callers/test_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 
 import aiohttp
 import pytest
@@ -26,6 +27,8 @@
         self.first = path_fakes.RawTarget(first)
         self.second = path_fakes.RawTarget(lambda number, writer: SECOND)
         self.hedge_s = hedge_s
+        self.guard = path_fakes.FakeGuard()
+        self.guard.refuse_after = 1_000_000
 
     @contextlib.asynccontextmanager
     async def serve(self):
@@ -40,7 +43,7 @@
             run = dispatcher.Dispatcher(
                 slot_source=lambda service: self.source,
                 sender=client,
-                guard=path_fakes.FakeGuard(),
+                guard=self.guard,
                 retry_budget=lambda service: budget,
                 hedge_budget=lambda service: budget,
                 clock=CLOCK,
@@ -128,3 +131,67 @@
             await path_fakes.until(lambda: path.first.ended)
             assert await path.ask('GET') == (200, b'ok')
         assert path.first.connections == 2
+
+    @pytest.mark.parametrize('seed', range(4))
+    async def test_random_faults(self, seed):
+        """Guards against mixed-up answers and second executions."""
+        rng = random.Random(seed)
+        runs: dict[bytes, int] = {}
+
+        async def script(number, writer):
+            request = path.first.requests[number - 1]
+            return await answer(request, writer)
+
+        async def second(number, writer):
+            request = path.second.requests[number - 1]
+            return await answer(request, writer)
+
+        async def answer(request, writer):
+            name = request.split(b' ', 2)[1]
+            fate = rng.random()
+            if fate < 0.1:
+                return SHED
+            runs[name] = runs.get(name, 0) + 1
+            await asyncio.sleep(rng.choice((0, 0, 0.002, 0.03)))
+            if fate < 0.2:
+                return None
+            whole = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s' % (
+                len(name),
+                name,
+            )
+            if fate < 0.25:
+                writer.write(whole[: rng.randrange(1, len(whole))])
+                return None
+            return whole
+
+        async def ask(number, session):
+            method = rng.choice(('GET', 'POST'))
+            name = f'/{method}/{number}'
+            headers = {'Idempotency-Key': name}
+            if rng.random() < 0.2:
+                headers['Ragwortchute-Deadline-Ms'] = '10'
+            url = path.url.removesuffix('/a') + name
+            await asyncio.sleep(rng.random() * 0.3)
+            request = session.request(method, url, headers=headers)
+            limit_s = 0.01 if rng.random() < 0.2 else 5
+            try:
+                async with asyncio.timeout(limit_s), request as resp:
+                    body = await resp.read()
+            except TimeoutError:
+                return
+            if resp.status == 200:
+                assert body == name.encode()
+                return
+            problem = json.loads(body)
+            if problem['outcome'] == 'not-run':
+                assert name.encode() not in runs
+            else:
+                assert problem['outcome'] == 'unknown'
+
+        path = Path(script, hedge_s=0.01)
+        path.second.script = second
+        async with path.serve(), aiohttp.ClientSession() as session:
+            await asyncio.gather(*(ask(n, session) for n in range(300)))
+        posts = [n for name, n in runs.items() if name.startswith(b'/POST')]
+        assert set(posts) == {1}
+        assert posts and len(runs) > len(posts)
