Simplify the size of a loan

Cause: a constant of a trial was left in the rule.

Change: a lender gives half of its spare slots, rounded up, as before; no change of behaviour.

--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -53,8 +53,8 @@
 CONNECT_BACKOFF_S = 0.1
 REQUEST_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.1
+# A host that had nothing spare is asked again after this time.
 STATUS_LIFE_S = 0.1
-LEND_PART = 0.5
 LOAN_REQUEST_MAX = 10
 _SPEED_INTERVAL_S = 0.05
 _LATENCY_WINDOW = 512
@@ -638,9 +638,8 @@
             self._last_spare = 0
             return wire.SlotGrant(0, term_ms, ())
         self._ctx.rng.shuffle(names)
-        lent = names[
-            : max(0, min(request.count, int((len(names) + 1) * LEND_PART)))
-        ]
+        count = max(0, min(request.count, (len(names) + 1) // 2))
+        lent = names[:count]
         until_s = now_s + self._ctx.loan_s * loans.LENDER_MARGIN
         loan_id = self._lent.lend(request.host, lent, until_s, self.hosts)
         for name in lent:
