Keep the upkeep running when one service fails

Cause: an error in the upkeep of one service ended the task, after which no waiting call of any service was refused at its deadline.

Change: the error is logged and the other services go on; a test covers it.

--- a/ragwortchute/slots/manager.py
+++ b/ragwortchute/slots/manager.py
@@ -157,13 +157,22 @@
             self._view_at_s = now_s
             self.view_changed()
         for service in self._services.values():
-            service.tick()
-            self._wake(service.service)
+            self._tick_service(service)
         if now_s - self._round_at_s >= ROUND_S:
             self._round_at_s = now_s
             for service in self._services.values():
                 self._round(service, now_s)
 
+    def _tick_service(self, service: service_.ServiceSlots) -> None:
+        """Does the upkeep of a service; an error must not stop the others."""
+        try:
+            service.tick()
+        except Exception:
+            logging.exception(
+                'slots: upkeep failed, service=%s', service.service
+            )
+        self._wake(service.service)
+
     # Rounds of messages.
 
     def _round(self, service: service_.ServiceSlots, now_s: float) -> None:
--- a/tests/test_slots/test_manager.py
+++ b/tests/test_slots/test_manager.py
@@ -393,6 +393,28 @@
                 task.cancel()
 
 
+class TestUpkeep:
+    """The task of the manager."""
+
+    async def test_error_in_one_service_stops_no_other(self, monkeypatch):
+        """Guards against waiting calls that nobody refuses any more."""
+        async with cluster_.Cluster(hosts=1, targets=1) as cluster:
+            manager = cluster.hosts['h0'].manager
+            other = documents.ServiceDocument('billing', (), ())
+            manager.apply(other)
+
+            def fail():
+                raise RuntimeError('fault of the test')
+
+            monkeypatch.setattr(manager.service('dispatch'), 'tick', fail)
+            service = manager.service('billing')
+            call = cluster.call(0.2)
+            task = asyncio.create_task(service.acquire(call))
+            await cluster.clock.advance(0.3)
+            assert task.result().failure().reason == 'deadline'
+            assert not cluster.hosts['h0'].task.done()
+
+
 class TestBaselinePolicies:
     """Policies that are not bounded."""
 
