Limit loan requests of a host over all services

Cause: each service asked up to 20 times a second, so the control traffic of a host grew with the number of its services.

Change: the manager sends at most 20 loan requests a second in all.

--- a/ragwortchute/slots/manager.py
+++ b/ragwortchute/slots/manager.py
@@ -27,6 +27,8 @@
 # Time between two rounds of confirmations, announcements and proofs.
 ROUND_S = 0.1
 CONNECT_ROUND_S = 0.25
+# Loan requests of this host over all services; they share the control traffic.
+REQUESTS_PER_S = 20
 # Connections that a target accepts from all hosts together.
 TARGET_CONNECTIONS = 220
 
@@ -88,6 +90,8 @@
         self._round_at_s = -1.0
         self._view_at_s = -1.0
         self._connect_at_s: dict[str, float] = {}
+        self._requests = 0
+        self._requests_since_s = -1.0
         self._stopping = False
         table.on_connection_change(self._connection_changed)
         self._register(transport)
@@ -304,8 +308,17 @@
     def _wake(self, name: str) -> None:
         """Asks for slots if calls of a service wait."""
         service = self._services.get(name)
-        loan = service.loan_request() if service else None
+        if service is None or not service.waiting:
+            return
+        now_s = self._clock.monotonic()
+        if now_s - self._requests_since_s >= 1.0:
+            self._requests_since_s = now_s
+            self._requests = 0
+        if self._requests >= REQUESTS_PER_S:
+            return
+        loan = service.loan_request()
         if loan is not None:
+            self._requests += 1
             self._spawn(self._borrow(service, loan))
 
     def _once(
--- a/tests/test_slots/test_manager.py
+++ b/tests/test_slots/test_manager.py
@@ -293,6 +293,26 @@
             await cluster.clock.advance(0.1)
             assert lender.spare(cluster.clock.monotonic()) == before
 
+    async def test_requests_of_all_services_share_a_limit(self):
+        """Guards against control traffic that grows with the services."""
+        async with cluster_.Cluster(hosts=2, targets=1) as cluster:
+            host = cluster.hosts['h0']
+            tasks = []
+            for i in range(8):
+                name = f'service-{i}'
+                host.manager.apply(documents.ServiceDocument(name, (), ()))
+                service = host.manager.service(name)
+                call = cluster.call(9.0)
+                tasks.append(asyncio.create_task(service.acquire(call)))
+            await cluster.clock.advance(1.0)
+            cluster.network.log.clear()
+            await cluster.clock.advance(3.0)
+            log = cluster.network.log
+            asked = [m for *_, m in log if isinstance(m, wire.SlotRequest)]
+            assert 30 <= len(asked) <= 4 * 20
+            for task in tasks:
+                task.cancel()
+
     async def test_loan_of_another_serving_set_is_refused(self):
         """Guards against use of a slot that a third host owns by now."""
         async with cluster_.Cluster(targets=3) as cluster:
