--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -1,8 +1,9 @@
 """Cost of the call path of one entry host.
 
 Compares, in one run and with the same open-loop load, calls to a target
-directly, through a bare relay (uvicorn and aiohttp without any decision) and
-through an entry host. Reports latency from the scheduled start of each call,
+directly, through a bare relay (uvicorn and aiohttp without any decision),
+through the call path on trivial slots and records, and through an entry host
+of all its real parts. Reports latency from the scheduled start of each call,
 CPU per call from each process's own usage, and resident memory.
 
 Run with `make bench-path`, or with `--profile FILE` to write the cProfile
@@ -21,6 +22,7 @@
 import random
 import re
 import resource
+import socket
 import time
 
 import aiohttp
@@ -30,21 +32,25 @@
 import uvicorn
 import uvloop
 
+from ragwortchute import application as entry_host
 from ragwortchute import callers
 from ragwortchute import calls
 from ragwortchute import clock as clocks
+from ragwortchute import config
 from ragwortchute import documents
 from ragwortchute import records
 from ragwortchute import serving
 from ragwortchute import slots
 from ragwortchute.callers import application
 from ragwortchute.dispatch import dispatcher
+from ragwortchute.documents import matching
 from ragwortchute.operators import metrics
+from ragwortchute.stores import memory
 from ragwortchute.upstream import http
 
 RATES_PER_S = (500, 1000)
-ROUNDS = 3
-ROUND_S = 8.0
+ROUNDS = 6
+ROUND_S = 4.0
 WARM_UP_S = 2.0
 SEED = 20
 
@@ -66,6 +72,8 @@
 _LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
 _HIGHEST_US = 10_000_000
 _CONTROL_S = 30.0
+_POLL_S = 0.1
+_SPIN_S = 0.002
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -81,7 +89,11 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """Figures of one way at one rate; CPU is that of the process between."""
+    """Figures of one way at one rate; CPU is that of the process between.
+
+    `best_p99_ms` is that of the quietest round. On a machine that other work
+    shares it shows what the process itself adds.
+    """
 
     way: str
     rate_per_s: int
@@ -89,6 +101,7 @@
     failed: int
     p50_ms: float
     p99_ms: float
+    best_p99_ms: float
     cpu_us: float
     resident_bytes: int
 
@@ -248,8 +261,8 @@
         pay = documents.Route(name='pay', methods=('POST',))
         self._document = documents.ServiceDocument('billing', (), (read, pay))
         self._matches = {
-            'GET': callers.RouteMatch(read),
-            'POST': callers.RouteMatch(pay),
+            'GET': matching.Match(read, (), read.deadline_ms),
+            'POST': matching.Match(pay, (), pay.deadline_ms),
         }
 
     def document(self, service: str) -> documents.ServiceDocument | None:
@@ -262,7 +275,7 @@
         method: str,
         path: str,
         tenant: str,
-    ) -> callers.RouteMatch | None:
+    ) -> matching.Match | None:
         """Matches by method."""
         return self._matches.get(method)
 
@@ -353,8 +366,55 @@
     return server.servers[0].sockets[0].getsockname()[1]
 
 
-async def serve_host(ports: abc.Sequence[int]) -> int:
-    """Starts an entry host; returns its port."""
+async def serve_entry_host(ports: abc.Sequence[int]) -> int:
+    """Starts an entry host of all its real parts on a store in memory."""
+    store = memory.MemoryStore()
+    targets = [
+        documents.Target(
+            f't{number}', f'127.0.0.1:{port}', 'luzon-makati', 'luzon', 8
+        )
+        for number, port in enumerate(ports)
+    ]
+    document = documents.ServiceDocument(
+        'billing',
+        tuple(targets),
+        (
+            documents.Route(name='read', methods=('GET',), idempotent=True),
+            documents.Route(name='pay', methods=('POST',)),
+        ),
+        documents.ColdStart(concurrency=8, rate_per_s=1000.0, ramp_s=0.1),
+    )
+    deployment = documents.DeploymentDocument(
+        {'luzon-makati': documents.DomainEntry('luzon')}, 'luzon'
+    )
+    for name, value in (('billing', document), ('_deployment', deployment)):
+        store.seed(f'documents/{name}', msgspec.json.encode(value))
+    port, operator_port, peer_port = _free_ports(3)
+    cfg = config.Settings(
+        host='h1',
+        region='luzon',
+        failure_domain='luzon-makati',
+        caller_address=f'127.0.0.1:{port}',
+        operator_address=f'127.0.0.1:{operator_port}',
+        peer_address=f'127.0.0.1:{peer_port}',
+        deployment_key='key-of-the-benchmark',
+        operator_token='token-of-the-benchmark',
+        seed=SEED,
+    )
+    await entry_host.EntryHost(cfg, store=store).start()
+    return port
+
+
+def _free_ports(count: int) -> list[int]:
+    socks = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+async def serve_path(ports: abc.Sequence[int]) -> int:
+    """Starts the call path of an entry host on trivial slots."""
     clock = clocks.SystemClock()
     source = Slots(
         [
@@ -466,29 +526,56 @@
         self._port = port
         self._rng = rng
         self._idle: list[CallProtocol] = []
+        self._run = f'{rng.getrandbits(32):x}'.encode()
         self._keys = itertools.count()
+        self._token = b''
         self.latencies_us = histogram.HdrHistogram(1, _HIGHEST_US, 3)
+        self._rounds: list[histogram.HdrHistogram] = []
         self.failed = 0
         self.calls = 0
 
+    async def prepare(self, host_port: int) -> None:
+        """Gets an origin token, which entry hosts require of payments."""
+        url = f'http://127.0.0.1:{host_port}/addresses?service=billing'
+        async with (
+            aiohttp.ClientSession() as session,
+            asyncio.timeout(_CONTROL_S),
+        ):
+            while True:
+                async with session.get(url) as resp:
+                    if resp.status == 200:
+                        answer = await resp.json()
+                        break
+                await asyncio.sleep(_POLL_S)
+        self._token = answer['hosts'][0]['origin_token'].encode()
+
     async def run(self, rate_per_s: int, duration_s: float) -> None:
         """Starts calls at exponential intervals; waits for all to end."""
+        # Timers and the time of uvloop have a resolution of 1 ms, so the last
+        # 2 ms before a start are spent in turns of the loop.
         loop = asyncio.get_running_loop()
-        start_s = loop.time()
+        start_s = time.perf_counter()
         offset_s = 0.0
         running: set[asyncio.Task[None]] = set()
         while offset_s < duration_s:
             offset_s += self._rng.expovariate(rate_per_s)
             due_s = start_s + offset_s
-            delay_s = due_s - loop.time()
-            if delay_s > 0:
-                await asyncio.sleep(delay_s)
+            while (delay_s := due_s - time.perf_counter()) > 0:
+                await asyncio.sleep(max(0.0, delay_s - _SPIN_S))
             task = loop.create_task(self._call(due_s))
             running.add(task)
             task.add_done_callback(running.discard)
         if running:
             await asyncio.wait(running, timeout=_CONTROL_S)
 
+    def begin_round(self) -> None:
+        """Counts the calls from here on as a round of their own."""
+        self._rounds.append(histogram.HdrHistogram(1, _HIGHEST_US, 3))
+
+    def best_p99_ms(self) -> float:
+        """Returns the 99th percentile of the quietest round."""
+        return min(r.get_value_at_percentile(99) for r in self._rounds) / 1000
+
     def reset(self) -> None:
         """Forgets the calls of the warm-up."""
         self.latencies_us.reset()
@@ -502,15 +589,20 @@
 
     async def _call(self, due_s: float) -> None:
         loop = asyncio.get_running_loop()
-        if self._idle:
+        conn = None
+        while self._idle and conn is None:
             conn = self._idle.pop()
-        else:
+            if conn.transport.is_closing():
+                conn = None
+        if conn is None:
             _, conn = await loop.create_connection(
                 CallProtocol, '127.0.0.1', self._port
             )
         answered = await conn.call(self._request())
-        took_us = (loop.time() - due_s) * 1_000_000
+        took_us = (time.perf_counter() - due_s) * 1_000_000
         self.latencies_us.record_value(max(1, int(took_us)))
+        if self._rounds:
+            self._rounds[-1].record_value(max(1, int(took_us)))
         self.calls += 1
         if answered:
             self._idle.append(conn)
@@ -532,9 +624,17 @@
             )
         return (
             b'POST /call/billing/payments HTTP/1.1\r\n%s'
-            b'idempotency-key: k-%d\r\ncontent-type: application/json\r\n'
+            b'idempotency-key: k-%s-%d\r\ncontent-type: application/json\r\n'
+            b'ragwortchute-origin: %s\r\nragwortchute-first-send: 1\r\n'
             b'content-length: %d\r\n\r\n%s'
-        ) % (common, number, len(_REQUEST_BODY), _REQUEST_BODY)
+        ) % (
+            common,
+            self._run,
+            number,
+            self._token,
+            len(_REQUEST_BODY),
+            _REQUEST_BODY,
+        )
 
 
 async def measure(
@@ -545,11 +645,14 @@
     loads = {way: Load(server.port, rng) for way, server in ways.items()}
     cpu_s = dict.fromkeys(ways, 0.0)
     for load in loads.values():
+        await load.prepare(ways['host'].port)
         await load.run(rate_per_s, WARM_UP_S)
         load.reset()
     for _ in range(ROUNDS):
         for way, load in loads.items():
+            await load.prepare(ways['host'].port)
             before = ways[way].usage()
+            load.begin_round()
             await load.run(rate_per_s, round_s)
             cpu_s[way] += ways[way].usage().cpu_s - before.cpu_s
     rows = []
@@ -563,6 +666,7 @@
                 load.failed,
                 load.latencies_us.get_value_at_percentile(50) / 1000,
                 load.latencies_us.get_value_at_percentile(99) / 1000,
+                load.best_p99_ms(),
                 cpu_s[way] / max(1, load.calls) * 1_000_000,
                 ways[way].usage().resident_bytes,
             )
@@ -572,21 +676,26 @@
 
 def report(rows: abc.Sequence[Row]) -> None:
     """Prints the figures and how they compare with the aims."""
-    print('way      rate/s   calls failed   p50 ms   p99 ms  cpu us/call    MB')
+    print(
+        'way      rate/s   calls failed   p50 ms   p99 ms  best p99'
+        '  cpu us/call    MB'
+    )
     for row in rows:
         print(
             f'{row.way:7} {row.rate_per_s:7d} {row.calls:7d} {row.failed:6d} '
-            f'{row.p50_ms:8.3f} {row.p99_ms:8.3f} {row.cpu_us:12.1f} '
+            f'{row.p50_ms:8.3f} {row.p99_ms:8.3f} {row.best_p99_ms:9.3f} '
+            f'{row.cpu_us:12.1f} '
             f'{row.resident_bytes / (1 << 20):5.1f}'
         )
     by_way = {(row.way, row.rate_per_s): row for row in rows}
     for rate in sorted({row.rate_per_s for row in rows}):
         host = by_way['host', rate]
         added_ms = host.p99_ms - by_way['direct', rate].p99_ms
+        best_ms = host.best_p99_ms - by_way['direct', rate].best_p99_ms
         ratio = host.cpu_us / by_way['relay', rate].cpu_us
         print(
             f'{rate}/s: added at p99 {added_ms:.3f} ms '
-            f'(aim {MAX_ADDED_P99_MS}), '
+            f'(quietest rounds {best_ms:.3f}, aim {MAX_ADDED_P99_MS}), '
             f'CPU {ratio:.2f} times the relay (aim {MAX_CPU_RATIO}), '
             f'resident {host.resident_bytes / (1 << 20):.1f} MB '
             f'(aim {MAX_RESIDENT_BYTES >> 20})'
@@ -606,7 +715,8 @@
     ways = {
         'direct': targets[0],
         'relay': Server(serve_relay, ports),
-        'host': Server(serve_host, ports, profile_path),
+        'path': Server(serve_path, ports),
+        'host': Server(serve_entry_host, ports, profile_path),
     }
     rows = []
     try:
--- a/tests/test_codecs/test_codecs.py
+++ b/tests/test_codecs/test_codecs.py
@@ -106,15 +106,15 @@
     def test_damage_below_the_compression_raises_only_frame_errors(self):
         codec = _CODECS['capnp']
         member = wire.Member('h', 1, '127.0.0.1:1', 'http://h', 'd', 'r')
-        flat = capnp._inflate(codec.encode(wire.Heartbeat(member, 5, 6)))
+        flat = capnp._flat(codec.encode(wire.Heartbeat(member, 5, 6)))
         rng = random.Random(1)
         for _ in range(20000):
             buf = bytearray(flat)
             for _ in range(rng.randint(1, 4)):
                 buf[rng.randrange(len(buf))] = rng.randrange(256)
             end = rng.randint(0, len(buf))
-            self._decode(codec, capnp._deflate(bytes(buf[:end])))
-            self._decode(codec, capnp._deflate(bytes(buf)))
+            self._decode(codec, capnp._PLAIN + bytes(buf[:end]))
+            self._decode(codec, capnp._PLAIN + bytes(buf))
 
     def _decode(self, codec, buf):
         try:
--- a/tests/test_commands/test_document_commands.py
+++ b/tests/test_commands/test_document_commands.py
@@ -2,6 +2,7 @@
 
 import json
 
+import msgspec
 import pytest
 from typer import testing
 
@@ -29,7 +30,7 @@
 def doc(store, tmp_path):
     """Returns a function that runs `doc` and the exit code and output."""
 
-    def run(*args, file=None):
+    def run(*args, file=None, stdin=None):
         words = ['doc', *args]
         if file is not None:
             path = tmp_path / 'document.yaml'
@@ -38,6 +39,7 @@
         found = testing.CliRunner().invoke(
             main.app,
             words,
+            input=stdin,
             env={
                 'RAGWORTCHUTE_STORE_URL': store.url,
                 'RAGWORTCHUTE_AUTHOR': 'ann',
@@ -65,6 +67,12 @@
         assert 'targets[1].slots' in shown
         assert doc('check', file=samples.SERVICE_YAML) == (0, '1 valid\n')
 
+    def test_standard_input_and_missing_file(self, doc):
+        assert doc('check', '-', stdin=samples.SERVICE_YAML)[0] == 0
+        code, shown = doc('check', '/nowhere.yaml')
+        assert code == 2
+        assert 'No such file' in shown
+
     def test_store_gives_the_deployment_document(self, doc):
         applied(doc, samples.DEPLOYMENT_YAML)
         text = samples.SERVICE_YAML.replace('visayas-cebu', 'visayas-cebo')
@@ -95,6 +103,15 @@
         again = applied(doc, samples.SERVICE_YAML)
         assert again['version'] == first['version']
 
+    def test_number_of_store_calls(self, doc, store):
+        """Each call counts against the limits of the object API."""
+        applied(doc, samples.DEPLOYMENT_YAML)
+        deployment = msgspec.structs.asdict(store.api.counters)
+        assert deployment == {'get': 2, 'list': 2, 'put': 2, 'watch': 0}
+        applied(doc, samples.SERVICE_YAML)
+        both = msgspec.structs.asdict(store.api.counters)
+        assert both == {'get': 6, 'list': 2, 'put': 4, 'watch': 0}
+
     def test_store_that_is_down_changes_nothing(self, doc, store):
         store.set_faults(down=True)
         code, shown = doc('apply', file=samples.SERVICE_YAML)
