Keep a cold target free after a request that was given up

A host that cancels an attempt, or gives it up at its deadline, freed the slot at once and could send the next request before the target saw the connection close. A cold target then ran one request above its limit. The slot of a target that is not warm now stays unused for 50 ms.

The unit test fails without the change.

--- a/ragwortchute/slots/entry.py
+++ b/ragwortchute/slots/entry.py
@@ -35,7 +35,8 @@
         own: Slots that the serving set gives to this host.
         slow: Whether the target is much slower than its service.
         probe_s: Earliest time of the next probe of a slow target.
-        backoff_s: No new work before this time, after a failed connection.
+        backoff_s: No new work before this time, after a failed connection
+            or, on a cold target, after a request that was given up.
         episode: Counts the times this host stopped using the target; a lease
             of an earlier episode is unusable.
         pulled: Whether the other hosts were asked for proofs of warmth.
--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -51,6 +51,9 @@
 # A slow slot is used once the wait reaches this part of the time that it costs.
 SLOW_WAIT_PART = 0.1
 CONNECT_BACKOFF_S = 0.1
+# A closed connection reaches the target after the network delay and after
+# what else its event loop has to do.
+CANCEL_GRACE_S = 0.05
 REQUEST_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.1
 # A host that had nothing spare is asked again after this time.
@@ -483,10 +486,21 @@
         elif kind is Kind.CANCELLED and report.latency_s > state.fast_s:
             # The answer would have taken even longer.
             self._note_latency(entry, report.latency_s, current)
+        if kind in (Kind.CANCELLED, Kind.TIMEOUT) and report.latency_s > 0:
+            self._wait_for_cancellation(entry, now_s)
         self._refresh(entry)
         if self._queue:
             self._pump(now_s)
 
+    def _wait_for_cancellation(self, entry: entry_.Entry, now_s: float) -> None:
+        """Keeps a cold target free while it may run a request given up.
+
+        A target at its limit would get one request too many.
+        """
+        if entry.state.phase is Phase.WARM:
+            return
+        entry.backoff_s = max(entry.backoff_s, now_s + CANCEL_GRACE_S)
+
     def _note_latency(
         self, entry: entry_.Entry, latency_s: float, current: bool
     ) -> None:
--- a/tests/test_slots/test_manager.py
+++ b/tests/test_slots/test_manager.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from returns import pipeline
 
 from ragwortchute import documents
@@ -49,6 +50,24 @@
             await cluster.clock.advance(0.1)
             assert cluster.send('h0') is not None
 
+    @pytest.mark.parametrize('kind', [Kind.CANCELLED, Kind.TIMEOUT])
+    async def test_request_given_up_may_still_run(self, kind):
+        """Guards against a second request before the target saw the first end.
+
+        The target learns of a cancellation later than its host.
+        """
+        async with cluster_.Cluster(targets=1) as cluster:
+            request = cluster.send('h0')
+            await cluster.clock.advance(0.2)
+            request.lease.release(cluster_.report(kind, 0.2))
+            assert cluster.send('h0') is None
+            await cluster.clock.advance(service_.CANCEL_GRACE_S / 2)
+            assert cluster.send('h0') is None
+            await cluster.clock.advance(service_.CANCEL_GRACE_S * 2)
+            cluster.processes['t0'].running -= 1
+            assert cluster.send('h0') is not None
+            check_limits(cluster)
+
     async def test_two_views_never_share_a_cold_target(self):
         """Guards against a new owner that starts beside the old one."""
         async with cluster_.Cluster(targets=1) as cluster:
