Refuse calls at a host that has just joined without slots

Change: a host that is new in a serving set refuses not-run with the addresses of the others (reason joining) until it has slots, for at most 10 s, and leaves itself out of its address answers. The harness of the system tests waits for the end of this state before its first cell.

--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -142,6 +142,7 @@
             lifetime_ms=cfg.address_lifetime_ms,
         )
         self.directory.loaded = lambda: self.distributor.ready
+        self.directory.has_slots = self.slots.has_slots
         self.crash_guard = crashes.DigestCrashGuard(
             clock=self.clock,
             transport=self.transport,
--- a/ragwortchute/directory.py
+++ b/ragwortchute/directory.py
@@ -16,6 +16,10 @@
 _DEFAULT_SET_SIZE = 4
 # The serving set costs about 50 us to compute, too much for each call.
 _REASON_LIFE_S = 0.02
+# A host that joins a serving set needs proofs that targets are warm or the
+# right to send to cold ones; calls sent to it before waited for a slot until
+# their deadline. After this time they wait, as elsewhere.
+_JOIN_S = 10.0
 
 
 class HostDirectory(callers.Directory):
@@ -32,6 +36,7 @@
     Attributes:
         loaded: Whether the documents in force are known.
         stopping: Whether a planned stop began.
+        has_slots: Tells whether this host may send to a target of a service.
     """
 
     def __init__(
@@ -46,6 +51,9 @@
     ) -> None:
         self.loaded: abc.Callable[[], bool] = lambda: False
         self.stopping = False
+        self.has_slots: abc.Callable[[str], bool] = lambda service: True
+        self._joined_s: dict[str, float] = {}
+        self._serving: set[str] = set()
         self._membership = membership
         self._tokens = tokens
         self._domain_out = domain_out
@@ -121,9 +129,24 @@
         hosts = self._membership.serving_set(
             service, document.hosts_per_service
         )
-        if any(member.host == me.host for member in hosts):
-            return ''
-        return 'wrong-host'
+        if all(member.host != me.host for member in hosts):
+            self._serving.discard(service)
+            self._joined_s.pop(service, None)
+            return 'wrong-host'
+        if len(hosts) > 1 and self._is_joining(service):
+            return 'joining'
+        return ''
+
+    def _is_joining(self, service: str) -> bool:
+        """Tells whether this host is new in a serving set and has no slots."""
+        if service in self._serving:
+            return False
+        now_s = self._clock.monotonic()
+        since_s = self._joined_s.setdefault(service, now_s)
+        if self.has_slots(service) or now_s - since_s >= _JOIN_S:
+            self._serving.add(service)
+            return False
+        return True
 
     def addresses(
         self, service: str, tenant: str, method: str = '', path: str = ''
@@ -165,7 +188,7 @@
     ) -> list[wire.Member]:
         size = document.hosts_per_service if document else _DEFAULT_SET_SIZE
         local = self._membership.serving_set(service, size)
-        if self.stopping:
+        if self.stopping or service in self._joined_s.keys() - self._serving:
             me = self._membership.me.host
             local = [member for member in local if member.host != me]
         remote = self.remote_set(service, size)
--- a/ragwortchute/operators/metrics.py
+++ b/ragwortchute/operators/metrics.py
@@ -43,6 +43,7 @@
         'header-repeated',
         'home-regions',
         'internal',
+        'joining',
         'key-missing',
         'key-reused',
         'lease',
--- a/ragwortchute/slots/manager.py
+++ b/ragwortchute/slots/manager.py
@@ -108,6 +108,18 @@
         """Returns the slots of a service, or None if it is unknown."""
         return self._services.get(name)
 
+    def has_slots(self, name: str) -> bool:
+        """Tells whether this host may send to a target of a service."""
+        service = self._services.get(name)
+        if service is None:
+            return False
+        now_s = self._clock.monotonic()
+        return any(
+            entry.candidate.share > 0
+            or service.warmth.may_send_cold(entry, now_s)
+            for entry in service.warmth.entries.values()
+        )
+
     def apply(self, document: documents.ServiceDocument) -> None:
         """Takes over a new version of a service document."""
         known = self._services.get(document.service)
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -1171,11 +1171,19 @@
         return sock.connect_ex(('127.0.0.1', port)) == 0
 
 
+async def _joining(cluster: Cluster, host: str) -> bool:
+    """Tells whether a host still refuses calls because it has no slots."""
+    path = f'/explain?service={SERVICE}&method=GET&path=/&tenant='
+    return (await cluster.operator(host, path))['reason'] == 'joining'
+
+
 async def warm_up(cluster: Cluster, seconds: float) -> None:
     """Lets the hosts take their targets for warm."""
     cell = Cell(cluster, 1, f'warm-{time.monotonic_ns()}')
     load = asyncio.create_task(cell._run_load())
     await asyncio.sleep(seconds)
+    while any([await _joining(cluster, host) for host in cluster.hosts]):
+        await asyncio.sleep(_POLL_S)
     cell._loading = False
     await load
     await cell._client.close()
--- a/tests/test_kernel/test_directory.py
+++ b/tests/test_kernel/test_directory.py
@@ -7,6 +7,7 @@
 from ragwortchute import clock as clocks
 from ragwortchute import directory
 from ragwortchute import documents
+from ragwortchute.records import tokens
 from tests import fakes
 
 
@@ -38,3 +39,51 @@
         change(setup)
         await clock.advance(0.02)
         assert subject.refusal_reason('billing') == reason
+
+
+class TestJoining:
+    """A host without slots must not take calls that others can serve."""
+
+    def make(self, hosts):
+        self.clock = clocks.ManualClock()
+        self.setup = fakes.FakeMembership('h1', hosts)
+        subject = directory.HostDirectory(
+            membership=self.setup,
+            tokens=tokens.TokenMint('k' * 16, self.clock, 60.0),
+            domain_out=lambda name: False,
+            rng=random.Random(1),
+            clock=self.clock,
+            lifetime_ms=5000,
+        )
+        subject.has_slots = lambda service: self.slots
+        self.slots = False
+        subject.apply(documents.ServiceDocument('billing', (), ()), 1)
+        return subject
+
+    async def test_refuses_until_it_has_slots(self):
+        subject = self.make(['h2', 'h1'])
+        assert subject.refusal_reason('billing') == 'joining'
+        listed = subject.addresses('billing', '').hosts
+        assert [address.host for address in listed] == ['h2']
+        self.slots = True
+        await self.clock.advance(0.02)
+        assert subject.refusal_reason('billing') == ''
+
+    async def test_lost_slots_later_do_not_count_as_joining(self):
+        """Guards against refusals while all targets of a service are down."""
+        subject = self.make(['h2', 'h1'])
+        self.slots = True
+        assert subject.refusal_reason('billing') == ''
+        self.slots = False
+        await self.clock.advance(0.02)
+        assert subject.refusal_reason('billing') == ''
+
+    async def test_ends_after_a_bounded_time(self):
+        """Guards against a set of which every host refuses for ever."""
+        subject = self.make(['h2', 'h1'])
+        assert subject.refusal_reason('billing') == 'joining'
+        await self.clock.advance(10.1)
+        assert subject.refusal_reason('billing') == ''
+
+    def test_only_host_takes_calls_at_once(self):
+        assert self.make(['h1']).refusal_reason('billing') == ''
