Answer requests that arrive during a planned stop

Cause: a stop closed kept connections at once, also those on which a part of a request had arrived or was still unread in the kernel.

Change: such a connection is closed after the answer; one without any bytes is closed at once.

Conclusion: tests cover a request that is written right before the stop, one in two parts, and a body that is still on its way.

--- a/ragwortchute/serving.py
+++ b/ragwortchute/serving.py
@@ -6,6 +6,7 @@
 import gc
 import http
 import logging as standard_logging
+import select
 import socket
 from typing import Any
 
@@ -61,6 +62,7 @@
         self._in_head = False
         self._mixed = False
         self._head_timer: asyncio.TimerHandle | None = None
+        self._closing = False
         self._on_disconnect: abc.Callable[[], None] | None = None
         self._gone = False
         self._extensions = {
@@ -93,6 +95,14 @@
         elif self._head_timer is None:
             self._wait_for_head()
 
+    def shutdown(self) -> None:
+        """Closes the connection, after the answer to what is on its way."""
+        idle = self.cycle is None or self.cycle.response_complete
+        if idle and (self._in_head or self._readable()):
+            self._closing = True
+        else:
+            super().shutdown()
+
     def send_400_response(self, msg: str) -> None:
         """Refuses bytes that are not HTTP, after the answers still due.
 
@@ -126,6 +136,8 @@
             self._refuse(self.head_refusal)
             return
         super().on_headers_complete()
+        if self._closing:
+            self.cycle.keep_alive = False
 
     def on_body(self, body: bytes) -> None:
         """Passes a part of a body on."""
@@ -152,6 +164,16 @@
     def _wait_for_head(self) -> None:
         self._head_timer = self.loop.call_later(HEAD_S, self._head_late)
 
+    def _readable(self) -> bool:
+        """Tells whether the kernel holds bytes of a further request."""
+        if self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(
+            self.transport.get_extra_info('socket').fileno(), select.POLLIN
+        )
+        return bool(poll.poll(0))
+
     def _head_late(self) -> None:
         self._head_timer = None
         if self.cycle is None or self.cycle.response_complete:
--- a/tests/test_callers/test_application.py
+++ b/tests/test_callers/test_application.py
@@ -202,6 +202,14 @@
             host.hold = asyncio.Event()
             task = asyncio.create_task(host.ask())
             await path_fakes.until(lambda: host.calls)
+            upload = asyncio.create_task(
+                host.raw(
+                    b'PUT /call/billing/a HTTP/1.1\r\nhost: h\r\n'
+                    b'content-length: 9\r\n\r\n',
+                    *[b'abc'] * 3,
+                )
+            )
+            await path_fakes.until(lambda: host.app.running == 2)
             stop = asyncio.create_task(host.server.stop())
             await asyncio.sleep(0.05)
             with pytest.raises(ConnectionRefusedError):
@@ -210,7 +218,32 @@
             resp, body = await task
             assert (resp.status, body) == (200, b'body')
             assert resp.headers['connection'] == 'close'
+            assert (await upload).endswith(b'\r\n\r\nbody')
+            await stop
+
+    @pytest.mark.parametrize('sent', [9, None])
+    async def test_stop_answers_what_is_on_its_way(self, sent):
+        """Guards against cutting off a request that arrives during a stop."""
+        line = b'GET /call/billing/%d HTTP/1.1\r\nhost: h\r\n\r\n'
+        async with Host().serve() as host:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', host.server.port
+            )
+            writer.write(line % 1)
+            await reader.readuntil(b'body')
+            writer.write((line % 2)[:sent])
+            if sent:
+                await asyncio.sleep(0.02)
+            stop = asyncio.create_task(host.server.stop())
+            await asyncio.sleep(0)
+            if sent:
+                writer.write((line % 2)[sent:])
+            data = await reader.read()
+            writer.close()
             await stop
+        assert data.startswith(b'HTTP/1.1 200')
+        assert b'connection: close' in data
+        assert [call.path for call in host.calls] == ['/1', '/2']
 
 
 class TestRefusals:
