--- a/ragwortchute/codecs/capnp.py
+++ b/ragwortchute/codecs/capnp.py
@@ -1,4 +1,4 @@
-"""Codec of peer messages in deflated Cap'n Proto, by pycapnp."""
+"""Codec of peer messages in Cap'n Proto, by pycapnp."""
 
 from collections import abc
 import dataclasses
@@ -20,6 +20,10 @@
 _MAX_WORDS = _MAX_BYTES // 8
 _DEFLATE_LEVEL = 1
 _RAW_DEFLATE = -15
+# First byte of an encoded message. Packing a body of 1 MB takes 5 ms, in which
+# the event loop serves no call, so messages with bodies stay plain.
+_DEFLATED = b'D'
+_PLAIN = b'U'
 # Sent as one MessagePack value, see the schema.
 _AS_DATA = frozenset(
     {
@@ -68,11 +72,11 @@
 
 @codecs.REGISTRY.register('capnp')
 class CapnpCodec(codecs.Codec):
-    """Encodes a message as a deflated `Envelope` of `messages.capnp`.
+    """Encodes a message as an `Envelope` of `messages.capnp`.
 
-    The packed form of Cap'n Proto is about as small, but pycapnp aborts the
-    process when packed data ends early: the C++ reader throws in its
-    destructor. The flat form is checked as a whole.
+    Small messages are deflated. The packed form of Cap'n Proto is about as
+    small, but pycapnp aborts the process when packed data ends early: the C++
+    reader throws in its destructor. The flat form is checked as a whole.
     """
 
     def __init__(self) -> None:
@@ -109,7 +113,10 @@
                 setattr(envelope, field, None)
             else:
                 self._shapes[cls].write(envelope.init(field), message)
-            return _deflate(envelope.to_bytes())
+            flat = envelope.to_bytes()
+            if cls in _AS_DATA:
+                return _PLAIN + flat
+            return _DEFLATED + _deflate(flat)
         except (*_FAILURES, KeyError) as exc:
             raise errors.FrameError(
                 f'{cls.__name__} can not be encoded: {exc}', step='encode'
@@ -123,7 +130,7 @@
         """
         try:
             with self._envelope.from_bytes(
-                _inflate(buf), traversal_limit_in_words=_MAX_WORDS
+                _flat(buf), traversal_limit_in_words=_MAX_WORDS
             ) as envelope:
                 return self._read(envelope)
         except (*_FAILURES, KeyError) as exc:
@@ -189,6 +196,15 @@
     return first + ''.join(word.capitalize() for word in rest)
 
 
+def _flat(buf: bytes) -> bytes:
+    form = buf[:1]
+    if form == _DEFLATED:
+        return _inflate(buf[1:])
+    if form == _PLAIN:
+        return buf[1:]
+    raise ValueError('unknown form')
+
+
 def _deflate(buf: bytes) -> bytes:
     return zlib.compress(buf, _DEFLATE_LEVEL, _RAW_DEFLATE)
 
--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -18,10 +18,10 @@
 from ragwortchute import wire
 from ragwortchute.admission import deadline_queue as _deadline_queue
 from ragwortchute.balancers import least_inflight as _least_inflight
-from ragwortchute.balancers import random as _random
 from ragwortchute.balancers import round_robin as _round_robin
 from ragwortchute.balancers import slot_shares as _slot_shares
 from ragwortchute.balancers import two_choices as _two_choices
+from ragwortchute.balancers import uniform as _uniform
 from ragwortchute.slots import context
 from ragwortchute.slots import entry as entry_
 from ragwortchute.slots import loans
@@ -33,7 +33,7 @@
 PLUG_INS = (
     _deadline_queue,
     _least_inflight,
-    _random,
+    _uniform,
     _round_robin,
     _slot_shares,
     _two_choices,
@@ -47,14 +47,15 @@
 SLOW_FACTOR = 2.5
 # A slow target gets a call this often even when it should rest, because only
 # an answer shows that it is quick again.
-PROBE_INTERVAL_S = 0.25
+PROBE_INTERVAL_S = 0.1
+# A slow slot is used once the wait reaches this part of the time that it costs.
+SLOW_WAIT_PART = 0.1
 CONNECT_BACKOFF_S = 0.1
 REQUEST_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.1
-STATUS_LIFE_S = 1.0
-LOAN_REQUEST_MAX = 4
-# Borrowed slots go back after this time without a waiting call.
-LOAN_IDLE_S = 0.05
+STATUS_LIFE_S = 0.1
+LEND_PART = 0.5
+LOAN_REQUEST_MAX = 10
 _SPEED_INTERVAL_S = 0.05
 _LATENCY_WINDOW = 512
 _HEDGE_REFRESH = 64
@@ -153,7 +154,8 @@
         warmth: Decides which targets are warm.
         retry_budget: Budget of retries and overflow attempts. Overflow takes
             from it here; the dispatcher takes for each retry.
-        hedge_budget: Budget of hedges; `try_acquire` takes from it.
+        hedge_budget: Budget of hedges; `try_acquire` takes from it. Calls
+            are counted in both budgets by `acquire` without exclusions.
         hosts: Serving set of the service in this region.
     """
 
@@ -186,7 +188,6 @@
         self._requesting = False
         self._last_status_s = -1.0
         self._last_spare = 0
-        self._last_wait_s = -1.0
         self._speed_at_s = now_s
         self._mean_s = _FIRST_LATENCY_S
         self._median_s = 0.0
@@ -235,10 +236,12 @@
         avoid_domain: str = '',
     ) -> slots.SlotLease | None:
         """Returns a slot that is free now and in budget, or None."""
-        if self._queue or not self._free:
-            return None
         now_s = self._clock.monotonic()
-        if now_s >= call.deadline_s or self.hedge_budget.available() < 1:
+        if self._borrowed:
+            self._expire_loans(now_s)
+        if self._queue or not self._free or now_s >= call.deadline_s:
+            return None
+        if self.hedge_budget.available() < 1:
             return None
         candidates = [c for n, c in self._free.items() if n not in exclude]
         elsewhere = [c for c in candidates if c.failure_domain != avoid_domain]
@@ -251,10 +254,17 @@
         """Returns the 95th percentile of recent answers, in seconds."""
         return self._hedge_s
 
+    @property
+    def waiting(self) -> int:
+        """How many calls wait for a slot."""
+        return len(self._queue)
+
     # Taking slots.
 
     def take_free(self, exclude: frozenset[str], now_s: float) -> Lease | None:
         """Takes a slot that is free now, or returns None."""
+        if self._borrowed:
+            self._expire_loans(now_s)
         free = self._free
         while free:
             if exclude:
@@ -340,19 +350,32 @@
         entry = self._entries[best.name]
         if now_s >= entry.probe_s:
             return entry
-        fast_slots = sum(
-            other.candidate.share
-            for other in self._entries.values()
-            if not other.slow
-        )
+        fast_slots = self._slots_held()
         wait_s = (len(self._queue) + 1) * self._mean_s / max(1, fast_slots)
         extra_s = best.latency_ms / 1000 - self._median_s
-        return entry if wait_s >= extra_s or not fast_slots else None
+        return (
+            entry
+            if wait_s >= extra_s * SLOW_WAIT_PART or not fast_slots
+            else None
+        )
+
+    def _slots_held(self) -> int:
+        """Returns the slots of this host on targets that are not slow."""
+        return sum(
+            entry.candidate.share
+            for entry in self._entries.values()
+            if not entry.slow
+        )
 
     def _take_overflow(
         self, exclude: frozenset[str], now_s: float
     ) -> Lease | None:
-        """Takes one slot beyond the share, if the retry budget permits."""
+        """Takes one slot beyond the share, if the retry budget permits.
+
+        Called when this host has no slot at all. A target with overflow also
+        sheds requests within the shares of other hosts: with overflow for
+        every call that found no free slot, a quarter of the requests was shed.
+        """
         if not self._balancer.bounded or self.retry_budget.available() < 1:
             return None
         fitting = [
@@ -383,7 +406,7 @@
         if now_s >= call.deadline_s:
             pending.done(_refuse('deadline', 'deadline passed'))
             return None
-        if not self._queue:
+        if not self._slots_held():
             lease = self._take_overflow(pending.exclude, now_s)
             if lease is not None:
                 pending.done(result.Success(lease))
@@ -395,7 +418,6 @@
         if reason:
             pending.done(_refuse(reason, 'call cannot be served in time'))
             return None
-        self._last_wait_s = now_s
         self._pump(now_s)
         if self._queue:
             self._ctx.wake(self.service)
@@ -582,19 +604,20 @@
             or now_s < self._last_request_s + REQUEST_INTERVAL_S
         ):
             return None
-        spare, host = max(
+        # Equal hosts are asked in random order, not always the same one.
+        spare, _, host = max(
             (
-                (self._spare_of(host, now_s), host)
+                (self._spare_of(host, now_s), self._ctx.rng.random(), host)
                 for host in self.hosts
                 if host != self._me
             ),
-            default=(0, ''),
+            default=(0, 0.0, ''),
         )
         if spare <= 0:
             return None
         self._last_request_s = now_s
         self._requesting = True
-        count = min(waiting, spare, LOAN_REQUEST_MAX)
+        count = int(min(waiting, max(spare, 1), LOAN_REQUEST_MAX))
         message = wire.SlotRequest(self._me, self.service, count)
         return LoanRequest(host, message)
 
@@ -620,7 +643,9 @@
             self._last_spare = 0
             return wire.SlotGrant(0, term_ms, ())
         self._ctx.rng.shuffle(names)
-        lent = names[: max(0, min(request.count, (len(names) + 1) // 2))]
+        lent = names[
+            : max(0, min(request.count, int((len(names) + 1) * LEND_PART)))
+        ]
         until_s = now_s + self._ctx.loan_s * loans.LENDER_MARGIN
         loan_id = self._lent.lend(request.host, lent, until_s, self.hosts)
         for name in lent:
@@ -701,7 +726,7 @@
 
     def _return_idle(self, now_s: float) -> None:
         """Returns borrowed slots that are not in use and not needed."""
-        if now_s - self._last_wait_s < LOAN_IDLE_S or self._queue:
+        if self._queue:
             return
         for loan in self._borrowed.loans():
             entry = self._entries.get(loan.target)
@@ -862,9 +887,7 @@
         """Ends terms, refuses calls that are too late, opens gates."""
         now_s = self._clock.monotonic()
         self.warmth.tick(now_s)
-        for name in self._lent.expire(now_s) | self._borrowed.expire(now_s):
-            if name in self._entries:
-                self._refresh(self._entries[name])
+        self._expire_loans(now_s)
         if self._own_from_s and now_s >= self._own_from_s:
             self._own_from_s = 0.0
             for entry in self._entries.values():
@@ -880,6 +903,11 @@
             self._return_idle(now_s)
             self._send_status(now_s)
 
+    def _expire_loans(self, now_s: float) -> None:
+        for name in self._lent.expire(now_s) + self._borrowed.expire(now_s):
+            if name in self._entries:
+                self._refresh(self._entries[name])
+
     def _end_backoffs(self, now_s: float) -> None:
         for entry in self._entries.values():
             if 0 < entry.backoff_s <= now_s:
