Find the reasons of refusals in the function that decides on them

Cause: the docs test looks for reasons in functions of certain names, and the reasons of HostDirectory moved to a function of another name.

Change: the function has a telling name, and the test reads it too.

Conclusion: the test checks the same reasons as before.

--- a/ragwortchute/directory.py
+++ b/ragwortchute/directory.py
@@ -110,10 +110,10 @@
             self._reasons_until_s = now_s + _REASON_LIFE_S
         reason = self._reasons.get(service)
         if reason is None:
-            reason = self._reasons[service] = self._find_reason(service)
+            reason = self._reasons[service] = self._find_refusal_reason(service)
         return reason
 
-    def _find_reason(self, service: str) -> str:
+    def _find_refusal_reason(self, service: str) -> str:
         me = self._membership.me
         if self._domain_out(me.failure_domain):
             return 'domain-out'
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -236,7 +236,7 @@
     '_unknown',
 }
 # Functions that return a reason, or '' for none.
-_RETURNERS = {'offer', 'refusal_reason'}
+_RETURNERS = {'_find_refusal_reason', 'offer', 'refusal_reason'}
 _REASON = re.compile(r'[a-z]+(?:-[a-z]+)*\Z')
 
 
