--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -51,10 +51,13 @@
 # A slow slot is used once the wait reaches this part of the time that it costs.
 SLOW_WAIT_PART = 0.1
 CONNECT_BACKOFF_S = 0.1
+# A closed connection reaches the target after the network delay and after
+# what else its event loop has to do.
+CANCEL_GRACE_S = 0.05
 REQUEST_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.1
+# A host that had nothing spare is asked again after this time.
 STATUS_LIFE_S = 0.1
-LEND_PART = 0.5
 LOAN_REQUEST_MAX = 10
 _SPEED_INTERVAL_S = 0.05
 _LATENCY_WINDOW = 512
@@ -483,10 +486,21 @@
         elif kind is Kind.CANCELLED and report.latency_s > state.fast_s:
             # The answer would have taken even longer.
             self._note_latency(entry, report.latency_s, current)
+        if kind in (Kind.CANCELLED, Kind.TIMEOUT) and report.latency_s > 0:
+            self._wait_for_cancellation(entry, now_s)
         self._refresh(entry)
         if self._queue:
             self._pump(now_s)
 
+    def _wait_for_cancellation(self, entry: entry_.Entry, now_s: float) -> None:
+        """Keeps a cold target free while it may run a request given up.
+
+        A target at its limit would get one request too many.
+        """
+        if entry.state.phase is Phase.WARM:
+            return
+        entry.backoff_s = max(entry.backoff_s, now_s + CANCEL_GRACE_S)
+
     def _note_latency(
         self, entry: entry_.Entry, latency_s: float, current: bool
     ) -> None:
@@ -643,9 +657,8 @@
             self._last_spare = 0
             return wire.SlotGrant(0, term_ms, ())
         self._ctx.rng.shuffle(names)
-        lent = names[
-            : max(0, min(request.count, int((len(names) + 1) * LEND_PART)))
-        ]
+        count = max(0, min(request.count, (len(names) + 1) // 2))
+        lent = names[:count]
         until_s = now_s + self._ctx.loan_s * loans.LENDER_MARGIN
         loan_id = self._lent.lend(request.host, lent, until_s, self.hosts)
         for name in lent:
