--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -138,6 +138,7 @@
             tokens=self.tokens,
             domain_out=self.distributor.domain_out,
             rng=self.rng,
+            clock=self.clock,
             lifetime_ms=cfg.address_lifetime_ms,
         )
         self.directory.loaded = lambda: self.distributor.ready
@@ -271,7 +272,9 @@
         Raises:
             RagwortchuteError: A listener can't be opened.
         """
-        await self.transport.start(self.cfg.peer_address)
+        await self.transport.start(
+            self.cfg.peer_listen_address or self.cfg.peer_address
+        )
         self.recorder.start(self._run_forwarded, self.spill.on_spill)
         self.crash_guard.start()
         self.transport.on(wire.Stopping, self._on_stopping)
--- a/ragwortchute/upstream/http.py
+++ b/ragwortchute/upstream/http.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import abc
 import select
 
 import aiohttp
@@ -155,6 +156,14 @@
                 return conn
             _abort(conn)
 
+    def retire(self) -> None:
+        """Closes idle connections now and the others after their answer."""
+        self._force_close = True
+        for kept in self._conns.values():
+            for protocol, _ in kept:
+                protocol.close()
+        self._conns.clear()
+
     async def add(self) -> None:
         """Opens one more connection and keeps it idle."""
         protocol = await self._create_connection(self._request, [], _NO_TIMEOUT)
@@ -197,21 +206,30 @@
         self._pools: dict[tuple[str, str], _Pool] = {}
 
     async def send(
-        self, service: str, target: documents.Target, call: calls.Call
+        self,
+        service: str,
+        target: documents.Target,
+        call: calls.Call,
+        *,
+        before_send: abc.Callable[[], None] | None = None,
     ) -> upstream.TargetAnswer:
         """Sends a call once; see the base class."""
         attempt = _Attempt(target, call, self._max_answer_bytes)
         remaining_s = call.deadline_s - self._clock.monotonic()
         if remaining_s <= 0:
             raise attempt.error(errors.ConnectFailed, 'deadline passed')
-        pool = await self._pool(service, target)
-        return await attempt.run(pool, self._clock, remaining_s)
+        pool = self._pool(service, target)
+        conn = pool.take_idle()
+        if conn is None:
+            conn = await attempt.connect(pool, remaining_s, before_send)
+            remaining_s = call.deadline_s - self._clock.monotonic()
+        return await attempt.run(conn, remaining_s)
 
     async def keep_open(
         self, service: str, target: documents.Target, connections: int
     ) -> int:
         """Opens connections without a request; see the base class."""
-        pool = await self._pool(service, target)
+        pool = self._pool(service, target)
         wanted = min(connections, self._limit) - pool.open
         if wanted > 0:
             try:
@@ -229,11 +247,14 @@
         pool = self._pools.get((service, target))
         return pool.open if pool is not None else 0
 
-    async def forget(self, service: str, target: str) -> None:
-        """Closes the connections to a target that is no longer used."""
+    def forget(self, service: str, target: str) -> None:
+        """Lets go of a target that is no longer used.
+
+        Requests that run on it are finished.
+        """
         pool = self._pools.pop((service, target), None)
         if pool is not None:
-            await pool.close()
+            pool.retire()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -249,15 +270,16 @@
             for (service, target), pool in self._pools.items()
         }
 
-    async def _pool(self, service: str, target: documents.Target) -> _Pool:
+    def _pool(self, service: str, target: documents.Target) -> _Pool:
         key = (service, target.name)
         pool = self._pools.get(key)
-        if pool is not None and pool.address == target.address:
-            return pool
-        self._pools[key] = _Pool(service, target, self._listener, self._limit)
         if pool is not None:
-            await pool.close()
-        return self._pools[key]
+            if pool.address == target.address:
+                return pool
+            pool.retire()
+        pool = _Pool(service, target, self._listener, self._limit)
+        self._pools[key] = pool
+        return pool
 
 
 class _Attempt:
@@ -285,13 +307,11 @@
         return kind(message, step=step, peer=self._target.name)
 
     async def run(
-        self, pool: _Pool, clock: clocks.Clock, remaining_s: float
+        self, conn: connectors.Connection, remaining_s: float
     ) -> upstream.TargetAnswer:
         """Sends the request and reads the answer."""
-        conn = pool.take_idle() or await self._connect(pool, remaining_s)
         timer: asyncio.TimerHandle | None = None
         try:
-            remaining_s = self._call.deadline_s - clock.monotonic()
             self._write(conn, remaining_s)
             # A timer of the loop costs less than a timeout context.
             timer = asyncio.get_running_loop().call_later(
@@ -309,18 +329,29 @@
         conn.release()
         return answer
 
-    async def _connect(
-        self, pool: _Pool, remaining_s: float
+    async def connect(
+        self,
+        pool: _Pool,
+        remaining_s: float,
+        before_send: abc.Callable[[], None] | None,
     ) -> connectors.Connection:
+        """Waits for a connection; the request may be sent on return."""
         try:
             async with asyncio.timeout(remaining_s):
-                return await pool.take()
+                conn = await pool.take()
         except TimeoutError as exc:
             raise self.error(
                 errors.ConnectFailed, 'no connection before the deadline'
             ) from exc
         except (OSError, aiohttp.ClientError) as exc:
             raise self.error(errors.ConnectFailed, str(exc)) from exc
+        if before_send is not None:
+            try:
+                before_send()
+            except BaseException:
+                conn.release()
+                raise
+        return conn
 
     def _write(self, conn: connectors.Connection, remaining_s: float) -> None:
         if remaining_s <= 0:
