Keep connections to a target across sheds and cancelled requests

Cause: the HTTP client closed the connection of each shed, although the answer was whole, and of each cancelled request. When it was the last one of a host to a target, the host took the target for lost and its owner asked for proof or ramped it up again. With calls that time out, hosts took targets out of use faster than they returned, and the goodput stayed at half the capacity.

Change: a shed keeps its connection. A request that is given up closes its connection only after another one is open if it was the last one, for at most 50 ms. Three tests fail without the change.

Conclusion: sheds and timeouts of callers no longer take targets out of use.

--- a/ragwortchute/upstream/http.py
+++ b/ragwortchute/upstream/http.py
@@ -59,6 +59,9 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _KEEP_S = 86400.0
 _OPEN_S = 5.0
+# A cancelled request runs on at the target until its connection closes, so
+# the wait for the one that replaces it is short.
+_REPLACE_S = 0.05
 _MAX_LINE_BYTES = 16384
 _NO_TIMEOUT = aiohttp.ClientTimeout()
 
@@ -68,6 +71,7 @@
 
     def __init__(self, pool: '_Pool', loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.ending = False
         self._pool = pool
         self._poll = select.poll()
 
@@ -79,6 +83,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
+        self._pool.ending -= self.ending
         self._pool.lost()
 
     def expire(self) -> None:
@@ -113,6 +118,8 @@
         super().__init__(keepalive_timeout=_KEEP_S, limit=limit)
         self.address = target.address
         self.open = 0
+        # Open connections that were aborted and will be lost.
+        self.ending = 0
         self._service = service
         self._target = target.name
         self._listener = listener
@@ -169,6 +176,30 @@
         protocol = await self._create_connection(self._request, [], _NO_TIMEOUT)
         connectors.Connection(self, self._key, protocol, self._loop).release()
 
+    async def give_up(self, conn: connectors.Connection) -> None:
+        """Closes the connection of a request that is no longer wanted.
+
+        Another one is opened before the last one closes. Without any open
+        connection the target could be another process, so the host would stop
+        using it; callers that time out under overload would thus take target
+        after target out of use.
+        """
+        protocol = conn.protocol
+        if protocol is None or not protocol.is_connected():
+            _abort(conn)
+            return
+        try:
+            if self.open - self.ending <= 1:
+                async with asyncio.timeout(_REPLACE_S):
+                    await self.add()
+        except (TimeoutError, OSError, aiohttp.ClientError):
+            pass
+        finally:
+            if protocol.is_connected() and not protocol.ending:
+                protocol.ending = True
+                self.ending += 1
+            _abort(conn)
+
     async def _create_connection(
         self,
         req: aiohttp.ClientRequest,
@@ -223,7 +254,7 @@
         if conn is None:
             conn = await attempt.connect(pool, remaining_s, before_send)
             remaining_s = call.deadline_s - self._clock.monotonic()
-        return await attempt.run(conn, remaining_s)
+        return await attempt.run(pool, conn, remaining_s)
 
     async def keep_open(
         self, service: str, target: documents.Target, connections: int
@@ -307,7 +338,7 @@
         return kind(message, step=step, peer=self._target.name)
 
     async def run(
-        self, conn: connectors.Connection, remaining_s: float
+        self, pool: _Pool, conn: connectors.Connection, remaining_s: float
     ) -> upstream.TargetAnswer:
         """Sends the request and reads the answer."""
         timer: asyncio.TimerHandle | None = None
@@ -318,10 +349,15 @@
                 remaining_s, conn.protocol.expire
             )
             answer = await self._read(conn.protocol)
+        except errors.TargetShed:
+            # The answer is whole. A new connection for each shed would take
+            # a full target out of use whenever its last one closes.
+            conn.release()
+            raise
         except BaseException:
             # Closing the connection is how the target learns of the
             # cancellation, and keeps a late answer from the next request.
-            _abort(conn)
+            await pool.give_up(conn)
             raise
         finally:
             if timer is not None:
--- a/tests/test_upstream/test_http.py
+++ b/tests/test_upstream/test_http.py
@@ -356,3 +356,57 @@
             await path_fakes.until(lambda: not listener.open)
         assert await client.keep_open('billing', document, 1) == 0
         await client.close()
+
+    async def test_shed_keeps_its_connection(self):
+        """Guards against sheds that leave a host without connections."""
+        shed = (
+            b'HTTP/1.1 503 X\r\nTarget-Shed: 1\r\nTarget-Load: 4/4\r\n'
+            b'Content-Length: 2\r\n\r\n{}'
+        )
+        target = path_fakes.RawTarget(lambda number, writer: shed)
+        client = http.HttpUpstream(CLOCK)
+        async with target.serve():
+            for _ in range(3):
+                with pytest.raises(errors.TargetShed):
+                    await client.send(
+                        'billing',
+                        target.document(),
+                        path_fakes.make_call(CLOCK),
+                    )
+            assert target.connections == 1
+            await client.close()
+
+    @pytest.mark.parametrize('count', [1, 3])
+    async def test_cancelled_requests_leave_a_connection(self, count):
+        """Guards against a target counting as lost when callers give up."""
+        low = []
+
+        class Listener(path_fakes.FakeListener):
+            def connection_closed(self, service, target):
+                super().connection_closed(service, target)
+                low.append(self.open)
+
+        async def script(number, writer):
+            await asyncio.Event().wait()
+
+        target = path_fakes.RawTarget(script)
+        listener = Listener()
+        client = http.HttpUpstream(CLOCK, listener=listener)
+        async with target.serve():
+            tasks = [
+                asyncio.create_task(
+                    client.send(
+                        'billing',
+                        target.document(),
+                        path_fakes.make_call(CLOCK),
+                    )
+                )
+                for _ in range(count)
+            ]
+            await path_fakes.until(lambda: len(target.requests) == count)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await path_fakes.until(lambda: len(low) == count)
+            assert min(low) == 1
+            await client.close()
