--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -7,21 +7,15 @@
 """
 
 import asyncio
-import itertools
 import json
-import random
 import sys
-import time
 
-from hdrh import histogram
 import msgspec
-from returns import result
 
+from benchmarks import load as load_lib
 from ragwortchute import calls
 from ragwortchute import documents
-from ragwortchute.client import caller as caller_lib
 from standins import deployment as deployment_lib
-from standins import targets as targets_lib
 
 SECONDS = 30.0
 RATE_PER_S = 120.0
@@ -34,12 +28,15 @@
 DOMAIN = 'luzon-pasig'
 SEED = 7
 _OUT_GRACE_S = 5.0
-_HIGHEST_US = 60_000_000
 _LABEL = 'ragwortchute demo'
 
 
 class Tally(msgspec.Struct):
-    """What the callers saw."""
+    """What the callers saw.
+
+    Attributes:
+        reasons: Refused calls by outcome and reason.
+    """
 
     calls: int = 0
     whole_answers: int = 0
@@ -48,101 +45,35 @@
     unknown: int = 0
     wrong_answers: int = 0
     false_not_run: int = 0
+    reasons: dict[str, int] = {}
 
 
-class Load:
-    """Open-loop calls with a seeded schedule.
+def _tally(samples: list[load_lib.Sample], run_calls: set[str]) -> Tally:
+    """Sorts calls by outcome.
 
     Args:
-        deployment: Where the calls go.
-        seed: Seed of times and kinds of calls.
+        samples: The calls.
+        run_calls: Ids of the calls that a target ran.
     """
-
-    def __init__(
-        self, deployment: deployment_lib.Deployment, seed: int
-    ) -> None:
-        self.tally = Tally()
-        self.latencies = histogram.HdrHistogram(1, _HIGHEST_US, 3)
-        self.keys_not_run: list[str] = []
-        self.reasons: dict[str, int] = {}
-        self._deployment = deployment
-        self._numbers = itertools.count(1)
-        self._rng = random.Random(seed)
-        self._client = caller_lib.CallerClient(deployment.caller_urls())
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def warm_up(self, seconds: float, rate_per_s: float) -> None:
-        """Runs calls that count in no figure.
-
-        Hosts that have just started take every target for cold.
-        """
-        await self.run(seconds, rate_per_s)
-        self.tally = Tally()
-        self.reasons.clear()
-        self.latencies.reset()
-
-    async def run(self, seconds: float, rate_per_s: float) -> None:
-        """Starts calls for some seconds, then waits for the last of them."""
-        start_s = time.monotonic()
-        due_s = start_s
-        while due_s < start_s + seconds:
-            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
-            task = asyncio.create_task(self._one(next(self._numbers)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            due_s += self._rng.expovariate(rate_per_s)
-        await asyncio.gather(*self._tasks)
-
-    async def close(self) -> None:
-        """Closes the connections."""
-        await self._client.close()
-
-    async def _one(self, number: int) -> None:
-        call_id = f'call-{number}'
-        write = self._rng.random() < WRITE_SHARE
-        method = 'POST' if write else 'GET'
-        body = json.dumps({'job': number}).encode() if write else b''
-        path = f'/jobs/{number}'
-        start_s = time.monotonic()
-        outcome = await self._client.call(
-            'dispatch',
-            method,
-            path,
-            body=body,
-            headers=[('x-call', call_id)],
-            idempotent=not write,
-        )
-        self.tally.calls += 1
-        if isinstance(outcome, result.Success):
-            elapsed_us = int((time.monotonic() - start_s) * 1e6)
-            self.latencies.record_value(max(1, elapsed_us))
-            expected = targets_lib.expected_digest(method, path, body)
-            self._check(outcome.unwrap(), call_id, expected)
-            return
-        self._refused(outcome.failure(), call_id)
-
-    def _check(self, answer: calls.Answer, call_id: str, digest: str) -> None:
-        try:
-            content = json.loads(answer.body)
-        except ValueError:
-            content = {}
-        right = content.get('call') == call_id
-        if right and content.get('digest') == digest:
-            self.tally.whole_answers += 1
-        else:
-            self.tally.wrong_answers += 1
-
-    def _refused(self, refusal: calls.Refusal, call_id: str) -> None:
-        name = f'{refusal.outcome}:{refusal.reason}'
-        self.reasons[name] = self.reasons.get(name, 0) + 1
-        if refusal.outcome is calls.Outcome.NOT_RUN:
-            self.tally.refused_not_run += 1
-            if self._deployment.targets.log.count(call_id):
-                self.tally.false_not_run += 1
-        elif refusal.outcome is calls.Outcome.RAN:
-            self.tally.refused_ran += 1
+    tally = Tally(calls=len(samples), reasons={})
+    for sample in samples:
+        if sample.outcome == load_lib.SERVED:
+            tally.whole_answers += 1
+            continue
+        outcome = sample.outcome.partition(':')[0]
+        if outcome == calls.Outcome.NOT_RUN:
+            tally.refused_not_run += 1
+            tally.false_not_run += sample.call_id in run_calls
+        elif outcome == calls.Outcome.RAN:
+            tally.refused_ran += 1
+        elif outcome == calls.Outcome.UNKNOWN:
+            tally.unknown += 1
         else:
-            self.tally.unknown += 1
+            tally.wrong_answers += 1
+            continue
+        reasons = tally.reasons
+        reasons[sample.outcome] = reasons.get(sample.outcome, 0) + 1
+    return tally
 
 
 async def _events(deployment: deployment_lib.Deployment) -> int:
@@ -170,10 +101,10 @@
     return sum(run.target in names for run in deployment.targets.log.runs)
 
 
-async def _progress(load: Load) -> None:
+async def _progress(caller: load_lib.Caller) -> None:
     while True:
         await asyncio.sleep(3.0)
-        tally = load.tally
+        tally = _tally(caller.samples, set())
         _say(
             f'{tally.calls} calls, {tally.whole_answers} answered, '
             f'{tally.refused_not_run} refused not-run, '
@@ -203,27 +134,39 @@
         await deployment.start()
         for target in for_targets.targets.values():
             target.behaviour.cold_ramp_s = 2.0
-        load = Load(deployment, SEED)
+        caller = load_lib.Caller(
+            deployment.services[0].service, deployment.caller_urls()
+        )
         _say('warming up')
-        await load.warm_up(WARM_UP_S, WARM_UP_PER_S)
+        # Hosts that have just started take every target for cold.
+        await caller.run(load_lib.Phase(WARM_UP_PER_S, WARM_UP_S, SEED))
         _say('ready')
-        progress = asyncio.create_task(_progress(load))
+        progress = asyncio.create_task(_progress(caller))
         events = asyncio.create_task(_events(deployment))
-        await load.run(SECONDS, RATE_PER_S)
+        measured = await caller.run(
+            load_lib.Phase(
+                RATE_PER_S, SECONDS, SEED + 1, write_share=WRITE_SHARE
+            )
+        )
         late_work = await events
         progress.cancel()
-        await load.close()
-        return _report(deployment, load, late_work)
+        await caller.close()
+        return _report(deployment, measured.samples, late_work)
     finally:
         await deployment.stop()
 
 
 def _report(
-    deployment: deployment_lib.Deployment, load: Load, late_work: int
+    deployment: deployment_lib.Deployment,
+    samples: list[load_lib.Sample],
+    late_work: int,
 ) -> int:
     log = deployment.targets.log
-    tally = load.tally
-    for name, count in sorted(load.reasons.items()):
+    tally = _tally(samples, {run.call for run in log.runs})
+    latencies = load_lib.latencies(
+        s for s in samples if s.outcome == load_lib.SERVED
+    )
+    for name, count in sorted(tally.reasons.items()):
         _say(f'refusals {name}: {count}')
     figures = {
         'calls': tally.calls,
@@ -236,8 +179,8 @@
         'false_not_run': tally.false_not_run,
         'cold_overloads': log.cold_overloads,
         'runs_in_domain_out': late_work,
-        'p50_ms': load.latencies.get_value_at_percentile(50) / 1000,
-        'p99_ms': load.latencies.get_value_at_percentile(99) / 1000,
+        'p50_ms': load_lib.percentile_ms(latencies, 50),
+        'p99_ms': load_lib.percentile_ms(latencies, 99),
     }
     broken = [
         name
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -24,6 +24,9 @@
 _PORT_RANGE = (12_000, 32_000)
 # Deployments side by side must not draw the same ports.
 _PORTS = random.SystemRandom()
+# Sockets that keep the drawn ports from being drawn again, here or by a
+# deployment in another process, before the hosts listen.
+_held: list[socket.socket] = []
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -366,16 +369,34 @@
 
 
 def free_port() -> int:
-    """Returns a loopback port that was free a moment ago.
+    """Reserves a loopback port until this process ends.
 
     It lies below the range that the kernel gives to outgoing connections,
-    one of which could take it before the host listens.
+    one of which could take it before the host listens. The port is bound but
+    does not listen, so a listener that allows the reuse of addresses, as all
+    of asyncio do, may bind it too.
     """
     while True:
         port = _PORTS.randrange(*_PORT_RANGE)
-        with socket.socket() as sock:
-            try:
-                sock.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
+        if _is_taken(port):
+            continue
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(('127.0.0.1', port))
+        except OSError:
+            sock.close()
+            continue
+        _held.append(sock)
+        return port
+
+
+def _is_taken(port: int) -> bool:
+    # Without the reuse of addresses, the bind fails if any socket holds the
+    # port.
+    with socket.socket() as sock:
+        try:
+            sock.bind(('127.0.0.1', port))
+        except OSError:
+            return True
+    return False
