--- a/tests/test_slots/test_manager.py
+++ b/tests/test_slots/test_manager.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from returns import pipeline
 
 from ragwortchute import documents
@@ -49,6 +50,24 @@
             await cluster.clock.advance(0.1)
             assert cluster.send('h0') is not None
 
+    @pytest.mark.parametrize('kind', [Kind.CANCELLED, Kind.TIMEOUT])
+    async def test_request_given_up_may_still_run(self, kind):
+        """Guards against a second request before the target saw the first end.
+
+        The target learns of a cancellation later than its host.
+        """
+        async with cluster_.Cluster(targets=1) as cluster:
+            request = cluster.send('h0')
+            await cluster.clock.advance(0.2)
+            request.lease.release(cluster_.report(kind, 0.2))
+            assert cluster.send('h0') is None
+            await cluster.clock.advance(service_.CANCEL_GRACE_S / 2)
+            assert cluster.send('h0') is None
+            await cluster.clock.advance(service_.CANCEL_GRACE_S * 2)
+            cluster.processes['t0'].running -= 1
+            assert cluster.send('h0') is not None
+            check_limits(cluster)
+
     async def test_two_views_never_share_a_cold_target(self):
         """Guards against a new owner that starts beside the old one."""
         async with cluster_.Cluster(targets=1) as cluster:
@@ -293,6 +312,26 @@
             await cluster.clock.advance(0.1)
             assert lender.spare(cluster.clock.monotonic()) == before
 
+    async def test_requests_of_all_services_share_a_limit(self):
+        """Guards against control traffic that grows with the services."""
+        async with cluster_.Cluster(hosts=2, targets=1) as cluster:
+            host = cluster.hosts['h0']
+            tasks = []
+            for i in range(8):
+                name = f'service-{i}'
+                host.manager.apply(documents.ServiceDocument(name, (), ()))
+                service = host.manager.service(name)
+                call = cluster.call(9.0)
+                tasks.append(asyncio.create_task(service.acquire(call)))
+            await cluster.clock.advance(1.0)
+            cluster.network.log.clear()
+            await cluster.clock.advance(3.0)
+            log = cluster.network.log
+            asked = [m for *_, m in log if isinstance(m, wire.SlotRequest)]
+            assert 30 <= len(asked) <= 4 * 20
+            for task in tasks:
+                task.cancel()
+
     async def test_loan_of_another_serving_set_is_refused(self):
         """Guards against use of a slot that a third host owns by now."""
         async with cluster_.Cluster(targets=3) as cluster:
@@ -370,15 +409,16 @@
 
     async def test_overflow_is_bounded(self):
         """Guards against more than one request beyond the share."""
-        async with cluster_.Cluster(hosts=2, targets=1, slots_=4) as cluster:
+        async with cluster_.Cluster(hosts=3, targets=1, slots_=2) as cluster:
             await cluster.warm_up()
-            cluster.network.partition(['h0'], ['h1'])
-            service = cluster.hosts['h0'].service
+            services = [host.service for host in cluster.hosts.values()]
+            service = next(s for s in services if s.holding('t0') == 0)
+            cluster.network.cut |= {
+                (a, b) for a in cluster.names for b in cluster.names
+            }
             service.retry_budget.percent = 100.0
             for _ in range(20):
                 service.retry_budget.note_call(cluster.clock.monotonic())
-            while cluster.take('h0'):
-                pass
             tasks = [
                 asyncio.create_task(service.acquire(cluster.call(9.0)))
                 for _ in range(3)
@@ -392,6 +432,28 @@
                 task.cancel()
 
 
+class TestUpkeep:
+    """The task of the manager."""
+
+    async def test_error_in_one_service_stops_no_other(self, monkeypatch):
+        """Guards against waiting calls that nobody refuses any more."""
+        async with cluster_.Cluster(hosts=1, targets=1) as cluster:
+            manager = cluster.hosts['h0'].manager
+            other = documents.ServiceDocument('billing', (), ())
+            manager.apply(other)
+
+            def fail():
+                raise RuntimeError('fault of the test')
+
+            monkeypatch.setattr(manager.service('dispatch'), 'tick', fail)
+            service = manager.service('billing')
+            call = cluster.call(0.2)
+            task = asyncio.create_task(service.acquire(call))
+            await cluster.clock.advance(0.3)
+            assert task.result().failure().reason == 'deadline'
+            assert not cluster.hosts['h0'].task.done()
+
+
 class TestBaselinePolicies:
     """Policies that are not bounded."""
 
