Do not take an outage of targets for a request that crashes them

Change: when 4 or more targets break within a second, blocks of that second are lifted, except for a request that broke at least half of them.

Result: tests for the outage and for a request that breaks twelve targets beside as many bystanders.

--- a/ragwortchute/records/crashes.py
+++ b/ragwortchute/records/crashes.py
@@ -22,6 +22,12 @@
 MAX_SUSPECTS = 2048
 MAX_BLOCKED = 2048
 
+# Targets that break within a second from this number on are an outage, such
+# as a lost failure domain, unless one request broke half of them.
+OUTAGE_TARGETS = 4
+OUTAGE_WINDOW_S = 1.0
+_MAX_TARGETS = 16
+
 K = TypeVar('K')
 V = TypeVar('V')
 
@@ -42,7 +48,7 @@
 
     Attributes:
         since_s: When the last target broke, in monotonic seconds.
-        targets: Targets that broke; at most `BLOCK_TARGETS`.
+        targets: Targets that broke; at most `_MAX_TARGETS`.
         call_ids: Latest calls of this host that broke a target.
     """
 
@@ -82,6 +88,7 @@
         self._blocked: collections.OrderedDict[bytes, _Suspect] = (
             collections.OrderedDict()
         )
+        self._breaks: dict[str, float] = {}
         self._notices: collections.OrderedDict[
             tuple[bytes, str], wire.CrashSuspect
         ] = collections.OrderedDict()
@@ -173,11 +180,14 @@
         if suspect is None or suspect.since_s + BLOCK_S <= now_s:
             self._blocked.pop(digest, None)
             suspect = _Suspect(now_s)
+        known = suspect.targets
+        if target not in known and len(known) < _MAX_TARGETS:
+            suspect.targets += (target,)
+        self._breaks[target] = now_s
         if digest in self._blocked:
+            self._forgive(now_s)
             return suspect
         suspect.since_s = now_s
-        if target not in suspect.targets:
-            suspect.targets += (target,)
         if len(suspect.targets) >= BLOCK_TARGETS:
             logging.warning(
                 'records: request blocked, digest=%s targets=%s',
@@ -187,8 +197,26 @@
             _put(self._blocked, digest, suspect, MAX_BLOCKED)
         else:
             _put(self._suspects, digest, suspect, MAX_SUSPECTS)
+        self._forgive(now_s)
         return suspect
 
+    def _forgive(self, now_s: float) -> None:
+        """Lifts blocks of requests that only met an outage of targets."""
+        start_s = now_s - OUTAGE_WINDOW_S
+        self._breaks = {t: s for t, s in self._breaks.items() if s >= start_s}
+        broken = len(self._breaks)
+        if broken < OUTAGE_TARGETS:
+            return
+        for digest, suspect in list(self._blocked.items()):
+            few = len(suspect.targets) * 2 < broken
+            if few and suspect.since_s >= start_s:
+                del self._blocked[digest]
+                logging.info(
+                    'records: block lifted, digest=%s broken_targets=%d',
+                    digest.hex(),
+                    broken,
+                )
+
     def _clear(self, digest: bytes) -> bool:
         known = self._suspects.pop(digest, None) is not None
         return self._blocked.pop(digest, None) is not None or known
--- a/tests/test_records/test_crashes.py
+++ b/tests/test_records/test_crashes.py
@@ -64,6 +64,32 @@
         guard.broke(cluster.call(''), 't1')
         assert guard.check(cluster.call('')) is None
 
+    async def test_outage_of_many_targets_blocks_nothing(self, cluster):
+        """Guards against refused retries after the loss of a domain."""
+        guard = cluster.hosts['a'].guard
+        for number in range(4):
+            call = cluster.call('', body=b'%d' % number)
+            guard.broke(call, f't{number}')
+            guard.broke(call, f't{number + 4}')
+        await cluster.clock.advance(0.1)
+        for number in range(4):
+            call = cluster.call('', body=b'%d' % number)
+            assert guard.check(call) is None
+
+    async def test_request_that_breaks_many_targets_stays_blocked(
+        self, cluster
+    ):
+        """Guards against an outage that the request itself brings about."""
+        guard = cluster.hosts['a'].guard
+        call = cluster.call('')
+        for number in range(12):
+            guard.broke(call, f't{number}')
+            bystander = cluster.call('', body=b'%d' % number)
+            guard.broke(bystander, f't{number}')
+        assert guard.check(call).reason == 'crashes-targets'
+        await cluster.clock.advance(5)
+        assert guard.check(call).reason == 'crashes-targets'
+
     async def test_answer_clears_it_everywhere(self, cluster):
         call = cluster.call('')
         for target in ('t1', 't2'):
