--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -165,6 +165,7 @@
             dispatch=self.dispatcher.run,
             transport=self.transport,
             clock=self.clock,
+            region=self.me.region,
             can_serve=self._can_serve,
             remote_hosts=self._remote_hosts,
             link_budget=self.link_budget,
@@ -232,6 +233,8 @@
             metrics, self.caller_app, self.dispatcher.counts
         )
         metrics_lib.add_control(metrics, self.transport.counts)
+        metrics_lib.add_records(metrics, self.recorder.budget)
+        metrics_lib.add_spill(metrics, self.spill)
         return metrics
 
     def _dumps(self) -> dict[str, abc.Callable[[], object]]:
@@ -243,6 +246,12 @@
             'dispatch': lambda: self.dispatcher.counts,
             'control': lambda: self.transport.counts,
             'view': lambda: self.membership.view,
+            'lease': lambda: {
+                'valid': self.membership.lease_valid(),
+                'gains_allowed': self.membership.gains_allowed(),
+            },
+            'records': self.recorder.dump,
+            'slots': self.slots.dump,
             'domains': self.distributor.domain_status,
             'orders': self.distributor.active_orders,
             'spill': lambda: {
--- a/ragwortchute/dispatch/spill.py
+++ b/ragwortchute/dispatch/spill.py
@@ -24,6 +24,7 @@
         dispatch: Dispatches on the targets of this region.
         transport: Carries calls to hosts of other regions.
         clock: Clock of the deadlines.
+        region: Region of this host.
         can_serve: Tells whether a target of this region takes a service.
         remote_hosts: Returns hosts of other regions for a service.
         link_budget: Bytes that calls may take of the link.
@@ -39,6 +40,7 @@
         dispatch: records.Run,
         transport: peers.Transport,
         clock: clock_lib.Clock,
+        region: str,
         can_serve: abc.Callable[[str], bool],
         remote_hosts: abc.Callable[[str], list[wire.Member]],
         link_budget: budgets.LinkBudget,
@@ -46,6 +48,7 @@
         self._dispatch = dispatch
         self._transport = transport
         self._clock = clock
+        self._region = region
         self._can_serve = can_serve
         self._remote_hosts = remote_hosts
         self._link_budget = link_budget
@@ -70,6 +73,9 @@
         self, sender: str, message: wire.CallForward
     ) -> wire.CallAnswer:
         """Serves a call of another region; it is not forwarded again."""
+        homes = message.call.homes
+        if homes and self._region not in homes:
+            return wire.CallAnswer(refusal=_refusal('home-regions', sender))
         self.served += 1
         deadline_s = self._clock.monotonic() + message.remaining_ms / 1000
         call = msgspec.structs.replace(message.call, deadline_s=deadline_s)
--- a/ragwortchute/operators/metrics.py
+++ b/ragwortchute/operators/metrics.py
@@ -14,7 +14,9 @@
 
 from ragwortchute.callers import application as caller_application
 from ragwortchute.dispatch import dispatcher as dispatch
+from ragwortchute.dispatch import spill
 from ragwortchute.peers import tcp
+from ragwortchute.records import record
 
 # Labels come from this table or from documents, never from callers, so the
 # number of series is bounded.
@@ -227,6 +229,30 @@
     )
 
 
+def add_records(metrics: Metrics, budget: record.MemoryBudget) -> None:
+    """Adds the memory of the request records."""
+    metrics.add_gauge(
+        'ragwortchute_record_bytes',
+        'Memory of the request records in bytes.',
+        lambda: {'': budget.used_bytes},
+    )
+    metrics.add_gauge(
+        'ragwortchute_record_limit_bytes',
+        'Bound of the memory of the request records in bytes.',
+        lambda: {'': budget.limit_bytes},
+    )
+
+
+def add_spill(metrics: Metrics, dispatch_: spill.SpillDispatcher) -> None:
+    """Adds the calls that cross regions."""
+    metrics.add_counter(
+        'ragwortchute_spilled_calls_total',
+        'Calls forwarded between regions, by direction.',
+        lambda: {'sent': dispatch_.spilled, 'received': dispatch_.served},
+        'direction',
+    )
+
+
 def resident_bytes() -> int:
     """Returns the resident memory of this process."""
     with open(_STATM, encoding='ascii') as file:
--- a/ragwortchute/records/recorder.py
+++ b/ragwortchute/records/recorder.py
@@ -120,6 +120,18 @@
         await self._cancel_tasks()
         await self._handover.close()
 
+    def dump(self) -> dict[str, object]:
+        """Returns the number of entries by state, without their content."""
+        states: dict[str, int] = {}
+        for entry in self.record:
+            states[entry.state] = states.get(entry.state, 0) + 1
+        return {
+            'entries': states,
+            'used_bytes': self.budget.used_bytes,
+            'limit_bytes': self.budget.limit_bytes,
+            'running': len(self._tasks),
+        }
+
     async def _execute(
         self, call: calls.Call, run: records.Run, *, forwarded: bool
     ) -> records.Outcome:
--- a/ragwortchute/slots/manager.py
+++ b/ragwortchute/slots/manager.py
@@ -108,6 +108,19 @@
         """Returns the slots of a service, or None if it is unknown."""
         return self._services.get(name)
 
+    def dump(self) -> dict[str, object]:
+        """Returns serving set, waiting calls and loans of each service."""
+        return {
+            name: {
+                'hosts': service.hosts,
+                'waiting': service.waiting,
+                'lent': service.lent(),
+                'borrowed': service.borrowed(),
+                'has_slots': self.has_slots(name),
+            }
+            for name, service in sorted(self._services.items())
+        }
+
     def has_slots(self, name: str) -> bool:
         """Tells whether this host may send to a target of a service."""
         service = self._services.get(name)
