--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -278,6 +278,9 @@
   domain, and partitions longer than 4 s are not part of the matrix.
 - A process that turns cold again without notice shows nothing before its
   first overload, which breaks all its connections. That one is not counted.
+- At `connect` a host fault acts on a fixed host, which need not be the one
+  that connects. Steps are led by writes, and by one read where no large body
+  is needed.
 - Each cell runs once; a promise that breaks rarely may pass.
 """
 
