Double the limits of a cold target every ramp_s

Cause: the document reference says that concurrency and rate double in ramp_s, but the limiter reached the full slots in that time, so a target of 4 slots got its second doubling at half the age that its document stated.

Change: a step lasts ramp_s; the reference names both times. The test of the ramp now asks for 10, 20 and 30 s where it asked for 3.3 and 10 s. The harness uses one value for document and targets again.

--- a/ragwortchute/documents/__init__.py
+++ b/ragwortchute/documents/__init__.py
@@ -40,7 +40,8 @@
     Attributes:
         concurrency: Requests at once when just started.
         rate_per_s: Requests started per second when just started.
-        ramp_s: Seconds in which both double until the slots are reached.
+        ramp_s: Seconds in which both double; they go on doubling until the
+            slots are reached, so 1 to 4 takes twice this time.
     """
 
     concurrency: int = 1
--- a/ragwortchute/targets/warmup.py
+++ b/ragwortchute/targets/warmup.py
@@ -11,9 +11,9 @@
 class WarmupLimiter:
     """Limits of one ramp: concurrency and rate double step by step.
 
-    The steps have equal length and end after `ramp_s` at the full slots. A
-    step also ends only after `ANSWERS_PER_STEP` answers, and a shed goes back
-    by one step.
+    A step lasts `ramp_s`, and the last one ends at the full slots. A step also
+    ends only after `ANSWERS_PER_STEP` answers, and a shed goes back by one
+    step.
 
     Args:
         slots: Slots of the target when warm.
@@ -42,7 +42,7 @@
         self._base = cold_start
         ratio = max(1.0, slots / max(1, cold_start.concurrency))
         self._steps = max(1, math.ceil(math.log2(ratio)))
-        self._step_s = cold_start.ramp_s / self._steps
+        self._step_s = cold_start.ramp_s
         self._step = 0
         self._step_started_s = now_s
         self._answers = 0
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -35,10 +35,7 @@
 STORE_REGION = 'luzon'
 DOMAIN = 'luzon-pasig'
 ADDRESS_LIFETIME_MS = 1000
-COLD_RAMP_S = 1.0
-# A ramp from 1 to 4 slots has two steps; the document names the whole ramp,
-# the stand-in of a target the time of one doubling.
-_COLD_STEP_S = COLD_RAMP_S / 2
+COLD_RAMP_S = 0.5
 # "A few seconds" of the design is 5 s in tests; a document takes effect
 # everywhere within 7 s.
 GRACE_S = 5.0
@@ -137,7 +134,7 @@
             }
         await self._start_targets(warm=warm)
         for target in self.targets.targets.values():
-            target.behaviour.cold_ramp_s = _COLD_STEP_S
+            target.behaviour.cold_ramp_s = COLD_RAMP_S
             target.behaviour.cold_crash_s = 0.5
             target.behaviour.mean_service_s = _SERVICE_S
         self._seed_documents()
--- a/tests/test_slots/cluster.py
+++ b/tests/test_slots/cluster.py
@@ -114,7 +114,10 @@
         self.network = fakes.FakeNetwork()
         self.names = [f'h{i}' for i in range(hosts)]
         self.down = set()
-        document.setdefault('cold_start', documents.ColdStart(1, 20.0, RAMP_S))
+        # Two steps lead from 1 to 3 or 4 slots.
+        document.setdefault(
+            'cold_start', documents.ColdStart(1, 20.0, RAMP_S / 2)
+        )
         self.document = documents.ServiceDocument(
             service=SERVICE,
             targets=tuple(
--- a/tests/test_targets/test_warmup.py
+++ b/tests/test_targets/test_warmup.py
@@ -22,8 +22,9 @@
             seen.setdefault(limiter.limit, now_s)
             now_s += 0.01
         assert sorted(seen) == [1, 2, 4, 8]
-        assert seen[2] >= 10 / 3
-        assert seen[8] >= 10 - 1e-6
+        assert seen[2] >= 10 - 1e-6
+        assert seen[4] >= 20 - 1e-6
+        assert seen[8] >= 30 - 1e-6
         assert not limiter.ready(8, now_s)
 
     def test_rate_allows_no_burst(self):
