--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -102,6 +102,7 @@
             self.events,
             _check_document,
         )
+        self.transport.on_reach = self.membership.note_reach
         self.membership.digest = self.distributor.digest
         self.membership.digest_seen = self.distributor.digest_seen
         self.membership.domain_out = self.distributor.domain_out
@@ -142,6 +143,7 @@
             lifetime_ms=cfg.address_lifetime_ms,
         )
         self.directory.loaded = lambda: self.distributor.ready
+        self.directory.has_slots = self.slots.has_slots
         self.crash_guard = crashes.DigestCrashGuard(
             clock=self.clock,
             transport=self.transport,
