--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -224,7 +224,7 @@
         """Refuses nothing."""
         return None
 
-    def broke(self, call: calls.Call, target: str) -> None:
+    def broke(self, call: calls.Call, target: str, started_s: float) -> None:
         """Notes nothing."""
 
     def answered(self, call: calls.Call) -> None:
--- a/ragwortchute/codecs/messages.capnp
+++ b/ragwortchute/codecs/messages.capnp
@@ -158,6 +158,7 @@
   digest @1 :Data;
   target @2 :Text;
   cleared @3 :Bool;
+  ageMs @4 :Int64;
 }
 
 struct Leaving {
--- a/ragwortchute/dispatch/dispatcher.py
+++ b/ragwortchute/dispatch/dispatcher.py
@@ -245,7 +245,7 @@
             return got.answer
         except errors.TargetError as exc:
             report = _report_of(exc, self._clock.monotonic() - started_s)
-            self._note(call, lease.target.name, exc, progress)
+            self._note(call, lease.target.name, exc, progress, started_s)
             return None
         except LeaseUnusable:
             progress.tried -= {lease.target.name}
@@ -265,12 +265,13 @@
         target: str,
         exc: errors.TargetError,
         progress: _Progress,
+        started_s: float,
     ) -> None:
         progress.error = exc
         if not exc.not_run:
             progress.maybe_ran = True
         if isinstance(exc, errors.ConnectionLost | errors.TruncatedAnswer):
-            self._guard.broke(call, target)
+            self._guard.broke(call, target, started_s)
 
 
 class _HeldSlot:
--- a/ragwortchute/records/__init__.py
+++ b/ragwortchute/records/__init__.py
@@ -32,8 +32,14 @@
         """Returns a refusal if the request is known to crash targets."""
 
     @abc_.abstractmethod
-    def broke(self, call: calls.Call, target: str) -> None:
-        """The connection to a target broke while it ran the request."""
+    def broke(self, call: calls.Call, target: str, started_s: float) -> None:
+        """The connection to a target broke while it ran the request.
+
+        Args:
+            call: The request.
+            target: Name of the target.
+            started_s: When the attempt began, on the monotonic clock.
+        """
 
     @abc_.abstractmethod
     def answered(self, call: calls.Call) -> None:
--- a/ragwortchute/records/crashes.py
+++ b/ragwortchute/records/crashes.py
@@ -48,11 +48,13 @@
 
     Attributes:
         since_s: When the last target broke, in monotonic seconds.
+        first_s: When the first target broke, in monotonic seconds.
         targets: Targets that broke; at most `_MAX_TARGETS`.
         call_ids: Latest calls of this host that broke a target.
     """
 
     since_s: float
+    first_s: float
     targets: tuple[str, ...] = ()
     call_ids: tuple[str, ...] = ()
 
@@ -134,10 +136,10 @@
             retry_after_ms=-1,
         )
 
-    def broke(self, call: calls.Call, target: str) -> None:
+    def broke(self, call: calls.Call, target: str, started_s: float) -> None:
         """Counts a target that broke and tells the hosts of the region."""
         digest = self._digest(call)
-        suspect = self._count(digest, target)
+        suspect = self._count(digest, target, started_s)
         kept = suspect.call_ids[-(_MAX_CALL_IDS - 1) :]
         suspect.call_ids = (*kept, call.call_id)
         self._notify(
@@ -146,6 +148,7 @@
                 digest=digest,
                 target=target,
                 cleared=False,
+                age_ms=int((self._clock.monotonic() - started_s) * 1000),
             )
         )
 
@@ -174,14 +177,20 @@
             digest.update(part)
         return digest.digest()
 
-    def _count(self, digest: bytes, target: str) -> _Suspect:
+    def _count(self, digest: bytes, target: str, started_s: float) -> _Suspect:
+        """Counts a target unless its attempt began before the first break.
+
+        Equal requests that were in flight on several targets when all broke
+        prove nothing; one that was sent again and broke another target does.
+        """
         now_s = self._clock.monotonic()
         suspect = self._blocked.get(digest) or self._suspects.pop(digest, None)
         if suspect is None or suspect.since_s + BLOCK_S <= now_s:
             self._blocked.pop(digest, None)
-            suspect = _Suspect(now_s)
+            suspect = _Suspect(now_s, now_s)
         known = suspect.targets
-        if target not in known and len(known) < _MAX_TARGETS:
+        again = not known or started_s >= suspect.first_s
+        if again and target not in known and len(known) < _MAX_TARGETS:
             suspect.targets += (target,)
         self._breaks[target] = now_s
         if digest in self._blocked:
@@ -227,7 +236,8 @@
         if message.cleared:
             self._clear(message.digest)
         else:
-            self._count(message.digest, message.target)
+            started_s = self._clock.monotonic() - message.age_ms / 1000
+            self._count(message.digest, message.target, started_s)
 
     def _notify(self, notice: wire.CrashSuspect) -> None:
         if notice.cleared:
--- a/ragwortchute/wire.py
+++ b/ragwortchute/wire.py
@@ -241,12 +241,21 @@
 
 
 class CrashSuspect(Message, frozen=True):
-    """A request digest that broke a target, or that proved harmless."""
+    """A request digest that broke a target, or that proved harmless.
+
+    Attributes:
+        service: Name of the service.
+        digest: Digest of the request.
+        target: Name of the target that broke.
+        cleared: Whether the request got an answer.
+        age_ms: Milliseconds since the attempt that broke the target began.
+    """
 
     service: str
     digest: bytes
     target: str
     cleared: bool
+    age_ms: int = 0
 
 
 class CallForward(Message, frozen=True):
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -167,7 +167,7 @@
             calls.Outcome.NOT_RUN, 'crashes-targets', 'guard', 503
         )
 
-    def broke(self, call, target) -> None:
+    def broke(self, call, target, started_s) -> None:
         self.broken.append(target)
 
     def answered(self, call) -> None:
--- a/tests/test_records/test_crashes.py
+++ b/tests/test_records/test_crashes.py
@@ -38,10 +38,10 @@
 
     async def test_two_targets_on_two_hosts_block_it_everywhere(self, cluster):
         call = cluster.call('')
-        cluster.hosts['a'].guard.broke(call, 't1')
+        cluster.hosts['a'].guard.broke(call, 't1', cluster.clock.monotonic())
         await cluster.clock.advance(0.1)
         assert cluster.hosts['b'].guard.check(call) is None
-        cluster.hosts['b'].guard.broke(call, 't2')
+        cluster.hosts['b'].guard.broke(call, 't2', cluster.clock.monotonic())
         await cluster.clock.advance(0.1)
         call.call_id = 'another send'
         for name in 'abc':
@@ -54,23 +54,42 @@
     async def test_send_that_broke_a_target_is_unknown(self, cluster):
         guard = cluster.hosts['a'].guard
         call = cluster.call('')
-        guard.broke(call, 't1')
-        guard.broke(call, 't2')
+        guard.broke(call, 't1', cluster.clock.monotonic())
+        guard.broke(call, 't2', cluster.clock.monotonic())
         assert guard.check(call).outcome == 'unknown'
 
     async def test_one_target_twice_does_not_block(self, cluster):
         guard = cluster.hosts['a'].guard
-        guard.broke(cluster.call(''), 't1')
-        guard.broke(cluster.call(''), 't1')
+        guard.broke(cluster.call(''), 't1', cluster.clock.monotonic())
+        guard.broke(cluster.call(''), 't1', cluster.clock.monotonic())
         assert guard.check(cluster.call('')) is None
 
+    async def test_attempts_at_the_same_time_count_once(self, cluster):
+        """Guards against equal requests blocked after an outage.
+
+        Both were in flight when their targets broke, so the second break is
+        no effect of sending the request again.
+        """
+        guard = cluster.hosts['a'].guard
+        started_s = cluster.clock.monotonic()
+        await cluster.clock.advance(0.05)
+        guard.broke(cluster.call(''), 't1', started_s)
+        guard.broke(cluster.call(''), 't2', started_s)
+        assert guard.check(cluster.call('')) is None
+        await cluster.clock.advance(0.05)
+        cluster.hosts['b'].guard.broke(cluster.call(''), 't3', started_s)
+        await cluster.clock.advance(0.05)
+        assert guard.check(cluster.call('')) is None
+        guard.broke(cluster.call(''), 't4', cluster.clock.monotonic())
+        assert guard.check(cluster.call('')).reason == 'crashes-targets'
+
     async def test_outage_of_many_targets_blocks_nothing(self, cluster):
         """Guards against refused retries after the loss of a domain."""
         guard = cluster.hosts['a'].guard
         for number in range(4):
             call = cluster.call('', body=b'%d' % number)
-            guard.broke(call, f't{number}')
-            guard.broke(call, f't{number + 4}')
+            guard.broke(call, f't{number}', cluster.clock.monotonic())
+            guard.broke(call, f't{number + 4}', cluster.clock.monotonic())
         await cluster.clock.advance(0.1)
         for number in range(4):
             call = cluster.call('', body=b'%d' % number)
@@ -83,9 +102,9 @@
         guard = cluster.hosts['a'].guard
         call = cluster.call('')
         for number in range(12):
-            guard.broke(call, f't{number}')
+            guard.broke(call, f't{number}', cluster.clock.monotonic())
             bystander = cluster.call('', body=b'%d' % number)
-            guard.broke(bystander, f't{number}')
+            guard.broke(bystander, f't{number}', cluster.clock.monotonic())
         assert guard.check(call).reason == 'crashes-targets'
         await cluster.clock.advance(5)
         assert guard.check(call).reason == 'crashes-targets'
@@ -93,7 +112,9 @@
     async def test_answer_clears_it_everywhere(self, cluster):
         call = cluster.call('')
         for target in ('t1', 't2'):
-            cluster.hosts['a'].guard.broke(call, target)
+            cluster.hosts['a'].guard.broke(
+                call, target, cluster.clock.monotonic()
+            )
         await cluster.clock.advance(0.1)
         cluster.hosts['b'].guard.answered(call)
         await cluster.clock.advance(0.1)
@@ -104,14 +125,16 @@
     async def test_block_ends(self, cluster):
         guard = cluster.hosts['a'].guard
         for target in ('t1', 't2'):
-            guard.broke(cluster.call(''), target)
+            guard.broke(cluster.call(''), target, cluster.clock.monotonic())
         await cluster.clock.advance(crashes.BLOCK_S)
         assert guard.check(cluster.call('')) is None
-        guard.broke(cluster.call(''), 't3')
+        guard.broke(cluster.call(''), 't3', cluster.clock.monotonic())
         assert guard.check(cluster.call('')) is None
 
     async def test_nothing_leaves_the_region(self, cluster):
-        cluster.hosts['a'].guard.broke(cluster.call('', homes=('luzon',)), 't')
+        cluster.hosts['a'].guard.broke(
+            cluster.call('', homes=('luzon',)), 't', cluster.clock.monotonic()
+        )
         await cluster.clock.advance(1.0)
         assert sorted(notices(cluster)) == [('a', 'b'), ('a', 'c')]
 
@@ -121,9 +144,9 @@
         guard = cluster.hosts['a'].guard
         for i in range(200):
             call = cluster.call('', body=b'%d' % i)
-            guard.broke(call, 't1')
+            guard.broke(call, 't1', cluster.clock.monotonic())
             if i % 2:
-                guard.broke(call, 't2')
+                guard.broke(call, 't2', cluster.clock.monotonic())
         assert len(guard._suspects) <= 10
         assert len(guard._blocked) <= 5
         assert len(guard._notices) <= 128
@@ -132,14 +155,18 @@
         # 300 connections break at once; control traffic has a budget.
         guard = cluster.hosts['a'].guard
         for i in range(300):
-            guard.broke(cluster.call('', body=b'%d' % i), 't1')
+            guard.broke(
+                cluster.call('', body=b'%d' % i),
+                't1',
+                cluster.clock.monotonic(),
+            )
         await cluster.clock.advance(10.0)
         # A burst of 8 and then 2 per second, to two hosts.
         assert len(notices(cluster)) <= 2 * (8 + 2 * 10)
 
     async def test_cleared_before_its_notice_left(self, cluster):
         guard = cluster.hosts['a'].guard
-        guard.broke(cluster.call(''), 't1')
+        guard.broke(cluster.call(''), 't1', cluster.clock.monotonic())
         guard.answered(cluster.call(''))
         await cluster.clock.advance(1.0)
         sent = [m for _, _, m in cluster.network.log]
