--- a/benchmarks/slope_host.py
+++ b/benchmarks/slope_host.py
@@ -97,12 +97,24 @@
         await _warm_all(host)
         cpu = [await _idle_percent() for _ in range(_ROUNDS)]
         resident = metrics.resident_bytes() / (1 << 20)
+        pages = {
+            'status': lambda: msgspec.json.encode(host.console.status()),
+            'list': lambda: msgspec.json.encode(host.console.targets()),
+            'metrics': lambda: host.metrics.render(()),
+        }
+        times_us = {
+            name: slope_fleet.median_us(make) for name, make in pages.items()
+        }
         await host.close()
     finally:
         server.stop()
     return [
         Point(f'{series}-cpu', x, statistics.median(cpu)),
         Point(f'{series}-memory', x, resident),
+        *(
+            Point(f'{series}-{name}-cpu', x, value)
+            for name, value in times_us.items()
+        ),
     ]
 
 
