--- a/ragwortchute/slots/manager.py
+++ b/ragwortchute/slots/manager.py
@@ -26,6 +26,8 @@
 # Time between two rounds of confirmations, announcements and proofs.
 ROUND_S = 0.1
 CONNECT_ROUND_S = 0.25
+# Loan requests of this host over all services; they share the control traffic.
+REQUESTS_PER_S = 20
 # Connections that a target accepts from all hosts together.
 TARGET_CONNECTIONS = 220
 
@@ -86,6 +88,8 @@
         self._busy: set[tuple[str, ...]] = set()
         self._fast: asyncio.Task[None] | None = None
         self._connect_at_s: dict[str, float] = {}
+        self._requests = 0
+        self._requests_since_s = -1.0
         self._stopping = False
         table.on_connection_change(self._connection_changed)
         self._register(transport)
@@ -104,6 +108,31 @@
         """Returns the slots of a service, or None if it is unknown."""
         return self._services.get(name)
 
+    def dump(self) -> dict[str, object]:
+        """Returns serving set, waiting calls and loans of each service."""
+        return {
+            name: {
+                'hosts': service.hosts,
+                'waiting': service.waiting,
+                'lent': service.lent(),
+                'borrowed': service.borrowed(),
+                'has_slots': self.has_slots(name),
+            }
+            for name, service in sorted(self._services.items())
+        }
+
+    def has_slots(self, name: str) -> bool:
+        """Tells whether this host may send to a target of a service."""
+        service = self._services.get(name)
+        if service is None:
+            return False
+        now_s = self._clock.monotonic()
+        return any(
+            entry.candidate.share > 0
+            or service.warmth.may_send_cold(entry, now_s)
+            for entry in service.warmth.entries.values()
+        )
+
     def apply(self, document: documents.ServiceDocument) -> None:
         """Takes over a new version of a service document."""
         known = self._services.get(document.service)
@@ -148,8 +177,7 @@
         while busy:
             await self._clock.sleep(TICK_S)
             for service in busy:
-                service.tick()
-                self._ask_for_slots(service)
+                self._tick_service(service)
             busy = [s for s in self._services.values() if s.busy]
         self._fast = None
 
@@ -168,10 +196,19 @@
         now_s = self._clock.monotonic()
         self.view_changed()
         for service in self._services.values():
-            service.tick()
-            self._wake(service.service)
+            self._tick_service(service)
             self._round(service, now_s)
 
+    def _tick_service(self, service: service_.ServiceSlots) -> None:
+        """Does the upkeep of a service; an error must not stop the others."""
+        try:
+            service.tick()
+        except Exception:
+            logging.exception(
+                'slots: upkeep failed, service=%s', service.service
+            )
+        self._wake(service.service)
+
     # Rounds of messages.
 
     def _round(self, service: service_.ServiceSlots, now_s: float) -> None:
@@ -314,8 +351,17 @@
             self._fast = self._spawn(self._run_busy())
 
     def _ask_for_slots(self, service: service_.ServiceSlots) -> None:
+        if not service.waiting:
+            return
+        now_s = self._clock.monotonic()
+        if now_s - self._requests_since_s >= 1.0:
+            self._requests_since_s = now_s
+            self._requests = 0
+        if self._requests >= REQUESTS_PER_S:
+            return
         loan = service.loan_request()
         if loan is not None:
+            self._requests += 1
             self._spawn(self._borrow(service, loan))
 
     def _once(
--- a/tests/test_membership/test_regional.py
+++ b/tests/test_membership/test_regional.py
@@ -279,6 +279,34 @@
             kept = before[target] == after[target]
             assert owner == (after[target] if kept else '')
 
+    async def test_leaving_hosts_are_left_out_of_serving_sets(self, cluster):
+        def chosen():
+            members = cluster.hosts['h0'].membership.serving_set('s', 7)
+            return {member.host for member in members}
+
+        cluster.list_host('h5', leaving=True)
+        cluster.hosts['h0'].membership.mark_leaving('h4')
+        await cluster.advance(6)
+        assert chosen() == set(_HOSTS) - {'h4', 'h5'}
+        cluster.list_host('h5')
+        await cluster.advance(6)
+        assert 'h5' in chosen()
+
+    async def test_host_whose_process_is_gone_leaves_serving_sets_only(
+        self, cluster
+    ):
+        """Guards against a refused connection that ends a lease."""
+        members = cluster.hosts['h0'].membership
+        owner = members.owner('s', 't', 7)
+        gone = next(h for h in cluster.hosts if h != 'h0')
+        members.note_reach(gone, False)
+        chosen = [m.host for m in members.serving_set('s', 7)]
+        assert gone not in chosen
+        assert gone in [m.host for m in members.view.members]
+        assert members.owner('s', 't', 7) == owner
+        members.note_reach(gone, True)
+        assert gone in [m.host for m in members.serving_set('s', 7)]
+
     async def test_serving_set_takes_failure_domains_in_turn(self, cluster):
         for service in ('dispatch', 'billing', 'wash-till'):
             chosen = cluster.hosts['h3'].membership.serving_set(service, 3)
@@ -452,9 +480,12 @@
 
     async def test_domain_that_is_out_leaves_the_set_and_returns(self, cluster):
         before = self._set(cluster)
+        events = cluster.hosts['h1'].events
         cluster.out.add('luzon-a')
+        events.emit('domain-changed', failure_domain='luzon-a', state='out')
         assert not {h for h in self._set(cluster) if _HOSTS[h] == 'luzon-a'}
         cluster.out.clear()
+        events.emit('domain-changed', failure_domain='luzon-a', state='in')
         assert self._set(cluster) == before
 
     async def test_leaving_host_leaves_the_set(self, cluster):
