--- a/ragwortchute/membership/regional.py
+++ b/ragwortchute/membership/regional.py
@@ -43,6 +43,8 @@
 # Documents reach all hosts in 7 s; within that time hosts may hold different
 # sizes of a serving set.
 _SIZE_CHANGE_S = 10.0
+# Bounds the kept serving sets: callers may ask for services that don't exist.
+_MAX_KEPT_SETS = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,6 +190,8 @@
         """Returns the hosts of this region that serve a service."""
         key = (service, size)
         if key not in self._sets:
+            if len(self._sets) >= _MAX_KEPT_SETS:
+                self._sets.clear()
             self._sets[key] = self._find_set(service, size)
         return list(self._sets[key])
 
@@ -462,10 +466,11 @@
 
     def _find_suspected(self, now_s: float) -> frozenset[str]:
         fresh_s = now_s - self._suspect_s()
+        listeners = self._listeners()
         opinions = [
             suspects
             for host, (at_s, suspects) in self._opinions.items()
-            if at_s >= fresh_s and host in self._members
+            if at_s >= fresh_s and host in listeners
         ]
         if self._listening:
             opinions.append(frozenset(self._silent()))
@@ -476,6 +481,17 @@
             and self._heard.get(host, 0.0) < fresh_s
         )
 
+    def _listeners(self) -> set[str]:
+        """Returns the members that receive the heartbeats of all members.
+
+        Others suspect nobody because they hear nobody, so what they say
+        about a host must not count.
+        """
+        view = self._view
+        if view is None:
+            return set()
+        return {view.leader, *view.witnesses} & self._members.keys()
+
     # Readiness of a witness.
 
     def _earliest_ready_s(self) -> float:
@@ -746,12 +762,13 @@
             self.takeovers += 1
 
     def _others_hear(self, host: str, now_s: float) -> bool:
-        """Tells whether most witnesses heard from do not suspect a host."""
+        """Tells whether most listeners heard from do not suspect a host."""
         fresh_s = now_s - self._suspect_s()
+        listeners = self._listeners() - {host}
         opinions = [
             host in suspects
-            for witness, (at_s, suspects) in self._opinions.items()
-            if at_s >= fresh_s and witness != host
+            for listener, (at_s, suspects) in self._opinions.items()
+            if at_s >= fresh_s and listener in listeners
         ]
         return bool(opinions) and sum(opinions) * 2 < len(opinions)
 
