Build the documentation in the test target and count bulk bytes

Change: make test builds the pages with warnings as errors; the new counter holds bytes of documents, forwarded calls and hand-overs by direction.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
-test: lint
+test: lint docs
 	$(PY) -m pytest
 
 demo: setup
--- a/ragwortchute/operators/metrics.py
+++ b/ragwortchute/operators/metrics.py
@@ -219,6 +219,15 @@
         lambda: {'sent': counts.sent_bytes, 'received': counts.received_bytes},
         'direction',
     )
+    metrics.add_counter(
+        'ragwortchute_bulk_bytes_total',
+        'Bytes of documents, forwarded calls and hand-overs by direction.',
+        lambda: {
+            'sent': counts.bulk_sent_bytes,
+            'received': counts.bulk_received_bytes,
+        },
+        'direction',
+    )
     metrics.add_counter(
         'ragwortchute_control_cpu_seconds_total',
         'CPU time of encoding and decoding control messages in seconds.',
