--- a/standins/harness.py
+++ b/standins/harness.py
@@ -35,7 +35,7 @@
 STORE_REGION = 'luzon'
 DOMAIN = 'luzon-pasig'
 ADDRESS_LIFETIME_MS = 1000
-COLD_RAMP_S = 1.0
+COLD_RAMP_S = 0.5
 # "A few seconds" of the design is 5 s in tests; a document takes effect
 # everywhere within 7 s.
 GRACE_S = 5.0
