Bound the bytes of loans of a host over all services

Cause: a host may send 4,000 bytes/s of control traffic, of which heartbeats and documents take about 1,600. Loans took more: returns were not bounded, and each service had its own limit.

Change: all messages of loans take their encoded size plus frame from one token bucket per host (`SlotTraffic`, 2,000 bytes/s, burst of 1 s); it replaces the limit on requests. Requests, refusals and status leave 500 bytes for grants and returns. Services with the longest waits ask first. Returns of all services go to a lender in one message (`SlotReturn.more`) at most every 100 ms; slots whose return is not sent stay usable and lapse at their term. A request beyond the lender's budget lends nothing and gets no frame (`peers.UNANSWERED`), because answers to the requests of 13 hosts would exceed the budget too.

--- a/benchmarks/acquire.py
+++ b/benchmarks/acquire.py
@@ -18,8 +18,10 @@
 from ragwortchute import documents
 from ragwortchute import events
 from ragwortchute import slots
+from ragwortchute.codecs import msgpack
 from ragwortchute.slots import context
 from ragwortchute.slots import service as service_
+from ragwortchute.slots import traffic
 from ragwortchute.targets import table as table_
 from tests import fakes
 
@@ -39,6 +41,9 @@
         post=lambda host, message: None,
         wake=lambda name: None,
         events=events.EventTable(),
+        traffic=traffic.SlotTraffic(
+            clock_.SystemClock(), msgpack.MsgpackCodec()
+        ),
     )
     document = documents.ServiceDocument(
         SERVICE,
--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -15,7 +15,13 @@
 `+hedge` asks for a slot for the hedge once, when the delay has passed;
 `+hedges` asks again every 5 ms until the answer arrives.
 
+With `--services N` each host serves that many services of the scenario at the
+same time, each with its own targets and load, as many calls each and the
+same limit on control traffic. Messages and bytes are those of loans, per host
+and second, with the encoded size of each message and its frame.
+
     python -m benchmarks.queueing [--calls N] [--seed N] [--policies A,B]
+        [--services N]
 """
 
 import argparse
@@ -32,17 +38,26 @@
 
 from ragwortchute import calls
 from ragwortchute import clock as clock_
+from ragwortchute import codecs
 from ragwortchute import documents
 from ragwortchute import events
 from ragwortchute import slots
 from ragwortchute import wire
+from ragwortchute.codecs import capnp as _capnp
+from ragwortchute.peers import frames
 from ragwortchute.slots import context
 from ragwortchute.slots import service as service_
+from ragwortchute.slots import traffic
 from ragwortchute.targets import state as state_
 from ragwortchute.targets import table as table_
 from tests import fakes
 
 SERVICE = 'dispatch'
+# Imported for its registration.
+PLUG_INS = (_capnp,)
+START_S = 1000.0
+# Past the time in which an earlier process may have lent slots.
+FIRST_ARRIVAL_S = 2.0
 ONE_WAY_S = 0.001
 MEAN_S = 0.02
 # With this spread and these spells the central queue has about the p99 of an
@@ -55,6 +70,8 @@
 LOAN_S = 1.0
 HEDGE_RETRY_S = 0.005
 DEADLINE_S = 5.0
+# When a borrower gives up on a request without an answer.
+UNANSWERED_S = 0.1
 HOSTS = 4
 POLICIES = (
     'central',
@@ -84,7 +101,7 @@
     """Time of the calculation."""
 
     def __init__(self) -> None:
-        self.now_s = 1000.0
+        self.now_s = START_S
 
     def monotonic(self) -> float:
         """Returns the time of the event being processed."""
@@ -209,7 +226,7 @@
         self.hedged = False
         self.attempts: list[tuple[service_.Lease, Job, float]] = []
         self.tried: frozenset[str] = frozenset()
-        self.call = make_call(self.begun_s + DEADLINE_S)
+        self.call = make_call(service.service, self.begun_s + DEADLINE_S)
         # The work of a call is the same wherever it runs a first time; a
         # hedge draws anew, because much of the spread is in the target.
         self.service_s = model.draw_service()
@@ -332,37 +349,65 @@
     """Hosts, targets and callers of one calculation."""
 
     def __init__(
-        self, scenario: Scenario, policy: str, calls_: int, seed: int
+        self,
+        scenario: Scenario,
+        policy: str,
+        calls_: int,
+        seed: int,
+        services: int = 1,
     ) -> None:
         self.sim = Simulation(seed)
         self.scenario = scenario
         self.balancer, _, hedging = policy.partition('+')
         self.hedge = bool(hedging)
         self.retries_hedge = hedging == 'hedges'
-        self._calls = calls_
-        self._skip = calls_ // 10
+        self._names = [
+            SERVICE if i == 0 else f'{SERVICE}-{i}' for i in range(services)
+        ]
+        self._calls = calls_ * services
+        self._skip = self._calls // 10
         self._mu = math.log(MEAN_S) - SIGMA**2 / 2
         self.latencies: list[float] = []
         self._ended = 0
         self.refused = self.hedges = self.sheds = self.loans = 0
         self.messages = 0
+        self.message_bytes = 0
+        self._codec = codecs.REGISTRY.get('capnp')()
         self.colds = 0
         self._events = events.EventTable()
         self._events.connect('target-changed', self._count_cold)
         sheds = self.balancer == 'slot_shares'
         self.targets = {
-            f't{i}': SimTarget(self.sim, scenario.slots, sheds)
-            for i in range(scenario.targets)
+            target: SimTarget(self.sim, scenario.slots, sheds)
+            for name in self._names
+            for target in self._target_names(name)
         }
-        self.services: dict[str, service_.ServiceSlots] = {}
+        self.services: dict[str, dict[str, service_.ServiceSlots]] = {}
+        self.traffic: dict[str, traffic.SlotTraffic] = {}
         # Answers per second of a slot that is always busy.
         slot_rate = (1 - SLOW_PART + SLOW_PART / SLOW_FACTOR) / MEAN_S
         self._rate = (
             scenario.load * scenario.targets * scenario.slots * slot_rate
         )
 
+    def _target_names(self, service: str) -> list[str]:
+        prefix = service.removeprefix(SERVICE).lstrip('-')
+        dot = '.' if prefix else ''
+        return [f't{prefix}{dot}{i}' for i in range(self.scenario.targets)]
+
+    def _count_message(self, message: wire.Message) -> None:
+        self.messages += 1
+        self.message_bytes += (
+            len(self._codec.encode(message)) + frames.OVERHEAD_BYTES
+        )
+
+    def per_host_second(self, count: int) -> float:
+        """Returns a count per host and second since the first arrival."""
+        elapsed_s = self.sim.clock.now_s - START_S - FIRST_ARRIVAL_S
+        return count / HOSTS / elapsed_s
+
     def _count_cold(self, service: str, target: str, phase: str) -> None:
-        if self.sim.clock.now_s > 1000.0 and phase == 'warming':
+        if self.sim.clock.now_s > START_S and phase == 'warming':
             self.colds += 1
 
     def draw_service(self) -> float:
@@ -388,15 +433,18 @@
             return
         names = [f'h{i}' for i in range(HOSTS)]
         for name in names:
-            self.services[name] = self._make_service(name, names)
-        # Past the time in which an earlier process may have lent slots.
-        self.sim.clock.now_s += 2.0
+            self._make_host(name, names)
+        self.sim.clock.now_s += FIRST_ARRIVAL_S
         for i, name in enumerate(names):
             self._tick(name, TICK_S * (1 + i / HOSTS))
-        hosts = list(self.services.values())
-        self._arrive(lambda: SimCall(self, self.sim.rng.choice(hosts)).begin())
+        for service in self._names:
+            hosts = [services[service] for services in self.services.values()]
+            self._arrive(functools.partial(self._begin, hosts))
         self.sim.run()
 
+    def _begin(self, hosts: list[service_.ServiceSlots]) -> None:
+        SimCall(self, self.sim.rng.choice(hosts)).begin()
+
     def _arrive(self, begin: abc.Callable[[], None]) -> None:
         def arrival() -> None:
             self._arrive(begin)
@@ -406,30 +454,39 @@
 
     def _tick(self, name: str, delay_s: float) -> None:
         def tick() -> None:
-            self.services[name].tick()
-            self._follow_cold(name)
+            for service in self.services[name].values():
+                service.tick()
+                self._follow_cold(name, service)
+            self._return_slots(name)
             self._wake(name, SERVICE)
             self._tick(name, TICK_S)
 
         self.sim.after(delay_s, tick)
 
-    def _make_service(
-        self, name: str, names: list[str]
-    ) -> service_.ServiceSlots:
-        table = table_.TargetTable()
+    def _make_host(self, name: str, names: list[str]) -> None:
+        host_traffic = traffic.SlotTraffic(self.sim.clock, self._codec)
+        self.traffic[name] = host_traffic
         ctx = context.Context(
             clock=self.sim.clock,
             membership=fakes.FakeMembership(name, names),
-            table=table,
+            table=table_.TargetTable(),
             rng=self.sim.rng,
             domain_open=lambda domain: True,
             post=functools.partial(self._post, name),
             wake=functools.partial(self._wake, name),
             events=self._events,
             loan_s=LOAN_S,
+            traffic=host_traffic,
         )
+        self.services[name] = {}
+        for service in self._names:
+            self.services[name][service] = self._make_service(service, ctx)
+
+    def _make_service(
+        self, service_name: str, ctx: context.Context
+    ) -> service_.ServiceSlots:
         document = documents.ServiceDocument(
-            SERVICE,
+            service_name,
             tuple(
                 documents.Target(
                     target,
@@ -438,7 +495,7 @@
                     'luzon',
                     self.scenario.slots,
                 )
-                for i, target in enumerate(self.targets)
+                for i, target in enumerate(self._target_names(service_name))
             ),
             (),
             balancer=self.balancer,
@@ -446,71 +503,81 @@
         )
         service = service_.ServiceSlots(document, ctx)
         for target, entry in service.warmth.entries.items():
-            table.connection_opened(SERVICE, target)
-            notice = wire.TargetNotice(SERVICE, target, 'p0', 'warm', 1)
+            ctx.table.connection_opened(service_name, target)
+            notice = wire.TargetNotice(service_name, target, 'p0', 'warm', 1)
             service.warmth.proved(notice, entry.state.generation)
         return service
 
     def _post(self, sender: str, host: str, message: wire.Message) -> None:
-        self.messages += 1
-        service = self.services[host]
+        if isinstance(message, wire.TargetSuspect):
+            warmth = self.services[host][message.service].warmth
+            action = functools.partial(warmth.on_suspect, message)
+            self.sim.after(ONE_WAY_S, action)
+            return
+        self._count_message(message)
         if isinstance(message, wire.SlotReturn):
-            action = functools.partial(service.returned, message)
+            action = functools.partial(self._returned, host, message)
         elif isinstance(message, wire.SlotStatus):
+            service = self.services[host][message.service]
             action = functools.partial(service.peer_status, message)
         else:
-            action = functools.partial(self._other, service, sender, message)
+            raise RuntimeError(f'{sender} sent {message} to {host}')
         self.sim.after(ONE_WAY_S, action)
 
-    def _other(
-        self,
-        service: service_.ServiceSlots,
-        sender: str,
-        message: wire.Message,
-    ) -> None:
-        if isinstance(message, wire.TargetSuspect):
-            service.warmth.on_suspect(message)
-            return
-        raise RuntimeError(f'{sender} sent {message} to {service.service}')
+    def _returned(self, host: str, message: wire.SlotReturn) -> None:
+        for service in self.services[host].values():
+            service.returned(message)
 
-    def _follow_cold(self, name: str) -> None:
+    def _follow_cold(self, name: str, service: service_.ServiceSlots) -> None:
         """Lets an owner stop the others, and tell them of warm targets."""
-        warmth = self.services[name].warmth
+        warmth = service.warmth
         now_s = self.sim.clock.now_s
         for entry in warmth.to_confirm(now_s):
             notice = warmth.notice(entry, state_.Phase.COLD)
             for host in list(entry.unconfirmed):
-                other = self.services[host].warmth
+                other = self.services[host][service.service].warmth
                 if other.on_notice(name, notice).accepted:
                     warmth.confirmed(entry, host, entry.episode)
         for entry in warmth.to_announce():
             for host, incarnation in warmth.others.items():
                 if entry.informed.get(host) == incarnation:
                     continue
-                other = self.services[host].warmth
+                other = self.services[host][service.service].warmth
                 for phase in (state_.Phase.WARMING, state_.Phase.WARM):
                     other.on_notice(name, warmth.notice(entry, phase))
                 entry.informed[host] = incarnation
 
     def _wake(self, name: str, _: str) -> None:
-        service = self.services.get(name)
-        loan = service.loan_request() if service else None
-        if loan is None:
-            return
+        for loan in self.traffic[name].requests(self.services[name].values()):
+            self._ask(name, loan)
+
+    def _ask(self, name: str, loan: traffic.LoanRequest) -> None:
         sent_s = self.sim.clock.now_s
+        service = self.services[name][loan.message.service]
+        lender = self.services[loan.host][loan.message.service]
+        self._count_message(loan.message)
 
         def ask() -> None:
-            self.messages += 2
-            grant = self.services[loan.host].grant(loan.message)
+            grant = lender.grant(loan.message)
+            if grant is None:
+                self.sim.after(UNANSWERED_S - ONE_WAY_S, lambda: answer(None))
+                return
+            self._count_message(grant)
             self.loans += len(grant.slots)
             self.sim.after(ONE_WAY_S, lambda: answer(grant))
 
-        def answer(grant: wire.SlotGrant) -> None:
+        def answer(grant: wire.SlotGrant | None) -> None:
             service.granted(loan.host, grant, sent_s)
             self._wake(name, SERVICE)
 
         self.sim.after(ONE_WAY_S, ask)
 
+    def _return_slots(self, name: str) -> None:
+        now_s = self.sim.clock.now_s
+        services = self.services[name].values()
+        for item in self.traffic[name].returns(name, services, now_s):
+            self._post(name, item.host, item.message)
+
     def _run_central(self) -> None:
         free = [t for t in self.targets.values() for _ in range(t.slots)]
         waiting: collections.deque[tuple[float, float]] = collections.deque()
@@ -537,11 +604,11 @@
         sim.run()
 
 
-def make_call(deadline_s: float) -> calls.Call:
+def make_call(service: str, deadline_s: float) -> calls.Call:
     """Returns a call with a deadline."""
     return calls.Call(
         call_id='',
-        service=SERVICE,
+        service=service,
         method='GET',
         path='/',
         headers=[],
@@ -563,6 +630,7 @@
     parser.add_argument('--calls', type=int, default=100_000)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--policies', default=','.join(POLICIES))
+    parser.add_argument('--services', type=int, default=1)
     args = parser.parse_args()
     for scenario in SCENARIOS:
         print(
@@ -572,9 +640,12 @@
         print(
             f'{"policy":<20}{"p50":>7}{"p90":>7}{"p99":>7}{"p99.9":>7}'
             f'{"refused":>9}{"hedged":>8}{"shed":>7}{"lent":>7}{"cold":>6}'
+            f'{"msg/s":>7}{"B/s":>7}'
         )
         for policy in args.policies.split(','):
-            model = Model(scenario, policy, args.calls, args.seed)
+            model = Model(
+                scenario, policy, args.calls, args.seed, args.services
+            )
             model.run()
             ordered = sorted(model.latencies)
             quantiles = ''.join(
@@ -584,7 +655,9 @@
             print(
                 f'{policy:<20}{quantiles}{model.refused:>9}'
                 f'{model.hedges:>8}{model.sheds:>7}{model.loans:>7}'
-                f'{model.colds:>6}',
+                f'{model.colds:>6}'
+                f'{model.per_host_second(model.messages):>7.1f}'
+                f'{model.per_host_second(model.message_bytes):>7.0f}',
                 flush=True,
             )
 
--- a/ragwortchute/admission/__init__.py
+++ b/ragwortchute/admission/__init__.py
@@ -51,6 +51,10 @@
     def expire(self, now_s: float, service_s: float) -> list[Waiter]:
         """Removes and returns the calls that can't meet their deadline."""
 
+    @abc.abstractmethod
+    def oldest_s(self) -> float:
+        """Returns when the call that waits longest began; inf if none."""
+
     @abc.abstractmethod
     def remove(self, waiter: Waiter) -> None:
         """Removes a call that no longer waits."""
--- a/ragwortchute/admission/deadline_queue.py
+++ b/ragwortchute/admission/deadline_queue.py
@@ -35,6 +35,7 @@
         self._by_deadline: list[tuple[int, float, int]] = []
         self._by_age: dict[int, list[int]] = {}
         self._expiry: list[tuple[float, int]] = []
+        self._by_wait: list[tuple[float, int]] = []
         self._numbers: dict[int, int] = {}
         self._counts: dict[int, int] = {}
         self._overloaded = False
@@ -93,6 +94,15 @@
             self._note_late(now_s)
         return expired
 
+    def oldest_s(self) -> float:
+        """Returns when the call that waits longest began; inf if none."""
+        if not self._live:
+            return float('inf')
+        by_wait = self._by_wait
+        while by_wait[0][1] not in self._live:
+            heapq.heappop(by_wait)
+        return by_wait[0][0]
+
     def remove(self, waiter: admission.Waiter) -> None:
         """Removes a call that no longer waits."""
         number = self._numbers.get(id(waiter))
@@ -107,6 +117,7 @@
         self._counts[priority] = self._counts.get(priority, 0) + 1
         heapq.heappush(self._by_deadline, (priority, waiter.deadline_s, number))
         heapq.heappush(self._expiry, (waiter.deadline_s, number))
+        heapq.heappush(self._by_wait, (waiter.enqueued_s, number))
         self._by_age.setdefault(priority, []).append(number)
 
     def _drop(self, number: int, waiter: admission.Waiter) -> None:
@@ -115,13 +126,16 @@
         self._counts[waiter.priority] -= 1
         if not self._live:
             self._reset()
-        elif len(self._expiry) > 64 + 2 * len(self._live):
+        elif max(len(self._expiry), len(self._by_wait)) > 64 + 2 * len(
+            self._live
+        ):
             self._compact()
 
     def _reset(self) -> None:
         self._by_deadline.clear()
         self._by_age.clear()
         self._expiry.clear()
+        self._by_wait.clear()
         self._counts.clear()
         self._overloaded = False
 
@@ -132,6 +146,8 @@
         heapq.heapify(self._by_deadline)
         self._expiry = [item for item in self._expiry if item[1] in live]
         heapq.heapify(self._expiry)
+        self._by_wait = [item for item in self._by_wait if item[1] in live]
+        heapq.heapify(self._by_wait)
         for priority, numbers in self._by_age.items():
             self._by_age[priority] = [n for n in numbers if n in live]
 
--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -121,6 +121,7 @@
             table=self.table,
             upstream=self.upstream,
             domain_state=self.distributor.domain_state,
+            codec=self.transport.codec,
             rng=self.rng,
             events=self.events,
             loan_s=cfg.loan_ms / 1000,
--- a/ragwortchute/codecs/messages.capnp
+++ b/ragwortchute/codecs/messages.capnp
@@ -122,11 +122,18 @@
   spare @3 :Int64;
 }
 
+struct ReturnedSlots {
+  loanId @0 :Int64;
+  target @1 :Text;
+  count @2 :Int64;
+}
+
 struct SlotReturn {
   host @0 :Text;
   loanId @1 :Int64;
   target @2 :Text;
   count @3 :Int64;
+  more @4 :List(ReturnedSlots);
 }
 
 struct TargetNotice {
--- a/ragwortchute/peers/__init__.py
+++ b/ragwortchute/peers/__init__.py
@@ -10,6 +10,10 @@
 
 Handler = abc.Callable[[str, M], abc.Awaitable[wire.Message | None]]
 
+# Returned by a handler whose request gets no frame at all, so that the other
+# host waits until its timeout. For None it is told that there is no answer.
+UNANSWERED: wire.Message = wire.Done(accepted=False)
+
 
 class Transport(abc_.ABC):
     """Sends typed messages to other hosts and dispatches received ones."""
@@ -19,7 +23,7 @@
         """Sets the handler of a message class.
 
         The handler gets the name of the sending host and the message, and
-        returns the answer to a request, or None.
+        returns the answer to a request, None or `UNANSWERED`.
         """
 
     @abc_.abstractmethod
--- a/ragwortchute/peers/tcp.py
+++ b/ragwortchute/peers/tcp.py
@@ -577,7 +577,7 @@
     ) -> None:
         try:
             answer = await self._owner.handle(self._host, message)
-            if kind is frames.Kind.MESSAGE:
+            if kind is frames.Kind.MESSAGE or answer is peers.UNANSWERED:
                 return
             if answer is _NO_ANSWER:
                 self.enqueue(frames.Kind.NO_ANSWER, request_id, None)
--- a/ragwortchute/slots/context.py
+++ b/ragwortchute/slots/context.py
@@ -8,6 +8,7 @@
 from ragwortchute import events as events_
 from ragwortchute import membership as membership_
 from ragwortchute import wire
+from ragwortchute.slots import traffic as traffic_
 from ragwortchute.targets import table as table_
 
 
@@ -27,6 +28,7 @@
         loan_s: Term of loans, in seconds.
         hedge_percent: Hedges per 100 calls.
         retry_percent: Retries per 100 calls.
+        traffic: Budget of the messages of loans.
     """
 
     clock: clock_.Clock
@@ -37,6 +39,7 @@
     post: abc.Callable[[str, wire.Message], None]
     wake: abc.Callable[[str], None]
     events: events_.EventTable
+    traffic: traffic_.SlotTraffic
     loan_s: float = 1.0
     hedge_percent: float = 5.0
     retry_percent: float = 10.0
--- a/ragwortchute/slots/loans.py
+++ b/ragwortchute/slots/loans.py
@@ -1,6 +1,7 @@
 """Books of lent and borrowed slots."""
 
 from collections import abc
+import dataclasses
 import itertools
 import random
 
@@ -50,6 +51,14 @@
     until_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleSlots:
+    """Slots of a loan that the borrower does not need."""
+
+    loan: Loan
+    count: int
+
+
 class _Book:
     """Loans with their totals by target."""
 
@@ -113,39 +122,38 @@
         super().__init__()
         self._numbers = itertools.count(rng.getrandbits(_COUNTER_BITS))
 
+    def next_id(self, hosts: abc.Iterable[str]) -> int:
+        """Returns the id of the next loan under a serving set."""
+        number = next(self._numbers) % (1 << _COUNTER_BITS)
+        return set_digest(hosts) << _COUNTER_BITS | number
+
     def lend(
         self,
+        loan_id: int,
         host: str,
         targets: abc.Iterable[str],
         until_s: float,
-        hosts: abc.Iterable[str],
-    ) -> int:
+    ) -> None:
         """Enters one slot of each target for a borrower.
 
         Args:
+            loan_id: An id of `next_id`.
             host: The borrower.
             targets: A target name per slot.
             until_s: End of the term in seconds.
-            hosts: The serving set.
-
-        Returns:
-            The id of the loan.
         """
-        number = next(self._numbers) % (1 << _COUNTER_BITS)
-        loan_id = set_digest(hosts) << _COUNTER_BITS | number
         for target in targets:
             self.add(Loan(loan_id, host, target, 1, until_s))
-        return loan_id
 
-    def returned(self, message: wire.SlotReturn) -> bool:
+    def returned(self, host: str, returned: wire.ReturnedSlots) -> bool:
         """Enters a return; False if the loan is unknown or has expired."""
         for loan in self.loans():
             if (loan.loan_id, loan.peer, loan.target) == (
-                message.loan_id,
-                message.host,
-                message.target,
+                returned.loan_id,
+                host,
+                returned.target,
             ):
-                self.reduce(loan, message.count)
+                self.reduce(loan, returned.count)
                 return True
         return False
 
--- a/ragwortchute/slots/manager.py
+++ b/ragwortchute/slots/manager.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from ragwortchute import clock as clock_
+from ragwortchute import codecs
 from ragwortchute import documents
 from ragwortchute import errors
 from ragwortchute import events as events_
@@ -18,6 +19,7 @@
 from ragwortchute.slots import context
 from ragwortchute.slots import entry as entry_
 from ragwortchute.slots import service as service_
+from ragwortchute.slots import traffic as traffic_
 from ragwortchute.targets import state as state_
 from ragwortchute.targets import table as table_
 
@@ -26,8 +28,6 @@
 # Time between two rounds of confirmations, announcements and proofs.
 ROUND_S = 0.1
 CONNECT_ROUND_S = 0.25
-# Loan requests of this host over all services; they share the control traffic.
-REQUESTS_PER_S = 20
 # Connections that a target accepts from all hosts together.
 TARGET_CONNECTIONS = 220
 
@@ -42,11 +42,15 @@
         table: States of the targets; also the listener of `upstream`.
         upstream: Opens connections to targets.
         domain_state: Returns the state of a failure domain by name.
+        codec: Codec of the transport, for the size of messages.
         rng: Source of random choices.
         events: Events to emit.
         loan_s: Term of loans, in seconds.
         hedge_percent: Hedges per 100 calls.
         retry_percent: Retries per 100 calls.
+
+    Attributes:
+        traffic: Budget of the messages of loans.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         table: table_.TargetTable,
         upstream: upstream_.Upstream,
         domain_state: abc.Callable[[str], documents.DomainState],
+        codec: codecs.Codec,
         rng: random.Random,
         events: events_.EventTable | None = None,
         loan_s: float = 1.0,
@@ -69,6 +74,7 @@
         self._transport = transport
         self._upstream = upstream
         self._domain_state = domain_state
+        self.traffic = traffic_.SlotTraffic(clock, codec)
         self._ctx = context.Context(
             clock=clock,
             membership=membership,
@@ -78,6 +84,7 @@
             post=self._post,
             wake=self._wake,
             events=events or events_.EventTable(),
+            traffic=self.traffic,
             loan_s=loan_s,
             hedge_percent=hedge_percent,
             retry_percent=retry_percent,
@@ -88,8 +95,6 @@
         self._busy: set[tuple[str, ...]] = set()
         self._fast: asyncio.Task[None] | None = None
         self._connect_at_s: dict[str, float] = {}
-        self._requests = 0
-        self._requests_since_s = -1.0
         self._stopping = False
         table.on_connection_change(self._connection_changed)
         self._register(transport)
@@ -153,6 +158,8 @@
             await self._clock.sleep(TICK_S)
             for service in busy:
                 self._tick_service(service)
+            self._ask_for_slots()
+            self._return_slots()
             busy = [s for s in self._services.values() if s.busy]
         self._fast = None
 
@@ -173,6 +180,9 @@
         for service in self._services.values():
             self._tick_service(service)
             self._round(service, now_s)
+        self._ask_for_slots()
+        self._return_slots()
+        self._start_busy()
 
     def _tick_service(self, service: service_.ServiceSlots) -> None:
         """Does the upkeep of a service; an error must not stop the others."""
@@ -182,7 +192,6 @@
             logging.exception(
                 'slots: upkeep failed, service=%s', service.service
             )
-        self._wake(service.service)
 
     # Rounds of messages.
 
@@ -292,7 +301,7 @@
             entry.informed[host] = incarnation
 
     async def _borrow(
-        self, service: service_.ServiceSlots, loan: service_.LoanRequest
+        self, service: service_.ServiceSlots, loan: traffic_.LoanRequest
     ) -> None:
         sent_s = self._clock.monotonic()
         grant = await self._ask(loan.host, loan.message)
@@ -318,27 +327,30 @@
 
     def _wake(self, name: str) -> None:
         """Asks for slots and for frequent upkeep if calls of a service wait."""
-        service = self._services.get(name)
-        if service is None:
-            return
-        self._ask_for_slots(service)
-        if self._fast is None and service.busy:
+        if name in self._services:
+            self._ask_for_slots()
+            self._start_busy()
+
+    def _start_busy(self) -> None:
+        if self._fast is None and any(
+            service.busy for service in self._services.values()
+        ):
             self._fast = self._spawn(self._run_busy())
 
-    def _ask_for_slots(self, service: service_.ServiceSlots) -> None:
-        if not service.waiting:
-            return
-        now_s = self._clock.monotonic()
-        if now_s - self._requests_since_s >= 1.0:
-            self._requests_since_s = now_s
-            self._requests = 0
-        if self._requests >= REQUESTS_PER_S:
-            return
-        loan = service.loan_request()
-        if loan is not None:
-            self._requests += 1
+    def _ask_for_slots(self) -> None:
+        for loan in self.traffic.requests(self._services.values()):
+            service = self._services[loan.message.service]
             self._spawn(self._borrow(service, loan))
 
+    def _return_slots(self) -> None:
+        returns = self.traffic.returns(
+            self._membership.me.host,
+            self._services.values(),
+            self._clock.monotonic(),
+        )
+        for loan_return in returns:
+            self._post(loan_return.host, loan_return.message)
+
     def _once(
         self, key: tuple[str, ...], coro: abc.Coroutine[None, None, None]
     ) -> None:
@@ -380,18 +392,19 @@
 
     async def _on_request(
         self, host: str, message: wire.SlotRequest
-    ) -> wire.SlotGrant:
+    ) -> wire.Message:
         service = self._services.get(message.service)
         if service is None or message.host != host:
-            return wire.SlotGrant(0, 0, ())
-        return service.grant(message)
+            grant = self.traffic.refusal()
+        else:
+            grant = service.grant(message)
+        return peers.UNANSWERED if grant is None else grant
 
     async def _on_return(self, host: str, message: wire.SlotReturn) -> None:
         if message.host != host:
             return
         for service in self._services.values():
-            if service.returned(message):
-                return
+            service.returned(message)
 
     async def _on_notice(
         self, host: str, message: wire.TargetNotice
--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -26,6 +26,7 @@
 from ragwortchute.slots import entry as entry_
 from ragwortchute.slots import loans
 from ragwortchute.slots import shares
+from ragwortchute.slots import traffic
 from ragwortchute.slots import warmth as warmth_
 from ragwortchute.targets import state as state_
 
@@ -72,14 +73,6 @@
     at_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoanRequest:
-    """A request for slots, and the host to send it to."""
-
-    host: str
-    message: wire.SlotRequest
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Pending:
     """A call that waits, as the token of its waiter.
@@ -180,6 +173,8 @@
         self._balancer = self._make_balancer(document)
         self._lent = loans.LentBook(ctx.rng)
         self._borrowed = loans.BorrowedBook()
+        # Granted slots that can't be used here; they are only returned.
+        self._unusable: list[loans.Loan] = []
         now_s = ctx.clock.monotonic()
         # An earlier process of this host may have lent its slots.
         self._own_from_s = now_s + ctx.loan_s * loans.LENDER_MARGIN
@@ -259,6 +254,10 @@
         """How many calls wait for a slot."""
         return len(self._queue)
 
+    def waiting_since_s(self) -> float:
+        """Returns when the call that waits longest began to wait."""
+        return self._queue.oldest_s()
+
     # Taking slots.
 
     def take_free(self, exclude: frozenset[str], now_s: float) -> Lease | None:
@@ -591,9 +590,14 @@
     @property
     def busy(self) -> bool:
         """Whether calls wait or slots are lent or borrowed."""
-        return bool(self._queue) or self.borrowed() > 0 or self.lent() > 0
+        return (
+            bool(self._queue)
+            or bool(self._unusable)
+            or self.borrowed() > 0
+            or self.lent() > 0
+        )
 
-    def loan_request(self) -> LoanRequest | None:
+    def loan_request(self) -> traffic.LoanRequest | None:
         """Returns whom to ask for slots, and the request, if it is time."""
         now_s = self._clock.monotonic()
         waiting = len(self._queue)
@@ -615,11 +619,15 @@
         )
         if spare <= 0:
             return None
-        self._last_request_s = now_s
-        self._requesting = True
         count = int(min(waiting, max(spare, 1), LOAN_REQUEST_MAX))
         message = wire.SlotRequest(self._me, self.service, count)
-        return LoanRequest(host, message)
+        if not self._ctx.traffic.try_spend(
+            message, reserve_bytes=traffic.RESERVE_BYTES
+        ):
+            return None
+        self._last_request_s = now_s
+        self._requesting = True
+        return traffic.LoanRequest(host, message)
 
     def _spare_of(self, host: str, now_s: float) -> int:
         """Returns what a host is thought to have spare.
@@ -634,33 +642,40 @@
             return 1
         return known.spare
 
-    def grant(self, request: wire.SlotRequest) -> wire.SlotGrant:
-        """Lends free slots to another host of the serving set."""
+    def grant(self, request: wire.SlotRequest) -> wire.SlotGrant | None:
+        """Lends free slots to another host of the serving set.
+
+        Returns:
+            The loan, or None if the budget does not permit an answer; nothing
+            is lent then.
+        """
         now_s = self._clock.monotonic()
-        term_ms = int(self._ctx.loan_s * 1000)
         names = self._lendable(now_s) if not self._queue else []
         if request.host not in self.hosts or not names:
             self._last_spare = 0
-            return wire.SlotGrant(0, term_ms, ())
+            return self._ctx.traffic.refusal()
         self._ctx.rng.shuffle(names)
         count = max(0, min(request.count, (len(names) + 1) // 2))
         lent = names[:count]
-        until_s = now_s + self._ctx.loan_s * loans.LENDER_MARGIN
-        loan_id = self._lent.lend(request.host, lent, until_s, self.hosts)
-        for name in lent:
-            self._refresh(self._entries[name])
-        if len(lent) == len(names):
-            # The borrower now knows of none, so it must hear of new ones.
-            self._last_spare = 0
-        return wire.SlotGrant(
-            loan_id=loan_id,
-            term_ms=term_ms,
+        grant = wire.SlotGrant(
+            loan_id=self._lent.next_id(self.hosts),
+            term_ms=int(self._ctx.loan_s * 1000),
             slots=tuple(
                 wire.LentSlots(name, self._entries[name].state.incarnation, 1)
                 for name in lent
             ),
             spare=len(names) - len(lent),
         )
+        if not self._ctx.traffic.try_spend(grant):
+            return None
+        until_s = now_s + self._ctx.loan_s * loans.LENDER_MARGIN
+        self._lent.lend(grant.loan_id, request.host, lent, until_s)
+        for name in lent:
+            self._refresh(self._entries[name])
+        if len(lent) == len(names):
+            # The borrower now knows of none, so it must hear of new ones.
+            self._last_spare = 0
+        return grant
 
     def granted(
         self, host: str, grant: wire.SlotGrant | None, sent_s: float
@@ -693,23 +708,23 @@
                 or not entry.state.proved_warm()
                 or entry.state.incarnation != lent.incarnation
             ):
-                self._give_back(loan, lent.count)
+                self._unusable.append(loan)
                 continue
             self._borrowed.add(loan)
             self._refresh(entry)
         if self._queue:
             self._pump(now_s)
 
-    def returned(self, message: wire.SlotReturn) -> bool:
-        """Takes a lent slot back; False if the loan is not of this service."""
-        if not self._lent.returned(message):
-            return False
-        entry = self._entries.get(message.target)
-        if entry is not None:
-            self._refresh(entry)
+    def returned(self, message: wire.SlotReturn) -> None:
+        """Takes lent slots back; those of other services are ignored."""
+        for slots_ in message.all():
+            if not self._lent.returned(message.host, slots_):
+                continue
+            entry = self._entries.get(slots_.target)
+            if entry is not None:
+                self._refresh(entry)
         if self._queue:
             self._pump(self._clock.monotonic())
-        return True
 
     def peer_status(self, message: wire.SlotStatus) -> None:
         """Notes the spare slots of another host."""
@@ -719,24 +734,32 @@
             if self._queue and message.spare:
                 self._ctx.wake(self.service)
 
-    def _give_back(self, loan: loans.Loan, count: int) -> None:
-        message = wire.SlotReturn(self._me, loan.loan_id, loan.target, count)
-        self._ctx.post(loan.peer, message)
-
-    def _return_idle(self, now_s: float) -> None:
-        """Returns borrowed slots that are not in use and not needed."""
-        if self._queue:
-            return
+    def idle_loans(self) -> list[loans.IdleSlots]:
+        """Returns the borrowed slots that are not in use and not needed."""
+        idle = [loans.IdleSlots(loan, loan.count) for loan in self._unusable]
+        if self._queue or not self._borrowed or not self._balancer.bounded:
+            return idle
+        counted: dict[str, int] = {}
         for loan in self._borrowed.loans():
             entry = self._entries.get(loan.target)
-            free = loan.count
+            count = loan.count
             if entry is not None:
                 free = entry.candidate.share - entry.candidate.in_flight
-            count = self._borrowed.reduce(loan, free)
-            if count:
-                self._give_back(loan, count)
-                if entry is not None:
-                    self._refresh(entry)
+                count = min(count, free - counted.get(loan.target, 0))
+            if count > 0:
+                counted[loan.target] = counted.get(loan.target, 0) + count
+                idle.append(loans.IdleSlots(loan, count))
+        return idle
+
+    def give_back(self, idle: loans.IdleSlots) -> None:
+        """Stops using borrowed slots whose return is sent."""
+        if idle.loan in self._unusable:
+            self._unusable.remove(idle.loan)
+            return
+        self._borrowed.reduce(idle.loan, idle.count)
+        entry = self._entries.get(idle.loan.target)
+        if entry is not None:
+            self._refresh(entry)
 
     def _send_status(self, now_s: float) -> None:
         if now_s - self._last_status_s < STATUS_INTERVAL_S:
@@ -744,14 +767,18 @@
         spare = self.spare(now_s)
         if (spare > 0) == (self._last_spare > 0):
             return
-        self._last_status_s = now_s
-        self._last_spare = spare
         message = wire.SlotStatus(
             self._me, self.service, spare, len(self._queue)
         )
-        for host in self.hosts:
-            if host != self._me:
-                self._ctx.post(host, message)
+        others = [host for host in self.hosts if host != self._me]
+        self._last_status_s = now_s
+        if not self._ctx.traffic.try_spend(
+            message, len(others), reserve_bytes=traffic.RESERVE_BYTES
+        ):
+            return
+        self._last_spare = spare
+        for host in others:
+            self._ctx.post(host, message)
 
     def holding(self, target: str) -> int:
         """Returns the slots of a warm target that this host may use."""
@@ -899,10 +926,13 @@
                 waiter.token.done(_refuse('deadline', 'no slot in time'))
             self._pump(now_s)
         if self._balancer.bounded:
-            self._return_idle(now_s)
             self._send_status(now_s)
 
     def _expire_loans(self, now_s: float) -> None:
+        if self._unusable:
+            self._unusable = [
+                loan for loan in self._unusable if now_s < loan.until_s
+            ]
         for name in self._lent.expire(now_s) + self._borrowed.expire(now_s):
             if name in self._entries:
                 self._refresh(self._entries[name])
--- a/ragwortchute/wire.py
+++ b/ragwortchute/wire.py
@@ -191,13 +191,35 @@
     spare: int = 0
 
 
+class ReturnedSlots(msgspec.Struct, frozen=True):
+    """Slots of one target in one loan that are returned."""
+
+    loan_id: int
+    target: str
+    count: int
+
+
 class SlotReturn(Message, frozen=True):
-    """Returns one slot of a target before its term."""
+    """Returns slots before their term.
+
+    Attributes:
+        host: The borrower.
+        loan_id: Id of the first loan.
+        target: Name of its target.
+        count: How many of its slots are returned.
+        more: Further slots of the same lender, of any service.
+    """
 
     host: str
     loan_id: int
     target: str
     count: int
+    more: tuple[ReturnedSlots, ...] = ()
+
+    def all(self) -> tuple[ReturnedSlots, ...]:
+        """Returns everything that is returned."""
+        first = ReturnedSlots(self.loan_id, self.target, self.count)
+        return (first, *self.more)
 
 
 class TargetNotice(Message, frozen=True):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -74,7 +74,7 @@
         lost = (host, self.host) in self.network.lose_answers
         if lost or not self.network.reachable(host, self.host):
             raise errors.PeerTimeout('no answer', step='request', peer=host)
-        if answer is None:
+        if answer is None or answer is peers.UNANSWERED:
             raise errors.PeerTimeout('no answer', step='request', peer=host)
         return answer
 
--- a/tests/test_admission/test_deadline_queue.py
+++ b/tests/test_admission/test_deadline_queue.py
@@ -22,6 +22,24 @@
         assert order == [9, 2, 3]
         assert queue.take(0.01) is None
 
+    def test_oldest_wait(self):
+        """Guards against an age taken from a call that left the queue."""
+        queue = deadline_queue.DeadlineQueue(999)
+        assert queue.oldest_s() == float('inf')
+        waiters = [waiter(i / 1000, 9 - i / 1000) for i in range(300)]
+        for item in waiters:
+            assert queue.offer(item, 0) == ''
+        assert queue.oldest_s() == 0
+        for item in waiters[:250]:
+            queue.remove(item)
+        assert queue.oldest_s() == waiters[250].enqueued_s
+        # Offered again, a call keeps its age.
+        assert queue.offer(waiters[100], 0) == ''
+        assert queue.oldest_s() == waiters[100].enqueued_s
+        while queue.take(1.0):
+            pass
+        assert queue.oldest_s() == float('inf')
+
     def test_refuses_what_cannot_be_served(self):
         """Guards against calls that wait although they must fail."""
         queue = deadline_queue.DeadlineQueue(9)
--- a/tests/test_peers/test_tcp.py
+++ b/tests/test_peers/test_tcp.py
@@ -8,6 +8,7 @@
 from ragwortchute import clock
 from ragwortchute import codecs
 from ragwortchute import errors
+from ragwortchute import peers
 from ragwortchute import wire
 from ragwortchute.codecs import capnp  # noqa: F401
 from ragwortchute.peers import frames
@@ -206,6 +207,22 @@
 class TestRequests:
     """An answer reaches its own request or none."""
 
+    async def test_unanswered_request_costs_no_frame(self, pair):
+        """Guards against refusals that exceed the budget of a host."""
+        await pair.setup()
+        assert await pair.ask(1) == 1
+        sent = pair.b.counts.sent_messages
+
+        async def unanswered(host, message):
+            return peers.UNANSWERED
+
+        pair.b.on(wire.SlotRequest, unanswered)
+        with pytest.raises(errors.PeerTimeout):
+            await pair.ask(2, timeout_s=0.05)
+        assert pair.b.counts.sent_messages == sent
+        pair.b.on(wire.SlotRequest, pair.answer)
+        assert await pair.ask(3) == 3
+
     async def test_late_answer_never_reaches_another_request(self, pair):
         await pair.setup()
         release = asyncio.Event()
--- a/tests/test_slots/cluster.py
+++ b/tests/test_slots/cluster.py
@@ -8,6 +8,7 @@
 from ragwortchute import documents
 from ragwortchute import slots
 from ragwortchute import upstream
+from ragwortchute.codecs import capnp
 from ragwortchute.slots import manager
 from ragwortchute.targets import table as table_
 from tests import fakes
@@ -76,6 +77,7 @@
             domain_state=lambda name: documents.DomainState(
                 'out' if name in self.domains_out else 'in'
             ),
+            codec=capnp.CapnpCodec(),
             rng=random.Random(seed),
         )
         self.manager.apply(cluster.document)
