Send only probes to targets that answer 5xx far more often

Cause: a target that fails fast is free again at once, so it gets more calls than the healthy ones. Its short latencies also lower its averages, so that normal answers after its recovery could pass for a cold start.

Change: `AttemptReport.status` carries the HTTP status (0 without an answer). A target with a share of 5xx among its last 32 answers, of at least 16, of 0.3 or more above the median of the service's other targets keeps one slot and gets one call per 100 ms, at low load too, until the difference is below 0.15. If all targets fail, none is marked. A 5xx quicker than the target's average is not counted as a latency. Only policies bounded by shares do this, as for slow targets. A 5xx stays the caller's answer.

--- a/ragwortchute/dispatch/dispatcher.py
+++ b/ragwortchute/dispatch/dispatcher.py
@@ -240,6 +240,7 @@
                 got.incarnation,
                 got.running,
                 got.draining,
+                got.answer.status,
             )
             self._guard.answered(call)
             return got.answer
--- a/ragwortchute/slots/__init__.py
+++ b/ragwortchute/slots/__init__.py
@@ -30,6 +30,7 @@
         incarnation: Header `Target-Incarnation`, or an empty string.
         running: Running requests by header `Target-Load`; -1 if absent.
         draining: Whether the target said that it is draining.
+        status: HTTP status of the answer; 0 if there is none.
     """
 
     kind: AttemptKind
@@ -37,6 +38,7 @@
     incarnation: str = ''
     running: int = -1
     draining: bool = False
+    status: int = 0
 
 
 class SlotLease(abc.ABC):
--- a/ragwortchute/slots/entry.py
+++ b/ragwortchute/slots/entry.py
@@ -34,7 +34,8 @@
         owned: Whether this host is the owner.
         own: Slots that the serving set gives to this host.
         slow: Whether the target is much slower than its service.
-        probe_s: Earliest time of the next probe of a slow target.
+        failing: Whether the target answers 5xx far more often than the others.
+        probe_s: Earliest time of the next probe of a slow or failing target.
         backoff_s: No new work before this time, after a failed connection.
         episode: Counts the times this host stopped using the target; a lease
             of an earlier episode is unusable.
@@ -57,6 +58,7 @@
     owned: bool = False
     own: int = 0
     slow: bool = False
+    failing: bool = False
     probe_s: float = 0.0
     backoff_s: float = 0.0
     episode: int = 0
@@ -70,6 +72,11 @@
     informed: dict[str, int] = dataclasses.field(default_factory=dict)
     reannounce_s: float = -1.0
 
+    @property
+    def preferred(self) -> bool:
+        """Whether the target is neither slow nor failing."""
+        return not self.slow and not self.failing
+
     def overflow_free(self, now_s: float) -> bool:
         """Tells whether one request beyond the share may be tried."""
         state = self.state
--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -28,6 +28,7 @@
 from ragwortchute.slots import shares
 from ragwortchute.slots import traffic
 from ragwortchute.slots import warmth as warmth_
+from ragwortchute.targets import failures
 from ragwortchute.targets import state as state_
 
 # Imported for their registration.
@@ -62,6 +63,7 @@
 _HEDGE_REFRESH = 64
 _HEDGE_QUANTILE = 0.95
 _FIRST_LATENCY_S = 0.02
+_FIRST_FAILURE_STATUS = 500
 _NONE: frozenset[str] = frozenset()
 
 
@@ -168,7 +170,9 @@
         self._document = document
         self._entries: dict[str, entry_.Entry] = {}
         self._free: dict[str, balancers.Candidate] = {}
+        # Free slots of targets that are slow or failing.
         self._slow_free: dict[str, balancers.Candidate] = {}
+        self._failing: dict[str, entry_.Entry] = {}
         self._queue = self._make_queue(document)
         self._balancer = self._make_balancer(document)
         self._lent = loans.LentBook(ctx.rng)
@@ -264,6 +268,10 @@
         """Takes a slot that is free now, or returns None."""
         if self._borrowed:
             self._expire_loans(now_s)
+        if self._failing:
+            entry = self._due_probe(exclude, now_s)
+            if entry is not None:
+                return self._probe(entry, now_s)
         free = self._free
         while free:
             if exclude:
@@ -324,11 +332,36 @@
     def _take_slow(self, exclude: frozenset[str], now_s: float) -> Lease | None:
         """Takes a slot of a slow target if waiting would take longer."""
         entry = self._slow_choice(exclude, now_s)
-        if entry is None:
-            return None
+        return None if entry is None else self._probe(entry, now_s)
+
+    def _probe(self, entry: entry_.Entry, now_s: float) -> Lease:
         entry.probe_s = now_s + PROBE_INTERVAL_S
         return self._take(entry, now_s)
 
+    def _due_probe(
+        self, exclude: frozenset[str], now_s: float
+    ) -> entry_.Entry | None:
+        """Returns a failing target whose next probe is due.
+
+        It is probed although others have free slots: at low load nothing else
+        would show that it recovered.
+        """
+        for name, entry in self._failing.items():
+            if (
+                name in self._slow_free
+                and name not in exclude
+                and now_s >= entry.probe_s
+            ):
+                return entry
+        return None
+
+    def _only_probed(self, entry: entry_.Entry) -> bool:
+        """Tells whether a target is failing while another one is not."""
+        return entry.failing and any(
+            other.open and not other.failing and other.state.proved_warm()
+            for other in self._entries.values()
+        )
+
     def _slow_choice(
         self, exclude: frozenset[str], now_s: float
     ) -> entry_.Entry | None:
@@ -338,9 +371,13 @@
         number of fast slots, so that this much time per waiting call is lost
         by waiting.
         """
+        if self._failing:
+            due = self._due_probe(exclude, now_s)
+            if due is not None:
+                return due
         best = None
         for name, candidate in self._slow_free.items():
-            if name in exclude:
+            if name in exclude or self._only_probed(self._entries[name]):
                 continue
             if best is None or candidate.latency_ms < best.latency_ms:
                 best = candidate
@@ -359,11 +396,11 @@
         )
 
     def _slots_held(self) -> int:
-        """Returns the slots of this host on targets that are not slow."""
+        """Returns the slots of this host on targets to be preferred."""
         return sum(
             entry.candidate.share
             for entry in self._entries.values()
-            if not entry.slow
+            if entry.preferred
         )
 
     def _take_overflow(
@@ -382,7 +419,7 @@
             for name, entry in self._entries.items()
             if name not in exclude
             and entry.open
-            and not entry.slow
+            and entry.preferred
             and entry.overflow_free(now_s)
         ]
         if not fitting:
@@ -468,7 +505,15 @@
         state.note_report(report.running, now_s)
         kind = report.kind
         if kind is Kind.ANSWERED:
-            self._note_latency(entry, report.latency_s, current)
+            failed = report.status >= _FIRST_FAILURE_STATUS
+            # A target that fails fast must not pass for a quick one; after
+            # its recovery, normal answers would look like a cold start.
+            if not failed or 0 < state.fast_s <= report.latency_s:
+                self._note_latency(entry, report.latency_s, current)
+            if current and report.status:
+                state.answers.note(failed)
+                if failed or entry.failing:
+                    self._judge_failures(entry, now_s)
             self.warmth.answered(entry, report, now_s, current=current)
         elif kind is Kind.SHED:
             if current and not lease.overflow:
@@ -538,11 +583,13 @@
             if entry.slow and share > 1:
                 part = self._median_s / max(state.fast_s, self._median_s)
                 share = max(1, int(share * part))
+            if entry.failing:
+                share = min(share, 1)
         else:
             share = state.target.slots
         candidate.share = share
         if candidate.in_flight < share:
-            bucket = self._slow_free if entry.slow else self._free
+            bucket = self._free if entry.preferred else self._slow_free
             bucket[name] = candidate
 
     def _judge_speed(self, entry: entry_.Entry) -> None:
@@ -554,6 +601,26 @@
             entry.probe_s = now_s + PROBE_INTERVAL_S
         entry.slow = slow and self._balancer.bounded
 
+    def _judge_failures(self, entry: entry_.Entry, now_s: float) -> None:
+        """Marks a target as failing, or as recovered."""
+        others = [
+            other.state.answers
+            for other in self._entries.values()
+            if other is not entry and other.open
+        ]
+        failing = self._balancer.bounded and failures.is_failing(
+            entry.state.answers, others, failing=entry.failing
+        )
+        if failing is entry.failing:
+            return
+        entry.failing = failing
+        if failing:
+            entry.probe_s = now_s + PROBE_INTERVAL_S
+            self._failing[entry.candidate.name] = entry
+        else:
+            self._failing.pop(entry.candidate.name, None)
+        self._refresh(entry)
+
     def _update_speed(self, now_s: float) -> None:
         self._speed_at_s = now_s
         known = [
@@ -568,6 +635,8 @@
             self._judge_speed(entry)
             if entry.slow is not before:
                 self._refresh(entry)
+        for entry in list(self._failing.values()):
+            self._judge_failures(entry, now_s)
 
     # Loans.
 
@@ -817,6 +886,11 @@
                 entry = entry_.make_entry(state)
             self._entries[name] = entry
         self.warmth.entries = self._entries
+        self._failing = {
+            name: entry
+            for name, entry in self._entries.items()
+            if entry.failing
+        }
         for bucket in (self._free, self._slow_free):
             for name in set(bucket) - set(self._entries):
                 del bucket[name]
--- a/ragwortchute/targets/state.py
+++ b/ragwortchute/targets/state.py
@@ -4,6 +4,7 @@
 
 from ragwortchute import balancers
 from ragwortchute import documents
+from ragwortchute.targets import failures
 from ragwortchute.targets import warmup
 
 # The fast average follows a change of speed within about 4 answers, the slow
@@ -38,6 +39,7 @@
         limiter: Limits of the ramp, at its owner.
         candidate: In-flight count, share and latency for the balancer.
         overflow: Requests of this host beyond its share.
+        answers: Which of the last answers were 5xx.
         last_answer_s: When the last answer came; negative before the first.
         last_dispatch_s: When the request of the last answer was sent.
         slow_streak: Slow answers in a row.
@@ -48,6 +50,7 @@
         '_fast_s',
         '_reported_at_s',
         '_slow_s',
+        'answers',
         'candidate',
         'connections',
         'generation',
@@ -81,6 +84,7 @@
             connected=False,
         )
         self.overflow = 0
+        self.answers = failures.RecentAnswers()
         self.last_answer_s = -1.0
         self.last_dispatch_s = -1.0
         self.slow_streak = 0
@@ -139,6 +143,7 @@
         self.proved_generation = -1
         self.slow_streak = 0
         self.shed_streak = 0
+        self.answers.clear()
         self._fast_s = 0.0
         self._slow_s = 0.0
         self.candidate.latency_ms = 0.0
--- a/tests/test_dispatch/test_dispatcher.py
+++ b/tests/test_dispatch/test_dispatcher.py
@@ -41,7 +41,8 @@
             raise
         if isinstance(step, type):
             raise step('scripted', step='answer', peer=target.name)
-        return upstream.TargetAnswer(calls.Answer(200, [], b'', target.name))
+        status = step if isinstance(step, int) else 200
+        return upstream.TargetAnswer(calls.Answer(status, [], b'', target.name))
 
     async def keep_open(self, service, target, connections):
         return 0
@@ -77,6 +78,19 @@
         return [lease.reports[0].kind for lease in self.source.leases]
 
 
+class TestStatus:
+    """The HTTP status of an answer."""
+
+    async def test_failure_is_the_answer_and_is_reported(self):
+        """Guards against a second execution after 5xx, or a lost status."""
+        setup = Setup(FakeSender(t1=500))
+        outcome = await setup.run(idempotent=True)
+        assert outcome.unwrap().status == 500
+        assert setup.sender.sent == ['t1']
+        assert setup.kinds() == [slots.AttemptKind.ANSWERED]
+        assert setup.source.leases[0].reports[0].status == 500
+
+
 class TestRetries:
     """Further attempts on other targets."""
 
--- a/tests/test_slots/test_manager.py
+++ b/tests/test_slots/test_manager.py
@@ -355,6 +355,101 @@
             assert state.candidate.share == 2
 
 
+class TestFailing:
+    """Targets that answer 5xx, most of the time faster than the others."""
+
+    async def load(self, cluster, seconds, failing):
+        """Sends all that h0 may send; returns the calls per target."""
+        counts = dict.fromkeys(cluster.processes, 0)
+        running = []
+        for _ in range(round(seconds / 0.005)):
+            for request in list(running):
+                target = request.lease.target.name
+                bad = target in failing
+                age_s = cluster.clock.monotonic() - request.begun_s
+                if bad or age_s >= 0.02 - 1e-6:
+                    running.remove(request)
+                    cluster.answer(request, status=500 if bad else 200)
+            while request := cluster.send('h0'):
+                counts[request.lease.target.name] += 1
+                running.append(request)
+            await cluster.clock.advance(0.005)
+        for request in running:
+            bad = request.lease.target.name in failing
+            cluster.answer(request, status=500 if bad else 200)
+        return counts
+
+    def shares(self, cluster):
+        host = cluster.hosts['h0']
+        return [host.state(t).candidate.share for t in cluster.processes]
+
+    async def test_one_failing_target_is_only_probed(self):
+        """Guards against work that a target attracts by failing fast."""
+        async with cluster_.Cluster(hosts=2, targets=4, slots_=4) as cluster:
+            await cluster.warm_up()
+            await self.load(cluster, 1.0, ())
+            before = self.shares(cluster)
+            await self.load(cluster, 0.3, {'t1'})
+            counts = await self.load(cluster, 2.0, {'t1'})
+            assert 10 <= counts['t1'] <= 21
+            assert min(counts[t] for t in ('t0', 't2', 't3')) > 100
+            assert self.shares(cluster) == [before[0], 1, *before[2:]]
+
+    async def test_failing_target_recovers(self):
+        """Guards against a target that stays without work, or turns cold."""
+        async with cluster_.Cluster(hosts=2, targets=4, slots_=4) as cluster:
+            await cluster.warm_up()
+            await self.load(cluster, 1.0, ())
+            before = self.shares(cluster)
+            await self.load(cluster, 3.0, {'t1'})
+            assert self.shares(cluster) != before
+            await self.load(cluster, 5.0, ())
+            assert self.shares(cluster) == before
+            assert cluster.hosts['h0'].state('t1').proved_warm()
+            counts = await self.load(cluster, 1.0, ())
+            assert counts['t1'] > 50
+
+    async def test_recovers_while_others_have_free_slots(self):
+        """Guards against a target that is never probed at low load."""
+        async with cluster_.Cluster(hosts=2, targets=4, slots_=4) as cluster:
+            await cluster.warm_up()
+            await self.load(cluster, 1.0, ())
+            before = self.shares(cluster)
+            await self.load(cluster, 1.0, {'t1'})
+            assert self.shares(cluster) != before
+            for _ in range(200):
+                request = cluster.send('h0')
+                await cluster.clock.advance(0.025)
+                cluster.answer(request, status=200)
+            assert self.shares(cluster) == before
+
+    async def test_all_failing_changes_nothing(self):
+        """Guards against a service that loses its slots by its own answers."""
+        async with cluster_.Cluster(hosts=2, targets=4, slots_=4) as cluster:
+            await cluster.warm_up()
+            await self.load(cluster, 1.0, ())
+            before = self.shares(cluster)
+            counts = await self.load(cluster, 2.0, set(cluster.processes))
+            assert self.shares(cluster) == before
+            assert min(counts.values()) > 100
+            counts = await self.load(cluster, 1.0, ())
+            assert min(counts.values()) > 50
+
+    async def test_few_answers_change_nothing(self):
+        """Guards against a verdict on a target by a few answers."""
+        async with cluster_.Cluster(hosts=2, targets=4, slots_=4) as cluster:
+            await cluster.warm_up()
+            before = self.shares(cluster)
+            service = cluster.hosts['h0'].service
+            for _ in range(10):
+                lease = service.take_free(
+                    frozenset({'t0', 't2', 't3'}), cluster.clock.monotonic()
+                )
+                request = cluster.dispatch(lease)
+                cluster.answer(request, status=500)
+            assert self.shares(cluster) == before
+
+
 class TestWaiting:
     """Waiting calls and overflow."""
 
