Split the slots of a service into modules

`Pending` and `Lease` moved with their modules. No change of behaviour.

Conclusion: the parts can be read and changed by themselves.

--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -46,8 +46,10 @@
 from ragwortchute.codecs import capnp as _capnp
 from ragwortchute.peers import frames
 from ragwortchute.slots import context
+from ragwortchute.slots import lease as lease_
 from ragwortchute.slots import service as service_
 from ragwortchute.slots import traffic
+from ragwortchute.slots import waiting
 from ragwortchute.targets import state as state_
 from ragwortchute.targets import table as table_
 from tests import fakes
@@ -224,7 +226,7 @@
         self.begun_s = model.sim.clock.now_s
         self.done = False
         self.hedged = False
-        self.attempts: list[tuple[service_.Lease, Job, float]] = []
+        self.attempts: list[tuple[lease_.Lease, Job, float]] = []
         self.tried: frozenset[str] = frozenset()
         self.call = make_call(service.service, self.begun_s + DEADLINE_S)
         # The work of a call is the same wherever it runs a first time; a
@@ -245,7 +247,7 @@
             if lease is not None:
                 self.dispatch(lease)
                 return
-        pending = service_.Pending(self.call, self.tried, self._acquired)
+        pending = waiting.Pending(self.call, self.tried, self._acquired)
         self.service.enqueue(pending, now_s)
 
     def _acquired(self, outcome: result.Result) -> None:
@@ -255,7 +257,7 @@
             self.model.refused += 1
             self.model.ended()
 
-    def dispatch(self, lease: service_.Lease) -> None:
+    def dispatch(self, lease: lease_.Lease) -> None:
         """Sends the request to a target."""
         sim = self.model.sim
         if not lease.usable():
@@ -265,7 +267,7 @@
         if service_s is None:
             service_s = self.model.draw_service()
         target = self.model.targets[lease.target.name]
-        attempt: list[tuple[service_.Lease, Job, float]] = []
+        attempt: list[tuple[lease_.Lease, Job, float]] = []
         job = Job(
             service_s,
             lambda: self._answered(attempt[0]),
@@ -294,7 +296,7 @@
         self.model.hedges += 1
         self.dispatch(lease)
 
-    def _answered(self, attempt: tuple[service_.Lease, Job, float]) -> None:
+    def _answered(self, attempt: tuple[lease_.Lease, Job, float]) -> None:
         if attempt not in self.attempts:
             return
         lease, _, sent_s = attempt
@@ -316,7 +318,7 @@
         for other in list(self.attempts):
             self._cancel(other)
 
-    def _cancel(self, attempt: tuple[service_.Lease, Job, float]) -> None:
+    def _cancel(self, attempt: tuple[lease_.Lease, Job, float]) -> None:
         lease, job, sent_s = attempt
         self.attempts.remove(attempt)
         target = self.model.targets[lease.target.name]
@@ -326,7 +328,7 @@
         )
         self.model.sim.after(ONE_WAY_S, lambda: target.cancel(job))
 
-    def _shed(self, attempt: tuple[service_.Lease, Job, float]) -> None:
+    def _shed(self, attempt: tuple[lease_.Lease, Job, float]) -> None:
         if attempt not in self.attempts:
             return
         lease, _, sent_s = attempt
--- a/tests/test_slots/test_traffic.py
+++ b/tests/test_slots/test_traffic.py
@@ -12,8 +12,8 @@
 from ragwortchute.codecs import capnp
 from ragwortchute.peers import frames
 from ragwortchute.slots import loans
-from ragwortchute.slots import service as service_
 from ragwortchute.slots import traffic
+from ragwortchute.slots import waiting
 from tests.test_slots import cluster as cluster_
 
 BYTES_PER_S = 2000
@@ -189,7 +189,7 @@
             if isinstance(outcome, result.Success):
                 self.dispatch(outcome.unwrap())
 
-        service.enqueue(service_.Pending(call, frozenset(), done), now_s)
+        service.enqueue(waiting.Pending(call, frozenset(), done), now_s)
 
     def dispatch(self, lease):
         if not lease.usable():
