Charge hedges in one place and count the denied ones

Cause: `try_acquire` takes a hedge from the budget, and the dispatcher took one again; the application passed it a budget without a limit for that, so `hedges_denied` stayed 0.

Change: the dispatcher has no hedge budget any more, and `_Unlimited` is gone. `SlotSource.try_acquire` returns a `Result`: the slot, or a `HedgeDenial` (`no-slot` or `budget`). The dispatcher counts `budget` in `hedges_denied`; a slot must be free for it, because otherwise the budget is not asked.

Tests: `test_no_hedge` used the dispatcher's budget; its fake slots hold it now, and it also checks the counts. New tests cover the three outcomes.

Conclusion: a hedge is charged once, and the count shows what the budget holds back.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -208,9 +208,9 @@
         *,
         exclude: frozenset[str] = frozenset(),
         avoid_domain: str = '',
-    ) -> slots.SlotLease | None:
+    ) -> result.Result[slots.SlotLease, slots.HedgeDenial]:
         """Returns no slot, so that no call is hedged."""
-        return None
+        return result.Failure(slots.HedgeDenial.NO_SLOT)
 
     def hedge_delay_s(self) -> float:
         """Returns a delay that no call reaches."""
@@ -430,7 +430,6 @@
         sender=http.HttpUpstream(clock),
         guard=Guard(),
         retry_budget=lambda service: budget,
-        hedge_budget=lambda service: budget,
         clock=clock,
     )
     app = application.CallerApplication(
--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -283,18 +283,18 @@
         if self.done or self.hedged or not self.attempts:
             return
         first = self.attempts[0][0].target
-        lease = self.service.try_acquire(
+        acquired = self.service.try_acquire(
             self.call,
             exclude=frozenset({first.name}),
             avoid_domain=first.failure_domain,
         )
-        if lease is None:
+        if not isinstance(acquired, result.Success):
             if self.model.retries_hedge:
                 self.model.sim.after(HEDGE_RETRY_S, self._hedge)
             return
         self.hedged = True
         self.model.hedges += 1
-        self.dispatch(lease)
+        self.dispatch(acquired.unwrap())
 
     def _answered(self, attempt: tuple[lease_.Lease, Job, float]) -> None:
         if attempt not in self.attempts:
--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -154,7 +154,6 @@
             sender=self.upstream,
             guard=self.crash_guard,
             retry_budget=lambda name: self.slots.service(name).retry_budget,
-            hedge_budget=lambda name: _Unlimited(),
             clock=self.clock,
         )
         self.link_budget = budgets.LinkBudget(
@@ -367,14 +366,6 @@
         self._tasks.append(task)
 
 
-class _Unlimited:
-    """A budget for hedges, which `try_acquire` already charged."""
-
-    def try_spend(self) -> bool:
-        """Permits everything."""
-        return True
-
-
 def _make_store(cfg: config.Settings) -> stores.Store:
     return stores.REGISTRY.get(cfg.store)(cfg.store_url)
 
--- a/ragwortchute/dispatch/dispatcher.py
+++ b/ragwortchute/dispatch/dispatcher.py
@@ -95,7 +95,6 @@
         sender: Sends single requests.
         guard: Recognises requests that crash targets.
         retry_budget: Returns the retry budget of a service.
-        hedge_budget: Returns the hedge budget of a service.
         clock: Clock of the deadlines.
     """
 
@@ -106,14 +105,12 @@
         sender: upstream.Upstream,
         guard: records.CrashGuard,
         retry_budget: abc.Callable[[str], Budget],
-        hedge_budget: abc.Callable[[str], Budget],
         clock: clocks.Clock,
     ) -> None:
         self._slot_source = slot_source
         self._sender = sender
         self._guard = guard
         self._retry_budget = retry_budget
-        self._hedge_budget = hedge_budget
         self._clock = clock
         self.counts = DispatchCounts()
 
@@ -200,14 +197,6 @@
         finally:
             slot.release(_unused())
 
-    def take_hedge(self, call: calls.Call) -> bool:
-        """Takes a hedge from the budget of the call's service."""
-        if not self._hedge_budget(call.service).try_spend():
-            self.counts.hedges_denied += 1
-            return False
-        self.counts.hedges += 1
-        return True
-
     async def attempt(
         self,
         call: calls.Call,
@@ -386,17 +375,18 @@
 
     def _start_hedge(self) -> None:
         """Sends to a second target if a slot and the budget permit."""
-        lease = self._source.try_acquire(
+        counts = self._dispatcher.counts
+        acquired = self._source.try_acquire(
             self._call,
             exclude=self._progress.tried,
             avoid_domain=self._first.lease.target.failure_domain,
         )
-        if lease is None:
-            return
-        slot = _HeldSlot(lease)
-        if not self._dispatcher.take_hedge(self._call):
-            slot.release(_unused())
+        if not isinstance(acquired, result.Success):
+            if acquired.failure() is slots.HedgeDenial.BUDGET:
+                counts.hedges_denied += 1
             return
+        counts.hedges += 1
+        slot = _HeldSlot(acquired.unwrap())
         self._hedge_slot = slot
         self._hedge = asyncio.get_running_loop().create_task(
             self._dispatcher.attempt(self._call, slot, self._progress)
--- a/ragwortchute/slots/__init__.py
+++ b/ragwortchute/slots/__init__.py
@@ -21,6 +21,13 @@
     CANCELLED = 'cancelled'
 
 
+class HedgeDenial(enum.StrEnum):
+    """Why there is no slot for a hedged attempt."""
+
+    NO_SLOT = 'no-slot'
+    BUDGET = 'budget'
+
+
 class AttemptReport(msgspec.Struct, frozen=True):
     """What an attempt showed of its target.
 
@@ -87,14 +94,18 @@
         *,
         exclude: frozenset[str] = frozenset(),
         avoid_domain: str = '',
-    ) -> SlotLease | None:
-        """Returns a slot that is free now, or None; for hedged attempts.
+    ) -> result.Result[SlotLease, HedgeDenial]:
+        """Takes a slot that is free now, and a hedge from the budget.
 
         Args:
             call: The call that needs the slot.
             exclude: Names of targets that must not be used.
             avoid_domain: Failure domain that is used only if no other has a
                 free slot.
+
+        Returns:
+            The slot, or why there is none; nothing is taken from the budget
+            then.
         """
 
     @abc.abstractmethod
--- a/ragwortchute/slots/service.py
+++ b/ragwortchute/slots/service.py
@@ -125,21 +125,24 @@
         *,
         exclude: frozenset[str] = _NONE,
         avoid_domain: str = '',
-    ) -> slots.SlotLease | None:
-        """Returns a slot that is free now and in budget, or None."""
+    ) -> result.Result[slots.SlotLease, slots.HedgeDenial]:
+        """Takes a slot that is free now, and a hedge from the budget."""
         now_s = self._clock.monotonic()
         if self._lending.borrows:
             self._lending.expire(now_s)
-        if self._queue or not self.free or now_s >= call.deadline_s:
-            return None
-        if self.hedge_budget.available() < 1:
-            return None
+        if self._queue or now_s >= call.deadline_s:
+            return result.Failure(slots.HedgeDenial.NO_SLOT)
         candidates = [c for n, c in self.free.items() if n not in exclude]
+        if not candidates:
+            return result.Failure(slots.HedgeDenial.NO_SLOT)
+        if self.hedge_budget.available() < 1:
+            return result.Failure(slots.HedgeDenial.BUDGET)
         elsewhere = [c for c in candidates if c.failure_domain != avoid_domain]
         lease = self._choose(elsewhere or candidates, now_s)
-        if lease is not None:
-            self.hedge_budget.try_spend()
-        return lease
+        if lease is None:
+            return result.Failure(slots.HedgeDenial.NO_SLOT)
+        self.hedge_budget.try_spend()
+        return result.Success(lease)
 
     def hedge_delay_s(self) -> float:
         """Returns the 95th percentile of recent answers, in seconds."""
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -122,9 +122,15 @@
 class FakeSlots(slots.SlotSource):
     """Hands out the targets in order, each without limit."""
 
-    def __init__(self, *targets: documents.Target, hedge_s: float = 9) -> None:
+    def __init__(
+        self,
+        *targets: documents.Target,
+        hedge_s: float = 9,
+        hedges: int = 100,
+    ) -> None:
         self.targets = targets
         self.hedge_s = hedge_s
+        self.hedges = hedges
         self.leases: list[FakeLease] = []
         self.unusable = 0
 
@@ -137,7 +143,13 @@
         return result.Success(lease)
 
     def try_acquire(self, call, *, exclude=frozenset(), avoid_domain=''):
-        return self._lease(exclude)
+        if self.hedges <= 0:
+            return result.Failure(slots.HedgeDenial.BUDGET)
+        lease = self._lease(exclude)
+        if lease is None:
+            return result.Failure(slots.HedgeDenial.NO_SLOT)
+        self.hedges -= 1
+        return result.Success(lease)
 
     def hedge_delay_s(self) -> float:
         return self.hedge_s
--- a/tests/test_callers/test_path.py
+++ b/tests/test_callers/test_path.py
@@ -45,7 +45,6 @@
                 sender=client,
                 guard=self.guard,
                 retry_budget=lambda service: budget,
-                hedge_budget=lambda service: budget,
                 clock=CLOCK,
             ).run
             app = application.CallerApplication(
--- a/tests/test_dispatch/test_dispatcher.py
+++ b/tests/test_dispatch/test_dispatcher.py
@@ -56,16 +56,16 @@
 
     def __init__(self, sender, *, hedge_s=9.0, retries=100, hedges=100):
         self.sender = sender
-        self.source = path_fakes.FakeSlots(*TARGETS, hedge_s=hedge_s)
+        self.source = path_fakes.FakeSlots(
+            *TARGETS, hedge_s=hedge_s, hedges=hedges
+        )
         self.guard = path_fakes.FakeGuard()
         self.retries = path_fakes.FakeBudget(retries)
-        self.hedges = path_fakes.FakeBudget(hedges)
         self.dispatcher = dispatcher.Dispatcher(
             slot_source=lambda service: self.source,
             sender=sender,
             guard=self.guard,
             retry_budget=lambda service: self.retries,
-            hedge_budget=lambda service: self.hedges,
             clock=CLOCK,
         )
 
@@ -216,6 +216,27 @@
         await setup.run(**{'idempotent': True, **changes})
         assert setup.sender.sent == ['t1']
         setup.kinds()
+        counts = setup.dispatcher.counts
+        assert counts.hedges == 0
+        # A call that must not be hedged is not counted as denied.
+        assert counts.hedges_denied == (0 if changes else 1)
+
+    async def test_hedge_without_a_slot_is_not_denied(self):
+        """Guards against a count that mixes the budget with free slots."""
+        setup = Setup(FakeSender(t1=0.03), hedge_s=0.001)
+        setup.source.targets = TARGETS[:1]
+        await setup.run(idempotent=True)
+        assert setup.sender.sent == ['t1']
+        counts = setup.dispatcher.counts
+        assert (counts.hedges, counts.hedges_denied) == (0, 0)
+
+    async def test_hedge_is_counted(self):
+        """Guards against hedges that no count shows."""
+        setup = Setup(FakeSender(t1=0.5), hedge_s=0.001, hedges=1)
+        assert (await setup.run(idempotent=True)).unwrap().target == 't2'
+        counts = setup.dispatcher.counts
+        assert (counts.hedges, counts.hedges_won) == (1, 1)
+        assert setup.source.hedges == 0
 
     async def test_failed_hedge_leaves_the_first(self):
         """Guards against a failing hedge ending a call that still runs."""
--- a/tests/test_slots/test_manager.py
+++ b/tests/test_slots/test_manager.py
@@ -470,6 +470,27 @@
             assert task.cancelled()
             assert cluster.take('h0') is not None
 
+    async def test_hedge_denied_by_slots_or_budget(self):
+        """Guards against hedges beyond the budget, or charged in vain."""
+        async with cluster_.Cluster(hosts=1, targets=2) as cluster:
+            await cluster.warm_up()
+            service = cluster.hosts['h0'].service
+            call = cluster.call()
+            denied = service.try_acquire(call)
+            assert denied.failure() is slots.HedgeDenial.BUDGET
+            for _ in range(20):
+                service.hedge_budget.note_call(cluster.clock.monotonic())
+            both = frozenset({'t0', 't1'})
+            denied = service.try_acquire(call, exclude=both)
+            assert denied.failure() is slots.HedgeDenial.NO_SLOT
+            assert service.hedge_budget.available() == 1
+            assert pipeline.is_successful(service.try_acquire(call))
+            assert service.hedge_budget.available() == 0
+            denied = service.try_acquire(call)
+            assert denied.failure() is slots.HedgeDenial.BUDGET
+            denied = service.try_acquire(call, exclude=both)
+            assert denied.failure() is slots.HedgeDenial.NO_SLOT
+
     async def test_deadline_and_wrong_host(self):
         """Guards against calls that wait in vain."""
         async with cluster_.Cluster(hosts=2, targets=1) as cluster:
