--- a/benchmarks/slope_fleet.py
+++ b/benchmarks/slope_fleet.py
@@ -272,6 +272,7 @@
         upstream=_NoUpstream(),
         domain_state=host.distributor.domain_state,
         rng=random.Random(SEED),
+        codec=codecs.REGISTRY.get('capnp')(),
     )
     for document in _make_services(targets):
         manager.apply(document)
