Find the refusals that the waiting calls give

Cause: the split of the slots renamed the function that makes them, so the scan of the code missed the reason stopping. Change: the scan knows the function.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -234,6 +234,7 @@
     '_refuse',
     '_refused',
     '_unknown',
+    'refuse',
 }
 # Functions that return a reason, or '' for none.
 _RETURNERS = {'_find_reason', 'offer', 'refusal_reason'}
