Give the tasks of a part one owner

Cause: membership and distribution held the same code to run loops, start tasks, log their failure and end all of them.

Change: tasks.TaskOwner does it for both.

Conclusion: behaviour is unchanged.

--- a/ragwortchute/distribution/distributor.py
+++ b/ragwortchute/distribution/distributor.py
@@ -1,7 +1,6 @@
 """Propagates documents and domain orders between store and hosts."""
 
 import asyncio
-from collections import abc
 import random
 
 from absl import logging
@@ -16,6 +15,7 @@
 from ragwortchute import membership
 from ragwortchute import peers
 from ragwortchute import stores
+from ragwortchute import tasks
 from ragwortchute import wire
 from ragwortchute.distribution import holdings
 from ragwortchute.distribution import orders
@@ -92,8 +92,7 @@
         self._recording: set[str] = set()
         self._revision = 0
         self._backoff_s = _BACKOFF_MIN_S
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._main: asyncio.Task[None] | None = None
+        self._tasks = tasks.TaskOwner('distribution')
         transport.on(wire.DocumentNotice, self._on_notice)
         transport.on(wire.DocumentPull, self._on_pull)
         transport.on(wire.DomainOrder, self._on_order)
@@ -158,31 +157,19 @@
         if self._fruitless.get(host) == (digest, self._digest):
             return
         self._pulling.add(host)
-        self._spawn(self._repair(host))
+        self._tasks.spawn(self._repair(host))
 
     async def run(self) -> None:
         """Distributes until `stop` is called."""
-        self._main = asyncio.current_task()
-        try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._load())
-                group.create_task(self._follow_store())
-                group.create_task(self._tick())
-        except asyncio.CancelledError:
-            if self._main is not None:
-                raise
-        finally:
-            tasks = list(self._tasks)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.run(
+            self._load(),
+            self._follow_store(),
+            self._tick(),
+        )
 
     async def stop(self) -> None:
         """Ends `run`."""
-        main, self._main = self._main, None
-        if main is not None:
-            main.cancel()
-            await asyncio.gather(main, return_exceptions=True)
+        await self._tasks.stop()
 
     async def order_out(self, name: str) -> wire.DomainOrder:
         """Takes a failure domain out at once, also without the store.
@@ -209,7 +196,7 @@
         if self._accept(order):
             for member in self._members.live_members():
                 if member.host != host:
-                    self._spawn(self._send(member.host, order))
+                    self._tasks.spawn(self._send(member.host, order))
             self._record_due()
         return order
 
@@ -358,7 +345,7 @@
             if view is not None and view.leader != me:
                 hosts = [view.leader, *hosts]
         for host in dict.fromkeys(hosts):
-            self._spawn(self._send(host, message))
+            self._tasks.spawn(self._send(host, message))
 
     async def _send(self, host: str, message: wire.Message) -> None:
         bulk = isinstance(message, wire.DocumentNotice)
@@ -553,7 +540,7 @@
             )
             if mine and order.order_id not in self._recording:
                 self._recording.add(order.order_id)
-                self._spawn(self._record(order))
+                self._tasks.spawn(self._record(order))
 
     async def _record(self, order: wire.DomainOrder) -> None:
         delay_s = _BACKOFF_MIN_S
@@ -590,18 +577,6 @@
     def _nonce(self) -> str:
         return f'{self._rng.getrandbits(64):016x}'
 
-    def _spawn(self, coro: abc.Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logging.error(
-                'distribution: task failed', exc_info=task.exception()
-            )
-
 
 def _body(stored: stores.StoredObject) -> wire.DocumentBody:
     name = stored.name.removeprefix(distribution.PREFIX)
--- a/ragwortchute/membership/regional.py
+++ b/ragwortchute/membership/regional.py
@@ -14,6 +14,7 @@
 from ragwortchute import membership
 from ragwortchute import peers
 from ragwortchute import stores
+from ragwortchute import tasks
 from ragwortchute import wire
 from ragwortchute.membership import host_list
 from ragwortchute.membership import leases
@@ -139,8 +140,7 @@
         self._ready = False
         self._ready_acks: dict[str, int] = {}
         self._asking: set[str] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._main: asyncio.Task[None] | None = None
+        self._tasks = tasks.TaskOwner('membership')
         for host, address in self._seeds.items():
             if host != me.host:
                 transport.learn(host, address)
@@ -241,29 +241,17 @@
 
     async def run(self) -> None:
         """Takes part in the membership until `stop` is called."""
-        self._main = asyncio.current_task()
-        try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._repeat(self._tick, lambda: _TICK_S))
-                group.create_task(self._repeat(self._lead, lambda: _TICK_S))
-                group.create_task(self._repeat(self._beat_all, self._interval))
-                group.create_task(self._repeat(self._read_list, self._list_s))
-                group.create_task(self._repeat(self._pull_remote, self._far_s))
-        except asyncio.CancelledError:
-            if self._main is not None:
-                raise
-        finally:
-            tasks = list(self._tasks)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.run(
+            self._repeat(self._tick, lambda: _TICK_S),
+            self._repeat(self._lead, lambda: _TICK_S),
+            self._repeat(self._beat_all, self._interval),
+            self._repeat(self._read_list, self._list_s),
+            self._repeat(self._pull_remote, self._far_s),
+        )
 
     async def stop(self) -> None:
         """Ends `run`; other hosts find out by the missing heartbeats."""
-        main, self._main = self._main, None
-        if main is not None:
-            main.cancel()
-            await asyncio.gather(main, return_exceptions=True)
+        await self._tasks.stop()
 
     # Loops.
 
@@ -345,7 +333,7 @@
     async def _beat_all(self) -> None:
         for host in self._beat_targets():
             if host not in self._asking:
-                self._spawn(self._beat(host))
+                self._tasks.spawn(self._beat(host))
 
     def _beat_targets(self) -> set[str]:
         view = self._view
@@ -409,7 +397,7 @@
         self._check_ready()
         self._leases.check_gains(now_s, self._gone())
         if self._view is not None and ack.epoch > self._view.epoch:
-            self._spawn(self._pull(host))
+            self._tasks.spawn(self._pull(host))
         self.digest_seen(host, ack.digest)
 
     async def _on_heartbeat(
@@ -423,7 +411,7 @@
             self._heard_from(sender, member.incarnation)
             self._consider(member)
             if beat.epoch > (0 if view is None else view.epoch):
-                self._spawn(self._pull(sender))
+                self._tasks.spawn(self._pull(sender))
         self.digest_seen(sender, beat.digest)
         mine = self._members.get(sender)
         return wire.HeartbeatAck(
@@ -581,7 +569,7 @@
         self._check_ready()
         self._acknowledge_self(now_s)
         self._refresh()
-        self._spawn(self._beat_all())
+        self._tasks.spawn(self._beat_all())
         logging.info(
             'membership: view adopted, epoch=%d leader=%s members=%d',
             view.epoch,
@@ -592,7 +580,7 @@
         hosts = tree.order(view.leader, list(self._members))
         for host in tree.children(hosts, self._me.host):
             if host != self._me.host:
-                self._spawn(self._notify(host, view))
+                self._tasks.spawn(self._notify(host, view))
 
     def _listen(self, led: str, now_s: float) -> None:
         """Starts the times of silence of hosts that were not heard so far."""
@@ -928,13 +916,3 @@
         if incarnation == member.incarnation:
             return member
         return msgspec.structs.replace(member, incarnation=incarnation)
-
-    def _spawn(self, coro: abc.Coroutine[None, None, object]) -> None:
-        task = asyncio.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task[object]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logging.error('membership: task failed', exc_info=task.exception())
