--- a/ragwortchute/errors.py
+++ b/ragwortchute/errors.py
@@ -136,3 +136,7 @@
 
 class AttemptTimeout(TargetError):
     """The target did not answer before the deadline."""
+
+
+class HistoryGone(StoreError):
+    """The object API no longer has the changes since a revision."""
--- /dev/null
+++ b/ragwortchute/gateway/application.py
@@ -0,0 +1,219 @@
+"""The parts of a gateway host, wired together."""
+
+import asyncio
+import random
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.gateway import candidates
+from ragwortchute.gateway import dialect as dialects
+from ragwortchute.gateway import directory
+from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import following
+from ragwortchute.gateway import http_server
+from ragwortchute.gateway import knowledge as knowledge_
+from ragwortchute.gateway import membership as membership_
+from ragwortchute.gateway import model
+from ragwortchute.gateway import peer_socket
+from ragwortchute.gateway import stats as stats_
+
+# How long callers may keep an address answer.
+ADDRESS_TTL_S = 2.0
+# A leaving host takes new connections this long, while callers still hold
+# answers that name it.
+LEAVE_ACCEPT_S = 2.6
+# It ends this long before the platform would kill it.
+GRACE_MARGIN_S = 0.4
+_POLL_S = 0.05
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """What a host is told at its start.
+
+    Attributes:
+        me: This host.
+        domains: Region of each failure domain.
+        peer_ip: Address of the socket for other hosts.
+        grace_s: Time from a stop signal to the kill.
+        limits: Bounds of repeats and cold starts over all hosts.
+    """
+
+    me: model.HostEntry
+    domains: dict[str, str]
+    peer_ip: str
+    grace_s: float
+    limits: dispatcher.Limits
+
+
+class Gateway:
+    """One host.
+
+    Args:
+        settings: Settings of this host.
+        store: The object API.
+        dialect: Protocol of callers and targets.
+        log: Takes log lines.
+
+    Attributes:
+        knowledge: Configuration and targets.
+        membership: Hosts that are alive.
+        health: Whether the store answers.
+        rng: Source of randomness.
+        callers: Listener for requests of callers.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: stores.Store,
+        dialect: dialects.Dialect,
+        log: eventlog.EventLog,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._log = log
+        self.rng = random.Random()
+        self._loop = asyncio.get_running_loop()
+        self._tasks: list[asyncio.Task[None]] = []
+        me = settings.me
+        self.stats = stats_.Stats()
+        self.health = following.StoreHealth(log)
+        self.knowledge = knowledge_.Knowledge(
+            dialect, settings.domains, me.failure_domain, log
+        )
+        self._socket = peer_socket.PeerSocket()
+        self.membership = membership_.Membership(
+            me, self._socket, log, self.rng
+        )
+        self._socket.received = self.membership.received
+        self._chooser = candidates.Chooser(
+            self.rng,
+            settings.limits.warmup_overage,
+            settings.limits.warmup_slack,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            knowledge=self.knowledge,
+            dialect=dialect,
+            chooser=self._chooser,
+            limits=settings.limits,
+            log=log,
+            stats=self.stats,
+            rng=self.rng,
+        )
+        self.callers = http_server.Listener(
+            self.dispatcher.serve, lambda: self.knowledge.limits, log, 'callers'
+        )
+        self.leaving = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers should come to this host."""
+        return self.knowledge.complete and not self.leaving
+
+    def addresses(
+        self, name: str, region: str, failure_domain: str
+    ) -> list[str]:
+        """Returns the addresses for a caller of a host name."""
+        hosts = directory.choose(
+            self.membership.alive(self._loop.time()),
+            region,
+            failure_domain,
+            self.knowledge.table.homes(name),
+            self.rng,
+        )
+        return [host.caller_address for host in hosts]
+
+    async def start(self, feeds: list[following.Feed]) -> None:
+        """Starts to read the store, then to listen to hosts and callers."""
+        me = self._settings.me
+        await self._socket.open(self._settings.peer_ip, me.peer_port)
+        for feed in feeds:
+            follower = following.Follower(
+                self._store, feed, self.health, self._log, self.rng
+            )
+            self._spawn(follower.run())
+        self._spawn(self.membership.run())
+        self._spawn(self._upkeep())
+        ip, _, port = me.caller_address.rpartition(':')
+        await self.callers.start(ip, int(port))
+        self._log.event('start', caller_address=me.caller_address)
+
+    async def leave(self) -> None:
+        """Stops as planned: new callers go elsewhere, requests finish."""
+        started_s = self._loop.time()
+        end_s = started_s + self._settings.grace_s - GRACE_MARGIN_S
+        self._log.event('leaving', running=self.callers.running)
+        self.leaving = True
+        self.membership.leaving = True
+        self.membership.greet(started_s)
+        self.callers.drain()
+        while self._loop.time() < started_s + LEAVE_ACCEPT_S:
+            await asyncio.sleep(_POLL_S)
+        self.callers.close()
+        while self.callers.running and self._loop.time() < end_s:
+            await asyncio.sleep(_POLL_S)
+        self._log.event('stop', running=self.callers.running)
+
+    async def close(self) -> None:
+        """Ends everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.callers.stop()
+        self._socket.close()
+        await self._store.close()
+        self._log.flush()
+
+    def _spawn(self, coro: object) -> None:
+        self._tasks.append(self._loop.create_task(coro))
+
+    async def _upkeep(self) -> None:
+        """Writes the log and counts the hosts."""
+        while True:
+            await asyncio.sleep(eventlog.FLUSH_S)
+            self._chooser.hosts = self.membership.count(self._loop.time())
+            self._log.flush()
+
+
+async def register(
+    gateway: Gateway,
+    store: stores.Store,
+    prefix: str,
+    log: eventlog.EventLog,
+) -> None:
+    """Writes this host into the store and greets the hosts found there.
+
+    Args:
+        gateway: This host.
+        store: The object API.
+        prefix: Prefix of the names of host entries.
+        log: Takes log lines.
+    """
+    loop = asyncio.get_running_loop()
+    me = gateway.membership.me
+    written = False
+    while True:
+        try:
+            if not written:
+                await store.put(
+                    prefix + me.name,
+                    msgspec.json.encode(me),
+                    expected_version=stores.ANY_VERSION,
+                )
+                written = True
+            answer = await store.watch(prefix, after_revision=0, timeout_s=0)
+            break
+        except errors.StoreError as exc:
+            log.event('register-failed', error=str(exc))
+            await asyncio.sleep(0.5 + gateway.rng.random())
+    entries = []
+    for obj in answer.objects:
+        try:
+            entries.append(msgspec.json.decode(obj.value, type=model.HostEntry))
+        except msgspec.DecodeError as exc:
+            log.event('host-malformed', name=obj.name, error=str(exc))
+    gateway.membership.learn(entries, loop.time())
+    gateway.membership.greet(loop.time())
--- /dev/null
+++ b/ragwortchute/gateway/candidates.py
@@ -0,0 +1,278 @@
+"""Choice of a target by asking a few at the moment of the choice.
+
+Load: targets whose speed and queue change faster than any report of them
+spreads. A few targets are asked at once over kept connections; the best of
+the answers gets the request on the connection that answered.
+"""
+
+import asyncio
+import random
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute.gateway import dialect as dialects
+from ragwortchute.gateway import http_client
+from ragwortchute.gateway import pacing
+from ragwortchute.gateway import placing
+from ragwortchute.gateway import targets as targets_
+
+FIRST_ASKED = 3
+MORE_ASKED = 4
+MAX_ROUNDS = 3
+# An offer is taken at once if it is expected to take no longer than this many
+# times the time on a free target of usual speed.
+GOOD_FACTOR = 1.25
+# Health answers that take longer than this are not waited for.
+NEAR_WAIT_S = 0.02
+FAR_WAIT_S = 0.06
+_MEAN_SMOOTHING = 0.02
+INITIAL_USUAL = 1.8
+
+
+class Placement(msgspec.Struct, eq=False):
+    """A target with the connection on which it was asked.
+
+    Attributes:
+        target: The target.
+        conn: Connection to send on.
+        reading: What the target said.
+        expected_s: Expected time until the answer.
+        asked: Number of targets that were asked.
+    """
+
+    target: targets_.Target
+    conn: http_client.ClientConnection
+    reading: dialects.Reading
+    expected_s: float
+    asked: int
+
+
+class NoPlacement(msgspec.Struct, frozen=True):
+    """Why no target can take a request now.
+
+    Attributes:
+        reason: Short name of the reason.
+        wait_s: After how long a target is likely to be free.
+        asked: Number of targets that were asked.
+    """
+
+    reason: str
+    wait_s: float
+    asked: int
+
+
+class Wish(msgspec.Struct, eq=False):
+    """What a request needs of a target.
+
+    Attributes:
+        targets: Targets that may get it.
+        work_s: Expected duration of its work at usual speed.
+        objective_s: Latency objective.
+        left_s: Time until it must be answered.
+    """
+
+    targets: list[targets_.Target]
+    work_s: float
+    objective_s: float
+    left_s: float
+
+
+class _Answer(msgspec.Struct, eq=False):
+    target: targets_.Target
+    conn: http_client.ClientConnection
+    reading: dialects.Reading
+
+
+class Chooser:
+    """Asks targets and chooses one.
+
+    Args:
+        rng: Source of randomness.
+
+    Attributes:
+        hosts: Number of hosts that may send to the same targets.
+        asked: Health requests sent.
+    """
+
+    def __init__(
+        self, rng: random.Random, warmup_overage: float, warmup_slack: float
+    ) -> None:
+        self._rng = rng
+        self._overage = warmup_overage
+        self._slack = warmup_slack
+        self._usual: dict[str, float] = {}
+        self._loop = asyncio.get_running_loop()
+        self.hosts = 1
+        self.asked = 0
+
+    async def choose(self, wish: Wish) -> Placement | NoPlacement:
+        """Returns a target with an open connection, or why there is none."""
+        order = self._order(wish.targets)
+        if not order:
+            return NoPlacement('no-target', wish.left_s, 0)
+        best: _Answer | None = None
+        best_cost = float('inf')
+        position = 0
+        good_s = self._good_s(wish)
+        for round_ in range(MAX_ROUNDS):
+            count = FIRST_ASKED if round_ == 0 else MORE_ASKED
+            group = order[position : position + count]
+            if not group:
+                break
+            position += len(group)
+            for answer in await self._ask(group, wish, good_s):
+                cost = self._cost(answer, wish)
+                if cost < best_cost:
+                    if best is not None:
+                        best.target.release(best.conn)
+                    best, best_cost = answer, cost
+                else:
+                    answer.target.release(answer.conn)
+            if best is not None and (
+                best_cost <= good_s or not best.conn.usable
+            ):
+                break
+        return self._place(best, wish, position)
+
+    def bound_per_s(self, target: targets_.Target) -> float:
+        """Returns the requests per second that a cold target may get."""
+        service = target.service
+        if service is None:
+            return 0.0
+        return service.warmup_per_s * self._overage + self._slack
+
+    def usual(self, service: str) -> float:
+        """Returns the mean slowness of the targets of a service."""
+        return self._usual.get(service, INITIAL_USUAL)
+
+    def _place(
+        self, best: _Answer | None, wish: Wish, asked: int
+    ) -> Placement | NoPlacement:
+        if best is None or not best.conn.usable:
+            return NoPlacement('no-answer', wish.objective_s / 4, asked)
+        target = best.target
+        offer = self._offer(best)
+        expected = placing.expected_s(
+            offer, wish.work_s, self.usual(target.entry.service)
+        )
+        if expected > wish.left_s:
+            target.release(best.conn)
+            return NoPlacement('overload', expected - wish.left_s, asked)
+        if best.reading.cold_s > 0:
+            gap_s = pacing.interval_s(self.bound_per_s(target), self.hosts)
+            target.pacer.sent(self._loop.time(), gap_s)
+        return Placement(target, best.conn, best.reading, expected, asked)
+
+    def _good_s(self, wish: Wish) -> float:
+        return wish.work_s * GOOD_FACTOR + targets_.SAME_REGION_S
+
+    def _order(self, targets: list[targets_.Target]) -> list[targets_.Target]:
+        """Returns targets in the order in which they are asked."""
+        now_s = self._loop.time()
+        keyed = []
+        for target in targets:
+            if target.is_cold(now_s) and not target.pacer.may_send(now_s):
+                continue
+            key = self._rng.random()
+            if not target.same_region:
+                key += 100.0
+            elif not target.same_domain:
+                key += 0.3
+            if target.is_out(now_s):
+                key += 1000.0
+            if target.is_cold(now_s):
+                key += 3.0
+            key += 4.0 * target.failing
+            if not target.has_idle:
+                key += 0.5
+            reading = target.reading
+            if reading is not None and now_s - reading.taken_s < 0.1:
+                busy = reading.running + reading.waiting
+                busy += target.unseen(reading)
+                if busy >= max(1, reading.slots) or reading.slowness > 2:
+                    key += 2.0
+            keyed.append((key, target))
+        keyed.sort(key=lambda item: item[0])
+        return [target for _, target in keyed]
+
+    async def _ask(
+        self, group: list[targets_.Target], wish: Wish, good_s: float
+    ) -> list[_Answer]:
+        """Asks targets; returns once a good one or all have answered."""
+        tasks = {
+            self._loop.create_task(target.probe()): target for target in group
+        }
+        self.asked += len(tasks)
+        near = any(target.same_region for target in group)
+        wait_s = min(wish.left_s, NEAR_WAIT_S if near else FAR_WAIT_S)
+        end_s = self._loop.time() + wait_s
+        answers: list[_Answer] = []
+        waiting = set(tasks)
+        while waiting:
+            left_s = end_s - self._loop.time()
+            if left_s <= 0:
+                break
+            done, waiting = await asyncio.wait(
+                waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            good = False
+            for task in done:
+                answer = self._answer(task, tasks[task])
+                if answer is not None:
+                    answers.append(answer)
+                    good = good or self._cost(answer, wish) <= good_s
+            if good:
+                break
+        for task in waiting:
+            target = tasks[task]
+            task.add_done_callback(
+                lambda task, target=target: self._late(task, target)
+            )
+        return answers
+
+    def _answer(
+        self, task: asyncio.Task, target: targets_.Target
+    ) -> _Answer | None:
+        """Returns the answer of a target that can take a request now."""
+        now_s = self._loop.time()
+        try:
+            conn, reading = task.result()
+        except errors.TargetError:
+            target.note_failure(now_s)
+            return None
+        except asyncio.CancelledError:
+            return None
+        service = target.entry.service
+        usual = self.usual(service)
+        self._usual[service] = (
+            usual + (reading.slowness - usual) * _MEAN_SMOOTHING
+        )
+        cold = reading.cold_s > 0 and not target.pacer.may_send(now_s)
+        if cold or not reading.healthy:
+            target.release(conn)
+            return None
+        return _Answer(target, conn, reading)
+
+    def _late(self, task: asyncio.Task, target: targets_.Target) -> None:
+        answer = self._answer(task, target)
+        if answer is not None:
+            target.release(answer.conn)
+
+    def _offer(self, answer: _Answer) -> placing.Offer:
+        target = answer.target
+        return placing.Offer(
+            answer.reading,
+            target.unseen(answer.reading),
+            target.entry.slots,
+            target.path_s,
+            target.failing,
+        )
+
+    def _cost(self, answer: _Answer, wish: Wish) -> float:
+        return placing.cost_s(
+            self._offer(answer),
+            wish.work_s,
+            self.usual(answer.target.entry.service),
+            wish.objective_s,
+        )
--- /dev/null
+++ b/ragwortchute/gateway/dispatcher.py
@@ -0,0 +1,508 @@
+"""Runs the requests of callers on targets.
+
+One task carries a request from its arrival to its final answer: route, choice
+of a target, sending, repeats and hedges, and the answer. A refusal with 503
+says that the request has not run; where that is not certain the answer is 502
+or 504.
+"""
+
+import asyncio
+import random
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute.gateway import candidates
+from ragwortchute.gateway import dialect as dialects
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_server
+from ragwortchute.gateway import knowledge as knowledge_
+from ragwortchute.gateway import model
+from ragwortchute.gateway import retry_budget
+from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import targets as targets_
+
+# The final answer leaves this long before the caller stops waiting.
+ANSWER_MARGIN_S = 0.004
+# A second target is asked once an answer takes longer than this part of the
+# latency objective, and longer than this many times the expected time.
+HEDGE_OBJECTIVES = 0.4
+HEDGE_EXPECTED = 1.4
+# Share of the latency objective that a request is assumed to work at first.
+INITIAL_WORK_OBJECTIVES = 0.35
+_WORK_SMOOTHING = 0.05
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 1.0
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Bounds of repeats and cold starts over all hosts.
+
+    Attributes:
+        retry_ratio: Repeats per request.
+        retry_slack: Repeats in a window without any request.
+        retry_window_s: Length of the window.
+        warmup_overage: Factor on the rate that a cold target bears.
+        warmup_slack: Requests per second beyond that.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
+
+
+class _Call:
+    """A request on its way.
+
+    Attributes:
+        maybe_run: Whether a target may have run it.
+        sends: Number of targets that it was sent to.
+        failure: Last answer of a target that was not a success.
+        hedged: Whether a hedge was sent or decided against.
+    """
+
+    __slots__ = (
+        'deadline_s',
+        'failure',
+        'hedged',
+        'maybe_run',
+        'req',
+        'request_id',
+        'route',
+        'sends',
+        'service',
+        'tried',
+    )
+
+    def __init__(
+        self,
+        req: http_server.Request,
+        request_id: bytes,
+        route: model.Route,
+        service: str,
+        deadline_s: float,
+    ) -> None:
+        self.req = req
+        self.request_id = request_id
+        self.route = route
+        self.service = service
+        self.deadline_s = deadline_s
+        self.hedged = False
+        self.maybe_run = False
+        self.sends = 0
+        self.failure: http_client.Reply | None = None
+        self.tried: set[str] = set()
+
+
+class _Attempt:
+    """A request at one target."""
+
+    __slots__ = ('conn', 'fut', 'placement', 'sent_s')
+
+    def __init__(
+        self,
+        placement: candidates.Placement,
+        fut: asyncio.Future[http_client.Reply],
+        sent_s: float,
+    ) -> None:
+        self.placement = placement
+        self.conn = placement.conn
+        self.fut = fut
+        self.sent_s = sent_s
+
+    @property
+    def target(self) -> targets_.Target:
+        """The target."""
+        return self.placement.target
+
+
+class Dispatcher:
+    """Answers requests of callers.
+
+    Args:
+        knowledge: Configuration and targets.
+        dialect: Protocol of callers and targets.
+        chooser: Chooses targets.
+        limits: Bounds of repeats over all hosts.
+        log: Takes log lines.
+        stats: Counters.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: knowledge_.Knowledge,
+        dialect: dialects.Dialect,
+        chooser: candidates.Chooser,
+        limits: Limits,
+        log: eventlog.EventLog,
+        stats: stats_.Stats,
+        rng: random.Random,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._chooser = chooser
+        self._limits = limits
+        self._log = log
+        self._stats = stats
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._work_s: dict[str, float] = {}
+
+    async def serve(self, req: http_server.Request) -> http_server.Response:
+        """Answers a request of a caller."""
+        knowledge = self._knowledge
+        request_id = self._dialect.request_id(req)
+        if not knowledge.complete:
+            return self._refuse(request_id, 'no-configuration', 0.2)
+        route = knowledge.table.match(req.host, req.path)
+        if route is None:
+            self._note(request_id, 404, 'no-route', 0, req.arrived_s)
+            return http_server.Response(404)
+        remaining_s = self._dialect.remaining_s(req)
+        if remaining_s is None or remaining_s > route.timeout_s:
+            remaining_s = route.timeout_s
+        call = _Call(
+            req,
+            request_id,
+            route,
+            self._part(route),
+            req.arrived_s + remaining_s - ANSWER_MARGIN_S,
+        )
+        self._budget(call.service).note_request(self._loop.time())
+        outstanding: list[_Attempt] = []
+        try:
+            return await self._run(call, outstanding)
+        finally:
+            for attempt in outstanding:
+                attempt.target.in_flight -= 1
+                attempt.conn.abort()
+
+    async def _run(
+        self, call: _Call, outstanding: list[_Attempt]
+    ) -> http_server.Response:
+        while True:
+            left_s = call.deadline_s - self._loop.time()
+            if left_s <= 0:
+                return self._give_up(call, 'deadline')
+            if call.req.gone.done() and (
+                call.route.idempotent or not outstanding
+            ):
+                return self._give_up(call, 'caller-gone')
+            if not outstanding:
+                refusal = await self._start(call, outstanding)
+                if refusal is not None:
+                    return refusal
+                continue
+            hedge_s = self._hedge_in_s(call, outstanding)
+            await self._wait(call, outstanding, min(left_s, hedge_s))
+            for attempt in [one for one in outstanding if one.fut.done()]:
+                outstanding.remove(attempt)
+                resp = self._ended(call, attempt)
+                if resp is not None:
+                    return resp
+            if outstanding and self._hedge_in_s(call, outstanding) <= 0:
+                await self._hedge(call, outstanding)
+
+    async def _wait(
+        self, call: _Call, outstanding: list[_Attempt], wait_s: float
+    ) -> None:
+        futs: set[asyncio.Future] = {one.fut for one in outstanding}
+        if call.route.idempotent:
+            futs.add(call.req.gone)
+        await asyncio.wait(
+            futs,
+            timeout=max(0.0, wait_s),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+
+    # Starting.
+
+    async def _start(
+        self, call: _Call, outstanding: list[_Attempt]
+    ) -> http_server.Response | None:
+        """Sends the request to a target; returns an answer if it can't."""
+        if call.sends:
+            if not self._may_repeat(call):
+                return self._give_up(call, 'no-more-attempts')
+        placed = await self._chooser.choose(self._wish(call))
+        if isinstance(placed, candidates.NoPlacement):
+            return self._give_up(call, placed.reason, placed.wait_s)
+        if call.sends and not self._spend(call):
+            placed.target.release(placed.conn)
+            return self._give_up(call, 'retry-budget')
+        self._send(call, placed, outstanding)
+        return None
+
+    def _send(
+        self,
+        call: _Call,
+        placed: candidates.Placement,
+        outstanding: list[_Attempt],
+    ) -> None:
+        now_s = self._loop.time()
+        target = placed.target
+        data = self._dialect.encode(
+            call.req, max(0.001, call.deadline_s - now_s), target.entry
+        )
+        call.sends += 1
+        call.tried.add(target.entry.name)
+        target.note_sent(now_s)
+        fut = placed.conn.send(data, self._dialect.accept(call.req))
+        outstanding.append(_Attempt(placed, fut, now_s))
+        self._stats.sends += 1
+        self._log.event(
+            'send',
+            id=call.request_id.decode('latin-1'),
+            target=target.entry.name,
+            n=call.sends,
+            asked=placed.asked,
+            running=placed.reading.running,
+            waiting=placed.reading.waiting,
+            slowness=placed.reading.slowness,
+            cold_s=placed.reading.cold_s,
+            age_ms=round((now_s - placed.reading.taken_s) * 1000, 1),
+            expected_ms=round(placed.expected_s * 1000),
+            revision=self._knowledge.cfg_revision,
+        )
+
+    def _wish(self, call: _Call) -> candidates.Wish:
+        route = call.route
+        targets = [
+            target
+            for target in self._knowledge.eligible(call.service, route.homes)
+            if target.entry.name not in call.tried
+        ]
+        return candidates.Wish(
+            targets,
+            self._work(route),
+            route.objective_s,
+            call.deadline_s - self._loop.time(),
+        )
+
+    def _part(self, route: model.Route) -> str:
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        weights = [part.weight for part in route.parts]
+        return self._rng.choices(route.parts, weights)[0].service
+
+    # Hedging.
+
+    def _hedge_in_s(self, call: _Call, outstanding: list[_Attempt]) -> float:
+        """Returns after how long a hedge is due; infinite if never."""
+        if (
+            call.hedged
+            or not call.route.idempotent
+            or len(outstanding) != 1
+            or call.sends >= call.route.attempts
+        ):
+            return float('inf')
+        attempt = outstanding[0]
+        delay_s = max(
+            call.route.objective_s * HEDGE_OBJECTIVES,
+            attempt.placement.expected_s * HEDGE_EXPECTED,
+        )
+        return attempt.sent_s + delay_s - self._loop.time()
+
+    async def _hedge(self, call: _Call, outstanding: list[_Attempt]) -> None:
+        """Sends the request to a second target if one is likely faster."""
+        route = call.route
+        call.hedged = True
+        if self._may_repeat(call):
+            placed = await self._chooser.choose(self._wish(call))
+            if isinstance(placed, candidates.Placement):
+                first = outstanding[0]
+                late_s = call.deadline_s - self._loop.time()
+                if (
+                    not first.fut.done()
+                    and not call.req.gone.done()
+                    and placed.expected_s < min(late_s, route.objective_s)
+                    and self._spend(call)
+                ):
+                    self._stats.hedges += 1
+                    self._send(call, placed, outstanding)
+                    return
+                placed.target.release(placed.conn)
+
+    def _may_repeat(self, call: _Call) -> bool:
+        if call.sends >= call.route.attempts:
+            return False
+        if call.maybe_run and not call.route.idempotent:
+            return False
+        budget = self._budget(call.service)
+        return budget.available(self._loop.time(), self._chooser.hosts) >= 1
+
+    def _spend(self, call: _Call) -> bool:
+        self._stats.repeats += 1
+        budget = self._budget(call.service)
+        return budget.try_spend(self._loop.time(), self._chooser.hosts)
+
+    # Ending.
+
+    def _ended(
+        self, call: _Call, attempt: _Attempt
+    ) -> http_server.Response | None:
+        """Takes over the end of an attempt; returns a final answer."""
+        target = attempt.target
+        target.in_flight -= 1
+        now_s = self._loop.time()
+        try:
+            reply = attempt.fut.result()
+        except errors.TargetError as exc:
+            call.maybe_run = True
+            target.note_failure(now_s)
+            self._note_attempt(call, attempt, type(exc).__name__)
+            return None
+        if reply.reusable:
+            target.release(attempt.conn)
+        load = self._dialect.load(reply, target.entry, now_s)
+        if load is not None:
+            target.note_reading(load)
+        if self._dialect.misdirected(reply):
+            target.misdirected = True
+            self._note_attempt(call, attempt, 'misdirected')
+            return None
+        if self._dialect.not_run(reply):
+            target.note_failure(now_s, 0.5)
+            self._note_attempt(call, attempt, 'shed')
+            return None
+        call.maybe_run = True
+        if not self._dialect.authentic(reply):
+            target.note_failure(now_s)
+            self._note_attempt(call, attempt, 'spoiled')
+            return None
+        if reply.status >= 500:
+            target.note_failure(now_s)
+            call.failure = reply
+            self._note_attempt(call, attempt, f'status-{reply.status}')
+            if call.route.idempotent and self._may_repeat(call):
+                return None
+            return self._answer(call, reply, now_s)
+        target.note_success()
+        self._learn(call.route, attempt, now_s)
+        return self._answer(call, reply, now_s)
+
+    def _answer(
+        self, call: _Call, reply: http_client.Reply, now_s: float
+    ) -> http_server.Response:
+        elapsed_s = now_s - call.req.arrived_s
+        self._stats.answered(call.route.name, elapsed_s)
+        self._note(
+            call.request_id,
+            reply.status,
+            'answer',
+            call.sends,
+            call.req.arrived_s,
+        )
+        return http_server.Response(
+            reply.status, self._dialect.answer_headers(reply), reply.body
+        )
+
+    def _give_up(
+        self, call: _Call, reason: str, wait_s: float = 0.0
+    ) -> http_server.Response:
+        """Returns the final answer to a request that can't be served."""
+        if call.failure is not None:
+            return self._answer(call, call.failure, self._loop.time())
+        if reason == 'deadline' and call.sends:
+            status = 504
+        elif call.maybe_run or (call.sends and reason == 'caller-gone'):
+            status = 502
+        else:
+            return self._refuse(call.request_id, reason, wait_s, call)
+        self._note(
+            call.request_id, status, reason, call.sends, call.req.arrived_s
+        )
+        self._stats.refused(reason)
+        return http_server.Response(status)
+
+    def _refuse(
+        self,
+        request_id: bytes,
+        reason: str,
+        wait_s: float,
+        call: _Call | None = None,
+    ) -> http_server.Response:
+        """Returns the answer that the request has not run."""
+        wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        wait_s *= 0.75 + 0.5 * self._rng.random()
+        now_s = self._loop.time()
+        self._note(
+            request_id,
+            503,
+            reason,
+            call.sends if call else 0,
+            call.req.arrived_s if call else now_s,
+        )
+        self._stats.refused(reason)
+        after = f'{wait_s:.3f}'.encode()
+        return http_server.Response(503, [(b'retry-after', after)])
+
+    # Learning.
+
+    def _work(self, route: model.Route) -> float:
+        work_s = self._work_s.get(route.name)
+        if work_s is None:
+            return route.objective_s * INITIAL_WORK_OBJECTIVES
+        return work_s
+
+    def _learn(
+        self, route: model.Route, attempt: _Attempt, now_s: float
+    ) -> None:
+        """Updates the duration of the work at usual speed."""
+        reading = attempt.placement.reading
+        slots = max(1, reading.slots)
+        if reading.running + reading.waiting >= slots or reading.cold_s > 0:
+            return
+        usual = self._chooser.usual(attempt.target.entry.service)
+        elapsed_s = now_s - attempt.sent_s - attempt.target.path_s
+        factor = (reading.slowness + usual) / 2
+        work_s = max(0.001, elapsed_s / max(1.0, factor))
+        old_s = self._work(route)
+        self._work_s[route.name] = old_s + (work_s - old_s) * _WORK_SMOOTHING
+
+    def _budget(self, service: str) -> retry_budget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            limits = self._limits
+            budget = retry_budget.RetryBudget(
+                limits.retry_ratio, limits.retry_slack, limits.retry_window_s
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _note(
+        self,
+        request_id: bytes,
+        status: int,
+        outcome: str,
+        sends: int,
+        arrived_s: float,
+    ) -> None:
+        self._log.event(
+            'request',
+            id=request_id.decode('latin-1'),
+            status=status,
+            outcome=outcome,
+            sends=sends,
+            ms=round((self._loop.time() - arrived_s) * 1000, 1),
+            revision=self._knowledge.cfg_revision,
+        )
+
+    def _note_attempt(
+        self, call: _Call, attempt: _Attempt, outcome: str
+    ) -> None:
+        self._stats.failed_attempt(outcome)
+        self._log.event(
+            'attempt',
+            id=call.request_id.decode('latin-1'),
+            target=attempt.target.entry.name,
+            n=call.sends,
+            outcome=outcome,
+            ms=round((self._loop.time() - attempt.sent_s) * 1000, 1),
+        )
--- /dev/null
+++ b/ragwortchute/gateway/knowledge.py
@@ -0,0 +1,182 @@
+"""What a host believes: configuration, targets, and domains taken out.
+
+Every part carries the revision of the store that it was read at, and only
+moves forward.
+"""
+
+import asyncio
+from collections import abc
+
+from ragwortchute.gateway import dialect as dialects
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import model
+from ragwortchute.gateway import routing
+from ragwortchute.gateway import targets as targets_
+
+
+class Knowledge:
+    """Configuration, targets and domains taken out, as last heard.
+
+    Args:
+        dialect: Protocol of the targets.
+        domains: Region of each failure domain.
+        failure_domain: Failure domain of this host.
+        log: Takes log lines.
+
+    Attributes:
+        cfg: Configuration in force, None before the first one was read.
+        cfg_revision: Revision at which it was read.
+        table: Routes of the configuration in force.
+        targets: Targets by name.
+        out: Failure domains that are to get nothing.
+    """
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        domains: dict[str, str],
+        failure_domain: str,
+        log: eventlog.EventLog,
+    ) -> None:
+        self._dialect = dialect
+        self._domains = domains
+        self._failure_domain = failure_domain
+        self._region = domains.get(failure_domain, '')
+        self._log = log
+        self.cfg: model.Configuration | None = None
+        self.cfg_revision = 0
+        self.table = routing.RouteTable(())
+        self.limits = model.Limits()
+        self.targets: dict[str, targets_.Target] = {}
+        self.out: set[str] = set()
+        self._targets_known = False
+        self._out_known = False
+        self._by_service: dict[str, list[targets_.Target]] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served from what is known."""
+        return self.cfg is not None and self._targets_known and self._out_known
+
+    def region_of(self, failure_domain: str) -> str:
+        """Returns the region of a failure domain, empty if unknown."""
+        return self._domains.get(failure_domain, '')
+
+    def set_configuration(
+        self, revision: int, cfg: model.Configuration
+    ) -> None:
+        """Puts a configuration in force unless a newer one is."""
+        if self.cfg is not None and revision <= self.cfg_revision:
+            return
+        self.cfg = cfg
+        self.cfg_revision = revision
+        self.table = routing.RouteTable(cfg.routes)
+        self.limits = cfg.limits
+        for target in self.targets.values():
+            target.service = cfg.services.get(target.entry.service)
+        self._log.event(
+            'configuration',
+            version=cfg.version,
+            revision=revision,
+            routes=len(cfg.routes),
+        )
+
+    def set_target(self, entry: model.TargetEntry, revision: int) -> None:
+        """Adds a target or takes over what it says now."""
+        target = self.targets.get(entry.name)
+        if target is not None and _same_incarnation(target.entry, entry):
+            target.entry = entry
+        else:
+            if target is not None:
+                target.close()
+            target = self._new_target(entry)
+            self.targets[entry.name] = target
+        if entry.warmup_left_s > 0:
+            now_s = asyncio.get_running_loop().time()
+            target.cold_until_s = now_s + entry.warmup_left_s
+        self._index()
+        self._log.event(
+            'target',
+            target=entry.name,
+            service=entry.service,
+            ready=entry.ready,
+            cold_s=entry.warmup_left_s,
+            revision=revision,
+        )
+
+    def remove_target(self, name: str, revision: int) -> None:
+        """Forgets a target; requests that it runs are finished."""
+        target = self.targets.pop(name, None)
+        if target is None:
+            return
+        target.close()
+        self._index()
+        self._log.event('target-gone', target=name, revision=revision)
+
+    def set_targets(
+        self, entries: abc.Iterable[model.TargetEntry], revision: int
+    ) -> None:
+        """Takes over the whole list of targets."""
+        known = {entry.name: entry for entry in entries}
+        for name in set(self.targets) - set(known):
+            self.remove_target(name, revision)
+        for entry in known.values():
+            target = self.targets.get(entry.name)
+            if target is None or target.entry != entry:
+                self.set_target(entry, revision)
+        self._targets_known = True
+
+    def set_out(self, domains: abc.Iterable[str], revision: int) -> None:
+        """Takes over the list of failure domains that get nothing."""
+        out = set(domains)
+        if out != self.out or not self._out_known:
+            self._log.event('domains-out', out=sorted(out), revision=revision)
+        self.out = out
+        self._out_known = True
+
+    def eligible(
+        self, service: str, homes: tuple[str, ...]
+    ) -> list[targets_.Target]:
+        """Returns the targets that may get a request.
+
+        Args:
+            service: Name of the service.
+            homes: Regions that may serve it; empty allows all.
+        """
+        return [
+            target
+            for target in self._by_service.get(service, ())
+            if target.entry.ready
+            and not target.misdirected
+            and target.service is not None
+            and target.entry.failure_domain not in self.out
+            and (not homes or target.region in homes)
+        ]
+
+    def _new_target(self, entry: model.TargetEntry) -> targets_.Target:
+        region = self.region_of(entry.failure_domain)
+        target = targets_.Target(
+            entry,
+            self._dialect,
+            region,
+            same_domain=entry.failure_domain == self._failure_domain,
+            same_region=region == self._region,
+        )
+        if self.cfg is not None:
+            target.service = self.cfg.services.get(entry.service)
+        return target
+
+    def _index(self) -> None:
+        by_service: dict[str, list[targets_.Target]] = {}
+        for target in self.targets.values():
+            by_service.setdefault(target.entry.service, []).append(target)
+        self._by_service = by_service
+
+
+def _same_incarnation(old: model.TargetEntry, new: model.TargetEntry) -> bool:
+    return (old.born_ms, old.ip, old.port, old.service) == (
+        new.born_ms,
+        new.ip,
+        new.port,
+        new.service,
+    )
--- /dev/null
+++ b/ragwortchute/gateway/peer_socket.py
@@ -0,0 +1,47 @@
+"""UDP socket for messages between hosts."""
+
+import asyncio
+from collections import abc
+
+from ragwortchute.gateway import membership
+
+
+class PeerSocket(asyncio.DatagramProtocol, membership.Transport):
+    """Sends and receives datagrams.
+
+    Args:
+        received: Takes a datagram and the loop time of its arrival.
+    """
+
+    def __init__(self) -> None:
+        self.received: abc.Callable[[bytes, float], None] | None = None
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, ip: str, port: int) -> None:
+        """Binds the socket."""
+        await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=(ip, port)
+        )
+
+    def send(self, ip: str, port: int, data: bytes) -> None:
+        """See base class."""
+        if self._transport is not None:
+            self._transport.sendto(data, (ip, port))
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """See base class."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """See base class."""
+        if self.received is not None:
+            self.received(data, self._loop.time())
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer has no socket; its heartbeat will be missed."""
--- /dev/null
+++ b/ragwortchute/platform/endpoints.py
@@ -0,0 +1,51 @@
+"""Address look-ups and readiness checks, as the platform asks them."""
+
+from urllib import parse
+
+import msgspec
+
+from ragwortchute.gateway import application
+from ragwortchute.gateway import http_server
+
+RESOLVE_PATH = '/resolve'
+READY_PATH = '/ready'
+
+
+class _Addresses(msgspec.Struct):
+    addresses: list[str]
+    ttl_s: float
+
+
+class Endpoints:
+    """Answers the platform's questions.
+
+    Args:
+        gateway: This host.
+    """
+
+    def __init__(self, gateway: application.Gateway) -> None:
+        self._gateway = gateway
+
+    async def resolve(self, req: http_server.Request) -> http_server.Response:
+        """Answers `GET /resolve?name=HOST&region=REGION&zone=ZONE`."""
+        if req.path != RESOLVE_PATH:
+            return http_server.Response(404)
+        query = dict(parse.parse_qsl(req.target.partition('?')[2]))
+        addresses = self._gateway.addresses(
+            query.get('name', '').lower(),
+            query.get('region', ''),
+            query.get('zone', ''),
+        )
+        if not addresses or not self._gateway.knowledge.complete:
+            return http_server.Response(503)
+        body = msgspec.json.encode(
+            _Addresses(addresses, application.ADDRESS_TTL_S)
+        )
+        headers = [(b'content-type', b'application/json')]
+        return http_server.Response(200, headers, body)
+
+    async def ready(self, req: http_server.Request) -> http_server.Response:
+        """Answers `GET /ready`."""
+        if req.path != READY_PATH:
+            return http_server.Response(404)
+        return http_server.Response(200 if self._gateway.ready else 503)
--- /dev/null
+++ b/ragwortchute/platform/feeds.py
@@ -0,0 +1,277 @@
+"""Objects of the platform's store, decoded into what the gateway knows."""
+
+import msgspec
+
+from ragwortchute import stores
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import following
+from ragwortchute.gateway import knowledge as knowledge_
+from ragwortchute.gateway import model
+
+CONFIG_KIND = 'config/'
+CONFIG_NAME = 'main'
+SERVERS_KIND = 'servers/'
+EVACUATIONS_KIND = 'evacuations/'
+
+_STATES = frozenset({'ready', 'draining'})
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_s: float
+    target_latency_s: float  # latency objective
+    attempts: int
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    allowed_regions: list[str] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str
+    max_conns: int = 100
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+class _Config(msgspec.Struct):
+    config_version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: model.Limits = msgspec.field(default_factory=model.Limits)
+
+
+class _ConfigObject(msgspec.Struct):
+    spec: _Config
+
+
+class _Info(msgspec.Struct):
+    service: str
+    zone: str
+    slots: int
+
+
+class _Status(msgspec.Struct):
+    state: str
+    warmup_left_s: float = 0.0
+
+
+class _Server(msgspec.Struct):
+    address: str
+    info: _Info
+    status: _Status
+    born: int
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+
+
+class _ServerObject(msgspec.Struct):
+    """An entry of a server: fields of the entry lie in `spec` or beside it."""
+
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b'null')
+    status: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class ConfigFeed(following.Feed):
+    """The operator's configuration.
+
+    Args:
+        knowledge: Takes the configuration.
+        log: Takes log lines.
+    """
+
+    prefix = CONFIG_KIND
+
+    def __init__(
+        self, knowledge: knowledge_.Knowledge, log: eventlog.EventLog
+    ) -> None:
+        self._knowledge = knowledge
+        self._log = log
+
+    def replace(
+        self, objects: list[stores.StoredObject], revision: int
+    ) -> None:
+        """See base class."""
+        for obj in objects:
+            self.put(obj, revision)
+
+    def put(self, obj: stores.StoredObject, revision: int) -> None:
+        """See base class."""
+        if obj.name != CONFIG_NAME:
+            return
+        try:
+            cfg = decode_configuration(obj.value)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            self._log.event(
+                'configuration-malformed', revision=obj.version, error=str(exc)
+            )
+            return
+        self._knowledge.set_configuration(obj.version, cfg)
+
+    def remove(self, name: str, revision: int) -> None:
+        """Keeps the configuration in force."""
+        self._log.event('configuration-removed', name=name, revision=revision)
+
+
+class TargetFeed(following.Feed):
+    """Targets that registered themselves.
+
+    Args:
+        knowledge: Takes the targets.
+        log: Takes log lines.
+    """
+
+    prefix = SERVERS_KIND
+
+    def __init__(
+        self, knowledge: knowledge_.Knowledge, log: eventlog.EventLog
+    ) -> None:
+        self._knowledge = knowledge
+        self._log = log
+
+    def replace(
+        self, objects: list[stores.StoredObject], revision: int
+    ) -> None:
+        """See base class."""
+        entries = [self._decode(obj) for obj in objects]
+        self._knowledge.set_targets(
+            [entry for entry in entries if entry is not None], revision
+        )
+
+    def put(self, obj: stores.StoredObject, revision: int) -> None:
+        """See base class."""
+        entry = self._decode(obj)
+        if entry is None:
+            self._knowledge.remove_target(obj.name, revision)
+        else:
+            self._knowledge.set_target(entry, revision)
+
+    def remove(self, name: str, revision: int) -> None:
+        """See base class."""
+        self._knowledge.remove_target(name, revision)
+
+    def _decode(self, obj: stores.StoredObject) -> model.TargetEntry | None:
+        try:
+            return decode_target(obj.value)
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+            self._log.event('target-malformed', target=obj.name, error=str(exc))
+            return None
+
+
+class EvacuationFeed(following.Feed):
+    """Failure domains that the operator takes out.
+
+    Args:
+        knowledge: Takes the failure domains.
+    """
+
+    prefix = EVACUATIONS_KIND
+
+    def __init__(self, knowledge: knowledge_.Knowledge) -> None:
+        self._knowledge = knowledge
+        self._out: set[str] = set()
+
+    def replace(
+        self, objects: list[stores.StoredObject], revision: int
+    ) -> None:
+        """See base class."""
+        self._out = {obj.name for obj in objects}
+        self._knowledge.set_out(self._out, revision)
+
+    def put(self, obj: stores.StoredObject, revision: int) -> None:
+        """See base class."""
+        self._out.add(obj.name)
+        self._knowledge.set_out(self._out, revision)
+
+    def remove(self, name: str, revision: int) -> None:
+        """See base class."""
+        self._out.discard(name)
+        self._knowledge.set_out(self._out, revision)
+
+
+def decode_configuration(value: bytes) -> model.Configuration:
+    """Decodes the object that holds the configuration.
+
+    Raises:
+        msgspec.DecodeError: It is malformed.
+    """
+    cfg = msgspec.json.decode(value, type=_ConfigObject).spec
+    services = {
+        one.name: model.Service(
+            one.name,
+            one.health_path,
+            one.max_conns,
+            one.warmup_s,
+            one.warmup_per_s,
+        )
+        for one in cfg.services
+    }
+    return model.Configuration(
+        cfg.config_version,
+        tuple(_route(route) for route in cfg.routes),
+        services,
+        cfg.limits,
+    )
+
+
+def decode_target(value: bytes) -> model.TargetEntry:
+    """Decodes the entry of a target.
+
+    Raises:
+        msgspec.DecodeError: It is malformed.
+        ValueError: A value is not one that a target may state.
+    """
+    obj = msgspec.json.decode(value, type=_ServerObject)
+    server = _server(obj)
+    if server.status.state not in _STATES:
+        raise ValueError(f'state {server.status.state!r} is unknown')
+    ip, _, port = server.address.rpartition(':')
+    return model.TargetEntry(
+        name=obj.metadata.name,
+        service=server.info.service,
+        ip=ip,
+        port=int(port),
+        failure_domain=server.info.zone,
+        slots=server.info.slots,
+        ready=server.status.state == 'ready',
+        warmup_left_s=max(0.0, server.status.warmup_left_s),
+        born_ms=server.born,
+    )
+
+
+def _server(obj: _ServerObject) -> _Server:
+    return msgspec.json.decode(obj.spec, type=_Server)
+
+
+def _route(route: _Route) -> model.Route:
+    if route.traffic_split:
+        parts = tuple(
+            model.Part(part.service, part.weight)
+            for part in route.traffic_split
+        )
+    else:
+        parts = (model.Part(route.service or '', 1.0),)
+    return model.Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        path_prefix=route.path_prefix,
+        idempotent=route.route_type == 'idempotent',
+        timeout_s=route.timeout_s,
+        objective_s=route.target_latency_s,
+        priority=route.priority,
+        parts=parts,
+        attempts=max(1, route.attempts),
+        homes=tuple(route.allowed_regions),
+    )
--- /dev/null
+++ b/ragwortchute/platform/objects.py
@@ -0,0 +1,244 @@
+"""Client of the platform's metadata store.
+
+Names of objects are `KIND/NAME`. Values are the whole object as JSON.
+"""
+
+import asyncio
+from urllib import parse
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.gateway import http_client
+
+# Healthy answers take milliseconds; a slow store may take 60 times as long.
+TIMEOUT_S = 2.0
+
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    rev: int = 0
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+
+
+class _Page(msgspec.Struct):
+    current_rev: int
+    items: list[msgspec.Raw] = []
+    more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    current_rev: int
+    events: list[_Event] = []
+
+
+@stores.REGISTRY.register('objects')
+class ObjectStore(stores.Store):
+    """Client of one store; a connection is opened where none is idle.
+
+    Args:
+        ip: Address of the store.
+        port: Port of the store.
+    """
+
+    def __init__(self, ip: str, port: int) -> None:
+        self._ip = ip
+        self._port = port
+        self._peer = f'{ip}:{port}'
+        self._idle: list[http_client.ClientConnection] = []
+
+    async def get(self, name: str) -> stores.StoredObject | None:
+        """See base class."""
+        reply = await self._send('GET', f'/objects/{parse.quote(name)}')
+        if reply.status == _NOT_FOUND:
+            return None
+        return self._stored(reply, name, write=False)
+
+    async def list(self, prefix: str) -> list[stores.StoredObject]:
+        """See base class."""
+        answer = await self.watch(prefix, after_revision=0, timeout_s=0)
+        return list(answer.objects)
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int
+    ) -> stores.StoredObject:
+        """Writes the `spec` of an object; see base class."""
+        kind, _, short = name.partition('/')
+        metadata: dict[str, object] = {'name': short}
+        if expected_version > 0:
+            metadata['rev'] = expected_version
+        body = msgspec.json.encode(
+            {'metadata': metadata, 'spec': msgspec.Raw(value)}
+        )
+        reply = None
+        if expected_version:
+            path = f'/objects/{parse.quote(name)}'
+            reply = await self._send('PUT', path, body)
+        if expected_version == 0 or (
+            reply.status == _NOT_FOUND
+            and expected_version == stores.ANY_VERSION
+        ):
+            path = f'/objects/{parse.quote(kind)}'
+            reply = await self._send('POST', path, body)
+        if reply.status == _CONFLICT:
+            raise errors.VersionConflict(
+                f'{name!r} has another revision', current_version=0
+            )
+        return self._stored(reply, name, write=True)
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> stores.WatchAnswer:
+        """See base class; revision 0 reads everything.
+
+        Raises:
+            HistoryGone: The store no longer has the changes.
+            StoreUnavailable: No answer.
+        """
+        kind = parse.quote(prefix.rstrip('/'))
+        if not after_revision:
+            return await self._read_all(kind)
+        path = (
+            f'/objects/{kind}?watch={after_revision}'
+            f'&wait_ms={int(timeout_s * 1000)}'
+        )
+        reply = await self._send('GET', path, extra_s=timeout_s)
+        if reply.status == _GONE:
+            raise errors.HistoryGone(
+                f'no changes since {after_revision}',
+                step='watch',
+                peer=self._peer,
+            )
+        self._expect_ok(reply, write=False)
+        events = self._decode(reply, _Events)
+        objects: dict[str, stores.StoredObject] = {}
+        removed: set[str] = set()
+        for event in events.events:
+            obj = self._decode_object(event.object)
+            objects.pop(obj.name, None)
+            if event.deleted:
+                removed.add(obj.name)
+            else:
+                removed.discard(obj.name)
+                objects[obj.name] = obj
+        return stores.WatchAnswer(
+            events.current_rev, tuple(objects.values()), tuple(removed)
+        )
+
+    async def close(self) -> None:
+        """See base class."""
+        for conn in self._idle:
+            conn.abort()
+        self._idle.clear()
+
+    async def _read_all(self, kind: str) -> stores.WatchAnswer:
+        objects = []
+        revision = 0
+        after = ''
+        while True:
+            query = f'?after={parse.quote(after)}' if after else ''
+            reply = await self._send('GET', f'/objects/{kind}{query}')
+            self._expect_ok(reply, write=False)
+            page = self._decode(reply, _Page)
+            revision = revision or page.current_rev
+            objects += [self._decode_object(item) for item in page.items]
+            if not page.more or not page.items:
+                return stores.WatchAnswer(revision, tuple(objects))
+            after = objects[-1].name
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        *,
+        extra_s: float = 0.0,
+    ) -> http_client.Reply:
+        """Sends one request and returns the whole answer.
+
+        Raises:
+            StoreUnavailable: No whole answer in time.
+        """
+        head = f'{method} {path} HTTP/1.1\r\nHost: {self._peer}\r\n'
+        if body:
+            head += 'Content-Type: application/json\r\n'
+        if method != 'GET':
+            head += f'Content-Length: {len(body)}\r\n'
+        data = head.encode() + b'\r\n' + body
+        write = method != 'GET'
+        conn = None
+        try:
+            async with asyncio.timeout(TIMEOUT_S + extra_s):
+                conn = await self._connection()
+                reply = await conn.send(data)
+        except errors.ConnectFailed as exc:
+            raise self._unavailable(str(exc), False) from exc
+        except TimeoutError as exc:
+            raise self._unavailable('no answer in time', write) from exc
+        except errors.TargetError as exc:
+            raise self._unavailable(str(exc), write) from exc
+        finally:
+            if conn is not None:
+                if conn.usable:
+                    self._idle.append(conn)
+                else:
+                    conn.abort()
+        return reply
+
+    async def _connection(self) -> http_client.ClientConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.usable:
+                return conn
+        return await http_client.connect(self._ip, self._port)
+
+    def _expect_ok(self, reply: http_client.Reply, *, write: bool) -> None:
+        if reply.status in (_OK, _CREATED):
+            return
+        # 503 and 429 mean that nothing was done.
+        maybe = write and reply.status not in (429, 503)
+        raise self._unavailable(f'status {reply.status}', maybe)
+
+    def _stored(
+        self, reply: http_client.Reply, name: str, *, write: bool
+    ) -> stores.StoredObject:
+        self._expect_ok(reply, write=write)
+        obj = self._decode(reply, _Object)
+        return stores.StoredObject(name, obj.metadata.rev, reply.body)
+
+    def _decode(self, reply: http_client.Reply, kind: type) -> object:
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise self._unavailable(f'malformed answer: {exc}', False) from exc
+
+    def _decode_object(self, raw: msgspec.Raw) -> stores.StoredObject:
+        try:
+            obj = msgspec.json.decode(raw, type=_Object)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            raise self._unavailable(f'malformed object: {exc}', False) from exc
+        return stores.StoredObject(
+            obj.metadata.name, obj.metadata.rev, bytes(raw)
+        )
+
+    def _unavailable(
+        self, message: str, maybe_applied: bool
+    ) -> errors.StoreUnavailable:
+        return errors.StoreUnavailable(
+            message, maybe_applied=maybe_applied, peer=self._peer
+        )
--- /dev/null
+++ b/ragwortchute/platform/settings.py
@@ -0,0 +1,169 @@
+"""Settings file of the platform, decoded into the gateway's settings."""
+
+import os
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute.gateway import application
+from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import model
+
+FILE_VARIABLE = 'RAGWORTCHUTE_NODE_FILE'
+# Host capacity at which a host counts as one share in address answers.
+USUAL_CORES = 1.0
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """Settings of one process.
+
+    Attributes:
+        gateway: What the gateway needs.
+        store_ip: Address of the store.
+        store_port: Port of the store.
+        directory: Address of the listener for address look-ups.
+        readiness: Address of the listener for readiness checks.
+    """
+
+    gateway: application.Settings
+    store_ip: str
+    store_port: int
+    directory: tuple[str, int]
+    readiness: tuple[str, int]
+
+
+def load(incarnation: int) -> NodeSettings:
+    """Reads the file that the environment names.
+
+    Args:
+        incarnation: Start of this process in Unix milliseconds.
+
+    Raises:
+        SettingError: A value is missing or ill-formed.
+    """
+    path = os.environ.get(FILE_VARIABLE, '')
+    if not path:
+        raise errors.SettingError(f'{FILE_VARIABLE} is not set', step='read')
+    try:
+        with open(path, encoding='utf-8') as file:
+            text = file.read()
+    except OSError as exc:
+        raise errors.SettingError(str(exc), step='read') from exc
+    return parse(text, incarnation)
+
+
+def parse(text: str, incarnation: int) -> NodeSettings:
+    """Decodes the lines of a settings file.
+
+    Raises:
+        SettingError: A value is missing or ill-formed.
+    """
+    values = _Values(text)
+    domains = values.below('zones.')
+    failure_domain = values.text('zone')
+    if failure_domain not in domains:
+        raise errors.SettingError(
+            f'zone={failure_domain!r} is not among '
+            f'{", ".join(sorted(domains))}',
+            step='settings',
+        )
+    bounds = values.pairs('bounds')
+    ip = values.text('ip')
+    caller_ip, caller_port = values.address('listen.front')
+    store_ip, store_port = values.address('provider.address')
+    first_port = values.text('port_range').partition(',')[0]
+    me = model.HostEntry(
+        name=values.text('node'),
+        incarnation=incarnation,
+        failure_domain=failure_domain,
+        region=domains[failure_domain],
+        caller_address=f'{caller_ip}:{caller_port}',
+        ip=ip,
+        peer_port=_port(first_port, 'port_range'),
+        weight=values.number('limits.cpu_share', 1.0)
+        * values.number('limits.cores', USUAL_CORES),
+    )
+    gateway = application.Settings(
+        me=me,
+        domains=domains,
+        peer_ip=ip,
+        grace_s=bounds.get('grace_s', 6.0),
+        limits=dispatcher.Limits(
+            retry_ratio=bounds.get('retry_budget_ratio', 0.2),
+            retry_slack=bounds.get('retry_slack', 0.0),
+            retry_window_s=bounds.get('budget_window_s', 10.0),
+            warmup_overage=bounds.get('warmup_overage', 1.0),
+            warmup_slack=bounds.get('warmup_slack', 0.0),
+        ),
+    )
+    return NodeSettings(
+        gateway,
+        store_ip,
+        store_port,
+        values.address('listen.directory'),
+        values.address('listen.readiness'),
+    )
+
+
+class _Values:
+    """Lines of the form `name=value`."""
+
+    def __init__(self, text: str) -> None:
+        self._values: dict[str, str] = {}
+        for line in text.splitlines():
+            name, found, value = line.partition('=')
+            if found:
+                self._values[name.strip()] = value.strip()
+
+    def text(self, name: str) -> str:
+        """Returns a value that must be there."""
+        value = self._values.get(name, '')
+        if not value:
+            raise errors.SettingError(f'{name} is missing', step='settings')
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        """Returns a number, the default if it is absent."""
+        value = self._values.get(name, '')
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError as exc:
+            raise errors.SettingError(
+                f'{name}={value!r} is not a number', step='settings'
+            ) from exc
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Returns an `IP:port` value."""
+        value = self.text(name)
+        ip, _, port = value.rpartition(':')
+        return ip, _port(port, name)
+
+    def below(self, prefix: str) -> dict[str, str]:
+        """Returns the values whose names start with a prefix."""
+        return {
+            name[len(prefix) :]: value
+            for name, value in self._values.items()
+            if name.startswith(prefix)
+        }
+
+    def pairs(self, name: str) -> dict[str, float]:
+        """Returns a list of `name=number` pairs; others are left out."""
+        pairs = {}
+        for item in self._values.get(name, '').split(','):
+            key, _, value = item.partition('=')
+            try:
+                pairs[key.strip()] = float(value)
+            except ValueError:
+                continue
+        return pairs
+
+
+def _port(text: str, name: str) -> int:
+    if not text.isdigit() or not 0 < int(text) < 65536:
+        raise errors.SettingError(
+            f'{name} needs a port from 1 to 65535, not {text!r}',
+            step='settings',
+        )
+    return int(text)
--- a/ragwortchute/stores/__init__.py
+++ b/ragwortchute/stores/__init__.py
@@ -6,6 +6,9 @@
 
 from ragwortchute import registry
 
+# Passed to `put` to replace whatever is stored; not all stores allow it.
+ANY_VERSION = -1
+
 REGISTRY: registry.Registry[type['Store']] = registry.Registry('store')
 
 
