Tell other hosts of changes that a watch missed

Also hosts never knew each other: stored host entries were decoded with their metadata. Change: heartbeats carry the revision of the last change by prefix; a host that stays behind for 0.3 s reads again. Conclusion: a missed change costs one reading.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -106,6 +106,9 @@
         self.callers = http_server.Listener(
             self.dispatcher.serve, lambda: self.knowledge.limits, log, 'callers'
         )
+        self._followers: dict[str, following.Follower] = {}
+        self.membership.changes = self._changes
+        self.membership.hint = self._hint
         self.leaving = False
 
     @property
@@ -134,6 +137,7 @@
             follower = following.Follower(
                 self._store, feed, self.health, self._log, self.rng
             )
+            self._followers[feed.prefix] = follower
             self._spawn(follower.run())
         self._spawn(self.membership.run())
         self._spawn(self._upkeep())
@@ -167,6 +171,18 @@
         await self._store.close()
         self._log.flush()
 
+    def _changes(self) -> dict[str, int]:
+        """Returns the last change known, by prefix of the store."""
+        return {
+            prefix: follower.changed
+            for prefix, follower in self._followers.items()
+        }
+
+    def _hint(self, prefix: str, changed: int) -> None:
+        follower = self._followers.get(prefix)
+        if follower is not None:
+            follower.hint(changed)
+
     def _spawn(self, coro: object) -> None:
         self._tasks.append(self._loop.create_task(coro))
 
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import abc
 import random
 
 import msgspec
@@ -42,12 +43,14 @@
         beats: Heartbeats that it knows.
         entries: Addresses of hosts.
         wanted: Names of hosts whose addresses it asks for.
+        changes: Revision of the last change that it knows, by prefix.
     """
 
     sender: str
     beats: tuple[Beat, ...] = ()
     entries: tuple[model.HostEntry, ...] = ()
     wanted: tuple[str, ...] = ()
+    changes: dict[str, int] = {}
 
 
 class Transport:
@@ -79,6 +82,12 @@
         transport: Sends datagrams.
         log: Takes log lines.
         rng: Source of randomness.
+
+    Attributes:
+        me: This host.
+        leaving: Whether this host is stopping.
+        changes: Returns the last change that this host knows, by prefix.
+        hint: Takes over a prefix and a change that another host knows.
     """
 
     def __init__(
@@ -89,6 +98,8 @@
         rng: random.Random,
     ) -> None:
         self.me = me
+        self.changes: abc.Callable[[], dict[str, int]] = dict
+        self.hint: abc.Callable[[str, int], None] = lambda *_: None
         self.leaving = False
         self._transport = transport
         self._log = log
@@ -166,6 +177,8 @@
             self._log.event('peer-malformed', error=str(exc))
             return
         self.learn(list(message.entries), now_s)
+        for prefix, changed in message.changes.items():
+            self.hint(prefix, changed)
         wanted = [
             beat.name for beat in message.beats if not self._take(beat, now_s)
         ]
@@ -274,7 +287,9 @@
             Beat(self.me.name, self.me.incarnation, self._count, self.leaving)
         )
         return self._encoder.encode(
-            Message(self.me.name, tuple(beats), entries)
+            Message(
+                self.me.name, tuple(beats), entries, changes=self.changes()
+            )
         )
 
     def _send(self, peer: _Peer, data: bytes) -> None:
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -50,10 +50,6 @@
     limits: model.Limits = msgspec.field(default_factory=model.Limits)
 
 
-class _ConfigObject(msgspec.Struct):
-    spec: _Config
-
-
 class _Info(msgspec.Struct):
     service: str
     zone: str
@@ -72,18 +68,6 @@
     born: int
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-
-
-class _ServerObject(msgspec.Struct):
-    """An entry of a server: fields of the entry lie in `spec` or beside it."""
-
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-    status: msgspec.Raw = msgspec.Raw(b'null')
-
-
 class ConfigFeed(following.Feed):
     """The operator's configuration.
 
@@ -164,7 +148,7 @@
 
     def _decode(self, obj: stores.StoredObject) -> model.TargetEntry | None:
         try:
-            return decode_target(obj.value)
+            return decode_target(obj.name, obj.value)
         except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
             self._log.event('target-malformed', target=obj.name, error=str(exc))
             return None
@@ -207,7 +191,7 @@
     Raises:
         msgspec.DecodeError: It is malformed.
     """
-    cfg = msgspec.json.decode(value, type=_ConfigObject).spec
+    cfg = msgspec.json.decode(value, type=_Config)
     services = {
         one.name: model.Service(
             one.name,
@@ -226,20 +210,19 @@
     )
 
 
-def decode_target(value: bytes) -> model.TargetEntry:
+def decode_target(name: str, value: bytes) -> model.TargetEntry:
     """Decodes the entry of a target.
 
     Raises:
         msgspec.DecodeError: It is malformed.
         ValueError: A value is not one that a target may state.
     """
-    obj = msgspec.json.decode(value, type=_ServerObject)
-    server = _server(obj)
+    server = msgspec.json.decode(value, type=_Server)
     if server.status.state not in _STATES:
         raise ValueError(f'state {server.status.state!r} is unknown')
     ip, _, port = server.address.rpartition(':')
     return model.TargetEntry(
-        name=obj.metadata.name,
+        name=name,
         service=server.info.service,
         ip=ip,
         port=int(port),
@@ -251,10 +234,6 @@
     )
 
 
-def _server(obj: _ServerObject) -> _Server:
-    return msgspec.json.decode(obj.spec, type=_Server)
-
-
 def _route(route: _Route) -> model.Route:
     if route.traffic_split:
         parts = tuple(
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -1,6 +1,6 @@
 """Client of the platform's metadata store.
 
-Names of objects are `KIND/NAME`. Values are the whole object as JSON.
+Names of objects are `KIND/NAME`. Values are the `spec` of an object as JSON.
 """
 
 import asyncio
@@ -29,6 +29,7 @@
 
 class _Object(msgspec.Struct):
     metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b'null')
 
 
 class _Page(msgspec.Struct):
@@ -219,7 +220,7 @@
     ) -> stores.StoredObject:
         self._expect_ok(reply, write=write)
         obj = self._decode(reply, _Object)
-        return stores.StoredObject(name, obj.metadata.rev, reply.body)
+        return stores.StoredObject(name, obj.metadata.rev, bytes(obj.spec))
 
     def _decode(self, reply: http_client.Reply, kind: type) -> object:
         try:
@@ -233,7 +234,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             raise self._unavailable(f'malformed object: {exc}', False) from exc
         return stores.StoredObject(
-            obj.metadata.name, obj.metadata.rev, bytes(raw)
+            obj.metadata.name, obj.metadata.rev, bytes(obj.spec)
         )
 
     def _unavailable(
