Ask more targets only when the best offer risks the objective

Change: a second round of four only when the best offer would take more than 0.7 of the latency objective; no third.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -19,7 +19,10 @@
 
 FIRST_ASKED = 3
 MORE_ASKED = 4
-MAX_ROUNDS = 3
+MAX_ROUNDS = 2
+# More targets are asked only if the best offer would take longer than this
+# part of the latency objective.
+ENOUGH_OBJECTIVES = 0.7
 # An offer is taken at once if it is expected to take no longer than this many
 # times the time on a free target of usual speed.
 GOOD_FACTOR = 1.25
@@ -115,6 +118,7 @@
         best_cost = float('inf')
         position = 0
         good_s = self._good_s(wish)
+        enough_s = max(good_s, wish.objective_s * ENOUGH_OBJECTIVES)
         for round_ in range(MAX_ROUNDS):
             count = FIRST_ASKED if round_ == 0 else MORE_ASKED
             group = order[position : position + count]
@@ -130,7 +134,7 @@
                 else:
                     answer.target.release(answer.conn)
             if best is not None and (
-                best_cost <= good_s or not best.conn.usable
+                best_cost <= enough_s or not best.conn.usable
             ):
                 break
         return self._place(best, wish, position)
