Read the store once a failure domain and relay homed requests

Ruled out: naming hosts of the home region to callers; all kinds share one host name. Change: a host outside the home region passes the request to a host inside it. One host of each failure domain reads the store, the others read its copy and fall back to the store. One pool and one exchange for all kept connections.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -17,7 +17,11 @@
 from ragwortchute.gateway import knowledge as knowledge_
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
+from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
+from ragwortchute.gateway import relays
+from ragwortchute.gateway import replica
+from ragwortchute.gateway import sources
 from ragwortchute.gateway import stats as stats_
 
 # How long callers may keep an address answer.
@@ -94,10 +98,12 @@
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
+        self._relays = relays.Relays(self.membership, self.rng)
         self.dispatcher = dispatcher.Dispatcher(
             knowledge=self.knowledge,
             dialect=dialect,
             chooser=self._chooser,
+            relays=self._relays,
             limits=settings.limits,
             log=log,
             stats=self.stats,
@@ -107,6 +113,12 @@
             self.dispatcher.serve, lambda: self.knowledge.limits, log, 'callers'
         )
         self._followers: dict[str, following.Follower] = {}
+        self._replicas: dict[str, replica.Replica] = {}
+        self._copies: dict[tuple[str, int], following.Source] = {}
+        api = peer_api.PeerApi(self._replicas, self.dispatcher)
+        self.peers = http_server.Listener(
+            api.serve, lambda: self.knowledge.limits, log, 'peers'
+        )
         self.membership.changes = self._changes
         self.membership.hint = self._hint
         self.leaving = False
@@ -133,11 +145,13 @@
         """Starts to read the store, then to listen to hosts and callers."""
         me = self._settings.me
         await self._socket.open(self._settings.peer_ip, me.peer_port)
+        await self.peers.start(self._settings.peer_ip, me.peer_port)
         for feed in feeds:
             follower = following.Follower(
-                self._store, feed, self.health, self._log, self.rng
+                self._sources, feed, self.health, self._log, self.rng
             )
             self._followers[feed.prefix] = follower
+            self._replicas[feed.prefix] = follower.replica
             self._spawn(follower.run())
         self._spawn(self.membership.run())
         self._spawn(self._upkeep())
@@ -167,14 +181,32 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.stop()
+        await self.peers.stop()
+        self._relays.close()
         self._socket.close()
         await self._store.close()
         self._log.flush()
 
+    def _sources(self) -> list[following.Source]:
+        """Returns the places to read the store's contents from."""
+        hosts = self.membership.alive(self._loop.time())
+        return [
+            self._copy(host) if host else following.Source('', self._store)
+            for host in sources.order(self._settings.me, hosts)
+        ]
+
+    def _copy(self, host: model.HostEntry) -> following.Source:
+        key = (host.name, host.incarnation)
+        source = self._copies.get(key)
+        if source is None:
+            source = following.Source(host.name, peer_api.PeerStore(host))
+            self._copies[key] = source
+        return source
+
     def _changes(self) -> dict[str, int]:
         """Returns the last change known, by prefix of the store."""
         return {
-            prefix: follower.changed
+            prefix: follower.replica.changed
             for prefix, follower in self._followers.items()
         }
 
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -129,10 +129,10 @@
                 cost = self._cost(answer, wish)
                 if cost < best_cost:
                     if best is not None:
-                        best.target.release(best.conn)
+                        best.target.pool.release(best.conn)
                     best, best_cost = answer, cost
                 else:
-                    answer.target.release(answer.conn)
+                    answer.target.pool.release(answer.conn)
             if best is not None and (
                 best_cost <= enough_s or not best.conn.usable
             ):
@@ -161,7 +161,7 @@
             offer, wish.work_s, self.usual(target.entry.service)
         )
         if expected > wish.left_s:
-            target.release(best.conn)
+            target.pool.release(best.conn)
             return NoPlacement('overload', expected - wish.left_s, asked)
         if best.reading.cold_s > 0:
             gap_s = pacing.interval_s(self.bound_per_s(target), self.hosts)
@@ -188,7 +188,7 @@
             if target.is_cold(now_s):
                 key += 3.0
             key += 4.0 * target.failing
-            if not target.has_idle:
+            if not target.pool.has_idle:
                 key += 0.5
             reading = target.reading
             if reading is not None and now_s - reading.taken_s < 0.1:
@@ -254,14 +254,14 @@
         )
         cold = reading.cold_s > 0 and not target.pacer.may_send(now_s)
         if cold or not reading.healthy:
-            target.release(conn)
+            target.pool.release(conn)
             return None
         return _Answer(target, conn, reading)
 
     def _late(self, task: asyncio.Task, target: targets_.Target) -> None:
         answer = self._answer(task, target)
         if answer is not None:
-            target.release(answer.conn)
+            target.pool.release(answer.conn)
 
     def _offer(self, answer: _Answer) -> placing.Offer:
         target = answer.target
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -54,9 +54,9 @@
         self,
         req: http_server.Request,
         remaining_s: float,
-        entry: model.TargetEntry,
+        entry: model.TargetEntry | None,
     ) -> bytes:
-        """Returns a request as it goes to a target."""
+        """Returns a request as it goes to a target, or to a host if None."""
 
     @abc.abstractmethod
     def accept(
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import knowledge as knowledge_
 from ragwortchute.gateway import model
+from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import targets as targets_
@@ -126,6 +127,7 @@
         knowledge: Configuration and targets.
         dialect: Protocol of callers and targets.
         chooser: Chooses targets.
+        relays: Hosts of other regions.
         limits: Bounds of repeats over all hosts.
         log: Takes log lines.
         stats: Counters.
@@ -138,6 +140,7 @@
         knowledge: knowledge_.Knowledge,
         dialect: dialects.Dialect,
         chooser: candidates.Chooser,
+        relays: relays_.Relays,
         limits: Limits,
         log: eventlog.EventLog,
         stats: stats_.Stats,
@@ -146,6 +149,7 @@
         self._knowledge = knowledge
         self._dialect = dialect
         self._chooser = chooser
+        self._relays = relays
         self._limits = limits
         self._log = log
         self._stats = stats
@@ -154,8 +158,15 @@
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._work_s: dict[str, float] = {}
 
-    async def serve(self, req: http_server.Request) -> http_server.Response:
-        """Answers a request of a caller."""
+    async def serve(
+        self, req: http_server.Request, *, relayed: bool = False
+    ) -> http_server.Response:
+        """Answers a request of a caller.
+
+        Args:
+            req: The request.
+            relayed: Whether another host passed it on.
+        """
         knowledge = self._knowledge
         request_id = self._dialect.request_id(req)
         if not knowledge.complete:
@@ -174,6 +185,10 @@
             self._part(route),
             req.arrived_s + remaining_s - ANSWER_MARGIN_S,
         )
+        if route.homes and knowledge.region not in route.homes and not relayed:
+            resp = await self._relay(call)
+            if resp is not None:
+                return resp
         self._budget(call.service).note_request(self._loop.time())
         outstanding: list[_Attempt] = []
         try:
@@ -183,6 +198,61 @@
                 attempt.target.in_flight -= 1
                 attempt.conn.abort()
 
+    async def _relay(self, call: _Call) -> http_server.Response | None:
+        """Passes a request on to a home region.
+
+        Returns:
+            The final answer, or None if the request has not run there and
+            this host should send it to a target itself.
+        """
+        now_s = self._loop.time()
+        host = self._relays.choose(call.route.homes, now_s)
+        if host is None:
+            return None
+        pool = self._relays.pool(host)
+        try:
+            conn = await pool.take()
+        except errors.ConnectFailed as exc:
+            self._note_relay(call, host, str(exc), now_s)
+            return None
+        left_s = call.deadline_s - self._loop.time()
+        if left_s <= 0:
+            pool.release(conn)
+            return self._give_up(call, 'deadline')
+        data = self._dialect.encode(call.req, left_s, None)
+        fut = conn.send(data, self._dialect.accept(call.req))
+        futs: set[asyncio.Future] = {fut}
+        if call.route.idempotent:
+            futs.add(call.req.gone)
+        call.sends = 1
+        call.maybe_run = True
+        try:
+            await asyncio.wait(
+                futs, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not fut.done():
+                gone = call.req.gone.done()
+                return self._give_up(
+                    call, 'caller-gone' if gone else 'deadline'
+                )
+            reply = fut.result()
+        except errors.TargetError as exc:
+            self._note_relay(call, host, str(exc), now_s)
+            return self._give_up(call, 'relay-lost')
+        finally:
+            pool.release(conn)
+        self._note_relay(call, host, str(reply.status), now_s)
+        if self._dialect.authentic(reply):
+            return self._answer(call, reply, self._loop.time())
+        if reply.status == 404:
+            call.sends = 0
+            call.maybe_run = False
+            return None
+        self._stats.refused('relay')
+        return http_server.Response(
+            reply.status, self._dialect.answer_headers(reply), reply.body
+        )
+
     async def _run(
         self, call: _Call, outstanding: list[_Attempt]
     ) -> http_server.Response:
@@ -234,7 +304,7 @@
         if isinstance(placed, candidates.NoPlacement):
             return self._give_up(call, placed.reason, placed.wait_s)
         if call.sends and not self._spend(call):
-            placed.target.release(placed.conn)
+            placed.target.pool.release(placed.conn)
             return self._give_up(call, 'retry-budget')
         self._send(call, placed, outstanding)
         return None
@@ -327,7 +397,7 @@
                     self._stats.hedges += 1
                     self._send(call, placed, outstanding)
                     return
-                placed.target.release(placed.conn)
+                placed.target.pool.release(placed.conn)
 
     def _may_repeat(self, call: _Call) -> bool:
         if call.sends >= call.route.attempts:
@@ -359,7 +429,7 @@
             self._note_attempt(call, attempt, type(exc).__name__)
             return None
         if reply.reusable:
-            target.release(attempt.conn)
+            target.pool.release(attempt.conn)
         load = self._dialect.load(reply, target.entry, now_s)
         if load is not None:
             target.note_reading(load)
@@ -494,6 +564,17 @@
             revision=self._knowledge.cfg_revision,
         )
 
+    def _note_relay(
+        self, call: _Call, host: model.HostEntry, outcome: str, sent_s: float
+    ) -> None:
+        self._log.event(
+            'relay',
+            id=call.request_id.decode('latin-1'),
+            to=host.name,
+            outcome=outcome,
+            ms=round((self._loop.time() - sent_s) * 1000, 1),
+        )
+
     def _note_attempt(
         self, call: _Call, attempt: _Attempt, outcome: str
     ) -> None:
--- a/ragwortchute/gateway/following.py
+++ b/ragwortchute/gateway/following.py
@@ -7,11 +7,15 @@
 
 import abc
 import asyncio
+from collections import abc as cabc
 import random
 
+import msgspec
+
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import replica as replica_
 
 # A waiting watch counts as a call. It may wait on although it missed a change,
 # when the store drops its history, so it is sent anew after this long.
@@ -28,6 +32,8 @@
 # A host that hears of a change from another host waits this long for its own
 # watch to bring it.
 HINT_WAIT_S = 0.3
+# A source that failed is not used again for this long.
+FAILED_S = 2.0
 
 
 class Feed(abc.ABC):
@@ -93,11 +99,23 @@
         self._down = False
 
 
+class Source(msgspec.Struct, frozen=True):
+    """A place to read the store's contents from.
+
+    Attributes:
+        name: Name of the host whose copy is read; empty for the store.
+        store: The store, or the host's copy.
+    """
+
+    name: str
+    store: stores.Store
+
+
 class Follower:
     """Follows one prefix.
 
     Args:
-        store: The object API.
+        sources: Returns the places to read from, the best one first.
         feed: Takes over what is read.
         health: Whether the store answers.
         log: Takes log lines.
@@ -105,21 +123,18 @@
 
     Attributes:
         prefix: Prefix that is followed.
-        revision: Revision up to which changes are known; 0 before the first
-            reading.
-        changed: Revision of the last change that was taken over.
-        heard_s: Loop time of the last answer.
+        replica: Copy of the objects.
     """
 
     def __init__(
         self,
-        store: stores.Store,
+        sources: cabc.Callable[[], list[Source]],
         feed: Feed,
         health: StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
-        self._store = store
+        self._sources = sources
         self._feed = feed
         self._health = health
         self._log = log
@@ -127,10 +142,10 @@
         self._loop = asyncio.get_running_loop()
         self._wake = asyncio.Event()
         self._whole = True
+        self._failed_s: dict[str, float] = {}
+        self._source = ''
         self.prefix = feed.prefix
-        self.revision = 0
-        self.changed = 0
-        self.heard_s = 0.0
+        self.replica = replica_.Replica()
 
     def hint(self, changed: int) -> None:
         """Takes over that another host knows of a change.
@@ -138,64 +153,94 @@
         Args:
             changed: Revision of the change.
         """
-        if changed > self.revision:
+        if changed > self.replica.revision:
             self._loop.call_later(HINT_WAIT_S, self._check_hint, changed)
 
-    def refresh(self) -> None:
-        """Reads everything again at once."""
-        self._whole = True
-        self._wake.set()
-
     async def run(self) -> None:
         """Follows until it is cancelled."""
         backoff_s = FIRST_BACKOFF_S
         while True:
+            source = self._choose()
             try:
                 if self._whole:
-                    self._whole = False
-                    self._wake.clear()
-                    await self._read_all()
+                    await self._read_all(source)
                 else:
-                    await self._read_changes()
+                    await self._read_changes(source)
                 backoff_s = FIRST_BACKOFF_S
             except errors.HistoryGone:
                 self._log.event(
-                    'history-gone', prefix=self.prefix, revision=self.revision
+                    'history-gone',
+                    prefix=self.prefix,
+                    revision=self.replica.revision,
+                    source=source.name,
                 )
                 self._whole = True
             except errors.StoreError as exc:
-                self._whole = self._whole or not self.revision
-                self._health.failed(exc)
-                jitter = 0.5 + self._rng.random()
-                await asyncio.sleep(backoff_s * jitter)
-                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                self._failed(source, exc)
+                if not source.name:
+                    jitter = 0.5 + self._rng.random()
+                    await asyncio.sleep(backoff_s * jitter)
+                    backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+
+    def _choose(self) -> Source:
+        """Returns the best source that has not failed just now."""
+        now_s = self._loop.time()
+        sources = self._sources()
+        for source in sources:
+            if now_s - self._failed_s.get(source.name, -1e9) > FAILED_S:
+                break
+        else:
+            source = next(one for one in sources if not one.name)
+        if source.name != self._source:
+            self._log.event(
+                'source', prefix=self.prefix, source=source.name or 'store'
+            )
+            self._source = source.name
+        return source
+
+    def _failed(self, source: Source, exc: errors.StoreError) -> None:
+        self._failed_s[source.name] = self._loop.time()
+        if source.name:
+            self._log.event(
+                'source-failed',
+                prefix=self.prefix,
+                source=source.name,
+                error=str(exc),
+            )
+        else:
+            self._health.failed(exc)
 
     def _check_hint(self, changed: int) -> None:
-        if changed > self.revision and not self._whole:
+        if changed > self.replica.revision and not self._wake.is_set():
             self._log.event(
                 'behind',
                 prefix=self.prefix,
-                revision=self.revision,
+                revision=self.replica.revision,
                 changed=changed,
             )
-            self.refresh()
-
-    async def _read_all(self) -> None:
-        answer = await self._store.watch(
+            # The source that is in use does not know of the change.
+            self._failed_s[self._source] = self._loop.time()
+            self._whole = self._whole or not self._source
+            self._wake.set()
+
+    async def _read_all(self, source: Source) -> None:
+        self._wake.clear()
+        answer = await source.store.watch(
             self.prefix, after_revision=0, timeout_s=0
         )
-        self._heard()
-        if answer.revision >= self.revision:
-            before = self.changed
+        self._heard(source)
+        self._whole = False
+        changes = self.replica.replace(answer.objects, answer.revision)
+        if changes is not None:
             self._feed.replace(list(answer.objects), answer.revision)
-            self.revision = answer.revision
-            newest = max((obj.version for obj in answer.objects), default=0)
-            self.changed = max(before, newest)
 
-    async def _read_changes(self) -> None:
+    async def _read_changes(self, source: Source) -> None:
+        self._wake.clear()
         watch = self._loop.create_task(
-            self._store.watch(
-                self.prefix, after_revision=self.revision, timeout_s=WATCH_S
+            source.store.watch(
+                self.prefix,
+                after_revision=self.replica.revision,
+                timeout_s=WATCH_S,
             )
         )
         wake = self._loop.create_task(self._wake.wait())
@@ -205,24 +250,20 @@
             )
         finally:
             wake.cancel()
-            if not watch.done():
-                watch.cancel()
+            watch.cancel()
         if not watch.done():
             return
         answer = watch.result()
-        self._heard()
-        if answer.revision < self.revision:
+        self._heard(source)
+        if not self.replica.apply(answer):
             return
         for obj in answer.objects:
             self._feed.put(obj, obj.version)
-            self.changed = max(self.changed, obj.version)
         for name in answer.removed:
             self._feed.remove(name, answer.revision)
-            self.changed = max(self.changed, answer.revision)
-        self.revision = answer.revision
-        if answer.objects or answer.removed:
+        if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(PAUSE_S)
 
-    def _heard(self) -> None:
-        self._health.answered()
-        self.heard_s = self._loop.time()
+    def _heard(self, source: Source) -> None:
+        if not source.name:
+            self._health.answered()
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import socket
+import typing
 
 import httptools
 import msgspec
@@ -308,3 +309,44 @@
             str(exc) or 'no connection in time', step='connect', peer=peer
         ) from exc
     return conn
+
+
+class ConnectionSource(typing.Protocol):
+    """Where connections to one address come from, such as a pool."""
+
+    async def take(self) -> ClientConnection:
+        """Returns a connection that is free."""
+
+    def release(self, conn: ClientConnection) -> None:
+        """Takes a connection back."""
+
+
+async def exchange(
+    source: ConnectionSource, data: bytes, timeout_s: float
+) -> Reply:
+    """Sends one request and returns the whole answer.
+
+    Args:
+        source: Provides the connection and gets it back.
+        data: Head and body.
+        timeout_s: Longest time for connecting, sending and the answer.
+
+    Raises:
+        ConnectFailed: No connection; nothing was sent.
+        AttemptTimeout: No whole answer in time.
+        TargetError: The connection broke or the answer is malformed.
+    """
+    conn = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            conn = await source.take()
+            return await conn.send(data)
+    except TimeoutError as exc:
+        if conn is None:
+            raise errors.ConnectFailed(
+                'no connection in time', step='connect'
+            ) from exc
+        raise errors.AttemptTimeout('no answer in time', step='answer') from exc
+    finally:
+        if conn is not None:
+            source.release(conn)
--- a/ragwortchute/gateway/knowledge.py
+++ b/ragwortchute/gateway/knowledge.py
@@ -24,6 +24,7 @@
         log: Takes log lines.
 
     Attributes:
+        region: Region of this host.
         cfg: Configuration in force, None before the first one was read.
         cfg_revision: Revision at which it was read.
         table: Routes of the configuration in force.
@@ -41,7 +42,7 @@
         self._dialect = dialect
         self._domains = domains
         self._failure_domain = failure_domain
-        self._region = domains.get(failure_domain, '')
+        self.region = domains.get(failure_domain, '')
         self._log = log
         self.cfg: model.Configuration | None = None
         self.cfg_revision = 0
@@ -88,7 +89,7 @@
             target.entry = entry
         else:
             if target is not None:
-                target.close()
+                target.pool.close()
             target = self._new_target(entry)
             self.targets[entry.name] = target
         if entry.warmup_left_s > 0:
@@ -109,7 +110,7 @@
         target = self.targets.pop(name, None)
         if target is None:
             return
-        target.close()
+        target.pool.close()
         self._index()
         self._log.event('target-gone', target=name, revision=revision)
 
@@ -160,7 +161,7 @@
             self._dialect,
             region,
             same_domain=entry.failure_domain == self._failure_domain,
-            same_region=region == self._region,
+            same_region=region == self.region,
         )
         if self.cfg is not None:
             target.service = self.cfg.services.get(entry.service)
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -287,9 +287,7 @@
             Beat(self.me.name, self.me.incarnation, self._count, self.leaving)
         )
         return self._encoder.encode(
-            Message(
-                self.me.name, tuple(beats), entries, changes=self.changes()
-            )
+            Message(self.me.name, tuple(beats), entries, changes=self.changes())
         )
 
     def _send(self, peer: _Peer, data: bytes) -> None:
--- /dev/null
+++ b/ragwortchute/gateway/peer_api.py
@@ -0,0 +1,131 @@
+"""What hosts ask of each other over HTTP: copies of the store, and relays.
+
+A request with the host name of this module asks for a copy; any other one is
+the request of a caller that another host passes on.
+"""
+
+from collections import abc
+from urllib import parse
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.gateway import dispatcher as dispatcher_
+from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_server
+from ragwortchute.gateway import model
+from ragwortchute.gateway import pools
+from ragwortchute.gateway import replica
+
+HOST_NAME = 'ragwortchute-peer'
+# A copy is asked for anew after this long, so that a reader that fell silent
+# is noticed.
+MAX_WAIT_S = 1.0
+# Longest wait for an answer beyond the time that the reader may hold it.
+TIMEOUT_S = 0.6
+
+_OK = 200
+_GONE = 410
+_UNAVAILABLE = 503
+
+
+class PeerApi:
+    """Answers other hosts.
+
+    Args:
+        replicas: Copies by prefix.
+        dispatcher: Serves requests that are passed on.
+    """
+
+    def __init__(
+        self,
+        replicas: abc.Mapping[str, replica.Replica],
+        dispatcher: dispatcher_.Dispatcher,
+    ) -> None:
+        self._replicas = replicas
+        self._dispatcher = dispatcher
+
+    async def serve(self, req: http_server.Request) -> http_server.Response:
+        """Answers a request of another host."""
+        if req.host != HOST_NAME:
+            return await self._dispatcher.serve(req, relayed=True)
+        query = dict(parse.parse_qsl(req.target.partition('?')[2]))
+        copy = self._replicas.get(query.get('prefix', ''))
+        after = query.get('after', '')
+        if copy is None or not after.isdigit():
+            return http_server.Response(404)
+        try:
+            if int(after):
+                wait_ms = min(MAX_WAIT_S * 1000, int(query.get('wait_ms', 0)))
+                await copy.wait(int(after), wait_ms / 1000)
+            answer = copy.read(int(after))
+        except errors.HistoryGone:
+            return http_server.Response(_GONE)
+        except errors.StoreUnavailable:
+            return http_server.Response(_UNAVAILABLE)
+        return http_server.Response(_OK, (), msgspec.msgpack.encode(answer))
+
+
+class PeerStore(stores.Store):
+    """Reads another host's copy of the store.
+
+    Args:
+        host: The other host.
+    """
+
+    def __init__(self, host: model.HostEntry) -> None:
+        self._peer = host.name
+        self._pool = pools.Pool(host.ip, host.peer_port)
+
+    async def get(self, name: str) -> stores.StoredObject | None:
+        """Is not offered; copies are read whole."""
+        raise NotImplementedError('a copy of the store is read whole')
+
+    async def list(self, prefix: str) -> list[stores.StoredObject]:
+        """See base class."""
+        answer = await self.watch(prefix, after_revision=0, timeout_s=0)
+        return list(answer.objects)
+
+    async def put(
+        self, name: str, value: bytes, *, expected_version: int
+    ) -> stores.StoredObject:
+        """Is not offered; writes go to the store."""
+        raise NotImplementedError('a copy of the store is read-only')
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> stores.WatchAnswer:
+        """See base class; waits `MAX_WAIT_S` at most.
+
+        Raises:
+            HistoryGone: The host no longer has the changes.
+            StoreUnavailable: No answer, or the host has no copy.
+        """
+        wait_s = min(timeout_s, MAX_WAIT_S)
+        path = (
+            f'/copy?prefix={parse.quote(prefix, safe="")}'
+            f'&after={after_revision}&wait_ms={int(wait_s * 1000)}'
+        )
+        head = f'GET {path} HTTP/1.1\r\nhost: {HOST_NAME}\r\n\r\n'
+        try:
+            reply = await http_client.exchange(
+                self._pool, head.encode(), wait_s + TIMEOUT_S
+            )
+        except errors.TargetError as exc:
+            raise self._unavailable(str(exc)) from exc
+        if reply.status == _GONE:
+            raise errors.HistoryGone('copy is newer', step='watch')
+        if reply.status != _OK:
+            raise self._unavailable(f'status {reply.status}')
+        try:
+            return msgspec.msgpack.decode(reply.body, type=stores.WatchAnswer)
+        except msgspec.DecodeError as exc:
+            raise self._unavailable(f'malformed answer: {exc}') from exc
+
+    async def close(self) -> None:
+        """See base class."""
+        self._pool.close()
+
+    def _unavailable(self, message: str) -> errors.StoreUnavailable:
+        return errors.StoreUnavailable(message, peer=self._peer)
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -8,11 +8,8 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import pools
 
-# Idle connections are dropped this long before the target would close them.
-IDLE_MARGIN_S = 1.0
-# Idle timeout that is assumed where a target states none.
-DEFAULT_IDLE_S = 8.0
 CONNECT_TIMEOUT_S = 0.5
 # Round trips that are assumed before the first one was measured.
 SAME_DOMAIN_S = 0.002
@@ -40,12 +37,12 @@
         pacer: Pace of requests while it is cold.
         misdirected: True once another incarnation answered at its address.
         path_s: Smoothed round trip of health requests.
+        pool: Kept connections to it.
     """
 
     __slots__ = (
         '_dialect',
         '_failures',
-        '_idle',
         '_out_until_s',
         '_sent',
         'cold_until_s',
@@ -53,9 +50,9 @@
         'failing',
         'in_flight',
         'misdirected',
-        'open',
         'pacer',
         'path_s',
+        'pool',
         'reading',
         'region',
         'same_domain',
@@ -79,7 +76,6 @@
         self.same_region = same_region
         self.reading: dialects.Reading | None = None
         self.in_flight = 0
-        self.open = 0
         self.failing = 0.0
         self.pacer = pacing.ColdPacer()
         self.misdirected = False
@@ -88,16 +84,11 @@
         if same_region:
             self.path_s = SAME_DOMAIN_S if same_domain else SAME_REGION_S
         self._dialect = dialect
-        self._idle: list[http_client.ClientConnection] = []
+        self.pool = pools.Pool(entry.ip, entry.port, CONNECT_TIMEOUT_S)
         self._sent: collections.deque[float] = collections.deque(maxlen=64)
         self._failures = 0
         self._out_until_s = 0.0
 
-    @property
-    def has_idle(self) -> bool:
-        """Whether a kept connection is idle."""
-        return bool(self._idle)
-
     def is_out(self, now_s: float) -> bool:
         """Tells whether it failed several times in a row just now."""
         return now_s < self._out_until_s
@@ -140,38 +131,6 @@
             out_s = OUT_S * 2 ** min(4, self._failures - OUT_AFTER)
             self._out_until_s = now_s + min(MAX_OUT_S, out_s)
 
-    async def connection(self) -> http_client.ClientConnection:
-        """Returns an idle connection, a new one if there is none.
-
-        Raises:
-            ConnectFailed: No connection could be opened in time.
-        """
-        conn = self._take_idle()
-        if conn is not None:
-            return conn
-        self.open += 1
-        try:
-            return await http_client.connect(
-                self.entry.ip,
-                self.entry.port,
-                timeout_s=CONNECT_TIMEOUT_S,
-                on_lost=self._lost,
-            )
-        except BaseException:
-            self.open -= 1
-            raise
-
-    def release(self, conn: http_client.ClientConnection) -> None:
-        """Takes a connection back after an answer."""
-        if conn.usable:
-            self._idle.append(conn)
-
-    def close(self) -> None:
-        """Closes idle connections; others end with their answer."""
-        for conn in self._idle:
-            conn.abort()
-        self._idle.clear()
-
     async def probe(
         self,
     ) -> tuple[http_client.ClientConnection, dialects.Reading]:
@@ -181,7 +140,7 @@
             TargetError: It can't be reached or is another incarnation.
         """
         loop = asyncio.get_running_loop()
-        conn = await self.connection()
+        conn = await self.pool.take()
         taken_s = loop.time()
         path = self.service.health_path if self.service else '/'
         try:
@@ -205,20 +164,3 @@
         self.path_s += (elapsed_s - self.path_s) * _PATH_SMOOTHING
         self.note_reading(reading)
         return conn, reading
-
-    def _take_idle(self) -> http_client.ClientConnection | None:
-        now_s = asyncio.get_running_loop().time()
-        while self._idle:
-            conn = self._idle.pop()
-            keep_s = conn.keep_s or DEFAULT_IDLE_S
-            if conn.usable and now_s - conn.idle_since_s < max(
-                0.5, keep_s - IDLE_MARGIN_S
-            ):
-                return conn
-            conn.abort()
-        return None
-
-    def _lost(self, conn: http_client.ClientConnection) -> None:
-        self.open -= 1
-        if conn in self._idle:
-            self._idle.remove(conn)
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -3,7 +3,6 @@
 Names of objects are `KIND/NAME`. Values are the `spec` of an object as JSON.
 """
 
-import asyncio
 from urllib import parse
 
 import msgspec
@@ -11,6 +10,7 @@
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import pools
 
 # Healthy answers take milliseconds; a slow store may take 60 times as long.
 TIMEOUT_S = 2.0
@@ -58,10 +58,8 @@
     """
 
     def __init__(self, ip: str, port: int) -> None:
-        self._ip = ip
-        self._port = port
         self._peer = f'{ip}:{port}'
-        self._idle: list[http_client.ClientConnection] = []
+        self._pool = pools.Pool(ip, port)
 
     async def get(self, name: str) -> stores.StoredObject | None:
         """See base class."""
@@ -143,9 +141,7 @@
 
     async def close(self) -> None:
         """See base class."""
-        for conn in self._idle:
-            conn.abort()
-        self._idle.clear()
+        self._pool.close()
 
     async def _read_all(self, kind: str) -> stores.WatchAnswer:
         objects = []
@@ -182,31 +178,14 @@
             head += f'Content-Length: {len(body)}\r\n'
         data = head.encode() + b'\r\n' + body
         write = method != 'GET'
-        conn = None
         try:
-            async with asyncio.timeout(TIMEOUT_S + extra_s):
-                conn = await self._connection()
-                reply = await conn.send(data)
+            return await http_client.exchange(
+                self._pool, data, TIMEOUT_S + extra_s
+            )
         except errors.ConnectFailed as exc:
             raise self._unavailable(str(exc), False) from exc
-        except TimeoutError as exc:
-            raise self._unavailable('no answer in time', write) from exc
         except errors.TargetError as exc:
             raise self._unavailable(str(exc), write) from exc
-        finally:
-            if conn is not None:
-                if conn.usable:
-                    self._idle.append(conn)
-                else:
-                    conn.abort()
-        return reply
-
-    async def _connection(self) -> http_client.ClientConnection:
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.usable:
-                return conn
-        return await http_client.connect(self._ip, self._port)
 
     def _expect_ok(self, reply: http_client.Reply, *, write: bool) -> None:
         if reply.status in (_OK, _CREATED):
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -63,7 +63,10 @@
         parts.append(
             b'x-request-deadline-ms: %d\r\n' % max(1, int(remaining_s * 1000))
         )
-        parts.append(f'x-expect-instance: {entry.name}\r\n'.encode('latin-1'))
+        if entry is not None:
+            parts.append(
+                f'x-expect-instance: {entry.name}\r\n'.encode('latin-1')
+            )
         if req.body or req.method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
             parts.append(b'content-length: %d\r\n' % len(req.body))
         parts.append(b'\r\n')
