Bound cold starts by owners and heartbeats by size; test the gateway

Cause: with 139 hosts an even fraction of the pace of a cold target lets every host send its first request at once (18 in a second where 17.15 are borne, in a test). Heartbeats of 108 hosts took more than 4 KB/s a host, and hosts of different regions lost each other for good after one lost greeting. Ruled out: longer gaps, which leave the first second as it is; sending the freshest 40 heartbeats, which starves some hosts (72 of 108 known). Change: a fixed number of hosts owns a cold target, each sends a fixed number a second. Heartbeats take seven bytes and carry their age; every domain is written to, known alive or not. A choice whose connection broke is made again. Heads are bounded while a header is unfinished.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -17,6 +17,7 @@
 from ragwortchute.gateway import knowledge as knowledge_
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
+from ragwortchute.gateway import pacing
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
 from ragwortchute.gateway import relays
@@ -31,7 +32,9 @@
 LEAVE_ACCEPT_S = 2.6
 # It ends this long before the platform would kill it.
 GRACE_MARGIN_S = 0.4
-_POLL_S = 0.05
+# A host that can't read the list of hosts waits this long for heartbeats
+# before it sends to cold targets.
+SETTLE_S = 5.0
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -42,6 +45,8 @@
         domains: Region of each failure domain.
         peer_ip: Address of the socket for other hosts.
         grace_s: Time from a stop signal to the kill.
+        dead_s: Callers may be told of a host for this long after its last
+            heartbeat.
         limits: Bounds of repeats and cold starts over all hosts.
     """
 
@@ -49,6 +54,7 @@
     domains: dict[str, str]
     peer_ip: str
     grace_s: float
+    dead_s: float
     limits: dispatcher.Limits
 
 
@@ -67,6 +73,8 @@
         health: Whether the store answers.
         rng: Source of randomness.
         callers: Listener for requests of callers.
+        leaving: Whether this host is stopping.
+        registered: Whether it has read the list of hosts.
     """
 
     def __init__(
@@ -90,7 +98,7 @@
         )
         self._socket = peer_socket.PeerSocket()
         self.membership = membership_.Membership(
-            me, self._socket, log, self.rng
+            me, self._socket, log, self.rng, settings.dead_s
         )
         self._socket.received = self.membership.received
         self._chooser = candidates.Chooser(
@@ -122,6 +130,7 @@
         self.membership.changes = self._changes
         self.membership.hint = self._hint
         self.leaving = False
+        self.registered = False
 
     @property
     def ready(self) -> bool:
@@ -168,11 +177,10 @@
         self.membership.leaving = True
         self.membership.greet(started_s)
         self.callers.drain()
-        while self._loop.time() < started_s + LEAVE_ACCEPT_S:
-            await asyncio.sleep(_POLL_S)
+        await asyncio.sleep(LEAVE_ACCEPT_S)
         self.callers.close()
-        while self.callers.running and self._loop.time() < end_s:
-            await asyncio.sleep(_POLL_S)
+        await self.callers.finished(end_s - self._loop.time())
+        await self.peers.finished(end_s - self._loop.time())
         self._log.event('stop', running=self.callers.running)
 
     async def close(self) -> None:
@@ -220,9 +228,15 @@
 
     async def _upkeep(self) -> None:
         """Writes the log and counts the hosts."""
+        started_s = self._loop.time()
         while True:
             await asyncio.sleep(eventlog.FLUSH_S)
-            self._chooser.hosts = self.membership.count(self._loop.time())
+            now_s = self._loop.time()
+            self._chooser.fleet = pacing.fleet(
+                self._settings.me.name,
+                self.membership.known(now_s),
+                self.registered or now_s - started_s > SETTLE_S,
+            )
             self._log.flush()
 
 
@@ -265,3 +279,4 @@
             log.event('host-malformed', name=obj.name, error=str(exc))
     gateway.membership.learn(entries, loop.time())
     gateway.membership.greet(loop.time())
+    gateway.registered = True
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -29,6 +29,8 @@
 # Health answers that take longer than this are not waited for.
 NEAR_WAIT_S = 0.02
 FAR_WAIT_S = 0.06
+# Reason why no target was chosen: none of those asked has answered.
+NO_ANSWER = 'no-answer'
 _MEAN_SMOOTHING = 0.02
 INITIAL_USUAL = 1.8
 
@@ -92,9 +94,11 @@
 
     Args:
         rng: Source of randomness.
+        warmup_overage: Factor on the rate that a cold target bears.
+        warmup_slack: Requests per second beyond that.
 
     Attributes:
-        hosts: Number of hosts that may send to the same targets.
+        fleet: Hosts that may send to the same targets.
         asked: Health requests sent.
     """
 
@@ -106,11 +110,18 @@
         self._slack = warmup_slack
         self._usual: dict[str, float] = {}
         self._loop = asyncio.get_running_loop()
-        self.hosts = 1
+        self.fleet = pacing.Fleet()
         self.asked = 0
 
     async def choose(self, wish: Wish) -> Placement | NoPlacement:
         """Returns a target with an open connection, or why there is none."""
+        placed = await self._choose_once(wish)
+        if isinstance(placed, NoPlacement) and placed.reason == NO_ANSWER:
+            # Connections may break between the answer and its use.
+            placed = await self._choose_once(wish)
+        return placed
+
+    async def _choose_once(self, wish: Wish) -> Placement | NoPlacement:
         order = self._order(wish.targets)
         if not order:
             return NoPlacement('no-target', wish.left_s, 0)
@@ -146,6 +157,13 @@
             return 0.0
         return service.warmup_per_s * self._overage + self._slack
 
+    def _may_send(self, target: targets_.Target, now_s: float) -> bool:
+        """Tells whether this host may send to a cold target now."""
+        per_window = self.fleet.per_window(
+            target.entry.name, self.bound_per_s(target)
+        )
+        return target.pacer.may_send(now_s, per_window)
+
     def usual(self, service: str) -> float:
         """Returns the mean slowness of the targets of a service."""
         return self._usual.get(service, INITIAL_USUAL)
@@ -154,7 +172,7 @@
         self, best: _Answer | None, wish: Wish, asked: int
     ) -> Placement | NoPlacement:
         if best is None or not best.conn.usable:
-            return NoPlacement('no-answer', wish.objective_s / 4, asked)
+            return NoPlacement(NO_ANSWER, wish.objective_s / 4, asked)
         target = best.target
         offer = self._offer(best)
         expected = placing.expected_s(
@@ -164,8 +182,7 @@
             target.pool.release(best.conn)
             return NoPlacement('overload', expected - wish.left_s, asked)
         if best.reading.cold_s > 0:
-            gap_s = pacing.interval_s(self.bound_per_s(target), self.hosts)
-            target.pacer.sent(self._loop.time(), gap_s)
+            target.pacer.sent(self._loop.time())
         return Placement(target, best.conn, best.reading, expected, asked)
 
     def _good_s(self, wish: Wish) -> float:
@@ -176,7 +193,7 @@
         now_s = self._loop.time()
         keyed = []
         for target in targets:
-            if target.is_cold(now_s) and not target.pacer.may_send(now_s):
+            if target.is_cold(now_s) and not self._may_send(target, now_s):
                 continue
             key = self._rng.random()
             if not target.same_region:
@@ -252,7 +269,7 @@
         self._usual[service] = (
             usual + (reading.slowness - usual) * _MEAN_SMOOTHING
         )
-        cold = reading.cold_s > 0 and not target.pacer.may_send(now_s)
+        cold = reading.cold_s > 0 and not self._may_send(target, now_s)
         if cold or not reading.healthy:
             target.pool.release(conn)
             return None
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -297,9 +297,8 @@
         self, call: _Call, outstanding: list[_Attempt]
     ) -> http_server.Response | None:
         """Sends the request to a target; returns an answer if it can't."""
-        if call.sends:
-            if not self._may_repeat(call):
-                return self._give_up(call, 'no-more-attempts')
+        if call.sends and not self._may_repeat(call):
+            return self._give_up(call, 'no-more-attempts')
         placed = await self._chooser.choose(self._wish(call))
         if isinstance(placed, candidates.NoPlacement):
             return self._give_up(call, placed.reason, placed.wait_s)
@@ -405,12 +404,17 @@
         if call.maybe_run and not call.route.idempotent:
             return False
         budget = self._budget(call.service)
-        return budget.available(self._loop.time(), self._chooser.hosts) >= 1
+        return (
+            budget.available(self._loop.time(), len(self._chooser.fleet.names))
+            >= 1
+        )
 
     def _spend(self, call: _Call) -> bool:
         self._stats.repeats += 1
         budget = self._budget(call.service)
-        return budget.try_spend(self._loop.time(), self._chooser.hosts)
+        return budget.try_spend(
+            self._loop.time(), len(self._chooser.fleet.names)
+        )
 
     # Ending.
 
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -128,6 +128,7 @@
         self.connections: set[_CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
+        self._waiter: asyncio.Future[None] | None = None
 
     async def start(self, ip: str, port: int, backlog: int = 512) -> None:
         """Starts to listen."""
@@ -159,6 +160,24 @@
         for conn in list(self.connections):
             conn.abort()
 
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def finished(self, timeout_s: float) -> bool:
+        """Waits until no request is running; tells whether that came."""
+        self._waiter = asyncio.get_running_loop().create_future()
+        self.progressed()
+        await asyncio.wait((self._waiter,), timeout=max(0.0, timeout_s))
+        return self._waiter.done()
+
+    def progressed(self) -> None:
+        """Takes over that a request has ended."""
+        waiter = self._waiter
+        if waiter is not None and not waiter.done() and not self.running:
+            waiter.set_result(None)
+
     @property
     def running(self) -> int:
         """Number of requests without a written answer."""
@@ -177,6 +196,7 @@
     """One connection of a caller."""
 
     __slots__ = (
+        '_begun',
         '_body',
         '_closing_s',
         '_exchanges',
@@ -185,12 +205,14 @@
         '_head_started_s',
         '_headers',
         '_idle_since_s',
+        '_in_head',
         '_listener',
         '_loop',
         '_parser',
         '_paused',
         '_size',
         '_transport',
+        '_unfinished_bytes',
         '_url',
     )
 
@@ -205,6 +227,8 @@
         self._head_started_s = 0.0
         self._closing_s = 0.0
         self._paused = False
+        self._begun = 0
+        self._in_head = False
         self._reset_request()
 
     @property
@@ -247,6 +271,7 @@
         """See base class."""
         if self._closing_s:
             return
+        began = self._begun
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -254,6 +279,11 @@
         except httptools.HttpParserError:
             if not self._closing_s:
                 self._reject(400)
+        # The parser keeps an unfinished header to itself. What came before
+        # the first request of these bytes is not counted.
+        if self._in_head and self._begun - began <= 1:
+            self._unfinished_bytes += len(data)
+            self._check_head(self._unfinished_bytes)
 
     def eof_received(self) -> bool:
         """See base class."""
@@ -266,12 +296,15 @@
         if not self._gone.done():
             self._gone.set_result(None)
         self._exchanges.clear()
+        self._listener.progressed()
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Starts a request."""
         self._reset_request()
+        self._begun += 1
+        self._in_head = True
         self._head_started_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -286,10 +319,13 @@
 
     def on_headers_complete(self) -> None:
         """Asks for the body if the caller waits for that."""
-        for name, value in self._headers:
-            if name == b'expect' and value.lower() == b'100-continue':
-                if self._transport is not None and not self._exchanges:
-                    self._transport.write(_CONTINUE)
+        self._in_head = False
+        expects = any(
+            name == b'expect' and value.lower() == b'100-continue'
+            for name, value in self._headers
+        )
+        if expects and self._transport is not None and not self._exchanges:
+            self._transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Adds a piece of the body."""
@@ -373,6 +409,7 @@
             if self._listener.draining and last and not self._head_started_s:
                 resp.close = True
             self._exchanges.popleft()
+            self._listener.progressed()
             if self._transport is None:
                 return
             self._transport.write(encode(resp))
@@ -416,11 +453,15 @@
         self._body: list[bytes] = []
         self._size = 0
         self._head_bytes = 0
+        self._unfinished_bytes = 0
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
+        self._check_head(self._head_bytes)
+
+    def _check_head(self, size: int) -> None:
         limit = self._listener.limits().max_header_bytes
-        if self._head_bytes > limit and not self._closing_s:
+        if size > limit and not self._closing_s:
             self._reject(431)
 
 
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections import abc
 import random
+import struct
+import zlib
 
 import msgspec
 
@@ -16,22 +18,33 @@
 from ragwortchute.gateway import model
 
 BEAT_S = 0.5
-# Hosts of the own failure domain that get each heartbeat.
-FANOUT = 3
+# Hosts of the own failure domain that get each message.
+FANOUT = 2
 # Heartbeats between two messages to another region; that link is priced.
 REGION_BEATS = 2
-# A heartbeat that has not gone up for this long means that the host is gone.
-DEAD_S = 3.0
 # A host that is gone still counts for bounds over all hosts for this long.
 FORGET_S = 30.0
+# Key, count and age of a heartbeat.
+_BEAT = struct.Struct('<IHB')
+_COUNT_MASK = 0xFFFF
+_AGE_UNIT_S = 0.05
+# Value in place of the age of a host that is stopping.
+_LEAVING = 255
 
 
-class Beat(msgspec.Struct, frozen=True, array_like=True):
-    """Heartbeat of a host, as passed on."""
+class Beat(msgspec.Struct, frozen=True):
+    """Heartbeat of a host, as passed on.
 
-    name: str
-    incarnation: int
+    Attributes:
+        key: Short identity of the incarnation of the host.
+        count: Heartbeats since its start, modulo 65,536.
+        age_s: Age of the heartbeat.
+        leaving: Whether it is stopping.
+    """
+
+    key: int
     count: int
+    age_s: float
     leaving: bool
 
 
@@ -40,16 +53,16 @@
 
     Attributes:
         sender: Name of the sending host.
-        beats: Heartbeats that it knows.
+        beats: Heartbeats that it knows, packed.
         entries: Addresses of hosts.
-        wanted: Names of hosts whose addresses it asks for.
+        wanted: Keys of hosts whose addresses it asks for.
         changes: Revision of the last change that it knows, by prefix.
     """
 
     sender: str
-    beats: tuple[Beat, ...] = ()
+    beats: bytes = b''
     entries: tuple[model.HostEntry, ...] = ()
-    wanted: tuple[str, ...] = ()
+    wanted: tuple[int, ...] = ()
     changes: dict[str, int] = {}
 
 
@@ -64,10 +77,11 @@
 class _Peer:
     """What is known of another host."""
 
-    __slots__ = ('count', 'entry', 'heard_s', 'leaving', 'since_s')
+    __slots__ = ('count', 'entry', 'heard_s', 'key', 'leaving', 'since_s')
 
     def __init__(self, entry: model.HostEntry, now_s: float) -> None:
         self.entry = entry
+        self.key = key_of(entry)
         self.count = -1
         self.heard_s = float('-inf')
         self.since_s = now_s
@@ -82,6 +96,7 @@
         transport: Sends datagrams.
         log: Takes log lines.
         rng: Source of randomness.
+        dead_s: A host whose heartbeat is older than this is gone.
 
     Attributes:
         me: This host.
@@ -96,8 +111,10 @@
         transport: Transport,
         log: eventlog.EventLog,
         rng: random.Random,
+        dead_s: float,
     ) -> None:
         self.me = me
+        self._dead_s = dead_s
         self.changes: abc.Callable[[], dict[str, int]] = dict
         self.hint: abc.Callable[[str, int], None] = lambda *_: None
         self.leaving = False
@@ -106,6 +123,8 @@
         self._rng = rng
         self._count = 0
         self._peers: dict[str, _Peer] = {}
+        self._by_key: dict[int, _Peer] = {}
+        self._key = key_of(me)
         self._alive: set[str] = set()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -121,13 +140,17 @@
             entries.append(self.me)
         return entries
 
-    def count(self, now_s: float) -> int:
-        """Returns how many hosts may be sending to targets."""
-        return 1 + sum(
-            1
-            for peer in self._peers.values()
+    def known(self, now_s: float) -> list[str]:
+        """Returns the names of the hosts that may be sending to targets.
+
+        That includes hosts that fell silent: they may be alive and cut off.
+        """
+        names = [
+            name
+            for name, peer in self._peers.items()
             if now_s - max(peer.heard_s, peer.since_s) < FORGET_S
-        )
+        ]
+        return [self.me.name, *names]
 
     def learn(self, entries: list[model.HostEntry], now_s: float) -> None:
         """Takes over addresses, such as those in the store."""
@@ -136,7 +159,10 @@
 
     def greet(self, now_s: float) -> None:
         """Tells all known hosts of this one, at its start or end."""
-        data = self._encode(entries=(self.me,), now_s=now_s)
+        alive = [
+            peer for peer in self._peers.values() if self._is_alive(peer, now_s)
+        ]
+        data = self._encode(alive, now_s, (self.me,))
         for peer in self._peers.values():
             self._send(peer, data)
 
@@ -159,15 +185,16 @@
             for peer in alive
             if peer.entry.failure_domain == self.me.failure_domain
         ]
+        data = self._encode(alive, now_s)
         receivers = self._rng.sample(mine, min(FANOUT, len(mine)))
-        receivers += self._other_domains(alive, mine)
-        data = self._encode(now_s=now_s)
+        receivers += self._other_domains(now_s, mine)
+        if not mine and self._peers:
+            # Alone in its failure domain, or cut off from it.
+            receivers.append(self._rng.choice([*self._peers.values()]))
         for peer in receivers:
             self._send(peer, data)
         if self._count % REGION_BEATS == 0:
             self._beat_regions(alive, now_s)
-        if not alive and self._peers:
-            self._send(self._rng.choice(list(self._peers.values())), data)
 
     def received(self, data: bytes, now_s: float) -> None:
         """Takes over a datagram."""
@@ -180,7 +207,9 @@
         for prefix, changed in message.changes.items():
             self.hint(prefix, changed)
         wanted = [
-            beat.name for beat in message.beats if not self._take(beat, now_s)
+            beat.key
+            for beat in unpack(message.beats)
+            if not self._take(beat, now_s)
         ]
         sender = self._peers.get(message.sender)
         if sender is None:
@@ -193,9 +222,9 @@
         if message.wanted:
             self._send(sender, self._reply(message.wanted))
 
-    def _reply(self, wanted: tuple[str, ...]) -> bytes:
+    def _reply(self, wanted: tuple[int, ...]) -> bytes:
         entries = [
-            self._peers[name].entry for name in wanted if name in self._peers
+            self._by_key[key].entry for key in wanted if key in self._by_key
         ]
         entries.append(self.me)
         return self._encoder.encode(
@@ -207,24 +236,28 @@
             return
         peer = self._peers.get(entry.name)
         if peer is None or peer.entry.incarnation < entry.incarnation:
-            self._peers[entry.name] = _Peer(entry, now_s)
+            if peer is not None:
+                del self._by_key[peer.key]
+            peer = _Peer(entry, now_s)
+            self._peers[entry.name] = peer
+            self._by_key[peer.key] = peer
 
     def _take(self, beat: Beat, now_s: float) -> bool:
         """Takes over a heartbeat; tells whether the host is known."""
-        if beat.name == self.me.name:
+        if beat.key == self._key:
             return True
-        peer = self._peers.get(beat.name)
-        if peer is None or peer.entry.incarnation < beat.incarnation:
+        peer = self._by_key.get(beat.key)
+        if peer is None:
             return False
-        if peer.entry.incarnation == beat.incarnation:
-            if beat.count > peer.count:
-                peer.count = beat.count
-                peer.heard_s = now_s
-            peer.leaving = peer.leaving or beat.leaving
+        heard_s = now_s - beat.age_s
+        if peer.count < 0 or _newer(beat.count, peer.count):
+            peer.count = beat.count
+            peer.heard_s = max(peer.heard_s, heard_s)
+        peer.leaving = peer.leaving or beat.leaving
         return True
 
     def _is_alive(self, peer: _Peer, now_s: float) -> bool:
-        return now_s - peer.heard_s < DEAD_S
+        return now_s - peer.heard_s < self._dead_s
 
     def _note_changes(self, alive: list[_Peer]) -> None:
         names = {peer.entry.name for peer in alive}
@@ -237,58 +270,97 @@
             )
             self._alive = names
 
-    def _other_domains(
-        self, alive: list[_Peer], mine: list[_Peer]
-    ) -> list[_Peer]:
+    def _other_domains(self, now_s: float, mine: list[_Peer]) -> list[_Peer]:
         """Returns a host of each other failure domain of the region."""
         if any(peer.entry.name < self.me.name for peer in mine):
             return []
         domains: dict[str, list[_Peer]] = {}
-        for peer in alive:
+        for peer in self._peers.values():
             entry = peer.entry
             if (
                 entry.region == self.me.region
                 and entry.failure_domain != self.me.failure_domain
             ):
                 domains.setdefault(entry.failure_domain, []).append(peer)
-        return [self._rng.choice(peers) for peers in domains.values()]
+        return [self._one(peers, now_s) for peers in domains.values()]
 
     def _beat_regions(self, alive: list[_Peer], now_s: float) -> None:
-        """Sends the heartbeats of this region to each other region."""
-        regions: dict[str, list[_Peer]] = {}
-        for peer in alive:
-            regions.setdefault(peer.entry.region, []).append(peer)
-        mine = regions.pop(self.me.region, [])
+        """Sends the heartbeats of this region to the other regions.
+
+        A host of each of their failure domains gets them.
+        """
+        mine = [peer for peer in alive if peer.entry.region == self.me.region]
         if any(peer.entry.name < self.me.name for peer in mine):
             return
-        data = self._encode(now_s=now_s, region=self.me.region)
-        for peers in regions.values():
-            self._send(self._rng.choice(peers), data)
+        domains: dict[str, list[_Peer]] = {}
+        for peer in self._peers.values():
+            if peer.entry.region != self.me.region:
+                domain = peer.entry.failure_domain
+                domains.setdefault(domain, []).append(peer)
+        data = self._encode(mine, now_s)
+        for peers in domains.values():
+            self._send(self._one(peers, now_s), data)
+
+    def _one(self, peers: list[_Peer], now_s: float) -> _Peer:
+        """Returns the host that passes messages on, any if none is alive."""
+        alive = [peer for peer in peers if self._is_alive(peer, now_s)]
+        if alive:
+            return min(alive, key=lambda peer: peer.entry.name)
+        return self._rng.choice(peers)
 
     def _encode(
         self,
-        *,
+        peers: abc.Iterable[_Peer],
         now_s: float,
         entries: tuple[model.HostEntry, ...] = (),
-        region: str = '',
     ) -> bytes:
         beats = [
-            Beat(
-                peer.entry.name,
-                peer.entry.incarnation,
-                peer.count,
-                peer.leaving,
-            )
-            for peer in self._peers.values()
-            if self._is_alive(peer, now_s)
-            and (not region or peer.entry.region == region)
+            Beat(peer.key, peer.count, now_s - peer.heard_s, peer.leaving)
+            for peer in peers
         ]
-        beats.append(
-            Beat(self.me.name, self.me.incarnation, self._count, self.leaving)
-        )
-        return self._encoder.encode(
-            Message(self.me.name, tuple(beats), entries, changes=self.changes())
+        beats.append(Beat(self._key, self._count, 0.0, self.leaving))
+        message = Message(
+            self.me.name, pack(beats), entries, changes=self.changes()
         )
+        return self._encoder.encode(message)
 
     def _send(self, peer: _Peer, data: bytes) -> None:
         self._transport.send(peer.entry.ip, peer.entry.peer_port, data)
+
+
+def key_of(entry: model.HostEntry) -> int:
+    """Returns the short identity of an incarnation of a host."""
+    return zlib.crc32(f'{entry.name}/{entry.incarnation}'.encode())
+
+
+def pack(beats: abc.Iterable[Beat]) -> bytes:
+    """Encodes heartbeats in seven bytes each."""
+    return b''.join(
+        _BEAT.pack(
+            beat.key,
+            beat.count & _COUNT_MASK,
+            _LEAVING
+            if beat.leaving
+            else min(_LEAVING - 1, round(beat.age_s / _AGE_UNIT_S)),
+        )
+        for beat in beats
+    )
+
+
+def unpack(data: bytes) -> list[Beat]:
+    """Decodes heartbeats; bytes that are no whole heartbeat are left out."""
+    whole = len(data) - len(data) % _BEAT.size
+    return [
+        Beat(
+            key,
+            count,
+            0.0 if age == _LEAVING else age * _AGE_UNIT_S,
+            age == _LEAVING,
+        )
+        for key, count, age in _BEAT.iter_unpack(data[:whole])
+    ]
+
+
+def _newer(count: int, than: int) -> bool:
+    """Tells whether a count is ahead of another one, modulo 65,536."""
+    return 0 < (count - than) & _COUNT_MASK < _COUNT_MASK // 2
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -10,6 +10,9 @@
 from ragwortchute.gateway import model
 
 FILE_VARIABLE = 'RAGWORTCHUTE_NODE_FILE'
+# Callers may be told of a host that is gone for 3 s beyond the time after which
+# a host counts as in touch; the rest is for the answer's own age.
+STALE_ADDRESS_S = 2.4
 # Host capacity at which a host counts as one share in address answers.
 USUAL_CORES = 1.0
 
@@ -88,6 +91,7 @@
         domains=domains,
         peer_ip=ip,
         grace_s=bounds.get('grace_s', 6.0),
+        dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
         limits=dispatcher.Limits(
             retry_ratio=bounds.get('retry_budget_ratio', 0.2),
             retry_slack=bounds.get('retry_slack', 0.0),
--- /dev/null
+++ b/tests/test_gateway/rig.py
@@ -0,0 +1,222 @@
+"""A gateway host on loopback with stand-in targets, without a store."""
+
+import asyncio
+import json
+import random
+
+from ragwortchute.gateway import candidates
+from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import http_server
+from ragwortchute.gateway import knowledge
+from ragwortchute.gateway import membership
+from ragwortchute.gateway import model
+from ragwortchute.gateway import pacing
+from ragwortchute.gateway import relays
+from ragwortchute.gateway import stats
+from ragwortchute.platform import feeds
+from ragwortchute.platform import wire
+from standins import platform_targets
+
+DOMAINS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b'}
+
+
+class MemoryLog:
+    """Keeps log lines."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, object]]] = []
+
+    def event(self, kind: str, **fields: object) -> None:
+        """Keeps a line."""
+        self.lines.append((kind, fields))
+
+    def failure(self, kind: str, subject: str) -> None:
+        """An unexpected exception fails the test."""
+        raise AssertionError(f'{kind} {subject}')
+
+    def flush(self) -> None:
+        """Does nothing."""
+
+    def kinds(self) -> list[str]:
+        """Returns the kinds of the lines."""
+        return [kind for kind, _ in self.lines]
+
+
+class NoTransport(membership.Transport):
+    """Drops datagrams."""
+
+    def send(self, ip: str, port: int, data: bytes) -> None:
+        """Drops a datagram."""
+
+
+def host(
+    name: str = 'h1', failure_domain: str = 'a1', **fields: object
+) -> model.HostEntry:
+    """Returns the entry of a host."""
+    values = {
+        'incarnation': 1,
+        'region': DOMAINS[failure_domain],
+        'caller_address': f'10.0.0.{sum(name.encode()) % 250}:80',
+        'ip': '127.0.0.1',
+        'peer_port': 1,
+    }
+    values.update(fields)
+    return model.HostEntry(name=name, failure_domain=failure_domain, **values)
+
+
+def route(**fields: object) -> model.Route:
+    """Returns a route for `/r/` of the host name `example`."""
+    values = {
+        'name': 'r',
+        'host': 'example',
+        'path_prefix': '/r/',
+        'idempotent': True,
+        'timeout_s': 1.0,
+        'objective_s': 0.2,
+        'priority': 0,
+        'parts': (model.Part('svc', 1.0),),
+        'attempts': 2,
+    }
+    values.update(fields)
+    return model.Route(**values)
+
+
+def configuration(
+    *routes: model.Route, version: int = 1, **service: object
+) -> model.Configuration:
+    """Returns a configuration with the service `svc`."""
+    values = {
+        'health_path': '/health',
+        'max_connections': 100,
+        'warmup_s': 3.0,
+        'warmup_per_s': 10.0,
+    }
+    values.update(service)
+    services = {'svc': model.Service(name='svc', **values)}
+    return model.Configuration(
+        version, routes or (route(),), services, model.Limits()
+    )
+
+
+class Rig:
+    """One host with targets.
+
+    Attributes:
+        targets: The stand-in targets.
+        log: Log lines.
+        knowledge: What the host knows.
+        dispatcher: Serves requests.
+        port: Port of the listener.
+    """
+
+    def __init__(
+        self,
+        *targets: platform_targets.TargetServer,
+        limits: dispatcher.Limits | None = None,
+    ) -> None:
+        self.targets = targets
+        self.log = MemoryLog()
+        rng = random.Random(1)
+        dialect = wire.PlatformDialect()
+        self.knowledge = knowledge.Knowledge(dialect, DOMAINS, 'a1', self.log)
+        limits = limits or dispatcher.Limits()
+        self.membership = membership.Membership(
+            host(), NoTransport(), self.log, rng, 5.4
+        )
+        self.chooser = candidates.Chooser(
+            rng, limits.warmup_overage, limits.warmup_slack
+        )
+        self.chooser.fleet = pacing.fleet('h1', ['h2', 'h3', 'h4'], True)
+        self.stats = stats.Stats()
+        self.dispatcher = dispatcher.Dispatcher(
+            knowledge=self.knowledge,
+            dialect=dialect,
+            chooser=self.chooser,
+            relays=relays.Relays(self.membership, rng),
+            limits=limits,
+            log=self.log,
+            stats=self.stats,
+            rng=rng,
+        )
+        self.listener = http_server.Listener(
+            self.dispatcher.serve,
+            lambda: self.knowledge.limits,
+            self.log,
+            'callers',
+        )
+        self._ids = 0
+
+    async def start(self, *routes: model.Route) -> None:
+        """Starts targets and listener and puts a configuration in force."""
+        for target in self.targets:
+            await target.start()
+        self.knowledge.set_configuration(1, configuration(*routes))
+        self.knowledge.set_targets(
+            [self.entry(target) for target in self.targets], 1
+        )
+        self.knowledge.set_out((), 1)
+        await self.listener.start('127.0.0.1', 0)
+
+    def entry(self, target: platform_targets.TargetServer) -> model.TargetEntry:
+        """Returns what the store would say of a target."""
+        return feeds.decode_target(
+            target.name, json.dumps(target.entry).encode()
+        )
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        await self.listener.stop()
+        for target in self.targets:
+            await target.stop()
+
+    async def request(
+        self,
+        path: str = '/r/x',
+        *,
+        method: str = 'GET',
+        body: bytes = b'',
+        deadline_ms: int = 1000,
+        request_id: str = '',
+    ) -> 'Answer':
+        """Sends one request on a connection of its own."""
+        self._ids += 1
+        request_id = request_id or f'id-{self._ids}'
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.listener.port
+        )
+        head = (
+            f'{method} {path} HTTP/1.1\r\nHost: example\r\n'
+            f'X-Request-Id: {request_id}\r\n'
+            f'X-Request-Deadline-Ms: {deadline_ms}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        writer.write(head.encode() + body)
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+class Answer:
+    """An answer as a caller reads it."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Reads one answer with a length."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    first, *lines = head.rstrip('\r\n').split('\r\n')
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(':') for line in lines)
+    }
+    body = await reader.readexactly(int(headers['content-length']))
+    return Answer(int(first.split(' ')[1]), headers, body)
--- /dev/null
+++ b/tests/test_gateway/test_decisions.py
@@ -0,0 +1,265 @@
+"""Tests of decisions that need no network."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from ragwortchute.gateway import dialect
+from ragwortchute.gateway import directory
+from ragwortchute.gateway import pacing
+from ragwortchute.gateway import placing
+from ragwortchute.gateway import retry_budget
+from ragwortchute.gateway import routing
+from ragwortchute.gateway import sources
+from tests.test_gateway import rig as rigs
+
+
+class TestRoutes:
+    """A request must not take a shorter or another prefix."""
+
+    def table(self, *prefixes, host='example'):
+        return routing.RouteTable(
+            tuple(
+                rigs.route(name=prefix, path_prefix=prefix, host=host)
+                for prefix in prefixes
+            )
+        )
+
+    @pytest.mark.parametrize(
+        ('path', 'expected'),
+        [
+            ('/a/b/c', '/a/b/'),
+            ('/a/b/', '/a/b/'),
+            ('/a/b', '/a/'),
+            ('/a/', '/a/'),
+            ('/a', None),
+            ('/ab/c', None),
+            ('/a//b/', '/a/'),
+            ('/a/b/../x', '/a/b/'),
+            ('', None),
+        ],
+    )
+    def test_longest_prefix_wins(self, path, expected):
+        route = self.table('/a/', '/a/b/').match('example', path)
+        assert (route.name if route else None) == expected
+
+    def test_other_host_has_no_route(self):
+        assert self.table('/a/').match('other', '/a/x') is None
+
+    def test_root_prefix_takes_everything(self):
+        assert self.table('/').match('example', '/x').name == '/'
+
+    def test_homes_of_a_host_name_need_all_routes(self):
+        at_home = rigs.route(homes=('a',))
+        anywhere = rigs.route(path_prefix='/s/')
+        both = rigs.route(path_prefix='/t/', homes=('a', 'b'))
+        assert routing.RouteTable((at_home, both)).homes('example') == ('a',)
+        assert routing.RouteTable((at_home, anywhere)).homes('example') == ()
+
+
+class TestRetryBudgetOfAllHosts:
+    """Repeats of all hosts together must not exceed the bound."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0, 3),
+                st.integers(0, 3),
+                st.booleans(),
+            ),
+            max_size=200,
+        )
+    )
+    def test_bound_holds_over_all_hosts(self, steps):
+        # Four hosts, each with its own window, against the bound over all.
+        hosts = 4
+        budgets = [
+            retry_budget.RetryBudget(0.2, 20.0, 10.0) for _ in range(hosts)
+        ]
+        now_s = 0.0
+        requests = []
+        repeats = []
+        for gap_s, host, wants in steps:
+            now_s += gap_s
+            budgets[host].note_request(now_s)
+            requests.append(now_s)
+            while wants and budgets[host].try_spend(now_s, hosts):
+                repeats.append(now_s)
+            window = [one for one in repeats if one > now_s - 10]
+            asked = [one for one in requests if one > now_s - 10]
+            assert len(window) <= 0.2 * len(asked) + 20
+
+    def test_repeats_return_with_time(self):
+        budget = retry_budget.RetryBudget(0.0, 10.0, 10.0)
+        spent = 0
+        while budget.try_spend(0.0, 1):
+            spent += 1
+        assert spent == 8
+        assert not budget.try_spend(9.0, 1)
+        assert budget.try_spend(10.5, 1)
+
+
+class TestColdPace:
+    """Hosts that turn to a cold target at once must not crash it."""
+
+    @pytest.mark.parametrize('hosts', [1, 4, 12, 16, 139])
+    @pytest.mark.parametrize('bound_per_s', [2.0, 17.15, 21.5])
+    def test_all_hosts_together_keep_the_bound(self, hosts, bound_per_s):
+        # All hosts would send at once when a target turns cold.
+        rng = random.Random(hosts)
+        names = [f'h{number}' for number in range(hosts)]
+        sent = []
+        for name in names:
+            fleet = pacing.fleet(name, names, True)
+            allowed = fleet.per_window('t', bound_per_s)
+            pacer = pacing.ColdPacer()
+            now_s = 0.0
+            while now_s < 10:
+                if pacer.may_send(now_s, allowed):
+                    pacer.sent(now_s)
+                    sent.append(now_s)
+                now_s += rng.random() * 0.2
+        sent.sort()
+        assert sent
+        for index, start_s in enumerate(sent):
+            within = [one for one in sent[index:] if one < start_s + 1]
+            assert len(within) <= bound_per_s
+
+    def test_few_unknown_hosts_do_not_break_the_bound(self):
+        # Two hosts have just started and are known to nobody else.
+        names = [f'h{number}' for number in range(14)]
+        views = {name: names[:12] for name in names[:12]}
+        views |= {name: names for name in names[12:]}
+        total = sum(
+            pacing.fleet(name, view, True).per_window('t', 17.15)
+            for name, view in views.items()
+        )
+        assert total <= 17.15
+
+    def test_host_that_knows_no_other_is_careful(self):
+        alone = pacing.fleet('h', [], True)
+        assert alone.per_window('t', 17.15) <= 17.15 / 4
+        unsettled = pacing.fleet('h', [], False)
+        assert unsettled.per_window('t', 17.15) == 0
+
+    def test_targets_have_different_owners(self):
+        names = frozenset(f'h{number}' for number in range(100))
+        assert pacing.owners('t1', names, 5) != pacing.owners('t2', names, 5)
+
+
+class TestEstimates:
+    """A slow, full, cold or failing target must not look better."""
+
+    def offer(self, **fields):
+        values = {'taken_s': 0.0, 'slots': 2}
+        values.update(fields)
+        reading = dialect.Reading(**values)
+        return placing.Offer(reading, 0, 2, 0.002)
+
+    def expected(self, **fields):
+        return placing.expected_s(self.offer(**fields), 0.06, 2.0)
+
+    def test_free_target_of_usual_speed_is_best(self):
+        best = self.expected()
+        assert best < self.expected(running=2)
+        assert best < self.expected(slowness=5.0)
+        assert best < self.expected(cold_s=1.0)
+
+    def test_longer_queue_costs_more(self):
+        costs = [
+            self.expected(running=2, waiting=waiting) for waiting in range(6)
+        ]
+        assert costs == sorted(costs)
+        assert len(set(costs)) == 6
+
+    def test_slowness_now_does_not_last(self):
+        # The speed changes within 150 ms: long work sees the mean after that.
+        assert placing.run_s(1.0, 5.0, 2.0) < 1.0 * 2.5
+        assert placing.run_s(0.01, 5.0, 2.0) == pytest.approx(0.05)
+
+    def test_requests_that_the_reading_misses_count(self):
+        reading = dialect.Reading(0.0, slots=2)
+        seen = placing.Offer(reading, 0, 2, 0.0)
+        unseen = placing.Offer(reading, 3, 2, 0.0)
+        assert placing.expected_s(unseen, 0.06, 2.0) > placing.expected_s(
+            seen, 0.06, 2.0
+        )
+
+    def test_failing_target_costs_more(self):
+        offer = self.offer()
+        failing = placing.Offer(offer.reading, 0, 2, 0.002, 0.5)
+        assert placing.cost_s(failing, 0.06, 2.0, 0.2) > placing.cost_s(
+            offer, 0.06, 2.0, 0.2
+        )
+
+
+class TestAddresses:
+    """Callers must be led to hosts that are near and alive."""
+
+    HOSTS = [
+        rigs.host('h1', 'a1'),
+        rigs.host('h2', 'a1'),
+        rigs.host('h3', 'a2'),
+        rigs.host('h4', 'b1'),
+    ]
+
+    def choose(self, region, domain, homes=(), hosts=None):
+        found = directory.choose(
+            self.HOSTS if hosts is None else hosts,
+            region,
+            domain,
+            homes,
+            random.Random(1),
+        )
+        return sorted(host.name for host in found)
+
+    def test_own_failure_domain_first(self):
+        assert self.choose('a', 'a1') == ['h1', 'h2']
+
+    def test_single_host_is_complemented_by_the_region(self):
+        assert self.choose('a', 'a2') == ['h1', 'h2', 'h3']
+
+    def test_region_without_hosts_gets_all(self):
+        assert self.choose('c', 'c1') == ['h1', 'h2', 'h3', 'h4']
+
+    def test_homes_elsewhere_lead_there(self):
+        assert self.choose('a', 'a1', ('b',)) == ['h4']
+
+    def test_homes_without_hosts_lead_nearby(self):
+        assert self.choose('a', 'a1', ('c',)) == ['h1', 'h2']
+
+    def test_answer_is_bounded(self):
+        hosts = [rigs.host(f'h{number}', 'a1') for number in range(200)]
+        found = self.choose('a', 'a1', hosts=hosts)
+        assert len(set(found)) == directory.MAX_ADDRESSES
+
+
+class TestSources:
+    """The store must not be read by every host."""
+
+    HOSTS = [
+        rigs.host('h1', 'a1'),
+        rigs.host('h2', 'a1'),
+        rigs.host('h3', 'a2'),
+        rigs.host('h4', 'b1'),
+    ]
+
+    def order(self, name):
+        (me,) = [host for host in self.HOSTS if host.name == name]
+        return [
+            host.name if host else '' for host in sources.order(me, self.HOSTS)
+        ]
+
+    def test_one_host_of_a_domain_reads_the_store(self):
+        assert self.order('h1')[0] == ''
+        assert self.order('h2')[:2] == ['h1', '']
+        assert self.order('h3')[0] == ''
+
+    def test_hosts_of_the_region_come_before_others(self):
+        assert self.order('h1') == ['', 'h3', 'h4']
+        assert self.order('h4') == ['', 'h1', 'h3']
+
+    def test_host_alone_reads_the_store(self):
+        assert sources.order(self.HOSTS[1], []) == [None]
--- /dev/null
+++ b/tests/test_platform/test_adapter.py
@@ -0,0 +1,331 @@
+"""Tests of the translation between the platform and the gateway."""
+
+import json
+
+import pytest
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.platform import feeds
+from ragwortchute.platform import objects
+from ragwortchute.platform import settings
+from standins import platform_store
+from tests.test_gateway import rig as rigs
+
+SETTINGS = """node=front-a-1
+role=entry
+ip=10.1.0.35
+zone=a-1
+region=a
+zones.a-1=a
+zones.b-1=b
+listen.front=10.1.0.35:8144
+listen.readiness=10.1.0.35:8140
+listen.directory=10.1.0.35:8143
+port_range=7660,7675
+limits.cpu_share=0.86
+limits.cores=2
+bounds=contact_s=4,grace_s=6,retry_slack=58,drain_whole=true
+provider.address=10.200.1.7:8142
+unknown.field=x
+"""
+
+
+class TestSettings:
+    """A wrong setting must be named, not guessed."""
+
+    def test_values_are_decoded(self):
+        node = settings.parse(SETTINGS, 5)
+        me = node.gateway.me
+        assert (me.name, me.incarnation) == ('front-a-1', 5)
+        assert (me.failure_domain, me.region) == ('a-1', 'a')
+        assert me.caller_address == '10.1.0.35:8144'
+        assert me.peer_port == 7660
+        assert me.weight == pytest.approx(1.72)
+        assert node.gateway.limits.retry_slack == 58
+        assert node.gateway.dead_s == pytest.approx(6.4)
+        assert (node.store_ip, node.store_port) == ('10.200.1.7', 8142)
+
+    @pytest.mark.parametrize(
+        ('line', 'message'),
+        [
+            ('node=', 'node is missing'),
+            ('zone=c', "zone='c' is not among a-1, b-1"),
+            ('listen.front=10.1.0.35:0', 'needs a port from 1 to 65535'),
+            ('listen.front=10.1.0.35:x', 'needs a port from 1 to 65535'),
+            ('provider.address=', 'provider.address is missing'),
+            ('limits.cores=two', "limits.cores='two' is not a number"),
+        ],
+    )
+    def test_wrong_value_is_named(self, line, message):
+        with pytest.raises(errors.SettingError, match=message):
+            settings.parse(SETTINGS + line, 5)
+
+    def test_missing_file_is_named(self, monkeypatch):
+        monkeypatch.setenv(settings.FILE_VARIABLE, '/nowhere')
+        with pytest.raises(errors.SettingError, match='nowhere'):
+            settings.load(1)
+
+
+SERVER = {
+    'address': '10.0.0.1:80',
+    'info': {'service': 's', 'zone': 'a-1', 'slots': 4},
+    'status': {'state': 'ready', 'seq': 1, 'warmup_left_s': 2},
+    'born': 7,
+}
+
+
+def changed(**parts):
+    server = json.loads(json.dumps(SERVER))
+    for path, value in parts.items():
+        *above, last = path.split('__')
+        place = server
+        for name in above:
+            place = place[name]
+        if value is None:
+            del place[last]
+        else:
+            place[last] = value
+    return json.dumps(server).encode()
+
+
+class TestTargets:
+    """An entry of another writer must not name a target."""
+
+    async def test_entry_is_decoded(self):
+        entry = feeds.decode_target('t', json.dumps(SERVER).encode())
+        assert (entry.service, entry.ip, entry.port) == ('s', '10.0.0.1', 80)
+        assert entry.ready
+        assert entry.warmup_left_s == 2
+        assert entry.born_ms == 7
+
+    async def test_leaving_target_is_not_ready(self):
+        entry = feeds.decode_target('t', changed(status__state='draining'))
+        assert not entry.ready
+
+    @pytest.mark.parametrize(
+        'value',
+        [
+            changed(address=None),
+            changed(address=5),
+            changed(address='nowhere'),
+            changed(info=None),
+            changed(info__slots='many'),
+            changed(info__service=None),
+            changed(status__state='ill'),
+            changed(status__warmup_left_s='x'),
+            changed(born=None),
+            changed(born=1.5),
+            b'\xff\xfe',
+            b'null',
+            b'[]',
+            b'{"address":',
+        ],
+    )
+    async def test_entry_of_another_writer_names_no_target(self, value):
+        rig = FeedRig()
+        rig.feed.replace([stores.StoredObject('good', 1, changed())], 1)
+        rig.feed.put(stores.StoredObject('bad', 2, value), 2)
+        assert set(rig.knowledge.targets) == {'good'}
+        assert 'target-malformed' in rig.log.kinds()
+
+    async def test_list_with_a_malformed_entry_keeps_the_others(self):
+        rig = FeedRig()
+        rig.feed.replace(
+            [
+                stores.StoredObject('bad', 1, b'?'),
+                stores.StoredObject('good', 2, changed()),
+            ],
+            2,
+        )
+        assert set(rig.knowledge.targets) == {'good'}
+
+    async def test_new_start_under_the_same_name_is_a_new_target(self):
+        rig = FeedRig()
+        rig.feed.put(stores.StoredObject('t', 1, changed()), 1)
+        before = rig.knowledge.targets['t']
+        before.misdirected = True
+        rig.feed.put(stores.StoredObject('t', 2, changed(born=8)), 2)
+        assert rig.knowledge.targets['t'] is not before
+        assert not rig.knowledge.targets['t'].misdirected
+
+    async def test_report_keeps_what_is_known_of_a_target(self):
+        rig = FeedRig()
+        rig.feed.put(stores.StoredObject('t', 1, changed()), 1)
+        before = rig.knowledge.targets['t']
+        value = changed(status__state='draining')
+        rig.feed.put(stores.StoredObject('t', 2, value), 2)
+        assert rig.knowledge.targets['t'] is before
+        assert not before.entry.ready
+
+
+class FeedRig:
+    """A host's knowledge and the feed that fills it."""
+
+    def __init__(self):
+        self.log = rigs.MemoryLog()
+        self.knowledge = rigs.knowledge.Knowledge(
+            rigs.wire.PlatformDialect(), rigs.DOMAINS, 'a1', self.log
+        )
+        self.feed = feeds.TargetFeed(self.knowledge, self.log)
+
+
+CONFIG = {
+    'config_version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'hostname': 'X.example',
+            'path_prefix': '/a/',
+            'route_type': 'idempotent',
+            'timeout_s': 1,
+            'target_latency_s': 0.2,
+            'priority': 2,
+            'traffic_split': [{'service': 's', 'weight': 90}],
+            'attempts': 2,
+            'allowed_regions': ['a'],
+        },
+        {
+            'name': 'r2',
+            'hostname': 'x.example',
+            'path_prefix': '/b/',
+            'route_type': 'non_idempotent',
+            'timeout_s': 1.2,
+            'target_latency_s': 0.25,
+            'service': 's',
+            'attempts': 1,
+        },
+    ],
+    'services': [
+        {
+            'name': 's',
+            'health_path': '/health',
+            'max_conns': 220,
+            'protocol': 'h1',
+            'warmup_s': 3.0,
+            'warmup_per_s': 11.0,
+        }
+    ],
+    'limits': {'max_header_bytes': 100, 'idle_timeout_s': 9},
+}
+
+
+class TestConfiguration:
+    """A configuration must not be misread or go back."""
+
+    def test_configuration_is_decoded(self):
+        cfg = feeds.decode_configuration(json.dumps(CONFIG).encode())
+        first, second = cfg.routes
+        assert (first.host, first.idempotent) == ('x.example', True)
+        assert first.homes == ('a',)
+        assert first.parts[0].weight == 90
+        assert (second.idempotent, second.parts[0].service) == (False, 's')
+        assert cfg.services['s'].warmup_per_s == 11
+        assert cfg.limits.idle_timeout_s == 9
+
+    def test_malformed_configuration_is_kept_out(self):
+        rig = FeedRig()
+        feed = feeds.ConfigFeed(rig.knowledge, rig.log)
+        good = json.dumps(CONFIG).encode()
+        feed.put(stores.StoredObject('main', 3, good), 3)
+        feed.put(stores.StoredObject('main', 4, b'{}'), 4)
+        assert rig.knowledge.cfg.version == 7
+        assert 'configuration-malformed' in rig.log.kinds()
+
+    def test_configuration_never_goes_back(self):
+        rig = FeedRig()
+        feed = feeds.ConfigFeed(rig.knowledge, rig.log)
+        newer = json.dumps({**CONFIG, 'config_version': 9}).encode()
+        older = json.dumps(CONFIG).encode()
+        feed.put(stores.StoredObject('main', 5, newer), 5)
+        feed.put(stores.StoredObject('main', 4, older), 4)
+        assert rig.knowledge.cfg.version == 9
+
+    def test_removal_keeps_it_in_force(self):
+        rig = FeedRig()
+        feed = feeds.ConfigFeed(rig.knowledge, rig.log)
+        value = json.dumps(CONFIG).encode()
+        feed.put(stores.StoredObject('main', 5, value), 5)
+        feed.remove('main', 6)
+        assert rig.knowledge.cfg.version == 7
+
+
+class TestEvacuations:
+    """A domain must be out exactly while the operator says so."""
+
+    def test_domains_come_and_go(self):
+        rig = FeedRig()
+        feed = feeds.EvacuationFeed(rig.knowledge)
+        feed.replace([stores.StoredObject('a1', 1, b'{}')], 1)
+        assert rig.knowledge.out == {'a1'}
+        feed.put(stores.StoredObject('a2', 2, b'{}'), 2)
+        feed.remove('a1', 3)
+        assert rig.knowledge.out == {'a2'}
+
+
+@pytest.fixture
+async def store():
+    server = platform_store.ObjectServer()
+    await server.start()
+    client = objects.ObjectStore('127.0.0.1', server.port)
+    yield server, client
+    await client.close()
+    await server.stop()
+
+
+class TestStore:
+    """The outcome of a write must not be misjudged."""
+
+    async def test_object_is_created_then_replaced(self, store):
+        server, client = store
+        first = await client.put('k/n', b'1', expected_version=-1)
+        second = await client.put('k/n', b'2', expected_version=-1)
+        assert second.version > first.version
+        assert (await client.get('k/n')).value == b'2'
+
+    async def test_existing_object_is_a_conflict(self, store):
+        _, client = store
+        await client.put('k/n', b'1', expected_version=0)
+        with pytest.raises(errors.VersionConflict):
+            await client.put('k/n', b'2', expected_version=0)
+
+    async def test_absent_object(self, store):
+        _, client = store
+        assert await client.get('k/n') is None
+
+    async def test_lost_history(self, store):
+        server, client = store
+        await client.put('k/n', b'1', expected_version=0)
+        server.forget()
+        with pytest.raises(errors.HistoryGone):
+            await client.watch('k/', after_revision=1, timeout_s=0)
+
+    @pytest.mark.parametrize('mode', ['busy', 'reset'])
+    async def test_outage(self, store, mode):
+        server, client = store
+        server.mode = mode
+        with pytest.raises(errors.StoreUnavailable):
+            await client.list('k/')
+
+    async def test_refused_write_has_not_been_applied(self, store):
+        server, client = store
+        server.mode = 'busy'
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await client.put('k/n', b'1', expected_version=0)
+        assert not caught.value.maybe_applied
+
+    async def test_write_without_an_answer_may_have_been_applied(self, store):
+        server, client = store
+        server.mode = 'reset'
+        with pytest.raises(errors.StoreUnavailable) as caught:
+            await client.put('k/n', b'1', expected_version=0)
+        assert caught.value.maybe_applied
+
+    async def test_removed_and_written_again(self, store):
+        server, client = store
+        await client.put('k/n', b'1', expected_version=0)
+        await server.delete('k', 'n')
+        await server.put('k', 'n', 2)
+        answer = await client.watch('k/', after_revision=2, timeout_s=0)
+        assert [obj.value for obj in answer.objects] == [b'2']
+        assert not answer.removed
