Serve metrics, follow a request through logs, check settings; pages

Cause: on-call engineers had no metrics of a gateway host, no way from a request's id to its cause, and no check of settings before a roll-out. Ruled out: a histogram collector on the way of a request; an update costs several microseconds. Scraping and durations moved out of the older daemon's packages so that both use one copy. The tests of refusal reasons now check the gateway's reasons against its own page, since it answers with a status and no problem document.

--- a/benchmarks/slope_host.py
+++ b/benchmarks/slope_host.py
@@ -17,9 +17,9 @@
 from ragwortchute import application
 from ragwortchute import config
 from ragwortchute import documents
+from ragwortchute import scraping
 from ragwortchute import serving
 from ragwortchute import wire
-from ragwortchute.operators import metrics
 from ragwortchute.records import record as record_lib
 from ragwortchute.stores import memory
 from standins import deployment as deployment_lib
@@ -96,7 +96,7 @@
         host = await _start_host(services, targets, server.port)
         await _warm_all(host)
         cpu = [await _idle_percent() for _ in range(_ROUNDS)]
-        resident = metrics.resident_bytes() / (1 << 20)
+        resident = scraping.resident_bytes() / (1 << 20)
         pages = {
             'status': lambda: msgspec.json.encode(host.console.status()),
             'list': lambda: msgspec.json.encode(host.console.targets()),
--- a/ragwortchute/application.py
+++ b/ragwortchute/application.py
@@ -19,6 +19,7 @@
 from ragwortchute import errors
 from ragwortchute import events
 from ragwortchute import plugins
+from ragwortchute import scraping
 from ragwortchute import serving
 from ragwortchute import stores
 from ragwortchute import wire
@@ -226,9 +227,9 @@
             stop_s=self.cfg.stop_s,
         )
 
-    def _make_metrics(self) -> metrics_lib.Metrics:
-        metrics = metrics_lib.Metrics()
-        metrics_lib.add_process(metrics)
+    def _make_metrics(self) -> scraping.Metrics:
+        metrics = scraping.Metrics()
+        scraping.add_process(metrics)
         metrics_lib.add_call_path(
             metrics, self.caller_app, self.dispatcher.counts
         )
--- a/ragwortchute/callers/application.py
+++ b/ragwortchute/callers/application.py
@@ -19,9 +19,9 @@
 from ragwortchute import callers
 from ragwortchute import calls
 from ragwortchute import clock as clocks
+from ragwortchute import durations
 from ragwortchute import events as event_table
 from ragwortchute import records
-from ragwortchute.callers import durations
 from ragwortchute.callers import heads
 
 Scope = dict[str, Any]
--- a/ragwortchute/commands/main.py
+++ b/ragwortchute/commands/main.py
@@ -9,6 +9,7 @@
 from ragwortchute.commands import document_commands
 from ragwortchute.commands import exits
 from ragwortchute.commands import host_commands
+from ragwortchute.commands import node_commands
 
 app = typer.Typer(
     name='ragwortchute',
@@ -19,6 +20,8 @@
 app.add_typer(document_commands.app, name='doc')
 app.add_typer(host_commands.domain_app, name='domain')
 app.add_typer(call_commands.app, name='calls')
+app.add_typer(node_commands.app, name='node')
+app.command()(node_commands.trace)
 app.command()(host_commands.status)
 app.command()(host_commands.targets)
 app.command()(host_commands.explain)
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -137,12 +137,27 @@
         """Whether new callers should come to this host."""
         return self.knowledge.complete and not self.leaving
 
+    @property
+    def probes(self) -> int:
+        """Number of health requests sent to targets."""
+        return self._chooser.asked
+
+    def revisions(self) -> dict[str, float]:
+        """Returns the revision up to which changes are known, by prefix."""
+        return {
+            prefix: copy.revision for prefix, copy in self._replicas.items()
+        }
+
+    def hosts(self) -> list[model.HostEntry]:
+        """Returns the hosts that take new callers."""
+        return self.membership.alive(self._loop.time())
+
     def addresses(
         self, name: str, region: str, failure_domain: str
     ) -> list[str]:
         """Returns the addresses for a caller of a host name."""
         hosts = directory.choose(
-            self.membership.alive(self._loop.time()),
+            self.hosts(),
             region,
             failure_domain,
             self.knowledge.table.homes(name),
@@ -197,7 +212,7 @@
 
     def _sources(self) -> list[following.Source]:
         """Returns the places to read the store's contents from."""
-        hosts = self.membership.alive(self._loop.time())
+        hosts = self.hosts()
         return [
             self._copy(host) if host else following.Source('', self._store)
             for host in sources.order(self._settings.me, hosts)
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -224,6 +224,7 @@
         futs: set[asyncio.Future] = {fut}
         if call.route.idempotent:
             futs.add(call.req.gone)
+        self._stats.relays += 1
         call.sends = 1
         call.maybe_run = True
         try:
--- /dev/null
+++ b/ragwortchute/gateway/metrics.py
@@ -0,0 +1,129 @@
+"""Metrics of a gateway host."""
+
+from ragwortchute import scraping
+from ragwortchute.gateway import application
+from ragwortchute.gateway import http_server
+
+PATH = '/metrics'
+
+
+class MetricsEndpoint:
+    """Serves the metrics of a host.
+
+    Args:
+        gateway: The host.
+    """
+
+    def __init__(self, gateway: application.Gateway) -> None:
+        self._gateway = gateway
+        self._metrics = scraping.Metrics()
+        scraping.add_process(self._metrics)
+        self._add_requests()
+        self._add_knowledge()
+
+    async def serve(self, req: http_server.Request) -> http_server.Response:
+        """Answers a scrape."""
+        if req.path != PATH:
+            return http_server.Response(404)
+        content, headers = self._metrics.render(())
+        return http_server.Response(
+            200,
+            [
+                (name.lower().encode(), value.encode())
+                for name, value in headers.items()
+            ],
+            content,
+        )
+
+    def _add_requests(self) -> None:
+        stats = self._gateway.stats
+        metrics = self._metrics
+        metrics.add_counter(
+            'ragwortchute_gateway_sends_total',
+            'Requests sent to targets.',
+            lambda: {'': stats.sends},
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_repeats_total',
+            'Sends beyond the first one of a request.',
+            lambda: {'': stats.repeats},
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_hedges_total',
+            'Second sends while the first one was running.',
+            lambda: {'': stats.hedges},
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_relays_total',
+            'Requests passed on to another region.',
+            lambda: {'': stats.relays},
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_probes_total',
+            'Health requests sent to targets.',
+            lambda: {'': self._gateway.probes},
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_refusals_total',
+            'Final answers that no target made, by reason.',
+            lambda: dict(stats.refusals),
+            'reason',
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_attempts_total',
+            'Attempts without an answer to pass on, by outcome.',
+            lambda: dict(stats.attempts),
+            'outcome',
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_answers_total',
+            'Answers by route and upper bound of their duration in ms.',
+            self._answers,
+            'route_ms',
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_answer_seconds_total',
+            'Sum of the durations of answers in seconds, by route.',
+            lambda: {
+                route: one.total_s for route, one in stats.latency.items()
+            },
+            'route',
+        )
+
+    def _add_knowledge(self) -> None:
+        gateway = self._gateway
+        metrics = self._metrics
+        metrics.add_gauge(
+            'ragwortchute_gateway_requests_running',
+            'Requests of callers that run at this moment.',
+            lambda: {'': gateway.callers.running},
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_revision',
+            'Revision up to which changes are known, by prefix.',
+            lambda: gateway.revisions(),
+            'prefix',
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_store_down',
+            'Whether the last call to the store failed.',
+            lambda: {'': int(gateway.health.down)},
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_hosts',
+            'Hosts that are alive, this one included.',
+            lambda: {'': len(gateway.hosts())},
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_targets',
+            'Targets that are known.',
+            lambda: {'': len(gateway.knowledge.targets)},
+        )
+
+    def _answers(self) -> dict[str, float]:
+        """Returns cumulated counts by route and upper bound."""
+        return {
+            f'{route}/{bound}': count
+            for route, one in self._gateway.stats.latency.items()
+            for bound, count in one.by_bound().items()
+        }
--- a/ragwortchute/gateway/stats.py
+++ b/ragwortchute/gateway/stats.py
@@ -1,21 +1,31 @@
 """Counters and latency histograms of a host."""
 
-import bisect
 import collections
 
-# Upper bounds of the latency histogram in seconds.
-BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0)
+from ragwortchute import durations
+
+MAX_ROUTES = 1000  # routes with a histogram of their own
 
 
 class Stats:
-    """What a host has done since its start."""
+    """What a host has done since its start.
+
+    Attributes:
+        sends: Requests sent to targets.
+        hedges: Second sends while the first one was running.
+        repeats: Sends beyond the first one of a request.
+        relays: Requests passed on to another region.
+        refusals: Final answers that no target made, by reason.
+        attempts: Attempts without an answer to pass on, by outcome.
+        latency: Durations of answered requests by route.
+    """
 
     __slots__ = (
         'attempts',
         'hedges',
         'latency',
-        'latency_sum_s',
         'refusals',
+        'relays',
         'repeats',
         'sends',
     )
@@ -24,18 +34,19 @@
         self.sends = 0
         self.hedges = 0
         self.repeats = 0
+        self.relays = 0
         self.refusals: collections.Counter[str] = collections.Counter()
         self.attempts: collections.Counter[str] = collections.Counter()
-        self.latency: dict[str, list[int]] = {}
-        self.latency_sum_s: collections.Counter[str] = collections.Counter()
+        self.latency: dict[str, durations.Durations] = {}
 
     def answered(self, route: str, elapsed_s: float) -> None:
         """Counts an answer of a target."""
         counts = self.latency.get(route)
         if counts is None:
-            counts = self.latency[route] = [0] * (len(BOUNDS_S) + 1)
-        counts[bisect.bisect_left(BOUNDS_S, elapsed_s)] += 1
-        self.latency_sum_s[route] += elapsed_s
+            if len(self.latency) >= MAX_ROUTES:
+                self.latency.pop(next(iter(self.latency)))
+            counts = self.latency[route] = durations.Durations()
+        counts.add(elapsed_s)
 
     def refused(self, reason: str) -> None:
         """Counts a final answer that no target made."""
--- a/ragwortchute/operators/application.py
+++ b/ragwortchute/operators/application.py
@@ -16,8 +16,8 @@
 from ragwortchute import calls
 from ragwortchute import documents
 from ragwortchute import operators
+from ragwortchute import scraping
 from ragwortchute.callers import application as caller_application
-from ragwortchute.operators import metrics as metric_set
 
 _REDACTED = '(redacted)'
 # Names of fields that hold secrets, bodies or request keys.
@@ -44,7 +44,7 @@
         *,
         token: str,
         console: operators.Console,
-        metrics: metric_set.Metrics,
+        metrics: scraping.Metrics,
         dumps: abc.Mapping[str, operators.Dump],
         secrets: abc.Iterable[str] = (),
     ) -> None:
--- a/ragwortchute/platform/__main__.py
+++ b/ragwortchute/platform/__main__.py
@@ -9,6 +9,7 @@
 from ragwortchute.gateway import application
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import http_server
+from ragwortchute.gateway import metrics
 from ragwortchute.gateway import model
 from ragwortchute.platform import endpoints
 from ragwortchute.platform import feeds
@@ -18,6 +19,8 @@
 
 # Kind under which the hosts find each other; it is this system's own.
 HOSTS_KIND = 'ragwortchute-hosts/'
+# Named in deploy/system.toml too.
+METRICS_PORT = 9464
 EXIT_SETTINGS = 2
 
 
@@ -34,9 +37,11 @@
     )
     answers = endpoints.Endpoints(gateway)
     listeners = []
+    scrape = metrics.MetricsEndpoint(gateway)
     for handler, address, name in (
         (answers.resolve, node.directory, 'directory'),
         (answers.ready, node.readiness, 'readiness'),
+        (scrape.serve, (node.gateway.peer_ip, METRICS_PORT), 'metrics'),
     ):
         listener = http_server.Listener(handler, model.Limits, log, name)
         await listener.start(*address)
--- /dev/null
+++ b/tests/test_commands/test_node_commands.py
@@ -0,0 +1,59 @@
+"""Tests of the commands for hosts on the platform."""
+
+from typer import testing
+
+from ragwortchute.commands import main
+from tests.test_platform import test_adapter
+
+runner = testing.CliRunner()
+
+FIRST = (
+    '{"t":2.0,"host":"h1","event":"request","id":"abc","status":200}\n'
+    '{"t":1.5,"host":"h1","event":"send","id":"other","target":"abc"}\n'
+    '{"t":2.5,"host":"h1","event":"requ'
+)
+SECOND = '  0.25 h2 {"t":1.0,"host":"h2","event":"relay","id":"abc"}\n'
+
+
+class TestTrace:
+    """A request that crossed hosts must be found whole and in order."""
+
+    def run(self, tmp_path, request_id):
+        files = []
+        for number, text in enumerate((FIRST, SECOND)):
+            files.append(tmp_path / f'{number}.log')
+            files[-1].write_text(text)
+        return runner.invoke(main.app, ['trace', request_id, *map(str, files)])
+
+    def test_lines_of_all_hosts_in_order(self, tmp_path):
+        result = self.run(tmp_path, 'abc')
+        assert result.exit_code == 0
+        lines = result.stdout.splitlines()
+        assert ['"relay"' in lines[0], '"request"' in lines[1]] == [True, True]
+        assert len(lines) == 2
+
+    def test_unknown_request(self, tmp_path):
+        assert self.run(tmp_path, 'nobody').exit_code == 1
+
+    def test_missing_file(self, tmp_path):
+        result = runner.invoke(main.app, ['trace', 'a', str(tmp_path / 'no')])
+        assert result.exit_code == 2
+
+
+class TestCheck:
+    """A wrong settings file must be found before the roll-out."""
+
+    def check(self, tmp_path, text):
+        file = tmp_path / 'local.conf'
+        file.write_text(text)
+        return runner.invoke(main.app, ['node', 'check', str(file)])
+
+    def test_good_file_is_shown(self, tmp_path):
+        result = self.check(tmp_path, test_adapter.SETTINGS)
+        assert result.exit_code == 0
+        assert '10.200.1.7:8142' in result.stdout
+
+    def test_wrong_value_is_named(self, tmp_path):
+        result = self.check(tmp_path, test_adapter.SETTINGS + 'zone=x')
+        assert result.exit_code == 2
+        assert 'zone' in result.output
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -16,8 +16,11 @@
 
 from ragwortchute import config
 from ragwortchute import daemon
+from ragwortchute import scraping
 from ragwortchute.commands import main
+from ragwortchute.gateway import metrics as gateway_metrics
 from ragwortchute.operators import metrics
+from ragwortchute.platform import settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 PAGES = (
@@ -170,6 +173,7 @@
 
     def test_variables_exist(self, page):
         known = {setting.variable for setting in config.SETTINGS}
+        known.add(settings.FILE_VARIABLE)
         for command in all_commands(group()):
             for param in command.params:
                 envvar = param.envvar or ()
@@ -178,8 +182,10 @@
             assert name in known, name
 
     def test_metrics_exist(self, page):
-        source = pathlib.Path(metrics.__file__).read_text()
-        known = set(_METRIC.findall(source))
+        known = set()
+        for module in (metrics, scraping, gateway_metrics):
+            source = pathlib.Path(module.__file__).read_text()
+            known.update(_METRIC.findall(source))
         for name in _METRIC.findall(page.read_text()):
             assert name in known, name
 
@@ -236,6 +242,7 @@
     '_unknown',
     'refuse',
 }
+_GATEWAY_MAKERS = {'NoPlacement', '_give_up', '_refuse', 'refused'}
 # Functions that return a reason, or '' for none.
 _RETURNERS = {'_find_reason', 'offer', 'refusal_reason'}
 _REASON = re.compile(r'[a-z]+(?:-[a-z]+)*\Z')
@@ -287,13 +294,49 @@
 
 
 def reasons_in_code():
-    """Returns all refusal reasons that the package can give."""
+    """Returns all refusal reasons of the caller protocol.
+
+    The gateway answers with a status alone; its reasons are in its log and
+    have a page of their own.
+    """
     found = set()
     for path in sorted(PACKAGE.rglob('*.py')):
-        found |= reasons_in_module(ast.parse(path.read_text()))
+        if path.parent.name != 'gateway':
+            found |= reasons_in_module(ast.parse(path.read_text()))
     return found
 
 
+def gateway_reasons():
+    """Returns the reasons with which the gateway gives a request up."""
+    found = set()
+    for path in sorted((PACKAGE / 'gateway').glob('*.py')):
+        tree = ast.parse(path.read_text())
+        constants = {
+            node.targets[0].id: node.value.value
+            for node in tree.body
+            if isinstance(node, ast.Assign)
+            and isinstance(node.value, ast.Constant)
+        }
+        for node in ast.walk(tree):
+            if not isinstance(node, ast.Call):
+                continue
+            name = getattr(node.func, 'attr', getattr(node.func, 'id', ''))
+            if name not in _GATEWAY_MAKERS:
+                continue
+            for arg in node.args:
+                found |= literals(arg)
+                if isinstance(arg, ast.Name):
+                    found |= {constants.get(arg.id, '')}
+    return found - {''}
+
+
+def reasons_in_operations():
+    """Returns the reasons in the table of the gateway's page."""
+    text = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    section = text.partition('## Reasons')[2].partition('\n## ')[0]
+    return re.findall(r'^\| `([^`]+)` \|', section, re.MULTILINE)
+
+
 def reasons_in_handbook():
     """Returns the reasons in the handbook's table."""
     text = (ROOT / 'docs' / 'operators.md').read_text()
@@ -330,3 +373,8 @@
         listed = reasons_in_handbook()
         assert listed == sorted(set(listed))
         assert set(listed) <= reasons_in_code() | set(metrics.REASONS)
+
+    def test_operations_list_every_reason_of_the_gateway(self):
+        listed = reasons_in_operations()
+        assert listed == sorted(set(listed))
+        assert set(listed) == gateway_reasons()
--- a/tests/test_operators/test_application.py
+++ b/tests/test_operators/test_application.py
@@ -10,6 +10,7 @@
 from ragwortchute import clock as clocks
 from ragwortchute import documents
 from ragwortchute import operators
+from ragwortchute import scraping
 from ragwortchute.callers import application as caller_application
 from ragwortchute.dispatch import dispatcher
 from ragwortchute.operators import application
@@ -106,7 +107,7 @@
 
 
 def make_client(dumps=None, token=TOKEN):
-    metrics = metric_set.Metrics()
+    metrics = scraping.Metrics()
     app = caller_application.CallerApplication(
         directory=path_fakes.FakeDirectory(),
         dispatch=None,
@@ -116,7 +117,7 @@
     app.refused = {'shed': 2, 'forged by a caller': 1}
     app.durations.add(0.003)
     metric_set.add_call_path(metrics, app, dispatcher.DispatchCounts(retries=5))
-    metric_set.add_process(metrics)
+    scraping.add_process(metrics)
     return Client(
         application.OperatorApplication(
             token=TOKEN,
