Ask other regions under load, start with few calls, put removals off

After an outage of the store entries of live targets are missing for up to two seconds. Ruled out: stale watches; a host behind by seconds would break the bounds of draining and evacuation. Change: two of the four targets of the second round are in other regions. A host reads the list of hosts first, then copies of the store; its first readings may be stale, since a watch follows. Removals of targets right after an outage of a second or more are put off by 2.2 s.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -32,6 +32,10 @@
 LEAVE_ACCEPT_S = 2.6
 # It ends this long before the platform would kill it.
 GRACE_MARGIN_S = 0.4
+# Longest time to find hosts whose copies of the store can be read at the start.
+FIND_READER_S = 1.0
+# Time for them to answer.
+GREETING_S = 0.1
 # A host that can't read the list of hosts waits this long for heartbeats
 # before it sends to cold targets.
 SETTLE_S = 5.0
@@ -74,7 +78,7 @@
         rng: Source of randomness.
         callers: Listener for requests of callers.
         leaving: Whether this host is stopping.
-        registered: Whether it has read the list of hosts.
+        registered: Is set once it has read the list of hosts.
     """
 
     def __init__(
@@ -130,7 +134,7 @@
         self.membership.changes = self._changes
         self.membership.hint = self._hint
         self.leaving = False
-        self.registered = False
+        self.registered = asyncio.Event()
 
     @property
     def ready(self) -> bool:
@@ -176,7 +180,7 @@
             )
             self._followers[feed.prefix] = follower
             self._replicas[feed.prefix] = follower.replica
-            self._spawn(follower.run())
+            self._spawn(self._follow(follower))
         self._spawn(self.membership.run())
         self._spawn(self._upkeep())
         ip, _, port = me.caller_address.rpartition(':')
@@ -226,6 +230,16 @@
             self._copies[key] = source
         return source
 
+    async def _follow(self, follower: following.Follower) -> None:
+        """Follows once hosts whose copies can be read had time to answer."""
+        try:
+            async with asyncio.timeout(FIND_READER_S):
+                await self.registered.wait()
+                await asyncio.sleep(GREETING_S)
+        except TimeoutError:
+            self._log.event('no-reader-found', prefix=follower.prefix)
+        await follower.run()
+
     def _changes(self) -> dict[str, int]:
         """Returns the last change known, by prefix of the store."""
         return {
@@ -250,7 +264,7 @@
             self._chooser.fleet = pacing.fleet(
                 self._settings.me.name,
                 self.membership.known(now_s),
-                self.registered or now_s - started_s > SETTLE_S,
+                self.registered.is_set() or now_s - started_s > SETTLE_S,
             )
             self._log.flush()
 
@@ -271,17 +285,20 @@
     """
     loop = asyncio.get_running_loop()
     me = gateway.membership.me
-    written = False
     while True:
         try:
-            if not written:
+            answer = await store.watch(
+                prefix, after_revision=0, timeout_s=0, may_be_stale=True
+            )
+            # An entry of an earlier start leads others here as well.
+            if all(obj.name != me.name for obj in answer.objects):
                 await store.put(
                     prefix + me.name,
                     msgspec.json.encode(me),
-                    expected_version=stores.ANY_VERSION,
+                    expected_version=0,
                 )
-                written = True
-            answer = await store.watch(prefix, after_revision=0, timeout_s=0)
+            break
+        except errors.VersionConflict:
             break
         except errors.StoreError as exc:
             log.event('register-failed', error=str(exc))
@@ -294,4 +311,4 @@
             log.event('host-malformed', name=obj.name, error=str(exc))
     gateway.membership.learn(entries, loop.time())
     gateway.membership.greet(loop.time())
-    gateway.registered = True
+    gateway.registered.set()
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -20,6 +20,8 @@
 FIRST_ASKED = 3
 MORE_ASKED = 4
 MAX_ROUNDS = 2
+# Of those, this many are in other regions, where there are any.
+FAR_ASKED = 2
 # More targets are asked only if the best offer would take longer than this
 # part of the latency objective.
 ENOUGH_OBJECTIVES = 0.7
@@ -127,15 +129,16 @@
             return NoPlacement('no-target', wish.left_s, 0)
         best: _Answer | None = None
         best_cost = float('inf')
-        position = 0
+        near = [target for target in order if target.same_region]
+        far = [target for target in order if not target.same_region]
         good_s = self._good_s(wish)
         enough_s = max(good_s, wish.objective_s * ENOUGH_OBJECTIVES)
+        asked = 0
         for round_ in range(MAX_ROUNDS):
-            count = FIRST_ASKED if round_ == 0 else MORE_ASKED
-            group = order[position : position + count]
+            group = _group(near, far, round_)
             if not group:
                 break
-            position += len(group)
+            asked += len(group)
             for answer in await self._ask(group, wish, good_s):
                 cost = self._cost(answer, wish)
                 if cost < best_cost:
@@ -148,7 +151,7 @@
                 best_cost <= enough_s or not best.conn.usable
             ):
                 break
-        return self._place(best, wish, position)
+        return self._place(best, wish, asked)
 
     def bound_per_s(self, target: targets_.Target) -> float:
         """Returns the requests per second that a cold target may get."""
@@ -196,9 +199,7 @@
             if target.is_cold(now_s) and not self._may_send(target, now_s):
                 continue
             key = self._rng.random()
-            if not target.same_region:
-                key += 100.0
-            elif not target.same_domain:
+            if target.same_region and not target.same_domain:
                 key += 0.3
             if target.is_out(now_s):
                 key += 1000.0
@@ -225,8 +226,8 @@
             self._loop.create_task(target.probe()): target for target in group
         }
         self.asked += len(tasks)
-        near = any(target.same_region for target in group)
-        wait_s = min(wish.left_s, NEAR_WAIT_S if near else FAR_WAIT_S)
+        far = any(not target.same_region for target in group)
+        wait_s = min(wish.left_s, FAR_WAIT_S if far else NEAR_WAIT_S)
         end_s = self._loop.time() + wait_s
         answers: list[_Answer] = []
         waiting = set(tasks)
@@ -297,3 +298,21 @@
             self.usual(answer.target.entry.service),
             wish.objective_s,
         )
+
+
+def _group(
+    near: list[targets_.Target], far: list[targets_.Target], round_: int
+) -> list[targets_.Target]:
+    """Takes the targets that are asked in a round.
+
+    The first round stays in the region. When its offers are poor, the region
+    is busy, and others are asked too.
+    """
+    if round_ == 0:
+        group = near[:FIRST_ASKED] or far[:FIRST_ASKED]
+    else:
+        others = far[:FAR_ASKED]
+        group = near[: MORE_ASKED - len(others)] + others
+    for target in group:
+        (near if target.same_region else far).remove(target)
+    return group
--- a/ragwortchute/gateway/following.py
+++ b/ragwortchute/gateway/following.py
@@ -27,8 +27,8 @@
 # How long entries that vanish after an outage are kept: their owners write
 # them again within two seconds of the store's return.
 LAPSE_S = 2.2
-# A regained store counts as shaken for this long.
-SHAKEN_S = 1.0
+# Shorter failures of calls are cut connections, in which nothing runs out.
+MIN_OUTAGE_S = 1.0
 # A host that hears of a change from another host waits this long for its own
 # watch to bring it.
 HINT_WAIT_S = 0.3
@@ -41,9 +41,12 @@
 
     Attributes:
         prefix: Prefix of the names in the store.
+        lapses: Whether entries run out while their writers can't reach the
+            store, and come back after that.
     """
 
     prefix = ''
+    lapses = False
 
     @abc.abstractmethod
     def replace(
@@ -64,39 +67,40 @@
     """Whether the store answers this host.
 
     Attributes:
+        down: Whether the last call failed.
         returned_s: Loop time of the last return after an outage.
     """
 
-    __slots__ = ('_down', '_log', '_loop', 'returned_s')
+    __slots__ = ('_log', '_loop', '_lost_s', '_outage_s', 'down', 'returned_s')
 
     def __init__(self, log: eventlog.EventLog) -> None:
         self._log = log
         self._loop = asyncio.get_running_loop()
-        self._down = False
+        self.down = False
         self.returned_s = float('-inf')
+        self._lost_s = 0.0
+        self._outage_s = 0.0
 
-    @property
-    def down(self) -> bool:
-        """Whether the last call failed."""
-        return self._down
-
-    @property
-    def shaken(self) -> bool:
-        """Whether entries may be missing that are about to come back."""
-        return self._down or self._loop.time() - self.returned_s < SHAKEN_S
+    def lapse_left_s(self) -> float:
+        """Returns how long entries may be missing that will come back."""
+        if self._outage_s < MIN_OUTAGE_S:
+            return 0.0
+        return max(0.0, self.returned_s + LAPSE_S - self._loop.time())
 
     def failed(self, exc: errors.StoreError) -> None:
         """Notes a failed call."""
-        if not self._down:
+        if not self.down:
             self._log.event('store-lost', error=str(exc))
-        self._down = True
+            self._lost_s = self._loop.time()
+        self.down = True
 
     def answered(self) -> None:
         """Notes an answer."""
-        if self._down:
-            self._log.event('store-regained')
+        if self.down:
             self.returned_s = self._loop.time()
-        self._down = False
+            self._outage_s = self.returned_s - self._lost_s
+            self._log.event('store-regained', outage_s=round(self._outage_s, 2))
+        self.down = False
 
 
 class Source(msgspec.Struct, frozen=True):
@@ -225,11 +229,16 @@
 
     async def _read_all(self, source: Source) -> None:
         self._wake.clear()
+        # The watch that follows brings what a stale answer lacks.
         answer = await source.store.watch(
-            self.prefix, after_revision=0, timeout_s=0
+            self.prefix,
+            after_revision=0,
+            timeout_s=0,
+            may_be_stale=not self.replica.revision,
         )
         self._heard(source)
         self._whole = False
+        answer = self._keep_lapsed(source, answer, whole=True)
         changes = self.replica.replace(answer.objects, answer.revision)
         if changes is not None:
             self._feed.replace(list(answer.objects), answer.revision)
@@ -255,6 +264,7 @@
             return
         answer = watch.result()
         self._heard(source)
+        answer = self._keep_lapsed(source, answer, whole=False)
         if not self.replica.apply(answer):
             return
         for obj in answer.objects:
@@ -264,6 +274,35 @@
         if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(PAUSE_S)
 
+    def _keep_lapsed(
+        self, source: Source, answer: stores.WatchAnswer, *, whole: bool
+    ) -> stores.WatchAnswer:
+        """Puts off removals right after an outage of the store.
+
+        Entries ran out because their writers could not reach the store; what
+        is still missing at the end of the delay is gone.
+        """
+        left_s = self._health.lapse_left_s()
+        if source.name or not self._feed.lapses or left_s <= 0:
+            return answer
+        if whole:
+            kept = self.replica.missing(answer.objects)
+            changed = stores.WatchAnswer(answer.revision, answer.objects + kept)
+            names = [obj.name for obj in kept]
+        else:
+            changed = stores.WatchAnswer(answer.revision, answer.objects)
+            names = list(answer.removed)
+        if names:
+            self._log.event(
+                'removals-put-off', names=names, for_s=round(left_s, 2)
+            )
+            self._loop.call_later(left_s, self._read_again)
+        return changed
+
+    def _read_again(self) -> None:
+        self._whole = True
+        self._wake.set()
+
     def _heard(self, source: Source) -> None:
         if not source.name:
             self._health.answered()
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -94,7 +94,12 @@
         raise NotImplementedError('a copy of the store is read-only')
 
     async def watch(
-        self, prefix: str, *, after_revision: int, timeout_s: float
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        timeout_s: float,
+        may_be_stale: bool = False,
     ) -> stores.WatchAnswer:
         """See base class; waits `MAX_WAIT_S` at most.
 
--- a/ragwortchute/gateway/replica.py
+++ b/ragwortchute/gateway/replica.py
@@ -66,6 +66,15 @@
         self._apply(answer)
         return True
 
+    def missing(
+        self, objects: tuple[stores.StoredObject, ...]
+    ) -> tuple[stores.StoredObject, ...]:
+        """Returns the objects of the copy that are not among others."""
+        names = {obj.name for obj in objects}
+        return tuple(
+            obj for name, obj in self._objects.items() if name not in names
+        )
+
     def read(self, after: int) -> stores.WatchAnswer:
         """Returns what changed after a revision, everything after 0.
 
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -118,6 +118,7 @@
     """
 
     prefix = SERVERS_KIND
+    lapses = True
 
     def __init__(
         self, knowledge: knowledge_.Knowledge, log: eventlog.EventLog
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -101,7 +101,12 @@
         return self._stored(reply, name, write=True)
 
     async def watch(
-        self, prefix: str, *, after_revision: int, timeout_s: float
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        timeout_s: float,
+        may_be_stale: bool = False,
     ) -> stores.WatchAnswer:
         """See base class; revision 0 reads everything.
 
@@ -111,7 +116,7 @@
         """
         kind = parse.quote(prefix.rstrip('/'))
         if not after_revision:
-            return await self._read_all(kind)
+            return await self._read_all(kind, may_be_stale)
         path = (
             f'/objects/{kind}?watch={after_revision}'
             f'&wait_ms={int(timeout_s * 1000)}'
@@ -143,13 +148,20 @@
         """See base class."""
         self._pool.close()
 
-    async def _read_all(self, kind: str) -> stores.WatchAnswer:
+    async def _read_all(
+        self, kind: str, may_be_stale: bool
+    ) -> stores.WatchAnswer:
         objects = []
         revision = 0
         after = ''
         while True:
-            query = f'?after={parse.quote(after)}' if after else ''
-            reply = await self._send('GET', f'/objects/{kind}{query}')
+            query = {}
+            if after:
+                query['after'] = after
+            if may_be_stale:
+                query['allow_stale'] = '1'
+            path = f'/objects/{kind}?{parse.urlencode(query)}'
+            reply = await self._send('GET', path.rstrip('?'))
             self._expect_ok(reply, write=False)
             page = self._decode(reply, _Page)
             revision = revision or page.current_rev
--- a/ragwortchute/stores/__init__.py
+++ b/ragwortchute/stores/__init__.py
@@ -64,7 +64,12 @@
 
     @abc.abstractmethod
     async def watch(
-        self, prefix: str, *, after_revision: int, timeout_s: float
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        timeout_s: float,
+        may_be_stale: bool = False,
     ) -> 'WatchAnswer':
         """Waits for a change below a prefix.
 
@@ -72,6 +77,8 @@
             prefix: Prefix of the names.
             after_revision: Revision of the last answer; 0 returns at once.
             timeout_s: Longest wait in seconds.
+            may_be_stale: Whether the answer may be seconds old. A store may
+                charge less for it.
 
         Raises:
             StoreUnavailable: No answer.
--- a/ragwortchute/stores/http.py
+++ b/ragwortchute/stores/http.py
@@ -89,7 +89,12 @@
         return stores.StoredObject(name, version, value)
 
     async def watch(
-        self, prefix: str, *, after_revision: int, timeout_s: float
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        timeout_s: float,
+        may_be_stale: bool = False,
     ) -> stores.WatchAnswer:
         """See base class."""
         query = {
--- a/ragwortchute/stores/memory.py
+++ b/ragwortchute/stores/memory.py
@@ -151,7 +151,12 @@
         return stored
 
     async def watch(
-        self, prefix: str, *, after_revision: int, timeout_s: float
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        timeout_s: float,
+        may_be_stale: bool = False,
     ) -> stores.WatchAnswer:
         """See base class."""
         self.counters.watch += 1
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -94,7 +94,9 @@
             raise errors.StoreUnavailable('lost', maybe_applied=True)
         return stored
 
-    async def watch(self, prefix, *, after_revision, timeout_s):
+    async def watch(
+        self, prefix, *, after_revision, timeout_s, may_be_stale=False
+    ):
         await self._call('watch')
         end_s = self.store.clock.monotonic() + timeout_s
         while True:
--- a/tests/test_gateway/test_following.py
+++ b/tests/test_gateway/test_following.py
@@ -139,6 +139,39 @@
         await rig.until({'a': '1'})
 
 
+class TestLapses:
+    """Targets must not be lost because the store was away."""
+
+    async def outage(self, rig, seconds):
+        rig.feed.lapses = True
+        await rig.server.put('things', 'alive', 1)
+        await rig.server.put('things', 'dead', 1)
+        rig.follow()
+        await rig.until({'alive': '1', 'dead': '1'})
+        rig.server.mode = 'busy'
+        await rig.server.cut()
+        await asyncio.sleep(seconds)
+        await rig.server.delete('things', 'alive')
+        await rig.server.delete('things', 'dead')
+        rig.server.mode = 'up'
+
+    async def test_entries_that_come_back_were_never_gone(self, rig):
+        await self.outage(rig, 2.2)
+        seen = []
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            seen.append('alive' in rig.feed.values)
+        await rig.server.put('things', 'alive', 1)
+        await rig.until({'alive': '1'}, 3.0)
+        assert all(seen)
+
+    async def test_removal_after_a_cut_connection_is_immediate(self, rig):
+        # Nothing runs out while a connection is opened again, and a target
+        # that left must get nothing more.
+        await self.outage(rig, 0.1)
+        await rig.until({}, 1.5)
+
+
 class TestHints:
     """A watch that missed a change must not leave a host behind."""
 
@@ -183,7 +216,9 @@
     async def put(self, name, value, *, expected_version):
         raise NotImplementedError
 
-    async def watch(self, prefix, *, after_revision, timeout_s):
+    async def watch(
+        self, prefix, *, after_revision, timeout_s, may_be_stale=False
+    ):
         if self.failing:
             raise errors.StoreUnavailable('down')
         if after_revision:
