Write the host entry before the list is read, answer greetings at once

Change: the entry is written first, then the list is read fresh. A host that has not read the list takes no part of the fixed number. A greeting is answered at once, so that a new host finds a copy to read. Whole hosts are tested in one process against the stand-in store.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -285,24 +285,21 @@
     """
     loop = asyncio.get_running_loop()
     me = gateway.membership.me
-    while True:
+    answer = None
+    while answer is None:
         try:
-            answer = await store.watch(
-                prefix, after_revision=0, timeout_s=0, may_be_stale=True
+            # Written first: of two hosts that start at the same moment, one
+            # finds the other. An entry of an earlier start does as well.
+            await store.put(
+                prefix + me.name, msgspec.json.encode(me), expected_version=0
             )
-            # An entry of an earlier start leads others here as well.
-            if all(obj.name != me.name for obj in answer.objects):
-                await store.put(
-                    prefix + me.name,
-                    msgspec.json.encode(me),
-                    expected_version=0,
-                )
-            break
         except errors.VersionConflict:
-            break
+            log.event('host-known', name=me.name)
         except errors.StoreError as exc:
             log.event('register-failed', error=str(exc))
             await asyncio.sleep(0.5 + gateway.rng.random())
+            continue
+        answer = await _read_hosts(gateway, store, prefix, log)
     entries = []
     for obj in answer.objects:
         try:
@@ -312,3 +309,17 @@
     gateway.membership.learn(entries, loop.time())
     gateway.membership.greet(loop.time())
     gateway.registered.set()
+
+
+async def _read_hosts(
+    gateway: Gateway,
+    store: stores.Store,
+    prefix: str,
+    log: eventlog.EventLog,
+) -> stores.WatchAnswer | None:
+    try:
+        return await store.watch(prefix, after_revision=0, timeout_s=0)
+    except errors.StoreError as exc:
+        log.event('register-failed', error=str(exc))
+        await asyncio.sleep(0.5 + gateway.rng.random())
+        return None
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import knowledge as knowledge_
 from ragwortchute.gateway import model
+from ragwortchute.gateway import pacing
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import stats as stats_
@@ -33,6 +34,8 @@
 # Share of the latency objective that a request is assumed to work at first.
 INITIAL_WORK_OBJECTIVES = 0.35
 _WORK_SMOOTHING = 0.05
+# Number of hosts that is assumed until the list of hosts was read.
+UNKNOWN_HOSTS = 1000
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 1.0
 
@@ -405,17 +408,22 @@
         if call.maybe_run and not call.route.idempotent:
             return False
         budget = self._budget(call.service)
-        return (
-            budget.available(self._loop.time(), len(self._chooser.fleet.names))
-            >= 1
-        )
+        return budget.available(self._loop.time(), self._hosts()) >= 1
+
+    def _hosts(self) -> int:
+        """Returns among how many hosts the fixed number of repeats is divided.
+
+        A host that has not heard of the others yet takes no part of it.
+        """
+        fleet = self._chooser.fleet
+        if not fleet.settled:
+            return UNKNOWN_HOSTS
+        return max(pacing.MIN_HOSTS, len(fleet.names))
 
     def _spend(self, call: _Call) -> bool:
         self._stats.repeats += 1
         budget = self._budget(call.service)
-        return budget.try_spend(
-            self._loop.time(), len(self._chooser.fleet.names)
-        )
+        return budget.try_spend(self._loop.time(), self._hosts())
 
     # Ending.
 
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -159,10 +159,7 @@
 
     def greet(self, now_s: float) -> None:
         """Tells all known hosts of this one, at its start or end."""
-        alive = [
-            peer for peer in self._peers.values() if self._is_alive(peer, now_s)
-        ]
-        data = self._encode(alive, now_s, (self.me,))
+        data = self._encode(self._alive_peers(now_s), now_s, (self.me,))
         for peer in self._peers.values():
             self._send(peer, data)
 
@@ -176,9 +173,7 @@
     def beat(self, now_s: float) -> None:
         """Counts the heartbeat up and passes on what is known."""
         self._count += 1
-        alive = [
-            peer for peer in self._peers.values() if self._is_alive(peer, now_s)
-        ]
+        alive = self._alive_peers(now_s)
         self._note_changes(alive)
         mine = [
             peer
@@ -203,7 +198,9 @@
         except msgspec.DecodeError as exc:
             self._log.event('peer-malformed', error=str(exc))
             return
+        known = self._peers.get(message.sender)
         self.learn(list(message.entries), now_s)
+        greeted = self._peers.get(message.sender) is not known
         for prefix, changed in message.changes.items():
             self.hint(prefix, changed)
         wanted = [
@@ -221,6 +218,9 @@
             self._send(sender, data)
         if message.wanted:
             self._send(sender, self._reply(message.wanted))
+        if greeted:
+            # A host that has just started looks for copies of the store.
+            self._send(sender, self._encode(self._alive_peers(now_s), now_s))
 
     def _reply(self, wanted: tuple[int, ...]) -> bytes:
         entries = [
@@ -256,6 +256,11 @@
         peer.leaving = peer.leaving or beat.leaving
         return True
 
+    def _alive_peers(self, now_s: float) -> list[_Peer]:
+        return [
+            peer for peer in self._peers.values() if self._is_alive(peer, now_s)
+        ]
+
     def _is_alive(self, peer: _Peer, now_s: float) -> bool:
         return now_s - peer.heard_s < self._dead_s
 
--- /dev/null
+++ b/tests/test_gateway/test_application.py
@@ -0,0 +1,213 @@
+"""Tests of whole hosts with a stand-in store, in one process."""
+
+import asyncio
+import socket
+
+import pytest
+
+from ragwortchute.gateway import application
+from ragwortchute.gateway import dispatcher
+from ragwortchute.platform import feeds
+from ragwortchute.platform import objects
+from ragwortchute.platform import wire
+from standins import platform_store
+from standins import platform_targets
+from tests.test_gateway import rig as rigs
+from tests.test_platform import test_adapter
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+class Deployment:
+    """Hosts, a store and targets."""
+
+    def __init__(self):
+        self.server = platform_store.ObjectServer()
+        self.hosts = []
+        self.targets = []
+        self.tasks = []
+
+    async def start(self, *domains):
+        await self.server.start()
+        await self.server.put('config', 'main', test_adapter.CONFIG)
+        for number in range(2):
+            target = platform_targets.TargetServer(f't{number}', 's')
+            await target.start()
+            self.targets.append(target)
+            await self.server.put('servers', target.name, target.entry)
+        await asyncio.gather(
+            *(
+                self.add(f'h{number}', domain)
+                for number, domain in enumerate(domains)
+            )
+        )
+
+    async def add(self, name, domain):
+        me = rigs.host(
+            name,
+            domain,
+            caller_address=f'127.0.0.1:{free_port()}',
+            peer_port=free_port(),
+        )
+        settings = application.Settings(
+            me, rigs.DOMAINS, '127.0.0.1', 2.0, 5.4, dispatcher.Limits()
+        )
+        store = objects.ObjectStore('127.0.0.1', self.server.port)
+        log = rigs.MemoryLog()
+        host = application.Gateway(settings, store, wire.PlatformDialect(), log)
+        host.log = log
+        self.hosts.append(host)
+        await host.start(
+            [
+                feeds.ConfigFeed(host.knowledge, log),
+                feeds.TargetFeed(host.knowledge, log),
+                feeds.EvacuationFeed(host.knowledge),
+            ]
+        )
+        await application.register(host, store, 'hosts/', log)
+        return host
+
+    async def until(self, condition, seconds=6.0):
+        for _ in range(int(seconds / 0.05)):
+            if condition():
+                return
+            await asyncio.sleep(0.05)
+        assert condition()
+
+    async def stop(self):
+        for host in self.hosts:
+            await host.close()
+        for target in self.targets:
+            await target.stop()
+        await self.server.stop()
+
+
+@pytest.fixture
+async def deployment():
+    deployment = Deployment()
+    yield deployment
+    await deployment.stop()
+
+
+class TestStart:
+    """Hosts that start at one moment must not stay alone."""
+
+    async def test_all_hosts_find_each_other(self, deployment):
+        await deployment.start('a1', 'a1', 'a2', 'b1')
+        await deployment.until(
+            lambda: all(len(host.hosts()) == 4 for host in deployment.hosts)
+        )
+
+    async def test_hosts_become_ready(self, deployment):
+        await deployment.start('a1', 'a1')
+        await deployment.until(
+            lambda: all(host.ready for host in deployment.hosts)
+        )
+
+    async def test_later_host_reads_a_copy(self, deployment):
+        await deployment.start('a1')
+        await deployment.until(lambda: deployment.hosts[0].ready)
+        before = deployment.server.calls['GET servers']
+        late = await deployment.add('h9', 'a1')
+        await deployment.until(lambda: late.ready)
+        assert deployment.server.calls['GET servers'] <= before + 1
+        assert {t for t in late.knowledge.targets} == {'t0', 't1'}
+
+
+class TestChanges:
+    """A change must be in force on all hosts within two seconds."""
+
+    async def test_configuration_reaches_all_hosts(self, deployment):
+        await deployment.start('a1', 'a1', 'a2', 'b1')
+        await deployment.until(
+            lambda: all(host.ready for host in deployment.hosts)
+        )
+        newer = {**test_adapter.CONFIG, 'config_version': 9}
+        await deployment.server.put('config', 'main', newer)
+        await deployment.until(
+            lambda: all(
+                host.knowledge.cfg.version == 9 for host in deployment.hosts
+            ),
+            2.0,
+        )
+
+    async def test_reader_that_dies_is_replaced(self, deployment):
+        await deployment.start('a1', 'a1', 'a1')
+        await deployment.until(
+            lambda: all(host.ready for host in deployment.hosts)
+        )
+        await asyncio.sleep(1.0)
+        reader = deployment.hosts.pop(0)
+        await reader.close()
+        newer = {**test_adapter.CONFIG, 'config_version': 9}
+        await deployment.server.put('config', 'main', newer)
+        await deployment.until(
+            lambda: all(
+                host.knowledge.cfg.version == 9 for host in deployment.hosts
+            ),
+            2.0,
+        )
+
+
+class TestRelay:
+    """A homed request must run once, in its home region."""
+
+    async def request(self, host, method='GET', path='/a/x'):
+        ip, _, port = host.membership.me.caller_address.rpartition(':')
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(
+            f'{method} {path} HTTP/1.1\r\nHost: x.example\r\n'
+            'X-Request-Id: r1\r\nX-Request-Deadline-Ms: 900\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+        try:
+            return await rigs.read_answer(reader)
+        finally:
+            writer.close()
+
+    async def test_request_is_passed_on(self, deployment):
+        await deployment.start('a1', 'b1')
+        await deployment.until(
+            lambda: all(len(host.hosts()) == 2 for host in deployment.hosts)
+        )
+        await deployment.until(lambda: deployment.hosts[1].ready)
+        far = deployment.hosts[1]
+        answer = await self.request(far)
+        assert answer.status == 200
+        assert far.stats.relays == 1
+        assert sum(len(target.runs) for target in deployment.targets) == 1
+
+    async def test_lost_relay_promises_nothing(self, deployment):
+        await deployment.start('a1', 'b1')
+        await deployment.until(
+            lambda: all(len(host.hosts()) == 2 for host in deployment.hosts)
+        )
+        await deployment.until(lambda: deployment.hosts[1].ready)
+        for target in deployment.targets:
+            target.fault = 'hang'
+        asking = asyncio.create_task(self.request(deployment.hosts[1]))
+        await asyncio.sleep(0.2)
+        await deployment.hosts[0].peers.stop()
+        answer = await asking
+        assert answer.status == 502
+
+
+class TestStop:
+    """A planned stop must not cut requests off."""
+
+    async def test_running_request_is_answered(self, deployment):
+        await deployment.start('a1')
+        (host,) = deployment.hosts
+        await deployment.until(lambda: host.ready)
+        for target in deployment.targets:
+            target.work_s = 0.5
+        asking = asyncio.create_task(TestRelay().request(host))
+        await asyncio.sleep(0.1)
+        leaving = asyncio.create_task(host.leave())
+        assert (await asking).status == 200
+        assert not host.ready
+        await leaving
