--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: all setup test lint format docs demo bench-path bench-policy \
-  bench-slopes bench-domain bench-overload fault-matrix fuzz
+  bench-slopes bench-domain bench-overload fault-matrix fuzz soak
 
 all: test
 
@@ -51,6 +51,9 @@
 fault-matrix: setup
 	$(PY) -m benchmarks.fault_matrix
 
+soak: setup
+	$(PY) -m benchmarks.soak --seed 1 --seeds 50
+
 fuzz: setup
 	$(PY) -m benchmarks.fuzz
 
