--- /dev/null
+++ b/tests/test_gateway/test_eventlog.py
@@ -0,0 +1,93 @@
+"""Tests of the log."""
+
+import json
+import os
+
+from ragwortchute.gateway import eventlog
+
+
+def pipe_log():
+    read_fd, write_fd = os.pipe()
+    os.set_blocking(read_fd, False)
+    return read_fd, eventlog.EventLog('h1', write_fd)
+
+
+def drain(read_fd):
+    data = b''
+    while True:
+        try:
+            part = os.read(read_fd, 1 << 16)
+        except BlockingIOError:
+            return data
+        data += part
+
+
+def lines(read_fd):
+    return [json.loads(line) for line in drain(read_fd).splitlines()]
+
+
+class TestEventLog:
+    """Logging must neither block a host nor hide that lines are missing."""
+
+    def test_line_carries_its_fields(self):
+        read_fd, log = pipe_log()
+        log.event('send', id='r1', target='t1', age_ms=1.5)
+        log.flush()
+        (line,) = lines(read_fd)
+        assert line['host'] == 'h1'
+        assert (line['event'], line['id'], line['age_ms']) == (
+            'send',
+            'r1',
+            1.5,
+        )
+
+    def test_full_pipe_does_not_block(self):
+        # Nobody reads; a pipe holds 64 KiB.
+        read_fd, log = pipe_log()
+        for _ in range(3000):
+            log.event('request', id='x' * 100)
+            log.flush()
+        # A line may be cut by the end of the pipe and goes on after it.
+        data = drain(read_fd)
+        while True:
+            log.flush()
+            more = drain(read_fd)
+            if not more:
+                break
+            data += more
+        events = [json.loads(line)['event'] for line in data.splitlines()]
+        assert 'log-dropped' in events
+        assert 'request' in events
+
+    def test_rate_is_bounded_and_the_rest_counted(self):
+        read_fd, log = pipe_log()
+        count = int(eventlog.BURST_LINES) + 500
+        written = 0
+        dropped = 0
+        for _ in range(count):
+            log.event('request', id='x')
+        log.flush()
+        for line in lines(read_fd):
+            written += line['event'] == 'request'
+            dropped += line.get('lines', 0)
+        assert written + dropped == count
+        assert dropped > 0
+
+    def test_closed_pipe_is_survived(self):
+        read_fd, log = pipe_log()
+        os.close(read_fd)
+        log.event('request', id='x')
+        log.flush()
+        log.event('request', id='y')
+        log.flush()
+
+    def test_exception_is_logged_with_its_place(self):
+        read_fd, log = pipe_log()
+        try:
+            raise ValueError('broken')
+        except ValueError:
+            log.failure('handler', '/path')
+        log.flush()
+        (line,) = lines(read_fd)
+        assert 'broken' in line['trace']
+        assert line['subject'] == '/path'
--- /dev/null
+++ b/tests/test_platform/test_endpoints.py
@@ -0,0 +1,96 @@
+"""Tests of address look-ups, readiness, metrics and the deploy file."""
+
+import asyncio
+import json
+import pathlib
+import tomllib
+
+import pytest
+
+from ragwortchute.gateway import http_server
+from ragwortchute.gateway import metrics
+from ragwortchute.platform import __main__ as daemon
+from ragwortchute.platform import endpoints
+from tests.test_gateway import test_application
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+def request(target):
+    return http_server.Request('GET', target, 'x', [], b'', 0.0, None)
+
+
+@pytest.fixture
+async def host():
+    deployment = test_application.Deployment()
+    await deployment.start('a1')
+    (host,) = deployment.hosts
+    await deployment.until(lambda: host.ready)
+    yield host
+    await deployment.stop()
+
+
+class TestResolve:
+    """Callers must get addresses, or a failure that they can tell."""
+
+    async def test_addresses_and_their_time(self, host):
+        answers = endpoints.Endpoints(host)
+        resp = await answers.resolve(
+            request('/resolve?name=x.example&region=a&zone=a1')
+        )
+        body = json.loads(resp.body)
+        assert body['addresses'] == [host.membership.me.caller_address]
+        assert 0 < body['ttl_s'] <= 5
+
+    async def test_other_path_is_not_found(self, host):
+        answers = endpoints.Endpoints(host)
+        assert (await answers.resolve(request('/other'))).status == 404
+
+    async def test_host_without_knowledge_has_no_answer(self, host):
+        host.knowledge.cfg = None
+        answers = endpoints.Endpoints(host)
+        assert (await answers.resolve(request('/resolve?name=x'))).status == 503
+
+
+class TestReady:
+    """A host that stops or knows nothing must not count as ready."""
+
+    async def test_ready_until_it_leaves(self, host):
+        answers = endpoints.Endpoints(host)
+        assert (await answers.ready(request('/ready'))).status == 200
+        leaving = asyncio.create_task(host.leave())
+        await asyncio.sleep(0)
+        assert (await answers.ready(request('/ready'))).status == 503
+        await leaving
+
+
+class TestMetrics:
+    """An engineer must find what a host did."""
+
+    async def test_counts_are_served(self, host):
+        await test_application.TestRelay().request(host)
+        endpoint = metrics.MetricsEndpoint(host)
+        resp = await endpoint.serve(request('/metrics'))
+        text = resp.body.decode()
+        assert 'ragwortchute_gateway_sends_total 1' in text
+        assert 'ragwortchute_gateway_store_down 0' in text
+        assert 'ragwortchute_gateway_answers_total{route_ms="r1/inf"} 1' in text
+
+    async def test_other_path_is_not_found(self, host):
+        endpoint = metrics.MetricsEndpoint(host)
+        assert (await endpoint.serve(request('/'))).status == 404
+
+
+class TestDeployFile:
+    """The deploy file must name what the program serves."""
+
+    def test_metrics_port(self):
+        text = (ROOT / 'deploy' / 'system.toml').read_text()
+        (role,) = tomllib.loads(text)['roles'].values()
+        assert role['metrics'] == f'{daemon.METRICS_PORT}{metrics.PATH}'
+        assert role['run'] == 'python3 -m ragwortchute.platform'
+
+    def test_requirements_are_locked(self):
+        locked = (ROOT / 'requirements.lock').read_text().splitlines()
+        for line in (ROOT / 'deploy' / 'requirements.txt').read_text().split():
+            assert line in locked
