Keep watches short while the store is silent, pass requests on once

Change: while the store does not answer, calls do not wait and are tried again within 0.6 s; watches wait 4 s. A request that was passed on is refused where the route is not at home.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -178,6 +178,10 @@
         if route is None:
             self._note(request_id, 404, 'no-route', 0, req.arrived_s)
             return http_server.Response(404)
+        abroad = route.homes and knowledge.region not in route.homes
+        if relayed and abroad:
+            # The host that passed it on has another configuration.
+            return self._refuse(request_id, 'relay-mismatch', 0.2)
         remaining_s = self._dialect.remaining_s(req)
         if remaining_s is None or remaining_s > route.timeout_s:
             remaining_s = route.timeout_s
@@ -188,7 +192,7 @@
             self._part(route),
             req.arrived_s + remaining_s - ANSWER_MARGIN_S,
         )
-        if route.homes and knowledge.region not in route.homes and not relayed:
+        if abroad:
             resp = await self._relay(call)
             if resp is not None:
                 return resp
--- a/ragwortchute/gateway/following.py
+++ b/ragwortchute/gateway/following.py
@@ -19,11 +19,11 @@
 
 # A waiting watch counts as a call. It may wait on although it missed a change,
 # when the store drops its history, so it is sent anew after this long.
-WATCH_S = 5.0
+WATCH_S = 4.0
 # Changes that come close together arrive with one call.
 PAUSE_S = 0.3
 FIRST_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 0.4
 # How long entries that vanish after an outage are kept: their owners write
 # them again within two seconds of the store's return.
 LAPSE_S = 2.2
@@ -245,11 +245,13 @@
 
     async def _read_changes(self, source: Source) -> None:
         self._wake.clear()
+        # A store that is silent would hold a long watch beyond its return.
+        lost = self._health.down and not source.name
         watch = self._loop.create_task(
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
-                timeout_s=WATCH_S,
+                timeout_s=0.0 if lost else WATCH_S,
             )
         )
         wake = self._loop.create_task(self._wake.wait())
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -12,8 +12,8 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import pools
 
-# Healthy answers take milliseconds; a slow store may take 60 times as long.
-TIMEOUT_S = 2.0
+# Healthy answers take 4 ms; a slow store may take 85 times as long.
+TIMEOUT_S = 1.0
 
 _OK = 200
 _CREATED = 201
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import msgspec
 import pytest
 
 from ragwortchute.gateway import application
@@ -181,6 +182,33 @@
         assert far.stats.relays == 1
         assert sum(len(target.runs) for target in deployment.targets) == 1
 
+    async def test_request_is_passed_on_once(self, deployment):
+        # The host it is passed to has another configuration, in which the
+        # route is at home elsewhere.
+        await deployment.start('a1', 'b1')
+        await deployment.until(
+            lambda: all(len(host.hosts()) == 2 for host in deployment.hosts)
+        )
+        await deployment.until(lambda: deployment.hosts[1].ready)
+        target = platform_targets.TargetServer('t9', 's', 'b1')
+        await target.start()
+        deployment.targets.append(target)
+        await deployment.server.put('servers', 't9', target.entry)
+        home, far = deployment.hosts
+        await deployment.until(lambda: 't9' in home.knowledge.targets)
+        cfg = home.knowledge.cfg
+        moved = msgspec.structs.replace(
+            cfg,
+            routes=tuple(
+                msgspec.structs.replace(route, homes=('b',))
+                for route in cfg.routes
+            ),
+        )
+        home.knowledge.set_configuration(10**9, moved)
+        answer = await self.request(far)
+        assert answer.status == 503
+        assert not any(target.runs for target in deployment.targets)
+
     async def test_lost_relay_promises_nothing(self, deployment):
         await deployment.start('a1', 'b1')
         await deployment.until(
--- a/tests/test_gateway/test_following.py
+++ b/tests/test_gateway/test_following.py
@@ -130,6 +130,19 @@
         assert rig.log.kinds().count('store-lost') == 1
         assert rig.log.kinds().count('store-regained') == 1
 
+    async def test_silence_is_over_soon_after_the_return(self, rig):
+        # A watch that was sent into the silence would wait for its end and
+        # more, while other hosts rely on this one's copy.
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.mode = 'silent'
+        await rig.server.cut()
+        await asyncio.sleep(3.0)
+        rig.server.mode = 'up'
+        await rig.server.put('things', 'a', 2)
+        await rig.until({'a': '2'}, 2.0)
+
     async def test_outage_at_the_start_is_waited_out(self, rig):
         await rig.server.put('things', 'a', 1)
         rig.server.mode = 'busy'
