Split the dispatcher: requests and attempts, and their log lines

Ruled out: moving the relay; it shares the final answers. Change: classes Call and Attempt in attempts.py, log lines in request_log.py; no behaviour changes.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
@@ -21,9 +22,9 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import relays as relays_
+from ragwortchute.gateway import request_log
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import stats as stats_
-from ragwortchute.gateway import targets as targets_
 
 # The final answer leaves this long before the caller stops waiting.
 ANSWER_MARGIN_S = 0.004
@@ -58,71 +59,6 @@
     warmup_slack: float = 5.0
 
 
-class _Call:
-    """A request on its way.
-
-    Attributes:
-        maybe_run: Whether a target may have run it.
-        sends: Number of targets that it was sent to.
-        failure: Last answer of a target that was not a success.
-        hedged: Whether a hedge was sent or decided against.
-    """
-
-    __slots__ = (
-        'deadline_s',
-        'failure',
-        'hedged',
-        'maybe_run',
-        'req',
-        'request_id',
-        'route',
-        'sends',
-        'service',
-        'tried',
-    )
-
-    def __init__(
-        self,
-        req: http_server.Request,
-        request_id: bytes,
-        route: model.Route,
-        service: str,
-        deadline_s: float,
-    ) -> None:
-        self.req = req
-        self.request_id = request_id
-        self.route = route
-        self.service = service
-        self.deadline_s = deadline_s
-        self.hedged = False
-        self.maybe_run = False
-        self.sends = 0
-        self.failure: http_client.Reply | None = None
-        self.tried: set[str] = set()
-
-
-class _Attempt:
-    """A request at one target."""
-
-    __slots__ = ('conn', 'fut', 'placement', 'sent_s')
-
-    def __init__(
-        self,
-        placement: candidates.Placement,
-        fut: asyncio.Future[http_client.Reply],
-        sent_s: float,
-    ) -> None:
-        self.placement = placement
-        self.conn = placement.conn
-        self.fut = fut
-        self.sent_s = sent_s
-
-    @property
-    def target(self) -> targets_.Target:
-        """The target."""
-        return self.placement.target
-
-
 class Dispatcher:
     """Answers requests of callers.
 
@@ -154,7 +90,7 @@
         self._chooser = chooser
         self._relays = relays
         self._limits = limits
-        self._log = log
+        self._notes = request_log.RequestLog(log, knowledge, stats)
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -176,7 +112,7 @@
             return self._refuse(request_id, 'no-configuration', 0.2)
         route = knowledge.table.match(req.host, req.path)
         if route is None:
-            self._note(request_id, 404, 'no-route', 0, req.arrived_s)
+            self._notes.ended(request_id, 404, 'no-route', 0, req.arrived_s)
             return http_server.Response(404)
         abroad = route.homes and knowledge.region not in route.homes
         if relayed and abroad:
@@ -185,7 +121,7 @@
         remaining_s = self._dialect.remaining_s(req)
         if remaining_s is None or remaining_s > route.timeout_s:
             remaining_s = route.timeout_s
-        call = _Call(
+        call = attempts.Call(
             req,
             request_id,
             route,
@@ -197,7 +133,7 @@
             if resp is not None:
                 return resp
         self._budget(call.service).note_request(self._loop.time())
-        outstanding: list[_Attempt] = []
+        outstanding: list[attempts.Attempt] = []
         try:
             return await self._run(call, outstanding)
         finally:
@@ -205,7 +141,7 @@
                 attempt.target.in_flight -= 1
                 attempt.conn.abort()
 
-    async def _relay(self, call: _Call) -> http_server.Response | None:
+    async def _relay(self, call: attempts.Call) -> http_server.Response | None:
         """Passes a request on to a home region.
 
         Returns:
@@ -220,7 +156,7 @@
         try:
             conn = await pool.take()
         except errors.ConnectFailed as exc:
-            self._note_relay(call, host, str(exc), now_s)
+            self._notes.relayed(call, host, str(exc), now_s)
             return None
         left_s = call.deadline_s - self._loop.time()
         if left_s <= 0:
@@ -245,11 +181,11 @@
                 )
             reply = fut.result()
         except errors.TargetError as exc:
-            self._note_relay(call, host, str(exc), now_s)
+            self._notes.relayed(call, host, str(exc), now_s)
             return self._give_up(call, 'relay-lost')
         finally:
             pool.release(conn)
-        self._note_relay(call, host, str(reply.status), now_s)
+        self._notes.relayed(call, host, str(reply.status), now_s)
         if self._dialect.authentic(reply):
             return self._answer(call, reply, self._loop.time())
         if reply.status == 404:
@@ -262,7 +198,7 @@
         )
 
     async def _run(
-        self, call: _Call, outstanding: list[_Attempt]
+        self, call: attempts.Call, outstanding: list[attempts.Attempt]
     ) -> http_server.Response:
         while True:
             left_s = call.deadline_s - self._loop.time()
@@ -288,7 +224,10 @@
                 await self._hedge(call, outstanding)
 
     async def _wait(
-        self, call: _Call, outstanding: list[_Attempt], wait_s: float
+        self,
+        call: attempts.Call,
+        outstanding: list[attempts.Attempt],
+        wait_s: float,
     ) -> None:
         futs: set[asyncio.Future] = {one.fut for one in outstanding}
         if call.route.idempotent:
@@ -302,7 +241,7 @@
     # Starting.
 
     async def _start(
-        self, call: _Call, outstanding: list[_Attempt]
+        self, call: attempts.Call, outstanding: list[attempts.Attempt]
     ) -> http_server.Response | None:
         """Sends the request to a target; returns an answer if it can't."""
         if call.sends and not self._may_repeat(call):
@@ -318,9 +257,9 @@
 
     def _send(
         self,
-        call: _Call,
+        call: attempts.Call,
         placed: candidates.Placement,
-        outstanding: list[_Attempt],
+        outstanding: list[attempts.Attempt],
     ) -> None:
         now_s = self._loop.time()
         target = placed.target
@@ -331,24 +270,11 @@
         call.tried.add(target.entry.name)
         target.note_sent(now_s)
         fut = placed.conn.send(data, self._dialect.accept(call.req))
-        outstanding.append(_Attempt(placed, fut, now_s))
+        outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
-        self._log.event(
-            'send',
-            id=call.request_id.decode('latin-1'),
-            target=target.entry.name,
-            n=call.sends,
-            asked=placed.asked,
-            running=placed.reading.running,
-            waiting=placed.reading.waiting,
-            slowness=placed.reading.slowness,
-            cold_s=placed.reading.cold_s,
-            age_ms=round((now_s - placed.reading.taken_s) * 1000, 1),
-            expected_ms=round(placed.expected_s * 1000),
-            revision=self._knowledge.cfg_revision,
-        )
+        self._notes.sent(call, outstanding[-1])
 
-    def _wish(self, call: _Call) -> candidates.Wish:
+    def _wish(self, call: attempts.Call) -> candidates.Wish:
         route = call.route
         targets = [
             target
@@ -370,7 +296,9 @@
 
     # Hedging.
 
-    def _hedge_in_s(self, call: _Call, outstanding: list[_Attempt]) -> float:
+    def _hedge_in_s(
+        self, call: attempts.Call, outstanding: list[attempts.Attempt]
+    ) -> float:
         """Returns after how long a hedge is due; infinite if never."""
         if (
             call.hedged
@@ -386,7 +314,9 @@
         )
         return attempt.sent_s + delay_s - self._loop.time()
 
-    async def _hedge(self, call: _Call, outstanding: list[_Attempt]) -> None:
+    async def _hedge(
+        self, call: attempts.Call, outstanding: list[attempts.Attempt]
+    ) -> None:
         """Sends the request to a second target if one is likely faster."""
         route = call.route
         call.hedged = True
@@ -406,7 +336,7 @@
                     return
                 placed.target.pool.release(placed.conn)
 
-    def _may_repeat(self, call: _Call) -> bool:
+    def _may_repeat(self, call: attempts.Call) -> bool:
         if call.sends >= call.route.attempts:
             return False
         if call.maybe_run and not call.route.idempotent:
@@ -424,7 +354,7 @@
             return UNKNOWN_HOSTS
         return max(pacing.MIN_HOSTS, len(fleet.names))
 
-    def _spend(self, call: _Call) -> bool:
+    def _spend(self, call: attempts.Call) -> bool:
         self._stats.repeats += 1
         budget = self._budget(call.service)
         return budget.try_spend(self._loop.time(), self._hosts())
@@ -432,7 +362,7 @@
     # Ending.
 
     def _ended(
-        self, call: _Call, attempt: _Attempt
+        self, call: attempts.Call, attempt: attempts.Attempt
     ) -> http_server.Response | None:
         """Takes over the end of an attempt; returns a final answer."""
         target = attempt.target
@@ -443,7 +373,7 @@
         except errors.TargetError as exc:
             call.maybe_run = True
             target.note_failure(now_s)
-            self._note_attempt(call, attempt, type(exc).__name__)
+            self._notes.attempted(call, attempt, type(exc).__name__)
             return None
         if reply.reusable:
             target.pool.release(attempt.conn)
@@ -452,21 +382,21 @@
             target.note_reading(load)
         if self._dialect.misdirected(reply):
             target.misdirected = True
-            self._note_attempt(call, attempt, 'misdirected')
+            self._notes.attempted(call, attempt, 'misdirected')
             return None
         if self._dialect.not_run(reply):
             target.note_failure(now_s, 0.5)
-            self._note_attempt(call, attempt, 'shed')
+            self._notes.attempted(call, attempt, 'shed')
             return None
         call.maybe_run = True
         if not self._dialect.authentic(reply):
             target.note_failure(now_s)
-            self._note_attempt(call, attempt, 'spoiled')
+            self._notes.attempted(call, attempt, 'spoiled')
             return None
         if reply.status >= 500:
             target.note_failure(now_s)
             call.failure = reply
-            self._note_attempt(call, attempt, f'status-{reply.status}')
+            self._notes.attempted(call, attempt, f'status-{reply.status}')
             if call.route.idempotent and self._may_repeat(call):
                 return None
             return self._answer(call, reply, now_s)
@@ -475,11 +405,11 @@
         return self._answer(call, reply, now_s)
 
     def _answer(
-        self, call: _Call, reply: http_client.Reply, now_s: float
+        self, call: attempts.Call, reply: http_client.Reply, now_s: float
     ) -> http_server.Response:
         elapsed_s = now_s - call.req.arrived_s
         self._stats.answered(call.route.name, elapsed_s)
-        self._note(
+        self._notes.ended(
             call.request_id,
             reply.status,
             'answer',
@@ -491,7 +421,7 @@
         )
 
     def _give_up(
-        self, call: _Call, reason: str, wait_s: float = 0.0
+        self, call: attempts.Call, reason: str, wait_s: float = 0.0
     ) -> http_server.Response:
         """Returns the final answer to a request that can't be served."""
         if call.failure is not None:
@@ -502,7 +432,7 @@
             status = 502
         else:
             return self._refuse(call.request_id, reason, wait_s, call)
-        self._note(
+        self._notes.ended(
             call.request_id, status, reason, call.sends, call.req.arrived_s
         )
         self._stats.refused(reason)
@@ -513,13 +443,13 @@
         request_id: bytes,
         reason: str,
         wait_s: float,
-        call: _Call | None = None,
+        call: attempts.Call | None = None,
     ) -> http_server.Response:
         """Returns the answer that the request has not run."""
         wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         wait_s *= 0.75 + 0.5 * self._rng.random()
         now_s = self._loop.time()
-        self._note(
+        self._notes.ended(
             request_id,
             503,
             reason,
@@ -539,7 +469,7 @@
         return work_s
 
     def _learn(
-        self, route: model.Route, attempt: _Attempt, now_s: float
+        self, route: model.Route, attempt: attempts.Attempt, now_s: float
     ) -> None:
         """Updates the duration of the work at usual speed."""
         reading = attempt.placement.reading
@@ -562,45 +492,3 @@
             )
             self._budgets[service] = budget
         return budget
-
-    def _note(
-        self,
-        request_id: bytes,
-        status: int,
-        outcome: str,
-        sends: int,
-        arrived_s: float,
-    ) -> None:
-        self._log.event(
-            'request',
-            id=request_id.decode('latin-1'),
-            status=status,
-            outcome=outcome,
-            sends=sends,
-            ms=round((self._loop.time() - arrived_s) * 1000, 1),
-            revision=self._knowledge.cfg_revision,
-        )
-
-    def _note_relay(
-        self, call: _Call, host: model.HostEntry, outcome: str, sent_s: float
-    ) -> None:
-        self._log.event(
-            'relay',
-            id=call.request_id.decode('latin-1'),
-            to=host.name,
-            outcome=outcome,
-            ms=round((self._loop.time() - sent_s) * 1000, 1),
-        )
-
-    def _note_attempt(
-        self, call: _Call, attempt: _Attempt, outcome: str
-    ) -> None:
-        self._stats.failed_attempt(outcome)
-        self._log.event(
-            'attempt',
-            id=call.request_id.decode('latin-1'),
-            target=attempt.target.entry.name,
-            n=call.sends,
-            outcome=outcome,
-            ms=round((self._loop.time() - attempt.sent_s) * 1000, 1),
-        )
