Measure the work of a route from its first request

A route that had not been seen was assumed to work for 0.35 of its objective; where the objective is longer than the timeout, each request was refused as overload, so nothing was ever learned of it. Ruled out: routes that were not in force; the answers were 503 after 32 ms. Change: 0.1 of the objective until the first answer, then the mean of what was seen. Figures: the new test fails before and passes now.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -32,8 +32,9 @@
 # latency objective, and longer than this many times the expected time.
 HEDGE_OBJECTIVES = 0.4
 HEDGE_EXPECTED = 1.4
-# Share of the latency objective that a request is assumed to work at first.
-INITIAL_WORK_OBJECTIVES = 0.35
+# Share of the latency objective that a request is assumed to work before any
+# was seen. A long guess would refuse the requests of a new route for good.
+INITIAL_WORK_OBJECTIVES = 0.1
 _WORK_SMOOTHING = 0.05
 # Number of hosts that is assumed until the list of hosts was read.
 UNKNOWN_HOSTS = 1000
@@ -59,6 +60,18 @@
     warmup_slack: float = 5.0
 
 
+class Work(msgspec.Struct):
+    """Duration of the work of a route at usual speed.
+
+    Attributes:
+        mean_s: Mean duration; the latest requests count most.
+        seen: Number of requests that were measured.
+    """
+
+    mean_s: float
+    seen: int
+
+
 class Dispatcher:
     """Answers requests of callers.
 
@@ -95,7 +108,7 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._work_s: dict[str, float] = {}
+        self._work_s: dict[str, Work] = {}
 
     async def serve(
         self, req: http_server.Request, *, relayed: bool = False
@@ -463,10 +476,10 @@
     # Learning.
 
     def _work(self, route: model.Route) -> float:
-        work_s = self._work_s.get(route.name)
-        if work_s is None:
+        work = self._work_s.get(route.name)
+        if work is None:
             return route.objective_s * INITIAL_WORK_OBJECTIVES
-        return work_s
+        return work.mean_s
 
     def _learn(
         self, route: model.Route, attempt: attempts.Attempt, now_s: float
@@ -480,8 +493,12 @@
         elapsed_s = now_s - attempt.sent_s - attempt.target.path_s
         factor = (reading.slowness + usual) / 2
         work_s = max(0.001, elapsed_s / max(1.0, factor))
-        old_s = self._work(route)
-        self._work_s[route.name] = old_s + (work_s - old_s) * _WORK_SMOOTHING
+        work = self._work_s.get(route.name)
+        if work is None:
+            work = self._work_s[route.name] = Work(0.0, 0)
+        work.seen += 1
+        weight = max(_WORK_SMOOTHING, 1 / work.seen)
+        work.mean_s += (work_s - work.mean_s) * weight
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -209,11 +209,21 @@
         assert loop.time() - started_s < 0.5
         assert target.runs[0].deadline_ms <= 100
 
+    async def test_new_route_is_not_refused_by_a_guess(self, start):
+        # The objective is longer than the timeout: nothing is known of the
+        # work of a route that was just added, and the target is free.
+        (target,) = servers(1)
+        target.slowness = 2.0
+        route = rigs.route(objective_s=1.0, timeout_s=0.4)
+        rig = await start(target, routes=[route])
+        answer = await rig.request(deadline_ms=1000)
+        assert answer.status == 200
+
     async def test_overload_is_refused_at_once(self, start):
         # All slots and queues are full for longer than the deadline.
         (target,) = servers(1, slots=1, queue=50, work_s=0.4)
         rig = await start(target, routes=[rigs.route(objective_s=1.0)])
-        rig.dispatcher._work_s['r'] = 0.4
+        rig.dispatcher._work_s['r'] = dispatcher.Work(0.4, 1)
         first = [
             asyncio.create_task(rig.request(deadline_ms=900)) for _ in range(2)
         ]
