Remove state that nothing reads and a second constructor of feeds

Cause: Target.in_flight, ClientConnection.answered and Reply.keep_s were written and never read; two feeds had the same constructor. Change: they are removed; both feeds share one base. No behaviour changes. Result: tests of gateway and adapter pass.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -151,7 +151,6 @@
             return await self._run(call, outstanding)
         finally:
             for attempt in outstanding:
-                attempt.target.in_flight -= 1
                 attempt.conn.abort()
 
     async def _relay(self, call: attempts.Call) -> http_server.Response | None:
@@ -379,7 +378,6 @@
     ) -> http_server.Response | None:
         """Takes over the end of an attempt; returns a final answer."""
         target = attempt.target
-        target.in_flight -= 1
         now_s = self._loop.time()
         try:
             reply = attempt.fut.result()
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -35,14 +35,12 @@
         headers: Names in lower case and values, in order.
         body: The body.
         reusable: Whether the connection may carry another request.
-        keep_s: Idle timeout that the peer announced; 0 if none.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes = b''
     reusable: bool = True
-    keep_s: float = 0.0
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if it is absent."""
@@ -61,7 +59,6 @@
     Attributes:
         idle_since_s: Loop time at which the last answer ended.
         keep_s: Idle timeout that the peer announced; 0 if none.
-        answered: Whole answers received.
     """
 
     __slots__ = (
@@ -77,7 +74,6 @@
         '_reply',
         '_size',
         '_transport',
-        'answered',
         'idle_since_s',
         'keep_s',
     )
@@ -99,7 +95,6 @@
         self._size = 0
         self._delimited = True
         self._reply: Reply | None = None
-        self.answered = 0
         self.idle_since_s = 0.0
         self.keep_s = 0.0
 
@@ -235,12 +230,10 @@
         self._reply = None
         self._headers = []
         self._body = []
-        self.answered += 1
         self.idle_since_s = self._loop.time()
         keep = reply.get(b'keep-alive')
         if keep is not None:
             self.keep_s = parse_keep_alive(keep)
-            reply.keep_s = self.keep_s
         transport = self._transport
         if transport is None:
             reply.reusable = False
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -32,7 +32,6 @@
         same_domain: Whether it is in the failure domain of this host.
         same_region: Whether it is in the region of this host.
         reading: Last reading, None before the first one.
-        in_flight: Requests of this host that it holds.
         failing: Smoothed share of failed answers, 0 to 1.
         pacer: Pace of requests while it is cold.
         misdirected: True once another incarnation answered at its address.
@@ -48,7 +47,6 @@
         'cold_until_s',
         'entry',
         'failing',
-        'in_flight',
         'misdirected',
         'pacer',
         'path_s',
@@ -75,7 +73,6 @@
         self.same_domain = same_domain
         self.same_region = same_region
         self.reading: dialects.Reading | None = None
-        self.in_flight = 0
         self.failing = 0.0
         self.pacer = pacing.ColdPacer()
         self.misdirected = False
@@ -104,7 +101,6 @@
     def note_sent(self, now_s: float) -> None:
         """Counts a request that was sent."""
         self._sent.append(now_s)
-        self.in_flight += 1
 
     def note_reading(self, reading: dialects.Reading) -> None:
         """Keeps a reading unless a newer one is known."""
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -68,22 +68,26 @@
     born: int
 
 
-class ConfigFeed(following.Feed):
-    """The operator's configuration.
+class _LoggedFeed(following.Feed):
+    """A feed that fills a host's knowledge and logs what it can't read.
 
     Args:
-        knowledge: Takes the configuration.
+        knowledge: Takes what is read.
         log: Takes log lines.
     """
 
-    prefix = CONFIG_KIND
-
     def __init__(
         self, knowledge: knowledge_.Knowledge, log: eventlog.EventLog
     ) -> None:
         self._knowledge = knowledge
         self._log = log
 
+
+class ConfigFeed(_LoggedFeed):
+    """The operator's configuration."""
+
+    prefix = CONFIG_KIND
+
     def replace(
         self, objects: list[stores.StoredObject], revision: int
     ) -> None:
@@ -109,23 +113,12 @@
         self._log.event('configuration-removed', name=name, revision=revision)
 
 
-class TargetFeed(following.Feed):
-    """Targets that registered themselves.
-
-    Args:
-        knowledge: Takes the targets.
-        log: Takes log lines.
-    """
+class TargetFeed(_LoggedFeed):
+    """Targets that registered themselves."""
 
     prefix = SERVERS_KIND
     lapses = True
 
-    def __init__(
-        self, knowledge: knowledge_.Knowledge, log: eventlog.EventLog
-    ) -> None:
-        self._knowledge = knowledge
-        self._log = log
-
     def replace(
         self, objects: list[stores.StoredObject], revision: int
     ) -> None:
