Give connections to hosts, work times and the host entry one place each

A test of whole hosts failed once with an address in use: its ports were chosen on the address that other connections take their source ports from. Change: HostPools, WorkTimes and one loop of each; hosts in tests and soak have addresses of their own; names Needs, announce and outside_homes. The counter of repeats is the only thing that behaves otherwise.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -75,7 +75,8 @@
     ) -> None:
         self.name = name
         self.domain = domain
-        self.ip = f'127.0.1.{number + 1}'
+        # Runs at the same time have different addresses.
+        self.ip = f'127.3.{os.getpid() % 250}.{number + 1}'
         self.port = _free_port(self.ip)
         self.peer_port = _free_port(self.ip)
         self.folder = pathlib.Path(folder)
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -20,6 +20,7 @@
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
+from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import sources
@@ -110,12 +111,13 @@
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
-        self._relays = relays.Relays(self.membership, self.rng)
+        self._host_pools = pools.HostPools()
         self.dispatcher = dispatcher.Dispatcher(
             knowledge=self.knowledge,
             dialect=dialect,
             chooser=self._chooser,
-            relays=self._relays,
+            relays=relays.Relays(self.membership, self.rng),
+            host_pools=self._host_pools,
             limits=settings.limits,
             log=log,
             stats=self.stats,
@@ -126,7 +128,6 @@
         )
         self._followers: dict[str, following.Follower] = {}
         self._replicas: dict[str, replica.Replica] = {}
-        self._copies: dict[tuple[str, int], following.Source] = {}
         api = peer_api.PeerApi(self._replicas, self.dispatcher)
         self.peers = http_server.Listener(
             api.serve, lambda: self.knowledge.limits, log, 'peers'
@@ -194,7 +195,7 @@
         self._log.event('leaving', running=self.callers.running)
         self.leaving = True
         self.membership.leaving = True
-        self.membership.greet(started_s)
+        self.membership.announce(started_s)
         self.callers.drain()
         await asyncio.sleep(LEAVE_ACCEPT_S)
         self.callers.close()
@@ -209,7 +210,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.stop()
         await self.peers.stop()
-        self._relays.close()
+        self._host_pools.close()
         self._socket.close()
         await self._store.close()
         self._log.flush()
@@ -223,12 +224,8 @@
         ]
 
     def _copy(self, host: model.HostEntry) -> following.Source:
-        key = (host.name, host.incarnation)
-        source = self._copies.get(key)
-        if source is None:
-            source = following.Source(host.name, peer_api.PeerStore(host))
-            self._copies[key] = source
-        return source
+        pool = self._host_pools.get(host)
+        return following.Source(host.name, peer_api.PeerStore(host.name, pool))
 
     async def _follow(self, follower: following.Follower) -> None:
         """Follows once hosts whose copies can be read had time to answer."""
@@ -275,7 +272,7 @@
     prefix: str,
     log: eventlog.EventLog,
 ) -> None:
-    """Writes this host into the store and greets the hosts found there.
+    """Writes this host into the store and announces it to the hosts there.
 
     Args:
         gateway: This host.
@@ -285,21 +282,16 @@
     """
     loop = asyncio.get_running_loop()
     me = gateway.membership.me
-    answer = None
-    while answer is None:
+    while True:
         try:
             # Written first: of two hosts that start at the same moment, one
-            # finds the other. An entry of an earlier start does as well.
-            await store.put(
-                prefix + me.name, msgspec.json.encode(me), expected_version=0
-            )
-        except errors.VersionConflict:
-            log.event('host-known', name=me.name)
+            # finds the other.
+            await _write_entry(store, prefix, me, log)
+            answer = await store.watch(prefix, after_revision=0, timeout_s=0)
+            break
         except errors.StoreError as exc:
             log.event('register-failed', error=str(exc))
             await asyncio.sleep(0.5 + gateway.rng.random())
-            continue
-        answer = await _read_hosts(gateway, store, prefix, log)
     entries = []
     for obj in answer.objects:
         try:
@@ -307,19 +299,20 @@
         except msgspec.DecodeError as exc:
             log.event('host-malformed', name=obj.name, error=str(exc))
     gateway.membership.learn(entries, loop.time())
-    gateway.membership.greet(loop.time())
+    gateway.membership.announce(loop.time())
     gateway.registered.set()
 
 
-async def _read_hosts(
-    gateway: Gateway,
+async def _write_entry(
     store: stores.Store,
     prefix: str,
+    me: model.HostEntry,
     log: eventlog.EventLog,
-) -> stores.WatchAnswer | None:
+) -> None:
+    """Writes the entry of a host; that of an earlier start will do as well."""
     try:
-        return await store.watch(prefix, after_revision=0, timeout_s=0)
-    except errors.StoreError as exc:
-        log.event('register-failed', error=str(exc))
-        await asyncio.sleep(0.5 + gateway.rng.random())
-        return None
+        await store.put(
+            prefix + me.name, msgspec.json.encode(me), expected_version=0
+        )
+    except errors.VersionConflict:
+        log.event('host-known', name=me.name)
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -69,7 +69,7 @@
     asked: int
 
 
-class Wish(msgspec.Struct, eq=False):
+class Needs(msgspec.Struct, eq=False):
     """What a request needs of a target.
 
     Attributes:
@@ -115,32 +115,32 @@
         self.fleet = pacing.Fleet()
         self.asked = 0
 
-    async def choose(self, wish: Wish) -> Placement | NoPlacement:
+    async def choose(self, needs: Needs) -> Placement | NoPlacement:
         """Returns a target with an open connection, or why there is none."""
-        placed = await self._choose_once(wish)
+        placed = await self._choose_once(needs)
         if isinstance(placed, NoPlacement) and placed.reason == NO_ANSWER:
             # Connections may break between the answer and its use.
-            placed = await self._choose_once(wish)
+            placed = await self._choose_once(needs)
         return placed
 
-    async def _choose_once(self, wish: Wish) -> Placement | NoPlacement:
-        order = self._order(wish.targets)
+    async def _choose_once(self, needs: Needs) -> Placement | NoPlacement:
+        order = self._order(needs.targets)
         if not order:
-            return NoPlacement('no-target', wish.left_s, 0)
+            return NoPlacement('no-target', needs.left_s, 0)
         best: _Answer | None = None
         best_cost = float('inf')
         near = [target for target in order if target.same_region]
         far = [target for target in order if not target.same_region]
-        good_s = self._good_s(wish)
-        enough_s = max(good_s, wish.objective_s * ENOUGH_OBJECTIVES)
+        good_s = self._good_s(needs)
+        enough_s = max(good_s, needs.objective_s * ENOUGH_OBJECTIVES)
         asked = 0
         for round_ in range(MAX_ROUNDS):
             group = _group(near, far, round_)
             if not group:
                 break
             asked += len(group)
-            for answer in await self._ask(group, wish, good_s):
-                cost = self._cost(answer, wish)
+            for answer in await self._ask(group, needs, good_s):
+                cost = self._cost(answer, needs)
                 if cost < best_cost:
                     if best is not None:
                         best.target.pool.release(best.conn)
@@ -151,7 +151,7 @@
                 best_cost <= enough_s or not best.conn.usable
             ):
                 break
-        return self._place(best, wish, asked)
+        return self._place(best, needs, asked)
 
     def bound_per_s(self, target: targets_.Target) -> float:
         """Returns the requests per second that a cold target may get."""
@@ -172,24 +172,24 @@
         return self._usual.get(service, INITIAL_USUAL)
 
     def _place(
-        self, best: _Answer | None, wish: Wish, asked: int
+        self, best: _Answer | None, needs: Needs, asked: int
     ) -> Placement | NoPlacement:
         if best is None or not best.conn.usable:
-            return NoPlacement(NO_ANSWER, wish.objective_s / 4, asked)
+            return NoPlacement(NO_ANSWER, needs.objective_s / 4, asked)
         target = best.target
         offer = self._offer(best)
         expected = placing.expected_s(
-            offer, wish.work_s, self.usual(target.entry.service)
+            offer, needs.work_s, self.usual(target.entry.service)
         )
-        if expected > wish.left_s:
+        if expected > needs.left_s:
             target.pool.release(best.conn)
-            return NoPlacement('overload', expected - wish.left_s, asked)
+            return NoPlacement('overload', expected - needs.left_s, asked)
         if best.reading.cold_s > 0:
             target.pacer.sent(self._loop.time())
         return Placement(target, best.conn, best.reading, expected, asked)
 
-    def _good_s(self, wish: Wish) -> float:
-        return wish.work_s * GOOD_FACTOR + targets_.SAME_REGION_S
+    def _good_s(self, needs: Needs) -> float:
+        return needs.work_s * GOOD_FACTOR + targets_.SAME_REGION_S
 
     def _order(self, targets: list[targets_.Target]) -> list[targets_.Target]:
         """Returns targets in the order in which they are asked."""
@@ -219,7 +219,7 @@
         return [target for _, target in keyed]
 
     async def _ask(
-        self, group: list[targets_.Target], wish: Wish, good_s: float
+        self, group: list[targets_.Target], needs: Needs, good_s: float
     ) -> list[_Answer]:
         """Asks targets; returns once a good one or all have answered."""
         tasks = {
@@ -227,7 +227,7 @@
         }
         self.asked += len(tasks)
         far = any(not target.same_region for target in group)
-        wait_s = min(wish.left_s, FAR_WAIT_S if far else NEAR_WAIT_S)
+        wait_s = min(needs.left_s, FAR_WAIT_S if far else NEAR_WAIT_S)
         end_s = self._loop.time() + wait_s
         answers: list[_Answer] = []
         waiting = set(tasks)
@@ -243,7 +243,7 @@
                 answer = self._answer(task, tasks[task])
                 if answer is not None:
                     answers.append(answer)
-                    good = good or self._cost(answer, wish) <= good_s
+                    good = good or self._cost(answer, needs) <= good_s
             if good:
                 break
         for task in waiting:
@@ -291,12 +291,12 @@
             target.failing,
         )
 
-    def _cost(self, answer: _Answer, wish: Wish) -> float:
+    def _cost(self, answer: _Answer, needs: Needs) -> float:
         return placing.cost_s(
             self._offer(answer),
-            wish.work_s,
+            needs.work_s,
             self.usual(answer.target.entry.service),
-            wish.objective_s,
+            needs.objective_s,
         )
 
 
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -21,10 +21,12 @@
 from ragwortchute.gateway import knowledge as knowledge_
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import work_times
 
 # The final answer leaves this long before the caller stops waiting.
 ANSWER_MARGIN_S = 0.004
@@ -32,10 +34,6 @@
 # latency objective, and longer than this many times the expected time.
 HEDGE_OBJECTIVES = 0.4
 HEDGE_EXPECTED = 1.4
-# Share of the latency objective that a request is assumed to work before any
-# was seen. A long guess would refuse the requests of a new route for good.
-INITIAL_WORK_OBJECTIVES = 0.1
-_WORK_SMOOTHING = 0.05
 # Number of hosts that is assumed until the list of hosts was read.
 UNKNOWN_HOSTS = 1000
 MIN_RETRY_AFTER_S = 0.05
@@ -60,18 +58,6 @@
     warmup_slack: float = 5.0
 
 
-class Work(msgspec.Struct):
-    """Duration of the work of a route at usual speed.
-
-    Attributes:
-        mean_s: Mean duration; the latest requests count most.
-        seen: Number of requests that were measured.
-    """
-
-    mean_s: float
-    seen: int
-
-
 class Dispatcher:
     """Answers requests of callers.
 
@@ -79,11 +65,15 @@
         knowledge: Configuration and targets.
         dialect: Protocol of callers and targets.
         chooser: Chooses targets.
-        relays: Hosts of other regions.
+        relays: Chooses hosts of other regions.
+        host_pools: Connections to other hosts.
         limits: Bounds of repeats over all hosts.
         log: Takes log lines.
         stats: Counters.
         rng: Source of randomness.
+
+    Attributes:
+        work_times: Durations of the work by route.
     """
 
     def __init__(
@@ -93,6 +83,7 @@
         dialect: dialects.Dialect,
         chooser: candidates.Chooser,
         relays: relays_.Relays,
+        host_pools: pools.HostPools,
         limits: Limits,
         log: eventlog.EventLog,
         stats: stats_.Stats,
@@ -102,13 +93,14 @@
         self._dialect = dialect
         self._chooser = chooser
         self._relays = relays
+        self._host_pools = host_pools
         self._limits = limits
         self._notes = request_log.RequestLog(log, knowledge, stats)
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._work_s: dict[str, Work] = {}
+        self.work_times = work_times.WorkTimes()
 
     async def serve(
         self, req: http_server.Request, *, relayed: bool = False
@@ -127,8 +119,8 @@
         if route is None:
             self._notes.ended(request_id, 404, 'no-route', 0, req.arrived_s)
             return http_server.Response(404)
-        abroad = route.homes and knowledge.region not in route.homes
-        if relayed and abroad:
+        outside_homes = route.homes and knowledge.region not in route.homes
+        if relayed and outside_homes:
             # The host that passed it on has another configuration.
             return self._refuse(request_id, 'relay-mismatch', 0.2)
         remaining_s = self._dialect.remaining_s(req)
@@ -141,7 +133,7 @@
             self._part(route),
             req.arrived_s + remaining_s - ANSWER_MARGIN_S,
         )
-        if abroad:
+        if outside_homes:
             resp = await self._relay(call)
             if resp is not None:
                 return resp
@@ -164,7 +156,7 @@
         host = self._relays.choose(call.route.homes, now_s)
         if host is None:
             return None
-        pool = self._relays.pool(host)
+        pool = self._host_pools.get(host)
         try:
             conn = await pool.take()
         except errors.ConnectFailed as exc:
@@ -258,7 +250,7 @@
         """Sends the request to a target; returns an answer if it can't."""
         if call.sends and not self._may_repeat(call):
             return self._give_up(call, 'no-more-attempts')
-        placed = await self._chooser.choose(self._wish(call))
+        placed = await self._chooser.choose(self._needs(call))
         if isinstance(placed, candidates.NoPlacement):
             return self._give_up(call, placed.reason, placed.wait_s)
         if call.sends and not self._spend(call):
@@ -286,16 +278,16 @@
         self._stats.sends += 1
         self._notes.sent(call, outstanding[-1])
 
-    def _wish(self, call: attempts.Call) -> candidates.Wish:
+    def _needs(self, call: attempts.Call) -> candidates.Needs:
         route = call.route
         targets = [
             target
             for target in self._knowledge.eligible(call.service, route.homes)
             if target.entry.name not in call.tried
         ]
-        return candidates.Wish(
+        return candidates.Needs(
             targets,
-            self._work(route),
+            self.work_times.expected_s(route),
             route.objective_s,
             call.deadline_s - self._loop.time(),
         )
@@ -333,7 +325,7 @@
         route = call.route
         call.hedged = True
         if self._may_repeat(call):
-            placed = await self._chooser.choose(self._wish(call))
+            placed = await self._chooser.choose(self._needs(call))
             if isinstance(placed, candidates.Placement):
                 first = outstanding[0]
                 late_s = call.deadline_s - self._loop.time()
@@ -367,9 +359,11 @@
         return max(pacing.MIN_HOSTS, len(fleet.names))
 
     def _spend(self, call: attempts.Call) -> bool:
-        self._stats.repeats += 1
+        """Takes a repeat from the budget, and counts it."""
         budget = self._budget(call.service)
-        return budget.try_spend(self._loop.time(), self._hosts())
+        spent = budget.try_spend(self._loop.time(), self._hosts())
+        self._stats.repeats += spent
+        return spent
 
     # Ending.
 
@@ -473,12 +467,6 @@
 
     # Learning.
 
-    def _work(self, route: model.Route) -> float:
-        work = self._work_s.get(route.name)
-        if work is None:
-            return route.objective_s * INITIAL_WORK_OBJECTIVES
-        return work.mean_s
-
     def _learn(
         self, route: model.Route, attempt: attempts.Attempt, now_s: float
     ) -> None:
@@ -490,13 +478,7 @@
         usual = self._chooser.usual(attempt.target.entry.service)
         elapsed_s = now_s - attempt.sent_s - attempt.target.path_s
         factor = (reading.slowness + usual) / 2
-        work_s = max(0.001, elapsed_s / max(1.0, factor))
-        work = self._work_s.get(route.name)
-        if work is None:
-            work = self._work_s[route.name] = Work(0.0, 0)
-        work.seen += 1
-        weight = max(_WORK_SMOOTHING, 1 / work.seen)
-        work.mean_s += (work_s - work.mean_s) * weight
+        self.work_times.learn(route, elapsed_s / max(1.0, factor))
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
--- a/ragwortchute/gateway/knowledge.py
+++ b/ragwortchute/gateway/knowledge.py
@@ -84,35 +84,14 @@
 
     def set_target(self, entry: model.TargetEntry, revision: int) -> None:
         """Adds a target or takes over what it says now."""
-        target = self.targets.get(entry.name)
-        if target is not None and _same_incarnation(target.entry, entry):
-            target.entry = entry
-        else:
-            if target is not None:
-                target.pool.close()
-            target = self._new_target(entry)
-            self.targets[entry.name] = target
-        if entry.warmup_left_s > 0:
-            now_s = asyncio.get_running_loop().time()
-            target.cold_until_s = now_s + entry.warmup_left_s
+        self._take(entry, revision)
         self._index()
-        self._log.event(
-            'target',
-            target=entry.name,
-            service=entry.service,
-            ready=entry.ready,
-            cold_s=entry.warmup_left_s,
-            revision=revision,
-        )
 
     def remove_target(self, name: str, revision: int) -> None:
         """Forgets a target; requests that it runs are finished."""
-        target = self.targets.pop(name, None)
-        if target is None:
-            return
-        target.pool.close()
-        self._index()
-        self._log.event('target-gone', target=name, revision=revision)
+        if name in self.targets:
+            self._drop(name, revision)
+            self._index()
 
     def set_targets(
         self, entries: abc.Iterable[model.TargetEntry], revision: int
@@ -120,11 +99,12 @@
         """Takes over the whole list of targets."""
         known = {entry.name: entry for entry in entries}
         for name in set(self.targets) - set(known):
-            self.remove_target(name, revision)
+            self._drop(name, revision)
         for entry in known.values():
             target = self.targets.get(entry.name)
             if target is None or target.entry != entry:
-                self.set_target(entry, revision)
+                self._take(entry, revision)
+        self._index()
         self._targets_known = True
 
     def set_out(self, domains: abc.Iterable[str], revision: int) -> None:
@@ -154,6 +134,31 @@
             and (not homes or target.region in homes)
         ]
 
+    def _take(self, entry: model.TargetEntry, revision: int) -> None:
+        target = self.targets.get(entry.name)
+        if target is not None and _same_incarnation(target.entry, entry):
+            target.entry = entry
+        else:
+            if target is not None:
+                target.pool.close()
+            target = self._new_target(entry)
+            self.targets[entry.name] = target
+        if entry.warmup_left_s > 0:
+            now_s = asyncio.get_running_loop().time()
+            target.cold_until_s = now_s + entry.warmup_left_s
+        self._log.event(
+            'target',
+            target=entry.name,
+            service=entry.service,
+            ready=entry.ready,
+            cold_s=entry.warmup_left_s,
+            revision=revision,
+        )
+
+    def _drop(self, name: str, revision: int) -> None:
+        self.targets.pop(name).pool.close()
+        self._log.event('target-gone', target=name, revision=revision)
+
     def _new_target(self, entry: model.TargetEntry) -> targets_.Target:
         region = self.region_of(entry.failure_domain)
         target = targets_.Target(
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -157,7 +157,7 @@
         for entry in entries:
             self._learn(entry, now_s)
 
-    def greet(self, now_s: float) -> None:
+    def announce(self, now_s: float) -> None:
         """Tells all known hosts of this one, at its start or end."""
         data = self._encode(self._alive_peers(now_s), now_s, (self.me,))
         for peer in self._peers.values():
@@ -202,7 +202,7 @@
             return
         known = self._peers.get(message.sender)
         self.learn(list(message.entries), now_s)
-        greeted = self._peers.get(message.sender) is not known
+        is_new = self._peers.get(message.sender) is not known
         for prefix, changed in message.changes.items():
             self.hint(prefix, changed)
         wanted = [
@@ -220,7 +220,7 @@
             self._send(sender, data)
         if message.wanted:
             self._send(sender, self._reply(message.wanted))
-        if greeted:
+        if is_new:
             # A host that has just started looks for copies of the store.
             self._send(sender, self._encode(self._alive_peers(now_s), now_s))
 
@@ -281,21 +281,19 @@
         """Returns a host of each other failure domain of the region."""
         if any(peer.entry.name < self.me.name for peer in mine):
             return []
-        domains: dict[str, list[_Peer]] = {}
-        for peer in self._peers.values():
-            entry = peer.entry
-            if (
-                entry.region == self.me.region
-                and entry.failure_domain != self.me.failure_domain
-            ):
-                domains.setdefault(entry.failure_domain, []).append(peer)
-        return [self._one(peers, now_s) for peers in domains.values()]
+        others = [
+            peer
+            for peer in self._peers.values()
+            if peer.entry.region == self.me.region
+            and peer.entry.failure_domain != self.me.failure_domain
+        ]
+        return self._one_each(others, now_s)
 
     def _report(self, mine: list[_Peer], now_s: float) -> None:
         """Sends the own heartbeat to the host that tells other domains."""
-        speaker = min(mine, key=lambda peer: peer.entry.name)
-        if speaker.entry.name < self.me.name:
-            self._send(speaker, self._encode((), now_s))
+        first = min(mine, key=lambda peer: peer.entry.name)
+        if first.entry.name < self.me.name:
+            self._send(first, self._encode((), now_s))
 
     def _beat_regions(self, alive: list[_Peer], now_s: float) -> None:
         """Sends the heartbeats of this region to the other regions.
@@ -305,14 +303,21 @@
         mine = [peer for peer in alive if peer.entry.region == self.me.region]
         if any(peer.entry.name < self.me.name for peer in mine):
             return
-        domains: dict[str, list[_Peer]] = {}
-        for peer in self._peers.values():
-            if peer.entry.region != self.me.region:
-                domain = peer.entry.failure_domain
-                domains.setdefault(domain, []).append(peer)
+        others = [
+            peer
+            for peer in self._peers.values()
+            if peer.entry.region != self.me.region
+        ]
         data = self._encode(mine, now_s)
-        for peers in domains.values():
-            self._send(self._one(peers, now_s), data)
+        for peer in self._one_each(others, now_s):
+            self._send(peer, data)
+
+    def _one_each(self, peers: list[_Peer], now_s: float) -> list[_Peer]:
+        """Returns a host of each failure domain."""
+        domains: dict[str, list[_Peer]] = {}
+        for peer in peers:
+            domains.setdefault(peer.entry.failure_domain, []).append(peer)
+        return [self._one(group, now_s) for group in domains.values()]
 
     def _one(self, peers: list[_Peer], now_s: float) -> _Peer:
         """Returns the host that passes messages on, any if none is alive."""
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -14,7 +14,6 @@
 from ragwortchute.gateway import dispatcher as dispatcher_
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
-from ragwortchute.gateway import model
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import replica
 
@@ -71,12 +70,13 @@
     """Reads another host's copy of the store.
 
     Args:
-        host: The other host.
+        name: Name of the other host.
+        pool: Connections to it; they stay open when the store is closed.
     """
 
-    def __init__(self, host: model.HostEntry) -> None:
-        self._peer = host.name
-        self._pool = pools.Pool(host.ip, host.peer_port)
+    def __init__(self, name: str, pool: pools.Pool) -> None:
+        self._peer = name
+        self._pool = pool
 
     async def get(self, name: str) -> stores.StoredObject | None:
         """Is not offered; copies are read whole."""
@@ -130,7 +130,6 @@
 
     async def close(self) -> None:
         """See base class."""
-        self._pool.close()
 
     def _unavailable(self, message: str) -> errors.StoreUnavailable:
         return errors.StoreUnavailable(message, peer=self._peer)
--- a/ragwortchute/gateway/pools.py
+++ b/ragwortchute/gateway/pools.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import model
 
 # Idle connections are dropped this long before the peer would close them.
 IDLE_MARGIN_S = 1.0
@@ -76,3 +77,31 @@
     def _lost(self, conn: http_client.ClientConnection) -> None:
         if conn in self._idle:
             self._idle.remove(conn)
+
+
+class HostPools:
+    """Kept connections to other hosts."""
+
+    __slots__ = ('_pools',)
+
+    def __init__(self) -> None:
+        self._pools: dict[str, tuple[int, Pool]] = {}
+
+    def get(self, host: model.HostEntry) -> Pool:
+        """Returns the connections to a host.
+
+        Those to an earlier incarnation are closed.
+        """
+        incarnation, pool = self._pools.get(host.name, (0, None))
+        if pool is not None and incarnation == host.incarnation:
+            return pool
+        if pool is not None:
+            pool.close()
+        pool = Pool(host.ip, host.peer_port)
+        self._pools[host.name] = (host.incarnation, pool)
+        return pool
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        for _, pool in self._pools.values():
+            pool.close()
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -9,7 +9,6 @@
 
 from ragwortchute.gateway import membership
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pools
 
 
 class Relays:
@@ -25,7 +24,6 @@
     ) -> None:
         self._hosts = hosts
         self._rng = rng
-        self._pools: dict[tuple[str, int], pools.Pool] = {}
 
     def choose(
         self, homes: tuple[str, ...], now_s: float
@@ -43,17 +41,3 @@
             return None
         weights = [host.weight for host in hosts]
         return self._rng.choices(hosts, weights)[0]
-
-    def pool(self, host: model.HostEntry) -> pools.Pool:
-        """Returns the connections to a host."""
-        key = (host.name, host.incarnation)
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = pools.Pool(host.ip, host.peer_port)
-            self._pools[key] = pool
-        return pool
-
-    def close(self) -> None:
-        """Closes idle connections."""
-        for pool in self._pools.values():
-            pool.close()
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -11,6 +11,7 @@
 from ragwortchute.gateway import membership
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import stats
 from ragwortchute.platform import feeds
@@ -133,6 +134,7 @@
             dialect=dialect,
             chooser=self.chooser,
             relays=relays.Relays(self.membership, rng),
+            host_pools=pools.HostPools(),
             limits=limits,
             log=self.log,
             stats=self.stats,
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -1,6 +1,7 @@
 """Tests of whole hosts with a stand-in store, in one process."""
 
 import asyncio
+import os
 import socket
 
 import msgspec
@@ -17,9 +18,9 @@
 from tests.test_platform import test_adapter
 
 
-def free_port():
+def free_port(ip):
     with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
+        sock.bind((ip, 0))
         return sock.getsockname()[1]
 
 
@@ -29,6 +30,7 @@
     def __init__(self):
         self.server = platform_store.ObjectServer()
         self.hosts = []
+        self.addresses = 0
         self.targets = []
         self.tasks = []
 
@@ -48,14 +50,19 @@
         )
 
     async def add(self, name, domain):
+        # Each host has an address of its own: on a shared one, the source port
+        # of some connection may take a port between its choice and its use.
+        self.addresses += 1
+        ip = f'127.2.{os.getpid() % 250}.{self.addresses}'
         me = rigs.host(
             name,
             domain,
-            caller_address=f'127.0.0.1:{free_port()}',
-            peer_port=free_port(),
+            caller_address=f'{ip}:{free_port(ip)}',
+            ip=ip,
+            peer_port=free_port(ip),
         )
         settings = application.Settings(
-            me, rigs.DOMAINS, '127.0.0.1', 2.0, 5.4, dispatcher.Limits()
+            me, rigs.DOMAINS, ip, 2.0, 5.4, dispatcher.Limits()
         )
         store = objects.ObjectStore('127.0.0.1', self.server.port)
         log = rigs.MemoryLog()
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -223,7 +223,7 @@
         # All slots and queues are full for longer than the deadline.
         (target,) = servers(1, slots=1, queue=50, work_s=0.4)
         rig = await start(target, routes=[rigs.route(objective_s=1.0)])
-        rig.dispatcher._work_s['r'] = dispatcher.Work(0.4, 1)
+        rig.dispatcher.work_times.learn(rigs.route(), 0.4)
         first = [
             asyncio.create_task(rig.request(deadline_ms=900)) for _ in range(2)
         ]
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -52,7 +52,7 @@
         known = []
         for host in self.hosts.values():
             host.learn(known, self.now_s)
-            host.greet(self.now_s)
+            host.announce(self.now_s)
             known.append(host.me)
 
     def names(self, host):
@@ -109,7 +109,7 @@
         net = network(3)
         net.run(4)
         net.hosts[1].leaving = True
-        net.hosts[1].greet(net.now_s)
+        net.hosts[1].announce(net.now_s)
         net.run(0.5)
         for host in net.hosts.values():
             assert 'a1-0' not in net.names(host)
@@ -118,12 +118,12 @@
         net = network(3)
         net.run(4)
         net.hosts[1].leaving = True
-        net.hosts[1].greet(net.now_s)
+        net.hosts[1].announce(net.now_s)
         net.dead.add(1)
         net.run(2)
         again = net.add('a1-0', 'a1', incarnation=2)
         again.learn([host.me for host in net.hosts.values()], net.now_s)
-        again.greet(net.now_s)
+        again.announce(net.now_s)
         net.run(3)
         for port, host in net.hosts.items():
             if port not in net.dead:
