Read the host that knows of a missed change, not the next in order

Ruled out: a shorter wait for hints; the second copy would still be tried. Change: a hint names the host that sent it, whose copy is read next; history that a source no longer has is read whole from that source. Result: the new test can't run on the code before, whose hints name nobody; on this one the change is in force within a second.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -244,10 +244,10 @@
             for prefix, follower in self._followers.items()
         }
 
-    def _hint(self, prefix: str, changed: int) -> None:
+    def _hint(self, host: model.HostEntry, prefix: str, changed: int) -> None:
         follower = self._followers.get(prefix)
-        if follower is not None:
-            follower.hint(changed)
+        if follower is not None and changed > follower.replica.revision:
+            follower.hint(changed, self._copy(host))
 
     def _spawn(self, coro: object) -> None:
         self._tasks.append(self._loop.create_task(coro))
--- a/ragwortchute/gateway/following.py
+++ b/ragwortchute/gateway/following.py
@@ -148,17 +148,21 @@
         self._whole = True
         self._failed_s: dict[str, float] = {}
         self._source = ''
+        self._hinted: Source | None = None
         self.prefix = feed.prefix
         self.replica = replica_.Replica()
 
-    def hint(self, changed: int) -> None:
-        """Takes over that another host knows of a change.
+    def hint(self, changed: int, source: Source) -> None:
+        """Takes over that a source knows of a change.
 
         Args:
             changed: Revision of the change.
+            source: The source, read next if this host stays behind.
         """
         if changed > self.replica.revision:
-            self._loop.call_later(HINT_WAIT_S, self._check_hint, changed)
+            self._loop.call_later(
+                HINT_WAIT_S, self._check_hint, changed, source
+            )
 
     async def run(self) -> None:
         """Follows until it is cancelled."""
@@ -178,7 +182,9 @@
                     revision=self.replica.revision,
                     source=source.name,
                 )
+                # The same source is read whole.
                 self._whole = True
+                self._hinted = source
             except errors.StoreError as exc:
                 self._failed(source, exc)
                 if not source.name:
@@ -187,14 +193,9 @@
                     backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
     def _choose(self) -> Source:
-        """Returns the best source that has not failed just now."""
-        now_s = self._loop.time()
-        sources = self._sources()
-        for source in sources:
-            if now_s - self._failed_s.get(source.name, -1e9) > FAILED_S:
-                break
-        else:
-            source = next(one for one in sources if not one.name)
+        """Returns the source to read next."""
+        hinted, self._hinted = self._hinted, None
+        source = hinted or self._best()
         if source.name != self._source:
             self._log.event(
                 'source', prefix=self.prefix, source=source.name or 'store'
@@ -202,6 +203,15 @@
             self._source = source.name
         return source
 
+    def _best(self) -> Source:
+        """Returns the best source that has not failed just now."""
+        now_s = self._loop.time()
+        sources = self._sources()
+        for source in sources:
+            if now_s - self._failed_s.get(source.name, -1e9) > FAILED_S:
+                return source
+        return next(one for one in sources if not one.name)
+
     def _failed(self, source: Source, exc: errors.StoreError) -> None:
         self._failed_s[source.name] = self._loop.time()
         if source.name:
@@ -214,14 +224,16 @@
         else:
             self._health.failed(exc)
 
-    def _check_hint(self, changed: int) -> None:
+    def _check_hint(self, changed: int, source: Source) -> None:
         if changed > self.replica.revision and not self._wake.is_set():
             self._log.event(
                 'behind',
                 prefix=self.prefix,
                 revision=self.replica.revision,
                 changed=changed,
+                known_by=source.name or 'store',
             )
+            self._hinted = source
             # The source that is in use does not know of the change.
             self._failed_s[self._source] = self._loop.time()
             self._whole = self._whole or not self._source
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -66,6 +66,10 @@
     changes: dict[str, int] = {}
 
 
+# Takes a host, a prefix, and the revision of a change that the host knows.
+Hint = abc.Callable[[model.HostEntry, str, int], None]
+
+
 class Transport:
     """Sends datagrams to hosts; replaced by a fake in tests."""
 
@@ -116,7 +120,7 @@
         self.me = me
         self._dead_s = dead_s
         self.changes: abc.Callable[[], dict[str, int]] = dict
-        self.hint: abc.Callable[[str, int], None] = lambda *_: None
+        self.hint: Hint = lambda *_: None
         self.leaving = False
         self._transport = transport
         self._log = log
@@ -203,8 +207,6 @@
         known = self._peers.get(message.sender)
         self.learn(list(message.entries), now_s)
         is_new = self._peers.get(message.sender) is not known
-        for prefix, changed in message.changes.items():
-            self.hint(prefix, changed)
         wanted = [
             beat.key
             for beat in unpack(message.beats)
@@ -213,6 +215,8 @@
         sender = self._peers.get(message.sender)
         if sender is None:
             return
+        for prefix, changed in message.changes.items():
+            self.hint(sender.entry, prefix, changed)
         if wanted:
             data = self._encoder.encode(
                 Message(self.me.name, entries=(self.me,), wanted=tuple(wanted))
--- a/tests/test_gateway/test_following.py
+++ b/tests/test_gateway/test_following.py
@@ -53,11 +53,13 @@
             random.Random(1),
         )
 
+    def direct(self):
+        return following.Source('', self.store)
+
     def sources(self):
-        direct = following.Source('', self.store)
         if self.other is None:
-            return [direct]
-        return [following.Source('h2', self.other), direct]
+            return [self.direct()]
+        return [following.Source('h2', self.other), self.direct()]
 
     def follow(self):
         self.task = asyncio.create_task(self.follower.run())
@@ -198,7 +200,7 @@
         revision = await rig.server.put('things', 'a', 2)
         await asyncio.sleep(0.2)
         assert rig.feed.values == {'a': b'1'}
-        rig.follower.hint(revision)
+        rig.follower.hint(revision, rig.direct())
         await rig.until({'a': '2'}, 1.5)
 
     async def test_known_change_costs_no_call(self, rig):
@@ -208,7 +210,7 @@
         await asyncio.sleep(0.1)
         calls = rig.server.calls.total()
         for _ in range(20):
-            rig.follower.hint(rig.follower.replica.changed)
+            rig.follower.hint(rig.follower.replica.changed, rig.direct())
         await asyncio.sleep(0.5)
         assert rig.server.calls.total() == calls
 
@@ -263,6 +265,20 @@
         rig.follow()
         await rig.until({'a': '1'})
 
+    async def test_copy_of_the_host_that_gave_the_hint_is_read(self, rig):
+        # The store is silent, and the next copy in order missed the change
+        # as well: trying one after the other took three seconds.
+        old = stores.StoredObject('a', 1, b'1')
+        new = stores.StoredObject('a', 9, b'2')
+        rig.other, third = Copy(), Copy()
+        rig.other.replica.replace((old,), 1)
+        third.replica.replace((new,), 9)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.mode = 'silent'
+        rig.follower.hint(9, following.Source('h3', third))
+        await rig.until({'a': '2'}, 1.0)
+
     async def test_copy_that_fell_behind_is_left(self, rig):
         # The host that reads the store is cut off from it.
         rig.other = Copy()
@@ -271,7 +287,7 @@
         rig.follow()
         await rig.until({'a': '1'})
         revision = await rig.server.put('things', 'a', 2)
-        rig.follower.hint(revision)
+        rig.follower.hint(revision, rig.direct())
         await rig.until({'a': '2'}, 1.5)
 
 
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -150,7 +150,7 @@
     def test_changes_spread(self):
         net = network(3)
         heard = []
-        net.hosts[12].hint = lambda prefix, changed: heard.append(changed)
+        net.hosts[12].hint = lambda host, prefix, changed: heard.append(changed)
         net.hosts[1].changes = lambda: {'config/': 7}
         for host in net.hosts.values():
             if host is not net.hosts[1]:
