Refuse requests that crash the targets that run them

A request that crashes each target was repeated by the host and sent again by its caller at any other host, and took down one target after the other.

Ruled out: counting on each host alone (every host would try twice); telling all hosts of each broken connection (a lost failure domain breaks hundreds at once); taking a broken connection alone as a crash (targets that lose answers reset single connections and stay up).

Change: a host whose connection broke under a request opens another one. If the target takes none, the digest goes to two hosts named by rendezvous hashing; the second target that crashes under a send begun after the first crash makes them tell all hosts to refuse the request for two minutes. The target stand-in can crash on a path.

Before: with the limit put out of reach the new tests fail; six targets of six crash. After: two of six crash, and 239 tests of gateway and adapter pass.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -8,6 +8,7 @@
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import candidates
+from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import directory
 from ragwortchute.gateway import dispatcher
@@ -112,12 +113,15 @@
             settings.limits.warmup_slack,
         )
         self._host_pools = pools.HostPools()
+        guard = crash_guard.CrashGuard(me.name, self.membership, log)
+        self.membership.crash = guard.received
         self.dispatcher = dispatcher.Dispatcher(
             knowledge=self.knowledge,
             dialect=dialect,
             chooser=self._chooser,
             relays=relays.Relays(self.membership, self.rng),
             host_pools=self._host_pools,
+            crash_guard=guard,
             limits=settings.limits,
             log=log,
             stats=self.stats,
@@ -210,6 +214,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.stop()
         await self.peers.stop()
+        await self.dispatcher.close()
         self._host_pools.close()
         self._socket.close()
         await self._store.close()
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -14,17 +14,18 @@
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
+from ragwortchute.gateway import crash_checks
+from ragwortchute.gateway import crash_guard as crash_guard_
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import knowledge as knowledge_
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays as relays_
+from ragwortchute.gateway import repeats
 from ragwortchute.gateway import request_log
-from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import work_times
 
@@ -34,9 +35,8 @@
 # latency objective, and longer than this many times the expected time.
 HEDGE_OBJECTIVES = 0.4
 HEDGE_EXPECTED = 1.4
-# Number of hosts that is assumed until the list of hosts was read.
-UNKNOWN_HOSTS = 1000
 MIN_RETRY_AFTER_S = 0.05
+# Load that is expected to last longer may change within this time.
 MAX_RETRY_AFTER_S = 1.0
 
 
@@ -67,6 +67,7 @@
         chooser: Chooses targets.
         relays: Chooses hosts of other regions.
         host_pools: Connections to other hosts.
+        crash_guard: Knows the requests that crash targets.
         limits: Bounds of repeats over all hosts.
         log: Takes log lines.
         stats: Counters.
@@ -84,6 +85,7 @@
         chooser: candidates.Chooser,
         relays: relays_.Relays,
         host_pools: pools.HostPools,
+        crash_guard: crash_guard_.CrashGuard,
         limits: Limits,
         log: eventlog.EventLog,
         stats: stats_.Stats,
@@ -94,14 +96,25 @@
         self._chooser = chooser
         self._relays = relays
         self._host_pools = host_pools
-        self._limits = limits
+        self._crash_guard = crash_guard
+        self._crash_checks = crash_checks.CrashChecks(crash_guard)
+        self._repeats = repeats.Repeats(
+            limits.retry_ratio,
+            limits.retry_slack,
+            limits.retry_window_s,
+            chooser,
+            stats,
+        )
         self._notes = request_log.RequestLog(log, knowledge, stats)
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.work_times = work_times.WorkTimes()
 
+    async def close(self) -> None:
+        """Ends what runs beside the requests."""
+        await self._crash_checks.close()
+
     async def serve(
         self, req: http_server.Request, *, relayed: bool = False
     ) -> http_server.Response:
@@ -119,6 +132,9 @@
         if route is None:
             self._notes.ended(request_id, 404, 'no-route', 0, req.arrived_s)
             return http_server.Response(404)
+        blocked_s = self._crash_guard.blocked_s(req, self._loop.time())
+        if blocked_s > 0:
+            return self._refuse(request_id, 'crashes-targets', blocked_s)
         outside_homes = route.homes and knowledge.region not in route.homes
         if relayed and outside_homes:
             # The host that passed it on has another configuration.
@@ -137,7 +153,7 @@
             resp = await self._relay(call)
             if resp is not None:
                 return resp
-        self._budget(call.service).note_request(self._loop.time())
+        self._repeats.note_request(call.service, self._loop.time())
         outstanding: list[attempts.Attempt] = []
         try:
             return await self._run(call, outstanding)
@@ -250,9 +266,13 @@
         """Sends the request to a target; returns an answer if it can't."""
         if call.sends and not self._may_repeat(call):
             return self._give_up(call, 'no-more-attempts')
+        blocked_s = self._crash_guard.blocked_s(call.req, self._loop.time())
+        if blocked_s > 0:
+            return self._give_up(call, 'crashes-targets', blocked_s)
         placed = await self._chooser.choose(self._needs(call))
         if isinstance(placed, candidates.NoPlacement):
-            return self._give_up(call, placed.reason, placed.wait_s)
+            wait_s = min(MAX_RETRY_AFTER_S, placed.wait_s)
+            return self._give_up(call, placed.reason, wait_s)
         if call.sends and not self._spend(call):
             placed.target.pool.release(placed.conn)
             return self._give_up(call, 'retry-budget')
@@ -341,29 +361,10 @@
                 placed.target.pool.release(placed.conn)
 
     def _may_repeat(self, call: attempts.Call) -> bool:
-        if call.sends >= call.route.attempts:
-            return False
-        if call.maybe_run and not call.route.idempotent:
-            return False
-        budget = self._budget(call.service)
-        return budget.available(self._loop.time(), self._hosts()) >= 1
-
-    def _hosts(self) -> int:
-        """Returns among how many hosts the fixed number of repeats is divided.
-
-        A host that has not heard of the others yet takes no part of it.
-        """
-        fleet = self._chooser.fleet
-        if not fleet.settled:
-            return UNKNOWN_HOSTS
-        return max(pacing.MIN_HOSTS, len(fleet.names))
+        return self._repeats.allowed(call, self._loop.time())
 
     def _spend(self, call: attempts.Call) -> bool:
-        """Takes a repeat from the budget, and counts it."""
-        budget = self._budget(call.service)
-        spent = budget.try_spend(self._loop.time(), self._hosts())
-        self._stats.repeats += spent
-        return spent
+        return self._repeats.spend(call, self._loop.time())
 
     # Ending.
 
@@ -379,6 +380,7 @@
             call.maybe_run = True
             target.note_failure(now_s)
             self._notes.attempted(call, attempt, type(exc).__name__)
+            self._crash_checks.broke(call, attempt)
             return None
         if reply.reusable:
             target.pool.release(attempt.conn)
@@ -394,6 +396,7 @@
             self._notes.attempted(call, attempt, 'shed')
             return None
         call.maybe_run = True
+        self._crash_guard.answered(call.req)
         if not self._dialect.authentic(reply):
             target.note_failure(now_s)
             self._notes.attempted(call, attempt, 'spoiled')
@@ -451,7 +454,7 @@
         call: attempts.Call | None = None,
     ) -> http_server.Response:
         """Returns the answer that the request has not run."""
-        wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        wait_s = max(MIN_RETRY_AFTER_S, wait_s)
         wait_s *= 0.75 + 0.5 * self._rng.random()
         now_s = self._loop.time()
         self._notes.ended(
@@ -479,13 +482,3 @@
         elapsed_s = now_s - attempt.sent_s - attempt.target.path_s
         factor = (reading.slowness + usual) / 2
         self.work_times.learn(route, elapsed_s / max(1.0, factor))
-
-    def _budget(self, service: str) -> retry_budget.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            limits = self._limits
-            budget = retry_budget.RetryBudget(
-                limits.retry_ratio, limits.retry_slack, limits.retry_window_s
-            )
-            self._budgets[service] = budget
-        return budget
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 
@@ -57,6 +58,7 @@
         entries: Addresses of hosts.
         wanted: Keys of hosts whose addresses it asks for.
         changes: Revision of the last change that it knows, by prefix.
+        crashes: Requests that crash targets.
     """
 
     sender: str
@@ -64,10 +66,13 @@
     entries: tuple[model.HostEntry, ...] = ()
     wanted: tuple[int, ...] = ()
     changes: dict[str, int] = {}
+    crashes: tuple[crash_guard.CrashNotice, ...] = ()
 
 
 # Takes a host, a prefix, and the revision of a change that the host knows.
 Hint = abc.Callable[[model.HostEntry, str, int], None]
+# Takes a notice and the loop time of its arrival.
+Crash = abc.Callable[[crash_guard.CrashNotice, float], None]
 
 
 class Transport:
@@ -92,7 +97,7 @@
         self.leaving = False
 
 
-class Membership:
+class Membership(crash_guard.Hosts):
     """Hosts of the deployment.
 
     Args:
@@ -107,6 +112,7 @@
         leaving: Whether this host is stopping.
         changes: Returns the last change that this host knows, by prefix.
         hint: Takes over a prefix and a change that another host knows.
+        crash: Takes over a notice on a request that crashes targets.
     """
 
     def __init__(
@@ -121,6 +127,7 @@
         self._dead_s = dead_s
         self.changes: abc.Callable[[], dict[str, int]] = dict
         self.hint: Hint = lambda *_: None
+        self.crash: Crash = lambda *_: None
         self.leaving = False
         self._transport = transport
         self._log = log
@@ -217,6 +224,8 @@
             return
         for prefix, changed in message.changes.items():
             self.hint(sender.entry, prefix, changed)
+        for notice in message.crashes:
+            self.crash(notice, now_s)
         if wanted:
             data = self._encoder.encode(
                 Message(self.me.name, entries=(self.me,), wanted=tuple(wanted))
@@ -228,6 +237,17 @@
             # A host that has just started looks for copies of the store.
             self._send(sender, self._encode(self._alive_peers(now_s), now_s))
 
+    def names(self, now_s: float) -> list[str]:
+        """See base class."""
+        peers = self._alive_peers(now_s)
+        return [self.me.name, *(peer.entry.name for peer in peers)]
+
+    def tell(self, names: list[str], notice: crash_guard.CrashNotice) -> None:
+        """See base class."""
+        data = self._encoder.encode(Message(self.me.name, crashes=(notice,)))
+        for name in names:
+            self._send(self._peers[name], data)
+
     def _reply(self, wanted: tuple[int, ...]) -> bytes:
         entries = [
             self._by_key[key].entry for key in wanted if key in self._by_key
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -48,6 +48,7 @@
             `no-id` or `lose` (runs the request and resets).
         healthy: What its health check says.
         cold_s: How long it says that it is cold.
+        crash_path: Path of requests that crash it; empty if none does.
         runs: Requests that it began to work on.
         arrivals: Loop times and paths of all requests that arrived.
         connections: Connections that were opened.
@@ -73,6 +74,7 @@
         self.fault = ''
         self.healthy = True
         self.cold_s = 0.0
+        self.crash_path = ''
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
         self.connections = 0
@@ -177,6 +179,9 @@
             await fut
         self._running += 1
         self.runs.append(run)
+        if run.path == self.crash_path:
+            await self.stop()
+            return False
         try:
             closed = asyncio.create_task(reader.read(1))
             work_s = self.work_s * self.slowness
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -5,6 +5,7 @@
 import random
 
 from ragwortchute.gateway import candidates
+from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import knowledge
@@ -135,6 +136,7 @@
             chooser=self.chooser,
             relays=relays.Relays(self.membership, rng),
             host_pools=pools.HostPools(),
+            crash_guard=crash_guard.CrashGuard('h1', self.membership, self.log),
             limits=limits,
             log=self.log,
             stats=self.stats,
@@ -168,6 +170,7 @@
     async def stop(self) -> None:
         """Ends everything."""
         await self.listener.stop()
+        await self.dispatcher.close()
         for target in self.targets:
             await target.stop()
 
