--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -257,14 +257,16 @@
         self._tasks.append(self._loop.create_task(coro))
 
     async def _upkeep(self) -> None:
-        """Writes the log and counts the hosts."""
+        """Writes the log, counts the hosts and forgets those that are gone."""
         started_s = self._loop.time()
         while True:
             await asyncio.sleep(eventlog.FLUSH_S)
             now_s = self._loop.time()
+            known = self.membership.known(now_s)
+            self._host_pools.keep_only(frozenset(known))
             self._chooser.fleet = pacing.fleet(
                 self._settings.me.name,
-                self.membership.known(now_s),
+                known,
                 self.registered.is_set() or now_s - started_s > SETTLE_S,
             )
             self._log.flush()
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -38,31 +38,36 @@
     def _add_requests(self) -> None:
         stats = self._gateway.stats
         metrics = self._metrics
-        metrics.add_counter(
-            'ragwortchute_gateway_sends_total',
-            'Requests sent to targets.',
-            lambda: {'': stats.sends},
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_repeats_total',
-            'Sends beyond the first one of a request.',
-            lambda: {'': stats.repeats},
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_hedges_total',
-            'Second sends while the first one was running.',
-            lambda: {'': stats.hedges},
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_relays_total',
-            'Requests passed on to another region.',
-            lambda: {'': stats.relays},
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_probes_total',
-            'Health requests sent to targets.',
-            lambda: {'': self._gateway.probes},
-        )
+        for name, help_text, source in (
+            (
+                'ragwortchute_gateway_sends_total',
+                'Requests sent to targets.',
+                lambda: stats.sends,
+            ),
+            (
+                'ragwortchute_gateway_repeats_total',
+                'Sends beyond the first one of a request.',
+                lambda: stats.repeats,
+            ),
+            (
+                'ragwortchute_gateway_hedges_total',
+                'Second sends while the first one was running.',
+                lambda: stats.hedges,
+            ),
+            (
+                'ragwortchute_gateway_relays_total',
+                'Requests passed on to another region.',
+                lambda: stats.relays,
+            ),
+            (
+                'ragwortchute_gateway_probes_total',
+                'Health requests sent to targets.',
+                lambda: self._gateway.probes,
+            ),
+        ):
+            metrics.add_counter(
+                name, help_text, lambda source=source: {'': source()}
+            )
         metrics.add_counter(
             'ragwortchute_gateway_refusals_total',
             'Final answers that no target made, by reason.',
--- a/ragwortchute/gateway/pools.py
+++ b/ragwortchute/gateway/pools.py
@@ -1,6 +1,7 @@
 """Kept connections to one address."""
 
 import asyncio
+from collections import abc
 
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import model
@@ -101,6 +102,12 @@
         self._pools[host.name] = (host.incarnation, pool)
         return pool
 
+    def keep_only(self, names: abc.Collection[str]) -> None:
+        """Closes and drops the connections to all other hosts."""
+        for name in [name for name in self._pools if name not in names]:
+            _, pool = self._pools.pop(name)
+            pool.close()
+
     def close(self) -> None:
         """Closes idle connections."""
         for _, pool in self._pools.values():
--- a/tests/test_gateway/test_http_client.py
+++ b/tests/test_gateway/test_http_client.py
@@ -7,6 +7,7 @@
 from ragwortchute import errors
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import pools
+from tests.test_gateway import rig as rigs
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
@@ -164,6 +165,27 @@
             await http_client.exchange(pool, b'x', 0.5)
 
 
+class TestHostPools:
+    """Connections to hosts that are gone must not pile up."""
+
+    async def test_hosts_that_are_gone_are_dropped(self, peer):
+        all_pools = pools.HostPools()
+        gone, kept = (
+            rigs.host(name, ip='127.0.0.1', peer_port=peer.port)
+            for name in ('gone', 'kept')
+        )
+        for host in (gone, kept):
+            await http_client.exchange(
+                all_pools.get(host), b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 1.0
+            )
+        before = all_pools.get(kept)
+        all_pools.keep_only({'kept'})
+        assert all_pools.get(kept) is before
+        assert before.has_idle
+        assert not all_pools.get(gone).has_idle
+        all_pools.close()
+
+
 class TestKeepAlive:
     """A misread timeout would let requests cross the peer's close."""
 
