--- /dev/null
+++ b/tests/test_gateway/host_network.py
@@ -0,0 +1,95 @@
+"""Hosts that exchange heartbeats over a network in memory."""
+
+import collections
+import random
+
+from ragwortchute.gateway import membership
+from tests.test_gateway import rig as rigs
+
+
+class Link(membership.Transport):
+    """Sends the datagrams of one host."""
+
+    def __init__(self, net, region):
+        self.net = net
+        self.region = region
+
+    def send(self, ip, port, data):
+        self.net.send(self.region, port, data)
+
+
+class Network:
+    """Carries datagrams between hosts in memory, and counts their bytes.
+
+    Attributes:
+        hosts: Hosts by port.
+        dead: Ports of hosts that are gone.
+        loss: Share of datagrams that are lost.
+        bytes: Bytes that were sent.
+        region_bytes: Bytes that were sent between regions.
+        now_s: Time of the hosts.
+    """
+
+    def __init__(self, seed=1, dead_s=5.4):
+        self.dead_s = dead_s
+        self.rng = random.Random(seed)
+        self.hosts = {}
+        self.dead = set()
+        self.queue = collections.deque()
+        self.loss = 0.0
+        self.bytes = 0
+        self.region_bytes = 0
+        self.now_s = 100.0
+
+    def add(self, name, domain, incarnation=1):
+        port = len(self.hosts) + 1
+        entry = rigs.host(name, domain, peer_port=port, incarnation=incarnation)
+        host = membership.Membership(
+            entry,
+            Link(self, entry.region),
+            rigs.MemoryLog(),
+            self.rng,
+            self.dead_s,
+        )
+        self.hosts[port] = host
+        return host
+
+    def send(self, region, port, data):
+        self.bytes += len(data)
+        if self.hosts[port].me.region != region:
+            self.region_bytes += len(data)
+        if self.rng.random() >= self.loss:
+            self.queue.append((port, data))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / membership.BEAT_S)):
+            self.now_s += membership.BEAT_S
+            for port, host in self.hosts.items():
+                if port not in self.dead:
+                    host.beat(self.now_s)
+            while self.queue:
+                port, data = self.queue.popleft()
+                if port not in self.dead:
+                    self.hosts[port].received(data, self.now_s)
+
+    def meet(self):
+        """Every host finds those that started before it in the store."""
+        known = []
+        for host in self.hosts.values():
+            host.learn(known, self.now_s)
+            host.announce_start(self.now_s)
+            known.append(host.me)
+
+    def names(self, host):
+        return sorted(one.name for one in host.alive(self.now_s))
+
+
+def network(per_domain, seed=1):
+    """Returns a network with as many hosts in each failure domain."""
+    # Large deployments allow a second more.
+    net = Network(seed, 5.4 if per_domain < 10 else 6.4)
+    for domain in rigs.DOMAINS:
+        for number in range(per_domain):
+            net.add(f'{domain}-{number}', domain)
+    net.meet()
+    return net
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -1,90 +1,9 @@
 """Tests of heartbeats between hosts."""
 
-import collections
-import random
-
 import pytest
 
 from ragwortchute.gateway import membership
-from tests.test_gateway import rig as rigs
-
-
-class Link(membership.Transport):
-    """Sends the datagrams of one host."""
-
-    def __init__(self, net, region):
-        self.net = net
-        self.region = region
-
-    def send(self, ip, port, data):
-        self.net.send(self.region, port, data)
-
-
-class Network:
-    """Carries datagrams between hosts in memory."""
-
-    def __init__(self, seed=1, dead_s=5.4):
-        self.dead_s = dead_s
-        self.rng = random.Random(seed)
-        self.hosts = {}
-        self.dead = set()
-        self.queue = collections.deque()
-        self.loss = 0.0
-        self.bytes = 0
-        self.region_bytes = 0
-        self.now_s = 100.0
-
-    def add(self, name, domain, incarnation=1):
-        port = len(self.hosts) + 1
-        entry = rigs.host(name, domain, peer_port=port, incarnation=incarnation)
-        host = membership.Membership(
-            entry,
-            Link(self, entry.region),
-            rigs.MemoryLog(),
-            self.rng,
-            self.dead_s,
-        )
-        self.hosts[port] = host
-        return host
-
-    def send(self, region, port, data):
-        self.bytes += len(data)
-        if self.hosts[port].me.region != region:
-            self.region_bytes += len(data)
-        if self.rng.random() >= self.loss:
-            self.queue.append((port, data))
-
-    def run(self, seconds):
-        for _ in range(round(seconds / membership.BEAT_S)):
-            self.now_s += membership.BEAT_S
-            for port, host in self.hosts.items():
-                if port not in self.dead:
-                    host.beat(self.now_s)
-            while self.queue:
-                port, data = self.queue.popleft()
-                if port not in self.dead:
-                    self.hosts[port].received(data, self.now_s)
-
-    def meet(self):
-        """Every host finds those that started before it in the store."""
-        known = []
-        for host in self.hosts.values():
-            host.learn(known, self.now_s)
-            host.announce_start(self.now_s)
-            known.append(host.me)
-
-    def names(self, host):
-        return sorted(one.name for one in host.alive(self.now_s))
-
-
-def network(per_domain, seed=1):
-    # Large deployments allow a second more.
-    net = Network(seed, 5.4 if per_domain < 10 else 6.4)
-    for domain in rigs.DOMAINS:
-        for number in range(per_domain):
-            net.add(f'{domain}-{number}', domain)
-    net.meet()
-    return net
+from tests.test_gateway import host_network
 
 
 @pytest.mark.parametrize('per_domain', [1, 3, 27])
@@ -93,7 +12,7 @@
 
     def test_all_hosts_find_each_other(self, per_domain):
         # Traffic starts 10 s after the hosts.
-        net = network(per_domain)
+        net = host_network.network(per_domain)
         net.run(8)
         for host in net.hosts.values():
             assert len(net.names(host)) == 4 * per_domain
@@ -101,7 +20,7 @@
     def test_dead_host_is_dropped_in_time(self, per_domain):
         # Address answers may name a dead host for 6 s, in large deployments
         # for 7 s.
-        net = network(per_domain)
+        net = host_network.network(per_domain)
         net.run(8)
         net.dead.add(1)
         net.run(6 if per_domain < 10 else 7)
@@ -110,7 +29,7 @@
                 assert 'a1-0' not in net.names(host)
 
     def test_lost_datagrams_drop_nobody(self, per_domain):
-        net = network(per_domain)
+        net = host_network.network(per_domain)
         net.run(8)
         net.loss = 0.05
         net.run(20)
@@ -125,7 +44,7 @@
 
     @pytest.mark.parametrize('per_domain', [1, 3, 27])
     def test_hosts_of_a_region_find_each_other_at_once(self, per_domain):
-        net = network(per_domain)
+        net = host_network.network(per_domain)
         net.run(1)
         for host in net.hosts.values():
             found = set(net.names(host))
@@ -137,7 +56,7 @@
         # The link between regions is narrow and billed; a fleet that is
         # restarted host by host must not fill it. A host of the other region
         # may cost a small datagram at the stop and one at the start.
-        net = network(27)
+        net = host_network.network(27)
         net.run(8)
         before = net.region_bytes
         net.run(4)
@@ -157,7 +76,7 @@
     """Callers must not be sent to a host that is stopping."""
 
     def test_leaving_host_is_named_no_more(self):
-        net = network(3)
+        net = host_network.network(3)
         net.run(4)
         net.hosts[1].leaving = True
         net.hosts[1].announce_leave(net.now_s)
@@ -166,7 +85,7 @@
             assert 'a1-0' not in net.names(host)
 
     def test_host_that_started_again_is_back(self):
-        net = network(3)
+        net = host_network.network(3)
         net.run(4)
         net.hosts[1].leaving = True
         net.hosts[1].announce_leave(net.now_s)
@@ -186,7 +105,7 @@
 
     def test_gone_hosts_count_for_a_while(self):
         # They may be alive and cut off, and still send to targets.
-        net = network(3)
+        net = host_network.network(3)
         net.run(4)
         net.dead.update({1, 2})
         net.run(10)
@@ -199,7 +118,7 @@
     """Changes must reach hosts whose watch missed them."""
 
     def test_changes_spread(self):
-        net = network(3)
+        net = host_network.network(3)
         heard = []
         net.hosts[12].hint = lambda host, prefix, changed: heard.append(changed)
         net.hosts[1].changes = lambda: {'config/': 7}
@@ -210,7 +129,7 @@
         assert 3 in heard
 
     def test_malformed_datagram_is_logged(self):
-        net = network(1)
+        net = host_network.network(1)
         net.hosts[1].received(b'\xff\x00', net.now_s)
         assert 'peer-malformed' in net.hosts[1]._log.kinds()
 
@@ -220,7 +139,7 @@
 
     def test_bytes_of_a_host_stay_small(self):
         # A host may spend 4 KB/s on control.
-        net = network(27)
+        net = host_network.network(27)
         net.run(4)
         before = net.bytes
         net.run(20)
