Split the harness of the fault matrix into cluster, cell, faults and steps

Change: the deployment, the faults and the steps are modules of their own; the cell, with verdicts and base classes, stays. A step is a typed pair of name and beginning, handed to the cell, in place of a look-up from inside it.

The fault matrix itself was not run.

--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -21,6 +21,9 @@
 import msgspec
 
 from standins import harness
+from standins import matrix_cluster
+from standins import matrix_faults
+from standins import matrix_steps
 
 SEED = 11
 WORKERS = 4
@@ -78,31 +81,31 @@
     """Returns the cells of the matrix and a sample of pairs of faults."""
     cells = [
         ((fault,), step)
-        for fault in harness.FAULTS
-        for step in harness.STEPS
+        for fault in matrix_faults.FAULTS
+        for step in matrix_steps.STEPS
         if not why_not(fault, step)
     ]
     rng = random.Random(seed)
     for _ in range(pairs):
-        step = rng.choice(sorted(harness.STEPS))
-        allowed = [f for f in harness.FAULTS if not why_not(f, step)]
+        step = rng.choice(sorted(matrix_steps.STEPS))
+        allowed = [f for f in matrix_faults.FAULTS if not why_not(f, step)]
         cells.append((tuple(rng.sample(allowed, 2)), step))
     return [Job(i, faults, step) for i, (faults, step) in enumerate(cells)]
 
 
 async def run_job(
-    cluster: harness.Cluster, job: Job, seed: int
+    cluster: matrix_cluster.Cluster, job: Job, seed: int
 ) -> harness.Verdict:
     """Runs one cell on a deployment."""
     cell = harness.Cell(cluster, seed * 1000 + job.number, f'c{job.number}')
-    faults = [harness.FAULTS[name]() for name in job.faults]
-    return await cell.run(job.step, faults)
+    faults = [matrix_faults.FAULTS[name]() for name in job.faults]
+    return await cell.run(matrix_steps.STEPS[job.step], faults)
 
 
-async def start_cluster(seed: int) -> harness.Cluster:
+async def start_cluster(seed: int) -> matrix_cluster.Cluster:
     """Returns a running deployment whose targets are warm."""
     for attempt in range(_STARTS):
-        cluster = harness.Cluster(seed)
+        cluster = matrix_cluster.Cluster(seed)
         try:
             await cluster.start()
             await harness.warm_up(cluster, WARM_UP_S)
@@ -169,10 +172,10 @@
         for d in done
         if len(d.job.faults) == 1
     }
-    steps = list(harness.STEPS)
+    steps = list(matrix_steps.STEPS)
     rows = ['| fault | ' + ' | '.join(steps) + ' |']
     rows.append('|---' * (len(steps) + 1) + '|')
-    for fault in harness.FAULTS:
+    for fault in matrix_faults.FAULTS:
         cells = [
             mark(by_cell[fault, step])
             if (fault, step) in by_cell
--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -16,6 +16,8 @@
 
 from benchmarks import fault_matrix
 from standins import harness
+from standins import matrix_faults
+from standins import matrix_steps
 
 _MAX_FAULTS = 3
 _MAX_DELAY_S = 0.5
@@ -24,8 +26,10 @@
 
 def draw(rng: random.Random, number: int) -> tuple[fault_matrix.Job, float]:
     """Returns the next cell and the delay of its faults, in seconds."""
-    step = rng.choice(sorted(harness.STEPS))
-    allowed = [f for f in harness.FAULTS if not fault_matrix.why_not(f, step)]
+    step = rng.choice(sorted(matrix_steps.STEPS))
+    allowed = [
+        f for f in matrix_faults.FAULTS if not fault_matrix.why_not(f, step)
+    ]
     faults = rng.sample(allowed, rng.randint(1, _MAX_FAULTS))
     delay_s = rng.choice((0.0, rng.uniform(0.0, _MAX_DELAY_S)))
     return fault_matrix.Job(number, tuple(faults), step), delay_s
@@ -53,8 +57,10 @@
             cell = harness.Cell(
                 cluster, seed * 1000 + job.number, f'f{job.number}'
             )
-            faults = [harness.FAULTS[name]() for name in job.faults]
-            verdict = await cell.run(job.step, faults, delay_s)
+            faults = [matrix_faults.FAULTS[name]() for name in job.faults]
+            verdict = await cell.run(
+                matrix_steps.STEPS[job.step], faults, delay_s
+            )
             totals.add(verdict.totals)
             click.echo(f'{text}: {fault_matrix.mark(verdict)}')
             if verdict.broken:
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections import abc
-import contextlib
 import itertools
 import json
 import random
@@ -19,190 +18,35 @@
 from returns import result
 
 from ragwortchute import calls
-from ragwortchute import documents
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.client import caller as caller_lib
 from ragwortchute.client import transport as transport_lib
 from ragwortchute.stores import http as http_store
 from ragwortchute.stores import writing
-from standins import deployment as deployment_lib
-from standins import relay
+from standins import matrix_cluster as cluster_lib
 from standins import targets as targets_lib
 
-SERVICE = 'dispatch'
-NARROW = 'narrow'
-STORE_REGION = 'luzon'
 DOMAIN = 'luzon-pasig'
-ADDRESS_LIFETIME_MS = 1000
-COLD_RAMP_S = 0.5
-# "A few seconds" of the design is 5 s in tests; a document takes effect
-# everywhere within 7 s.
-GRACE_S = 5.0
+# A document takes effect everywhere within this time.
 IN_FORCE_S = 7.0
 CONTROL_BYTES_PER_S = 4096
-MARKER = b'only-in-luzon-' * 3
 _LOAD_PER_S = 70.0
-_SERVICE_S = 0.06
 _WRITE_SHARE = 0.35
 _HOMED_SHARE = 0.15
-_POLL_S = 0.05
 _MONITOR_S = 0.4
 _STEP_S = 4.0
 _CALL_S = 2.0
-_PROBE_S = 6.0
-_BIG_BODY_BYTES = 400_000
 _RETRY_WINDOW_S = 10
 
 
-def host_specs() -> list[deployment_lib.HostSpec]:
-    """Returns three hosts of the store's region and one of another."""
-    return [
-        deployment_lib.HostSpec('makati-0', 'luzon-makati', 'luzon'),
-        deployment_lib.HostSpec('pasig-0', 'luzon-pasig', 'luzon'),
-        deployment_lib.HostSpec('makati-1', 'luzon-makati', 'luzon'),
-        deployment_lib.HostSpec('cebu-0', 'visayas-cebu', 'visayas'),
-    ]
-
-
-def _routes() -> tuple[documents.Route, ...]:
-    deadline_ms = int(_PROBE_S * 1000) + 1000
-    return (
-        documents.Route(
-            name='homed',
-            path_prefix='/homed/',
-            homes=(STORE_REGION,),
-            deadline_ms=deadline_ms,
-        ),
-        documents.Route(
-            name='read',
-            methods=('GET',),
-            idempotent=True,
-            deadline_ms=deadline_ms,
-        ),
-        documents.Route(
-            name='write', methods=('POST',), deadline_ms=deadline_ms
-        ),
-    )
-
-
-class Cluster(deployment_lib.Deployment):
-    """A deployment whose links between hosts and to the store can be cut.
+class NotedTransport(transport_lib.HttpTransport):
+    """Remembers where calls went.
 
-    Args:
-        seed: Seed of the targets and the hosts.
-        specs: Entry hosts.
+    Attributes:
+        urls: URLs of the calls that were sent.
     """
 
-    def __init__(
-        self, seed: int, specs: list[deployment_lib.HostSpec] | None = None
-    ) -> None:
-        specs = specs or host_specs()
-        super().__init__(
-            specs,
-            [
-                deployment_lib.ServiceSpec(SERVICE, 9, 4),
-                deployment_lib.ServiceSpec(NARROW, 3, 1),
-            ],
-            seed=seed,
-            routes=_routes(),
-            cold_start=documents.ColdStart(ramp_s=COLD_RAMP_S),
-        )
-        self.links = relay.Links({s.host: s.region for s in specs})
-        self.links.marker = MARKER
-        self._relayed: dict[str, dict[str, object]] = {}
-
-    @property
-    def holds(self) -> targets_lib.Holds:
-        """Keeps marked requests at a step in the targets."""
-        return self.targets.holds
-
-    async def start(self, *, warm: bool = True) -> None:
-        """Starts relays and all parts and waits until hosts are ready."""
-        await self.api.start()
-        store_port = int(self.api.url.rpartition(':')[2])
-        for spec in self.host_specs:
-            port = deployment_lib.free_port()
-            self._relayed[spec.host] = {
-                'peer_listen_address': f'127.0.0.1:{port}',
-                'peer_address': await self.links.add_peer(spec.host, port),
-                'store_url': 'http://'
-                + await self.links.add_store(spec.host, store_port),
-                'address_lifetime_ms': ADDRESS_LIFETIME_MS,
-                'stop_s': 10.0,
-                'log_level': 'error',
-            }
-        await self._start_targets(warm=warm)
-        for target in self.targets.targets.values():
-            target.behaviour.cold_ramp_s = COLD_RAMP_S
-            target.behaviour.cold_crash_s = 0.5
-            target.behaviour.mean_service_s = _SERVICE_S
-        self._seed_documents()
-        self._session = aiohttp.ClientSession(
-            headers={'Authorization': f'Bearer {deployment_lib.OPERATOR_TOKEN}'}
-        )
-        for spec in self.host_specs:
-            self.add_host(spec)
-        for host in self.hosts:
-            await self.wait_ready(host)
-
-    async def stop(self) -> None:
-        """Ends all parts."""
-        await super().stop()
-        await self.links.close()
-
-    def add_host(
-        self, spec: deployment_lib.HostSpec
-    ) -> deployment_lib.HostProcess:
-        """Starts an entry host behind its relays."""
-        seeds = ','.join(
-            f'{name}={self._relayed[name]["peer_address"]}'
-            for name in self._relayed
-            if name != spec.host
-        )
-        host = _RelayedHost(
-            spec, {'seed_hosts': seeds, **self._relayed[spec.host]}
-        )
-        self.hosts[spec.host] = host
-        self.api.publish_host(host.listed())
-        host.start()
-        return host
-
-    def target_domains(self) -> dict[str, str]:
-        """Returns the failure domain of each target."""
-        return {
-            target.name: target.failure_domain
-            for spec in self.services
-            for target in self.service_document(spec).targets
-        }
-
-    async def status(self, host: str) -> dict[str, object]:
-        """Returns a host's status, or an empty dictionary."""
-        return await self._try_operator(host, '/status')
-
-    async def dump(self, host: str) -> dict[str, object]:
-        """Returns a host's dump, or an empty dictionary."""
-        return await self._try_operator(host, '/dump')
-
-    async def _try_operator(self, host: str, path: str) -> dict[str, object]:
-        try:
-            async with asyncio.timeout(1.0):
-                return await self.operator(host, path)
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return {}
-
-
-class _RelayedHost(deployment_lib.HostProcess):
-    """A host that its peers reach through a relay."""
-
-    @property
-    def peer_address(self) -> str:
-        return str(self._settings['peer_address'])
-
-
-class _Transport(transport_lib.HttpTransport):
-    """Remembers where the requests went."""
-
     def __init__(self) -> None:
         super().__init__()
         self.urls: list[str] = []
@@ -210,6 +54,7 @@
     async def send(
         self, method: str, url: str, **options: object
     ) -> transport_lib.Response:
+        """See base class."""
         if '/call/' in url:
             self.urls.append(url)
         return await super().send(method, url, **options)
@@ -289,12 +134,14 @@
             shows nothing until its first overload breaks all connections.
     """
 
-    def __init__(self, cluster: Cluster, seed: int, name: str) -> None:
+    def __init__(
+        self, cluster: cluster_lib.Cluster, seed: int, name: str
+    ) -> None:
         self.cluster = cluster
         self.rng = random.Random(seed)
         self.verdict = Verdict()
         self.victim = 'pasig-0'
-        self.target = f'{SERVICE}-0'
+        self.target = f'{cluster_lib.SERVICE}-0'
         self.benign = True
         self.killed: set[str] = set()
         self.unwarned = 0
@@ -316,7 +163,10 @@
         self._resumed = asyncio.Event()
 
     async def run(
-        self, step: str, faults: abc.Sequence['Fault'], delay_s: float = 0.0
+        self,
+        step: 'Step',
+        faults: abc.Sequence['Fault'],
+        delay_s: float = 0.0,
     ) -> Verdict:
         """Runs the cell and returns its verdict."""
         start_s = time.monotonic()
@@ -325,14 +175,13 @@
         monitor = asyncio.create_task(self._monitor())
         await asyncio.sleep(0.3)
         self.cluster.holds.arm()
-        begin = STEPS[step]
         try:
             async with asyncio.timeout(_STEP_S):
-                await begin(self)
+                await step.begin(self)
         except TimeoutError:
             self.verdict.reached = False
         await asyncio.sleep(delay_s)
-        await self._bring_about(step, faults)
+        await self._bring_about(step.name, faults)
         await asyncio.gather(*self._operation)
         await asyncio.sleep(0.5)
         self._loading = False
@@ -386,7 +235,7 @@
 
     async def write(self, *, homed: bool = False, **options: object) -> Sent:
         """Runs a call that may run once and checks the answer."""
-        body = MARKER * 8 if homed else b'{"job": 1}'
+        body = cluster_lib.MARKER * 8 if homed else b'{"job": 1}'
         options.setdefault('body', body)
         return await self._call('POST', homed=homed, **options)
 
@@ -397,7 +246,7 @@
         *,
         homed: bool = False,
         hold: str = '',
-        service: str = SERVICE,
+        service: str = cluster_lib.SERVICE,
         client: caller_lib.CallerClient | None = None,
         timeout_s: float = _CALL_S,
     ) -> Sent:
@@ -447,11 +296,15 @@
         self, hold: str, *, count: int = 1, body: bytes | None = None
     ) -> None:
         """Leads writes and a read to a step; the first one names the victim."""
-        transport = _Transport()
+        transport = NotedTransport()
         client = caller_lib.CallerClient(
             self.cluster.caller_urls(), transport=transport
         )
-        options = {'hold': hold, 'timeout_s': _PROBE_S, 'client': client}
+        options = {
+            'hold': hold,
+            'timeout_s': cluster_lib.PROBE_S,
+            'client': client,
+        }
         if body is not None:
             options['body'] = body
         tasks = [
@@ -491,7 +344,7 @@
         """Writes a changed document and waits until it is in force."""
         writer, store = self.writer()
         try:
-            current = await writer.read(SERVICE)
+            current = await writer.read(cluster_lib.SERVICE)
             document = msgspec.structs.replace(
                 current.document, max_queue=self.rng.randrange(200, 400)
             )
@@ -503,7 +356,7 @@
         finally:
             await store.close()
         if isinstance(outcome, result.Success):
-            self.accept(SERVICE, outcome.unwrap().version)
+            self.accept(cluster_lib.SERVICE, outcome.unwrap().version)
 
     def writer(self) -> tuple[writing.DocumentWriter, stores.Store]:
         """Returns a writer of documents and its store client."""
@@ -538,11 +391,11 @@
         accepted = await self.order_until_done('out', 6.0)
         if not accepted:
             return
-        await asyncio.sleep(GRACE_S)
+        await asyncio.sleep(cluster_lib.GRACE_S)
         # A host that was cut off learns of the order when the cut ends.
         if not self._fault_ended.is_set():
             await self._fault_ended.wait()
-            await asyncio.sleep(GRACE_S)
+            await asyncio.sleep(cluster_lib.GRACE_S)
         self.check_domain_from = len(self.cluster.targets.log.runs)
         await asyncio.sleep(1.2)
         self._check_domain()
@@ -626,7 +479,7 @@
         homed = {sent.call for sent in self._sent if sent.homed}
         for run in runs:
             if run.call in homed and not domains[run.target].startswith(
-                STORE_REGION
+                cluster_lib.STORE_REGION
             ):
                 self.verdict.add(4, f'{run.call} ran on {run.target}')
         if self.cluster.links.marked > self._marked:
@@ -651,7 +504,7 @@
             if time.monotonic() > end_s:
                 self.verdict.add(10, '; '.join(missing))
                 return
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(cluster_lib.POLL_S)
 
     def _check_refusals(self) -> None:
         totals = self.verdict.totals
@@ -708,6 +561,18 @@
                 )
 
 
+class Step(msgspec.Struct, frozen=True):
+    """A step of a call or an operation.
+
+    Attributes:
+        name: Name of the step.
+        begin: Leads the cell to the step.
+    """
+
+    name: str
+    begin: abc.Callable[[Cell], abc.Awaitable[None]]
+
+
 class Fault:
     """A fault that a cell brings about.
 
@@ -726,464 +591,25 @@
         """Ends the fault."""
 
 
-class StoreDown(Fault):
-    """The store answers no call."""
-
-    benign = True
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.store.set_faults(down=True)
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.store.set_faults(down=False)
-
-
-class StoreSlow(Fault):
-    """The store takes a second for each call."""
-
-    benign = True
-    hold_s = 2.5
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.store.set_faults(slow_s=1.0)
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.store.set_faults(slow_s=0.0)
-
-
-class LostAnswer(Fault):
-    """Writes take effect and their answers are lost."""
-
-    benign = True
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.store.set_faults(lose_answers=2)
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.store.set_faults(lose_answers=0)
-
-
-class HostKilled(Fault):
-    """The host of the step ends without notice."""
-
-    hold_s = 1.0
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.killed.add(cell.victim)
-        self._host = cell.victim
-        cell.cluster.hosts[cell.victim].kill()
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        host = cell.cluster.hosts[self._host]
-        if not host.running:
-            host.start()
-
-
-class HostPaused(Fault):
-    """The host of the step is stopped for longer than its lease."""
-
-    hold_s = 4.0
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        self._host = cell.victim
-        cell.cluster.hosts[cell.victim].pause()
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.hosts[self._host].resume()
-
-
-class HostIsolated(Fault):
-    """The host of the step is cut off from its peers."""
-
-    hold_s = 4.0
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.links.isolate(cell.victim)
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.links.heal()
-
-
-class HostListLags(Fault):
-    """The host list loses a live host and shows it again late."""
-
-    benign = True
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.api.withdraw_host('makati-0')
-        cell.cluster.api.host_lag_s = 1.0
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        listed = cell.cluster.hosts['makati-0'].listed()
-        cell.cluster.api.publish_host(listed)
-        cell.cluster.api.host_lag_s = 0.0
-
-
-class _TargetFault(Fault):
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        self._target = cell.cluster.targets.targets[cell.target]
-        await self.harm(cell, self._target)
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """Brings the fault about at a target."""
-
-
-class TargetSlow(_TargetFault):
-    """A target takes ten times as long."""
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """See base class."""
-        target.behaviour.slow_factor = 10.0
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        self._target.behaviour.slow_factor = 1.0
-
-
-class TargetDraining(_TargetFault):
-    """A target announces that it leaves, and is replaced later."""
-
-    hold_s = GRACE_S + 1.0
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """See base class."""
-        target.behaviour.draining = True
-        cell.spawn(self._watch(cell, target))
-
-    async def _watch(self, cell: Cell, target: targets_lib.Target) -> None:
-        await asyncio.sleep(GRACE_S)
-        before = cell.cluster.targets.log.drain_arrivals
-        await asyncio.sleep(0.8)
-        late = cell.cluster.targets.log.drain_arrivals - before
-        if late:
-            cell.verdict.add(8, f'{late} requests came to {target.name}')
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        self._target.behaviour.draining = False
-        await self._target.restart(0.1)
-
-
-class TargetFailsFast(_TargetFault):
-    """A target answers each request at once with an error."""
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """See base class."""
-        target.behaviour.fail_fast = True
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        self._target.behaviour.fail_fast = False
-
-
-class TargetCold(_TargetFault):
-    """The same process of a target turns cold again."""
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """See base class."""
-        cell.unwarned += 1
-        target.turn_cold()
-
-
-class TargetRestarted(_TargetFault):
-    """Another process takes the place of a target and is cold."""
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """See base class."""
-        await target.restart(0.2)
-
-
-class TargetCrashes(_TargetFault):
-    """A request ends each target that runs it."""
-
-    async def harm(self, cell: Cell, target: targets_lib.Target) -> None:
-        """See base class."""
-        cell.spawn(cell.write(body=b'crash-target'))
-
-
-class RegionCut(Fault):
-    """The link between the regions passes nothing on."""
-
-    hold_s = 4.0
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.links.cut_regions(STORE_REGION)
-
-    async def end(self, cell: Cell) -> None:
-        """See base class."""
-        cell.cluster.links.heal()
-
-
-class OperatorsRace(Fault):
-    """Two operators change the same document at the same time."""
-
-    benign = True
-
-    async def begin(self, cell: Cell) -> None:
-        """See base class."""
-        for author in ('first', 'second'):
-            cell.spawn(cell.apply_document(author))
-
-
-FAULTS: dict[str, type[Fault]] = {
-    'store down': StoreDown,
-    'store slow': StoreSlow,
-    'write answer lost': LostAnswer,
-    'host killed': HostKilled,
-    'host paused': HostPaused,
-    'host isolated': HostIsolated,
-    'host list lagging': HostListLags,
-    'target slow': TargetSlow,
-    'target draining': TargetDraining,
-    'target failing fast': TargetFailsFast,
-    'target cold again': TargetCold,
-    'target restarted cold': TargetRestarted,
-    'target crashing': TargetCrashes,
-    'region link cut': RegionCut,
-    'operators racing': OperatorsRace,
-}
-
-
-async def _address_query(cell: Cell) -> None:
-    """Half of the head of an address query was sent."""
-    host = cell.cluster.hosts[cell.victim]
-    reader, writer = await asyncio.open_connection('127.0.0.1', host.ports[0])
-    head = f'GET /addresses?service={SERVICE} HTTP/1.1\r\nHost: a\r\n'
-    writer.write(head.encode())
-    await writer.drain()
-
-    async def finish() -> None:
-        await cell.wait_resumed()
-        with contextlib.suppress(OSError):
-            writer.write(b'Connection: close\r\n\r\n')
-            await writer.drain()
-        got = b''
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(_PROBE_S):
-                got = await reader.read()
-        writer.close()
-        if got:
-            _check_addresses(cell, got)
-
-    cell.spawn(finish())
-
-
-def _check_addresses(cell: Cell, got: bytes) -> None:
-    try:
-        msgspec.json.decode(
-            got.partition(b'\r\n\r\n')[2], type=calls.AddressAnswer
-        )
-    except msgspec.DecodeError:
-        if b' 200 ' in got[:20]:
-            cell.verdict.add(5, f'address answer {got[:80]!r}')
-
-
-async def _admission(cell: Cell) -> None:
-    """All slots of a service are in use and further calls are queued."""
-    transport = _Transport()
-    client = caller_lib.CallerClient(
-        cell.cluster.caller_urls(), transport=transport
-    )
-    options = {'service': NARROW, 'client': client, 'timeout_s': _PROBE_S}
-    tasks = [
-        asyncio.create_task(cell.write(hold='run', **options)) for _ in range(2)
-    ]
-
-    async def finish() -> None:
-        await cell.wait_resumed()
-        await asyncio.gather(*tasks)
-        await client.close()
-
-    cell.spawn(finish())
-    try:
-        async with asyncio.timeout(2.0):
-            await cell.wait_held(2)
-    except TimeoutError:
-        # A target without an owner in this moment leaves one slot to fill.
-        await cell.wait_held(1)
-    tasks += [asyncio.create_task(cell.write(**options)) for _ in range(4)]
-    await asyncio.sleep(0.15)
-    cell.target = cell.cluster.holds.held[0][1]
-    cell.victim = cell.host_of(transport.urls[-1]) or cell.victim
-
-
-async def _connect(cell: Cell) -> None:
-    """A target accepted a new connection and reads nothing from it yet."""
-    log = cell.cluster.targets.log
-    target = cell.cluster.targets.targets[cell.target]
-    target.behaviour.connect_s = 0.6
-    before = log.connections
-    for conn in list(target._conns):
-        conn.abort()
-
-    async def finish() -> None:
-        await cell.wait_resumed()
-        target.behaviour.connect_s = 0.001
-
-    cell.spawn(finish())
-    cell.spawn(cell.write(timeout_s=_PROBE_S))
-    while log.connections == before:
-        await asyncio.sleep(0.005)
-
-
-async def _body_half(cell: Cell) -> None:
-    """A target read a part of a large request body."""
-    await cell.probe('body', count=2, body=b'x' * _BIG_BODY_BYTES)
-
-
-async def _waiting(cell: Cell) -> None:
-    """A target runs the request."""
-    await cell.probe('run', count=3)
-
-
-async def _answer_half(cell: Cell) -> None:
-    """A target wrote half of an answer."""
-    await cell.probe('answer', count=2)
-
-
-async def _record(cell: Cell) -> None:
-    """A resend waits at another host for the record of a running write."""
-    sender = transport_lib.HttpTransport()
-    origin, other = await _two_hosts(cell, sender)
-    key = f'{cell._name}-record'
-    headers = [
-        ('x-call', key),
-        ('x-hold', 'run'),
-        ('Idempotency-Key', key),
-        ('Ragwortchute-Origin', origin.origin_token),
-        ('Ragwortchute-Deadline-Ms', '5000'),
-    ]
-    first = [*headers, ('Ragwortchute-First-Send', '1')]
-    sends = [_resend(sender, origin.url, first)]
-    tasks = [asyncio.create_task(send) for send in sends]
-
-    async def finish() -> None:
-        await cell.wait_resumed()
-        replies = [reply for reply in await asyncio.gather(*tasks) if reply]
-        # Whatever was lost before, one more resend must not run it again.
-        replies.append(await _resend(sender, other.url, headers))
-        bodies = {r.body for r in replies if r and r.status == 200}
-        if len(bodies) > 1:
-            cell.verdict.add(5, f'{key} has answers {bodies}')
-        await sender.close()
-
-    cell.spawn(finish())
-    await cell.wait_held(1)
-    cell.target = cell.cluster.holds.held[0][1]
-    cell.victim = origin.host
-    tasks.append(asyncio.create_task(_resend(sender, other.url, headers)))
-    await asyncio.sleep(0.1)
-
-
-async def _two_hosts(
-    cell: Cell, sender: transport_lib.HttpTransport
-) -> list[calls.Address]:
-    """Returns two hosts of the store's region with their origin tokens."""
-    url = cell.cluster.hosts[cell.victim].caller_url
-    while True:
-        resp = await sender.send(
-            'GET', f'{url}/addresses?service={SERVICE}', timeout_s=2.0
-        )
-        answer = msgspec.json.decode(resp.body, type=calls.AddressAnswer)
-        local = [a for a in answer.hosts if a.region == STORE_REGION]
-        if len(local) >= 2:
-            return local[:2]
-        await asyncio.sleep(_POLL_S)
-
-
-async def _resend(
-    sender: transport_lib.HttpTransport,
-    url: str,
-    headers: list[tuple[str, str]],
-) -> transport_lib.Response | None:
-    try:
-        return await sender.send(
-            'POST',
-            f'{url}/call/{SERVICE}/jobs/record',
-            headers=headers,
-            body=b'{}',
-            timeout_s=_PROBE_S,
-        )
-    except transport_lib.SendFailed:
-        return None
-
-
-async def _hand_over(cell: Cell) -> None:
-    """A host that stops as planned takes no callers and hands over."""
-    cell.spawn(cell.planned_stop())
-    await cell.wait_refused()
-
-
-async def _document(cell: Cell) -> None:
-    """A document is being written."""
-    cell.spawn(cell.apply_document())
-
-
-async def _domain(cell: Cell) -> None:
-    """A domain goes out and comes back."""
-    cell.check_domain_from = 0
-    cell.victim = 'makati-0'
-    cell.spawn(cell.domain_out_and_in())
-
-
-async def _planned_stop(cell: Cell) -> None:
-    """A host with running calls was asked to stop."""
-    await cell.probe('run', count=3)
-    cell.spawn(cell.planned_stop())
-    await asyncio.sleep(0.2)
-
-
-STEPS: dict[str, abc.Callable[[Cell], abc.Awaitable[None]]] = {
-    'address query': _address_query,
-    'admission': _admission,
-    'choice of target': _admission,
-    'connect': _connect,
-    'body half sent': _body_half,
-    'waiting for the answer': _waiting,
-    'answer half sent': _answer_half,
-    'record': _record,
-    'hand-over': _hand_over,
-    'document apply': _document,
-    'domain out or in': _domain,
-    'planned stop': _planned_stop,
-}
-
-
-def _open(port: int) -> bool:
-    with socket.socket() as sock:
-        sock.settimeout(0.2)
-        return sock.connect_ex(('127.0.0.1', port)) == 0
-
-
-async def _joining(cluster: Cluster, host: str) -> bool:
+async def _joining(cluster: cluster_lib.Cluster, host: str) -> bool:
     """Tells whether a host still refuses calls because it has no slots."""
-    path = f'/explain?service={SERVICE}&method=GET&path=/&tenant='
+    path = f'/explain?service={cluster_lib.SERVICE}&method=GET&path=/&tenant='
     return (await cluster.operator(host, path))['reason'] == 'joining'
 
 
-async def warm_up(cluster: Cluster, seconds: float) -> None:
+async def warm_up(cluster: cluster_lib.Cluster, seconds: float) -> None:
     """Lets the hosts take their targets for warm."""
     cell = Cell(cluster, 1, f'warm-{time.monotonic_ns()}')
     load = asyncio.create_task(cell._run_load())
     await asyncio.sleep(seconds)
     while any([await _joining(cluster, host) for host in cluster.hosts]):
-        await asyncio.sleep(_POLL_S)
+        await asyncio.sleep(cluster_lib.POLL_S)
     cell._loading = False
     await load
     await cell._client.close()
+
+
+def _open(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.settimeout(0.2)
+        return sock.connect_ex(('127.0.0.1', port)) == 0
--- a/tests/test_system/test_faults.py
+++ b/tests/test_system/test_faults.py
@@ -8,6 +8,9 @@
 
 from ragwortchute.client import caller as caller_lib
 from standins import harness
+from standins import matrix_cluster
+from standins import matrix_faults
+from standins import matrix_steps
 
 SEED = 5
 pytestmark = pytest.mark.asyncio(loop_scope='module')
@@ -15,7 +18,7 @@
 
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
 async def cluster():
-    cluster = harness.Cluster(SEED)
+    cluster = matrix_cluster.Cluster(SEED)
     try:
         await cluster.start()
         await harness.warm_up(cluster, 3.0)
@@ -25,14 +28,16 @@
 
 
 async def run(cluster, name, step, *faults):
-    verdict = await harness.Cell(cluster, SEED, name).run(step, faults)
+    verdict = await harness.Cell(cluster, SEED, name).run(
+        matrix_steps.STEPS[step], faults
+    )
     assert verdict.broken == {}
     assert verdict.note == ''
     assert verdict.totals.answers > 0
     return verdict
 
 
-class RestartInOutage(harness.StoreDown):
+class RestartInOutage(matrix_faults.StoreDown):
     """The store is down for seconds and one host restarts meanwhile."""
 
     async def begin(self, cell):
@@ -47,7 +52,10 @@
     """A target cuts its answers short."""
 
     async def begin(self, cell):
-        for name in (f'{harness.SERVICE}-0', f'{harness.SERVICE}-1'):
+        for name in (
+            f'{matrix_cluster.SERVICE}-0',
+            f'{matrix_cluster.SERVICE}-1',
+        ):
             behaviour = cell.cluster.targets.targets[name].behaviour
             behaviour.truncate = True
 
@@ -60,12 +68,17 @@
     """A lost host must not make a write run twice or a refusal lie."""
 
     async def test_killed_while_writes_run_and_are_sent_again(self, cluster):
-        verdict = await run(cluster, 'kill', 'record', harness.HostKilled())
+        verdict = await run(
+            cluster, 'kill', 'record', matrix_faults.HostKilled()
+        )
         assert verdict.reached
 
     async def test_paused_past_its_lease_and_resumed(self, cluster):
         verdict = await run(
-            cluster, 'pause', 'waiting for the answer', harness.HostPaused()
+            cluster,
+            'pause',
+            'waiting for the answer',
+            matrix_faults.HostPaused(),
         )
         assert verdict.reached
 
@@ -82,7 +95,9 @@
         await run(cluster, 'outage', 'connect', RestartInOutage())
 
     async def test_domain_goes_out_while_the_store_is_down(self, cluster):
-        await run(cluster, 'domain', 'domain out or in', harness.StoreDown())
+        await run(
+            cluster, 'domain', 'domain out or in', matrix_faults.StoreDown()
+        )
 
     async def test_document_change_is_in_force_on_all_hosts(self, cluster):
         await run(cluster, 'document', 'document apply')
@@ -99,7 +114,7 @@
             cluster,
             'cold',
             'waiting for the answer',
-            harness.TargetRestarted(),
+            matrix_faults.TargetRestarted(),
         )
 
     async def test_request_that_crashes_two_targets_is_refused(self, cluster):
@@ -107,7 +122,7 @@
         reasons = []
         for number in range(4):
             outcome = await client.call(
-                harness.SERVICE,
+                matrix_cluster.SERVICE,
                 'POST',
                 '/crash',
                 body=b'crash-target',
