--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -71,19 +71,21 @@
             if int(after):
                 wait_ms = min(MAX_WAIT_S * 1000, int(query.get('wait_ms', 0)))
                 await copy.wait(int(after), wait_ms / 1000)
-            body = self._pack(query['prefix'], copy, int(after))
+            body = self._packed_copy(query['prefix'], copy, int(after))
         except errors.HistoryGone:
             return http_server.Response(_GONE)
         except errors.StoreUnavailable:
             return http_server.Response(_UNAVAILABLE)
         return http_server.Response(_OK, (), body)
 
-    def _pack(self, prefix: str, copy: replica.Replica, after: int) -> bytes:
+    def _packed_copy(
+        self, prefix: str, copy: replica.Replica, after: int
+    ) -> bytes:
         """Returns what changed, packed once for all hosts that ask alike."""
         packed = self._packed.get(prefix)
         key = (after, copy.revision, copy.changed)
         if packed is None or packed.key != key:
-            packed = _Packed(key, _pack(copy.read(after)))
+            packed = _Packed(key, _encode_copy(copy.read(after)))
             self._packed[prefix] = packed
         return packed.data
 
@@ -146,7 +148,7 @@
         if reply.status != _OK:
             raise self._unavailable(f'status {reply.status}')
         try:
-            return _unpack(reply.body)
+            return _decode_copy(reply.body)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise self._unavailable(f'malformed answer: {exc}') from exc
 
@@ -157,7 +159,7 @@
         return errors.StoreUnavailable(message, peer=self._peer)
 
 
-def _pack(answer: stores.WatchAnswer) -> bytes:
+def _encode_copy(answer: stores.WatchAnswer) -> bytes:
     """Encodes a copy.
 
     It is compressed: a configuration of two thousand routes takes half a second
@@ -167,7 +169,7 @@
     return zlib.compress(msgspec.msgpack.encode(answer), _LEVEL)
 
 
-def _unpack(data: bytes) -> stores.WatchAnswer:
+def _decode_copy(data: bytes) -> stores.WatchAnswer:
     """Decodes a copy.
 
     Raises:
