--- a/ragwortchute/gateway/registration.py
+++ b/ragwortchute/gateway/registration.py
@@ -86,8 +86,8 @@
             answer = await store.watch(
                 prefix, after_revision=since, timeout_s=0
             )
-        except errors.HistoryGone as exc:
-            log.event('register-conflict', error=str(exc))
+        except errors.HistoryGone:
+            log.event('history-gone', prefix=prefix, revision=since)
             since = 0
             continue
         if not since:
