--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -121,6 +121,7 @@
         self._host_pools = pools.HostPools()
         guard = crash_guard.CrashGuard(me.name, self.membership, log)
         self.membership.on_crash_notice = guard.handle_notice
+        self.membership.on_answer_notice = guard.handle_answer_notice
         self.dispatcher = dispatcher.Dispatcher(
             state=self.state,
             dialect=dialect,
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import random
 
 import msgspec
@@ -151,7 +152,13 @@
             if not group:
                 break
             probed += len(group)
-            for result in await self._probe(group, required, early_accept_s):
+            try:
+                results = await self._probe(group, required, early_accept_s)
+            except asyncio.CancelledError:
+                if best is not None:
+                    best.target.pool.release(best.conn)
+                raise
+            for result in results:
                 cost_s = self._cost_s(result, required)
                 if cost_s < best_cost_s:
                     if best is not None:
@@ -266,31 +273,36 @@
         end_s = self._loop.time() + timeout_s
         results: list[_ProbeResult] = []
         pending = set(tasks)
-        while pending:
-            left_s = end_s - self._loop.time()
-            if left_s <= 0:
-                break
-            done, pending = await asyncio.wait(
-                pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
-            )
-            accepted = False
-            for task in done:
-                result = self._probe_result(task, tasks[task])
-                if result is not None:
-                    results.append(result)
-                    accepted = (
-                        accepted
-                        or self._cost_s(result, required) <= early_accept_s
+        try:
+            while pending:
+                left_s = end_s - self._loop.time()
+                if left_s <= 0:
+                    break
+                done, pending = await asyncio.wait(
+                    pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                accepted = False
+                for task in done:
+                    result = self._probe_result(task, tasks[task])
+                    if result is not None:
+                        results.append(result)
+                        accepted = (
+                            accepted
+                            or self._cost_s(result, required) <= early_accept_s
+                        )
+                if accepted:
+                    break
+        except asyncio.CancelledError:
+            for result in results:
+                result.target.pool.release(result.conn)
+            raise
+        finally:
+            for task in pending:
+                task.add_done_callback(
+                    functools.partial(
+                        self._finish_late_probe, target=tasks[task]
                     )
-            if accepted:
-                break
-        for task in pending:
-            target = tasks[task]
-            task.add_done_callback(
-                lambda task, target=target: self._finish_late_probe(
-                    task, target
                 )
-            )
         return results
 
     def _probe_result(
--- a/ragwortchute/gateway/crash_guard.py
+++ b/ragwortchute/gateway/crash_guard.py
@@ -55,6 +55,15 @@
     def send_crash_notice(self, names: list[str], notice: CrashNotice) -> None:
         """Sends a notice to hosts, without a guarantee of delivery."""
 
+    @abc.abstractmethod
+    def send_answer_notice(self, names: list[str], key: int) -> None:
+        """Tells hosts that a target has answered a request.
+
+        Args:
+            names: Names of the hosts.
+            key: Digest of the request.
+        """
+
 
 class _Suspect(msgspec.Struct):
     """A request during whose execution at least one target crashed.
@@ -125,19 +134,33 @@
         notice = CrashNotice(
             digest(req), target, now_s - sent_s, now_s - lost_s
         )
-        names = frozenset(self._hosts.alive_names(now_s))
-        owners = pacing.owners(f'{notice.digest:x}', names, OWNERS_PER_DIGEST)
         self._log.event(
             'crash-suspect', digest=f'{notice.digest:x}', target=target
         )
-        self._hosts.send_crash_notice(sorted(owners - {self._me}), notice)
+        owners = self._other_owners(notice.digest, now_s)
+        self._hosts.send_crash_notice(owners, notice)
         # This host counts crashes as well: it may be cut off from the owners.
         self.handle_notice(notice, now_s)
 
-    def note_answer(self, req: http_server.Request) -> None:
-        """Clears the suspicion of a request that a target has answered."""
-        if self._suspects:
-            self._suspects.pop(digest(req), None)
+    def note_answer(self, req: http_server.Request, now_s: float) -> None:
+        """Clears the suspicion of a request that a target has answered.
+
+        The owners of its digest are told if this host suspected it, too.
+
+        Args:
+            req: The request.
+            now_s: Loop time in seconds.
+        """
+        if not self._suspects:
+            return
+        key = digest(req)
+        if self._suspects.pop(key, None) is not None:
+            owners = self._other_owners(key, now_s)
+            self._hosts.send_answer_notice(owners, key)
+
+    def handle_answer_notice(self, key: int) -> None:
+        """Clears a suspicion because another host received an answer."""
+        self._suspects.pop(key, None)
 
     def handle_notice(self, notice: CrashNotice, now_s: float) -> None:
         """Handles a notice of this or another host."""
@@ -150,6 +173,12 @@
                 sorted(others), CrashNotice(notice.digest)
             )
 
+    def _other_owners(self, key: int, now_s: float) -> list[str]:
+        """Returns the other hosts that count the crashes of a request."""
+        names = frozenset(self._hosts.alive_names(now_s))
+        owners = pacing.owners(f'{key:x}', names, OWNERS_PER_DIGEST)
+        return sorted(owners - {self._me})
+
     def _count_crash(self, notice: CrashNotice, now_s: float) -> bool:
         """Counts a crash; tells whether the request must be blocked now.
 
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -132,20 +132,20 @@
         state = self._state
         request_id = self._dialect.request_id(req)
         if not state.complete and not await self._wait_for_state(req):
-            return self._refuse(request_id, 'no-configuration', 0.2)
+            return self._refuse(req, 'no-configuration', 0.2)
         route = state.table.match(req.host, req.path)
         if route is None:
             self._request_log.log_answer(
                 request_id, 404, 'no-route', 0, req.arrived_s
             )
             return http_server.Response(404)
-        blocked_s = self._crash_guard.blocked_s(req, self._loop.time())
+        blocked_s = self._blocked_s(req)
         if blocked_s > 0:
-            return self._refuse(request_id, 'crashes-targets', blocked_s)
+            return self._refuse(req, 'crashes-targets', blocked_s)
         outside_homes = route.homes and state.region not in route.homes
         if relayed and outside_homes:
             # The host that relayed it has a different configuration.
-            return self._refuse(request_id, 'relay-mismatch', 0.2)
+            return self._refuse(req, 'relay-mismatch', 0.2)
         remaining_s = self._dialect.remaining_s(req)
         if remaining_s is None or remaining_s > route.timeout_s:
             remaining_s = route.timeout_s
@@ -231,7 +231,12 @@
             call.sends = 0
             call.maybe_executed = False
             return None
+        if reply.status < 400:
+            return self._give_up(call, 'relay-spoiled')
         self._stats.count_refusal('relay')
+        self._request_log.log_answer(
+            call.request_id, reply.status, 'relay', 1, call.req.arrived_s
+        )
         return http_server.Response(
             reply.status, self._dialect.answer_headers(reply), reply.body
         )
@@ -299,7 +304,7 @@
         """
         if call.sends and not self._may_retry(call):
             return self._give_up(call, 'no-more-attempts')
-        blocked_s = self._crash_guard.blocked_s(call.req, self._loop.time())
+        blocked_s = self._blocked_s(call.req)
         if blocked_s > 0:
             return self._give_up(call, 'crashes-targets', blocked_s)
         placed = await self._selector.select(self._requirements(call))
@@ -378,23 +383,38 @@
 
         This is decided once for each request and not reconsidered.
         """
-        route = call.route
         call.hedge_decided = True
-        if self._may_retry(call):
-            placed = await self._selector.select(self._requirements(call))
-            if isinstance(placed, candidates.Placement):
-                first = outstanding[0]
-                remaining_s = call.deadline_s - self._loop.time()
-                if (
-                    not first.fut.done()
-                    and not call.req.disconnected.done()
-                    and placed.expected_s < min(remaining_s, route.objective_s)
-                    and self._spend_retry(call)
-                ):
-                    self._stats.hedges += 1
-                    self._send(call, placed, outstanding)
-                    return
-                placed.target.pool.release(placed.conn)
+        if not self._may_retry(call) or self._blocked_s(call.req) > 0:
+            return
+        placed = await self._selector.select(self._requirements(call))
+        if not isinstance(placed, candidates.Placement):
+            return
+        if self._hedge_is_useful(
+            call, outstanding[0], placed
+        ) and self._spend_retry(call):
+            self._stats.hedges += 1
+            self._send(call, placed, outstanding)
+        else:
+            placed.target.pool.release(placed.conn)
+
+    def _hedge_is_useful(
+        self,
+        call: attempts.Call,
+        first: attempts.Attempt,
+        placed: candidates.Placement,
+    ) -> bool:
+        """Tells whether a hedge may answer in time and does no harm."""
+        remaining_s = call.deadline_s - self._loop.time()
+        return (
+            not first.fut.done()
+            and not call.req.disconnected.done()
+            and placed.expected_s < min(remaining_s, call.route.objective_s)
+            and not self._blocked_s(call.req)
+        )
+
+    def _blocked_s(self, req: http_server.Request) -> float:
+        """Returns how long a request is refused as it crashes targets."""
+        return self._crash_guard.blocked_s(req, self._loop.time())
 
     def _may_retry(self, call: attempts.Call) -> bool:
         return self._retries.allowed(call, self._loop.time())
@@ -420,7 +440,7 @@
             call.maybe_executed = True
             target.note_failure(now_s)
             self._request_log.log_failed_attempt(
-                call, attempt, type(exc).__name__
+                call, attempt, type(exc).__name__, str(exc)
             )
             self._crash_checks.check(call, attempt)
             return None
@@ -438,7 +458,7 @@
             self._request_log.log_failed_attempt(call, attempt, 'shed')
             return None
         call.maybe_executed = True
-        self._crash_guard.note_answer(call.req)
+        self._crash_guard.note_answer(call.req, now_s)
         if not self._dialect.is_authentic(reply):
             target.note_failure(now_s)
             self._request_log.log_failed_attempt(call, attempt, 'spoiled')
@@ -489,7 +509,7 @@
         elif call.maybe_executed or (call.sends and reason == 'caller-gone'):
             status = 502
         else:
-            return self._refuse(call.request_id, reason, wait_s, call)
+            return self._refuse(call.req, reason, wait_s, call.sends)
         self._request_log.log_answer(
             call.request_id, status, reason, call.sends, call.req.arrived_s
         )
@@ -498,29 +518,24 @@
 
     def _refuse(
         self,
-        request_id: bytes,
+        req: http_server.Request,
         reason: str,
         wait_s: float,
-        call: attempts.Call | None = None,
+        sends: int = 0,
     ) -> http_server.Response:
         """Returns an answer stating that a request has not been executed.
 
         Args:
-            request_id: Identity of the request.
+            req: The request.
             reason: Refusal reason.
             wait_s: Time in seconds after which the caller may retry. It is
                 randomised so that callers don't retry at the same time.
-            call: State of the request, None before it has a route.
+            sends: Number of targets that it was sent to and that rejected it.
         """
         wait_s = max(MIN_RETRY_AFTER_S, wait_s)
         wait_s *= 0.75 + 0.5 * self._rng.random()
-        now_s = self._loop.time()
         self._request_log.log_answer(
-            request_id,
-            503,
-            reason,
-            call.sends if call else 0,
-            call.req.arrived_s if call else now_s,
+            self._dialect.request_id(req), 503, reason, sends, req.arrived_s
         )
         self._stats.count_refusal(reason)
         after = f'{wait_s:.3f}'.encode()
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -55,6 +55,9 @@
         self._targets_read = False
         self._domains_out_read = False
         self._targets_by_service: dict[str, list[targets_.Target]] = {}
+        self._targets_revision = 0
+        self._domains_out_revision = 0
+        self._target_revisions: dict[str, int] = {}
 
     @property
     def complete(self) -> bool:
@@ -113,20 +116,29 @@
         self._signal_if_complete()
 
     def set_target(self, entry: model.TargetEntry, revision: int) -> None:
-        """Adds or updates a target."""
-        self._upsert(entry, revision)
-        self._rebuild_index()
+        """Adds or updates a target unless its last change is newer."""
+        if self._is_newer_target(entry.name, revision):
+            self._upsert(entry, revision)
+            self._rebuild_index()
 
     def remove_target(self, name: str, revision: int) -> None:
-        """Removes a target; its requests in progress are finished."""
-        if name in self.targets:
+        """Removes a target unless its last change is newer.
+
+        Its requests in progress are finished.
+        """
+        if self._is_newer_target(name, revision) and name in self.targets:
             self._remove(name, revision)
             self._rebuild_index()
 
     def set_targets(
         self, entries: abc.Iterable[model.TargetEntry], revision: int
     ) -> None:
-        """Replaces the list of targets."""
+        """Replaces the list of targets unless a newer one is in force."""
+        if revision < self._targets_revision:
+            self._log_outdated('targets', revision)
+            return
+        self._targets_revision = revision
+        self._target_revisions.clear()
         known = {entry.name: entry for entry in entries}
         for name in set(self.targets) - set(known):
             self._remove(name, revision)
@@ -141,7 +153,11 @@
     def set_domains_out(
         self, domains: abc.Iterable[str], revision: int
     ) -> None:
-        """Replaces the list of excluded failure domains."""
+        """Replaces the list of excluded domains unless a newer one is known."""
+        if revision < self._domains_out_revision:
+            self._log_outdated('domains-out', revision)
+            return
+        self._domains_out_revision = revision
         out = set(domains)
         if out != self.domains_out or not self._domains_out_read:
             self._log.event('domains-out', out=sorted(out), revision=revision)
@@ -168,6 +184,22 @@
             and (not homes or target.region in homes)
         ]
 
+    def _is_newer_target(self, name: str, revision: int) -> bool:
+        """Returns whether an update of a target is newer than its last one.
+
+        The revision of a removal is kept, too: an older update must not bring
+        a target back that has left.
+        """
+        known = max(self._targets_revision, self._target_revisions.get(name, 0))
+        if revision < known:
+            self._log_outdated(name, revision)
+            return False
+        self._target_revisions[name] = revision
+        return True
+
+    def _log_outdated(self, subject: str, revision: int) -> None:
+        self._log.event('update-outdated', of=subject, revision=revision)
+
     def _signal_if_complete(self) -> None:
         if self.complete:
             self._completed.set()
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -16,6 +16,11 @@
 from ragwortchute import errors
 
 MAX_BODY_BYTES = 16 << 20
+# Bytes received for one request that belong to no body: heads, interim
+# responses, trailers and the framing of chunks.
+MAX_FRAMING_BYTES = 64 << 10
+# Framing of a chunk that carries a single byte, rounded up.
+FRAMING_BYTES_PER_BODY_BYTE = 8
 CONNECT_TIMEOUT_S = 1.0
 # Detect within about 3 s a peer that is gone without having sent a reset.
 KEEPALIVE_IDLE_S = 1
@@ -74,11 +79,14 @@
         '_body_bytes',
         '_delimited',
         '_fut',
+        '_has_body',
         '_headers',
         '_loop',
         '_on_lost',
         '_parser',
         '_peer',
+        '_received_body_bytes',
+        '_received_bytes',
         '_transport',
         'idle_since_s',
         'keep_alive_s',
@@ -99,7 +107,10 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._delimited = True
+        self._has_body = True
         self._accepted_reply: Reply | None = None
         self.idle_since_s = 0.0
         self.keep_alive_s = 0.0
@@ -131,6 +142,10 @@
         self._accept = accept
         self._parser = httptools.HttpResponseParser(self)
         self._delimited = True
+        # Only the head of the response to a HEAD request is sent.
+        self._has_body = not data.startswith(b'HEAD ')
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._accepted_reply = None
         self._transport.write(data)
         return self._fut
@@ -156,6 +171,7 @@
             # Unsolicited data: no request is pending.
             self._transport.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -165,6 +181,8 @@
         reply = self._accepted_reply
         if reply is not None:
             self._finish(reply)
+        elif self._fut is not None:
+            self._check_framing()
 
     def eof_received(self) -> bool:
         """See base class."""
@@ -206,6 +224,9 @@
         status = self._parser.get_status_code()
         if status < 200 or status in _BODYLESS_STATUSES:
             return
+        if not self._has_body:
+            self._accept_reply(Reply(status, self._headers, b'', False))
+            return
         self._delimited = any(
             name in (b'content-length', b'transfer-encoding')
             for name, _ in self._headers
@@ -214,6 +235,7 @@
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
         self._body_bytes += len(body)
+        self._received_body_bytes += len(body)
         if self._body_bytes > MAX_BODY_BYTES:
             self._fail(
                 errors.AnswerTooLarge,
@@ -225,21 +247,37 @@
     def on_message_complete(self) -> None:
         """Stores the response if it belongs to the request."""
         status = self._parser.get_status_code()
-        if (
-            self._accepted_reply is not None
-            or self._fut is None
-            or status < 200
-        ):
+        if status >= 200:
+            self._accept_reply(
+                Reply(
+                    status,
+                    self._headers,
+                    b''.join(self._body),
+                    self._parser.should_keep_alive(),
+                )
+            )
+
+    def _accept_reply(self, reply: Reply) -> None:
+        if self._accepted_reply is not None or self._fut is None:
             return
-        reply = Reply(
-            status,
-            self._headers,
-            b''.join(self._body),
-            self._parser.should_keep_alive(),
-        )
         if self._accept is None or self._accept(reply):
             self._accepted_reply = reply
 
+    def _check_framing(self) -> None:
+        """Closes the connection of a peer that sends framing without end.
+
+        The parser keeps incomplete headers and trailers in memory.
+        """
+        limit = (
+            MAX_FRAMING_BYTES
+            + self._received_body_bytes * FRAMING_BYTES_PER_BODY_BYTE
+        )
+        if self._received_bytes - self._received_body_bytes > limit:
+            self._fail(
+                errors.AnswerTooLarge,
+                f'response has more than {MAX_FRAMING_BYTES} bytes of framing',
+            )
+
     def _finish(self, reply: Reply) -> None:
         fut, self._fut = self._fut, None
         self._accepted_reply = None
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -21,6 +21,8 @@
 # socket with unread data sends a reset, which may discard the last response.
 CLOSE_LINGER_S = 1.0
 EXPIRY_CHECK_S = 0.25
+# Framing of a chunk that carries a single byte, rounded up.
+FRAMING_BYTES_PER_BODY_BYTE = 8
 
 HOP_BY_HOP = frozenset(
     {
@@ -225,12 +227,11 @@
         '_head_started_s',
         '_headers',
         '_idle_since_s',
-        '_in_head',
-        '_incomplete_head_bytes',
         '_listener',
         '_loop',
         '_parser',
         '_reading_paused',
+        '_received_bytes',
         '_requests_begun',
         '_transport',
         '_url',
@@ -248,7 +249,6 @@
         self._close_started_s = 0.0
         self._reading_paused = False
         self._requests_begun = 0
-        self._in_head = False
         self._reset_request()
 
     @property
@@ -292,6 +292,7 @@
         if self._close_started_s:
             return
         begun_before = self._requests_begun
+        was_between_requests = not self._head_started_s
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -299,12 +300,17 @@
         except httptools.HttpParserError:
             if not self._close_started_s:
                 self._reject(400)
-        # The parser reports a header only when it is complete, so the bytes of
-        # an incomplete one are counted here. Data in which more than one
-        # request begins is left out: part of it belongs to earlier requests.
-        if self._in_head and self._requests_begun - begun_before <= 1:
-            self._incomplete_head_bytes += len(data)
-            self._check_head(self._incomplete_head_bytes)
+        # The parser reports a header or trailer only when it is complete, so
+        # the bytes of an incomplete one are counted here. Data that also
+        # belongs to an earlier request is left out.
+        begun = self._requests_begun - begun_before
+        if self._head_started_s and (
+            begun == 0 or (begun == 1 and was_between_requests)
+        ):
+            self._received_bytes += len(data)
+            framing_bytes = self._received_bytes - self._body_bytes
+            allowed = self._body_bytes * FRAMING_BYTES_PER_BODY_BYTE
+            self._check_head(framing_bytes - allowed)
 
     def eof_received(self) -> bool:
         """See base class."""
@@ -325,7 +331,6 @@
         """Starts a request."""
         self._reset_request()
         self._requests_begun += 1
-        self._in_head = True
         self._head_started_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -340,7 +345,6 @@
 
     def on_headers_complete(self) -> None:
         """Sends `100 Continue` if the caller expects it."""
-        self._in_head = False
         expects_continue = any(
             name == b'expect' and value.lower() == b'100-continue'
             for name, value in self._headers
@@ -480,7 +484,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
-        self._incomplete_head_bytes = 0
+        self._received_bytes = 0
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -64,6 +64,7 @@
         revisions: Revision of the last change that the sender knows, by
             prefix of the store.
         crashes: Notices about requests that crash targets.
+        answered: Digests of suspected requests that a target has answered.
     """
 
     sender: str
@@ -72,6 +73,7 @@
     requested_keys: tuple[int, ...] = ()
     revisions: dict[str, int] = {}
     crashes: tuple[crash_guard.CrashNotice, ...] = ()
+    answered: tuple[int, ...] = ()
 
 
 # Called with a host, a prefix, and the last revision that the host knows.
@@ -137,6 +139,8 @@
         on_peer_revision: Called with the last revision that another host
             knows of a prefix.
         on_crash_notice: Called with notices about requests that crash targets.
+        on_answer_notice: Called with digests of suspected requests that a
+            target has answered.
     """
 
     def __init__(
@@ -152,6 +156,7 @@
         self.local_revisions: abc.Callable[[], dict[str, int]] = dict
         self.on_peer_revision: RevisionCallback = lambda *_: None
         self.on_crash_notice: CrashNoticeCallback = lambda *_: None
+        self.on_answer_notice: abc.Callable[[int], None] = lambda _: None
         self.leaving = False
         self._transport = transport
         self._log = log
@@ -271,6 +276,8 @@
             self.on_peer_revision(sender.entry, prefix, revision)
         for notice in message.crashes:
             self.on_crash_notice(notice, now_s)
+        for key in message.answered:
+            self.on_answer_notice(key)
         if requested_keys:
             data = self._encoder.encode(
                 Message(
@@ -301,6 +308,12 @@
         for name in names:
             self._send(self._peers[name], data)
 
+    def send_answer_notice(self, names: list[str], key: int) -> None:
+        """See base class."""
+        data = self._encoder.encode(Message(self.me.name, answered=(key,)))
+        for name in names:
+            self._send(self._peers[name], data)
+
     def _is_bootstrap_sender(self, new: _Peer, now_s: float) -> bool:
         """Returns whether this host sends all heartbeats to a new host.
 
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -70,11 +70,14 @@
         query = dict(parse.parse_qsl(req.target.partition('?')[2]))
         replica_ = self._replicas.get(query.get('prefix', ''))
         after_revision = query.get('after', '')
-        if replica_ is None or not after_revision.isdigit():
+        if replica_ is None or not after_revision.isdecimal():
             return http_server.Response(404)
+        wait_ms = query.get('wait_ms', '0')
+        if not wait_ms.isdecimal():
+            return http_server.Response(400)
         try:
             if int(after_revision):
-                wait_ms = min(MAX_WAIT_S * 1000, int(query.get('wait_ms', 0)))
+                wait_ms = min(MAX_WAIT_S * 1000, int(wait_ms))
                 await replica_.wait(int(after_revision), wait_ms / 1000)
             body = self._encoded_changes(
                 query['prefix'], replica_, int(after_revision)
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -101,9 +101,20 @@
         )
 
     def log_failed_attempt(
-        self, call: attempts.Call, attempt: attempts.Attempt, outcome: str
+        self,
+        call: attempts.Call,
+        attempt: attempts.Attempt,
+        outcome: str,
+        error: str = '',
     ) -> None:
-        """Logs and counts an attempt that failed."""
+        """Logs and counts an attempt that failed.
+
+        Args:
+            call: The request.
+            attempt: The attempt.
+            outcome: Kind of failure.
+            error: Message of the error, empty if there was none.
+        """
         self._stats.count_failed_attempt(outcome)
         self._log.event(
             'attempt',
@@ -112,4 +123,5 @@
             n=call.sends,
             outcome=outcome,
             ms=round((self._loop.time() - attempt.sent_s) * 1000, 1),
+            error=error,
         )
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -11,6 +11,9 @@
 from ragwortchute.gateway import pools
 
 CONNECT_TIMEOUT_S = 0.5
+# A health request without an answer is given up after this time, and its
+# connection is closed.
+PROBE_TIMEOUT_S = 2.0
 # Round-trip times that are assumed until one has been measured.
 SAME_DOMAIN_S = 0.002
 SAME_REGION_S = 0.004
@@ -156,10 +159,16 @@
         taken_s = loop.time()
         path = self.service.health_path if self.service else '/'
         try:
-            reply = await conn.send(
-                self._dialect.encode_probe(path, self.entry),
-                self._dialect.accept_probe(self.entry),
-            )
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                reply = await conn.send(
+                    self._dialect.encode_probe(path, self.entry),
+                    self._dialect.accept_probe(self.entry),
+                )
+        except TimeoutError as exc:
+            conn.abort()
+            raise errors.AttemptTimeout(
+                'health request timed out', step='probe', peer=self.entry.name
+            ) from exc
         except BaseException:
             conn.abort()
             raise
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -1,5 +1,7 @@
 """Feeds that decode objects of the platform's store for the gateway."""
 
+import ipaddress
+
 import msgspec
 
 from ragwortchute import stores
@@ -213,17 +215,17 @@
 
     Raises:
         msgspec.DecodeError: The object is malformed.
-        ValueError: The state or the port is invalid.
+        ValueError: The state or the address is invalid.
     """
     server = msgspec.json.decode(value, type=_Server)
     if server.status.state not in _STATES:
         raise ValueError(f'state {server.status.state!r} is unknown')
-    ip, _, port = server.address.rpartition(':')
+    ip, port = _parse_address(server.address)
     return model.TargetEntry(
         name=name,
         service=server.info.service,
         ip=ip,
-        port=int(port),
+        port=port,
         failure_domain=server.info.zone,
         slots=server.info.slots,
         ready=server.status.state == 'ready',
@@ -232,6 +234,14 @@
     )
 
 
+def _parse_address(address: str) -> tuple[str, int]:
+    ip, _, port = address.rpartition(':')
+    ipaddress.IPv4Address(ip)
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f'address {address!r} has no valid port')
+    return ip, int(port)
+
+
 def _decode_route(route: _Route) -> model.Route:
     if route.traffic_split:
         services = tuple(
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -1,5 +1,6 @@
 """Parser of the platform's settings file."""
 
+import ipaddress
 import os
 
 import msgspec
@@ -75,7 +76,7 @@
             step='settings',
         )
     bounds = values.pairs('bounds')
-    ip = values.text('ip')
+    ip = _parse_ip(values.text('ip'), 'ip')
     caller_ip, caller_port = values.address('listen.front')
     store_ip, store_port = values.address('provider.address')
     first_port = values.text('port_range').partition(',')[0]
@@ -146,7 +147,7 @@
         """Returns a required `IP:port` value."""
         value = self.text(name)
         ip, _, port = value.rpartition(':')
-        return ip, _parse_port(port, name)
+        return _parse_ip(ip, name), _parse_port(port, name)
 
     def with_prefix(self, prefix: str) -> dict[str, str]:
         """Returns the values whose names start with a prefix, without it."""
@@ -168,8 +169,18 @@
         return pairs
 
 
+def _parse_ip(text: str, name: str) -> str:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError as exc:
+        raise errors.SettingError(
+            f'{name} needs an IPv4 address, not {text!r}', step='settings'
+        ) from exc
+    return text
+
+
 def _parse_port(text: str, name: str) -> int:
-    if not text.isdigit() or not 0 < int(text) < 65536:
+    if not text.isdecimal() or not 0 < int(text) < 65536:
         raise errors.SettingError(
             f'{name} needs a port from 1 to 65535, not {text!r}',
             step='settings',
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -114,6 +114,7 @@
         membership: Membership of the host, without other hosts.
         selector: Selects targets.
         stats: Counters of the host.
+        guard: Blocks requests that crash targets.
         dispatcher: Serves requests.
         listener: Listener for callers.
     """
@@ -137,13 +138,14 @@
         )
         self.selector.fleet = pacing.make_fleet('h1', ['h2', 'h3', 'h4'], True)
         self.stats = stats.Stats()
+        self.guard = crash_guard.CrashGuard('h1', self.membership, self.log)
         self.dispatcher = dispatcher.Dispatcher(
             state=self.state,
             dialect=dialect,
             selector=self.selector,
             relays=relays.Relays(self.membership, rng),
             host_pools=pools.HostPools(),
-            crash_guard=crash_guard.CrashGuard('h1', self.membership, self.log),
+            crash_guard=self.guard,
             limits=limits,
             log=self.log,
             stats=self.stats,
--- a/tests/test_gateway/test_crash_guard.py
+++ b/tests/test_gateway/test_crash_guard.py
@@ -48,6 +48,12 @@
             if not {self.me, name} & self.net.cut:
                 self.net.guards[name].handle_notice(notice, 100.0)
 
+    def send_answer_notice(self, names, key):
+        for name in names:
+            self.net.sent[self.me] += 1
+            if not {self.me, name} & self.net.cut:
+                self.net.guards[name].handle_answer_notice(key)
+
 
 def request(target='/r/poison', body=b'', request_id=b'1'):
     return http_server.Request(
@@ -61,6 +67,11 @@
     )
 
 
+def request_as_sent(target):
+    """Returns a request as `Rig.request` sends it by default."""
+    return http_server.Request('GET', target, 'example', [], b'', 0.0, None)
+
+
 class TestCounting:
     """Crashes seen by different hosts must be counted together."""
 
@@ -103,10 +114,19 @@
     def test_answer_clears_the_suspicion(self):
         net = Network(1)
         net.guard(0).report_crash(request(), 't1', 99.0, 100.0, 100.0)
-        net.guard(0).note_answer(request())
+        net.guard(0).note_answer(request(), 100.0)
         net.guard(0).report_crash(request(), 't2', 100.0, 100.0, 100.0)
         assert not net.guard(0).blocked_s(request(), 100.0)
 
+    def test_answer_clears_the_suspicion_of_all_owners(self):
+        net = Network(14)
+        net.guard(1).report_crash(request(), 't1', 99.0, 100.0, 100.0)
+        net.guard(1).note_answer(request(), 100.0)
+        net.guard(2).report_crash(request(), 't2', 100.0, 100.0, 100.0)
+        assert not any(
+            guard.blocked_s(request(), 100.0) for guard in net.guards.values()
+        )
+
     def test_block_ends(self):
         net = Network(1)
         net.guard(0).report_crash(request(), 't1', 99.0, 100.0, 100.0)
@@ -190,6 +210,21 @@
         assert float(answer.headers['retry-after']) > 30
         assert others == [200] * 5
 
+    async def test_blocked_request_is_not_hedged(self):
+        rig = await self.start(2)
+        for target in rig.targets:
+            target.crash_path = ''
+            target.fault = 'hang'
+        running = asyncio.create_task(rig.request('/r/poison'))
+        await asyncio.sleep(0.03)
+        notice = crash_guard.CrashNotice(
+            crash_guard.digest(request_as_sent('/r/poison'))
+        )
+        rig.guard.handle_notice(notice, asyncio.get_running_loop().time())
+        await running
+        await rig.stop()
+        assert rig.stats.hedges == 0
+
     async def test_broken_connection_alone_is_not_a_crash(self):
         rig = await self.start(6)
         for target in rig.targets:
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -205,6 +205,70 @@
         assert resp.status == 431
 
 
+class TestEndlessFraming:
+    """Memory must stay bounded whatever a caller sends as framing."""
+
+    @pytest.mark.parametrize(
+        ('start', 'part'),
+        [
+            (b'GET / HTTP/1.1\r\nHost: a\r\nX: ', b'y' * 100),
+            (b'GET / HTTP/1.1\r\nHost: a\r\n', b'X: y\r\n' * 20),
+            (
+                b'POST / HTTP/1.1\r\nHost: a\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n0\r\nX: ',
+                b'y' * 100,
+            ),
+            (
+                b'POST / HTTP/1.1\r\nHost: a\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
+                b'X: y\r\n' * 20,
+            ),
+            (
+                b'POST / HTTP/1.1\r\nHost: a\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n1;x=',
+                b'y' * 100,
+            ),
+        ],
+    )
+    async def test_endless_framing_is_rejected(self, serve, start, part):
+        server = await serve(max_header_bytes=1000)
+        reader, writer = await server.connect()
+        writer.write(start)
+        answer = asyncio.create_task(rigs.read_response(reader))
+        for _ in range(30):
+            await asyncio.sleep(0.002)
+            writer.write(part)
+        resp = await asyncio.wait_for(answer, 1)
+        assert resp.status in (400, 431)
+
+    async def test_head_after_a_large_body_is_not_rejected(self, serve):
+        # The end of the first body and the start of the next head arrive in
+        # the same packet.
+        server = await serve(max_header_bytes=1000)
+        reader, writer = await server.connect()
+        writer.write(
+            b'POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n'
+        )
+        await asyncio.sleep(0.02)
+        writer.write(b'z' * 5000 + b'GET /1 HTTP/1.1\r\nHo')
+        await asyncio.sleep(0.02)
+        writer.write(b'st: a\r\n\r\n')
+        statuses = [(await rigs.read_response(reader)).status for _ in range(2)]
+        assert statuses == [200, 200]
+
+    async def test_body_in_small_chunks_is_accepted(self, serve):
+        server = await serve(max_header_bytes=1000)
+        reader, writer = await server.connect()
+        writer.write(
+            b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        for _ in range(10):
+            await asyncio.sleep(0.002)
+            writer.write(b'1\r\nz\r\n' * 100)
+        writer.write(b'0\r\n\r\n')
+        assert (await rigs.read_response(reader)).status == 200
+
+
 class TestDisconnect:
     """A handler must be notified when its caller has disconnected."""
 
--- a/tests/test_gateway/test_peer_api.py
+++ b/tests/test_gateway/test_peer_api.py
@@ -62,9 +62,9 @@
     await listener.stop()
 
 
-def copy_request(after):
+def copy_request(after, wait_ms='0'):
     gone = asyncio.get_running_loop().create_future()
-    target = f'/copy?prefix=config%2F&after={after}&wait_ms=0'
+    target = f'/copy?prefix=config%2F&after={after}&wait_ms={wait_ms}'
     return http_server.Request(
         'GET', target, peer_api.HOST_NAME, [], b'', 0.0, gone
     )
@@ -97,6 +97,12 @@
         limit = SLOW_LINK_BYTES_PER_S * MAX_TRANSFER_S
         assert len(resp.body) <= limit
 
+    @pytest.mark.parametrize('wait_ms', ['x', '-1', '1.5', '%C2%B2'])
+    async def test_malformed_wait_is_rejected(self, served, wait_ms):
+        _, api, _ = served
+        resp = await api.serve(copy_request(5, wait_ms))
+        assert resp.status == 400
+
     async def test_malformed_replica_is_rejected(self, served):
         _, api, store = served
         api._cache['config/'] = peer_api._CachedBody((0, 5, 5), b'no copy')
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -54,6 +54,9 @@
             ('listen.front=10.1.0.35:0', 'needs a port from 1 to 65535'),
             ('listen.front=10.1.0.35:x', 'needs a port from 1 to 65535'),
             ('provider.address=', 'provider.address is missing'),
+            ('provider.address=:8142', 'provider.address needs an IPv4'),
+            ('listen.front=host:8144', 'listen.front needs an IPv4 address'),
+            ('ip=10.1.0', "ip needs an IPv4 address, not '10.1.0'"),
             ('limits.cores=two', "limits.cores='two' is not a number"),
         ],
     )
@@ -109,6 +112,11 @@
             server_json(address=None),
             server_json(address=5),
             server_json(address='nowhere'),
+            server_json(address=':80'),
+            server_json(address='host:80'),
+            server_json(address='10.0.0.1:0'),
+            server_json(address='10.0.0.1:65536'),
+            server_json(address='10.0.0.1:-1'),
             server_json(info=None),
             server_json(info__slots='many'),
             server_json(info__service=None),
@@ -149,6 +157,24 @@
         assert rig.state.targets['t'] is not before
         assert not rig.state.targets['t'].misdirected
 
+    async def test_older_update_does_not_return_a_target_that_left(self):
+        rig = FeedRig()
+        entry = feeds.decode_target('t', server_json())
+        rig.state.set_targets([entry], 3)
+        rig.state.remove_target('t', 7)
+        rig.state.set_target(entry, 5)
+        rig.state.set_targets([entry], 2)
+        assert not rig.state.targets
+        rig.state.set_target(entry, 8)
+        assert set(rig.state.targets) == {'t'}
+
+    async def test_older_removal_does_not_remove_a_target(self):
+        rig = FeedRig()
+        entry = feeds.decode_target('t', server_json())
+        rig.state.set_target(entry, 7)
+        rig.state.remove_target('t', 5)
+        assert set(rig.state.targets) == {'t'}
+
     async def test_updated_entry_keeps_the_state_of_the_target(self):
         rig = FeedRig()
         rig.feed.put(stores.StoredObject('t', 1, server_json()), 1)
@@ -253,6 +279,12 @@
 class TestEvacuations:
     """A domain must be out of service exactly while its object exists."""
 
+    def test_older_list_of_domains_is_not_applied(self):
+        rig = FeedRig()
+        rig.state.set_domains_out({'a-1'}, 7)
+        rig.state.set_domains_out((), 5)
+        assert rig.state.domains_out == {'a-1'}
+
     def test_domains_are_added_and_removed(self):
         rig = FeedRig()
         feed = feeds.EvacuationFeed(rig.state)
