Keep a planned stop going when a caller resets its connection

Cause: closing the sending side of a connection that its peer has just reset raises OSError (ENOTCONN). Nothing caught it, so the stop of a host ended at that point: other connections were left open and the requests on them were cut off at the end of the process. Seen once as an error at the end of a test of whole hosts, in the stand-in store, which uses the same listener.

Change: the error is logged and the connection aborted.

Measured: the test resets two connections and closes the listener before it has seen the resets. OSError before, passes now.

--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -475,8 +475,16 @@
             return
         self._close_started_s = self._loop.time()
         self._exchanges.clear()
-        if self._transport.can_write_eof() and not self._transport.is_closing():
+        if self._transport.is_closing():
+            return
+        try:
             self._transport.write_eof()
+        except OSError as exc:
+            # The peer has reset the connection, which is reported next.
+            self._listener.log.event(
+                'close-failed', listener=self._listener.name, error=str(exc)
+            )
+            self._transport.abort()
 
     def _reset_request(self) -> None:
         self._url = b''
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP server."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -197,6 +199,23 @@
         server.listener.close()
         assert await asyncio.wait_for(reader.read(), 1) == b''
 
+    async def test_reset_connection_does_not_keep_others_open(self, serve):
+        # A planned stop closes all connections at once. One that its caller
+        # has just reset must not end the stop.
+        server = await serve()
+        address = ('127.0.0.1', server.listener.port)
+        resetting = [socket.create_connection(address) for _ in range(2)]
+        reader, _ = await server.connect()
+        await asyncio.sleep(0.02)
+        for sock in resetting:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            sock.close()
+        # The server has not seen the resets yet.
+        server.listener.close()
+        assert await asyncio.wait_for(reader.read(), 1) == b''
+
     async def test_unread_bytes_do_not_discard_the_response(self, serve):
         server = await serve(max_header_bytes=100)
         reader, writer = await server.connect()
