Let a few listed hosts stand for all, and let returned hosts find survivors

A host that returned while the store was away could not read the list, knew nobody, and ignored the heartbeats of survivors, since it did not have their entries. A malformed entry under the own name was overwritten again and again without a pause, and nobody read the end of the task that registers.

Change: a host that gets a reply from a listed host of its failure domain writes nothing. Hosts that find none wait for a random time whose distribution lets about as many write whether few or many start; the first two live hosts of each failure domain are always listed. Entries are requested from the sender of a heartbeat, by its address, also if the sender itself is unknown; a host without any copy of the store reads the first host that it hears of. The reader of a failure domain is the host that runs for longest, not the first by name, and a host that has just started does not take itself for it. The first read of a host is not a stale one, so that a target that left before its start is not used. Limits over all hosts wait for a second after a host was discovered. Wire format of heartbeats in a module of its own.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -1,6 +1,7 @@
 """Composition of the parts of a gateway host."""
 
 import asyncio
+from collections import abc
 import random
 
 import msgspec
@@ -37,12 +38,14 @@
 # A stopping host exits this long before the platform would kill it.
 GRACE_MARGIN_S = 0.4
 # Longest wait at the start for other hosts whose replicas can be read.
-FIND_PEERS_TIMEOUT_S = 1.0
-# How long other hosts have to reply to the announcement of this host.
-PEER_REPLY_S = 0.1
+FIND_PEERS_TIMEOUT_S = 5.0
+FIND_PEERS_CHECK_S = 0.02
 # A host that can't read the host list collects heartbeats for this long before
 # it sends to cold targets.
 MEMBERSHIP_SETTLE_S = 5.0
+# After the discovery of a host, all hosts need this long to agree on the hosts
+# among which the load on cold targets is divided.
+DISCOVERY_SETTLE_S = 1.0
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -86,7 +89,9 @@
         callers: Listener for callers.
         peers: Listener for other hosts.
         leaving: Whether this host is stopping.
-        registered: Set once this host has read the host list.
+        peers_searched: Whether this host has looked for others, with or
+            without success.
+        registered: Set once this host has found the others or is listed.
     """
 
     def __init__(
@@ -117,6 +122,7 @@
             self.rng,
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
+            settings.limits.probes_per_s,
         )
         self._host_pools = pools.HostPools()
         guard = crash_guard.CrashGuard(me.name, self.membership, log)
@@ -146,6 +152,7 @@
         self.membership.local_revisions = self._last_change_revisions
         self.membership.on_peer_revision = self._on_peer_revision
         self.leaving = False
+        self.peers_searched = False
         self.registered = asyncio.Event()
 
     @property
@@ -202,13 +209,33 @@
             )
             self._followers[feed.prefix] = follower
             self._replicas[feed.prefix] = follower.replica
-            self._spawn(self._follow(follower))
-        self._spawn(self.membership.run())
-        self._spawn(self._maintain())
+            self.spawn('follower', self._follow(follower))
+        self.spawn('membership', self.membership.run())
+        self.spawn('maintenance', self._maintain())
         ip, _, port = me.caller_address.rpartition(':')
         await self.callers.start(ip, int(port))
         self._log.event('start', caller_address=me.caller_address)
 
+    def spawn(
+        self, name: str, coro: abc.Coroutine[object, object, None]
+    ) -> None:
+        """Runs a coroutine until this host is closed; logs its failure.
+
+        Args:
+            name: Name of the part in the log.
+            coro: The coroutine.
+        """
+        self._tasks.append(self._loop.create_task(self._run_part(name, coro)))
+
+    async def _run_part(
+        self, name: str, coro: abc.Coroutine[object, object, None]
+    ) -> None:
+        try:
+            await coro
+        except Exception:
+            self._log.failure('part', name)
+            raise
+
     async def leave(self) -> None:
         """Stops gracefully: redirects new callers and finishes requests."""
         started_s = self._loop.time()
@@ -246,7 +273,9 @@
             self._replica_source(host)
             if host
             else store_follower.Source('', self._store)
-            for host in sources.source_order(self._settings.me, hosts)
+            for host in sources.source_order(
+                self._settings.me, hosts, settled=self._is_settled()
+            )
         ]
 
     def _replica_source(self, host: model.HostEntry) -> store_follower.Source:
@@ -256,16 +285,16 @@
         )
 
     async def _follow(self, follower: store_follower.Follower) -> None:
-        """Runs a follower once other hosts had time to reply.
+        """Runs a follower once this host has looked for others.
 
         Until then, their replicas are not known as sources.
         """
-        try:
-            async with asyncio.timeout(FIND_PEERS_TIMEOUT_S):
-                await self.registered.wait()
-                await asyncio.sleep(PEER_REPLY_S)
-        except TimeoutError:
-            self._log.event('no-reader-found', prefix=follower.prefix)
+        end_s = self._loop.time() + FIND_PEERS_TIMEOUT_S
+        while not (self.peers_searched or follower.has_hint):
+            if self._loop.time() >= end_s:
+                self._log.event('no-reader-found', prefix=follower.prefix)
+                break
+            await asyncio.sleep(FIND_PEERS_CHECK_S)
         await follower.run()
 
     def _last_change_revisions(self) -> dict[str, int]:
@@ -282,9 +311,6 @@
         if follower is not None and revision > follower.replica.revision:
             follower.on_newer_revision(revision, self._replica_source(host))
 
-    def _spawn(self, coro: object) -> None:
-        self._tasks.append(self._loop.create_task(coro))
-
     async def _maintain(self) -> None:
         """Flushes the log and drops state of dead hosts, periodically."""
         started_s = self._loop.time()
@@ -296,7 +322,22 @@
             self._selector.fleet = pacing.make_fleet(
                 self._settings.me.name,
                 senders,
-                self.registered.is_set()
-                or now_s - started_s > MEMBERSHIP_SETTLE_S,
+                self._knows_all_hosts(now_s - started_s),
             )
+            self._selector.targets = len(self.state.targets)
             self._log.flush()
+
+    def _knows_all_hosts(self, age_s: float) -> bool:
+        """Returns whether this host has had time to learn of the others.
+
+        Args:
+            age_s: Time since its start in seconds.
+        """
+        return self._is_settled() and (
+            self.registered.is_set() or age_s > MEMBERSHIP_SETTLE_S
+        )
+
+    def _is_settled(self) -> bool:
+        """Returns whether no host was discovered recently."""
+        settled_s = self._loop.time() - self.membership.last_discovery_s
+        return settled_s > DISCOVERY_SETTLE_S
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -10,13 +10,12 @@
 import asyncio
 from collections import abc
 import random
-import struct
-import zlib
 
 import msgspec
 
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -29,52 +28,11 @@
 BOOTSTRAP_SENDERS = 2
 # How long a dead host still counts in limits that hold over all hosts.
 DEAD_RETENTION_S = 30.0
-# Key, counter and age of a heartbeat on the wire.
-_HEARTBEAT_FORMAT = struct.Struct('<IHB')
-_COUNT_MASK = 0xFFFF
-_AGE_RESOLUTION_S = 0.05
-# Sent in place of the age if the host is stopping.
-_LEAVING_AGE = 255
-
-
-class Heartbeat(msgspec.Struct, frozen=True):
-    """Latest known heartbeat of a host.
-
-    Attributes:
-        key: Hash of the name and incarnation of the host.
-        count: Heartbeats since the host started, modulo 65,536.
-        age_s: Age of the heartbeat in seconds.
-        leaving: Whether the host is stopping.
-    """
-
-    key: int
-    count: int
-    age_s: float
-    leaving: bool
-
-
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Datagram between two hosts.
-
-    Attributes:
-        sender: Name of the sending host.
-        heartbeats: Heartbeats that the sender knows, encoded by `pack`.
-        entries: Host entries with addresses.
-        requested_keys: Keys of hosts whose entries the sender asks for.
-        revisions: Revision of the last change that the sender knows, by
-            prefix of the store.
-        crashes: Notices about requests that crash targets.
-        answered: Digests of suspected requests that a target has answered.
-    """
-
-    sender: str
-    heartbeats: bytes = b''
-    entries: tuple[model.HostEntry, ...] = ()
-    requested_keys: tuple[int, ...] = ()
-    revisions: dict[str, int] = {}
-    crashes: tuple[crash_guard.CrashNotice, ...] = ()
-    answered: tuple[int, ...] = ()
-
+# A datagram with more entries than this may be too large.
+ENTRIES_PER_DATAGRAM = 40
+# Wait before the entry of a host is requested again, from another sender.
+ENTRY_TIMEOUT_S = 0.4
+REQUEST_RETENTION_S = 2.0
 
 # Called with a host, a prefix, and the last revision that the host knows.
 RevisionCallback = abc.Callable[[model.HostEntry, str, int], None]
@@ -113,7 +71,7 @@
 
     def __init__(self, entry: model.HostEntry, now_s: float) -> None:
         self.entry = entry
-        self.key = heartbeat_key(entry)
+        self.key = heartbeats.key_of(entry)
         self.count = -1
         self.last_heartbeat_s = float('-inf')
         self.discovered_s = now_s
@@ -141,6 +99,7 @@
         on_crash_notice: Called with notices about requests that crash targets.
         on_answer_notice: Called with digests of suspected requests that a
             target has answered.
+        last_discovery_s: Loop time at which the last host was discovered.
     """
 
     def __init__(
@@ -158,16 +117,18 @@
         self.on_crash_notice: CrashNoticeCallback = lambda *_: None
         self.on_answer_notice: abc.Callable[[int], None] = lambda _: None
         self.leaving = False
+        self.last_discovery_s = float('-inf')
         self._transport = transport
         self._log = log
         self._rng = rng
         self._count = 0
         self._peers: dict[str, _Peer] = {}
         self._peers_by_key: dict[int, _Peer] = {}
-        self._key = heartbeat_key(me)
+        self._key = heartbeats.key_of(me)
+        self._requested_s: dict[int, float] = {}
         self._logged_alive: set[str] = set()
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._decoder = msgspec.msgpack.Decoder(heartbeats.Message)
 
     def available_hosts(self, now_s: float) -> list[model.HostEntry]:
         """Returns the hosts that accept new callers, this one included."""
@@ -194,6 +155,27 @@
         ]
         return [self.me.name, *names]
 
+    def joined(self, now_s: float) -> bool:
+        """Returns whether a host of the own failure domain has replied.
+
+        All heartbeats that it sent must have been matched with entries.
+        """
+        return not self._requested_s and bool(self._local_peers(now_s))
+
+    def precedes_in_domain(self, count: int, now_s: float) -> bool:
+        """Returns whether this host is among the first of its failure domain.
+
+        Args:
+            count: Number of hosts, the first by name among the live ones.
+            now_s: Loop time in seconds.
+        """
+        preceding = [
+            peer
+            for peer in self._local_peers(now_s)
+            if peer.entry.name < self.me.name
+        ]
+        return len(preceding) < count
+
     def add_entries(self, entries: list[model.HostEntry], now_s: float) -> None:
         """Adds or updates host entries, such as those read from the store."""
         for entry in entries:
@@ -202,18 +184,16 @@
     def announce_start(self, now_s: float) -> None:
         """Announces this host to all hosts of its region.
 
-        In other regions, only the delegate of each failure domain gets the
-        announcement and passes it on.
+        Hosts of other regions learn of it by heartbeats. If it knows none of
+        its own region, the delegate of each failure domain elsewhere gets the
+        announcement.
         """
         data = self._encode((), now_s, (self.me,))
-        region = self.me.region
-        other_regions = [
-            peer for peer in self._peers.values() if peer.entry.region != region
+        peers = list(self._peers.values())
+        receivers = [
+            peer for peer in peers if peer.entry.region == self.me.region
         ]
-        same_region = [
-            peer for peer in self._peers.values() if peer.entry.region == region
-        ]
-        for peer in same_region + self._domain_delegates(other_regions, now_s):
+        for peer in receivers or self._domain_delegates(peers, now_s):
             self._send(peer, data)
 
     def announce_stop(self, now_s: float) -> None:
@@ -236,11 +216,8 @@
         self._count += 1
         alive = self._alive_peers(now_s)
         self._log_membership_changes(alive)
-        local_peers = [
-            peer
-            for peer in alive
-            if peer.entry.failure_domain == self.me.failure_domain
-        ]
+        local_peers = self._local_peers(now_s)
+        self._forget_requests(now_s)
         data = self._encode(alive, now_s)
         receivers = self._rng.sample(local_peers, min(FANOUT, len(local_peers)))
         receivers += self._other_domain_delegates(now_s, local_peers)
@@ -254,8 +231,16 @@
         if self._count % INTER_REGION_BEATS == 0:
             self._send_to_other_regions(alive, now_s)
 
-    def on_datagram(self, data: bytes, now_s: float) -> None:
-        """Processes a datagram from another host."""
+    def on_datagram(
+        self, data: bytes, now_s: float, sender_address: tuple[str, int]
+    ) -> None:
+        """Processes a datagram from another host.
+
+        Args:
+            data: The datagram.
+            now_s: Loop time in seconds.
+            sender_address: Address and port that it was sent from.
+        """
         try:
             message = self._decoder.decode(data)
         except msgspec.DecodeError as exc:
@@ -264,11 +249,14 @@
         known_sender = self._peers.get(message.sender)
         self.add_entries(list(message.entries), now_s)
         is_new = self._peers.get(message.sender) is not known_sender
-        requested_keys = [
-            heartbeat.key
-            for heartbeat in unpack(message.heartbeats)
-            if not self._record_heartbeat(heartbeat, now_s)
-        ]
+        requested_keys = self._record_heartbeats(message.heartbeats, now_s)
+        if requested_keys:
+            # The sender may know a host that this one doesn't, such as itself
+            # after this host has restarted.
+            request = heartbeats.Message(
+                self.me.name, entries=(self.me,), requested_keys=requested_keys
+            )
+            self._transport.send(*sender_address, self._encoder.encode(request))
         sender = self._peers.get(message.sender)
         if sender is None:
             return
@@ -278,17 +266,8 @@
             self.on_crash_notice(notice, now_s)
         for key in message.answered:
             self.on_answer_notice(key)
-        if requested_keys:
-            data = self._encoder.encode(
-                Message(
-                    self.me.name,
-                    entries=(self.me,),
-                    requested_keys=tuple(requested_keys),
-                )
-            )
-            self._send(sender, data)
         if message.requested_keys:
-            self._send(sender, self._encode_entries(message.requested_keys))
+            self._send_entries(sender, message.requested_keys)
         if is_new:
             # A host that has just started looks for replicas of the store.
             is_bootstrap_sender = self._is_bootstrap_sender(sender, now_s)
@@ -304,13 +283,17 @@
         self, names: list[str], notice: crash_guard.CrashNotice
     ) -> None:
         """See base class."""
-        data = self._encoder.encode(Message(self.me.name, crashes=(notice,)))
+        data = self._encoder.encode(
+            heartbeats.Message(self.me.name, crashes=(notice,))
+        )
         for name in names:
             self._send(self._peers[name], data)
 
     def send_answer_notice(self, names: list[str], key: int) -> None:
         """See base class."""
-        data = self._encoder.encode(Message(self.me.name, answered=(key,)))
+        data = self._encoder.encode(
+            heartbeats.Message(self.me.name, answered=(key,))
+        )
         for name in names:
             self._send(self._peers[name], data)
 
@@ -338,29 +321,55 @@
         ]
         return len(preceding) < BOOTSTRAP_SENDERS
 
-    def _encode_entries(self, requested_keys: tuple[int, ...]) -> bytes:
+    def _send_entries(
+        self, receiver: _Peer, requested_keys: tuple[int, ...]
+    ) -> None:
         entries = [
             self._peers_by_key[key].entry
             for key in requested_keys
             if key in self._peers_by_key
         ]
         entries.append(self.me)
-        return self._encoder.encode(
-            Message(self.me.name, entries=tuple(entries))
-        )
+        for start in range(0, len(entries), ENTRIES_PER_DATAGRAM):
+            part = tuple(entries[start : start + ENTRIES_PER_DATAGRAM])
+            message = heartbeats.Message(self.me.name, entries=part)
+            self._send(receiver, self._encoder.encode(message))
 
     def _add_entry(self, entry: model.HostEntry, now_s: float) -> None:
         if entry.name == self.me.name:
             return
         peer = self._peers.get(entry.name)
         if peer is None or peer.entry.incarnation < entry.incarnation:
-            if peer is not None:
+            if peer is None:
+                self.last_discovery_s = now_s
+            else:
                 del self._peers_by_key[peer.key]
             peer = _Peer(entry, now_s)
             self._peers[entry.name] = peer
             self._peers_by_key[peer.key] = peer
-
-    def _record_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> bool:
+        self._requested_s.pop(heartbeats.key_of(entry), None)
+
+    def _record_heartbeats(self, data: bytes, now_s: float) -> tuple[int, ...]:
+        """Records heartbeats; returns the keys of entries to request."""
+        requested_keys = []
+        for heartbeat in heartbeats.unpack(data):
+            if self._record_heartbeat(heartbeat, now_s):
+                continue
+            requested_s = self._requested_s.get(heartbeat.key, float('-inf'))
+            if now_s - requested_s >= ENTRY_TIMEOUT_S:
+                self._requested_s[heartbeat.key] = now_s
+                requested_keys.append(heartbeat.key)
+        return tuple(requested_keys)
+
+    def _forget_requests(self, now_s: float) -> None:
+        """Drops requests of entries that no host seems to have."""
+        for key, requested_s in list(self._requested_s.items()):
+            if now_s - requested_s > REQUEST_RETENTION_S:
+                del self._requested_s[key]
+
+    def _record_heartbeat(
+        self, heartbeat: heartbeats.Heartbeat, now_s: float
+    ) -> bool:
         """Records a heartbeat; returns whether the host is known."""
         if heartbeat.key == self._key:
             return True
@@ -368,12 +377,21 @@
         if peer is None:
             return False
         last_heartbeat_s = now_s - heartbeat.age_s
-        if peer.count < 0 or _is_newer(heartbeat.count, peer.count):
+        if peer.count < 0 or heartbeats.is_newer(heartbeat.count, peer.count):
             peer.count = heartbeat.count
             peer.last_heartbeat_s = max(peer.last_heartbeat_s, last_heartbeat_s)
         peer.leaving = peer.leaving or heartbeat.leaving
         return True
 
+    def _local_peers(self, now_s: float) -> list[_Peer]:
+        """Returns the live hosts of the own failure domain but this one."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.entry.failure_domain == self.me.failure_domain
+            and self._is_alive(peer, now_s)
+        ]
+
     def _alive_peers(self, now_s: float) -> list[_Peer]:
         return [
             peer for peer in self._peers.values() if self._is_alive(peer, now_s)
@@ -459,8 +477,8 @@
         now_s: float,
         entries: tuple[model.HostEntry, ...] = (),
     ) -> bytes:
-        heartbeats = [
-            Heartbeat(
+        known = [
+            heartbeats.Heartbeat(
                 peer.key,
                 peer.count,
                 now_s - peer.last_heartbeat_s,
@@ -468,10 +486,12 @@
             )
             for peer in peers
         ]
-        heartbeats.append(Heartbeat(self._key, self._count, 0.0, self.leaving))
-        message = Message(
+        known.append(
+            heartbeats.Heartbeat(self._key, self._count, 0.0, self.leaving)
+        )
+        message = heartbeats.Message(
             self.me.name,
-            pack(heartbeats),
+            heartbeats.pack(known),
             entries,
             revisions=self.local_revisions(),
         )
@@ -479,45 +499,3 @@
 
     def _send(self, peer: _Peer, data: bytes) -> None:
         self._transport.send(peer.entry.ip, peer.entry.peer_port, data)
-
-
-def heartbeat_key(entry: model.HostEntry) -> int:
-    """Returns a hash of the name and incarnation of a host."""
-    return zlib.crc32(f'{entry.name}/{entry.incarnation}'.encode())
-
-
-def pack(heartbeats: abc.Iterable[Heartbeat]) -> bytes:
-    """Encodes heartbeats in 7 bytes each."""
-    return b''.join(
-        _HEARTBEAT_FORMAT.pack(
-            heartbeat.key,
-            heartbeat.count & _COUNT_MASK,
-            _LEAVING_AGE
-            if heartbeat.leaving
-            else min(
-                _LEAVING_AGE - 1, round(heartbeat.age_s / _AGE_RESOLUTION_S)
-            ),
-        )
-        for heartbeat in heartbeats
-    )
-
-
-def unpack(data: bytes) -> list[Heartbeat]:
-    """Decodes heartbeats; an incomplete one at the end is ignored."""
-    complete_bytes = len(data) - len(data) % _HEARTBEAT_FORMAT.size
-    return [
-        Heartbeat(
-            key,
-            count,
-            0.0 if age == _LEAVING_AGE else age * _AGE_RESOLUTION_S,
-            age == _LEAVING_AGE,
-        )
-        for key, count, age in _HEARTBEAT_FORMAT.iter_unpack(
-            data[:complete_bytes]
-        )
-    ]
-
-
-def _is_newer(count: int, previous: int) -> bool:
-    """Returns whether a counter is ahead of another one, modulo 65,536."""
-    return 0 < (count - previous) & _COUNT_MASK < _COUNT_MASK // 2
--- a/ragwortchute/gateway/peer_socket.py
+++ b/ragwortchute/gateway/peer_socket.py
@@ -5,16 +5,19 @@
 
 from ragwortchute.gateway import membership
 
+DatagramCallback = abc.Callable[[bytes, float, tuple[str, int]], None]
+
 
 class PeerSocket(asyncio.DatagramProtocol, membership.Transport):
     """Sends and receives datagrams.
 
     Attributes:
-        on_datagram: Called with a datagram and the loop time of its arrival.
+        on_datagram: Called with a datagram, the loop time of its arrival and
+            the address that it was sent from.
     """
 
     def __init__(self) -> None:
-        self.on_datagram: abc.Callable[[bytes, float], None] | None = None
+        self.on_datagram: DatagramCallback | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -41,7 +44,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """See base class."""
         if self.on_datagram is not None:
-            self.on_datagram(data, self._loop.time())
+            self.on_datagram(data, self._loop.time(), addr)
 
     def error_received(self, exc: Exception) -> None:
         """Ignores that a peer is unreachable; its heartbeats reveal that."""
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -158,9 +158,15 @@
         self._last_failure_s: dict[str, float] = {}
         self._source_name = ''
         self._preferred_source: Source | None = None
+        self._reading_replica = False
         self.prefix = feed.prefix
         self.replica = replica_.Replica()
 
+    @property
+    def has_hint(self) -> bool:
+        """Whether another host is known that can be read."""
+        return self._preferred_source is not None
+
     def on_newer_revision(self, revision: int, source: Source) -> None:
         """Notes that a source has a newer revision.
 
@@ -169,7 +175,11 @@
             source: The source; it is read next unless this host's own watch
                 returns that revision within `HINT_DELAY_S`.
         """
-        if revision > self.replica.revision:
+        if not self.replica.revision:
+            # This host has just started.
+            if not (self._preferred_source or self._reading_replica):
+                self._read_next(source)
+        elif revision > self.replica.revision:
             self._loop.call_later(
                 HINT_DELAY_S, self._check_newer_revision, revision, source
             )
@@ -179,6 +189,7 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             source = self._next_source()
+            self._reading_replica = bool(source.name)
             try:
                 if self._needs_full_read:
                     await self._read_all(source)
@@ -199,9 +210,17 @@
                 self._record_failure(source, exc)
                 if not source.name:
                     jitter = 0.5 + self._rng.random()
-                    await asyncio.sleep(backoff_s * jitter)
+                    await self._pause(backoff_s * jitter)
                     backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
+    async def _pause(self, delay_s: float) -> None:
+        """Waits until the delay has passed or another source is known."""
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
     def _next_source(self) -> Source:
         """Returns the source to read next and logs a change of source."""
         preferred, self._preferred_source = self._preferred_source, None
@@ -246,23 +265,26 @@
                 changed=revision,
                 known_by=source.name or 'store',
             )
-            self._preferred_source = source
             # The current source lacks the revision.
             self._last_failure_s[self._source_name] = self._loop.time()
             self._needs_full_read = (
                 self._needs_full_read or not self._source_name
             )
-            self._wake.set()
+            self._read_next(source)
+
+    def _read_next(self, source: Source) -> None:
+        """Ends the current read or pause and reads a source next."""
+        self._preferred_source = source
+        self._wake.set()
 
     async def _read_all(self, source: Source) -> None:
-        self._wake.clear()
-        # The next watch returns the changes that a stale answer lacks.
-        answer = await source.store.watch(
-            self.prefix,
-            after_revision=0,
-            timeout_s=0,
-            may_be_stale=not self.replica.revision,
+        # A stale answer could list a target that left before this host started.
+        answer = await self._watch_until_woken(
+            source,
+            source.store.watch(self.prefix, after_revision=0, timeout_s=0),
         )
+        if answer is None:
+            return
         self._record_success(source)
         self._needs_full_read = False
         answer = self._defer_removals(source, answer, full_read=True)
@@ -271,28 +293,19 @@
             self._feed.replace(list(answer.objects), answer.revision)
 
     async def _read_changes(self, source: Source) -> None:
-        self._wake.clear()
         # A long watch that is sent to an unresponsive store would still be
         # pending after the store has recovered.
         store_down = self._health.down and not source.name
-        watch = self._loop.create_task(
+        answer = await self._watch_until_woken(
+            source,
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
                 timeout_s=0.0 if store_down else WATCH_TIMEOUT_S,
-            )
+            ),
         )
-        wake = self._loop.create_task(self._wake.wait())
-        try:
-            await asyncio.wait(
-                (watch, wake), return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            wake.cancel()
-            watch.cancel()
-        if not watch.done():
+        if answer is None:
             return
-        answer = watch.result()
         self._record_success(source)
         answer = self._defer_removals(source, answer, full_read=False)
         if not self.replica.apply(answer):
@@ -304,6 +317,34 @@
         if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(BATCH_DELAY_S)
 
+    async def _watch_until_woken(
+        self,
+        source: Source,
+        coro: cabc.Coroutine[object, object, stores.WatchAnswer],
+    ) -> stores.WatchAnswer | None:
+        """Waits for an answer, at most until another source is to be read.
+
+        Returns:
+            The answer, or None if another source is to be read instead.
+
+        Raises:
+            StoreError: The source has no valid answer.
+        """
+        self._wake.clear()
+        watch = self._loop.create_task(coro)
+        wake = self._loop.create_task(self._wake.wait())
+        try:
+            await asyncio.wait(
+                (watch, wake), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            wake.cancel()
+            if not watch.done():
+                watch.cancel()
+            elif not watch.cancelled():
+                watch.exception()  # marks it as retrieved
+        return watch.result() if watch.done() else None
+
     def _defer_removals(
         self, source: Source, answer: stores.WatchAnswer, *, full_read: bool
     ) -> stores.WatchAnswer:
--- a/ragwortchute/platform/__main__.py
+++ b/ragwortchute/platform/__main__.py
@@ -58,11 +58,9 @@
             feeds.EvacuationFeed(gateway.state),
         ]
     )
-    registration_task = asyncio.create_task(
-        registration.register(gateway, store, HOSTS_KIND, log)
-    )
+    registration_ = registration.Registration(gateway, store, HOSTS_KIND, log)
+    gateway.spawn('registration', registration_.run())
     await stop.wait()
-    registration_task.cancel()
     await gateway.leave()
     for listener in listeners:
         await listener.stop()
