Limit the health requests of all hosts to a target

In a burst most probed targets are busy, and each request is followed by a second round.

Change: each host keeps to its share of the limit, which is now read from the settings. With little of it saved, a request gets no second round, then fewer targets in the first; it may always probe one.

The limits hold for 1, 17 and 312 hosts in the test.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -17,6 +17,7 @@
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import targets as targets_
 
 FIRST_ROUND_TARGETS = 3
@@ -100,21 +101,32 @@
         rng: Source of randomness.
         warmup_overage: Factor on the request rate of a cold target.
         warmup_slack: Requests per second allowed beyond that.
+        probes_per_s: Health requests per target and second allowed from all
+            hosts.
 
     Attributes:
         fleet: Hosts that may send to the same targets.
+        targets: Number of targets of all services.
         probes_sent: Number of health requests sent.
     """
 
     def __init__(
-        self, rng: random.Random, warmup_overage: float, warmup_slack: float
+        self,
+        rng: random.Random,
+        warmup_overage: float,
+        warmup_slack: float,
+        probes_per_s: float,
     ) -> None:
         self._rng = rng
         self._overage = warmup_overage
         self._slack = warmup_slack
         self._mean_slowness: dict[str, float] = {}
         self._loop = asyncio.get_running_loop()
+        self._probe_budget = probe_budget.ProbeBudget(
+            probes_per_s, self._loop.time()
+        )
         self.fleet = pacing.Fleet()
+        self.targets = 0
         self.probes_sent = 0
 
     async def select(self, required: Requirements) -> Placement | NoPlacement:
@@ -146,12 +158,15 @@
         acceptable_s = max(
             early_accept_s, required.objective_s * ACCEPTABLE_OBJECTIVES
         )
+        budget = self._probe_budget
+        budget.update(self._loop.time(), self.targets, len(self.fleet.names))
         probed = 0
         for round_ in range(MAX_ROUNDS):
-            group = _pop_round(local, remote, round_)
+            group = _pop_round(local, remote, round_, budget)
             if not group:
                 break
             probed += len(group)
+            budget.spend(len(group))
             try:
                 results = await self._probe(group, required, early_accept_s)
             except asyncio.CancelledError:
@@ -361,7 +376,10 @@
 
 
 def _pop_round(
-    local: list[targets_.Target], remote: list[targets_.Target], round_: int
+    local: list[targets_.Target],
+    remote: list[targets_.Target],
+    round_: int,
+    budget: probe_budget.ProbeBudget,
 ) -> list[targets_.Target]:
     """Removes and returns the targets to probe in a round.
 
@@ -369,10 +387,12 @@
     rounds run when the region is busy and include targets of other regions.
     """
     if round_ == 0:
-        group = local[:FIRST_ROUND_TARGETS] or remote[:FIRST_ROUND_TARGETS]
+        count = budget.targets_to_probe(FIRST_ROUND_TARGETS, first_round=True)
+        group = local[:count] or remote[:count]
     else:
-        others = remote[:LATER_ROUND_REMOTE_TARGETS]
-        group = local[: LATER_ROUND_TARGETS - len(others)] + others
+        count = budget.targets_to_probe(LATER_ROUND_TARGETS, first_round=False)
+        others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
+        group = local[: count - len(others)] + others
     for target in group:
         (local if target.same_region else remote).remove(target)
     return group
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -45,7 +45,7 @@
 
 
 class Limits(msgspec.Struct, frozen=True):
-    """Limits on retries and requests to cold targets, over all hosts.
+    """Limits on retries, requests to cold targets and probes of all hosts.
 
     Attributes:
         retry_ratio: Retries allowed per request.
@@ -53,6 +53,7 @@
         retry_window_s: Length of the window in seconds.
         warmup_overage: Factor on the request rate of a cold target.
         warmup_slack: Requests per second allowed beyond that.
+        probes_per_s: Health requests per target and second.
     """
 
     retry_ratio: float = 0.2
@@ -60,6 +61,7 @@
     retry_window_s: float = 10.0
     warmup_overage: float = 1.5
     warmup_slack: float = 5.0
+    probes_per_s: float = 60.0
 
 
 class Dispatcher:
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -103,6 +103,7 @@
             retry_window_s=bounds.get('budget_window_s', 10.0),
             warmup_overage=bounds.get('warmup_overage', 1.0),
             warmup_slack=bounds.get('warmup_slack', 0.0),
+            probes_per_s=bounds.get('probes_per_s', 60.0),
         ),
     )
     return NodeSettings(
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -134,7 +134,10 @@
             host(), NullTransport(), self.log, rng, 5.4
         )
         self.selector = candidates.TargetSelector(
-            rng, limits.warmup_overage, limits.warmup_slack
+            rng,
+            limits.warmup_overage,
+            limits.warmup_slack,
+            limits.probes_per_s,
         )
         self.selector.fleet = pacing.make_fleet('h1', ['h2', 'h3', 'h4'], True)
         self.stats = stats.Stats()
@@ -168,6 +171,7 @@
             [self.entry(target) for target in self.targets], 1
         )
         self.state.set_domains_out((), 1)
+        self.selector.targets = len(self.targets)
         await self.listener.start('127.0.0.1', 0)
 
     def entry(self, target: platform_targets.TargetServer) -> model.TargetEntry:
--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -10,6 +10,7 @@
 from ragwortchute.gateway import directory
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import routing
 from ragwortchute.gateway import sources
@@ -247,11 +248,12 @@
         rigs.host('h4', 'b1'),
     ]
 
-    def order(self, name):
-        (me,) = [host for host in self.HOSTS if host.name == name]
+    def order(self, name, settled=True, hosts=None):
+        hosts = hosts or self.HOSTS
+        (me,) = [host for host in hosts if host.name == name]
         return [
             host.name if host else ''
-            for host in sources.source_order(me, self.HOSTS)
+            for host in sources.source_order(me, hosts, settled=settled)
         ]
 
     def test_one_host_of_a_domain_reads_the_store(self):
@@ -264,4 +266,51 @@
         assert self.order('h4') == ['', 'h1', 'h3']
 
     def test_host_alone_reads_the_store(self):
-        assert sources.source_order(self.HOSTS[1], []) == [None]
+        for settled in (True, False):
+            order = sources.source_order(self.HOSTS[1], [], settled=settled)
+            assert order == [None]
+
+    def test_host_that_has_just_started_does_not_become_the_reader(self):
+        # With hundreds of hosts starting, each knows a few others at first.
+        assert self.order('h1', settled=False)[0] == 'h2'
+        returned = rigs.host('h1', 'a1', incarnation=5)
+        hosts = [returned, *self.HOSTS[1:]]
+        assert self.order('h1', hosts=hosts)[0] == 'h2'
+        assert self.order('h2', hosts=hosts)[0] == ''
+
+
+class TestProbeBudget:
+    """In a burst, all hosts together must keep the limit on probes."""
+
+    LIMIT_PER_S = 60.0
+
+    def probes(self, hosts, targets, requests_per_s, seconds=30):
+        """Returns the probes per target and second, if all targets are busy.
+
+        All hosts get the same load.
+        """
+        budget = probe_budget.ProbeBudget(self.LIMIT_PER_S, 0.0)
+        sent = 0
+        for number in range(int(seconds * requests_per_s / hosts)):
+            budget.update(number * hosts / requests_per_s, targets, hosts)
+            for first_round in (True, False):
+                count = budget.targets_to_probe(4, first_round=first_round)
+                budget.spend(count)
+                sent += count
+        return sent * hosts / targets / seconds
+
+    @pytest.mark.parametrize('hosts', [1, 17, 312])
+    @pytest.mark.parametrize('requests_per_target_s', [5, 20, 50])
+    def test_limit_holds(self, hosts, requests_per_target_s):
+        rate = self.probes(hosts, 240, requests_per_target_s * 240)
+        assert rate <= self.LIMIT_PER_S
+
+    def test_moderate_load_is_not_limited(self):
+        assert self.probes(17, 34, 34 * 5) == pytest.approx(40, rel=0.05)
+
+    def test_every_request_may_probe_a_target(self):
+        budget = probe_budget.ProbeBudget(self.LIMIT_PER_S, 0.0)
+        budget.update(1.0, 4, 17)
+        budget.spend(10_000)
+        assert budget.targets_to_probe(3, first_round=True) == 1
+        assert budget.targets_to_probe(4, first_round=False) == 0
