Report failures of targets to other hosts, split the table of peers off

Cause: some targets reject or fail part of their requests while their health checks are good. At 312 hosts each sends 1.5 requests a second over 240 targets, so that none learns of it in time and the retry budget is spent on them. A refusal for lack of budget was logged as no-more-attempts.

Change: each host reports the failures that it sees, in batches of at most 24 each 0.25 s to two random hosts of its region, which pass them on once. Reports of other hosts count for a target while they are recent. The refusal names the budget where it is the reason.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -13,6 +13,7 @@
 from ragwortchute.gateway import directory
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership as membership_
@@ -125,6 +126,10 @@
             settings.limits.probes_per_s,
         )
         self._host_pools = pools.HostPools()
+        self._failure_reports = failure_reports.FailureReports(
+            self.rng, self.state.note_reported_failure
+        )
+        self.membership.on_failure_reports = self._failure_reports.handle_batch
         guard = crash_guard.CrashGuard(me.name, self.membership, log)
         self.membership.on_crash_notice = guard.handle_notice
         self.membership.on_answer_notice = guard.handle_answer_notice
@@ -135,6 +140,7 @@
             relays=relays.Relays(self.membership, self.rng),
             host_pools=self._host_pools,
             crash_guard=guard,
+            failures=self._failure_reports,
             limits=settings.limits,
             log=log,
             stats=self.stats,
@@ -212,6 +218,7 @@
             self.spawn('follower', self._follow(follower))
         self.spawn('membership', self.membership.run())
         self.spawn('maintenance', self._maintain())
+        self.spawn('failure-reports', self._report_failures())
         ip, _, port = me.caller_address.rpartition(':')
         await self.callers.start(ip, int(port))
         self._log.event('start', caller_address=me.caller_address)
@@ -311,6 +318,16 @@
         if follower is not None and revision > follower.replica.revision:
             follower.on_newer_revision(revision, self._replica_source(host))
 
+    async def _report_failures(self) -> None:
+        """Sends the reports of failures of targets, periodically."""
+        while True:
+            await asyncio.sleep(failure_reports.BATCH_INTERVAL_S)
+            batch = self._failure_reports.take_batch()
+            if batch:
+                self.membership.send_failure_reports(
+                    batch, failure_reports.RECEIVERS, self._loop.time()
+                )
+
     async def _maintain(self) -> None:
         """Flushes the log and drops state of dead hosts, periodically."""
         started_s = self._loop.time()
@@ -339,5 +356,5 @@
 
     def _is_settled(self) -> bool:
         """Returns whether no host was discovered recently."""
-        settled_s = self._loop.time() - self.membership.last_discovery_s
+        settled_s = self._loop.time() - self.membership.peers.last_discovery_s
         return settled_s > DISCOVERY_SETTLE_S
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -252,7 +252,7 @@
                 key += 1000.0
             if target.is_cold(now_s):
                 key += 3.0
-            key += 4.0 * target.failure_rate
+            key += 4.0 * target.failure_rate(now_s)
             if not target.pool.has_idle:
                 key += 0.5
             reading = target.reading
@@ -363,7 +363,7 @@
             target.sent_since(result.reading),
             target.entry.slots,
             target.rtt_s,
-            target.failure_rate,
+            target.failure_rate(self._loop.time()),
         )
 
     def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -18,6 +18,7 @@
 from ragwortchute.gateway import crash_guard as crash_guard_
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
@@ -27,6 +28,7 @@
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import retries
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
 
 # The final answer is sent this long before the deadline of the caller.
@@ -39,6 +41,8 @@
 # the store. After a power failure all hosts start at the same time, and most
 # callers try only one other host after a refusal.
 STARTUP_WAIT_S = 0.6
+# Share of a failure that the rejection of a request counts as.
+SHED_WEIGHT = 0.5
 MIN_RETRY_AFTER_S = 0.05
 # Longer estimates are capped, as the load may change within this time.
 MAX_RETRY_AFTER_S = 1.0
@@ -74,6 +78,7 @@
         relays: Selects hosts of other regions.
         host_pools: Connections to other hosts.
         crash_guard: Blocks requests that crash targets.
+        failures: Reports failures of targets to other hosts.
         limits: Limits on retries over all hosts.
         log: Event log.
         stats: Counters.
@@ -92,6 +97,7 @@
         relays: relays_.Relays,
         host_pools: pools.HostPools,
         crash_guard: crash_guard_.CrashGuard,
+        failures: failure_reports.FailureReports,
         limits: Limits,
         log: eventlog.EventLog,
         stats: stats_.Stats,
@@ -103,6 +109,7 @@
         self._relays = relays
         self._host_pools = host_pools
         self._crash_guard = crash_guard
+        self._failures = failures
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
         self._retries = retries.Retries(
             limits.retry_ratio,
@@ -305,7 +312,10 @@
             The final answer if it can't be sent, else None.
         """
         if call.sends and not self._may_retry(call):
-            return self._give_up(call, 'no-more-attempts')
+            exhausted = self._retries.may_repeat(call)
+            return self._give_up(
+                call, 'retry-budget' if exhausted else 'no-more-attempts'
+            )
         blocked_s = self._blocked_s(call.req)
         if blocked_s > 0:
             return self._give_up(call, 'crashes-targets', blocked_s)
@@ -440,7 +450,7 @@
             reply = attempt.fut.result()
         except errors.TargetError as exc:
             call.maybe_executed = True
-            target.note_failure(now_s)
+            self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(
                 call, attempt, type(exc).__name__, str(exc)
             )
@@ -456,17 +466,17 @@
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
             return None
         if self._dialect.is_not_run(reply):
-            target.note_failure(now_s, 0.5)
+            self._note_failure(target, SHED_WEIGHT)
             self._request_log.log_failed_attempt(call, attempt, 'shed')
             return None
         call.maybe_executed = True
         self._crash_guard.note_answer(call.req, now_s)
         if not self._dialect.is_authentic(reply):
-            target.note_failure(now_s)
+            self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(call, attempt, 'spoiled')
             return None
         if reply.status >= 500:
-            target.note_failure(now_s)
+            self._note_failure(target, 1.0)
             call.last_failure = reply
             self._request_log.log_failed_attempt(
                 call, attempt, f'status-{reply.status}'
@@ -478,6 +488,10 @@
         self._record_work_time(call.route, attempt, now_s)
         return self._answer(call, reply, now_s)
 
+    def _note_failure(self, target: targets_.Target, weight: float) -> None:
+        target.note_failure(self._loop.time(), weight)
+        self._failures.note_failure(target.entry.name, weight)
+
     def _answer(
         self, call: attempts.Call, reply: http_client.Reply, now_s: float
     ) -> http_server.Response:
--- a/ragwortchute/gateway/heartbeats.py
+++ b/ragwortchute/gateway/heartbeats.py
@@ -45,6 +45,7 @@
             prefix of the store.
         crashes: Notices about requests that crash targets.
         answered: Digests of suspected requests that a target has answered.
+        failures: Reports of failures of targets, see `failure_reports`.
     """
 
     sender: str
@@ -54,6 +55,7 @@
     revisions: dict[str, int] = {}
     crashes: tuple[crash_guard.CrashNotice, ...] = ()
     answered: tuple[int, ...] = ()
+    failures: bytes = b''
 
 
 def key_of(entry: model.HostEntry) -> int:
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -9,6 +9,7 @@
 
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import model
 from ragwortchute.gateway import routing
 from ragwortchute.gateway import targets as targets_
@@ -55,6 +56,7 @@
         self._targets_read = False
         self._domains_out_read = False
         self._targets_by_service: dict[str, list[targets_.Target]] = {}
+        self._targets_by_key: dict[int, targets_.Target] = {}
         self._targets_revision = 0
         self._domains_out_revision = 0
         self._target_revisions: dict[str, int] = {}
@@ -165,6 +167,20 @@
         self._domains_out_read = True
         self._signal_if_complete()
 
+    def note_reported_failure(
+        self, key: int, weight: float, now_s: float
+    ) -> None:
+        """Counts a failure of a target that another host has reported.
+
+        Args:
+            key: Key of the target in reports.
+            weight: Share of a full failure that it counts as, 0 to 1.
+            now_s: Loop time in seconds.
+        """
+        target = self._targets_by_key.get(key)
+        if target is not None:
+            target.note_reported_failure(now_s, weight)
+
     def eligible(
         self, service: str, homes: tuple[str, ...]
     ) -> list[targets_.Target]:
@@ -250,6 +266,10 @@
                 target
             )
         self._targets_by_service = targets_by_service
+        self._targets_by_key = {
+            failure_reports.target_key(name): target
+            for name, target in self.targets.items()
+        }
 
 
 def _same_incarnation(old: model.TargetEntry, new: model.TargetEntry) -> bool:
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -17,6 +17,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
+from ragwortchute.gateway import peer_table
 
 HEARTBEAT_INTERVAL_S = 0.5
 # Hosts of the local failure domain that receive each heartbeat message.
@@ -26,13 +27,8 @@
 # Hosts that send the heartbeats of all hosts to a new host; the second covers
 # the loss of a datagram.
 BOOTSTRAP_SENDERS = 2
-# How long a dead host still counts in limits that hold over all hosts.
-DEAD_RETENTION_S = 30.0
 # A datagram with more entries than this may be too large.
 ENTRIES_PER_DATAGRAM = 40
-# Wait before the entry of a host is requested again, from another sender.
-ENTRY_TIMEOUT_S = 0.4
-REQUEST_RETENTION_S = 2.0
 
 # Called with a host, a prefix, and the last revision that the host knows.
 RevisionCallback = abc.Callable[[model.HostEntry, str, int], None]
@@ -48,36 +44,6 @@
         raise NotImplementedError
 
 
-class _Peer:
-    """State of another host.
-
-    Attributes:
-        count: Latest heartbeat counter received; -1 before the first.
-        entry: Addresses of the host.
-        last_heartbeat_s: Loop time at which the latest heartbeat was sent.
-        key: Key of the host in heartbeats.
-        leaving: Whether the host is stopping.
-        discovered_s: Loop time at which the entry was learned.
-    """
-
-    __slots__ = (
-        'count',
-        'discovered_s',
-        'entry',
-        'key',
-        'last_heartbeat_s',
-        'leaving',
-    )
-
-    def __init__(self, entry: model.HostEntry, now_s: float) -> None:
-        self.entry = entry
-        self.key = heartbeats.key_of(entry)
-        self.count = -1
-        self.last_heartbeat_s = float('-inf')
-        self.discovered_s = now_s
-        self.leaving = False
-
-
 class Membership(crash_guard.HostNotifier):
     """Tracks the hosts of the deployment.
 
@@ -99,7 +65,9 @@
         on_crash_notice: Called with notices about requests that crash targets.
         on_answer_notice: Called with digests of suspected requests that a
             target has answered.
-        last_discovery_s: Loop time at which the last host was discovered.
+        on_failure_reports: Called with reports of failures of targets and the
+            loop time of their arrival.
+        peers: The other hosts.
     """
 
     def __init__(
@@ -111,21 +79,20 @@
         dead_s: float,
     ) -> None:
         self.me = me
-        self._dead_s = dead_s
         self.local_revisions: abc.Callable[[], dict[str, int]] = dict
         self.on_peer_revision: RevisionCallback = lambda *_: None
         self.on_crash_notice: CrashNoticeCallback = lambda *_: None
         self.on_answer_notice: abc.Callable[[int], None] = lambda _: None
+        self.on_failure_reports: abc.Callable[[bytes, float], None] = (
+            lambda *_: None
+        )
         self.leaving = False
-        self.last_discovery_s = float('-inf')
+        self.peers = peer_table.PeerTable(me, dead_s)
         self._transport = transport
         self._log = log
         self._rng = rng
         self._count = 0
-        self._peers: dict[str, _Peer] = {}
-        self._peers_by_key: dict[int, _Peer] = {}
         self._key = heartbeats.key_of(me)
-        self._requested_s: dict[int, float] = {}
         self._logged_alive: set[str] = set()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(heartbeats.Message)
@@ -134,8 +101,8 @@
         """Returns the hosts that accept new callers, this one included."""
         entries = [
             peer.entry
-            for peer in self._peers.values()
-            if self._is_alive(peer, now_s) and not peer.leaving
+            for peer in self.peers.all()
+            if self.peers.is_alive(peer, now_s) and not peer.leaving
         ]
         if not self.leaving:
             entries.append(self.me)
@@ -147,20 +114,16 @@
         Hosts without recent heartbeats are included: they may be alive behind
         a network partition.
         """
-        names = [
-            name
-            for name, peer in self._peers.items()
-            if now_s - max(peer.last_heartbeat_s, peer.discovered_s)
-            < DEAD_RETENTION_S
-        ]
-        return [self.me.name, *names]
+        return [self.me.name, *self.peers.retained_names(now_s)]
 
     def joined(self, now_s: float) -> bool:
         """Returns whether a host of the own failure domain has replied.
 
         All heartbeats that it sent must have been matched with entries.
         """
-        return not self._requested_s and bool(self._local_peers(now_s))
+        return not self.peers.has_requests and bool(
+            self.peers.alive_in_domain(now_s)
+        )
 
     def precedes_in_domain(self, count: int, now_s: float) -> bool:
         """Returns whether this host is among the first of its failure domain.
@@ -171,7 +134,7 @@
         """
         preceding = [
             peer
-            for peer in self._local_peers(now_s)
+            for peer in self.peers.alive_in_domain(now_s)
             if peer.entry.name < self.me.name
         ]
         return len(preceding) < count
@@ -179,7 +142,7 @@
     def add_entries(self, entries: list[model.HostEntry], now_s: float) -> None:
         """Adds or updates host entries, such as those read from the store."""
         for entry in entries:
-            self._add_entry(entry, now_s)
+            self.peers.add_entry(entry, now_s)
 
     def announce_start(self, now_s: float) -> None:
         """Announces this host to all hosts of its region.
@@ -189,7 +152,7 @@
         announcement.
         """
         data = self._encode((), now_s, (self.me,))
-        peers = list(self._peers.values())
+        peers = list(self.peers.all())
         receivers = [
             peer for peer in peers if peer.entry.region == self.me.region
         ]
@@ -199,7 +162,7 @@
     def announce_stop(self, now_s: float) -> None:
         """Announces to all known hosts that this host is stopping."""
         data = self._encode((), now_s)
-        for peer in self._peers.values():
+        for peer in self.peers.all():
             self._send(peer, data)
 
     async def run(self) -> None:
@@ -214,16 +177,16 @@
     def send_heartbeats(self, now_s: float) -> None:
         """Increments the heartbeat counter and sends out heartbeats."""
         self._count += 1
-        alive = self._alive_peers(now_s)
+        alive = self.peers.alive(now_s)
         self._log_membership_changes(alive)
-        local_peers = self._local_peers(now_s)
-        self._forget_requests(now_s)
+        local_peers = self.peers.alive_in_domain(now_s)
+        self.peers.forget_requests(now_s)
         data = self._encode(alive, now_s)
         receivers = self._rng.sample(local_peers, min(FANOUT, len(local_peers)))
         receivers += self._other_domain_delegates(now_s, local_peers)
-        if not local_peers and self._peers:
+        if not local_peers and self.peers.all():
             # No live host in the failure domain, or partitioned from it.
-            receivers.append(self._rng.choice([*self._peers.values()]))
+            receivers.append(self._rng.choice([*self.peers.all()]))
         for peer in receivers:
             self._send(peer, data)
         if local_peers:
@@ -246,10 +209,10 @@
         except msgspec.DecodeError as exc:
             self._log.event('peer-malformed', error=str(exc))
             return
-        known_sender = self._peers.get(message.sender)
+        known_sender = self.peers.get(message.sender)
         self.add_entries(list(message.entries), now_s)
-        is_new = self._peers.get(message.sender) is not known_sender
-        requested_keys = self._record_heartbeats(message.heartbeats, now_s)
+        is_new = self.peers.get(message.sender) is not known_sender
+        requested_keys = self.peers.record_heartbeats(message.heartbeats, now_s)
         if requested_keys:
             # The sender may know a host that this one doesn't, such as itself
             # after this host has restarted.
@@ -257,7 +220,7 @@
                 self.me.name, entries=(self.me,), requested_keys=requested_keys
             )
             self._transport.send(*sender_address, self._encoder.encode(request))
-        sender = self._peers.get(message.sender)
+        sender = self.peers.get(message.sender)
         if sender is None:
             return
         for prefix, revision in message.revisions.items():
@@ -266,38 +229,55 @@
             self.on_crash_notice(notice, now_s)
         for key in message.answered:
             self.on_answer_notice(key)
+        if message.failures:
+            self.on_failure_reports(message.failures, now_s)
         if message.requested_keys:
             self._send_entries(sender, message.requested_keys)
         if is_new:
             # A host that has just started looks for replicas of the store.
             is_bootstrap_sender = self._is_bootstrap_sender(sender, now_s)
-            alive = self._alive_peers(now_s) if is_bootstrap_sender else ()
+            alive = self.peers.alive(now_s) if is_bootstrap_sender else ()
             self._send(sender, self._encode(alive, now_s))
 
     def alive_names(self, now_s: float) -> list[str]:
         """See base class."""
-        peers = self._alive_peers(now_s)
+        peers = self.peers.alive(now_s)
         return [self.me.name, *(peer.entry.name for peer in peers)]
 
     def send_crash_notice(
         self, names: list[str], notice: crash_guard.CrashNotice
     ) -> None:
         """See base class."""
-        data = self._encoder.encode(
-            heartbeats.Message(self.me.name, crashes=(notice,))
-        )
-        for name in names:
-            self._send(self._peers[name], data)
+        message = heartbeats.Message(self.me.name, crashes=(notice,))
+        self._send_to_names(names, message)
 
     def send_answer_notice(self, names: list[str], key: int) -> None:
         """See base class."""
+        message = heartbeats.Message(self.me.name, answered=(key,))
+        self._send_to_names(names, message)
+
+    def send_failure_reports(
+        self, batch: bytes, receivers: int, now_s: float
+    ) -> None:
+        """Sends reports of failures to random hosts of the region.
+
+        Args:
+            batch: The reports.
+            receivers: Number of hosts.
+            now_s: Loop time in seconds.
+        """
+        peers = [
+            peer
+            for peer in self.peers.alive(now_s)
+            if peer.entry.region == self.me.region
+        ]
         data = self._encoder.encode(
-            heartbeats.Message(self.me.name, answered=(key,))
+            heartbeats.Message(self.me.name, failures=batch)
         )
-        for name in names:
-            self._send(self._peers[name], data)
+        for peer in self._rng.sample(peers, min(receivers, len(peers))):
+            self._send(peer, data)
 
-    def _is_bootstrap_sender(self, new: _Peer, now_s: float) -> bool:
+    def _is_bootstrap_sender(self, new: peer_table.Peer, now_s: float) -> bool:
         """Returns whether this host sends all heartbeats to a new host.
 
         The first hosts, by name, of the new host's failure domain do so. If it
@@ -307,7 +287,7 @@
         """
         if new.entry.region != self.me.region:
             return True
-        alive = [peer for peer in self._alive_peers(now_s) if peer is not new]
+        alive = [peer for peer in self.peers.alive(now_s) if peer is not new]
         domain = new.entry.failure_domain
         if self.me.failure_domain != domain and any(
             peer.entry.failure_domain == domain for peer in alive
@@ -322,85 +302,17 @@
         return len(preceding) < BOOTSTRAP_SENDERS
 
     def _send_entries(
-        self, receiver: _Peer, requested_keys: tuple[int, ...]
+        self, receiver: peer_table.Peer, requested_keys: tuple[int, ...]
     ) -> None:
-        entries = [
-            self._peers_by_key[key].entry
-            for key in requested_keys
-            if key in self._peers_by_key
-        ]
+        known = (self.peers.entry_of(key) for key in requested_keys)
+        entries = [entry for entry in known if entry is not None]
         entries.append(self.me)
         for start in range(0, len(entries), ENTRIES_PER_DATAGRAM):
             part = tuple(entries[start : start + ENTRIES_PER_DATAGRAM])
             message = heartbeats.Message(self.me.name, entries=part)
             self._send(receiver, self._encoder.encode(message))
 
-    def _add_entry(self, entry: model.HostEntry, now_s: float) -> None:
-        if entry.name == self.me.name:
-            return
-        peer = self._peers.get(entry.name)
-        if peer is None or peer.entry.incarnation < entry.incarnation:
-            if peer is None:
-                self.last_discovery_s = now_s
-            else:
-                del self._peers_by_key[peer.key]
-            peer = _Peer(entry, now_s)
-            self._peers[entry.name] = peer
-            self._peers_by_key[peer.key] = peer
-        self._requested_s.pop(heartbeats.key_of(entry), None)
-
-    def _record_heartbeats(self, data: bytes, now_s: float) -> tuple[int, ...]:
-        """Records heartbeats; returns the keys of entries to request."""
-        requested_keys = []
-        for heartbeat in heartbeats.unpack(data):
-            if self._record_heartbeat(heartbeat, now_s):
-                continue
-            requested_s = self._requested_s.get(heartbeat.key, float('-inf'))
-            if now_s - requested_s >= ENTRY_TIMEOUT_S:
-                self._requested_s[heartbeat.key] = now_s
-                requested_keys.append(heartbeat.key)
-        return tuple(requested_keys)
-
-    def _forget_requests(self, now_s: float) -> None:
-        """Drops requests of entries that no host seems to have."""
-        for key, requested_s in list(self._requested_s.items()):
-            if now_s - requested_s > REQUEST_RETENTION_S:
-                del self._requested_s[key]
-
-    def _record_heartbeat(
-        self, heartbeat: heartbeats.Heartbeat, now_s: float
-    ) -> bool:
-        """Records a heartbeat; returns whether the host is known."""
-        if heartbeat.key == self._key:
-            return True
-        peer = self._peers_by_key.get(heartbeat.key)
-        if peer is None:
-            return False
-        last_heartbeat_s = now_s - heartbeat.age_s
-        if peer.count < 0 or heartbeats.is_newer(heartbeat.count, peer.count):
-            peer.count = heartbeat.count
-            peer.last_heartbeat_s = max(peer.last_heartbeat_s, last_heartbeat_s)
-        peer.leaving = peer.leaving or heartbeat.leaving
-        return True
-
-    def _local_peers(self, now_s: float) -> list[_Peer]:
-        """Returns the live hosts of the own failure domain but this one."""
-        return [
-            peer
-            for peer in self._peers.values()
-            if peer.entry.failure_domain == self.me.failure_domain
-            and self._is_alive(peer, now_s)
-        ]
-
-    def _alive_peers(self, now_s: float) -> list[_Peer]:
-        return [
-            peer for peer in self._peers.values() if self._is_alive(peer, now_s)
-        ]
-
-    def _is_alive(self, peer: _Peer, now_s: float) -> bool:
-        return now_s - peer.last_heartbeat_s < self._dead_s
-
-    def _log_membership_changes(self, alive: list[_Peer]) -> None:
+    def _log_membership_changes(self, alive: list[peer_table.Peer]) -> None:
         names = {peer.entry.name for peer in alive}
         if names != self._logged_alive:
             self._log.event(
@@ -412,8 +324,8 @@
             self._logged_alive = names
 
     def _other_domain_delegates(
-        self, now_s: float, local_peers: list[_Peer]
-    ) -> list[_Peer]:
+        self, now_s: float, local_peers: list[peer_table.Peer]
+    ) -> list[peer_table.Peer]:
         """Returns the delegates of the region's other failure domains.
 
         Returns:
@@ -423,19 +335,23 @@
             return []
         others = [
             peer
-            for peer in self._peers.values()
+            for peer in self.peers.all()
             if peer.entry.region == self.me.region
             and peer.entry.failure_domain != self.me.failure_domain
         ]
         return self._domain_delegates(others, now_s)
 
-    def _send_to_delegate(self, local_peers: list[_Peer], now_s: float) -> None:
+    def _send_to_delegate(
+        self, local_peers: list[peer_table.Peer], now_s: float
+    ) -> None:
         """Sends this host's heartbeat to the delegate of its failure domain."""
         delegate = min(local_peers, key=lambda peer: peer.entry.name)
         if delegate.entry.name < self.me.name:
             self._send(delegate, self._encode((), now_s))
 
-    def _send_to_other_regions(self, alive: list[_Peer], now_s: float) -> None:
+    def _send_to_other_regions(
+        self, alive: list[peer_table.Peer], now_s: float
+    ) -> None:
         """Sends the heartbeats of this region to the other regions.
 
         Only the delegate of this region sends, to the delegate of each failure
@@ -448,7 +364,7 @@
             return
         others = [
             peer
-            for peer in self._peers.values()
+            for peer in self.peers.all()
             if peer.entry.region != self.me.region
         ]
         data = self._encode(region_peers, now_s)
@@ -456,24 +372,26 @@
             self._send(peer, data)
 
     def _domain_delegates(
-        self, peers: list[_Peer], now_s: float
-    ) -> list[_Peer]:
+        self, peers: list[peer_table.Peer], now_s: float
+    ) -> list[peer_table.Peer]:
         """Returns the delegate of each failure domain among some hosts."""
-        domains: dict[str, list[_Peer]] = {}
+        domains: dict[str, list[peer_table.Peer]] = {}
         for peer in peers:
             domains.setdefault(peer.entry.failure_domain, []).append(peer)
         return [self._delegate(group, now_s) for group in domains.values()]
 
-    def _delegate(self, peers: list[_Peer], now_s: float) -> _Peer:
+    def _delegate(
+        self, peers: list[peer_table.Peer], now_s: float
+    ) -> peer_table.Peer:
         """Returns the first live host by name, or any host if none is alive."""
-        alive = [peer for peer in peers if self._is_alive(peer, now_s)]
+        alive = [peer for peer in peers if self.peers.is_alive(peer, now_s)]
         if alive:
             return min(alive, key=lambda peer: peer.entry.name)
         return self._rng.choice(peers)
 
     def _encode(
         self,
-        peers: abc.Iterable[_Peer],
+        peers: abc.Iterable[peer_table.Peer],
         now_s: float,
         entries: tuple[model.HostEntry, ...] = (),
     ) -> bytes:
@@ -497,5 +415,14 @@
         )
         return self._encoder.encode(message)
 
-    def _send(self, peer: _Peer, data: bytes) -> None:
+    def _send_to_names(
+        self, names: list[str], message: heartbeats.Message
+    ) -> None:
+        data = self._encoder.encode(message)
+        for name in names:
+            peer = self.peers.get(name)
+            if peer is not None:
+                self._send(peer, data)
+
+    def _send(self, peer: peer_table.Peer, data: bytes) -> None:
         self._transport.send(peer.entry.ip, peer.entry.peer_port, data)
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -54,11 +54,15 @@
         """Counts a request of a caller."""
         self._budget(service).note_request(now_s)
 
-    def allowed(self, call: attempts.Call, now_s: float) -> bool:
-        """Tells whether a request may be sent to another target."""
+    def may_repeat(self, call: attempts.Call) -> bool:
+        """Tells whether a request may be sent again, budget aside."""
         if call.sends >= call.route.attempts:
             return False
-        if call.maybe_executed and not call.route.idempotent:
+        return call.route.idempotent or not call.maybe_executed
+
+    def allowed(self, call: attempts.Call, now_s: float) -> bool:
+        """Tells whether a request may be sent to another target now."""
+        if not self.may_repeat(call):
             return False
         return self._budget(call.service).available(now_s, self._hosts()) >= 1
 
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 
 from ragwortchute import errors
 from ragwortchute.gateway import dialect as dialects
@@ -20,6 +21,8 @@
 OTHER_REGION_S = 0.028
 _RTT_SMOOTHING = 0.2
 _FAILURE_SMOOTHING = 0.25
+# Time constant at which reports of other hosts lose weight.
+_REPORTED_FAILURES_DECAY_S = 2.0
 # After this many consecutive failures a target is ejected: it is probed last.
 # The time doubles with each further failure, up to a maximum.
 EJECT_AFTER_FAILURES = 3
@@ -44,7 +47,6 @@
         same_domain: Whether it is in the failure domain of this host.
         same_region: Whether it is in the region of this host.
         reading: Latest reading, None before the first one.
-        failure_rate: Smoothed share of failed answers, 0 to 1.
         pacer: Rate limit of this host while the target is cold.
         misdirected: True once another incarnation answered at its address.
         cold_until_s: Loop time until which it is cold, in seconds.
@@ -56,10 +58,12 @@
         '_dialect',
         '_ejected_until_s',
         '_failures',
+        '_own_failure_rate',
+        '_reported_failure_rate',
+        '_reported_s',
         '_sent_s',
         'cold_until_s',
         'entry',
-        'failure_rate',
         'misdirected',
         'pacer',
         'pool',
@@ -86,7 +90,9 @@
         self.same_domain = same_domain
         self.same_region = same_region
         self.reading: dialects.Reading | None = None
-        self.failure_rate = 0.0
+        self._own_failure_rate = 0.0
+        self._reported_failure_rate = 0.0
+        self._reported_s = 0.0
         self.pacer = pacing.ColdPacer()
         self.misdirected = False
         self.cold_until_s = 0.0
@@ -125,7 +131,7 @@
     def note_success(self) -> None:
         """Counts a successful answer."""
         self._failures = 0
-        self.failure_rate *= 1 - _FAILURE_SMOOTHING
+        self._own_failure_rate *= 1 - _FAILURE_SMOOTHING
 
     def note_failure(self, now_s: float, weight: float = 1.0) -> None:
         """Counts a failed request or health request.
@@ -134,7 +140,9 @@
             now_s: Loop time in seconds.
             weight: Share of a full failure that it counts as, 0 to 1.
         """
-        self.failure_rate += (weight - self.failure_rate) * _FAILURE_SMOOTHING
+        self._own_failure_rate += (
+            weight - self._own_failure_rate
+        ) * _FAILURE_SMOOTHING
         self._failures += 1
         if self._failures >= EJECT_AFTER_FAILURES:
             ejection_s = EJECTION_S * 2 ** min(
@@ -142,6 +150,36 @@
             )
             self._ejected_until_s = now_s + min(MAX_EJECTION_S, ejection_s)
 
+    def note_reported_failure(self, now_s: float, weight: float) -> None:
+        """Counts a failure that another host has reported.
+
+        Args:
+            now_s: Loop time in seconds.
+            weight: Share of a full failure that it counts as, 0 to 1.
+        """
+        rate = self._reported_rate(now_s)
+        self._reported_failure_rate = rate + max(
+            0.0, (weight - rate) * _FAILURE_SMOOTHING
+        )
+        self._reported_s = now_s
+
+    def failure_rate(self, now_s: float) -> float:
+        """Returns the estimated share of failed answers, 0 to 1.
+
+        It is the greater of what this host has seen and what the reports of
+        other hosts amount to.
+
+        Args:
+            now_s: Loop time in seconds.
+        """
+        return max(self._own_failure_rate, self._reported_rate(now_s))
+
+    def _reported_rate(self, now_s: float) -> float:
+        age_s = now_s - self._reported_s
+        return self._reported_failure_rate * math.exp(
+            -age_s / _REPORTED_FAILURES_DECAY_S
+        )
+
     async def probe(
         self,
     ) -> tuple[http_client.ClientConnection, dialects.Reading]:
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -7,6 +7,7 @@
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership
@@ -114,7 +115,9 @@
         membership: Membership of the host, without other hosts.
         selector: Selects targets.
         stats: Counters of the host.
+        failures: Reports of failures of targets.
         guard: Blocks requests that crash targets.
+        rng: Source of randomness of the host.
         dispatcher: Serves requests.
         listener: Listener for callers.
     """
@@ -126,7 +129,7 @@
     ) -> None:
         self.targets = targets
         self.log = MemoryLog()
-        rng = random.Random(1)
+        rng = self.rng = random.Random(1)
         dialect = wire.PlatformDialect()
         self.state = host_state.HostState(dialect, DOMAINS, 'a1', self.log)
         limits = limits or dispatcher.Limits()
@@ -141,6 +144,9 @@
         )
         self.selector.fleet = pacing.make_fleet('h1', ['h2', 'h3', 'h4'], True)
         self.stats = stats.Stats()
+        self.failures = failure_reports.FailureReports(
+            rng, self.state.note_reported_failure
+        )
         self.guard = crash_guard.CrashGuard('h1', self.membership, self.log)
         self.dispatcher = dispatcher.Dispatcher(
             state=self.state,
@@ -149,6 +155,7 @@
             relays=relays.Relays(self.membership, rng),
             host_pools=pools.HostPools(),
             crash_guard=self.guard,
+            failures=self.failures,
             limits=limits,
             log=self.log,
             stats=self.stats,
@@ -162,10 +169,18 @@
         )
         self._request_count = 0
 
-    async def start(self, *routes: model.Route) -> None:
-        """Starts targets and listener and applies a configuration."""
-        for target in self.targets:
-            await target.start()
+    async def start(
+        self, *routes: model.Route, start_targets: bool = True
+    ) -> None:
+        """Starts targets and listener and applies a configuration.
+
+        Args:
+            *routes: Routes of the configuration.
+            start_targets: False if another rig has started the targets.
+        """
+        if start_targets:
+            for target in self.targets:
+                await target.start()
         self.state.set_configuration(1, configuration(*routes))
         self.state.set_targets(
             [self.entry(target) for target in self.targets], 1
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -187,7 +187,7 @@
         assert server.calls['POST hosts'] == before['POST hosts'] + 1
         reads = server.calls['GET hosts'] - before['GET hosts']
         assert reads - (server.stale_calls['hosts'] - stale) == 1
-        peers = deployment.hosts[1].membership._peers
+        peers = deployment.hosts[1].membership.peers._by_name
         assert {'h0', 'n0', 'n119'} <= set(peers)
 
     async def test_lost_history_leads_to_a_full_read(self, deployment):
@@ -206,7 +206,7 @@
 
         server._listener.handler = drop_history_after_post
         await deployment.add('h9', 'b2')
-        assert 'h0' in deployment.hosts[1].membership._peers
+        assert 'h0' in deployment.hosts[1].membership.peers._by_name
 
     async def test_changes_without_own_entry_are_not_polled(self, deployment):
         # Watches may return no events for a second; repeating the watch would
@@ -225,7 +225,7 @@
 
         server._listener.handler = return_no_events
         await deployment.add('h9', 'b2')
-        assert 'h0' in deployment.hosts[1].membership._peers
+        assert 'h0' in deployment.hosts[1].membership.peers._by_name
         assert server.calls['empty-watch'] == 1
 
     async def test_changed_address_replaces_the_entry(self, deployment):
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -4,7 +4,7 @@
 
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import http_server
-from ragwortchute.gateway import membership
+from ragwortchute.gateway import peer_table
 from tests.test_gateway import host_network
 
 
@@ -119,7 +119,7 @@
         net.dead.update({1, 2})
         net.run(10)
         assert len(net.hosts[5].possible_senders(net.now_s)) == 12
-        net.run(membership.DEAD_RETENTION_S)
+        net.run(peer_table.DEAD_RETENTION_S)
         assert len(net.hosts[5].possible_senders(net.now_s)) == 10
 
 
