Let hosts lend retries to each other

Cause: the retry budget of all hosts is divided equally. At 312 hosts a share is one retry plus a fifth of some fifteen requests in ten seconds; some hosts refuse requests that a second target would run while others have retries left.

Change: a host without a retry asks two others of its failure domain and waits for at most 10 ms. A lender counts what it lends as spent until two seconds after the window; what was lent is valid for two seconds after it was asked for, so lost, late and repeated messages never raise the limit.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -146,6 +146,10 @@
             stats=self.stats,
             rng=self.rng,
         )
+        loans = self.dispatcher.retries.loans
+        loans.send = self.membership.ask_for_loans
+        loans.reply = self.membership.send_loan
+        self.membership.on_loan = self.dispatcher.retries.handle_loan
         self.callers = http_server.Listener(
             self.dispatcher.serve, lambda: self.state.limits, log, 'callers'
         )
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -85,6 +85,7 @@
         rng: Source of randomness.
 
     Attributes:
+        retries: Retry budgets.
         work_times: Mean processing times by route.
     """
 
@@ -111,12 +112,13 @@
         self._crash_guard = crash_guard
         self._failures = failures
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
-        self._retries = retries.Retries(
+        self.retries = retries.Retries(
             limits.retry_ratio,
             limits.retry_slack,
             limits.retry_window_s,
             selector,
             stats,
+            rng,
         )
         self._request_log = request_log.RequestLog(log, state, stats)
         self._stats = stats
@@ -169,7 +171,7 @@
             resp = await self._relay(call)
             if resp is not None:
                 return resp
-        self._retries.note_request(call.service, self._loop.time())
+        self.retries.note_request(call.service, self._loop.time())
         outstanding: list[attempts.Attempt] = []
         try:
             return await self._run(call, outstanding)
@@ -311,11 +313,12 @@
         Returns:
             The final answer if it can't be sent, else None.
         """
-        if call.sends and not self._may_retry(call):
-            exhausted = self._retries.may_repeat(call)
-            return self._give_up(
-                call, 'retry-budget' if exhausted else 'no-more-attempts'
-            )
+        if call.sends:
+            if not self.retries.may_repeat(call):
+                return self._give_up(call, 'no-more-attempts')
+            await self.retries.borrow(call, self._loop.time())
+            if not self._may_retry(call):
+                return self._give_up(call, 'retry-budget')
         blocked_s = self._blocked_s(call.req)
         if blocked_s > 0:
             return self._give_up(call, 'crashes-targets', blocked_s)
@@ -429,10 +432,10 @@
         return self._crash_guard.blocked_s(req, self._loop.time())
 
     def _may_retry(self, call: attempts.Call) -> bool:
-        return self._retries.allowed(call, self._loop.time())
+        return self.retries.allowed(call, self._loop.time())
 
     def _spend_retry(self, call: attempts.Call) -> bool:
-        return self._retries.spend(call, self._loop.time())
+        return self.retries.spend(call, self._loop.time())
 
     # Answers.
 
--- a/ragwortchute/gateway/heartbeats.py
+++ b/ragwortchute/gateway/heartbeats.py
@@ -8,6 +8,7 @@
 
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import model
+from ragwortchute.gateway import retry_loans
 
 # Key, counter and age of a heartbeat on the wire.
 _HEARTBEAT_FORMAT = struct.Struct('<IHB')
@@ -46,6 +47,7 @@
         crashes: Notices about requests that crash targets.
         answered: Digests of suspected requests that a target has answered.
         failures: Reports of failures of targets, see `failure_reports`.
+        loans: Requests for retries and answers to them.
     """
 
     sender: str
@@ -56,6 +58,7 @@
     crashes: tuple[crash_guard.CrashNotice, ...] = ()
     answered: tuple[int, ...] = ()
     failures: bytes = b''
+    loans: tuple[retry_loans.LoanMessage, ...] = ()
 
 
 def key_of(entry: model.HostEntry) -> int:
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -18,6 +18,7 @@
 from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
 from ragwortchute.gateway import peer_table
+from ragwortchute.gateway import retry_loans
 
 HEARTBEAT_INTERVAL_S = 0.5
 # Hosts of the local failure domain that receive each heartbeat message.
@@ -34,6 +35,7 @@
 RevisionCallback = abc.Callable[[model.HostEntry, str, int], None]
 # Called with a notice and the loop time of its arrival.
 CrashNoticeCallback = abc.Callable[[crash_guard.CrashNotice, float], None]
+LoanCallback = abc.Callable[[str, retry_loans.LoanMessage, float], None]
 
 
 class Transport:
@@ -67,6 +69,8 @@
             target has answered.
         on_failure_reports: Called with reports of failures of targets and the
             loop time of their arrival.
+        on_loan: Called with the name of a host, its message about a loan of
+            retries and the loop time of its arrival.
         peers: The other hosts.
     """
 
@@ -86,6 +90,7 @@
         self.on_failure_reports: abc.Callable[[bytes, float], None] = (
             lambda *_: None
         )
+        self.on_loan: LoanCallback = lambda *_: None
         self.leaving = False
         self.peers = peer_table.PeerTable(me, dead_s)
         self._transport = transport
@@ -229,6 +234,8 @@
             self.on_crash_notice(notice, now_s)
         for key in message.answered:
             self.on_answer_notice(key)
+        for loan in message.loans:
+            self.on_loan(sender.entry.name, loan, now_s)
         if message.failures:
             self.on_failure_reports(message.failures, now_s)
         if message.requested_keys:
@@ -266,17 +273,48 @@
             receivers: Number of hosts.
             now_s: Loop time in seconds.
         """
-        peers = [
-            peer
-            for peer in self.peers.alive(now_s)
-            if peer.entry.region == self.me.region
-        ]
+        peers = self._region_peers(now_s)
         data = self._encoder.encode(
             heartbeats.Message(self.me.name, failures=batch)
         )
         for peer in self._rng.sample(peers, min(receivers, len(peers))):
             self._send(peer, data)
 
+    def ask_for_loans(
+        self, loan: retry_loans.LoanMessage, lenders: int
+    ) -> list[str]:
+        """Asks random hosts of the failure domain for retries.
+
+        If it has no other live host, hosts of the region are asked.
+
+        Args:
+            loan: The request.
+            lenders: Number of hosts to ask.
+
+        Returns:
+            The names of the hosts that were asked.
+        """
+        now_s = asyncio.get_running_loop().time()
+        peers = self.peers.alive_in_domain(now_s) or self._region_peers(now_s)
+        names = [peer.entry.name for peer in peers if not peer.leaving]
+        chosen = self._rng.sample(names, min(lenders, len(names)))
+        self._send_to_names(
+            chosen, heartbeats.Message(self.me.name, loans=(loan,))
+        )
+        return chosen
+
+    def send_loan(self, name: str, loan: retry_loans.LoanMessage) -> None:
+        """Sends the answer to a request for retries to a host."""
+        message = heartbeats.Message(self.me.name, loans=(loan,))
+        self._send_to_names([name], message)
+
+    def _region_peers(self, now_s: float) -> list[peer_table.Peer]:
+        return [
+            peer
+            for peer in self.peers.alive(now_s)
+            if peer.entry.region == self.me.region
+        ]
+
     def _is_bootstrap_sender(self, new: peer_table.Peer, now_s: float) -> bool:
         """Returns whether this host sends all heartbeats to a new host.
 
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -5,10 +5,13 @@
 not been executed or is idempotent, and that the retry budget is not exhausted.
 """
 
+import random
+
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import retry_budget
+from ragwortchute.gateway import retry_loans
 from ragwortchute.gateway import stats as stats_
 
 # Number of hosts that is assumed until this host has learnt of the others.
@@ -24,10 +27,15 @@
         window_s: Length of the window in seconds.
         selector: Provides the hosts among which the slack is divided.
         stats: Counters.
+        rng: Source of randomness.
+
+    Attributes:
+        loans: Borrows and lends retries.
     """
 
     __slots__ = (
         '_budgets',
+        'loans',
         '_ratio',
         '_selector',
         '_slack',
@@ -42,6 +50,7 @@
         window_s: float,
         selector: candidates.TargetSelector,
         stats: stats_.Stats,
+        rng: random.Random,
     ) -> None:
         self._ratio = ratio
         self._slack = slack
@@ -49,6 +58,7 @@
         self._selector = selector
         self._stats = stats
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.loans = retry_loans.RetryLoans(self._budget, rng)
 
     def note_request(self, service: str, now_s: float) -> None:
         """Counts a request of a caller."""
@@ -60,6 +70,11 @@
             return False
         return call.route.idempotent or not call.maybe_executed
 
+    async def borrow(self, call: attempts.Call, now_s: float) -> None:
+        """Borrows a retry from another host if the budget is exhausted."""
+        if self.may_repeat(call) and not self.allowed(call, now_s):
+            await self.loans.borrow(call.service, now_s)
+
     def allowed(self, call: attempts.Call, now_s: float) -> bool:
         """Tells whether a request may be sent to another target now."""
         if not self.may_repeat(call):
@@ -72,6 +87,12 @@
         self._stats.retries += spent
         return spent
 
+    def handle_loan(
+        self, sender: str, message: retry_loans.LoanMessage, now_s: float
+    ) -> None:
+        """Handles a message about a loan of another host."""
+        self.loans.handle(sender, message, now_s, self._hosts())
+
     def _hosts(self) -> int:
         """Returns the number of hosts among which the slack is divided.
 
