Make the soak's check of removed targets able to fail

Cause: the end of each run ends all faults and noted that as a fault of every host, after which no removal was judged any more. Callers were seeded by their index, whatever the seed of the run.

Change: a request counts against the faults between the removal and its own arrival. Callers follow from the seed; the choice of faults of a seed is as before. The soak measures how late its own timer is and prints it.

Measured: a planted late request is found, with and without a later fault. That the former check passes over it with a later fault was read in the code.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -40,6 +40,7 @@
 CALLERS = 6
 START_TIMEOUT_S = 15.0
 RECOVERY_S = 8.0
+TIMER_INTERVAL_S = 0.05
 MIN_SERVED_AT_END = 0.9
 # Limits that the platform documents, plus the time for which a host may act
 # on state that it has read before.
@@ -69,7 +70,6 @@
 
     Attributes:
         name: Name of the host.
-        last_fault_s: Loop time of the last unplanned fault of this host.
     """
 
     def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
@@ -82,7 +82,6 @@
         self.folder = pathlib.Path(folder)
         self.process: asyncio.subprocess.Process | None = None
         self.proxy: fault_proxy.FaultProxy | None = None
-        self.last_fault_s = float('-inf')
         self.stopping = False
 
     async def start(self) -> None:
@@ -143,11 +142,14 @@
         not_run_claims: Refusals with a "not run" status, by request id.
         evacuated_at_s: Loop time of the evacuation, by failure domain.
         removed_at_s: Loop time of the removal, by target.
-        unplanned_fault_s: Loop time of the last unplanned fault of any part.
+        fault_times_s: Loop times of the unplanned faults of all parts: start
+            and end of those that last.
+        late_s: Greatest delay of this process's own timer, in seconds.
         fault_log: Log of the injected faults.
     """
 
     def __init__(self, seed: int, folder: str) -> None:
+        self._seed = seed
         self.rng = random.Random(seed)
         self.store = platform_store.ObjectServer()
         self.loop = asyncio.get_running_loop()
@@ -165,7 +167,8 @@
         self.statuses: collections.Counter[int] = collections.Counter()
         self.evacuated_at_s: dict[str, float] = {}
         self.removed_at_s: dict[str, float] = {}
-        self.unplanned_fault_s = float('-inf')
+        self.fault_times_s: list[float] = []
+        self.late_s = 0.0
         self.fault_log: list[str] = []
         self._ids = 0
         self._version = 1
@@ -175,9 +178,10 @@
         """Injects faults for `seconds` and returns the violations found."""
         await self._start()
         callers = [
-            asyncio.create_task(self._caller(number))
+            asyncio.create_task(self._caller(f'{self._seed}/{number}'))
             for number in range(CALLERS)
         ]
+        timer = asyncio.create_task(self._measure_delay())
         try:
             end_s = self.loop.time() + seconds
             faults: set[asyncio.Task[None]] = set()
@@ -191,6 +195,7 @@
         finally:
             self._calling = False
             await asyncio.gather(*callers)
+            timer.cancel()
             await self._stop()
         self._check_runs()
         return self.violations
@@ -253,9 +258,20 @@
         }
         await self.store.put('config', 'main', spec)
 
+    async def _measure_delay(self) -> None:
+        """Measures how late this process runs its tasks.
+
+        A late process also reads answers late, and its targets answer late.
+        """
+        while True:
+            started_s = self.loop.time()
+            await asyncio.sleep(TIMER_INTERVAL_S)
+            delay_s = self.loop.time() - started_s - TIMER_INTERVAL_S
+            self.late_s = max(self.late_s, delay_s)
+
     # Callers.
 
-    async def _caller(self, seed: int) -> None:
+    async def _caller(self, seed: str) -> None:
         rng = random.Random(seed)
         while self._calling:
             host = rng.choice(self.hosts)
@@ -318,11 +334,7 @@
         self, host: Host, request_id: str, started_s: float, exc: Exception
     ) -> None:
         """Records a violation if no unplanned fault explains the failure."""
-        quiet_since_s = started_s - CONTACT_S
-        if (
-            host.last_fault_s < quiet_since_s
-            and self.unplanned_fault_s < quiet_since_s
-        ):
+        if not self.had_fault(started_s - CONTACT_S, self.loop.time()):
             self.violations.append(
                 f'{request_id}: cut off by {host.name} without a fault: '
                 f'{type(exc).__name__}'
@@ -337,16 +349,25 @@
             f'{self.loop.time():.2f} {chosen.__name__}: {await chosen(self)}'
         )
 
-    def record_fault(self, host: Host) -> None:
-        """Records the time of an unplanned fault of a host."""
-        host.last_fault_s = self.unplanned_fault_s = self.loop.time()
+    def note_fault(self) -> None:
+        """Records the time of an unplanned fault of any part."""
+        self.fault_times_s.append(self.loop.time())
+
+    def had_fault(self, since_s: float, until_s: float) -> bool:
+        """Tells whether there was an unplanned fault in an interval.
+
+        Args:
+            since_s: Loop time of its start in seconds.
+            until_s: Loop time of its end in seconds.
+        """
+        return any(since_s <= at_s <= until_s for at_s in self.fault_times_s)
 
     async def _recover(self) -> None:
         for host in self.hosts:
             host.proxy.heal()
             host.proxy.reset()
             host.signal(signal.SIGCONT)
-            self.record_fault(host)
+            self.note_fault()
         self.store.mode = 'up'
         self.store.suppress_events = False
         for target in self.targets:
@@ -383,7 +404,7 @@
             runs.update(
                 run.request_id for run in target.runs if run.path[:2] == '/w'
             )
-            self._check_times(target)
+            self.check_times(target)
         for request_id, count in runs.items():
             if count > 1:
                 self.violations.append(f'{request_id}: ran {count} times')
@@ -393,20 +414,19 @@
                     f'{request_id}: ran although refused with {claim}'
                 )
 
-    def _check_times(self, target: platform_targets.TargetServer) -> None:
+    def check_times(self, target: platform_targets.TargetServer) -> None:
         """Checks that a removed target received nothing after its limit.
 
-        The check applies only if there was no unplanned fault shortly before
-        or after the removal, because a host cut off from the store cannot
-        learn of the removal.
+        A request counts only if there was no unplanned fault from shortly
+        before the removal until it arrived, because a host cut off from the
+        store cannot learn of the removal.
         """
         removed_s = self.removed_at_s.get(target.name)
         if removed_s is None:
             return
         for arrived_s, path in target.arrivals:
-            if (
-                arrived_s > removed_s + DRAIN_LIMIT_S
-                and self.unplanned_fault_s < removed_s - CONTACT_S
+            if arrived_s > removed_s + DRAIN_LIMIT_S and not self.had_fault(
+                removed_s - CONTACT_S, arrived_s
             ):
                 self.violations.append(
                     f'{path}: reached {target.name} '
@@ -421,12 +441,12 @@
     if host.stopping:
         return 'none'
     host.stopping = True
-    soak.record_fault(host)
+    soak.note_fault()
     host.signal(signal.SIGKILL)
     await host.process.wait()
     await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
     await host.start()
-    soak.record_fault(host)
+    soak.note_fault()
     return host.name
 
 
@@ -447,11 +467,11 @@
 async def pause(soak: Soak) -> str:
     """Suspends a host with SIGSTOP for a while."""
     host = soak.rng.choice(soak.hosts)
-    soak.record_fault(host)
+    soak.note_fault()
     host.signal(signal.SIGSTOP)
     await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
     host.signal(signal.SIGCONT)
-    soak.record_fault(host)
+    soak.note_fault()
     return host.name
 
 
@@ -467,13 +487,13 @@
 async def store_outage(soak: Soak) -> str:
     """Makes the store fail for all hosts for a while."""
     mode = soak.rng.choice(('busy', 'reset', 'silent'))
-    soak.unplanned_fault_s = soak.loop.time()
+    soak.note_fault()
     soak.store.mode = mode
     await soak.store.close_connections()
     await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
     soak.store.mode = 'up'
     await soak.store.close_connections()
-    soak.unplanned_fault_s = soak.loop.time()
+    soak.note_fault()
     return mode
 
 
@@ -482,7 +502,7 @@
     """Impairs the connection of one host to the store for a while."""
     host = soak.rng.choice(soak.hosts)
     impairment = soak.rng.choice(('delay', 'silent', 'one_way', 'reset'))
-    soak.record_fault(host)
+    soak.note_fault()
     if impairment == 'delay':
         host.proxy.delay_s = soak.rng.uniform(0.05, 0.5)
     elif impairment == 'reset':
@@ -491,21 +511,21 @@
         setattr(host.proxy, impairment, True)
     await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
     host.proxy.heal()
-    soak.record_fault(host)
+    soak.note_fault()
     return f'{host.name} {impairment}'
 
 
 @fault
 async def history(soak: Soak) -> str:
     """Delays change notifications, then drops the change history."""
-    soak.unplanned_fault_s = soak.loop.time()
+    soak.note_fault()
     soak.store.suppress_events = True
     await soak.configure()
     await asyncio.sleep(1.0)
     soak.store.drop_history()
     soak.store.suppress_events = False
     await soak.store.close_connections()
-    soak.unplanned_fault_s = soak.loop.time()
+    soak.note_fault()
     return 'dropped'
 
 
@@ -513,12 +533,12 @@
 async def target_fault(soak: Soak) -> str:
     """Makes a target respond incorrectly for a while."""
     target = soak.rng.choice(soak.targets)
-    soak.unplanned_fault_s = soak.loop.time()
+    soak.note_fault()
     target.fault = soak.rng.choice(_TARGET_FAULTS)
     name = f'{target.name} {target.fault}'
     await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
     target.fault = ''
-    soak.unplanned_fault_s = soak.loop.time()
+    soak.note_fault()
     return name
 
 
@@ -549,7 +569,9 @@
     await soak.store.put('evacuations', domain, {})
     await asyncio.sleep(EVACUATION_LIMIT_S + 1.0)
     since_s = soak.evacuated_at_s.get(domain)
-    if since_s is not None and soak.unplanned_fault_s < since_s - CONTACT_S:
+    if since_s is not None and not soak.had_fault(
+        since_s - CONTACT_S, soak.loop.time()
+    ):
         for target in soak.targets:
             late = [
                 path
@@ -603,7 +625,10 @@
         folder = tempfile.mkdtemp(prefix=f'soak-{number}-')
         soak = asyncio.run(run_seed(number, seconds, folder))
         counts = dict(sorted(soak.statuses.items()))
-        click.echo(f'seed {number}: {counts}')
+        click.echo(
+            f'seed {number}: {counts}, '
+            f'own process up to {soak.late_s:.2f} s late'
+        )
         if soak.violations:
             click.echo('\n'.join(soak.violations[:5] + soak.fault_log[-12:]))
             click.echo(f'logs in {folder}')
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -1,8 +1,12 @@
 """A short seeded run of the soak test, and seeds that failed before."""
 
+import asyncio
+import time
+
 import pytest
 
 from benchmarks import soak
+from standins import platform_targets
 
 SECONDS = 6.0
 # Seeds that violated a guarantee before, with the cause.
@@ -19,3 +23,44 @@
         run = await soak.run_seed(seed, SECONDS, str(tmp_path))
         assert not run.violations, run.fault_log
         assert run.statuses[200] > 0
+
+
+class TestChecks:
+    """A check that can't fail proves nothing."""
+
+    async def removed_target(self, tmp_path, arrivals_s, faults_s=()):
+        """Returns the violations for arrivals after a removal at 100 s."""
+        run = soak.Soak(1, str(tmp_path))
+        target = platform_targets.TargetServer('t')
+        target.arrivals = [(at_s, '/w/1') for at_s in arrivals_s]
+        run.removed_at_s['t'] = 100.0
+        run.fault_times_s += faults_s
+        run.check_times(target)
+        return run.violations
+
+    async def test_late_request_to_a_removed_target_is_found(self, tmp_path):
+        limit_s = 100.0 + soak.DRAIN_LIMIT_S
+        violations = await self.removed_target(tmp_path, [limit_s + 0.5])
+        assert len(violations) == 1
+
+    async def test_later_faults_do_not_excuse_it(self, tmp_path):
+        # At the end of a run all faults are ended, which is a fault itself.
+        violations = await self.removed_target(tmp_path, [103.0], [104.0])
+        assert len(violations) == 1
+
+    @pytest.mark.parametrize('fault_s', [98.0, 101.0])
+    async def test_fault_before_it_excuses_it(self, tmp_path, fault_s):
+        violations = await self.removed_target(tmp_path, [103.0], [fault_s])
+        assert not violations
+
+    async def test_request_within_the_limit_is_allowed(self, tmp_path):
+        assert not await self.removed_target(tmp_path, [99.0, 101.0])
+
+    async def test_delay_of_the_own_process_is_measured(self, tmp_path):
+        run = soak.Soak(1, str(tmp_path))
+        timer = asyncio.create_task(run._measure_delay())
+        await asyncio.sleep(0)
+        time.sleep(0.3)  # noqa: ASYNC251 blocks the event loop
+        await asyncio.sleep(0.1)
+        timer.cancel()
+        assert run.late_s > 0.2
