Refuse requests at a host that knows its configuration to be outdated

Hosts whose copies of a configuration of 400 KB were late used version 18 more than 3 s after 22 was acknowledged, although heartbeats had told them of the newer revision.

Change: a host that has known of a newer configuration for half of the time within which it must be in force refuses with 503 (outdated-configuration) until it has read it. If the store itself does not have the revision that another host claims, the claim is dropped and logged, so that one wrong message can't make all hosts refuse.

Measured: tests of the time since the news, of its end, of a claim that the store refutes, and of the refusal.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -47,6 +47,10 @@
 # After the discovery of a host, all hosts need this long to agree on the hosts
 # among which the load on cold targets is divided.
 DISCOVERY_SETTLE_S = 1.0
+# A host refuses requests once it has known for this share of the time within
+# which a change must be in force that there is one. The news may take the rest
+# of the time to arrive.
+OUTDATED_AFTER_FRACTION = 0.5
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -61,6 +65,8 @@
         dead_s: Age in seconds of the last heartbeat from which on a host is
             no longer named to callers.
         limits: Limits of resends and of load on cold targets, over all hosts.
+        config_s: Seconds within which a change of the configuration must be
+            in force.
     """
 
     me: model.HostEntry
@@ -69,6 +75,7 @@
     grace_s: float
     dead_s: float
     limits: dispatcher.Limits
+    config_s: float = 2.0
 
 
 class Gateway:
@@ -141,6 +148,7 @@
             host_pools=self._host_pools,
             crash_guard=guard,
             failures=self._failure_reports,
+            is_outdated=self._is_outdated,
             limits=settings.limits,
             log=log,
             stats=self.stats,
@@ -315,6 +323,15 @@
             for prefix, follower in self._followers.items()
         }
 
+    def _is_outdated(self) -> bool:
+        """Returns whether a newer configuration must be in force by now."""
+        limit_s = self._settings.config_s * OUTDATED_AFTER_FRACTION
+        return any(
+            follower.behind_s() > limit_s
+            for follower in self._followers.values()
+            if follower.holds_configuration
+        )
+
     def _on_peer_revision(
         self, host: model.HostEntry, prefix: str, revision: int
     ) -> None:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import abc
 import random
 
 import msgspec
@@ -79,6 +80,7 @@
         host_pools: Connections to other hosts.
         crash_guard: Blocks requests that crash targets.
         failures: Reports failures of targets to other hosts.
+        is_outdated: Returns whether a newer configuration must be in force.
         limits: Limits on retries over all hosts.
         log: Event log.
         stats: Counters.
@@ -99,6 +101,7 @@
         host_pools: pools.HostPools,
         crash_guard: crash_guard_.CrashGuard,
         failures: failure_reports.FailureReports,
+        is_outdated: abc.Callable[[], bool],
         limits: Limits,
         log: eventlog.EventLog,
         stats: stats_.Stats,
@@ -111,6 +114,7 @@
         self._host_pools = host_pools
         self._crash_guard = crash_guard
         self._failures = failures
+        self._is_outdated = is_outdated
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
         self.retries = retries.Retries(
             limits.retry_ratio,
@@ -144,6 +148,8 @@
         request_id = self._dialect.request_id(req)
         if not state.complete and not await self._wait_for_state(req):
             return self._refuse(req, 'no-configuration', 0.2)
+        if self._is_outdated():
+            return self._refuse(req, 'outdated-configuration', 0.2)
         route = state.table.match(req.host, req.path)
         if route is None:
             self._request_log.log_answer(
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -44,10 +44,12 @@
         prefix: Prefix of the names in the store.
         entries_expire: Whether entries expire while their writers can't reach
             the store, and are written again afterwards.
+        holds_configuration: Whether one of the objects is the configuration.
     """
 
     prefix = ''
     entries_expire = False
+    holds_configuration = False
 
     @abc.abstractmethod
     def replace(
@@ -136,6 +138,7 @@
 
     Attributes:
         prefix: Prefix of the objects.
+        holds_configuration: Whether one of them is the configuration.
         replica: Replica of the objects.
     """
 
@@ -159,7 +162,10 @@
         self._source_name = ''
         self._preferred_source: Source | None = None
         self._reading_replica = False
+        self._newest_revision = 0
+        self._behind_since_s = 0.0
         self.prefix = feed.prefix
+        self.holds_configuration = feed.holds_configuration
         self.replica = replica_.Replica()
 
     @property
@@ -167,6 +173,15 @@
         """Whether another host is known that can be read."""
         return self._preferred_source is not None
 
+    def behind_s(self) -> float:
+        """Returns for how long a newer revision has been known, in seconds.
+
+        It is 0 while this host has the newest revision that it knows of.
+        """
+        if self._newest_revision <= self.replica.revision:
+            return 0.0
+        return self._loop.time() - self._behind_since_s
+
     def on_newer_revision(self, revision: int, source: Source) -> None:
         """Notes that a source has a newer revision.
 
@@ -175,6 +190,9 @@
             source: The source; it is read next unless this host's own watch
                 returns that revision within `HINT_DELAY_S`.
         """
+        if not self.behind_s():
+            self._behind_since_s = self._loop.time()
+        self._newest_revision = max(self._newest_revision, revision)
         if not self.replica.revision:
             # This host has just started.
             if not (self._preferred_source or self._reading_replica):
@@ -285,7 +303,7 @@
         )
         if answer is None:
             return
-        self._record_success(source)
+        self._record_success(source, answer)
         self._needs_full_read = False
         answer = self._defer_removals(source, answer, full_read=True)
         changes = self.replica.replace(answer.objects, answer.revision)
@@ -306,7 +324,7 @@
         )
         if answer is None:
             return
-        self._record_success(source)
+        self._record_success(source, answer)
         answer = self._defer_removals(source, answer, full_read=False)
         if not self.replica.apply(answer):
             return
@@ -376,6 +394,18 @@
         self._needs_full_read = True
         self._wake.set()
 
-    def _record_success(self, source: Source) -> None:
-        if not source.name:
-            self._health.record_success()
+    def _record_success(
+        self, source: Source, answer: stores.WatchAnswer
+    ) -> None:
+        if source.name:
+            return
+        self._health.record_success()
+        if answer.revision < self._newest_revision:
+            # The store has the last word on its revision.
+            self._log.event(
+                'revision-unknown',
+                prefix=self.prefix,
+                revision=answer.revision,
+                claimed=self._newest_revision,
+            )
+            self._newest_revision = answer.revision
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -89,6 +89,7 @@
     """Feed of the operator's configuration."""
 
     prefix = CONFIG_KIND
+    holds_configuration = True
 
     def replace(
         self, objects: list[stores.StoredObject], revision: int
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -96,6 +96,7 @@
         domains=domains,
         peer_ip=ip,
         grace_s=bounds.get('grace_s', 6.0),
+        config_s=bounds.get('config_s', 2.0),
         dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
         limits=dispatcher.Limits(
             retry_ratio=bounds.get('retry_budget_ratio', 0.2),
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -120,6 +120,7 @@
         rng: Source of randomness of the host.
         dispatcher: Serves requests.
         listener: Listener for callers.
+        outdated: Whether the host knows of a newer configuration for too long.
     """
 
     def __init__(
@@ -156,6 +157,7 @@
             host_pools=pools.HostPools(),
             crash_guard=self.guard,
             failures=self.failures,
+            is_outdated=lambda: self.outdated,
             limits=limits,
             log=self.log,
             stats=self.stats,
@@ -167,6 +169,7 @@
             self.log,
             'callers',
         )
+        self.outdated = False
         self._request_count = 0
 
     async def start(
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -373,6 +373,17 @@
         await rig.stop()
         assert answer.status == 503
 
+    async def test_outdated_host_refuses_instead_of_sending(self, start):
+        rig = await start(*servers(1))
+        rig.outdated = True
+        for path in ('/r/x', '/dropped/x'):
+            answer = await rig.request(path)
+            assert answer.status == 503
+            assert float(answer.headers['retry-after']) > 0
+        assert not rig.targets[0].arrivals
+        rig.outdated = False
+        assert (await rig.request()).status == 200
+
     async def test_unknown_route_is_not_found(self, start):
         rig = await start(*servers(1))
         assert (await rig.request('/other/')).status == 404
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -297,6 +297,45 @@
         await rig.until({'a': '2'}, 1.5)
 
 
+class TestBehind:
+    """A host must know for how long it has lacked a change."""
+
+    async def test_time_since_the_news_is_measured(self, rig):
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.mode = 'silent'
+        await rig.server.close_connections()
+        revision = rig.server.revision + 5
+        rig.follower.on_newer_revision(revision, rig.store_source())
+        await asyncio.sleep(0.2)
+        rig.follower.on_newer_revision(revision + 1, rig.store_source())
+        await asyncio.sleep(0.2)
+        assert rig.follower.behind_s() >= 0.35
+
+    async def test_read_of_the_change_ends_it(self, rig):
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.suppress_events = True
+        await rig.server.put('things', 'a', 2)
+        revision = rig.server.revision
+        rig.follower.on_newer_revision(revision, rig.store_source())
+        rig.server.suppress_events = False
+        await rig.until({'a': '2'})
+        assert rig.follower.behind_s() == 0
+
+    async def test_claim_that_the_store_refutes_is_dropped(self, rig):
+        # Otherwise, one wrong message would make all hosts refuse requests.
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.follower.on_newer_revision(10_000, rig.store_source())
+        await asyncio.sleep(store_follower.HINT_DELAY_S + 0.3)
+        assert rig.follower.behind_s() == 0
+        assert 'revision-unknown' in rig.log.kinds()
+
+
 class TestReplica:
     """A replica must not return to an older state or hide removals."""
 
