Probe other regions only for targets that answer sooner

Cause: with reports of failures, all targets of a service that sheds cost more than the share of the objective from which on a second round asks targets of other regions.

Change: targets of other regions are probed only if the expected latency in the own region, without the penalty for failures, is too long.

Measured: the test with a region that rejects fails before (7 probes to the other region) and passes; one with a slow region still gets there.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -162,7 +162,12 @@
         budget.update(self._loop.time(), self.targets, len(self.fleet.names))
         probed = 0
         for round_ in range(MAX_ROUNDS):
-            group = _pop_round(local, remote, round_, budget)
+            group = _pop_round(
+                local,
+                remote if self._needs_remote(best, required) else [],
+                round_,
+                budget,
+            )
             if not group:
                 break
             probed += len(group)
@@ -187,6 +192,34 @@
                 break
         return self._place(best, required, probed)
 
+    def _needs_remote(
+        self, best: _ProbeResult | None, required: Requirements
+    ) -> bool:
+        """Returns whether targets of other regions may be probed.
+
+        They are if the targets of the own region are slow or none has
+        answered, not if those only reject or fail more requests than usual:
+        others of the region may be better, and the links between regions are
+        slow and billed.
+
+        Args:
+            best: Best result so far, None before the first round.
+            required: What the request requires.
+        """
+        if best is None:
+            return True
+        expected_s = self._expected_s(best, required)
+        return expected_s > required.objective_s * ACCEPTABLE_OBJECTIVES
+
+    def _expected_s(
+        self, result: _ProbeResult, required: Requirements
+    ) -> float:
+        return estimates.expected_latency_s(
+            self._candidate(result),
+            required.work_s,
+            self.mean_slowness(result.target.entry.service),
+        )
+
     def cold_limit_per_s(self, target: targets_.Target) -> float:
         """Returns the request rate limit of a cold target over all hosts."""
         service = target.service
@@ -212,12 +245,7 @@
         if best is None or not best.conn.usable:
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         target = best.target
-        candidate = self._candidate(best)
-        expected_s = estimates.expected_latency_s(
-            candidate,
-            required.work_s,
-            self.mean_slowness(target.entry.service),
-        )
+        expected_s = self._expected_s(best, required)
         if expected_s > required.remaining_s:
             target.pool.release(best.conn)
             return NoPlacement(
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -390,6 +390,35 @@
         assert (await rig.request('/other/')).status == 404
 
 
+class TestRemoteTargets:
+    """The link between regions is for what the own region can't serve."""
+
+    def targets(self, **fields):
+        near = servers(4, **fields)
+        far = platform_targets.TargetServer('far', failure_domain='b1')
+        return [*near, far]
+
+    async def test_rejections_do_not_lead_to_another_region(self, start):
+        # Load: all targets of the region reject a part of the requests.
+        targets = self.targets()
+        rig = await start(*targets)
+        now_s = asyncio.get_running_loop().time()
+        for target in rig.state.targets.values():
+            for _ in range(8):
+                target.note_reported_failure(now_s, 0.5)
+        for _ in range(20):
+            assert (await rig.request()).status == 200
+        assert not targets[-1].probes
+
+    async def test_slow_region_leads_to_another_region(self, start):
+        targets = self.targets(slots=1, queue=50, work_s=0.3)
+        rig = await start(*targets)
+        rig.dispatcher.work_times.record(rigs.route(), 0.3)
+        statuses = await asyncio.gather(*(rig.request() for _ in range(8)))
+        assert targets[-1].runs
+        assert [answer.status for answer in statuses].count(200) >= 6
+
+
 class TestCancelledSelection:
     """A selection that is cancelled must not keep connections."""
 
