Read the store from two hosts a region, and wait for replicas being filled

While targets change in numbers, a reader makes three calls a second.

Change: readers beyond two of a region read the replica of one of these. A reader that is filling its replica from the store lets others wait up to 0.3 s; one that itself waits for a peer refuses at once, so that two hosts do not wait for each other. Changes of targets are batched for 0.5 s, others for 0.3 s as before.

--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -22,6 +22,9 @@
 # Longest wait for a change in one request; the request is then repeated, so
 # that an unresponsive host is detected.
 MAX_WAIT_S = 1.0
+# Longest wait for a replica whose host is reading it from the store: when many
+# hosts start at the same time, the others would have to read the store, too.
+FILL_TIMEOUT_S = 0.3
 # Longest wait for a response, in addition to the wait for a change.
 RESPONSE_TIMEOUT_S = 0.6
 
@@ -75,6 +78,7 @@
         wait_ms = query.get('wait_ms', '0')
         if not wait_ms.isdecimal():
             return http_server.Response(400)
+        await replica_.wait_filled(FILL_TIMEOUT_S)
         try:
             if int(after_revision):
                 wait_ms = min(MAX_WAIT_S * 1000, int(wait_ms))
--- a/ragwortchute/gateway/replica.py
+++ b/ragwortchute/gateway/replica.py
@@ -19,13 +19,17 @@
         revision: Revision up to which changes are known; 0 before the first
             read.
         last_change_revision: Revision of the last change; 0 if none is known.
+        filling: Whether this host is reading it from the store for the first
+            time.
     """
 
     __slots__ = (
+        '_filled',
         '_history',
         '_history_start',
         '_objects',
         '_waiters',
+        'filling',
         'last_change_revision',
         'revision',
     )
@@ -33,6 +37,8 @@
     def __init__(self) -> None:
         self.revision = 0
         self.last_change_revision = 0
+        self.filling = False
+        self._filled = asyncio.Event()
         self._objects: dict[str, stores.StoredObject] = {}
         self._history: collections.deque[tuple[int, str]] = collections.deque()
         self._history_start = 0
@@ -105,6 +111,16 @@
         removed = tuple(name for name in names if name not in self._objects)
         return stores.WatchAnswer(max(after, self.revision), objects, removed)
 
+    async def wait_filled(self, timeout_s: float) -> None:
+        """Waits for the end of the first read, at most `timeout_s` seconds."""
+        if not self.filling:
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._filled.wait()
+        except TimeoutError:
+            return
+
     async def wait(self, after: int, timeout_s: float) -> None:
         """Waits for a change after a revision, at most `timeout_s` seconds."""
         if self.last_change_revision > after:
@@ -118,6 +134,7 @@
 
     def _apply(self, answer: stores.WatchAnswer) -> None:
         self.revision = answer.revision
+        self._filled.set()
         for obj in answer.objects:
             self._objects[obj.name] = obj
             self._record_change(obj.version, obj.name)
--- a/ragwortchute/gateway/sources.py
+++ b/ragwortchute/gateway/sources.py
@@ -2,14 +2,19 @@
 
 Load: every call to the store is billed, and its rate limits grow more slowly
 than the number of hosts. So one host of each failure domain, the reader, reads
-the store, and the others read its replica. A host whose source fails uses the
-next one.
+the store or the replica of another reader, and the others read its replica. Two
+readers of each region read the store: if one of them can no longer reach it,
+the heartbeats of the other tell of newer revisions. A host whose source fails
+uses the next one.
 """
 
 from collections import abc
 
 from ragwortchute.gateway import model
 
+# Readers of a region that read the store.
+STORE_READERS_PER_REGION = 2
+
 
 def domain_reader(
     failure_domain: str, hosts: abc.Iterable[model.HostEntry]
@@ -46,12 +51,32 @@
     others = [host for host in hosts if host.name != me.name]
     candidates = [*others, me] if settled else others
     reader = domain_reader(me.failure_domain, candidates)
-    other_readers = [
+    if reader is not None and reader.name != me.name:
+        return [reader, None, *_other_readers(me, others)]
+    store_readers = _store_readers(me.region, [*others, me])
+    replicas = _other_readers(me, others)
+    if not settled or me.name in {host.name for host in store_readers}:
+        return [None, *replicas]
+    return [*store_readers, None, *replicas]
+
+
+def _other_readers(
+    me: model.HostEntry, others: list[model.HostEntry]
+) -> list[model.HostEntry]:
+    """Returns the readers of the other failure domains, the nearest first."""
+    readers = [
         domain_reader(domain, others)
         for domain in sorted({host.failure_domain for host in others})
         if domain != me.failure_domain
     ]
-    other_readers.sort(key=lambda host: host.region != me.region)
-    if reader is None or reader.name == me.name:
-        return [None, *other_readers]
-    return [reader, None, *other_readers]
+    return sorted(readers, key=lambda host: host.region != me.region)
+
+
+def _store_readers(
+    region: str, hosts: list[model.HostEntry]
+) -> list[model.HostEntry]:
+    """Returns the readers of a region that read the store, by their age."""
+    domains = {host.failure_domain for host in hosts if host.region == region}
+    readers = [domain_reader(domain, hosts) for domain in domains]
+    readers.sort(key=lambda host: (host.incarnation, host.name))
+    return readers[:STORE_READERS_PER_REGION]
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -21,8 +21,6 @@
 # Each watch request is billed as a call. A watch that is open while the store
 # drops its history may miss a change without noticing, so it is renewed.
 WATCH_TIMEOUT_S = 4.0
-# Pause after a change, so that one call returns changes in close succession.
-BATCH_DELAY_S = 0.3
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
 # How long expired entries are kept after an outage. Their owners write them
@@ -45,9 +43,12 @@
         entries_expire: Whether entries expire while their writers can't reach
             the store, and are written again afterwards.
         holds_configuration: Whether one of the objects is the configuration.
+        batch_delay_s: Pause in seconds after a change was read from the store,
+            so that one call returns changes in close succession.
     """
 
     prefix = ''
+    batch_delay_s = 0.3
     entries_expire = False
     holds_configuration = False
 
@@ -208,6 +209,7 @@
         while True:
             source = self._next_source()
             self._reading_replica = bool(source.name)
+            self.replica.filling = not (source.name or self.replica.revision)
             try:
                 if self._needs_full_read:
                     await self._read_all(source)
@@ -333,7 +335,7 @@
         for name in answer.removed:
             self._feed.remove(name, answer.revision)
         if not source.name and (answer.objects or answer.removed):
-            await asyncio.sleep(BATCH_DELAY_S)
+            await asyncio.sleep(self._feed.batch_delay_s)
 
     async def _watch_until_woken(
         self,
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -121,6 +121,8 @@
 
     prefix = SERVERS_KIND
     entries_expire = True
+    # Targets come, go and change in large numbers, when a service is replaced.
+    batch_delay_s = 0.5
 
     def replace(
         self, objects: list[stores.StoredObject], revision: int
--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from ragwortchute.gateway import dialect
@@ -265,6 +266,28 @@
         assert self.order('h1') == ['', 'h3', 'h4']
         assert self.order('h4') == ['', 'h1', 'h3']
 
+    def test_two_readers_of_a_region_read_the_store(self):
+        # Load: hundreds of hosts in many failure domains of a region.
+        hosts = [
+            rigs.host(f'h{domain}{number}', 'a1', incarnation=domain)
+            for domain in range(4)
+            for number in range(3)
+        ]
+        hosts = [
+            msgspec.structs.replace(host, failure_domain=host.name[1])
+            for host in hosts
+        ]
+        direct = [
+            host.name
+            for host in hosts
+            if not self.order(host.name, hosts=hosts)[0]
+        ]
+        assert direct == ['h00', 'h10']
+        assert self.order('h20', hosts=hosts)[:3] == ['h00', 'h10', '']
+        assert self.order('h21', hosts=hosts)[:2] == ['h20', '']
+        left = [host for host in hosts if host.name != 'h00']
+        assert not self.order('h01', hosts=left)[0]
+
     def test_host_alone_reads_the_store(self):
         for settled in (True, False):
             order = sources.source_order(self.HOSTS[1], [], settled=settled)
--- a/tests/test_gateway/test_peer_api.py
+++ b/tests/test_gateway/test_peer_api.py
@@ -97,6 +97,27 @@
         limit = SLOW_LINK_BYTES_PER_S * MAX_TRANSFER_S
         assert len(resp.body) <= limit
 
+    async def test_replica_that_is_being_filled_is_waited_for(self, served):
+        _, api, store = served
+        filling = replica.Replica()
+        filling.filling = True
+        api._replicas['config/'] = filling
+        reading = asyncio.create_task(
+            store.watch('config/', after_revision=0, timeout_s=0)
+        )
+        await asyncio.sleep(0.05)
+        filling.replace((stored(5),), 5)
+        assert (await reading).objects == (stored(5),)
+
+    async def test_replica_that_nobody_fills_is_not_waited_for(self, served):
+        # Two hosts that start at the same time may read each other.
+        _, api, store = served
+        api._replicas['config/'] = replica.Replica()
+        started_s = asyncio.get_running_loop().time()
+        with pytest.raises(errors.StoreUnavailable):
+            await store.watch('config/', after_revision=0, timeout_s=0)
+        assert asyncio.get_running_loop().time() - started_s < 0.1
+
     @pytest.mark.parametrize('wait_ms', ['x', '-1', '1.5', '%C2%B2'])
     async def test_malformed_wait_is_rejected(self, served, wait_ms):
         _, api, _ = served
