--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -40,9 +40,9 @@
         entries_expire: Whether entries expire while their writers can't reach
             the store, and are written again afterwards.
         holds_configuration: Whether one of the objects is the configuration.
-        watch_timeout_s: Longest wait of one watch of the store, in seconds. Each
-            is billed as a call. One that is open while the store drops its
-            history may miss a change without noticing, so it is renewed.
+        watch_timeout_s: Longest wait of one watch of the store, in seconds.
+            Each is billed as a call. One that is open while the store drops
+            its history may miss a change without noticing, so it is renewed.
         batch_delay_s: Pause in seconds after a change was read from the store,
             so that one call returns changes in close succession.
     """
