Rely on a revision without changes only after a second look

The store there returns no changes to watches for a second while the configuration changes, but the revision after them. A reader whose watch ended in that second took over the revision, watched on from there, and never got the change; heartbeats of others did not help, since their revision was not above its own. The watch of 1.5 s made that more likely than one of 4 s.

Change: an answer of the store without changes moves the revision of a replica only once it is 3 s old, so that later watches start before it: they return what was missed, or the store says that its history is gone and all is read. For the configuration, whose changes have exact revisions, the news of other hosts are compared with that revision.

Measured: the test of a watch that returns the revision without the change fails before, passes now.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -354,7 +354,7 @@
         self, host: model.HostEntry, prefix: str, revision: int
     ) -> None:
         follower = self._followers.get(prefix)
-        if follower is not None and revision > follower.replica.revision:
+        if follower is not None and revision > follower.known_revision:
             follower.on_newer_revision(revision, self._replica_source(host))
 
     async def _report_failures(self) -> None:
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -8,6 +8,7 @@
 
 import abc
 import asyncio
+import collections
 from collections import abc as cabc
 import random
 
@@ -28,6 +29,10 @@
 # How long a host that learns of a newer revision from another host waits for
 # its own watch to return that revision.
 HINT_DELAY_S = 0.3
+# The store may return no changes for a second, but the revision after them. A
+# revision without changes is relied on only if a later watch that starts before
+# it, has not returned any either.
+CONFIRM_S = 3.0
 # How long a source is not used after a failure.
 SOURCE_RETRY_S = 2.0
 
@@ -166,6 +171,11 @@
         self._answered_by = ''
         self._preferred_source: Source | None = None
         self._reading_replica = False
+        # Time and revision of answers of the store without changes.
+        self._unconfirmed: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._seen_revision = 0
         self._newest_revision = 0
         self._behind_since_s = 0.0
         self.prefix = feed.prefix
@@ -177,12 +187,24 @@
         """Whether another host is known that can be read."""
         return self._preferred_source is not None
 
+    @property
+    def known_revision(self) -> int:
+        """Revision above which changes that others know are missing here.
+
+        Hosts may know the removal of an object by different revisions, so that
+        a revision that this host has seen must count, unless all changes have
+        an exact revision, as those of the configuration do.
+        """
+        if self.holds_configuration:
+            return self.replica.revision
+        return max(self.replica.revision, self._seen_revision)
+
     def behind_s(self) -> float:
         """Returns for how long a newer revision has been known, in seconds.
 
         It is 0 while this host has the newest revision that it knows of.
         """
-        if self._newest_revision <= self.replica.revision:
+        if self._newest_revision <= self.known_revision:
             return 0.0
         return self._loop.time() - self._behind_since_s
 
@@ -201,7 +223,7 @@
             # This host has just started.
             if not (self._preferred_source or self._reading_replica):
                 self._read_next(source)
-        elif revision > self.replica.revision:
+        elif revision > self.known_revision:
             self._loop.call_later(
                 HINT_DELAY_S, self._check_newer_revision, revision, source
             )
@@ -280,7 +302,7 @@
             self._health.record_failure(exc)
 
     def _check_newer_revision(self, revision: int, source: Source) -> None:
-        if revision > self.replica.revision and not self._wake.is_set():
+        if revision > self.known_revision and not self._wake.is_set():
             self._log.event(
                 'behind',
                 prefix=self.prefix,
@@ -333,6 +355,7 @@
         if answer is None:
             return
         self._record_success(source, answer)
+        answer = self._confirm(source, answer)
         answer = self._defer_removals(source, answer, full_read=False)
         if not self.replica.apply(answer):
             return
@@ -371,6 +394,21 @@
                 watch.exception()  # marks it as retrieved
         return watch.result() if watch.done() else None
 
+    def _confirm(
+        self, source: Source, answer: stores.WatchAnswer
+    ) -> stores.WatchAnswer:
+        """Returns an answer with a revision that can be relied on."""
+        self._seen_revision = max(self._seen_revision, answer.revision)
+        if source.name or answer.objects or answer.removed:
+            self._unconfirmed.clear()
+            return answer
+        now_s = self._loop.time()
+        self._unconfirmed.append((now_s, answer.revision))
+        revision = self.replica.revision
+        while self._unconfirmed[0][0] <= now_s - CONFIRM_S:
+            _, revision = self._unconfirmed.popleft()
+        return stores.WatchAnswer(max(revision, self.replica.revision))
+
     def _defer_removals(
         self, source: Source, answer: stores.WatchAnswer, *, full_read: bool
     ) -> stores.WatchAnswer:
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -219,7 +219,7 @@
         async def return_no_events(req):
             if '/hosts?watch=' in req.target:
                 server.calls['empty-watch'] += 1
-                return server._answer(
+                return server._json_response(
                     200, {'events': [], 'current_rev': server.revision}
                 )
             return await serve(req)
@@ -330,7 +330,7 @@
                     'spec': deployment.targets[0].entry,
                 }
                 body = {'items': [entry], 'current_rev': 1, 'more': False}
-                return server._answer(200, body)
+                return server._json_response(200, body)
             return await serve(req)
 
         server._listener.handler = serve_stale_reads
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -121,6 +121,41 @@
         await rig.server.close_connections()
         await rig.until({'b': '2'})
 
+    async def test_revision_without_its_change_is_not_relied_on(self, rig):
+        # Watches hear nothing for a second while the configuration changes, but
+        # return the revision after it (kplma-gate-grown, scale-1).
+        rig.feed.watch_timeout_s = 0.3
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        server = rig.server
+        serve = server._serve
+
+        async def return_no_events(req):
+            if 'watch=' not in req.target:
+                return await serve(req)
+            await asyncio.sleep(0.2)
+            return server._json_response(
+                200, {'events': [], 'current_rev': server.revision}
+            )
+
+        server._listener.handler = return_no_events
+        await server.close_connections()
+        await server.put('things', 'a', 2)
+        await asyncio.sleep(1.0)
+        server._listener.handler = serve
+        await rig.until({'a': '2'}, 1.0)
+
+    async def test_quiet_store_confirms_revisions(self, rig):
+        # Otherwise, the history of the store would end before the replica.
+        rig.feed.watch_timeout_s = 0.2
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        await rig.server.put('others', 'b', 1)
+        await asyncio.sleep(store_follower.CONFIRM_S + 0.6)
+        assert rig.follower.replica.revision == rig.server.revision
+
     async def test_change_that_a_watch_misses_arrives_at_its_renewal(self, rig):
         rig.feed.watch_timeout_s = 0.5
         await rig.server.put('things', 'a', 1)
