Let hosts read only from older hosts of their failure domain

Eleven hosts are added at 2 s. A host that had discovered another one within 3 s left the role of the reader to others, so that at 3.3 s front-kokura-1 read from kokura-2 and kokura-2 from kokura-1, in each failure domain alike. All waited for each other until 7.3 s and got version 7, acknowledged at 1.14 s, at 7.2 to 7.6 s.

Change: the reader is the host that runs for longest among those that a host knows, itself included, at any time; so chains of readers can't be circles.

Measured: hosts with random views of each other form no circle in the test.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -48,9 +48,6 @@
 # After the discovery of a host, all hosts need this long to agree on the hosts
 # among which the load on cold targets is divided.
 DISCOVERY_SETTLE_S = 1.0
-# A host that has discovered another one more recently than this leaves the role
-# of the reader of its failure domain to others.
-READER_SETTLE_S = 3.0
 # A host refuses requests once it has known for this share of the time within
 # which a change must be in force that there is one. The news may take the rest
 # of the time to arrive.
@@ -303,11 +300,7 @@
             self._replica_source(host)
             if host
             else store_follower.Source('', self._store)
-            for host in sources.source_order(
-                self._settings.me,
-                hosts,
-                settled=self._is_settled(READER_SETTLE_S),
-            )
+            for host in sources.source_order(self._settings.me, hosts)
         ]
 
     def _replica_source(self, host: model.HostEntry) -> store_follower.Source:
@@ -389,11 +382,7 @@
         Args:
             age_s: Time since its start in seconds.
         """
-        return self._is_settled(DISCOVERY_SETTLE_S) and (
+        settled_s = self._loop.time() - self.membership.peers.last_discovery_s
+        return settled_s > DISCOVERY_SETTLE_S and (
             self.registered.is_set() or age_s > MEMBERSHIP_SETTLE_S
         )
-
-    def _is_settled(self, time_s: float) -> bool:
-        """Returns whether no host was discovered in the last seconds."""
-        settled_s = self._loop.time() - self.membership.peers.last_discovery_s
-        return settled_s > time_s
--- a/ragwortchute/gateway/sources.py
+++ b/ragwortchute/gateway/sources.py
@@ -22,7 +22,8 @@
     """Returns the reader of a failure domain, None if it has no host.
 
     The host that has been running for longest is chosen: hosts that start or
-    return leave the reader as it is.
+    return leave the reader as it is, and a host reads only from older hosts of
+    its failure domain, so that two hosts never wait for each other.
     """
     candidates = [
         host for host in hosts if host.failure_domain == failure_domain
@@ -33,29 +34,24 @@
 
 
 def source_order(
-    me: model.HostEntry, hosts: list[model.HostEntry], *, settled: bool
+    me: model.HostEntry, hosts: list[model.HostEntry]
 ) -> list[model.HostEntry | None]:
     """Returns the sources of a host in order of preference.
 
     Args:
         me: The host.
         hosts: Live hosts, including the host itself.
-        settled: Whether the host has had time to learn of the others. Until
-            then it only reads the store if it knows no other host of its
-            failure domain: when hundreds of hosts start at the same time, each
-            would take itself for the reader.
 
     Returns:
         Hosts whose replica can be read; None stands for the store.
     """
     others = [host for host in hosts if host.name != me.name]
-    candidates = [*others, me] if settled else others
-    reader = domain_reader(me.failure_domain, candidates)
-    if reader is not None and reader.name != me.name:
+    reader = domain_reader(me.failure_domain, [*others, me])
+    if reader.name != me.name:
         return [reader, None, *_other_readers(me, others)]
     store_readers = _store_readers(me.region, [*others, me])
     replicas = _other_readers(me, others)
-    if not settled or me.name in {host.name for host in store_readers}:
+    if me.name in {host.name for host in store_readers}:
         return [None, *replicas]
     return [*store_readers, None, *replicas]
 
