Say how long ago a host's configuration was confirmed as the newest

Change: answers of the store and of replicas carry the time at which the store is known to have had no later change, from reader to reader; request lines have it as revision_age_ms, a gauge has it by prefix. Nothing acts on it yet. A waiting host is also woken when the replica that it reads is confirmed anew. StoreHealth has a module of its own.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -28,6 +28,7 @@
 from ragwortchute.gateway import sources
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import store_follower
+from ragwortchute.gateway import store_health
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -118,7 +119,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         me = settings.me
         self.stats = stats_.Stats()
-        self.health = store_follower.StoreHealth(log)
+        self.health = store_health.StoreHealth(log)
         self.state = host_state.HostState(
             dialect, settings.domains, me.failure_domain, log
         )
@@ -198,6 +199,15 @@
             for prefix, replica_ in self._replicas.items()
         }
 
+    def replica_ages_s(self) -> dict[str, float]:
+        """Returns for how long replicas are not confirmed, by prefix."""
+        now_s = self._loop.time()
+        return {
+            prefix: now_s - replica_.confirmed_s
+            for prefix, replica_ in self._replicas.items()
+            if replica_.revision
+        }
+
     def hosts(self) -> list[model.HostEntry]:
         """Returns the hosts that accept new callers."""
         return self.membership.available_hosts(self._loop.time())
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -28,6 +28,7 @@
         region: Region of this host.
         cfg: Configuration in force, None before the first one was read.
         cfg_revision: Revision of the store at which it was read.
+        cfg_confirmed_s: Loop time at which it is known to have been the newest.
         table: Routes of the configuration in force.
         limits: Limits of the configuration in force.
         targets: Targets by name.
@@ -48,6 +49,7 @@
         self._log = log
         self.cfg: model.Configuration | None = None
         self.cfg_revision = 0
+        self.cfg_confirmed_s = float('-inf')
         self.table = routing.RouteTable(())
         self.limits = model.Limits()
         self.targets: dict[str, targets_.Target] = {}
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -112,6 +112,13 @@
             lambda: gateway.revisions(),
             'prefix',
         )
+        metrics.add_gauge(
+            'ragwortchute_gateway_replica_age_seconds',
+            'Time since the store is known to have had no later change, by '
+            'prefix.',
+            lambda: gateway.replica_ages_s(),
+            'prefix',
+        )
         metrics.add_gauge(
             'ragwortchute_gateway_store_down',
             'Whether the last call to the store failed.',
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -4,7 +4,9 @@
 comes from a caller and was relayed by another host.
 """
 
+import asyncio
 from collections import abc
+import math
 from urllib import parse
 import zlib
 
@@ -19,6 +21,9 @@
 from ragwortchute.gateway import replica
 
 HOST_NAME = 'ragwortchute-peer'
+# Milliseconds from the arrival of a request to the time at which the replica
+# is known to have been the newest; negative if that was before the request.
+CONFIRMED_AFTER_MS = b'x-confirmed-after-ms'
 # Longest wait for a change in one request; the request is then repeated, so
 # that an unresponsive host is detected.
 MAX_WAIT_S = 1.0
@@ -70,6 +75,8 @@
         """Serves a request of another host."""
         if req.host != HOST_NAME:
             return await self._dispatcher.serve(req, relayed=True)
+        loop = asyncio.get_running_loop()
+        arrived_s = loop.time()
         query = dict(parse.parse_qsl(req.target.partition('?')[2]))
         replica_ = self._replicas.get(query.get('prefix', ''))
         after_revision = query.get('after', '')
@@ -90,7 +97,12 @@
             return http_server.Response(_GONE)
         except errors.StoreUnavailable:
             return http_server.Response(_UNAVAILABLE)
-        return http_server.Response(_OK, (), body)
+        confirmed_after_s = replica_.confirmed_s - arrived_s
+        header = (
+            CONFIRMED_AFTER_MS,
+            f'{confirmed_after_s * 1000:.0f}'.encode(),
+        )
+        return http_server.Response(_OK, [header], body)
 
     def _encoded_changes(
         self, prefix: str, replica_: replica.Replica, after_revision: int
@@ -169,9 +181,12 @@
         if reply.status != _OK:
             raise self._unavailable(f'status {reply.status}')
         try:
-            return _decode_answer(reply.body)
+            answer = _decode_answer(reply.body)
         except (msgspec.DecodeError, zlib.error) as exc:
             raise self._unavailable(f'malformed response: {exc}') from exc
+        return msgspec.structs.replace(
+            answer, confirmed_after_s=_parse_confirmed_after_s(reply)
+        )
 
     async def close(self) -> None:
         """See base class."""
@@ -180,6 +195,17 @@
         return errors.StoreUnavailable(message, peer=self._peer)
 
 
+def _parse_confirmed_after_s(reply: http_client.Reply) -> float:
+    """Returns the time of confirmation; minus infinity if it is not known."""
+    try:
+        confirmed_after_s = (
+            float(reply.get(CONFIRMED_AFTER_MS) or '-inf') / 1000
+        )
+    except ValueError:
+        return float('-inf')
+    return float('-inf') if math.isnan(confirmed_after_s) else confirmed_after_s
+
+
 def _encode_answer(answer: stores.WatchAnswer) -> bytes:
     """Encodes and compresses objects and changes of a replica.
 
--- a/ragwortchute/gateway/replica.py
+++ b/ragwortchute/gateway/replica.py
@@ -10,6 +10,9 @@
 from ragwortchute import stores
 
 MAX_HISTORY = 2000  # changes; a host that missed more reads all objects
+# Smaller advances of the time of confirmation come from different delays of
+# messages and wake no waiting host.
+MIN_CONFIRMATION_ADVANCE_S = 0.05
 
 
 class Replica:
@@ -18,6 +21,8 @@
     Attributes:
         revision: Revision up to which changes are known; 0 before the first
             read.
+        confirmed_s: Loop time at which the store is known to have had no
+            later change.
         last_change_revision: Revision of the last change; 0 if none is known.
         filling: Whether this host is reading it from the store for the first
             time.
@@ -29,6 +34,7 @@
         '_history_start',
         '_objects',
         '_waiters',
+        'confirmed_s',
         'filling',
         'last_change_revision',
         'revision',
@@ -37,6 +43,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self.last_change_revision = 0
+        self.confirmed_s = float('-inf')
         self.filling = False
         self._filled = asyncio.Event()
         self._objects: dict[str, stores.StoredObject] = {}
@@ -78,6 +85,18 @@
         self._apply(answer)
         return True
 
+    def confirm(self, confirmed_s: float) -> None:
+        """Notes until when the store had no later change.
+
+        Args:
+            confirmed_s: Loop time in seconds; an earlier one than is known is
+                ignored.
+        """
+        advance_s = confirmed_s - self.confirmed_s
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        if advance_s > MIN_CONFIRMATION_ADVANCE_S:
+            self._wake_waiters()
+
     def objects_not_in(
         self, objects: tuple[stores.StoredObject, ...]
     ) -> tuple[stores.StoredObject, ...]:
@@ -122,7 +141,12 @@
             return
 
     async def wait(self, after: int, timeout_s: float) -> None:
-        """Waits for a change after a revision, at most `timeout_s` seconds."""
+        """Waits for a change after a revision or a later confirmation.
+
+        Args:
+            after: Revision that the waiting host knows.
+            timeout_s: Longest wait in seconds.
+        """
         if self.last_change_revision > after:
             return
         fut = asyncio.get_running_loop().create_future()
@@ -142,9 +166,12 @@
             self._objects.pop(name, None)
             self._record_change(answer.revision, name)
         if answer.objects or answer.removed:
-            for fut in self._waiters:
-                if not fut.done():
-                    fut.set_result(None)
+            self._wake_waiters()
+
+    def _wake_waiters(self) -> None:
+        for fut in self._waiters:
+            if not fut.done():
+                fut.set_result(None)
 
     def _record_change(self, revision: int, name: str) -> None:
         # The changes of one watch response may be out of order.
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -8,6 +8,9 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import stats as stats_
 
+# Older configurations, and those that were never confirmed, are logged as this.
+MAX_LOGGED_AGE_S = 1000.0
+
 
 class RequestLog:
     """Logs each decision on a request and the data behind it.
@@ -75,8 +78,16 @@
             sends=sends,
             ms=round((self._loop.time() - arrived_s) * 1000, 1),
             revision=self._state.cfg_revision,
+            revision_age_ms=self._configuration_age_ms(),
         )
 
+    def _configuration_age_ms(self) -> int | None:
+        """Returns for how long the configuration is not confirmed."""
+        if self._state.cfg is None:
+            return None
+        age_s = self._loop.time() - self._state.cfg_confirmed_s
+        return round(min(age_s, MAX_LOGGED_AGE_S) * 1000)
+
     def log_relay(
         self,
         call: attempts.Call,
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -18,14 +18,10 @@
 from ragwortchute import stores
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import replica as replica_
+from ragwortchute.gateway import store_health
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
-# How long expired entries are kept after an outage. Their owners write them
-# again within 2 s after the store is back.
-REMOVAL_DELAY_S = 2.2
-# Shorter failures are lost connections, during which no entries expire.
-MIN_OUTAGE_S = 1.0
 # How long a host that learns of a newer revision from another host waits for
 # its own watch to return that revision.
 HINT_DELAY_S = 0.3
@@ -72,53 +68,9 @@
     def remove(self, name: str, revision: int) -> None:
         """Removes an object."""
 
-
-class StoreHealth:
-    """Availability of the store, as seen by this host.
-
-    Attributes:
-        down: Whether the last call failed.
-        recovered_s: Loop time of the first successful call after the last
-            outage.
-    """
-
-    __slots__ = (
-        '_log',
-        '_loop',
-        '_outage_s',
-        '_outage_started_s',
-        'down',
-        'recovered_s',
-    )
-
-    def __init__(self, log: eventlog.EventLog) -> None:
-        self._log = log
-        self._loop = asyncio.get_running_loop()
-        self.down = False
-        self.recovered_s = float('-inf')
-        self._outage_started_s = 0.0
-        self._outage_s = 0.0
-
-    def removal_delay_left_s(self) -> float:
-        """Returns for how many seconds removals are still to be deferred."""
-        if self._outage_s < MIN_OUTAGE_S:
-            return 0.0
-        return max(0.0, self.recovered_s + REMOVAL_DELAY_S - self._loop.time())
-
-    def record_failure(self, exc: errors.StoreError) -> None:
-        """Records a failed call."""
-        if not self.down:
-            self._log.event('store-lost', error=str(exc))
-            self._outage_started_s = self._loop.time()
-        self.down = True
-
-    def record_success(self) -> None:
-        """Records a successful call."""
-        if self.down:
-            self.recovered_s = self._loop.time()
-            self._outage_s = self.recovered_s - self._outage_started_s
-            self._log.event('store-regained', outage_s=round(self._outage_s, 2))
-        self.down = False
+    def confirm(self, confirmed_s: float) -> None:
+        """Notes the loop time until which the store had no later change."""
+        del confirmed_s  # Most feeds have no use for it.
 
 
 class Source(msgspec.Struct, frozen=True):
@@ -153,7 +105,7 @@
         self,
         sources: cabc.Callable[[], list[Source]],
         feed: Feed,
-        health: StoreHealth,
+        health: store_health.StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -323,6 +275,7 @@
         self._wake.set()
 
     async def _read_all(self, source: Source) -> None:
+        asked_s = self._loop.time()
         # A stale answer could list a target that left before this host started.
         answer = await self._watch_until_woken(
             source,
@@ -336,11 +289,13 @@
         changes = self.replica.replace(answer.objects, answer.revision)
         if changes is not None:
             self._feed.replace(list(answer.objects), answer.revision)
+        self._note_confirmed(asked_s + answer.confirmed_after_s)
 
     async def _read_changes(self, source: Source) -> None:
         # A long watch that is sent to an unresponsive store would still be
         # pending after the store has recovered. A host that has just become a
         # reader does not know yet whether the store responds.
+        asked_s = self._loop.time()
         is_unproved = not source.name and (
             self._health.down or self._answered_by != source.name
         )
@@ -355,17 +310,35 @@
         if answer is None:
             return
         self._record_success(source, answer)
-        answer = self._confirm(source, answer)
-        answer = self._defer_removals(source, answer, full_read=False)
-        if not self.replica.apply(answer):
-            return
-        for obj in answer.objects:
-            self._feed.put(obj, obj.version)
-        for name in answer.removed:
-            self._feed.remove(name, answer.revision)
+        self._apply_changes(source, answer, asked_s)
         if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(self._feed.batch_delay_s)
 
+    def _apply_changes(
+        self, source: Source, answer: stores.WatchAnswer, asked_s: float
+    ) -> None:
+        """Applies the changes that a source has returned.
+
+        Args:
+            source: The source.
+            answer: Its answer.
+            asked_s: Loop time of the request in seconds.
+        """
+        confirmed_s = asked_s + answer.confirmed_after_s
+        answer = self._confirm(source, answer)
+        answer = self._defer_removals(source, answer, full_read=False)
+        if self.replica.apply(answer):
+            for obj in answer.objects:
+                self._feed.put(obj, obj.version)
+            for name in answer.removed:
+                self._feed.remove(name, answer.revision)
+        self._note_confirmed(confirmed_s)
+
+    def _note_confirmed(self, confirmed_s: float) -> None:
+        """Notes until when the store is known to have had no later change."""
+        self.replica.confirm(min(confirmed_s, self._loop.time()))
+        self._feed.confirm(self.replica.confirmed_s)
+
     async def _watch_until_woken(
         self,
         source: Source,
@@ -422,12 +395,12 @@
             return answer
         if full_read:
             deferred = self.replica.objects_not_in(answer.objects)
-            filtered = stores.WatchAnswer(
-                answer.revision, answer.objects + deferred
+            filtered = msgspec.structs.replace(
+                answer, objects=answer.objects + deferred
             )
             names = [obj.name for obj in deferred]
         else:
-            filtered = stores.WatchAnswer(answer.revision, answer.objects)
+            filtered = msgspec.structs.replace(answer, removed=())
             names = list(answer.removed)
         if names:
             self._log.event(
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -118,6 +118,10 @@
         """Logs the removal; the last configuration stays in force."""
         self._log.event('configuration-removed', name=name, revision=revision)
 
+    def confirm(self, confirmed_s: float) -> None:
+        """See base class."""
+        self._state.cfg_confirmed_s = confirmed_s
+
 
 class TargetFeed(_LoggedFeed):
     """Feed of the targets, which register themselves in the store."""
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -3,6 +3,7 @@
 Objects are named `KIND/NAME`; the value of an object is its `spec` as JSON.
 """
 
+import asyncio
 from urllib import parse
 
 import msgspec
@@ -15,6 +16,8 @@
 # The store usually responds within 4 ms; a slow one takes up to 85 times as
 # long.
 TIMEOUT_S = 1.0
+# How long an answer with changes is assumed to have been under way at most.
+MAX_TRANSIT_S = 0.3
 
 _OK = 200
 _CREATED = 201
@@ -122,7 +125,10 @@
             f'/objects/{kind}?watch={after_revision}'
             f'&wait_ms={int(timeout_s * 1000)}'
         )
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
         reply = await self._send('GET', path, extra_s=timeout_s)
+        elapsed_s = loop.time() - asked_s
         if reply.status == _GONE:
             raise errors.HistoryGone(
                 f'history starts after revision {after_revision}',
@@ -142,7 +148,10 @@
                 removed.discard(obj.name)
                 objects[obj.name] = obj
         return stores.WatchAnswer(
-            events.current_rev, tuple(objects.values()), tuple(removed)
+            events.current_rev,
+            tuple(objects.values()),
+            tuple(removed),
+            _confirmed_after_s(elapsed_s, timeout_s),
         )
 
     async def close(self) -> None:
@@ -243,3 +252,15 @@
         return errors.StoreUnavailable(
             message, maybe_applied=maybe_applied, peer=self._peer
         )
+
+
+def _confirmed_after_s(elapsed_s: float, timeout_s: float) -> float:
+    """Returns when the store knew of no later change, after the request.
+
+    Args:
+        elapsed_s: Seconds from the request to the answer.
+        timeout_s: How long the store was to wait for a change, in seconds.
+    """
+    if elapsed_s >= timeout_s:
+        return timeout_s
+    return max(0.0, elapsed_s - MAX_TRANSIT_S)
--- a/ragwortchute/stores/__init__.py
+++ b/ragwortchute/stores/__init__.py
@@ -97,18 +97,22 @@
         """Closes all connections."""
 
 
-class WatchAnswer(msgspec.Struct, frozen=True):
+class WatchAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
     """Changes since a revision.
 
     Attributes:
         revision: Revision to pass to the next watch.
         objects: Current versions of the changed objects.
         removed: Names of the removed objects.
+        confirmed_after_s: Seconds from the request to the time at which the
+            store is known to have had no later change; negative if a replica
+            answered that was confirmed before the request.
     """
 
     revision: int
     objects: tuple[StoredObject, ...] = ()
     removed: tuple[str, ...] = ()
+    confirmed_after_s: float = 0.0
 
 
 class ListedHost(msgspec.Struct, frozen=True):
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -9,6 +9,7 @@
 from ragwortchute import stores
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import store_follower
+from ragwortchute.gateway import store_health
 from ragwortchute.platform import objects
 from standins import platform_store
 from tests.test_gateway import rig as rigs
@@ -52,7 +53,7 @@
         self.follower = store_follower.Follower(
             self.sources,
             self.feed,
-            store_follower.StoreHealth(self.log),
+            store_health.StoreHealth(self.log),
             self.log,
             random.Random(1),
         )
