--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -27,6 +27,10 @@
         return sock.getsockname()[1]
 
 
+async def never_answer(*args, **kwargs):
+    await asyncio.Event().wait()
+
+
 class Deployment:
     """Hosts, a stand-in store and stand-in targets."""
 
@@ -378,6 +382,37 @@
             2.0,
         )
 
+    async def test_change_is_in_force_when_the_reader_is_cut_off(
+        self, deployment
+    ):
+        # No heartbeat tells of the newer revision.
+        await deployment.start('a1', 'a1', 'a1')
+        await deployment.until(
+            lambda: all(host.ready for host in deployment.hosts)
+        )
+        reader, *others = deployment.hosts
+        await deployment.until(
+            lambda: all(
+                'h0'
+                in [
+                    fields['source']
+                    for kind, fields in host.log.lines
+                    if kind == 'source'
+                ]
+                for host in others
+            )
+        )
+        await asyncio.sleep(1.0)
+        reader._store.watch = never_answer
+        for host in others:
+            host.membership.on_peer_revision = lambda *_: None
+        await asyncio.sleep(feeds.ConfigFeed.watch_timeout_s + 0.1)
+        newer = {**test_adapter.CONFIG, 'config_version': 9}
+        await deployment.server.put('config', 'main', newer)
+        await deployment.until(
+            lambda: all(host.state.cfg.version == 9 for host in others), 2.0
+        )
+
 
 class TestRelay:
     """A request that is bound to a region must run once, in that region."""
