Let no host rely on a configuration that nobody has confirmed lately

Cause: no host knew when its copy was last confirmed as the newest. A host that reads from another took 'no change' as a confirmation, whatever that host knew itself; a reader that is cut off waits up to 2.5 s for its watch and answers 'no change' meanwhile. Only heartbeats of other failure domains, late or lost at times, told of the change.

A watch ends 0.6 of the time within which a change must be in force after the last confirmation; at 0.8 of it a host reads the store itself, and another replica if the store does not answer.

--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -10,12 +10,14 @@
 import asyncio
 import collections
 from collections import abc as cabc
+import math
 import random
 
 import msgspec
 
 from ragwortchute import errors
 from ragwortchute import stores
+from ragwortchute.gateway import age_limit
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import replica as replica_
 from ragwortchute.gateway import store_health
@@ -44,12 +46,15 @@
         watch_timeout_s: Longest wait of one watch of the store, in seconds.
             Each is billed as a call. One that is open while the store drops
             its history may miss a change without noticing, so it is renewed.
+        max_age_s: Longest time in seconds since the replica was confirmed as
+            the newest, after which the host reads the store itself.
         batch_delay_s: Pause in seconds after a change was read from the store,
             so that one call returns changes in close succession.
     """
 
     prefix = ''
     watch_timeout_s = 4.0
+    max_age_s = float('inf')
     batch_delay_s = 0.3
     entries_expire = False
     holds_configuration = False
@@ -116,6 +121,8 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._wake = asyncio.Event()
+        self._filled = asyncio.Event()
+        self._age_limit = age_limit.AgeLimit(feed.max_age_s)
         self._needs_full_read = True
         self._last_failure_s: dict[str, float] = {}
         self._source_name = ''
@@ -182,6 +189,40 @@
 
     async def run(self) -> None:
         """Replicates until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read())
+            if math.isfinite(self._feed.max_age_s):
+                group.create_task(self._limit_age())
+
+    async def _limit_age(self) -> None:
+        """Reads another source if the replica is not confirmed in time.
+
+        That is the store, or a replica if the store does not answer.
+        """
+        await self._filled.wait()
+        while True:
+            now_s = self._loop.time()
+            confirmed_s = self.replica.confirmed_s
+            due_in_s = self._age_limit.due_in_s(confirmed_s, now_s)
+            if due_in_s > 0:
+                await asyncio.sleep(due_in_s)
+                continue
+            self._age_limit.note_check(confirmed_s, now_s)
+            self._log.event(
+                'replica-old',
+                prefix=self.prefix,
+                revision=self.replica.revision,
+                age_s=round(now_s - confirmed_s, 2),
+                source=self._source_name or 'store',
+            )
+            self._last_failure_s[self._source_name] = now_s
+            if self._source_name:
+                self._read_next(self._store_source())
+            else:
+                self._wake.set()
+
+    async def _read(self) -> None:
+        """Reads the sources until cancelled."""
         backoff_s = FIRST_BACKOFF_S
         while True:
             source = self._next_source()
@@ -239,7 +280,10 @@
                 > SOURCE_RETRY_S
             ):
                 return source
-        return next(direct for direct in sources if not direct.name)
+        return self._store_source()
+
+    def _store_source(self) -> Source:
+        return next(source for source in self._sources() if not source.name)
 
     def _record_failure(self, source: Source, exc: errors.StoreError) -> None:
         self._last_failure_s[source.name] = self._loop.time()
@@ -292,6 +336,7 @@
         self._note_confirmed(asked_s + answer.confirmed_after_s)
 
     async def _read_changes(self, source: Source) -> None:
+        wait_s = self._feed.watch_timeout_s
         # A long watch that is sent to an unresponsive store would still be
         # pending after the store has recovered. A host that has just become a
         # reader does not know yet whether the store responds.
@@ -299,12 +344,14 @@
         is_unproved = not source.name and (
             self._health.down or self._answered_by != source.name
         )
+        if not source.name:
+            wait_s = self._time_to_confirmation_s(asked_s)
         answer = await self._watch_until_woken(
             source,
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
-                timeout_s=0.0 if is_unproved else self._feed.watch_timeout_s,
+                timeout_s=0.0 if is_unproved else wait_s,
             ),
         )
         if answer is None:
@@ -314,6 +361,16 @@
         if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(self._feed.batch_delay_s)
 
+    def _time_to_confirmation_s(self, now_s: float) -> float:
+        """Returns how long a watch of the store may wait, in seconds.
+
+        It ends a fixed time after the last confirmation, since changes have
+        not been confirmed as the last ones.
+        """
+        wait_s = self._feed.watch_timeout_s
+        left_s = self.replica.confirmed_s + wait_s - now_s
+        return min(wait_s, max(0.0, left_s))
+
     def _apply_changes(
         self, source: Source, answer: stores.WatchAnswer, asked_s: float
     ) -> None:
@@ -338,6 +395,7 @@
         """Notes until when the store is known to have had no later change."""
         self.replica.confirm(min(confirmed_s, self._loop.time()))
         self._feed.confirm(self.replica.confirmed_s)
+        self._filled.set()
 
     async def _watch_until_woken(
         self,
--- a/ragwortchute/platform/__main__.py
+++ b/ragwortchute/platform/__main__.py
@@ -53,7 +53,7 @@
         listeners.append(listener)
     await gateway.start(
         [
-            feeds.ConfigFeed(gateway.state, log),
+            feeds.ConfigFeed(gateway.state, log, node.gateway.config_s),
             feeds.TargetFeed(gateway.state, log),
             feeds.EvacuationFeed(gateway.state),
         ]
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -85,14 +85,35 @@
         self._log = log
 
 
+# Shares of the time within which a change must be in force. A watch of the
+# store ends after the first, so that its answer, which may take a third of a
+# second, confirms the configuration before the second, when a host reads the
+# store itself.
+_WATCH_FRACTION = 0.6
+_MAX_AGE_FRACTION = 0.8
+
+
 class ConfigFeed(_LoggedFeed):
-    """Feed of the operator's configuration."""
+    """Feed of the operator's configuration.
+
+    Args:
+        state: Configuration and targets, updated by the feed.
+        log: Event log.
+        in_force_s: Seconds within which a change must be in force.
+    """
 
     prefix = CONFIG_KIND
     holds_configuration = True
-    # A missed change must be noticed within the time in which it must be in
-    # force, the timeout of a call included.
-    watch_timeout_s = 1.5
+
+    def __init__(
+        self,
+        state: host_state.HostState,
+        log: eventlog.EventLog,
+        in_force_s: float = 2.0,
+    ) -> None:
+        super().__init__(state, log)
+        self.watch_timeout_s = in_force_s * _WATCH_FRACTION
+        self.max_age_s = in_force_s * _MAX_AGE_FRACTION
 
     def replace(
         self, objects: list[stores.StoredObject], revision: int
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -406,7 +406,7 @@
         reader._store.watch = never_answer
         for host in others:
             host.membership.on_peer_revision = lambda *_: None
-        await asyncio.sleep(feeds.ConfigFeed.watch_timeout_s + 0.1)
+        await asyncio.sleep(1.6)
         newer = {**test_adapter.CONFIG, 'config_version': 9}
         await deployment.server.put('config', 'main', newer)
         await deployment.until(
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from ragwortchute import errors
@@ -50,6 +51,9 @@
     async def start(self):
         await self.server.start()
         self.store = objects.ObjectStore('127.0.0.1', self.server.port)
+        self.create_follower()
+
+    def create_follower(self):
         self.follower = store_follower.Follower(
             self.sources,
             self.feed,
@@ -67,6 +71,7 @@
         return [store_follower.Source('h2', self.other), self.store_source()]
 
     def follow(self):
+        self.create_follower()
         self.task = asyncio.create_task(self.follower.run())
 
     async def stop(self):
@@ -285,11 +290,15 @@
     async def watch(
         self, prefix, *, after_revision, timeout_s, may_be_stale=False
     ):
+        asked_s = asyncio.get_running_loop().time()
         if self.failing:
             raise errors.StoreUnavailable('down')
         if after_revision:
             await self.replica.wait(after_revision, min(timeout_s, 0.2))
-        return self.replica.read(after_revision)
+        return msgspec.structs.replace(
+            self.replica.read(after_revision),
+            confirmed_after_s=self.replica.confirmed_s - asked_s,
+        )
 
     async def close(self):
         pass
@@ -357,6 +366,56 @@
         await rig.until({'a': '2'}, 1.5)
 
 
+class TestAge:
+    """A replica that nobody confirms must not be relied on for long."""
+
+    async def test_source_that_confirms_nothing_leads_to_the_store(self, rig):
+        rig.feed.max_age_s = 0.5
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.other.replica.confirm(asyncio.get_running_loop().time())
+        rig.follow()
+        await rig.until({'a': '1'})
+        await rig.server.put('things', 'a', 2)
+        await rig.until({'a': '2'}, 0.6)
+
+    async def test_confirmed_replica_causes_no_call(self, rig):
+        rig.feed.max_age_s = 0.5
+        loop = asyncio.get_running_loop()
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.follow()
+        for _ in range(15):
+            rig.other.replica.confirm(loop.time())
+            await asyncio.sleep(0.1)
+        assert rig.server.calls.total() == 0
+
+    async def test_confirmation_of_the_source_counts_as_it_is(self, rig):
+        # A reader of a reader must not count the age from its own read.
+        confirmed_s = asyncio.get_running_loop().time() - 5.0
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.other.replica.confirm(confirmed_s)
+        rig.follow()
+        await rig.until({'a': '1'})
+        confirmed_by_follower_s = rig.follower.replica.confirmed_s
+        assert confirmed_by_follower_s == pytest.approx(confirmed_s)
+
+    async def test_silent_store_is_left_for_a_confirmed_replica(self, rig):
+        rig.feed.max_age_s = 0.5
+        rig.feed.watch_timeout_s = 0.3
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.mode = 'silent'
+        await asyncio.sleep(0.4)
+        rig.other = ReplicaStore()
+        newer = stores.StoredObject('a', 9, b'2')
+        rig.other.replica.replace((newer,), 9)
+        rig.other.replica.confirm(asyncio.get_running_loop().time())
+        await rig.until({'a': '2'}, 1.5)
+
+
 class TestBehind:
     """A host must know for how long it has lacked a change."""
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -277,11 +277,13 @@
 
 
 class TestWatches:
-    """A change of the configuration must be in force within 3 s."""
+    """A change of the configuration must be in force within 2 s."""
 
     def test_missed_change_is_noticed_in_time(self):
-        wait_s = feeds.ConfigFeed.watch_timeout_s + objects.TIMEOUT_S
-        assert wait_s < 3.0
+        feed = feeds.ConfigFeed(None, None, 2.0)
+        assert feed.watch_timeout_s + objects.TIMEOUT_S < 3.0
+        assert feed.max_age_s + objects.MAX_TRANSIT_S < 2.0
+        assert feed.watch_timeout_s + objects.MAX_TRANSIT_S < feed.max_age_s
 
 
 class TestEvacuations:
