Bound the age of the lists of targets and of excluded failure domains

A list that nobody has confirmed for 4.5 s, the wait of a watch and its answer, is now read elsewhere. A leaving target says so in its health answers as well, without which no request is sent.

--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -16,6 +16,10 @@
 EVACUATIONS_KIND = 'evacuations/'
 
 _STATES = frozenset({'ready', 'draining'})
+# Longest age of the lists of targets and of excluded failure domains: the
+# longest wait of a watch and of its answer. A failure domain must be out of
+# service after 5 s; a leaving target says so in its health answers, too.
+_MAX_AGE_S = 4.5
 
 
 class _Split(msgspec.Struct):
@@ -151,6 +155,7 @@
     entries_expire = True
     # Targets come, go and change in large numbers, when a service is replaced.
     batch_delay_s = 0.5
+    max_age_s = _MAX_AGE_S
 
     def replace(
         self, objects: list[stores.StoredObject], revision: int
@@ -189,6 +194,7 @@
     """
 
     prefix = EVACUATIONS_KIND
+    max_age_s = _MAX_AGE_S
 
     def __init__(self, state: host_state.HostState) -> None:
         self._state = state
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -285,6 +285,11 @@
         assert feed.max_age_s + objects.MAX_TRANSIT_S < 2.0
         assert feed.watch_timeout_s + objects.MAX_TRANSIT_S < feed.max_age_s
 
+    @pytest.mark.parametrize('feed', [feeds.TargetFeed, feeds.EvacuationFeed])
+    def test_age_of_other_lists_is_bounded(self, feed):
+        assert feed.watch_timeout_s + objects.MAX_TRANSIT_S < feed.max_age_s
+        assert feed.max_age_s + objects.MAX_TRANSIT_S < 5.0
+
 
 class TestEvacuations:
     """A domain must be out of service exactly while its object exists."""
