Log the limits that targets name, and show them in the metrics

The header is decoded once, in the adapter; values that are no sensible number are logged and change nothing. Nothing acts on a limit yet.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -26,6 +26,7 @@
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import sources
+from ragwortchute.gateway import stated_limits
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
@@ -94,6 +95,7 @@
         state: Configuration and targets.
         membership: Hosts of the deployment.
         health: Availability of the store.
+        stated_limits: Limits that targets name in their answers.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         callers: Listener for callers.
@@ -139,6 +141,7 @@
             self.rng, self.state.note_reported_failure
         )
         self.membership.on_failure_reports = self._failure_reports.handle_batch
+        self.stated_limits = stated_limits.StatedLimits(log)
         guard = crash_guard.CrashGuard(me.name, self.membership, log)
         self.membership.on_crash_notice = guard.handle_notice
         self.membership.on_answer_notice = guard.handle_answer_notice
@@ -158,6 +161,7 @@
             request_log=request_log_,
             crash_guard=guard,
             failures=self._failure_reports,
+            stated_limits=self.stated_limits,
             is_outdated=self._is_outdated,
             limits=settings.limits,
             stats=self.stats,
@@ -208,6 +212,10 @@
             if replica_.revision
         }
 
+    def target_limits(self) -> abc.Mapping[str, float]:
+        """Returns the limits per second that targets name, by target."""
+        return self.stated_limits.all(self._loop.time())
+
     def hosts(self) -> list[model.HostEntry]:
         """Returns the hosts that accept new callers."""
         return self.membership.available_hosts(self._loop.time())
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -37,6 +37,19 @@
     cold_s: float = 0.0
 
 
+class Constraints(msgspec.Struct, frozen=True):
+    """What a target has stated in an answer about further requests.
+
+    Attributes:
+        limit_per_s: Requests per second that it takes from all hosts; None if
+            it names no limit.
+        malformed: Names of headers whose values are invalid and were ignored.
+    """
+
+    limit_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
 class Dialect(abc.ABC):
     """Encodes and decodes the messages of one protocol."""
 
@@ -83,6 +96,10 @@
     def is_authentic(self, reply: http_client.Reply) -> bool:
         """Tells whether the answer is from the target and unmodified."""
 
+    @abc.abstractmethod
+    def decode_constraints(self, reply: http_client.Reply) -> Constraints:
+        """Decodes what the target has stated about further requests."""
+
     @abc.abstractmethod
     def answer_headers(
         self, reply: http_client.Reply
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -19,11 +19,13 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
+from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
+from ragwortchute.gateway import stated_limits as stated_limits_
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
@@ -72,6 +74,7 @@
         relays: Relays requests to other regions.
         crash_guard: Blocks requests that crash targets.
         failures: Reports failures of targets to other hosts.
+        stated_limits: Limits that targets name in their answers.
         is_outdated: Returns whether a newer configuration must be in force.
         limits: Limits on retries over all hosts.
         request_log: Log of requests.
@@ -92,6 +95,7 @@
         relays: relays_.Relays,
         crash_guard: crash_guard_.CrashGuard,
         failures: failure_reports.FailureReports,
+        stated_limits: stated_limits_.StatedLimits,
         is_outdated: abc.Callable[[], bool],
         limits: Limits,
         request_log: request_log_.RequestLog,
@@ -104,6 +108,7 @@
         self._relays = relays
         self._crash_guard = crash_guard
         self._failures = failures
+        self._stated_limits = stated_limits
         self._is_outdated = is_outdated
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
         self.retries = retries.Retries(
@@ -421,6 +426,7 @@
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
             return None
+        self._note_constraints(target, reply, now_s)
         if self._dialect.is_not_run(reply):
             self._note_failure(target, SHED_WEIGHT)
             self._request_log.log_failed_attempt(call, attempt, 'shed')
@@ -444,6 +450,20 @@
         self._record_work_time(call.route, attempt, now_s)
         return self._answers.deliver(call, reply, now_s)
 
+    def _note_constraints(
+        self, target: targets_.Target, reply: http_client.Reply, now_s: float
+    ) -> None:
+        """Notes what a target has stated about further requests."""
+        constraints = self._dialect.decode_constraints(reply)
+        if constraints.malformed:
+            self._request_log.log_malformed_headers(
+                target.entry.name, constraints.malformed
+            )
+            return
+        self._stated_limits.note_answer(
+            target.entry, constraints.limit_per_s, now_s
+        )
+
     def _note_failure(self, target: targets_.Target, weight: float) -> None:
         target.note_failure(self._loop.time(), weight)
         self._failures.note_failure(target.entry.name, weight)
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -135,6 +135,13 @@
             lambda: {'': len(gateway.state.targets)},
         )
 
+        metrics.add_gauge(
+            'ragwortchute_gateway_target_limit_per_second',
+            'Requests per second that a target takes from all hosts.',
+            lambda: dict(gateway.target_limits()),
+            'target',
+        )
+
     def _latency_counts(self) -> dict[str, float]:
         """Returns cumulative counts by route and upper bound in ms."""
         return {
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -1,6 +1,7 @@
 """HTTP headers of the platform's callers and targets."""
 
 from collections import abc
+import math
 
 from ragwortchute.gateway import dialect
 from ragwortchute.gateway import http_client
@@ -15,6 +16,10 @@
 SERVER_STAMP = b'x-server-stamp'
 SERVER_LOAD = b'x-server-load'
 WARMUP_MS = b'x-warmup-ms'
+SERVER_LIMIT = b'server-limit'
+
+# No target takes as many requests per second; a higher limit is an error.
+MAX_LIMIT_PER_S = 1e6
 
 # Request headers that are set for each target.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
@@ -27,6 +32,9 @@
 }
 
 
+_NO_CONSTRAINTS = dialect.Constraints()
+
+
 class PlatformDialect(dialect.Dialect):
     """Protocol of the users' platform."""
 
@@ -102,6 +110,21 @@
             and reply.get(b'content-encoding') is None
         )
 
+    def decode_constraints(
+        self, reply: http_client.Reply
+    ) -> dialect.Constraints:
+        """See base class; the lowest of several limits counts."""
+        limits = [
+            _parse_number(value, MAX_LIMIT_PER_S)
+            for name, value in reply.headers
+            if name == SERVER_LIMIT
+        ]
+        if not limits:
+            return _NO_CONSTRAINTS
+        if None in limits:
+            return dialect.Constraints(malformed=(SERVER_LIMIT.decode(),))
+        return dialect.Constraints(min(limits))
+
     def answer_headers(
         self, reply: http_client.Reply
     ) -> list[tuple[bytes, bytes]]:
@@ -152,6 +175,17 @@
         return _decode_reading(reply, taken_s, True)
 
 
+def _parse_number(value: bytes, maximum: float) -> float | None:
+    """Returns a number from 0 to `maximum`, None if the value is another."""
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    if math.isnan(number) or not 0 <= number <= maximum:
+        return None
+    return number
+
+
 def _decode_reading(
     reply: http_client.Reply, taken_s: float, healthy: bool
 ) -> dialect.Reading:
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -58,6 +58,8 @@
             reset the connection instead of answering.
         healthy: Result of the health check.
         cold_s: Remaining warm-up time that the target reports, in seconds.
+        limit_per_s: Limit that the target names in all answers but those to
+            health checks; None for none.
         crash_path: Path of requests that crash the target; empty for none.
         runs: Requests whose execution began.
         arrivals: Loop time in seconds and path of each request received.
@@ -86,6 +88,7 @@
         self.fault = ''
         self.healthy = True
         self.cold_s = 0.0
+        self.limit_per_s: float | None = None
         self.crash_path = ''
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -166,6 +169,8 @@
         now_s = asyncio.get_running_loop().time()
         self.arrivals.append((now_s, path))
         id_headers = {'x-request-id': headers.get('x-request-id', '')}
+        if self.limit_per_s is not None:
+            id_headers['server-limit'] = f'{self.limit_per_s:g}'
         if headers.get('x-expect-instance', self.name) != self.name:
             self._write(writer, 421, {'x-instance-id': self.name}, b'')
             return True
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -16,6 +16,7 @@
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import request_log
+from ragwortchute.gateway import stated_limits
 from ragwortchute.gateway import stats
 from ragwortchute.platform import feeds
 from ragwortchute.platform import wire
@@ -117,6 +118,7 @@
         selector: Selects targets.
         stats: Counters of the host.
         failures: Reports of failures of targets.
+        stated_limits: Limits that targets name in their answers.
         guard: Blocks requests that crash targets.
         rng: Source of randomness of the host.
         dispatcher: Serves requests.
@@ -149,6 +151,7 @@
         self.failures = failure_reports.FailureReports(
             rng, self.state.note_reported_failure
         )
+        self.stated_limits = stated_limits.StatedLimits(self.log)
         self.guard = crash_guard.CrashGuard('h1', self.membership, self.log)
         request_log_ = request_log.RequestLog(self.log, self.state, self.stats)
         self.dispatcher = dispatcher.Dispatcher(
@@ -166,6 +169,7 @@
             request_log=request_log_,
             crash_guard=self.guard,
             failures=self.failures,
+            stated_limits=self.stated_limits,
             is_outdated=lambda: self.outdated,
             limits=limits,
             stats=self.stats,
