--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -41,10 +41,10 @@
         self.targets = []
         self.tasks = []
 
-    async def start(self, *domains):
+    async def start(self, *domains, targets=2):
         await self.server.start()
         await self.server.put('config', 'main', test_adapter.CONFIG)
-        for number in range(2):
+        for number in range(targets):
             target = platform_targets.TargetServer(f't{number}', 's')
             await target.start()
             self.targets.append(target)
