Divide the limit that a target names among the hosts

A target that is neither cold nor leaving had no bound on what all hosts together send to it.

Change: a limit is divided among owner hosts of the region of the target, so few that all of them may send at the same moment and the bound of the users' pages holds; each has a token bucket. Hosts pass statements on with their heartbeats, so that those that get no answers learn of another limit or of its end. A target whose share is used up is not probed; a request that only such targets could get is refused at once (target-limit), with the time until the next token.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -130,8 +130,13 @@
             me, self._socket, log, self.rng, settings.dead_s
         )
         self._socket.on_datagram = self.membership.on_datagram
+        self.stated_limits = stated_limits.StatedLimits(log)
+        self.stated_limits.name_of = self.state.name_of
+        self.membership.local_limits = self.stated_limits.encode
+        self.membership.on_limits = self.stated_limits.handle
         self._selector = candidates.TargetSelector(
             self.rng,
+            self.stated_limits,
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
             settings.limits.probes_per_s,
@@ -141,7 +146,6 @@
             self.rng, self.state.note_reported_failure
         )
         self.membership.on_failure_reports = self._failure_reports.handle_batch
-        self.stated_limits = stated_limits.StatedLimits(log)
         guard = crash_guard.CrashGuard(me.name, self.membership, log)
         self.membership.on_crash_notice = guard.handle_notice
         self.membership.on_answer_notice = guard.handle_answer_notice
@@ -212,9 +216,18 @@
             if replica_.revision
         }
 
-    def target_limits(self) -> abc.Mapping[str, float]:
+    def target_limits(self) -> dict[str, float]:
         """Returns the limits per second that targets name, by target."""
-        return self.stated_limits.all(self._loop.time())
+        now_s = self._loop.time()
+        limits = {
+            name: self.stated_limits.get(target.key, now_s)
+            for name, target in self.state.targets.items()
+        }
+        return {
+            name: limit_per_s
+            for name, limit_per_s in limits.items()
+            if limit_per_s is not None
+        }
 
     def hosts(self) -> list[model.HostEntry]:
         """Returns the hosts that accept new callers."""
@@ -390,6 +403,7 @@
                 self._settings.me.name,
                 senders,
                 self._knows_all_hosts(now_s - started_s),
+                self.membership.regions(),
             )
             self._selector.targets = len(self.state.targets)
             self._log.flush()
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -16,8 +16,10 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import probe_budget
+from ragwortchute.gateway import stated_limits as stated_limits_
 from ragwortchute.gateway import targets as targets_
 
 FIRST_ROUND_TARGETS = 3
@@ -99,6 +101,7 @@
 
     Args:
         rng: Source of randomness.
+        stated_limits: Limits that targets name in their answers.
         warmup_overage: Factor on the request rate of a cold target.
         warmup_slack: Requests per second allowed beyond that.
         probes_per_s: Health requests per target and second allowed from all
@@ -113,11 +116,13 @@
     def __init__(
         self,
         rng: random.Random,
+        stated_limits: stated_limits_.StatedLimits,
         warmup_overage: float,
         warmup_slack: float,
         probes_per_s: float,
     ) -> None:
         self._rng = rng
+        self._stated_limits = stated_limits
         self._overage = warmup_overage
         self._slack = warmup_slack
         self._mean_slowness: dict[str, float] = {}
@@ -149,7 +154,7 @@
     ) -> Placement | NoPlacement:
         order = self._probe_order(required.targets)
         if not order:
-            return NoPlacement('no-target', required.remaining_s, 0)
+            return self._explain_no_target(required)
         best: _ProbeResult | None = None
         best_cost_s = float('inf')
         local = [target for target in order if target.same_region]
@@ -234,6 +239,32 @@
         )
         return target.pacer.may_send(now_s, sends_per_window)
 
+    def _limit_wait_s(self, target: targets_.Target, now_s: float) -> float:
+        """Returns the time until a target takes a request of this host.
+
+        It is 0 if the target names no limit.
+        """
+        limit_per_s = self._stated_limits.get(target.key, now_s)
+        if limit_per_s is None:
+            return 0.0
+        share = self.fleet.share_of_limit(
+            target.entry.name, target.region, limit_per_s
+        )
+        if share is None:
+            return 1 / max(limit_shares.MIN_LIMIT_PER_S, limit_per_s)
+        return target.limit_pacer.wait_s(now_s, share)
+
+    def _explain_no_target(self, required: Requirements) -> NoPlacement:
+        """Returns why no target may be probed, and for how long."""
+        now_s = self._loop.time()
+        waits_s = [
+            self._limit_wait_s(target, now_s) for target in required.targets
+        ]
+        limited_s = [wait_s for wait_s in waits_s if wait_s > 0]
+        if not limited_s:
+            return NoPlacement('no-target', required.remaining_s, 0)
+        return NoPlacement('target-limit', min(limited_s), 0)
+
     def mean_slowness(self, service: str) -> float:
         """Returns the mean slowness of the targets of a service."""
         return self._mean_slowness.get(service, INITIAL_MEAN_SLOWNESS)
@@ -251,8 +282,15 @@
             return NoPlacement(
                 'overload', expected_s - required.remaining_s, probed
             )
+        now_s = self._loop.time()
+        if self._limit_wait_s(target, now_s) > 0:
+            # Another request has been sent to it since the probe began.
+            target.pool.release(best.conn)
+            return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
+        if self._stated_limits.get(target.key, now_s) is not None:
+            target.limit_pacer.spend()
         if best.reading.cold_s > 0:
-            target.pacer.record_send(self._loop.time())
+            target.pacer.record_send(now_s)
         return Placement(target, best.conn, best.reading, expected_s, probed)
 
     def _early_accept_s(self, required: Requirements) -> float:
@@ -265,14 +303,16 @@
         """Returns targets in the order in which they are probed.
 
         The order is random, with penalties for targets that are unlikely to
-        give a good result. Cold targets that have used up the share of this
-        host are left out.
+        give a good result. Cold and limited targets that have used up the
+        share of this host are left out.
         """
         now_s = self._loop.time()
         keyed = []
         for target in targets:
             if target.is_cold(now_s) and not self._may_send(target, now_s):
                 continue
+            if self._limit_wait_s(target, now_s) > 0:
+                continue
             key = self._rng.random()
             if target.same_region and not target.same_domain:
                 key += 0.3
--- a/ragwortchute/gateway/heartbeats.py
+++ b/ragwortchute/gateway/heartbeats.py
@@ -48,6 +48,7 @@
         answered: Digests of suspected requests that a target has answered.
         failures: Reports of failures of targets, see `failure_reports`.
         loans: Requests for retries and answers to them.
+        limits: Limits that targets have named, see `stated_limits`.
     """
 
     sender: str
@@ -59,6 +60,7 @@
     answered: tuple[int, ...] = ()
     failures: bytes = b''
     loans: tuple[retry_loans.LoanMessage, ...] = ()
+    limits: bytes = b''
 
 
 def key_of(entry: model.HostEntry) -> int:
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -169,6 +169,13 @@
         self._domains_out_read = True
         self._signal_if_complete()
 
+    def name_of(self, key: int) -> str:
+        """Returns the name of a target by its key, empty if unknown."""
+        for target in self.targets.values():
+            if target.key == key:
+                return target.entry.name
+        return ''
+
     def note_reported_failure(
         self, key: int, weight: float, now_s: float
     ) -> None:
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -138,7 +138,7 @@
         metrics.add_gauge(
             'ragwortchute_gateway_target_limit_per_second',
             'Requests per second that a target takes from all hosts.',
-            lambda: dict(gateway.target_limits()),
+            lambda: gateway.target_limits(),
             'target',
         )
 
--- a/ragwortchute/gateway/pacing.py
+++ b/ragwortchute/gateway/pacing.py
@@ -14,6 +14,8 @@
 import msgspec
 import xxhash
 
+from ragwortchute.gateway import limit_shares
+
 # Share of the limit that is used. The rest covers hosts that disagree on the
 # owners, and requests that arrive closer together than they were sent.
 USABLE_FRACTION = 0.75
@@ -100,11 +102,13 @@
         own_name: Name of this host.
         names: Names of the hosts that may be alive, this one included.
         discovered: Whether this host has had time to learn of the others.
+        names_by_region: Names of the hosts by region.
     """
 
     own_name: str = ''
     names: frozenset[str] = frozenset()
     discovered: bool = False
+    names_by_region: dict[str, frozenset[str]] = {}
 
     def sends_per_window(self, target: str, limit_per_s: float) -> int:
         """Returns how many requests this host may send to a cold target.
@@ -122,9 +126,36 @@
         owner_names = owners(target, self.names, share.owners)
         return share.sends_per_window if self.own_name in owner_names else 0
 
+    def share_of_limit(
+        self, target: str, region: str, limit_per_s: float
+    ) -> limit_shares.Share | None:
+        """Returns the share of the limit of a target that this host has.
+
+        The limit is divided among the hosts of the region of the target, which
+        get most requests that it can serve.
+
+        Args:
+            target: Name of the target.
+            region: Region of the target.
+            limit_per_s: Requests per second that it takes from all hosts.
+
+        Returns:
+            The share, None if this host may not send to the target.
+        """
+        if not self.discovered:
+            return None
+        names = self.names_by_region.get(region) or self.names
+        share = limit_shares.divide(limit_per_s, len(names))
+        if self.own_name not in owners(target, names, share.owners):
+            return None
+        return share
+
 
 def make_fleet(
-    own_name: str, names: abc.Iterable[str], discovered: bool
+    own_name: str,
+    names: abc.Iterable[str],
+    discovered: bool,
+    regions: abc.Mapping[str, str] | None = None,
 ) -> Fleet:
     """Returns the hosts among which rate limits are divided.
 
@@ -132,5 +163,20 @@
         own_name: Name of this host.
         names: Names of the hosts that may be alive, with or without this one.
         discovered: Whether this host has had time to learn of the others.
+        regions: Regions of the hosts by name; empty if they are not known.
     """
-    return Fleet(own_name, frozenset(names) | {own_name}, discovered)
+    all_names = frozenset(names) | {own_name}
+    names_by_region: dict[str, set[str]] = {}
+    for name in all_names:
+        region = (regions or {}).get(name)
+        if region is not None:
+            names_by_region.setdefault(region, set()).add(name)
+    return Fleet(
+        own_name,
+        all_names,
+        discovered,
+        {
+            region: frozenset(members)
+            for region, members in names_by_region.items()
+        },
+    )
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -7,9 +7,11 @@
 from ragwortchute import errors
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import pools
+from ragwortchute.gateway import stated_limits
 
 CONNECT_TIMEOUT_S = 0.5
 # A health request without an answer is given up after this time, and its
@@ -48,6 +50,8 @@
         same_region: Whether it is in the region of this host.
         reading: Latest reading, None before the first one.
         pacer: Rate limit of this host while the target is cold.
+        limit_pacer: Pace of this host while the target names a limit.
+        key: Hash of its name and incarnation.
         misdirected: True once another incarnation answered at its address.
         cold_until_s: Loop time until which it is cold, in seconds.
         rtt_s: Smoothed round-trip time of health requests, in seconds.
@@ -64,6 +68,8 @@
         '_sent_s',
         'cold_until_s',
         'entry',
+        'key',
+        'limit_pacer',
         'misdirected',
         'pacer',
         'pool',
@@ -94,6 +100,8 @@
         self._reported_failure_rate = 0.0
         self._reported_s = 0.0
         self.pacer = pacing.ColdPacer()
+        self.limit_pacer = limit_shares.SharePacer()
+        self.key = stated_limits.target_key(entry)
         self.misdirected = False
         self.cold_until_s = 0.0
         self.rtt_s = OTHER_REGION_S
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -140,8 +140,10 @@
         self.membership = membership.Membership(
             host(), NullTransport(), self.log, rng, 5.4
         )
+        self.stated_limits = stated_limits.StatedLimits(self.log)
         self.selector = candidates.TargetSelector(
             rng,
+            self.stated_limits,
             limits.warmup_overage,
             limits.warmup_slack,
             limits.probes_per_s,
@@ -151,7 +153,6 @@
         self.failures = failure_reports.FailureReports(
             rng, self.state.note_reported_failure
         )
-        self.stated_limits = stated_limits.StatedLimits(self.log)
         self.guard = crash_guard.CrashGuard('h1', self.membership, self.log)
         request_log_ = request_log.RequestLog(self.log, self.state, self.stats)
         self.dispatcher = dispatcher.Dispatcher(
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from standins import platform_targets
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
 
@@ -88,3 +89,53 @@
         assert most_in_window(limited_s) <= allowed
         assert len(limited_s) >= 0.7 * target.limit_per_s * 2 * WINDOW_S
         assert set(load.statuses) == {200}
+
+
+class TestRefusals:
+    """What the limits leave no room for must be refused at once."""
+
+    @pytest.fixture
+    async def rig(self):
+        target = platform_targets.TargetServer('t')
+        rig = rigs.Rig(target)
+        await rig.start()
+        yield rig
+        await rig.stop()
+
+    async def test_request_beyond_the_limit_is_refused_at_once(self, rig):
+        target = rig.targets[0]
+        target.limit_per_s = 1.0
+        responses = [await rig.request() for _ in range(20)]
+        refused = [resp for resp in responses if resp.status == 503]
+        assert len(refused) >= 10
+        assert 0 < float(refused[-1].headers['retry-after']) <= 1.25
+        assert rig.stats.refusals['target-limit'] == len(refused)
+        assert len(target.arrivals) == 20 - len(refused)
+
+    async def test_requests_before_the_limit_do_not_count(self, rig):
+        target = rig.targets[0]
+        for _ in range(30):
+            await rig.request()
+        target.limit_per_s = 3.0
+        await rig.request()
+        await asyncio.sleep(1.5)
+        assert (await rig.request()).status == 200
+
+    async def test_limit_ends_when_answers_no_longer_name_it(self, rig):
+        target = rig.targets[0]
+        target.limit_per_s = 3.0
+        await rig.request()
+        target.limit_per_s = None
+        await rig.request()
+        statuses = {(await rig.request()).status for _ in range(20)}
+        assert statuses == {200}
+
+    async def test_targets_without_a_limit_are_used_instead(self, rig):
+        other = platform_targets.TargetServer('u')
+        await other.start()
+        rig.targets = (*rig.targets, other)
+        rig.state.set_targets([rig.entry(item) for item in rig.targets], 2)
+        rig.targets[0].limit_per_s = 0.5
+        statuses = {(await rig.request()).status for _ in range(40)}
+        assert statuses == {200}
+        assert len(other.arrivals) >= 30
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -6,9 +6,11 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
+from ragwortchute.gateway import http_client
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
 from ragwortchute.platform import settings
+from ragwortchute.platform import wire
 from standins import platform_store
 from tests.test_gateway import rig as rigs
 
@@ -320,6 +322,31 @@
     await server.stop()
 
 
+class TestConstraints:
+    """An invalid header of a target must change nothing."""
+
+    def decode(self, *limits):
+        headers = [(wire.SERVER_LIMIT, limit) for limit in limits]
+        reply = http_client.Reply(200, headers)
+        return wire.PlatformDialect().decode_constraints(reply)
+
+    def test_limit_is_decoded(self):
+        assert self.decode(b'3.5').limit_per_s == 3.5
+        assert self.decode(b'0').limit_per_s == 0.0
+        assert self.decode().limit_per_s is None
+
+    def test_lowest_of_several_limits_counts(self):
+        assert self.decode(b'7', b'3').limit_per_s == 3.0
+
+    @pytest.mark.parametrize(
+        'value', [b'', b'x', b'-1', b'nan', b'inf', b'1e300', b'3,4', b'\xff']
+    )
+    def test_invalid_limit_is_reported(self, value):
+        constraints = self.decode(value)
+        assert constraints.limit_per_s is None
+        assert constraints.malformed == ('server-limit',)
+
+
 class TestStore:
     """The store client must report correctly whether a write was applied."""
 
