Send nothing more to a target that says that it leaves

Users' rule DRAIN for the header Server-Leaving: a target that leaves says so in all its answers, and kept its traffic until the store told of it.

Cause: nothing read the header.

Change: from the first answer with it, a host selects the target for no request, repeat or hedge; its probes end with that, its connections drain. The statement belongs to the incarnation, so that it outlives an entry that expires and comes back while the store is away, and a new incarnation starts anew. Heartbeats tell other hosts. A host that relayed a request learns from the answer which target gave it. What hosts read in answers is in modules of its own (statement_reader, target_statements).

Tests: all five of TestLeaving but the one of a new incarnation failed before.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -26,10 +26,11 @@
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import sources
-from ragwortchute.gateway import stated_limits
+from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
+from ragwortchute.gateway import target_statements
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -95,7 +96,7 @@
         state: Configuration and targets.
         membership: Hosts of the deployment.
         health: Availability of the store.
-        stated_limits: Limits that targets name in their answers.
+        statements: What targets have said in their answers.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         callers: Listener for callers.
@@ -130,13 +131,13 @@
             me, self._socket, log, self.rng, settings.dead_s
         )
         self._socket.on_datagram = self.membership.on_datagram
-        self.stated_limits = stated_limits.StatedLimits(log)
-        self.stated_limits.name_of = self.state.name_of
-        self.membership.local_limits = self.stated_limits.encode
-        self.membership.on_limits = self.stated_limits.handle
+        self.statements = target_statements.TargetStatements(log)
+        self.statements.name_of = self.state.name_of
+        self.membership.local_statements = self.statements.encode
+        self.membership.on_statements = self.statements.handle
         self._selector = candidates.TargetSelector(
             self.rng,
-            self.stated_limits,
+            self.statements,
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
             settings.limits.probes_per_s,
@@ -165,7 +166,9 @@
             request_log=request_log_,
             crash_guard=guard,
             failures=self._failure_reports,
-            stated_limits=self.stated_limits,
+            statements=statement_reader.StatementReader(
+                dialect, self.state, self.statements, log
+            ),
             is_outdated=self._is_outdated,
             limits=settings.limits,
             stats=self.stats,
@@ -220,7 +223,7 @@
         """Returns the limits per second that targets name, by target."""
         now_s = self._loop.time()
         limits = {
-            name: self.stated_limits.get(target.key, now_s)
+            name: self.statements.limit_per_s(target.key, now_s)
             for name, target in self.state.targets.items()
         }
         return {
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -20,6 +20,8 @@
         deadline_s: Loop time at which the answer is due, in seconds.
 
     Attributes:
+        answered_by: Name of the target whose answer is delivered, empty if
+            there is none.
         hedge_decided: Whether a hedge was sent or decided against.
         maybe_executed: Whether a target may have executed the request.
         sends: Number of targets or hosts that it was sent to.
@@ -28,6 +30,7 @@
     """
 
     __slots__ = (
+        'answered_by',
         'deadline_s',
         'hedge_decided',
         'last_failure',
@@ -53,6 +56,7 @@
         self.route = route
         self.service = service
         self.deadline_s = deadline_s
+        self.answered_by = ''
         self.hedge_decided = False
         self.maybe_executed = False
         self.sends = 0
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -19,7 +19,7 @@
 from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import probe_budget
-from ragwortchute.gateway import stated_limits as stated_limits_
+from ragwortchute.gateway import target_statements
 from ragwortchute.gateway import targets as targets_
 
 FIRST_ROUND_TARGETS = 3
@@ -101,7 +101,7 @@
 
     Args:
         rng: Source of randomness.
-        stated_limits: Limits that targets name in their answers.
+        statements: What targets have said in their answers.
         warmup_overage: Factor on the request rate of a cold target.
         warmup_slack: Requests per second allowed beyond that.
         probes_per_s: Health requests per target and second allowed from all
@@ -116,13 +116,13 @@
     def __init__(
         self,
         rng: random.Random,
-        stated_limits: stated_limits_.StatedLimits,
+        statements: target_statements.TargetStatements,
         warmup_overage: float,
         warmup_slack: float,
         probes_per_s: float,
     ) -> None:
         self._rng = rng
-        self._stated_limits = stated_limits
+        self._statements = statements
         self._overage = warmup_overage
         self._slack = warmup_slack
         self._mean_slowness: dict[str, float] = {}
@@ -239,12 +239,22 @@
         )
         return target.pacer.may_send(now_s, sends_per_window)
 
+    def _is_accepting(self, target: targets_.Target, now_s: float) -> bool:
+        """Returns whether a target takes a request of this host.
+
+        That is what it has said itself, whatever it is registered as.
+        """
+        return not (
+            self._statements.is_leaving(target.key)
+            or self._limit_wait_s(target, now_s) > 0
+        )
+
     def _limit_wait_s(self, target: targets_.Target, now_s: float) -> float:
         """Returns the time until a target takes a request of this host.
 
         It is 0 if the target names no limit.
         """
-        limit_per_s = self._stated_limits.get(target.key, now_s)
+        limit_per_s = self._statements.limit_per_s(target.key, now_s)
         if limit_per_s is None:
             return 0.0
         share = self.fleet.share_of_limit(
@@ -258,7 +268,9 @@
         """Returns why no target may be probed, and for how long."""
         now_s = self._loop.time()
         waits_s = [
-            self._limit_wait_s(target, now_s) for target in required.targets
+            self._limit_wait_s(target, now_s)
+            for target in required.targets
+            if not self._statements.is_leaving(target.key)
         ]
         limited_s = [wait_s for wait_s in waits_s if wait_s > 0]
         if not limited_s:
@@ -283,11 +295,11 @@
                 'overload', expected_s - required.remaining_s, probed
             )
         now_s = self._loop.time()
-        if self._limit_wait_s(target, now_s) > 0:
-            # Another request has been sent to it since the probe began.
+        if not self._is_accepting(target, now_s):
+            # It has said so, or used up its limit, since the probe began.
             target.pool.release(best.conn)
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
-        if self._stated_limits.get(target.key, now_s) is not None:
+        if self._statements.limit_per_s(target.key, now_s) is not None:
             target.limit_pacer.spend()
         if best.reading.cold_s > 0:
             target.pacer.record_send(now_s)
@@ -303,15 +315,15 @@
         """Returns targets in the order in which they are probed.
 
         The order is random, with penalties for targets that are unlikely to
-        give a good result. Cold and limited targets that have used up the
-        share of this host are left out.
+        give a good result. Targets that leave are left out, and so are cold
+        and limited targets that have used up the share of this host.
         """
         now_s = self._loop.time()
         keyed = []
         for target in targets:
             if target.is_cold(now_s) and not self._may_send(target, now_s):
                 continue
-            if self._limit_wait_s(target, now_s) > 0:
+            if not self._is_accepting(target, now_s):
                 continue
             key = self._rng.random()
             if target.same_region and not target.same_domain:
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -43,10 +43,12 @@
     Attributes:
         limit_per_s: Requests per second that it takes from all hosts; None if
             it names no limit.
+        leaving: Whether it says that it leaves.
         malformed: Names of headers whose values are invalid and were ignored.
     """
 
     limit_per_s: float | None = None
+    leaving: bool = False
     malformed: tuple[str, ...] = ()
 
 
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -19,13 +19,12 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
-from ragwortchute.gateway import stated_limits as stated_limits_
+from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
@@ -74,7 +73,7 @@
         relays: Relays requests to other regions.
         crash_guard: Blocks requests that crash targets.
         failures: Reports failures of targets to other hosts.
-        stated_limits: Limits that targets name in their answers.
+        statements: Reads what targets say in their answers.
         is_outdated: Returns whether a newer configuration must be in force.
         limits: Limits on retries over all hosts.
         request_log: Log of requests.
@@ -95,7 +94,7 @@
         relays: relays_.Relays,
         crash_guard: crash_guard_.CrashGuard,
         failures: failure_reports.FailureReports,
-        stated_limits: stated_limits_.StatedLimits,
+        statements: statement_reader.StatementReader,
         is_outdated: abc.Callable[[], bool],
         limits: Limits,
         request_log: request_log_.RequestLog,
@@ -108,7 +107,7 @@
         self._relays = relays
         self._crash_guard = crash_guard
         self._failures = failures
-        self._stated_limits = stated_limits
+        self._statements = statements
         self._is_outdated = is_outdated
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
         self.retries = retries.Retries(
@@ -176,10 +175,14 @@
         self.retries.note_request(call.service, self._loop.time())
         outstanding: list[attempts.Attempt] = []
         try:
-            return await self._run(call, outstanding)
+            resp = await self._run(call, outstanding)
         finally:
             for attempt in outstanding:
                 attempt.conn.abort()
+        if relayed and call.answered_by:
+            name = call.answered_by.encode('latin-1')
+            resp.headers = [*resp.headers, (relays_.TARGET_NAME, name)]
+        return resp
 
     async def _wait_for_state(self, req: http_server.Request) -> bool:
         """Waits, shortly after the start, until the store has been read.
@@ -207,6 +210,7 @@
             return None
         now_s = self._loop.time()
         if self._dialect.is_authentic(result.reply):
+            self._statements.note_relayed(result.reply, now_s)
             return self._answers.deliver(call, result.reply, now_s)
         return self._answers.pass_on_refusal(call, result.reply)
 
@@ -426,7 +430,7 @@
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
             return None
-        self._note_constraints(target, reply, now_s)
+        self._statements.note(target, reply, now_s)
         if self._dialect.is_not_run(reply):
             self._note_failure(target, SHED_WEIGHT)
             self._request_log.log_failed_attempt(call, attempt, 'shed')
@@ -437,6 +441,7 @@
             self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(call, attempt, 'spoiled')
             return None
+        call.answered_by = target.entry.name
         if reply.status >= 500:
             self._note_failure(target, 1.0)
             call.last_failure = reply
@@ -450,20 +455,6 @@
         self._record_work_time(call.route, attempt, now_s)
         return self._answers.deliver(call, reply, now_s)
 
-    def _note_constraints(
-        self, target: targets_.Target, reply: http_client.Reply, now_s: float
-    ) -> None:
-        """Notes what a target has stated about further requests."""
-        constraints = self._dialect.decode_constraints(reply)
-        if constraints.malformed:
-            self._request_log.log_malformed_headers(
-                target.entry.name, constraints.malformed
-            )
-            return
-        self._stated_limits.note_answer(
-            target.entry, constraints.limit_per_s, now_s
-        )
-
     def _note_failure(self, target: targets_.Target, weight: float) -> None:
         target.note_failure(self._loop.time(), weight)
         self._failures.note_failure(target.entry.name, weight)
--- a/ragwortchute/gateway/heartbeats.py
+++ b/ragwortchute/gateway/heartbeats.py
@@ -48,7 +48,7 @@
         answered: Digests of suspected requests that a target has answered.
         failures: Reports of failures of targets, see `failure_reports`.
         loans: Requests for retries and answers to them.
-        limits: Limits that targets have named, see `stated_limits`.
+        statements: What targets have said in answers, see `target_statements`.
     """
 
     sender: str
@@ -60,7 +60,7 @@
     answered: tuple[int, ...] = ()
     failures: bytes = b''
     loans: tuple[retry_loans.LoanMessage, ...] = ()
-    limits: bytes = b''
+    statements: bytes = b''
 
 
 def key_of(entry: model.HostEntry) -> int:
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -69,10 +69,10 @@
             target has answered.
         on_failure_reports: Called with reports of failures of targets and the
             loop time of their arrival.
-        local_limits: Returns the limits of targets to pass on with heartbeats,
-            for a loop time in seconds.
-        on_limits: Called with the limits that another host has passed on and
-            the loop time of their arrival.
+        local_statements: Returns what targets have said, to be passed on with
+            heartbeats, for a loop time in seconds.
+        on_statements: Called with the statements that another host has passed
+            on and the loop time of their arrival.
         on_loan: Called with the name of a host, its message about a loan of
             retries and the loop time of its arrival.
         peers: The other hosts.
@@ -95,8 +95,8 @@
             lambda *_: None
         )
         self.on_loan: LoanCallback = lambda *_: None
-        self.local_limits: abc.Callable[[float], bytes] = lambda _: b''
-        self.on_limits: abc.Callable[[bytes, float], None] = lambda *_: None
+        self.local_statements: abc.Callable[[float], bytes] = lambda _: b''
+        self.on_statements: abc.Callable[[bytes, float], None] = lambda *_: None
         self.leaving = False
         self.peers = peer_table.PeerTable(me, dead_s)
         self._transport = transport
@@ -250,8 +250,8 @@
             self.on_answer_notice(key)
         for loan in message.loans:
             self.on_loan(sender.entry.name, loan, now_s)
-        if message.limits:
-            self.on_limits(message.limits, now_s)
+        if message.statements:
+            self.on_statements(message.statements, now_s)
         if message.failures:
             self.on_failure_reports(message.failures, now_s)
         if message.requested_keys:
@@ -466,7 +466,7 @@
             heartbeats.pack(known),
             entries,
             revisions=self.local_revisions(),
-            limits=self.local_limits(now_s),
+            statements=self.local_statements(now_s),
         )
         return self._encoder.encode(message)
 
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -111,17 +111,6 @@
             ms=round((self._loop.time() - sent_s) * 1000, 1),
         )
 
-    def log_malformed_headers(
-        self, target: str, names: tuple[str, ...]
-    ) -> None:
-        """Logs headers of an answer whose values are ignored.
-
-        Args:
-            target: Name of the target.
-            names: Names of the headers.
-        """
-        self._log.event('header-malformed', target=target, headers=names)
-
     def log_failed_attempt(
         self,
         call: attempts.Call,
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -11,7 +11,7 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import pools
-from ragwortchute.gateway import stated_limits
+from ragwortchute.gateway import target_statements
 
 CONNECT_TIMEOUT_S = 0.5
 # A health request without an answer is given up after this time, and its
@@ -101,7 +101,7 @@
         self._reported_s = 0.0
         self.pacer = pacing.ColdPacer()
         self.limit_pacer = limit_shares.SharePacer()
-        self.key = stated_limits.target_key(entry)
+        self.key = target_statements.target_key(entry)
         self.misdirected = False
         self.cold_until_s = 0.0
         self.rtt_s = OTHER_REGION_S
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -7,6 +7,7 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
+from ragwortchute.gateway import relays
 
 REQUEST_ID = b'x-request-id'
 DEADLINE_MS = b'x-request-deadline-ms'
@@ -17,6 +18,7 @@
 SERVER_LOAD = b'x-server-load'
 WARMUP_MS = b'x-warmup-ms'
 SERVER_LIMIT = b'server-limit'
+SERVER_LEAVING = b'server-leaving'
 
 # No target takes as many requests per second; a higher limit is an error.
 MAX_LIMIT_PER_S = 1e6
@@ -29,12 +31,10 @@
     SERVER_LOAD,
     INSTANCE_ID,
     WARMUP_MS,
+    relays.TARGET_NAME,
 }
 
 
-_NO_CONSTRAINTS = dialect.Constraints()
-
-
 class PlatformDialect(dialect.Dialect):
     """Protocol of the users' platform."""
 
@@ -113,17 +113,24 @@
     def decode_constraints(
         self, reply: http_client.Reply
     ) -> dialect.Constraints:
-        """See base class; the lowest of several limits counts."""
-        limits = [
-            _parse_number(value, MAX_LIMIT_PER_S)
-            for name, value in reply.headers
-            if name == SERVER_LIMIT
-        ]
-        if not limits:
-            return _NO_CONSTRAINTS
+        """See base class; the strictest of several values counts."""
+        malformed = []
+        limits = []
+        leaving = False
+        for name, value in reply.headers:
+            if name == SERVER_LIMIT:
+                limits.append(_parse_number(value, MAX_LIMIT_PER_S))
+            elif name == SERVER_LEAVING and value not in (b'0', b'1'):
+                malformed.append(name.decode())
+            elif name == SERVER_LEAVING:
+                leaving = leaving or value == b'1'
         if None in limits:
-            return dialect.Constraints(malformed=(SERVER_LIMIT.decode(),))
-        return dialect.Constraints(min(limits))
+            malformed.append(SERVER_LIMIT.decode())
+        return dialect.Constraints(
+            min(limits) if limits and None not in limits else None,
+            leaving,
+            tuple(malformed),
+        )
 
     def answer_headers(
         self, reply: http_client.Reply
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -60,6 +60,9 @@
         cold_s: Remaining warm-up time that the target reports, in seconds.
         limit_per_s: Limit that the target names in all answers but those to
             health checks; None for none.
+        leaving: Whether the target says in all these answers that it leaves.
+        retry_after: Value of the `Retry-After` header that it adds when it
+            turns a request away; empty for none.
         crash_path: Path of requests that crash the target; empty for none.
         runs: Requests whose execution began.
         arrivals: Loop time in seconds and path of each request received.
@@ -89,6 +92,8 @@
         self.healthy = True
         self.cold_s = 0.0
         self.limit_per_s: float | None = None
+        self.leaving = False
+        self.retry_after = ''
         self.crash_path = ''
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -171,12 +176,17 @@
         id_headers = {'x-request-id': headers.get('x-request-id', '')}
         if self.limit_per_s is not None:
             id_headers['server-limit'] = f'{self.limit_per_s:g}'
+        if self.leaving:
+            id_headers['server-leaving'] = '1'
         if headers.get('x-expect-instance', self.name) != self.name:
             self._write(writer, 421, {'x-instance-id': self.name}, b'')
             return True
         full = self._running >= self.slots and len(self._waiting) >= self.queue
         if full or self.fault == 'shed':
-            self._write(writer, 503, {**id_headers, 'x-not-executed': '1'}, b'')
+            id_headers['x-not-executed'] = '1'
+            if self.retry_after:
+                id_headers['retry-after'] = self.retry_after
+            self._write(writer, 503, id_headers, b'')
             return True
         run = Run(
             headers.get('x-request-id', ''),
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -16,8 +16,9 @@
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import request_log
-from ragwortchute.gateway import stated_limits
+from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats
+from ragwortchute.gateway import target_statements
 from ragwortchute.platform import feeds
 from ragwortchute.platform import wire
 from standins import platform_targets
@@ -118,7 +119,7 @@
         selector: Selects targets.
         stats: Counters of the host.
         failures: Reports of failures of targets.
-        stated_limits: Limits that targets name in their answers.
+        statements: What targets have said in their answers.
         guard: Blocks requests that crash targets.
         rng: Source of randomness of the host.
         dispatcher: Serves requests.
@@ -140,10 +141,10 @@
         self.membership = membership.Membership(
             host(), NullTransport(), self.log, rng, 5.4
         )
-        self.stated_limits = stated_limits.StatedLimits(self.log)
+        self.statements = target_statements.TargetStatements(self.log)
         self.selector = candidates.TargetSelector(
             rng,
-            self.stated_limits,
+            self.statements,
             limits.warmup_overage,
             limits.warmup_slack,
             limits.probes_per_s,
@@ -170,7 +171,9 @@
             request_log=request_log_,
             crash_guard=self.guard,
             failures=self.failures,
-            stated_limits=self.stated_limits,
+            statements=statement_reader.StatementReader(
+                dialect, self.state, self.statements, self.log
+            ),
             is_outdated=lambda: self.outdated,
             limits=limits,
             stats=self.stats,
--- a/tests/test_gateway/test_limit_shares.py
+++ b/tests/test_gateway/test_limit_shares.py
@@ -7,7 +7,7 @@
 from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
-from ragwortchute.gateway import stated_limits
+from ragwortchute.gateway import target_statements
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_target_limits
 
@@ -107,58 +107,60 @@
 
     def test_news_pass_from_host_to_host(self):
         first, second, third = (
-            stated_limits.StatedLimits(rigs.MemoryLog()) for _ in range(3)
+            target_statements.TargetStatements(rigs.MemoryLog())
+            for _ in range(3)
         )
-        key = stated_limits.target_key(entry())
-        first.note_answer(entry(), 3.5, 100.0)
+        key = target_statements.target_key(entry())
+        first.note_limit(entry(), 3.5, 100.0)
         second.handle(first.encode(100.5), 100.5)
         third.handle(second.encode(101.0), 101.0)
-        assert third.get(key, 101.0) == 3.5
-        first.note_answer(entry(), None, 102.0)
+        assert third.limit_per_s(key, 101.0) == 3.5
+        first.note_limit(entry(), None, 102.0)
         second.handle(first.encode(102.5), 102.5)
         third.handle(second.encode(103.0), 103.0)
-        assert third.get(key, 103.0) is None
+        assert third.limit_per_s(key, 103.0) is None
 
     def test_older_statement_is_ignored(self):
         first, second = (
-            stated_limits.StatedLimits(rigs.MemoryLog()) for _ in range(2)
+            target_statements.TargetStatements(rigs.MemoryLog())
+            for _ in range(2)
         )
-        key = stated_limits.target_key(entry())
-        first.note_answer(entry(), 3.0, 100.0)
-        second.note_answer(entry(), 9.0, 100.1)
+        key = target_statements.target_key(entry())
+        first.note_limit(entry(), 3.0, 100.0)
+        second.note_limit(entry(), 9.0, 100.1)
         second.handle(first.encode(100.2), 100.2)
-        assert second.get(key, 100.2) == 9.0
+        assert second.limit_per_s(key, 100.2) == 9.0
 
     def test_limit_that_nobody_hears_of_is_forgotten(self):
-        limits = stated_limits.StatedLimits(rigs.MemoryLog())
-        limits.note_answer(entry(), 3.0, 100.0)
-        key = stated_limits.target_key(entry())
-        now_s = 100.1 + stated_limits.MAX_AGE_S
-        assert limits.get(key, now_s) is None
+        limits = target_statements.TargetStatements(rigs.MemoryLog())
+        limits.note_limit(entry(), 3.0, 100.0)
+        key = target_statements.target_key(entry())
+        now_s = 100.1 + target_statements.MAX_AGE_S
+        assert limits.limit_per_s(key, now_s) is None
         assert limits.encode(now_s) == b''
 
     def test_new_incarnation_has_no_limit(self):
-        limits = stated_limits.StatedLimits(rigs.MemoryLog())
-        limits.note_answer(entry(), 3.0, 100.0)
-        key = stated_limits.target_key(entry(born_ms=2))
-        assert limits.get(key, 100.1) is None
+        limits = target_statements.TargetStatements(rigs.MemoryLog())
+        limits.note_limit(entry(), 3.0, 100.0)
+        key = target_statements.target_key(entry(born_ms=2))
+        assert limits.limit_per_s(key, 100.1) is None
 
     def test_answers_without_a_limit_are_not_kept(self):
-        limits = stated_limits.StatedLimits(rigs.MemoryLog())
-        limits.note_answer(entry(), None, 100.0)
+        limits = target_statements.TargetStatements(rigs.MemoryLog())
+        limits.note_limit(entry(), None, 100.0)
         assert limits.encode(100.1) == b''
 
     @pytest.mark.parametrize('number', [float('nan'), float('inf'), -3.0])
     def test_invalid_statement_is_ignored(self, number):
-        limits = stated_limits.StatedLimits(rigs.MemoryLog())
-        key = stated_limits.target_key(entry())
-        data = stated_limits._FORMAT.pack(key, number, 0)
+        limits = target_statements.TargetStatements(rigs.MemoryLog())
+        key = target_statements.target_key(entry())
+        data = target_statements._FORMAT.pack(key, number, 0)
         limits.handle(data + b'cut', 100.0)
-        assert limits.get(key, 100.0) is None
+        assert limits.limit_per_s(key, 100.0) is None
 
     def test_heartbeats_stay_small(self):
-        limits = stated_limits.StatedLimits(rigs.MemoryLog())
+        limits = target_statements.TargetStatements(rigs.MemoryLog())
         for number in range(500):
-            limits.note_answer(entry(f't{number}'), 3.0, 100.0)
-        size = stated_limits.MAX_PASSED_ON * stated_limits._FORMAT.size
+            limits.note_limit(entry(f't{number}'), 3.0, 100.0)
+        size = target_statements.MAX_PASSED_ON * target_statements._FORMAT.size
         assert len(limits.encode(100.1)) == size
--- /dev/null
+++ b/tests/test_gateway/test_target_statements.py
@@ -0,0 +1,94 @@
+"""Tests that hosts do what targets say in their answers."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from standins import platform_targets
+from tests.test_gateway import rig as rigs
+from tests.test_gateway import test_application
+
+
+@pytest.fixture
+async def deployment():
+    deployment = test_application.Deployment()
+    yield deployment
+    await deployment.stop()
+
+
+@pytest.fixture
+async def rig():
+    rig = rigs.Rig(
+        platform_targets.TargetServer('t'), platform_targets.TargetServer('u')
+    )
+    await rig.start()
+    yield rig
+    await rig.stop()
+
+
+async def send(rig, requests):
+    return [(await rig.request()).status for _ in range(requests)]
+
+
+class TestLeaving:
+    """A target that says that it leaves must get no further request."""
+
+    async def leave(self, rig):
+        leaving = rig.targets[0]
+        leaving.leaving = True
+        await send(rig, 30)
+        assert leaving.arrivals
+        return leaving
+
+    async def test_no_request_follows_the_statement(self, rig):
+        leaving = await self.leave(rig)
+        assert len(leaving.arrivals) == 1
+        assert set(await send(rig, 20)) == {200}
+
+    async def test_statement_outlives_the_entry_of_the_target(self, rig):
+        # Entries expire while the store is away, and come back as they were.
+        leaving = await self.leave(rig)
+        entry = rig.entry(leaving)
+        rig.state.remove_target(entry.name, 2)
+        rig.state.set_target(entry, 3)
+        await send(rig, 20)
+        assert len(leaving.arrivals) == 1
+
+    async def test_new_incarnation_starts_anew(self, rig):
+        leaving = await self.leave(rig)
+        leaving.leaving = False
+        entry = msgspec.structs.replace(rig.entry(leaving), born_ms=2)
+        rig.state.set_target(entry, 3)
+        await send(rig, 30)
+        assert len(leaving.arrivals) > 1
+
+    async def test_other_hosts_are_told(self, deployment):
+        await deployment.start('a1', 'a1', 'a2', 'a2')
+        hosts = deployment.hosts
+        await deployment.until(lambda: all(host.ready for host in hosts))
+        first = hosts[0].state.targets['t0']
+        now_s = asyncio.get_running_loop().time()
+        hosts[0].statements.note_leaving(first.entry, now_s)
+        await deployment.until(
+            lambda: all(
+                host.statements.is_leaving(first.key) for host in hosts
+            ),
+            2.0,
+        )
+
+    async def test_host_that_relayed_a_request_is_told(self, deployment):
+        await deployment.start('a1', 'b1')
+        hosts = deployment.hosts
+        await deployment.until(lambda: all(host.ready for host in hosts))
+        await deployment.until(
+            lambda: all(len(host.hosts()) == 2 for host in hosts)
+        )
+        hosts[1].membership.on_statements = lambda *_: None
+        for target in deployment.targets:
+            target.leaving = True
+        resp = await test_application.TestRelay().request(hosts[1])
+        assert resp.status == 200
+        assert 'x-ragwortchute-target' not in resp.headers
+        keys = [target.key for target in hosts[1].state.targets.values()]
+        assert any(hosts[1].statements.is_leaving(key) for key in keys)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -338,6 +338,17 @@
     def test_lowest_of_several_limits_counts(self):
         assert self.decode(b'7', b'3').limit_per_s == 3.0
 
+    @pytest.mark.parametrize(
+        ('values', 'leaving'),
+        [((b'1',), True), ((b'0',), False), ((b'0', b'1'), True), ((), False)],
+    )
+    def test_leaving_is_decoded(self, values, leaving):
+        headers = [(wire.SERVER_LEAVING, value) for value in values]
+        reply = http_client.Reply(200, headers)
+        constraints = wire.PlatformDialect().decode_constraints(reply)
+        assert constraints.leaving == leaving
+        assert constraints.malformed == ()
+
     @pytest.mark.parametrize(
         'value', [b'', b'x', b'-1', b'nan', b'inf', b'1e300', b'3,4', b'\xff']
     )
