Give a target the pause that it asks for

Cause: the header was passed on at most; nothing kept it.

Change: a host sends the target nothing until the longest pause that it has asked this host for ends; other hosts are not concerned. If all targets of a service wait, for a pause or a limit, the caller is refused at once with the earliest end, spread upwards only, and not capped as an estimate is.

Tests: all eight of TestPause failed before.

--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -8,6 +8,7 @@
 import random
 
 from ragwortchute.gateway import attempts
+from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
@@ -17,6 +18,10 @@
 MIN_RETRY_AFTER_S = 0.05
 # Longer estimates are capped, as the load may change within this time.
 MAX_RETRY_AFTER_S = 1.0
+# Times named to callers are spread over this range of factors, so that callers
+# don't return at the same time.
+MIN_SPREAD = 0.75
+MAX_SPREAD = 1.25
 
 
 class Answers:
@@ -125,10 +130,21 @@
             sends: Number of targets that it was sent to and that rejected it.
         """
         wait_s = max(MIN_RETRY_AFTER_S, wait_s)
-        wait_s *= 0.75 + 0.5 * self._rng.random()
+        wait_s *= self._rng.uniform(MIN_SPREAD, MAX_SPREAD)
         self._request_log.log_answer(
             self._dialect.request_id(req), 503, reason, sends, req.arrived_s
         )
         self._stats.count_refusal(reason)
         after = f'{wait_s:.3f}'.encode()
         return http_server.Response(503, [(b'retry-after', after)])
+
+
+def retry_after_s(refused: candidates.NoPlacement) -> float:
+    """Returns the time that is named to a caller before it is spread.
+
+    An estimate is capped. What targets have asked for is not, and callers must
+    not return earlier.
+    """
+    if refused.stated:
+        return refused.wait_s / MIN_SPREAD
+    return min(MAX_RETRY_AFTER_S, refused.wait_s)
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -67,11 +67,13 @@
         reason: Refusal reason.
         wait_s: Time in seconds until a target is likely to be free.
         probed: Number of targets that were probed.
+        stated: Whether the time is what a target has asked for.
     """
 
     reason: str
     wait_s: float
     probed: int
+    stated: bool = False
 
 
 class Requirements(msgspec.Struct, eq=False):
@@ -246,6 +248,7 @@
         """
         return not (
             self._statements.is_leaving(target.key)
+            or self._statements.pause_left_s(target.key, now_s) > 0
             or self._limit_wait_s(target, now_s) > 0
         )
 
@@ -267,15 +270,25 @@
     def _explain_no_target(self, required: Requirements) -> NoPlacement:
         """Returns why no target may be probed, and for how long."""
         now_s = self._loop.time()
-        waits_s = [
-            self._limit_wait_s(target, now_s)
+        waits = [
+            self._stated_wait(target, now_s)
             for target in required.targets
             if not self._statements.is_leaving(target.key)
         ]
-        limited_s = [wait_s for wait_s in waits_s if wait_s > 0]
-        if not limited_s:
+        stated = [wait for wait in waits if wait.wait_s > 0]
+        if not stated:
             return NoPlacement('no-target', required.remaining_s, 0)
-        return NoPlacement('target-limit', min(limited_s), 0)
+        return min(stated, key=lambda wait: wait.wait_s)
+
+    def _stated_wait(
+        self, target: targets_.Target, now_s: float
+    ) -> NoPlacement:
+        """Returns how long a target takes no request of this host, and why."""
+        pause_s = self._statements.pause_left_s(target.key, now_s)
+        limit_s = self._limit_wait_s(target, now_s)
+        if pause_s > limit_s:
+            return NoPlacement('target-paused', pause_s, 0, stated=True)
+        return NoPlacement('target-limit', limit_s, 0, stated=True)
 
     def mean_slowness(self, service: str) -> float:
         """Returns the mean slowness of the targets of a service."""
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -44,11 +44,13 @@
         limit_per_s: Requests per second that it takes from all hosts; None if
             it names no limit.
         leaving: Whether it says that it leaves.
+        pause_s: How long it wants no request from this host, in seconds.
         malformed: Names of headers whose values are invalid and were ignored.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float = 0.0
     malformed: tuple[str, ...] = ()
 
 
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -286,8 +286,9 @@
             return self._answers.give_up(call, 'crashes-targets', blocked_s)
         placed = await self._selector.select(self._requirements(call))
         if isinstance(placed, candidates.NoPlacement):
-            wait_s = min(answers.MAX_RETRY_AFTER_S, placed.wait_s)
-            return self._answers.give_up(call, placed.reason, wait_s)
+            return self._answers.give_up(
+                call, placed.reason, answers.retry_after_s(placed)
+            )
         if call.sends and not self._spend_retry(call):
             placed.target.pool.release(placed.conn)
             return self._answers.give_up(call, 'retry-budget')
--- a/ragwortchute/gateway/statement_reader.py
+++ b/ragwortchute/gateway/statement_reader.py
@@ -46,6 +46,10 @@
         constraints = self._dialect.decode_constraints(reply)
         if constraints.leaving:
             self._statements.note_leaving(target.entry, now_s)
+        if constraints.pause_s:
+            self._statements.note_pause(
+                target.entry, constraints.pause_s, now_s
+            )
         if constraints.malformed:
             self._log.event(
                 'header-malformed',
--- a/ragwortchute/gateway/target_statements.py
+++ b/ragwortchute/gateway/target_statements.py
@@ -3,7 +3,8 @@
 A target may name a limit on the requests of all hosts, or say that it leaves.
 Hosts learn of that by its answers and pass it on with their heartbeats: those
 that don't send to the target get no answers, and have to learn from others that
-it names another limit or none any more.
+it names another limit or none any more. It may also ask a single host for a
+pause, which concerns no other host.
 """
 
 from collections import abc
@@ -55,12 +56,19 @@
         name_of: Returns the name of a target by its key, for the log.
     """
 
-    __slots__ = ('_leaving_since_s', '_limits', '_log', 'name_of')
+    __slots__ = (
+        '_leaving_since_s',
+        '_limits',
+        '_log',
+        '_paused_until_s',
+        'name_of',
+    )
 
     def __init__(self, log: eventlog.EventLog) -> None:
         self._log = log
         self._limits: dict[int, _Limit] = {}
         self._leaving_since_s: dict[int, float] = {}
+        self._paused_until_s: dict[int, float] = {}
         self.name_of: abc.Callable[[int], str] = str
 
     def note_leaving(self, entry: model.TargetEntry, now_s: float) -> None:
@@ -76,6 +84,33 @@
         """Returns whether a target has said that it leaves."""
         return key in self._leaving_since_s
 
+    def note_pause(
+        self, entry: model.TargetEntry, pause_s: float, now_s: float
+    ) -> None:
+        """Notes that a target wants no request from this host for a while.
+
+        Args:
+            entry: Entry of the target.
+            pause_s: Length of the pause in seconds.
+            now_s: Loop time in seconds.
+        """
+        key = target_key(entry)
+        until_s = now_s + pause_s
+        if until_s <= self._paused_until_s.get(key, 0.0):
+            return
+        self._paused_until_s[key] = until_s
+        self._log.event('target-paused', target=entry.name, for_s=pause_s)
+
+    def pause_left_s(self, key: int, now_s: float) -> float:
+        """Returns for how long a target wants no request, in seconds."""
+        until_s = self._paused_until_s.get(key)
+        if until_s is None:
+            return 0.0
+        if until_s <= now_s:
+            del self._paused_until_s[key]
+            return 0.0
+        return until_s - now_s
+
     def note_limit(
         self, entry: model.TargetEntry, limit_per_s: float | None, now_s: float
     ) -> None:
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -19,9 +19,12 @@
 WARMUP_MS = b'x-warmup-ms'
 SERVER_LIMIT = b'server-limit'
 SERVER_LEAVING = b'server-leaving'
+RETRY_AFTER = b'retry-after'
 
 # No target takes as many requests per second; a higher limit is an error.
 MAX_LIMIT_PER_S = 1e6
+# No target asks for a pause longer than a day; a longer one is an error.
+MAX_PAUSE_S = 86400.0
 
 # Request headers that are set for each target.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
@@ -114,22 +117,26 @@
         self, reply: http_client.Reply
     ) -> dialect.Constraints:
         """See base class; the strictest of several values counts."""
-        malformed = []
-        limits = []
-        leaving = False
-        for name, value in reply.headers:
-            if name == SERVER_LIMIT:
-                limits.append(_parse_number(value, MAX_LIMIT_PER_S))
-            elif name == SERVER_LEAVING and value not in (b'0', b'1'):
-                malformed.append(name.decode())
-            elif name == SERVER_LEAVING:
-                leaving = leaving or value == b'1'
-        if None in limits:
-            malformed.append(SERVER_LIMIT.decode())
+        limits = _parse_all(reply, SERVER_LIMIT, MAX_LIMIT_PER_S)
+        leaving = _parse_all(reply, SERVER_LEAVING, 1)
+        pauses: list[float | None] = []
+        if reply.status == 503:
+            pauses = _parse_all(reply, RETRY_AFTER, MAX_PAUSE_S)
+        malformed = tuple(
+            name.decode()
+            for name, values in (
+                (SERVER_LIMIT, limits),
+                (SERVER_LEAVING, leaving),
+                (RETRY_AFTER, pauses),
+            )
+            if None in values
+        )
+        if malformed:
+            return dialect.Constraints(malformed=malformed)
         return dialect.Constraints(
-            min(limits) if limits and None not in limits else None,
-            leaving,
-            tuple(malformed),
+            min(limits, default=None),
+            max(leaving, default=0) == 1,
+            max(pauses, default=0.0),
         )
 
     def answer_headers(
@@ -182,6 +189,17 @@
         return _decode_reading(reply, taken_s, True)
 
 
+def _parse_all(
+    reply: http_client.Reply, header: bytes, maximum: float
+) -> list[float | None]:
+    """Returns the numbers in all headers of a name, None for an invalid one."""
+    return [
+        _parse_number(value, maximum)
+        for name, value in reply.headers
+        if name == header
+    ]
+
+
 def _parse_number(value: bytes, maximum: float) -> float | None:
     """Returns a number from 0 to `maximum`, None if the value is another."""
     try:
--- a/tests/test_gateway/test_target_statements.py
+++ b/tests/test_gateway/test_target_statements.py
@@ -92,3 +92,45 @@
         assert 'x-ragwortchute-target' not in resp.headers
         keys = [target.key for target in hosts[1].state.targets.values()]
         assert any(hosts[1].statements.is_leaving(key) for key in keys)
+
+
+class TestPause:
+    """A target that asks for a pause must get nothing until its end."""
+
+    async def pause(self, rig, *targets, seconds='0.8'):
+        for target in targets:
+            target.fault = 'shed'
+            target.retry_after = seconds
+        await send(rig, 30)
+
+    async def test_no_request_until_the_end(self, rig):
+        paused = rig.targets[0]
+        await self.pause(rig, paused)
+        assert len(paused.arrivals) == 1
+        assert set(await send(rig, 20)) == {200}
+        paused.fault = ''
+        await asyncio.sleep(0.8)
+        await send(rig, 60)
+        assert len(paused.arrivals) > 1
+
+    async def test_refusal_names_the_earliest_end(self, rig):
+        await self.pause(rig, *rig.targets, seconds='20')
+        resp = await rig.request()
+        assert resp.status == 503
+        assert 18 <= float(resp.headers['retry-after']) <= 34
+        assert rig.stats.refusals['target-paused'] > 0
+        assert sum(len(target.arrivals) for target in rig.targets) == 2
+
+    async def test_shorter_pause_does_not_end_a_longer_one(self, rig):
+        target = rig.state.targets['t']
+        rig.statements.note_pause(target.entry, 9.0, 100.0)
+        rig.statements.note_pause(target.entry, 1.0, 101.0)
+        assert rig.statements.pause_left_s(target.key, 102.0) == 7.0
+
+    @pytest.mark.parametrize('value', ['-1', 'nan', 'inf', 'soon', '1e300'])
+    async def test_invalid_pause_changes_nothing(self, rig, value):
+        await self.pause(rig, rig.targets[0], seconds=value)
+        assert 'header-malformed' in rig.log.kinds()
+        rig.targets[0].fault = ''
+        await send(rig, 60)
+        assert len(rig.targets[0].arrivals) > 1
