--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -336,22 +336,13 @@
         self._note_confirmed(asked_s + answer.confirmed_after_s)
 
     async def _read_changes(self, source: Source) -> None:
-        wait_s = self._feed.watch_timeout_s
-        # A long watch that is sent to an unresponsive store would still be
-        # pending after the store has recovered. A host that has just become a
-        # reader does not know yet whether the store responds.
         asked_s = self._loop.time()
-        is_unproved = not source.name and (
-            self._health.down or self._answered_by != source.name
-        )
-        if not source.name:
-            wait_s = self._time_to_confirmation_s(asked_s)
         answer = await self._watch_until_woken(
             source,
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
-                timeout_s=0.0 if is_unproved else wait_s,
+                timeout_s=self._watch_timeout_s(source, asked_s),
             ),
         )
         if answer is None:
@@ -361,13 +352,19 @@
         if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(self._feed.batch_delay_s)
 
-    def _time_to_confirmation_s(self, now_s: float) -> float:
-        """Returns how long a watch of the store may wait, in seconds.
+    def _watch_timeout_s(self, source: Source, now_s: float) -> float:
+        """Returns how long a watch of a source may wait, in seconds.
 
-        It ends a fixed time after the last confirmation, since changes have
-        not been confirmed as the last ones.
+        A long watch that is sent to an unresponsive store would still be
+        pending after the store has recovered. A host that has just become a
+        reader does not know yet whether the store responds. Other watches of
+        the store end a fixed time after the last confirmation.
         """
         wait_s = self._feed.watch_timeout_s
+        if source.name:
+            return wait_s
+        if self._health.down or self._answered_by != source.name:
+            return 0.0
         left_s = self.replica.confirmed_s + wait_s - now_s
         return min(wait_s, max(0.0, left_s))
 
