Let an invalid header of a target hide no valid one

An answer with an unreadable limit and a valid Server-Leaving kept its target in use. Found in the reading of the diff; test_invalid_header_does_not_hide_another failed before.

--- a/ragwortchute/gateway/statement_reader.py
+++ b/ragwortchute/gateway/statement_reader.py
@@ -56,7 +56,8 @@
                 target=target.entry.name,
                 headers=constraints.malformed,
             )
-        else:
+        # A limit that can't be read does not end the one that is known.
+        if constraints.limit_per_s is not None or not constraints.malformed:
             self._statements.note_limit(
                 target.entry, constraints.limit_per_s, now_s
             )
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -26,6 +26,8 @@
 # No target asks for a pause longer than a day; a longer one is an error.
 MAX_PAUSE_S = 86400.0
 
+_UNAVAILABLE = 503
+
 # Request headers that are set for each target.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
 # Response headers that are not returned to the caller.
@@ -120,7 +122,7 @@
         limits = _parse_all(reply, SERVER_LIMIT, MAX_LIMIT_PER_S)
         leaving = _parse_all(reply, SERVER_LEAVING, 1)
         pauses: list[float | None] = []
-        if reply.status == 503:
+        if reply.status == _UNAVAILABLE:
             pauses = _parse_all(reply, RETRY_AFTER, MAX_PAUSE_S)
         malformed = tuple(
             name.decode()
@@ -131,12 +133,11 @@
             )
             if None in values
         )
-        if malformed:
-            return dialect.Constraints(malformed=malformed)
         return dialect.Constraints(
-            min(limits, default=None),
-            max(leaving, default=0) == 1,
-            max(pauses, default=0.0),
+            None if None in limits else min(limits, default=None),
+            1 in leaving,
+            max((value for value in pauses if value is not None), default=0.0),
+            malformed,
         )
 
     def answer_headers(
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -130,6 +130,15 @@
         statuses = {(await rig.request()).status for _ in range(20)}
         assert statuses == {200}
 
+    async def test_invalid_limit_does_not_end_a_known_one(self, rig):
+        target = rig.targets[0]
+        target.limit_per_s = 0.5
+        await rig.request()
+        target.limit_per_s = float('nan')
+        statuses = [(await rig.request()).status for _ in range(20)]
+        assert statuses.count(200) <= 2
+        assert len(target.arrivals) <= 3
+
     async def test_targets_without_a_limit_are_used_instead(self, rig):
         other = platform_targets.TargetServer('u')
         await other.start()
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -338,6 +338,13 @@
     def test_lowest_of_several_limits_counts(self):
         assert self.decode(b'7', b'3').limit_per_s == 3.0
 
+    def test_invalid_header_does_not_hide_another(self):
+        headers = [(wire.SERVER_LIMIT, b'x'), (wire.SERVER_LEAVING, b'1')]
+        reply = http_client.Reply(200, headers)
+        constraints = wire.PlatformDialect().decode_constraints(reply)
+        assert constraints.leaving
+        assert constraints.malformed == ('server-limit',)
+
     @pytest.mark.parametrize(
         ('values', 'leaving'),
         [((b'1',), True), ((b'0',), False), ((b'0', b'1'), True), ((), False)],
