--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -11,6 +11,7 @@
 - a removed target or an evacuated failure domain receives no request after
   its time limit from hosts that could reach the store throughout,
 - a planned stop on its own does not break off any request,
+- hosts do what targets say in their answers (see `soak_statements`),
 - requests are served again after all faults have ended.
 
 `python -m benchmarks.soak --seed 1 --seconds 20` runs one seed; `--seeds N`
@@ -30,6 +31,7 @@
 
 import click
 
+from benchmarks import soak_statements
 from standins import fault_proxy
 from standins import platform_store
 from standins import platform_targets
@@ -70,6 +72,7 @@
 
     Attributes:
         name: Name of the host.
+        faults_s: Loop times of its stops, starts, pauses and cuts.
     """
 
     def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
@@ -83,6 +86,11 @@
         self.process: asyncio.subprocess.Process | None = None
         self.proxy: fault_proxy.FaultProxy | None = None
         self.stopping = False
+        self.faults_s: list[float] = []
+
+    def note_fault(self) -> None:
+        """Records the time of a stop, start, pause or cut."""
+        self.faults_s.append(asyncio.get_running_loop().time())
 
     async def start(self) -> None:
         """Starts the process with its log written to a file."""
@@ -170,6 +178,7 @@
         self.fault_times_s: list[float] = []
         self.late_s = 0.0
         self.fault_log: list[str] = []
+        self.judge = soak_statements.Judge(seed, self.hosts, self.targets)
         self._ids = 0
         self._version = 1
         self._calling = True
@@ -182,6 +191,7 @@
             for number in range(CALLERS)
         ]
         timer = asyncio.create_task(self._measure_delay())
+        statements = asyncio.create_task(self.judge.run())
         try:
             end_s = self.loop.time() + seconds
             faults: set[asyncio.Task[None]] = set()
@@ -191,13 +201,16 @@
                 task.add_done_callback(faults.discard)
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
             await asyncio.gather(*faults)
+            statements.cancel()
             await self._recover()
         finally:
             self._calling = False
+            statements.cancel()
             await asyncio.gather(*callers)
             timer.cancel()
             await self._stop()
         self._check_runs()
+        self.violations += self.judge.check()
         return self.violations
 
     async def _start(self) -> None:
@@ -288,6 +301,9 @@
         request_id = f'q{self._ids}'
         path = f'/{"w" if is_write else "r"}/{request_id}'
         started_s = self.loop.time()
+        self.judge.sent[request_id] = soak_statements.SentRequest(
+            host.name, started_s
+        )
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host.ip, host.port), 1.0
@@ -303,7 +319,7 @@
         )
         try:
             status = await asyncio.wait_for(
-                self._read_response(reader, request_id), _READ_TIMEOUT_S
+                self._read_response(reader, host, request_id), _READ_TIMEOUT_S
             )
         except (OSError, EOFError, TimeoutError) as exc:
             self._check_cut_off(host, request_id, started_s, exc)
@@ -316,9 +332,10 @@
         return status
 
     async def _read_response(
-        self, reader: asyncio.StreamReader, request_id: str
+        self, reader: asyncio.StreamReader, host: Host, request_id: str
     ) -> int:
         head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
+        self.judge.note_answer(host.name, head)
         status = int(head.split(' ')[1])
         length = int(head.partition('content-length: ')[2].split('\r')[0])
         body = await reader.readexactly(length)
@@ -442,11 +459,13 @@
         return 'none'
     host.stopping = True
     soak.note_fault()
+    host.note_fault()
     host.signal(signal.SIGKILL)
     await host.process.wait()
     await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
     await host.start()
     soak.note_fault()
+    host.note_fault()
     return host.name
 
 
@@ -460,6 +479,7 @@
     host.signal(signal.SIGTERM)
     await host.wait_ended()
     await host.start()
+    host.note_fault()
     return host.name
 
 
@@ -468,10 +488,12 @@
     """Suspends a host with SIGSTOP for a while."""
     host = soak.rng.choice(soak.hosts)
     soak.note_fault()
+    host.note_fault()
     host.signal(signal.SIGSTOP)
     await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
     host.signal(signal.SIGCONT)
     soak.note_fault()
+    host.note_fault()
     return host.name
 
 
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -40,6 +40,23 @@
         self.ended = ''
 
 
+class TurnedAway:
+    """Request that a target turned away with a `Retry-After` header.
+
+    Attributes:
+        at_s: Loop time in seconds.
+        path: Path of the request.
+        pause_s: Value of the header in seconds.
+    """
+
+    __slots__ = ('at_s', 'path', 'pause_s')
+
+    def __init__(self, at_s: float, path: str, pause_s: float) -> None:
+        self.at_s = at_s
+        self.path = path
+        self.pause_s = pause_s
+
+
 class TargetServer:
     """A target that listens on a loopback port.
 
@@ -63,6 +80,7 @@
         leaving: Whether the target says in all these answers that it leaves.
         retry_after: Value of the `Retry-After` header that it adds when it
             turns a request away; empty for none.
+        pauses: Requests that it turned away with a valid header of this kind.
         crash_path: Path of requests that crash the target; empty for none.
         runs: Requests whose execution began.
         arrivals: Loop time in seconds and path of each request received.
@@ -94,6 +112,7 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         self.retry_after = ''
+        self.pauses: list[TurnedAway] = []
         self.crash_path = ''
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -186,6 +205,7 @@
             id_headers['x-not-executed'] = '1'
             if self.retry_after:
                 id_headers['retry-after'] = self.retry_after
+                self._record_pause(now_s, path)
             self._write(writer, 503, id_headers, b'')
             return True
         run = Run(
@@ -198,6 +218,13 @@
             return False
         return await self._respond(writer, id_headers, body)
 
+    def _record_pause(self, now_s: float, path: str) -> None:
+        try:
+            pause_s = float(self.retry_after)
+        except ValueError:
+            return
+        self.pauses.append(TurnedAway(now_s, path, pause_s))
+
     async def _execute(self, run: Run, reader: asyncio.StreamReader) -> bool:
         """Executes a request; returns whether the caller is still connected."""
         if self._running >= self.slots:
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from benchmarks import soak
+from benchmarks import soak_statements
 from standins import platform_targets
 
 SECONDS = 6.0
@@ -64,3 +65,43 @@
         await asyncio.sleep(0.1)
         timer.cancel()
         assert run.late_s > 0.2
+
+
+class TestStatements:
+    """The checks of what targets state must be able to fail."""
+
+    def judge(self, *sent_s):
+        """Returns a judge with requests of one host, and their target."""
+        target = platform_targets.TargetServer('t')
+        host = soak.Host('h', 0, 'a-1', '.')
+        judge = soak_statements.Judge(1, [host], [target])
+        for number, at_s in enumerate(sent_s):
+            judge.sent[f'q{number}'] = soak_statements.SentRequest('h', at_s)
+            target.arrivals.append((at_s + 0.01, f'/r/q{number}'))
+        return judge, host, target
+
+    @pytest.mark.parametrize(
+        ('sent_s', 'fault_s', 'found'),
+        [(102.1, None, 1), (101.9, None, 0), (102.1, 101.0, 0)],
+    )
+    async def test_request_to_a_leaving_target(self, sent_s, fault_s, found):
+        judge, host, _ = self.judge(sent_s)
+        judge._told_leaving_s['h', 't'] = 100.0
+        if fault_s is not None:
+            host.faults_s.append(fault_s)
+        assert len(judge.check()) == found
+
+    @pytest.mark.parametrize(('requests', 'found'), [(3, 1), (2, 0)])
+    async def test_requests_in_a_pause(self, requests, found):
+        judge, _, target = self.judge(*[101.0] * requests, 100.0)
+        turned_away = platform_targets.TurnedAway(100.0, f'/r/q{requests}', 3.0)
+        target.pauses.append(turned_away)
+        assert len(judge.check()) == found
+
+    @pytest.mark.parametrize(('requests', 'found'), [(24, 1), (23, 0)])
+    async def test_requests_beyond_a_limit(self, requests, found):
+        judge, _, target = self.judge(*[104.0] * requests)
+        judge._told_limit_s['h', 't'] = 100.0
+        limit = soak_statements.NamedLimit(target, 3.0, 100.0)
+        judge._limits.append(limit)
+        assert len(judge.check()) == found
