Give hosts of the soak distinct ports, and end them if the start fails

Traced by its logs: a-1-1 could not bind 51701, which its settings name twice, as listen.front and as port_range. The free port was picked twice, since nothing listened on it in between. Not a fault of a host.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -57,6 +57,9 @@
     'unframed', 'lose',
 )  # fmt: skip
 
+# Addresses of hosts that may not be listening yet.
+_assigned: set[tuple[str, int]] = set()
+
 Fault = abc.Callable[['Soak'], abc.Awaitable[str]]
 FAULTS: list[Fault] = []
 
@@ -185,7 +188,17 @@
 
     async def run(self, seconds: float) -> list[str]:
         """Injects faults for `seconds` and returns the violations found."""
-        await self._start()
+        try:
+            await self._start()
+            await self._play(seconds)
+        finally:
+            await self._stop()
+        self._check_runs()
+        self.violations += self.judge.check()
+        return self.violations
+
+    async def _play(self, seconds: float) -> None:
+        """Injects faults while callers send requests."""
         callers = [
             asyncio.create_task(self._caller(f'{self._seed}/{number}'))
             for number in range(CALLERS)
@@ -208,10 +221,6 @@
             statements.cancel()
             await asyncio.gather(*callers)
             timer.cancel()
-            await self._stop()
-        self._check_runs()
-        self.violations += self.judge.check()
-        return self.violations
 
     async def _start(self) -> None:
         await self.store.start()
@@ -409,8 +418,10 @@
             host.signal(signal.SIGCONT)
             host.signal(signal.SIGKILL)
         for host in self.hosts:
-            await host.process.wait()
-            host.proxy.stop()
+            if host.process is not None:
+                await host.process.wait()
+            if host.proxy is not None:
+                host.proxy.stop()
         for target in self.targets:
             await target.stop()
         await self.store.stop()
@@ -623,9 +634,14 @@
 
 
 def _free_port(ip: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+    """Returns a free port that no host of this process has been given."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((ip, 0))
+            address = sock.getsockname()
+        if address not in _assigned:
+            _assigned.add(address)
+            return address[1]
 
 
 async def run_seed(seed: int, seconds: float, folder: str) -> Soak:
