Let only a served answer end the limit that a target has named

Cause: any answer without Server-Limit ended a known limit, also a rejection or a damaged answer, which may come from a part of the target that knows of no limit. So a target that names a limit and sheds load lost its limit when it needed it most, and heartbeats told the other hosts that it had none.

Change: an answer with a stamp, its request's id and a result ends a limit; others don't.

--- a/ragwortchute/gateway/statement_reader.py
+++ b/ragwortchute/gateway/statement_reader.py
@@ -56,12 +56,26 @@
                 target=target.entry.name,
                 headers=constraints.malformed,
             )
-        # A limit that can't be read does not end the one that is known.
-        if constraints.limit_per_s is not None or not constraints.malformed:
+        if constraints.limit_per_s is not None or self._ends_limit(
+            reply, constraints
+        ):
             self._statements.note_limit(
                 target.entry, constraints.limit_per_s, now_s
             )
 
+    def _ends_limit(
+        self, reply: http_client.Reply, constraints: dialects.Constraints
+    ) -> bool:
+        """Returns whether an answer without a limit ends a known one.
+
+        A rejection, a damaged answer and a limit that can't be read do not.
+        """
+        return (
+            not constraints.malformed
+            and not self._dialect.is_not_run(reply)
+            and self._dialect.is_authentic(reply)
+        )
+
     def note_relayed(self, reply: http_client.Reply, now_s: float) -> None:
         """Notes what a target has said in the answer to a relayed request.
 
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -75,8 +75,9 @@
             reset the connection instead of answering.
         healthy: Result of the health check.
         cold_s: Remaining warm-up time that the target reports, in seconds.
-        limit_per_s: Limit that the target names in all answers but those to
-            health checks; None for none.
+        limit_per_s: Limit that the target names in its answers; None for none.
+        limit_in_rejections: Whether it names the limit also when it turns a
+            request away.
         leaving: Whether the target says in all these answers that it leaves.
         retry_after: Value of the `Retry-After` header that it adds when it
             turns a request away; empty for none.
@@ -110,6 +111,7 @@
         self.healthy = True
         self.cold_s = 0.0
         self.limit_per_s: float | None = None
+        self.limit_in_rejections = True
         self.leaving = False
         self.retry_after = ''
         self.pauses: list[TurnedAway] = []
@@ -203,6 +205,8 @@
         full = self._running >= self.slots and len(self._waiting) >= self.queue
         if full or self.fault == 'shed':
             id_headers['x-not-executed'] = '1'
+            if not self.limit_in_rejections:
+                id_headers.pop('server-limit', None)
             if self.retry_after:
                 id_headers['retry-after'] = self.retry_after
                 self._record_pause(now_s, path)
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -139,6 +139,17 @@
         assert statuses.count(200) <= 2
         assert len(target.arrivals) <= 3
 
+    async def test_rejection_without_it_does_not_end_a_limit(self, rig):
+        target = rig.targets[0]
+        target.limit_per_s = 3.0
+        target.limit_in_rejections = False
+        await rig.request()
+        target.fault = 'shed'
+        await asyncio.sleep(0.5)
+        statuses = [(await rig.request()).status for _ in range(20)]
+        assert set(statuses) == {503}
+        assert len(target.arrivals) <= 3
+
     async def test_targets_without_a_limit_are_used_instead(self, rig):
         other = platform_targets.TargetServer('u')
         await other.start()
