Move the limits on sends to a target into a module of its own

candidates.py decided both whether a target takes a request of this host and which of those that do is the best.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -25,6 +25,7 @@
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
+from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import sources
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
@@ -135,12 +136,13 @@
         self.statements.name_of = self.state.name_of
         self.membership.local_statements = self.statements.encode
         self.membership.on_statements = self.statements.handle
-        self._selector = candidates.TargetSelector(
-            self.rng,
+        self._send_limits = send_limits.SendLimits(
             self.statements,
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
-            settings.limits.probes_per_s,
+        )
+        self._selector = candidates.TargetSelector(
+            self.rng, self._send_limits, settings.limits.probes_per_s
         )
         self._host_pools = pools.HostPools()
         self._failure_reports = failure_reports.FailureReports(
@@ -402,7 +404,7 @@
             now_s = self._loop.time()
             senders = self.membership.possible_senders(now_s)
             self._host_pools.keep_only(frozenset(senders))
-            self._selector.fleet = pacing.make_fleet(
+            self._send_limits.fleet = pacing.make_fleet(
                 self._settings.me.name,
                 senders,
                 self._knows_all_hosts(now_s - started_s),
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -16,10 +16,8 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import limit_shares
-from ragwortchute.gateway import pacing
 from ragwortchute.gateway import probe_budget
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import targets as targets_
 
 FIRST_ROUND_TARGETS = 3
@@ -103,14 +101,12 @@
 
     Args:
         rng: Source of randomness.
-        statements: What targets have said in their answers.
-        warmup_overage: Factor on the request rate of a cold target.
-        warmup_slack: Requests per second allowed beyond that.
+        limits: Limits on the requests that this host sends to each target.
         probes_per_s: Health requests per target and second allowed from all
             hosts.
 
     Attributes:
-        fleet: Hosts that may send to the same targets.
+        limits: Limits on the requests that this host sends to each target.
         targets: Number of targets of all services.
         probes_sent: Number of health requests sent.
     """
@@ -118,21 +114,16 @@
     def __init__(
         self,
         rng: random.Random,
-        statements: target_statements.TargetStatements,
-        warmup_overage: float,
-        warmup_slack: float,
+        limits: send_limits.SendLimits,
         probes_per_s: float,
     ) -> None:
         self._rng = rng
-        self._statements = statements
-        self._overage = warmup_overage
-        self._slack = warmup_slack
         self._mean_slowness: dict[str, float] = {}
         self._loop = asyncio.get_running_loop()
         self._probe_budget = probe_budget.ProbeBudget(
             probes_per_s, self._loop.time()
         )
-        self.fleet = pacing.Fleet()
+        self.limits = limits
         self.targets = 0
         self.probes_sent = 0
 
@@ -156,7 +147,7 @@
     ) -> Placement | NoPlacement:
         order = self._probe_order(required.targets)
         if not order:
-            return self._explain_no_target(required)
+            return self._no_target(required)
         best: _ProbeResult | None = None
         best_cost_s = float('inf')
         local = [target for target in order if target.same_region]
@@ -166,7 +157,9 @@
             early_accept_s, required.objective_s * ACCEPTABLE_OBJECTIVES
         )
         budget = self._probe_budget
-        budget.update(self._loop.time(), self.targets, len(self.fleet.names))
+        budget.update(
+            self._loop.time(), self.targets, len(self.limits.fleet.names)
+        )
         probed = 0
         for round_ in range(MAX_ROUNDS):
             group = _pop_round(
@@ -227,68 +220,12 @@
             self.mean_slowness(result.target.entry.service),
         )
 
-    def cold_limit_per_s(self, target: targets_.Target) -> float:
-        """Returns the request rate limit of a cold target over all hosts."""
-        service = target.service
-        if service is None:
-            return 0.0
-        return service.warmup_per_s * self._overage + self._slack
-
-    def _may_send(self, target: targets_.Target, now_s: float) -> bool:
-        """Tells whether this host may send to a cold target now."""
-        sends_per_window = self.fleet.sends_per_window(
-            target.entry.name, self.cold_limit_per_s(target)
-        )
-        return target.pacer.may_send(now_s, sends_per_window)
-
-    def _is_accepting(self, target: targets_.Target, now_s: float) -> bool:
-        """Returns whether a target takes a request of this host.
-
-        That is what it has said itself, whatever it is registered as.
-        """
-        return not (
-            self._statements.is_leaving(target.key)
-            or self._statements.pause_left_s(target.key, now_s) > 0
-            or self._limit_wait_s(target, now_s) > 0
-        )
-
-    def _limit_wait_s(self, target: targets_.Target, now_s: float) -> float:
-        """Returns the time until a target takes a request of this host.
-
-        It is 0 if the target names no limit.
-        """
-        limit_per_s = self._statements.limit_per_s(target.key, now_s)
-        if limit_per_s is None:
-            return 0.0
-        share = self.fleet.share_of_limit(
-            target.entry.name, target.region, limit_per_s
-        )
-        if share is None:
-            return 1 / max(limit_shares.MIN_LIMIT_PER_S, limit_per_s)
-        return target.limit_pacer.wait_s(now_s, share)
-
-    def _explain_no_target(self, required: Requirements) -> NoPlacement:
+    def _no_target(self, required: Requirements) -> NoPlacement:
         """Returns why no target may be probed, and for how long."""
-        now_s = self._loop.time()
-        waits = [
-            self._stated_wait(target, now_s)
-            for target in required.targets
-            if not self._statements.is_leaving(target.key)
-        ]
-        stated = [wait for wait in waits if wait.wait_s > 0]
-        if not stated:
+        wait = self.limits.shortest_wait(required.targets, self._loop.time())
+        if wait is None:
             return NoPlacement('no-target', required.remaining_s, 0)
-        return min(stated, key=lambda wait: wait.wait_s)
-
-    def _stated_wait(
-        self, target: targets_.Target, now_s: float
-    ) -> NoPlacement:
-        """Returns how long a target takes no request of this host, and why."""
-        pause_s = self._statements.pause_left_s(target.key, now_s)
-        limit_s = self._limit_wait_s(target, now_s)
-        if pause_s > limit_s:
-            return NoPlacement('target-paused', pause_s, 0, stated=True)
-        return NoPlacement('target-limit', limit_s, 0, stated=True)
+        return NoPlacement(wait.reason, wait.wait_s, 0, stated=True)
 
     def mean_slowness(self, service: str) -> float:
         """Returns the mean slowness of the targets of a service."""
@@ -308,14 +245,11 @@
                 'overload', expected_s - required.remaining_s, probed
             )
         now_s = self._loop.time()
-        if not self._is_accepting(target, now_s):
+        if not self.limits.is_accepting(target, now_s):
             # It has said so, or used up its limit, since the probe began.
             target.pool.release(best.conn)
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
-        if self._statements.limit_per_s(target.key, now_s) is not None:
-            target.limit_pacer.spend()
-        if best.reading.cold_s > 0:
-            target.pacer.record_send(now_s)
+        self.limits.record_send(target, now_s, is_cold=best.reading.cold_s > 0)
         return Placement(target, best.conn, best.reading, expected_s, probed)
 
     def _early_accept_s(self, required: Requirements) -> float:
@@ -334,9 +268,7 @@
         now_s = self._loop.time()
         keyed = []
         for target in targets:
-            if target.is_cold(now_s) and not self._may_send(target, now_s):
-                continue
-            if not self._is_accepting(target, now_s):
+            if not self.limits.may_send(target, now_s):
                 continue
             key = self._rng.random()
             if target.same_region and not target.same_domain:
@@ -435,7 +367,9 @@
             mean_slowness
             + (reading.slowness - mean_slowness) * _SLOWNESS_SMOOTHING
         )
-        over_limit = reading.cold_s > 0 and not self._may_send(target, now_s)
+        over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
+            target, now_s
+        )
         if over_limit or not reading.healthy:
             target.pool.release(conn)
             return None
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -114,7 +114,7 @@
             limits.retry_ratio,
             limits.retry_slack,
             limits.retry_window_s,
-            selector,
+            selector.limits,
             stats,
             rng,
         )
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -8,10 +8,10 @@
 import random
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import retry_loans
+from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import stats as stats_
 
 # Number of hosts that is assumed until this host has learnt of the others.
@@ -25,7 +25,7 @@
         ratio: Retries allowed per request.
         slack: Retries allowed in a window beyond that, over all hosts.
         window_s: Length of the window in seconds.
-        selector: Provides the hosts among which the slack is divided.
+        limits: Provides the hosts among which the slack is divided.
         stats: Counters.
         rng: Source of randomness.
 
@@ -35,9 +35,9 @@
 
     __slots__ = (
         '_budgets',
+        '_limits',
         'loans',
         '_ratio',
-        '_selector',
         '_slack',
         '_stats',
         '_window_s',
@@ -48,14 +48,14 @@
         ratio: float,
         slack: float,
         window_s: float,
-        selector: candidates.TargetSelector,
+        limits: send_limits.SendLimits,
         stats: stats_.Stats,
         rng: random.Random,
     ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._selector = selector
+        self._limits = limits
         self._stats = stats
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.loans = retry_loans.RetryLoans(self._budget, rng)
@@ -98,7 +98,7 @@
 
         A host that has not learnt of the others yet takes almost none of it.
         """
-        fleet = self._selector.fleet
+        fleet = self._limits.fleet
         if not fleet.discovered:
             return ASSUMED_HOSTS
         return max(pacing.MIN_HOSTS, len(fleet.names))
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -16,6 +16,7 @@
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import request_log
+from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats
 from ragwortchute.gateway import target_statements
@@ -116,6 +117,7 @@
         log: Log of the host.
         state: Configuration and targets that the host knows.
         membership: Membership of the host, without other hosts.
+        send_limits: Limits on the requests that the host sends.
         selector: Selects targets.
         stats: Counters of the host.
         failures: Reports of failures of targets.
@@ -142,14 +144,15 @@
             host(), NullTransport(), self.log, rng, 5.4
         )
         self.statements = target_statements.TargetStatements(self.log)
+        self.send_limits = send_limits.SendLimits(
+            self.statements, limits.warmup_overage, limits.warmup_slack
+        )
         self.selector = candidates.TargetSelector(
-            rng,
-            self.statements,
-            limits.warmup_overage,
-            limits.warmup_slack,
-            limits.probes_per_s,
+            rng, self.send_limits, limits.probes_per_s
+        )
+        self.send_limits.fleet = pacing.make_fleet(
+            'h1', ['h2', 'h3', 'h4'], True
         )
-        self.selector.fleet = pacing.make_fleet('h1', ['h2', 'h3', 'h4'], True)
         self.stats = stats.Stats()
         self.failures = failure_reports.FailureReports(
             rng, self.state.note_reported_failure
