Send a single request to a target after the pause that it asked for

Cause: a pause only had an end. At that moment every host took the target for free, and it was short of room again.

Change: after the end a host sends one request, and others once the target has served one, or half a second later if that one is rejected or lost. Pauses have a module of their own, since they concern a single host and are not passed on. Operators see them, and targets that leave, in two gauges.

test_first_requests_after_it_are_few failed before: 19 and 17 arrivals of 20 requests at once, retries included, where one each is wanted.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import pauses
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
 from ragwortchute.gateway import pools
@@ -97,7 +98,8 @@
         state: Configuration and targets.
         membership: Hosts of the deployment.
         health: Availability of the store.
-        statements: What targets have said in their answers.
+        statements: What targets have said to all hosts.
+        pauses: Pauses that targets have asked this host for.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         callers: Listener for callers.
@@ -136,8 +138,10 @@
         self.statements.name_of = self.state.name_of
         self.membership.local_statements = self.statements.encode
         self.membership.on_statements = self.statements.handle
+        self.pauses = pauses.Pauses(log)
         self._send_limits = send_limits.SendLimits(
             self.statements,
+            self.pauses,
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
@@ -169,7 +173,7 @@
             crash_guard=guard,
             failures=self._failure_reports,
             statements=statement_reader.StatementReader(
-                dialect, self.state, self.statements, log
+                dialect, self.state, self.statements, self.pauses, log
             ),
             is_outdated=self._is_outdated,
             limits=settings.limits,
@@ -234,6 +238,23 @@
             if limit_per_s is not None
         }
 
+    def target_pauses_s(self) -> dict[str, float]:
+        """Returns for how long targets want no request, by target."""
+        now_s = self._loop.time()
+        pauses_s = {
+            name: self.pauses.left_s(target.key, now_s)
+            for name, target in self.state.targets.items()
+        }
+        return {name: left_s for name, left_s in pauses_s.items() if left_s}
+
+    def leaving_targets(self) -> dict[str, float]:
+        """Returns the targets that have said that they leave, each with 1."""
+        return {
+            name: 1.0
+            for name, target in self.state.targets.items()
+            if self.statements.is_leaving(target.key)
+        }
+
     def hosts(self) -> list[model.HostEntry]:
         """Returns the hosts that accept new callers."""
         return self.membership.available_hosts(self._loop.time())
@@ -411,6 +432,8 @@
                 self.membership.regions(),
             )
             self._selector.targets = len(self.state.targets)
+            self.statements.forget_old(now_s)
+            self.pauses.forget_old(now_s)
             self._log.flush()
 
     def _knows_all_hosts(self, age_s: float) -> bool:
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -141,6 +141,18 @@
             lambda: gateway.target_limits(),
             'target',
         )
+        metrics.add_gauge(
+            'ragwortchute_gateway_target_pause_seconds',
+            'Time for which a target wants no request from this host.',
+            lambda: gateway.target_pauses_s(),
+            'target',
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_target_leaving',
+            'Targets that have said that they leave.',
+            lambda: gateway.leaving_targets(),
+            'target',
+        )
 
     def _latency_counts(self) -> dict[str, float]:
         """Returns cumulative counts by route and upper bound in ms."""
--- a/ragwortchute/gateway/send_limits.py
+++ b/ragwortchute/gateway/send_limits.py
@@ -11,6 +11,7 @@
 
 from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import pauses as pauses_
 from ragwortchute.gateway import target_statements
 from ragwortchute.gateway import targets as targets_
 
@@ -31,7 +32,8 @@
     """Limits on the requests that this host sends to each target.
 
     Args:
-        statements: What targets have said in their answers.
+        statements: What targets have said to all hosts.
+        pauses: Pauses that targets have asked this host for.
         warmup_overage: Factor on the request rate of a cold target.
         warmup_slack: Requests per second allowed beyond that.
 
@@ -39,15 +41,17 @@
         fleet: Hosts that may send to the same targets.
     """
 
-    __slots__ = ('_overage', '_slack', '_statements', 'fleet')
+    __slots__ = ('_overage', '_pauses', '_slack', '_statements', 'fleet')
 
     def __init__(
         self,
         statements: target_statements.TargetStatements,
+        pauses: pauses_.Pauses,
         warmup_overage: float,
         warmup_slack: float,
     ) -> None:
         self._statements = statements
+        self._pauses = pauses
         self._overage = warmup_overage
         self._slack = warmup_slack
         self.fleet = pacing.Fleet()
@@ -117,6 +121,7 @@
             now_s: Loop time in seconds.
             is_cold: Whether the target is cold.
         """
+        self._pauses.record_send(target.key, now_s)
         if self._statements.limit_per_s(target.key, now_s) is not None:
             target.limit_pacer.spend()
         if is_cold:
@@ -130,7 +135,7 @@
 
     def _stated_wait(self, target: targets_.Target, now_s: float) -> StatedWait:
         """Returns how long a target takes no request of this host, and why."""
-        pause_s = self._statements.pause_left_s(target.key, now_s)
+        pause_s = self._pauses.wait_s(target.key, now_s)
         limit_s = self._limit_wait_s(target, now_s)
         if pause_s > limit_s:
             return StatedWait('target-paused', pause_s)
--- a/ragwortchute/gateway/statement_reader.py
+++ b/ragwortchute/gateway/statement_reader.py
@@ -4,6 +4,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import pauses as pauses_
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import target_statements
 from ragwortchute.gateway import targets as targets_
@@ -15,22 +16,25 @@
     Args:
         dialect: Protocol of the targets.
         state: Targets that this host knows.
-        statements: What targets have said.
+        statements: What targets have said to all hosts.
+        pauses: Pauses that targets have asked this host for.
         log: Event log.
     """
 
-    __slots__ = ('_dialect', '_log', '_state', '_statements')
+    __slots__ = ('_dialect', '_log', '_pauses', '_state', '_statements')
 
     def __init__(
         self,
         dialect: dialects.Dialect,
         state: host_state.HostState,
         statements: target_statements.TargetStatements,
+        pauses: pauses_.Pauses,
         log: eventlog.EventLog,
     ) -> None:
         self._dialect = dialect
         self._state = state
         self._statements = statements
+        self._pauses = pauses
         self._log = log
 
     def note(
@@ -47,34 +51,30 @@
         if constraints.leaving:
             self._statements.note_leaving(target.entry, now_s)
         if constraints.pause_s:
-            self._statements.note_pause(
-                target.entry, constraints.pause_s, now_s
-            )
+            self._pauses.start(target.entry, constraints.pause_s, now_s)
         if constraints.malformed:
             self._log.event(
                 'header-malformed',
                 target=target.entry.name,
                 headers=constraints.malformed,
             )
-        if constraints.limit_per_s is not None or self._ends_limit(
-            reply, constraints
+        served = self._is_served(reply)
+        if served:
+            self._pauses.note_served(target.key, now_s)
+        # A rejection, a damaged answer and a limit that can't be read don't end
+        # the limit that is known.
+        if constraints.limit_per_s is not None or (
+            served and not constraints.malformed
         ):
             self._statements.note_limit(
                 target.entry, constraints.limit_per_s, now_s
             )
 
-    def _ends_limit(
-        self, reply: http_client.Reply, constraints: dialects.Constraints
-    ) -> bool:
-        """Returns whether an answer without a limit ends a known one.
-
-        A rejection, a damaged answer and a limit that can't be read do not.
-        """
-        return (
-            not constraints.malformed
-            and not self._dialect.is_not_run(reply)
-            and self._dialect.is_authentic(reply)
-        )
+    def _is_served(self, reply: http_client.Reply) -> bool:
+        """Returns whether an answer is the result of a request."""
+        return self._dialect.is_authentic(
+            reply
+        ) and not self._dialect.is_not_run(reply)
 
     def note_relayed(self, reply: http_client.Reply, now_s: float) -> None:
         """Notes what a target has said in the answer to a relayed request.
--- a/ragwortchute/gateway/target_statements.py
+++ b/ragwortchute/gateway/target_statements.py
@@ -1,10 +1,10 @@
-"""What targets have said in their answers about further requests.
+"""What targets have said to all hosts in their answers.
 
 A target may name a limit on the requests of all hosts, or say that it leaves.
 Hosts learn of that by its answers and pass it on with their heartbeats: those
 that don't send to the target get no answers, and have to learn from others that
-it names another limit or none any more. It may also ask a single host for a
-pause, which concerns no other host.
+it names another limit or none any more. Pauses, which a target asks of a single
+host, are in `pauses`.
 """
 
 from collections import abc
@@ -60,7 +60,6 @@
         '_leaving_since_s',
         '_limits',
         '_log',
-        '_paused_until_s',
         'name_of',
     )
 
@@ -68,7 +67,6 @@
         self._log = log
         self._limits: dict[int, _Limit] = {}
         self._leaving_since_s: dict[int, float] = {}
-        self._paused_until_s: dict[int, float] = {}
         self.name_of: abc.Callable[[int], str] = str
 
     def note_leaving(self, entry: model.TargetEntry, now_s: float) -> None:
@@ -84,33 +82,6 @@
         """Returns whether a target has said that it leaves."""
         return key in self._leaving_since_s
 
-    def note_pause(
-        self, entry: model.TargetEntry, pause_s: float, now_s: float
-    ) -> None:
-        """Notes that a target wants no request from this host for a while.
-
-        Args:
-            entry: Entry of the target.
-            pause_s: Length of the pause in seconds.
-            now_s: Loop time in seconds.
-        """
-        key = target_key(entry)
-        until_s = now_s + pause_s
-        if until_s <= self._paused_until_s.get(key, 0.0):
-            return
-        self._paused_until_s[key] = until_s
-        self._log.event('target-paused', target=entry.name, for_s=pause_s)
-
-    def pause_left_s(self, key: int, now_s: float) -> float:
-        """Returns for how long a target wants no request, in seconds."""
-        until_s = self._paused_until_s.get(key)
-        if until_s is None:
-            return 0.0
-        if until_s <= now_s:
-            del self._paused_until_s[key]
-            return 0.0
-        return until_s - now_s
-
     def note_limit(
         self, entry: model.TargetEntry, limit_per_s: float | None, now_s: float
     ) -> None:
@@ -143,7 +114,6 @@
         """Encodes the newest statements for other hosts."""
         if not (self._limits or self._leaving_since_s):
             return b''
-        self._forget(now_s)
         recent = [
             (stated_s, key, _LEAVING)
             for key, stated_s in self._leaving_since_s.items()
@@ -182,6 +152,15 @@
             elif math.isfinite(number) and number >= 0:
                 self._handle_limit(key, _Limit(number, stated_s), now_s)
 
+    def forget_old(self, now_s: float) -> None:
+        """Forgets statements that no longer count."""
+        for key, limit in list(self._limits.items()):
+            if now_s - limit.stated_s > MAX_AGE_S:
+                del self._limits[key]
+        for key, stated_s in list(self._leaving_since_s.items()):
+            if now_s - stated_s > LEAVING_RETENTION_S:
+                del self._leaving_since_s[key]
+
     def _handle_limit(self, key: int, limit: _Limit, now_s: float) -> None:
         known = self._limits.get(key)
         if known is None or known.stated_s < limit.stated_s:
@@ -208,14 +187,6 @@
             'target-leaving', target=self.name_of(key), told_by=told_by
         )
 
-    def _forget(self, now_s: float) -> None:
-        for key, limit in list(self._limits.items()):
-            if now_s - limit.stated_s > MAX_AGE_S:
-                del self._limits[key]
-        for key, stated_s in list(self._leaving_since_s.items()):
-            if now_s - stated_s > LEAVING_RETENTION_S:
-                del self._leaving_since_s[key]
-
 
 def _encode_limit(per_s: float | None) -> float:
     return _NO_LIMIT if per_s is None else per_s
