Let the check of refusal reasons read the reasons of send limits

test_operations_list_every_reason_of_the_gateway failed since the move of the limits on sends: it did not find target-limit and target-paused in StatedWait, where they stand now. Its list of classes has that one, too; it checks as much as before.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -245,6 +245,7 @@
 _GATEWAY_REFUSAL_FACTORIES = {
     'NoPlacement',
     'RelayResult',
+    'StatedWait',
     'give_up',
     'refuse',
     'count_refusal',
