Keep a target that turns a health request away

A target without a load header may be short of room when it is probed, and rejects the health request like any other. Its rejection need not bear its name, and it then counted as the answer of another incarnation: the target got no request any more until its entry in the store changed.

Change: a rejection without a name is a reading of an unhealthy target. Nothing is sent there until a health answer has the right name.

test_rejected_health_request_is_not_of_another_target failed before.

--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -174,6 +174,9 @@
     ) -> dialect.Reading | None:
         """See base class."""
         instance = reply.get(INSTANCE_ID)
+        if instance is None and self.is_not_run(reply):
+            # A target that turns the request away need not give its name.
+            return _decode_reading(reply, taken_s, False)
         if instance is None or instance != entry.name.encode('latin-1'):
             return None
         return _decode_reading(reply, taken_s, reply.status == 200)
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -74,11 +74,13 @@
             `no-id` or `lose`. Both `reset` and `lose` run the request and
             reset the connection instead of answering.
         healthy: Result of the health check.
+        rejects_probes: Whether health requests are turned away like others
+            while `fault` is `shed`.
         cold_s: Remaining warm-up time that the target reports, in seconds.
         limit_per_s: Limit that the target names in its answers; None for none.
         limit_in_rejections: Whether it names the limit also when it turns a
             request away.
-        leaving: Whether the target says in all these answers that it leaves.
+        leaving: Whether the target says in its answers that it leaves.
         retry_after: Value of the `Retry-After` header that it adds when it
             turns a request away; empty for none.
         pauses: Requests that it turned away with a valid header of this kind.
@@ -109,6 +111,7 @@
         self.slowness = 1.0
         self.fault = ''
         self.healthy = True
+        self.rejects_probes = False
         self.cold_s = 0.0
         self.limit_per_s: float | None = None
         self.limit_in_rejections = True
@@ -185,20 +188,12 @@
         path = request_line.split(' ')[1]
         if path == '/health':
             self.probes += 1
-            self._write(
-                writer,
-                200 if self.healthy else 503,
-                {'x-instance-id': self.name},
-                b'',
-            )
+            self._answer_probe(writer)
             return True
         now_s = asyncio.get_running_loop().time()
         self.arrivals.append((now_s, path))
         id_headers = {'x-request-id': headers.get('x-request-id', '')}
-        if self.limit_per_s is not None:
-            id_headers['server-limit'] = f'{self.limit_per_s:g}'
-        if self.leaving:
-            id_headers['server-leaving'] = '1'
+        id_headers |= self._statements()
         if headers.get('x-expect-instance', self.name) != self.name:
             self._write(writer, 421, {'x-instance-id': self.name}, b'')
             return True
@@ -222,6 +217,26 @@
             return False
         return await self._respond(writer, id_headers, body)
 
+    def _statements(self) -> dict[str, str]:
+        """Returns what the target says in all its answers."""
+        statements = {}
+        if self.limit_per_s is not None:
+            statements['server-limit'] = f'{self.limit_per_s:g}'
+        if self.leaving:
+            statements['server-leaving'] = '1'
+        return statements
+
+    def _answer_probe(self, writer: asyncio.StreamWriter) -> None:
+        headers = self._statements()
+        if self.rejects_probes and self.fault == 'shed':
+            headers['x-not-executed'] = '1'
+            if self.retry_after:
+                headers['retry-after'] = self.retry_after
+            self._write(writer, 503, headers, b'')
+            return
+        headers['x-instance-id'] = self.name
+        self._write(writer, 200 if self.healthy else 503, headers, b'')
+
     def _record_pause(self, now_s: float, path: str) -> None:
         try:
             pause_s = float(self.retry_after)
--- a/tests/test_gateway/test_target_statements.py
+++ b/tests/test_gateway/test_target_statements.py
@@ -157,6 +157,21 @@
         assert len(rig.targets[0].arrivals) > 1
 
 
+class TestHealthRequests:
+    """Rejected health requests must not drop a target."""
+
+    async def test_rejected_health_request_is_not_of_another_target(self, rig):
+        target = rig.targets[0]
+        target.fault = 'shed'
+        target.rejects_probes = True
+        await send(rig, 10)
+        assert not rig.state.targets['t'].misdirected
+        target.fault = ''
+        await asyncio.sleep(1.2)
+        await send(rig, 30)
+        assert target.arrivals
+
+
 class TestMetrics:
     """Operators must see which targets hosts leave out, and why."""
 
