Heed what targets say in their health answers

Cause: the headers were read in answers to requests only.

Change: a reading carries what the target has said with it. Such an answer counts for what it says; what it does not say changes nothing, since only the result of a request shows that a limit has ended. A target that has just said so in its probe is no candidate. StatementReader is built once, for the selector and the dispatcher.

test_leaving_target_gets_no_request, test_limit_holds_from_the_first_one_on and test_paused_target_is_not_probed failed before.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -145,8 +145,11 @@
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
+        reader = statement_reader.StatementReader(
+            dialect, self.state, self.statements, self.pauses, log
+        )
         self._selector = candidates.TargetSelector(
-            self.rng, self._send_limits, settings.limits.probes_per_s
+            self.rng, self._send_limits, reader, settings.limits.probes_per_s
         )
         self._host_pools = pools.HostPools()
         self._failure_reports = failure_reports.FailureReports(
@@ -172,9 +175,7 @@
             request_log=request_log_,
             crash_guard=guard,
             failures=self._failure_reports,
-            statements=statement_reader.StatementReader(
-                dialect, self.state, self.statements, self.pauses, log
-            ),
+            statements=reader,
             is_outdated=self._is_outdated,
             limits=settings.limits,
             stats=self.stats,
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -18,6 +18,7 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import send_limits
+from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import targets as targets_
 
 FIRST_ROUND_TARGETS = 3
@@ -102,6 +103,7 @@
     Args:
         rng: Source of randomness.
         limits: Limits on the requests that this host sends to each target.
+        statements: Reads what targets say in their answers.
         probes_per_s: Health requests per target and second allowed from all
             hosts.
 
@@ -115,6 +117,7 @@
         self,
         rng: random.Random,
         limits: send_limits.SendLimits,
+        statements: statement_reader.StatementReader,
         probes_per_s: float,
     ) -> None:
         self._rng = rng
@@ -124,6 +127,7 @@
             probes_per_s, self._loop.time()
         )
         self.limits = limits
+        self._statements = statements
         self.targets = 0
         self.probes_sent = 0
 
@@ -350,8 +354,8 @@
     ) -> _ProbeResult | None:
         """Returns the result of a probe; None if the target is no candidate.
 
-        A target is no candidate if its probe failed, it is unhealthy, or it
-        is cold and this host may not send to it now.
+        A target is no candidate if its probe failed, it is unhealthy or cold,
+        or has just said that it takes no request of this host now.
         """
         now_s = self._loop.time()
         try:
@@ -370,7 +374,9 @@
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
-        if over_limit or not reading.healthy:
+        self._statements.note_constraints(target, reading.constraints, now_s)
+        accepting = self.limits.is_accepting(target, now_s)
+        if over_limit or not (reading.healthy and accepting):
             target.pool.release(conn)
             return None
         return _ProbeResult(target, conn, reading)
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -13,6 +13,27 @@
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 
+# Header in which a host names the target that answered a relayed request. It is
+# the same with every dialect and not passed on to callers.
+TARGET_NAME = b'x-ragwortchute-target'
+
+
+class Constraints(msgspec.Struct, frozen=True):
+    """What a target has stated in an answer about further requests.
+
+    Attributes:
+        limit_per_s: Requests per second that it takes from all hosts; None if
+            it names no limit.
+        leaving: Whether it says that it leaves.
+        pause_s: How long it wants no request from this host, in seconds.
+        malformed: Names of headers whose values are invalid and were ignored.
+    """
+
+    limit_per_s: float | None = None
+    leaving: bool = False
+    pause_s: float = 0.0
+    malformed: tuple[str, ...] = ()
+
 
 class Reading(msgspec.Struct, frozen=True):
     """State of a target as it reported itself.
@@ -26,6 +47,7 @@
         slots: Number of requests that it can process concurrently.
         slowness: Current processing time relative to the nominal one.
         cold_s: Remaining time for which it is cold, in seconds; 0 if warm.
+        constraints: What it has stated in the same health answer.
     """
 
     taken_s: float
@@ -35,23 +57,7 @@
     slots: int = 0
     slowness: float = 1.0
     cold_s: float = 0.0
-
-
-class Constraints(msgspec.Struct, frozen=True):
-    """What a target has stated in an answer about further requests.
-
-    Attributes:
-        limit_per_s: Requests per second that it takes from all hosts; None if
-            it names no limit.
-        leaving: Whether it says that it leaves.
-        pause_s: How long it wants no request from this host, in seconds.
-        malformed: Names of headers whose values are invalid and were ignored.
-    """
-
-    limit_per_s: float | None = None
-    leaving: bool = False
-    pause_s: float = 0.0
-    malformed: tuple[str, ...] = ()
+    constraints: Constraints = Constraints()
 
 
 class Dialect(abc.ABC):
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -181,7 +181,7 @@
                 attempt.conn.abort()
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
-            resp.headers = [*resp.headers, (relays_.TARGET_NAME, name)]
+            resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
         return resp
 
     async def _wait_for_state(self, req: http_server.Request) -> bool:
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -20,9 +20,6 @@
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
 
-# Header in which a host names the target that answered a relayed request.
-TARGET_NAME = b'x-ragwortchute-target'
-
 _NOT_FOUND = 404
 _FIRST_ERROR = 400
 
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -7,7 +7,6 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
-from ragwortchute.gateway import relays
 
 REQUEST_ID = b'x-request-id'
 DEADLINE_MS = b'x-request-deadline-ms'
@@ -28,6 +27,9 @@
 
 _UNAVAILABLE = 503
 
+_CONSTRAINT_HEADERS = frozenset({SERVER_LIMIT, SERVER_LEAVING, RETRY_AFTER})
+_NO_CONSTRAINTS = dialect.Constraints()
+
 # Request headers that are set for each target.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
 # Response headers that are not returned to the caller.
@@ -36,7 +38,7 @@
     SERVER_LOAD,
     INSTANCE_ID,
     WARMUP_MS,
-    relays.TARGET_NAME,
+    dialect.TARGET_NAME,
 }
 
 
@@ -119,6 +121,8 @@
         self, reply: http_client.Reply
     ) -> dialect.Constraints:
         """See base class; the strictest of several values counts."""
+        if not any(name in _CONSTRAINT_HEADERS for name, _ in reply.headers):
+            return _NO_CONSTRAINTS
         limits = _parse_all(reply, SERVER_LIMIT, MAX_LIMIT_PER_S)
         leaving = _parse_all(reply, SERVER_LEAVING, 1)
         pauses: list[float | None] = []
@@ -174,12 +178,14 @@
     ) -> dialect.Reading | None:
         """See base class."""
         instance = reply.get(INSTANCE_ID)
+        constraints = self.decode_constraints(reply)
         if instance is None and self.is_not_run(reply):
             # A target that turns the request away need not give its name.
-            return _decode_reading(reply, taken_s, False)
+            return _decode_reading(reply, taken_s, False, constraints)
         if instance is None or instance != entry.name.encode('latin-1'):
             return None
-        return _decode_reading(reply, taken_s, reply.status == 200)
+        healthy = reply.status == 200
+        return _decode_reading(reply, taken_s, healthy, constraints)
 
     def decode_load(
         self,
@@ -216,7 +222,10 @@
 
 
 def _decode_reading(
-    reply: http_client.Reply, taken_s: float, healthy: bool
+    reply: http_client.Reply,
+    taken_s: float,
+    healthy: bool,
+    constraints: dialect.Constraints = _NO_CONSTRAINTS,
 ) -> dialect.Reading:
     cold_s = 0.0
     warmup = reply.get(WARMUP_MS)
@@ -227,13 +236,24 @@
             cold_s = 0.0
     load = reply.get(SERVER_LOAD)
     if load is None:
-        return dialect.Reading(taken_s, healthy, cold_s=cold_s)
+        return dialect.Reading(
+            taken_s, healthy, cold_s=cold_s, constraints=constraints
+        )
     try:
         values = [int(item) for item in load.split(b',')]
         running, waiting, slots = values[:3]
     except ValueError:
-        return dialect.Reading(taken_s, healthy, cold_s=cold_s)
+        return dialect.Reading(
+            taken_s, healthy, cold_s=cold_s, constraints=constraints
+        )
     slowness = values[3] / 100 if len(values) > 3 else 1.0
     return dialect.Reading(
-        taken_s, healthy, running, waiting, slots, slowness, cold_s
+        taken_s,
+        healthy,
+        running,
+        waiting,
+        slots,
+        slowness,
+        cold_s,
+        constraints,
     )
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -74,6 +74,7 @@
             `no-id` or `lose`. Both `reset` and `lose` run the request and
             reset the connection instead of answering.
         healthy: Result of the health check.
+        states_in_health: Whether health answers have the statements, too.
         rejects_probes: Whether health requests are turned away like others
             while `fault` is `shed`.
         cold_s: Remaining warm-up time that the target reports, in seconds.
@@ -111,6 +112,7 @@
         self.slowness = 1.0
         self.fault = ''
         self.healthy = True
+        self.states_in_health = False
         self.rejects_probes = False
         self.cold_s = 0.0
         self.limit_per_s: float | None = None
@@ -218,7 +220,7 @@
         return await self._respond(writer, id_headers, body)
 
     def _statements(self) -> dict[str, str]:
-        """Returns what the target says in all its answers."""
+        """Returns what the target says in its answers."""
         statements = {}
         if self.limit_per_s is not None:
             statements['server-limit'] = f'{self.limit_per_s:g}'
@@ -227,7 +229,7 @@
         return statements
 
     def _answer_probe(self, writer: asyncio.StreamWriter) -> None:
-        headers = self._statements()
+        headers = self._statements() if self.states_in_health else {}
         if self.rejects_probes and self.fault == 'shed':
             headers['x-not-executed'] = '1'
             if self.retry_after:
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -118,6 +118,7 @@
         log: Log of the host.
         state: Configuration and targets that the host knows.
         membership: Membership of the host, without other hosts.
+        reader: Reads what targets say in their answers.
         send_limits: Limits on the requests that the host sends.
         selector: Selects targets.
         stats: Counters of the host.
@@ -153,8 +154,11 @@
             limits.warmup_overage,
             limits.warmup_slack,
         )
+        self.reader = statement_reader.StatementReader(
+            dialect, self.state, self.statements, self.pauses, self.log
+        )
         self.selector = candidates.TargetSelector(
-            rng, self.send_limits, limits.probes_per_s
+            rng, self.send_limits, self.reader, limits.probes_per_s
         )
         self.send_limits.fleet = pacing.make_fleet(
             'h1', ['h2', 'h3', 'h4'], True
@@ -180,9 +184,7 @@
             request_log=request_log_,
             crash_guard=self.guard,
             failures=self.failures,
-            statements=statement_reader.StatementReader(
-                dialect, self.state, self.statements, self.pauses, self.log
-            ),
+            statements=self.reader,
             is_outdated=lambda: self.outdated,
             limits=limits,
             stats=self.stats,
--- a/tests/test_gateway/test_target_statements.py
+++ b/tests/test_gateway/test_target_statements.py
@@ -157,8 +157,40 @@
         assert len(rig.targets[0].arrivals) > 1
 
 
-class TestHealthRequests:
-    """Rejected health requests must not drop a target."""
+class TestHealthAnswers:
+    """What a target says in answers to health requests must count, too."""
+
+    @pytest.fixture(autouse=True)
+    def statements(self, rig):
+        rig.targets[0].states_in_health = True
+
+    async def test_leaving_target_gets_no_request(self, rig):
+        rig.targets[0].leaving = True
+        await send(rig, 30)
+        assert not rig.targets[0].arrivals
+
+    async def test_limit_holds_from_the_first_one_on(self, rig):
+        rig.targets[0].limit_per_s = 0.5
+        await send(rig, 30)
+        assert len(rig.targets[0].arrivals) <= 1
+
+    async def test_paused_target_is_not_probed(self, rig):
+        paused = rig.targets[0]
+        paused.fault = 'shed'
+        paused.rejects_probes = True
+        paused.retry_after = '5'
+        await send(rig, 30)
+        assert paused.probes == 1
+        assert not paused.arrivals
+
+    async def test_one_without_a_limit_does_not_end_it(self, rig):
+        target = rig.state.targets['t']
+        now_s = asyncio.get_running_loop().time()
+        rig.statements.note_limit(target.entry, 3.0, now_s)
+        conn, reading = await target.probe()
+        conn.abort()
+        rig.reader.note_constraints(target, reading.constraints, now_s)
+        assert rig.statements.limit_per_s(target.key, now_s) == 3.0
 
     async def test_rejected_health_request_is_not_of_another_target(self, rig):
         target = rig.targets[0]
