Make the soak a package: hosts, faults, run, statements

The faults, the host processes and the command line have modules of their own now; a run is given the faults that it chooses from.

--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,19 @@
+"""Randomized soak test of gateway host processes with injected faults.
+
+Each host is the real program, listening on a loopback address. The store and
+the targets are stand-ins in this process, and each host reaches the store
+through a fault-injecting proxy. Random faults start one after another and may
+overlap. The run checks that
+
+- a non-idempotent request runs at most once,
+- a request refused with a status that means "not run" has not run,
+- a successful response is complete and belongs to the caller's own request,
+- a removed target or an evacuated failure domain receives no request after
+  its time limit from hosts that could reach the store throughout,
+- a planned stop on its own does not break off any request,
+- hosts do what targets say in their answers (see `statements`),
+- requests are served again after all faults have ended.
+
+`python -m benchmarks.soak --seed 1 --seconds 20` runs one seed; `--seeds N`
+runs N consecutive seeds. The seed of a failing run is printed.
+"""
--- /dev/null
+++ b/benchmarks/soak/hosts.py
@@ -0,0 +1,100 @@
+"""Host processes of the soak."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+from standins import fault_proxy
+
+DOMAINS = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b'}
+# Bounds that the platform documents.
+CONTACT_S = 3.0
+GRACE_S = 6.0
+
+# Addresses of hosts that may not be listening yet.
+_assigned: set[tuple[str, int]] = set()
+
+
+class Host:
+    """One host process.
+
+    Attributes:
+        name: Name of the host.
+        faults_s: Loop times of its stops, starts, pauses and cuts.
+    """
+
+    def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
+        self.name = name
+        self.domain = domain
+        # Concurrent soak processes use different addresses.
+        self.ip = f'127.3.{os.getpid() % 250}.{index + 1}'
+        self.port = _free_port(self.ip)
+        self.peer_port = _free_port(self.ip)
+        self.folder = pathlib.Path(folder)
+        self.process: asyncio.subprocess.Process | None = None
+        self.proxy: fault_proxy.FaultProxy | None = None
+        self.stopping = False
+        self.faults_s: list[float] = []
+
+    def note_fault(self) -> None:
+        """Records the time of a stop, start, pause or cut."""
+        self.faults_s.append(asyncio.get_running_loop().time())
+
+    async def start(self) -> None:
+        """Starts the process with its log written to a file."""
+        path = self.folder / f'{self.name}.conf'
+        domains = ''.join(
+            f'zones.{domain}={region}\n' for domain, region in DOMAINS.items()
+        )
+        path.write_text(
+            f'node={self.name}\nip={self.ip}\nzone={self.domain}\n{domains}'
+            f'listen.front={self.ip}:{self.port}\n'
+            f'listen.readiness={self.ip}:{_free_port(self.ip)}\n'
+            f'listen.directory={self.ip}:{_free_port(self.ip)}\n'
+            f'port_range={self.peer_port},{self.peer_port}\n'
+            f'bounds=grace_s={GRACE_S},contact_s={CONTACT_S},retry_slack=50\n'
+            f'provider.address=127.0.0.1:{self.proxy.port}\n'
+        )
+        log = self._open_log()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'ragwortchute.platform',
+            env={**os.environ, 'RAGWORTCHUTE_NODE_FILE': str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        os.close(log)
+        self.stopping = False
+
+    def _open_log(self) -> int:
+        path = self.folder / f'{self.name}.log'
+        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+
+    def signal(self, signum: int) -> None:
+        """Sends a signal to the host process if it is running."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(signum)
+
+    async def wait_ended(self) -> None:
+        """Waits for the process to exit; kills it after `GRACE_S` seconds."""
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+
+
+def _free_port(ip: str) -> int:
+    """Returns a free port that no host of this process has been given."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((ip, 0))
+            address = sock.getsockname()
+        if address not in _assigned:
+            _assigned.add(address)
+            return address[1]
--- a/benchmarks/soak.py
+++ b/benchmarks/soak/run.py
@@ -1,42 +1,17 @@
-"""Randomized soak test of gateway host processes with injected faults.
-
-Each host is the real program, listening on a loopback address. The store and
-the targets are stand-ins in this process, and each host reaches the store
-through a fault-injecting proxy. Random faults start one after another and may
-overlap. The run checks that
-
-- a non-idempotent request runs at most once,
-- a request refused with a status that means "not run" has not run,
-- a successful response is complete and belongs to the caller's own request,
-- a removed target or an evacuated failure domain receives no request after
-  its time limit from hosts that could reach the store throughout,
-- a planned stop on its own does not break off any request,
-- hosts do what targets say in their answers (see `soak_statements`),
-- requests are served again after all faults have ended.
-
-`python -m benchmarks.soak --seed 1 --seconds 20` runs one seed; `--seeds N`
-runs N consecutive seeds. The seed of a failing run is printed.
-"""
+"""A soak run: hosts, stand-ins, callers and checks."""
 
 import asyncio
 import collections
 from collections import abc
-import os
-import pathlib
 import random
 import signal
-import socket
-import sys
-import tempfile
 
-import click
-
-from benchmarks import soak_statements
+from benchmarks.soak import hosts as hosts_
+from benchmarks.soak import statements
 from standins import fault_proxy
 from standins import platform_store
 from standins import platform_targets
 
-DOMAINS = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b'}
 HOSTS_PER_DOMAIN = 2
 TARGETS_PER_DOMAIN = 3
 CALLERS = 6
@@ -48,97 +23,10 @@
 # on state that it has read before.
 EVACUATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
-CONTACT_S = 3.0
-GRACE_S = 6.0
 _READ_TIMEOUT_S = 3.0
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-_TARGET_FAULTS = (
-    'shed', 'error', 'hang', 'truncate', 'garbage', 'extra', 'late',
-    'unframed', 'lose',
-)  # fmt: skip
-
-# Addresses of hosts that may not be listening yet.
-_assigned: set[tuple[str, int]] = set()
 
 Fault = abc.Callable[['Soak'], abc.Awaitable[str]]
-FAULTS: list[Fault] = []
-
-
-def fault(function: Fault) -> Fault:
-    """Adds a function to the faults that a run chooses from."""
-    FAULTS.append(function)
-    return function
-
-
-class Host:
-    """One host process.
-
-    Attributes:
-        name: Name of the host.
-        faults_s: Loop times of its stops, starts, pauses and cuts.
-    """
-
-    def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
-        self.name = name
-        self.domain = domain
-        # Concurrent soak processes use different addresses.
-        self.ip = f'127.3.{os.getpid() % 250}.{index + 1}'
-        self.port = _free_port(self.ip)
-        self.peer_port = _free_port(self.ip)
-        self.folder = pathlib.Path(folder)
-        self.process: asyncio.subprocess.Process | None = None
-        self.proxy: fault_proxy.FaultProxy | None = None
-        self.stopping = False
-        self.faults_s: list[float] = []
-
-    def note_fault(self) -> None:
-        """Records the time of a stop, start, pause or cut."""
-        self.faults_s.append(asyncio.get_running_loop().time())
-
-    async def start(self) -> None:
-        """Starts the process with its log written to a file."""
-        path = self.folder / f'{self.name}.conf'
-        domains = ''.join(
-            f'zones.{domain}={region}\n' for domain, region in DOMAINS.items()
-        )
-        path.write_text(
-            f'node={self.name}\nip={self.ip}\nzone={self.domain}\n{domains}'
-            f'listen.front={self.ip}:{self.port}\n'
-            f'listen.readiness={self.ip}:{_free_port(self.ip)}\n'
-            f'listen.directory={self.ip}:{_free_port(self.ip)}\n'
-            f'port_range={self.peer_port},{self.peer_port}\n'
-            f'bounds=grace_s={GRACE_S},contact_s={CONTACT_S},retry_slack=50\n'
-            f'provider.address=127.0.0.1:{self.proxy.port}\n'
-        )
-        log = self._open_log()
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'ragwortchute.platform',
-            env={**os.environ, 'RAGWORTCHUTE_NODE_FILE': str(path)},
-            stdout=log,
-            stderr=log,
-        )
-        os.close(log)
-        self.stopping = False
-
-    def _open_log(self) -> int:
-        path = self.folder / f'{self.name}.log'
-        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-
-    def signal(self, signum: int) -> None:
-        """Sends a signal to the host process if it is running."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signum)
-
-    async def wait_ended(self) -> None:
-        """Waits for the process to exit; kills it after `GRACE_S` seconds."""
-        try:
-            async with asyncio.timeout(GRACE_S):
-                await self.process.wait()
-        except TimeoutError:
-            self.signal(signal.SIGKILL)
-            await self.process.wait()
 
 
 class Soak:
@@ -147,6 +35,7 @@
     Args:
         seed: Seed of the choice and timing of faults.
         folder: Directory for the settings and logs of the hosts.
+        faults: Faults that the run chooses from.
 
     Attributes:
         violations: Violations found so far.
@@ -159,16 +48,17 @@
         fault_log: Log of the injected faults.
     """
 
-    def __init__(self, seed: int, folder: str) -> None:
+    def __init__(self, seed: int, folder: str, faults: list[Fault]) -> None:
         self._seed = seed
+        self._faults = faults
         self.rng = random.Random(seed)
         self.store = platform_store.ObjectServer()
         self.loop = asyncio.get_running_loop()
         self.hosts = [
-            Host(f'{domain}-{number}', index, domain, folder)
+            hosts_.Host(f'{domain}-{number}', index, domain, folder)
             for index, (domain, number) in enumerate(
                 (domain, number)
-                for domain in DOMAINS
+                for domain in hosts_.DOMAINS
                 for number in range(HOSTS_PER_DOMAIN)
             )
         ]
@@ -181,7 +71,7 @@
         self.fault_times_s: list[float] = []
         self.late_s = 0.0
         self.fault_log: list[str] = []
-        self.judge = soak_statements.Judge(seed, self.hosts, self.targets)
+        self.judge = statements.Judge(seed, self.hosts, self.targets)
         self._ids = 0
         self._version = 1
         self._calling = True
@@ -224,7 +114,7 @@
 
     async def _start(self) -> None:
         await self.store.start()
-        for domain in DOMAINS:
+        for domain in hosts_.DOMAINS:
             for number in range(TARGETS_PER_DOMAIN):
                 await self.add_target(f't-{domain}-{number}', domain)
         await self.configure()
@@ -300,7 +190,7 @@
             await self.call(host, rng.random() < 0.5)
             await asyncio.sleep(rng.uniform(0.0, 0.05))
 
-    async def call(self, host: Host, is_write: bool) -> int:
+    async def call(self, host: hosts_.Host, is_write: bool) -> int:
         """Sends a request and checks the response.
 
         Returns:
@@ -310,7 +200,7 @@
         request_id = f'q{self._ids}'
         path = f'/{"w" if is_write else "r"}/{request_id}'
         started_s = self.loop.time()
-        self.judge.sent[request_id] = soak_statements.SentRequest(
+        self.judge.sent[request_id] = statements.SentRequest(
             host.name, started_s
         )
         try:
@@ -341,7 +231,7 @@
         return status
 
     async def _read_response(
-        self, reader: asyncio.StreamReader, host: Host, request_id: str
+        self, reader: asyncio.StreamReader, host: hosts_.Host, request_id: str
     ) -> int:
         head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
         self.judge.note_answer(host.name, head)
@@ -357,10 +247,14 @@
         return status
 
     def _check_cut_off(
-        self, host: Host, request_id: str, started_s: float, exc: Exception
+        self,
+        host: hosts_.Host,
+        request_id: str,
+        started_s: float,
+        exc: Exception,
     ) -> None:
         """Records a violation if no unplanned fault explains the failure."""
-        if not self.had_fault(started_s - CONTACT_S, self.loop.time()):
+        if not self.had_fault(started_s - hosts_.CONTACT_S, self.loop.time()):
             self.violations.append(
                 f'{request_id}: cut off by {host.name} without a fault: '
                 f'{type(exc).__name__}'
@@ -369,7 +263,7 @@
     # Faults.
 
     async def _inject_fault(self) -> None:
-        chosen = self.rng.choice(FAULTS)
+        chosen = self.rng.choice(self._faults)
         self.fault_log.append(f'{self.loop.time():.2f} {chosen.__name__}')
         self.fault_log.append(
             f'{self.loop.time():.2f} {chosen.__name__}: {await chosen(self)}'
@@ -454,7 +348,7 @@
             return
         for arrived_s, path in target.arrivals:
             if arrived_s > removed_s + DRAIN_LIMIT_S and not self.had_fault(
-                removed_s - CONTACT_S, arrived_s
+                removed_s - hosts_.CONTACT_S, arrived_s
             ):
                 self.violations.append(
                     f'{path}: reached {target.name} '
@@ -462,216 +356,10 @@
                 )
 
 
-@fault
-async def kill(soak: Soak) -> str:
-    """Kills a host with SIGKILL and restarts it."""
-    host = soak.rng.choice(soak.hosts)
-    if host.stopping:
-        return 'none'
-    host.stopping = True
-    soak.note_fault()
-    host.note_fault()
-    host.signal(signal.SIGKILL)
-    await host.process.wait()
-    await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
-    await host.start()
-    soak.note_fault()
-    host.note_fault()
-    return host.name
-
-
-@fault
-async def planned_stop(soak: Soak) -> str:
-    """Stops a host gracefully with SIGTERM and restarts it."""
-    host = soak.rng.choice(soak.hosts)
-    if host.stopping:
-        return 'none'
-    host.stopping = True
-    host.signal(signal.SIGTERM)
-    await host.wait_ended()
-    await host.start()
-    host.note_fault()
-    return host.name
-
-
-@fault
-async def pause(soak: Soak) -> str:
-    """Suspends a host with SIGSTOP for a while."""
-    host = soak.rng.choice(soak.hosts)
-    soak.note_fault()
-    host.note_fault()
-    host.signal(signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    host.signal(signal.SIGCONT)
-    soak.note_fault()
-    host.note_fault()
-    return host.name
-
-
-@fault
-async def reload(soak: Soak) -> str:
-    """Makes a host reload its settings with SIGHUP."""
-    host = soak.rng.choice(soak.hosts)
-    host.signal(signal.SIGHUP)
-    return host.name
-
-
-@fault
-async def store_outage(soak: Soak) -> str:
-    """Makes the store fail for all hosts for a while."""
-    mode = soak.rng.choice(('busy', 'reset', 'silent'))
-    soak.note_fault()
-    soak.store.mode = mode
-    await soak.store.close_connections()
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    soak.store.mode = 'up'
-    await soak.store.close_connections()
-    soak.note_fault()
-    return mode
-
-
-@fault
-async def store_path(soak: Soak) -> str:
-    """Impairs the connection of one host to the store for a while."""
-    host = soak.rng.choice(soak.hosts)
-    impairment = soak.rng.choice(('delay', 'silent', 'one_way', 'reset'))
-    soak.note_fault()
-    if impairment == 'delay':
-        host.proxy.delay_s = soak.rng.uniform(0.05, 0.5)
-    elif impairment == 'reset':
-        host.proxy.reset()
-    else:
-        setattr(host.proxy, impairment, True)
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    host.proxy.heal()
-    soak.note_fault()
-    return f'{host.name} {impairment}'
-
-
-@fault
-async def history(soak: Soak) -> str:
-    """Delays change notifications, then drops the change history."""
-    soak.note_fault()
-    soak.store.suppress_events = True
-    await soak.configure()
-    await asyncio.sleep(1.0)
-    soak.store.drop_history()
-    soak.store.suppress_events = False
-    await soak.store.close_connections()
-    soak.note_fault()
-    return 'dropped'
-
-
-@fault
-async def target_fault(soak: Soak) -> str:
-    """Makes a target respond incorrectly for a while."""
-    target = soak.rng.choice(soak.targets)
-    soak.note_fault()
-    target.fault = soak.rng.choice(_TARGET_FAULTS)
-    name = f'{target.name} {target.fault}'
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    target.fault = ''
-    soak.note_fault()
-    return name
-
-
-@fault
-async def cold_target(soak: Soak) -> str:
-    """Makes a target cold for 2 s."""
-    target = soak.rng.choice(soak.targets)
-    target.cold_s = 2.0
-    await asyncio.sleep(2.0)
-    target.cold_s = 0.0
-    return target.name
-
-
-@fault
-async def configuration(soak: Soak) -> str:
-    """Writes a new configuration."""
-    await soak.configure()
-    return str(soak.store.revision)
-
-
-@fault
-async def evacuation(soak: Soak) -> str:
-    """Evacuates a failure domain and then readmits it."""
-    domain = soak.rng.choice(sorted(DOMAINS))
-    if soak.evacuated_at_s:
-        return 'none'
-    soak.evacuated_at_s[domain] = soak.loop.time()
-    await soak.store.put('evacuations', domain, {})
-    await asyncio.sleep(EVACUATION_LIMIT_S + 1.0)
-    since_s = soak.evacuated_at_s.get(domain)
-    if since_s is not None and not soak.had_fault(
-        since_s - CONTACT_S, soak.loop.time()
-    ):
-        for target in soak.targets:
-            late = [
-                path
-                for arrived_s, path in target.arrivals
-                if target.failure_domain == domain
-                and arrived_s > since_s + EVACUATION_LIMIT_S
-            ]
-            if late:
-                soak.violations.append(
-                    f'{late[0]}: reached {domain} after its evacuation'
-                )
-    await soak.store.delete('evacuations', domain)
-    soak.evacuated_at_s.pop(domain, None)
-    return domain
-
-
-@fault
-async def replace_target(soak: Soak) -> str:
-    """Adds a target and removes another one."""
-    target = soak.rng.choice(soak.targets)
-    if target.name in soak.removed_at_s or len(soak.removed_at_s) > 4:
-        return 'none'
-    await soak.add_target(f'{target.name}x', target.failure_domain)
-    await soak.store.delete('servers', target.name)
-    soak.removed_at_s[target.name] = soak.loop.time()
-    return target.name
-
-
-def _free_port(ip: str) -> int:
-    """Returns a free port that no host of this process has been given."""
-    while True:
-        with socket.socket() as sock:
-            sock.bind((ip, 0))
-            address = sock.getsockname()
-        if address not in _assigned:
-            _assigned.add(address)
-            return address[1]
-
-
-async def run_seed(seed: int, seconds: float, folder: str) -> Soak:
+async def run_seed(
+    seed: int, seconds: float, folder: str, faults: list[Fault]
+) -> Soak:
     """Runs one seed, leaving settings and logs in `folder`."""
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, faults)
     await soak.run(seconds)
     return soak
-
-
-@click.command()
-@click.option('--seed', default=1, help='First seed.')
-@click.option('--seeds', default=1, help='Number of seeds.')
-@click.option(
-    '--seconds', default=20.0, help='Seconds of fault injection per seed.'
-)
-def main(seed: int, seeds: int, seconds: float) -> None:
-    """Runs seeds until one finds a violation."""
-    for number in range(seed, seed + seeds):
-        folder = tempfile.mkdtemp(prefix=f'soak-{number}-')
-        soak = asyncio.run(run_seed(number, seconds, folder))
-        counts = dict(sorted(soak.statuses.items()))
-        click.echo(
-            f'seed {number}: {counts}, '
-            f'own process up to {soak.late_s:.2f} s late'
-        )
-        if soak.violations:
-            click.echo('\n'.join(soak.violations[:5] + soak.fault_log[-12:]))
-            click.echo(f'logs in {folder}')
-            raise SystemExit(1)
-
-
-if __name__ == '__main__':
-    main()
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -5,8 +5,10 @@
 
 import pytest
 
-from benchmarks import soak
-from benchmarks import soak_statements
+from benchmarks.soak import faults
+from benchmarks.soak import hosts
+from benchmarks.soak import run as runs
+from benchmarks.soak import statements
 from standins import platform_targets
 
 SECONDS = 6.0
@@ -21,7 +23,7 @@
 
     @pytest.mark.parametrize('seed', [1, *REGRESSIONS])
     async def test_promises_hold(self, seed, tmp_path):
-        run = await soak.run_seed(seed, SECONDS, str(tmp_path))
+        run = await runs.run_seed(seed, SECONDS, str(tmp_path), faults.FAULTS)
         assert not run.violations, run.fault_log
         assert run.statuses[200] > 0
 
@@ -31,7 +33,7 @@
 
     async def removed_target(self, tmp_path, arrivals_s, faults_s=()):
         """Returns the violations for arrivals after a removal at 100 s."""
-        run = soak.Soak(1, str(tmp_path))
+        run = runs.Soak(1, str(tmp_path), [])
         target = platform_targets.TargetServer('t')
         target.arrivals = [(at_s, '/w/1') for at_s in arrivals_s]
         run.removed_at_s['t'] = 100.0
@@ -40,7 +42,7 @@
         return run.violations
 
     async def test_late_request_to_a_removed_target_is_found(self, tmp_path):
-        limit_s = 100.0 + soak.DRAIN_LIMIT_S
+        limit_s = 100.0 + runs.DRAIN_LIMIT_S
         violations = await self.removed_target(tmp_path, [limit_s + 0.5])
         assert len(violations) == 1
 
@@ -58,7 +60,7 @@
         assert not await self.removed_target(tmp_path, [99.0, 101.0])
 
     async def test_delay_of_the_own_process_is_measured(self, tmp_path):
-        run = soak.Soak(1, str(tmp_path))
+        run = runs.Soak(1, str(tmp_path), [])
         timer = asyncio.create_task(run._measure_delay())
         await asyncio.sleep(0)
         time.sleep(0.3)  # noqa: ASYNC251 blocks the event loop
@@ -73,10 +75,10 @@
     def judge(self, *sent_s):
         """Returns a judge with requests of one host, and their target."""
         target = platform_targets.TargetServer('t')
-        host = soak.Host('h', 0, 'a-1', '.')
-        judge = soak_statements.Judge(1, [host], [target])
+        host = hosts.Host('h', 0, 'a-1', '.')
+        judge = statements.Judge(1, [host], [target])
         for number, at_s in enumerate(sent_s):
-            judge.sent[f'q{number}'] = soak_statements.SentRequest('h', at_s)
+            judge.sent[f'q{number}'] = statements.SentRequest('h', at_s)
             target.arrivals.append((at_s + 0.01, f'/r/q{number}'))
         return judge, host, target
 
@@ -102,6 +104,6 @@
     async def test_requests_beyond_a_limit(self, requests, found):
         judge, _, target = self.judge(*[104.0] * requests)
         judge._told_limit_s['h', 't'] = 100.0
-        limit = soak_statements.NamedLimit(target, 3.0, 100.0)
+        limit = statements.NamedLimit(target, 3.0, 100.0)
         judge._limits.append(limit)
         assert len(judge.check()) == found
