Let the soak check that hosts answer by the newest configuration in time

Versions now come every 0.3 to 1.5 s, each with a new route and without an old one. A host that has reached the store throughout must not answer 404 on a route later than 2 s after its version was accepted, nor serve a removed one, whatever happens to the hosts that it reads from. Disruptions are recorded for each host with their start and end. Tests show that each check can fail.

--- a/benchmarks/soak/__init__.py
+++ b/benchmarks/soak/__init__.py
@@ -11,6 +11,8 @@
 - a removed target or an evacuated failure domain receives no request after
   its time limit from hosts that could reach the store throughout,
 - a planned stop on its own does not break off any request,
+- a host that reaches the store answers by a new version of the configuration
+  within its time limit, whatever happens to others (see `configurations`),
 - hosts do what targets say in their answers (see `statements`),
 - requests are served again after all faults have ended.
 
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -33,10 +33,11 @@
     host.stopping = True
     soak.note_fault()
     host.note_fault()
-    host.signal(signal.SIGKILL)
-    await host.process.wait()
-    await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
-    await host.start()
+    with host.disruptions.during():
+        host.signal(signal.SIGKILL)
+        await host.process.wait()
+        await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
+        await host.start()
     soak.note_fault()
     host.note_fault()
     return host.name
@@ -49,9 +50,10 @@
     if host.stopping:
         return 'none'
     host.stopping = True
-    host.signal(signal.SIGTERM)
-    await host.wait_ended()
-    await host.start()
+    with host.disruptions.during():
+        host.signal(signal.SIGTERM)
+        await host.wait_ended()
+        await host.start()
     host.note_fault()
     return host.name
 
@@ -62,9 +64,10 @@
     host = soak.rng.choice(soak.hosts)
     soak.note_fault()
     host.note_fault()
-    host.signal(signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    host.signal(signal.SIGCONT)
+    with host.disruptions.during():
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
+        host.signal(signal.SIGCONT)
     soak.note_fault()
     host.note_fault()
     return host.name
@@ -83,11 +86,12 @@
     """Makes the store fail for all hosts for a while."""
     mode = soak.rng.choice(('busy', 'reset', 'silent'))
     soak.note_fault()
-    soak.store.mode = mode
-    await soak.store.close_connections()
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    soak.store.mode = 'up'
-    await soak.store.close_connections()
+    with soak.store_disruptions.during():
+        soak.store.mode = mode
+        await soak.store.close_connections()
+        await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
+        soak.store.mode = 'up'
+        await soak.store.close_connections()
     soak.note_fault()
     return mode
 
@@ -98,14 +102,15 @@
     host = soak.rng.choice(soak.hosts)
     impairment = soak.rng.choice(('delay', 'silent', 'one_way', 'reset'))
     soak.note_fault()
-    if impairment == 'delay':
-        host.proxy.delay_s = soak.rng.uniform(0.05, 0.5)
-    elif impairment == 'reset':
-        host.proxy.reset()
-    else:
-        setattr(host.proxy, impairment, True)
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    host.proxy.heal()
+    with host.disruptions.during():
+        if impairment == 'delay':
+            host.proxy.delay_s = soak.rng.uniform(0.05, 0.5)
+        elif impairment == 'reset':
+            host.proxy.reset()
+        else:
+            setattr(host.proxy, impairment, True)
+        await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
+        host.proxy.heal()
     soak.note_fault()
     return f'{host.name} {impairment}'
 
@@ -114,12 +119,13 @@
 async def history(soak: run.Soak) -> str:
     """Delays change notifications, then drops the change history."""
     soak.note_fault()
-    soak.store.suppress_events = True
-    await soak.configure()
-    await asyncio.sleep(1.0)
-    soak.store.drop_history()
-    soak.store.suppress_events = False
-    await soak.store.close_connections()
+    with soak.store_disruptions.during():
+        soak.store.suppress_events = True
+        await soak.configure(soak.rng)
+        await asyncio.sleep(1.0)
+        soak.store.drop_history()
+        soak.store.suppress_events = False
+        await soak.store.close_connections()
     soak.note_fault()
     return 'dropped'
 
@@ -150,7 +156,7 @@
 @fault
 async def configuration(soak: run.Soak) -> str:
     """Writes a new configuration."""
-    await soak.configure()
+    await soak.configure(soak.rng)
     return str(soak.store.revision)
 
 
--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 
+from benchmarks.soak import disruptions
 from standins import fault_proxy
 
 DOMAINS = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b'}
@@ -24,6 +25,7 @@
     Attributes:
         name: Name of the host.
         faults_s: Loop times of its stops, starts, pauses and cuts.
+        disruptions: Times in which it did not run, or not reach the store.
     """
 
     def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
@@ -38,6 +40,7 @@
         self.proxy: fault_proxy.FaultProxy | None = None
         self.stopping = False
         self.faults_s: list[float] = []
+        self.disruptions = disruptions.Disruptions()
 
     def note_fault(self) -> None:
         """Records the time of a stop, start, pause or cut."""
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -6,6 +6,8 @@
 import random
 import signal
 
+from benchmarks.soak import configurations
+from benchmarks.soak import disruptions
 from benchmarks.soak import hosts as hosts_
 from benchmarks.soak import statements
 from standins import fault_proxy
@@ -23,6 +25,9 @@
 # on state that it has read before.
 EVACUATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
+# Paths of the routes of callers, without slashes.
+READ = 'r'
+WRITE = 'w'
 _READ_TIMEOUT_S = 3.0
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -44,6 +49,7 @@
         removed_at_s: Loop time of the removal, by target.
         fault_times_s: Loop times of the unplanned faults of all parts: start
             and end of those that last.
+        store_disruptions: Times in which the store was disturbed for all hosts.
         late_s: Greatest delay of this process's own timer, in seconds.
         fault_log: Log of the injected faults.
     """
@@ -72,6 +78,10 @@
         self.late_s = 0.0
         self.fault_log: list[str] = []
         self.judge = statements.Judge(seed, self.hosts, self.targets)
+        self.store_disruptions = disruptions.Disruptions()
+        self.cfg_judge = configurations.Judge(
+            seed, self.hosts, self.store_disruptions
+        )
         self._ids = 0
         self._version = 1
         self._calling = True
@@ -85,6 +95,7 @@
             await self._stop()
         self._check_runs()
         self.violations += self.judge.check()
+        self.violations += self.cfg_judge.check()
         return self.violations
 
     async def _play(self, seconds: float) -> None:
@@ -94,7 +105,11 @@
             for number in range(CALLERS)
         ]
         timer = asyncio.create_task(self._measure_delay())
-        statements = asyncio.create_task(self.judge.run())
+        judges = [
+            asyncio.create_task(self.judge.run()),
+            asyncio.create_task(self.cfg_judge.change(self.configure)),
+            asyncio.create_task(self.cfg_judge.send(self.call)),
+        ]
         try:
             end_s = self.loop.time() + seconds
             faults: set[asyncio.Task[None]] = set()
@@ -104,11 +119,11 @@
                 task.add_done_callback(faults.discard)
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
             await asyncio.gather(*faults)
-            statements.cancel()
+            await _cancel(judges)
             await self._recover()
         finally:
             self._calling = False
-            statements.cancel()
+            await _cancel(judges)
             await asyncio.gather(*callers)
             timer.cancel()
 
@@ -117,14 +132,14 @@
         for domain in hosts_.DOMAINS:
             for number in range(TARGETS_PER_DOMAIN):
                 await self.add_target(f't-{domain}-{number}', domain)
-        await self.configure()
+        await self.configure(self.rng)
         for host in self.hosts:
             host.proxy = fault_proxy.FaultProxy('127.0.0.1', self.store.port)
             await host.proxy.start()
             await host.start()
         async with asyncio.timeout(START_TIMEOUT_S):
             for host in self.hosts:
-                while await self.call(host, False) != 200:
+                while await self.call(host, READ) != 200:
                     await asyncio.sleep(0.1)
 
     async def add_target(
@@ -139,18 +154,25 @@
         await self.store.put('servers', name, target.entry)
         return target
 
-    async def configure(self) -> None:
-        """Writes a new version of the configuration."""
-        self._version += self.rng.randint(1, 3)
+    async def configure(self, rng: random.Random) -> None:
+        """Writes a new version of the configuration.
+
+        Args:
+            rng: Source of its number and timeouts.
+        """
+        self._version += rng.randint(1, 3)
         routes = []
-        for name, kind in (('r', 'idempotent'), ('w', 'non_idempotent')):
+        prefixes = self.cfg_judge.prefixes(self._version)
+        for name in (READ, WRITE, *prefixes):
             routes.append(
                 {
                     'name': name,
                     'hostname': 'soak.example',
                     'path_prefix': f'/{name}/',
-                    'route_type': kind,
-                    'timeout_s': self.rng.choice((0.8, 1.0, 1.2)),
+                    'route_type': (
+                        'non_idempotent' if name == WRITE else 'idempotent'
+                    ),
+                    'timeout_s': rng.choice((0.8, 1.0, 1.2)),
                     'target_latency_s': 0.2,
                     'priority': 1,
                     'service': 'svc',
@@ -169,6 +191,7 @@
             'limits': {'idle_timeout_s': 10},
         }
         await self.store.put('config', 'main', spec)
+        self.cfg_judge.note_accepted(prefixes)
 
     async def _measure_delay(self) -> None:
         """Measures how late this process runs its tasks.
@@ -187,18 +210,22 @@
         rng = random.Random(seed)
         while self._calling:
             host = rng.choice(self.hosts)
-            await self.call(host, rng.random() < 0.5)
+            await self.call(host, WRITE if rng.random() < 0.5 else READ)
             await asyncio.sleep(rng.uniform(0.0, 0.05))
 
-    async def call(self, host: hosts_.Host, is_write: bool) -> int:
+    async def call(self, host: hosts_.Host, prefix: str) -> int:
         """Sends a request and checks the response.
 
+        Args:
+            host: The host.
+            prefix: Path of a route without slashes.
+
         Returns:
             The status code, or 0 if there was no complete response.
         """
         self._ids += 1
         request_id = f'q{self._ids}'
-        path = f'/{"w" if is_write else "r"}/{request_id}'
+        path = f'/{prefix}/{request_id}'
         started_s = self.loop.time()
         self.judge.sent[request_id] = statements.SentRequest(
             host.name, started_s
@@ -299,7 +326,7 @@
             del self.evacuated_at_s[domain]
         await asyncio.sleep(RECOVERY_S)
         answers = [
-            await self.call(host, False) for host in self.hosts for _ in '12345'
+            await self.call(host, READ) for host in self.hosts for _ in '12345'
         ]
         served = answers.count(200) / len(answers)
         if served < MIN_SERVED_AT_END:
@@ -356,6 +383,12 @@
                 )
 
 
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def run_seed(
     seed: int, seconds: float, folder: str, faults: list[Fault]
 ) -> Soak:
--- a/benchmarks/soak/statements.py
+++ b/benchmarks/soak/statements.py
@@ -157,9 +157,9 @@
         self, target: platform_targets.TargetServer
     ) -> list[tuple[float, SentRequest]]:
         return [
-            (arrived_s, self.sent[path[3:]])
+            (arrived_s, self.sent[_request_id(path)])
             for arrived_s, path in target.arrivals
-            if path[3:] in self.sent
+            if _request_id(path) in self.sent
         ]
 
     def _check_leaving(self, target: platform_targets.TargetServer) -> None:
@@ -178,7 +178,7 @@
     def _check_pauses(self, target: platform_targets.TargetServer) -> None:
         arrivals = self._arrivals(target)
         for turned_away in target.pauses:
-            asked = self.sent.get(turned_away.path[3:])
+            asked = self.sent.get(_request_id(turned_away.path))
             if asked is None:
                 continue
             start_s = turned_away.at_s + TOLD_AFTER_S
@@ -220,3 +220,7 @@
                     f'{len(counted)} requests in {LIMIT_WINDOW_S} s'
                 )
                 return
+
+
+def _request_id(path: str) -> str:
+    return path.rpartition('/')[2]
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from benchmarks.soak import configurations
+from benchmarks.soak import disruptions
 from benchmarks.soak import faults
 from benchmarks.soak import hosts
 from benchmarks.soak import run as runs
@@ -107,3 +109,50 @@
         limit = statements.NamedLimit(target, 3.0, 100.0)
         judge._limits.append(limit)
         assert len(judge.check()) == found
+
+
+class TestConfigurations:
+    """The check of the configuration in force must be able to fail."""
+
+    def judge(self, status, sent_s, removed_s=float('inf')):
+        """Returns a judge with an answer on a route added at 100 s."""
+        host = hosts.Host('h', 0, 'a-1', '.')
+        judge = configurations.Judge(1, [host], disruptions.Disruptions())
+        route = configurations.Route('v2', 100.0, removed_s)
+        judge.routes.append(route)
+        judge.answers.append(
+            configurations.Answer('h', route, sent_s, sent_s + 0.1, status)
+        )
+        return judge, host
+
+    @pytest.mark.parametrize(('sent_s', 'found'), [(102.1, 1), (101.9, 0)])
+    async def test_added_route_that_is_refused(self, sent_s, found):
+        judge, _ = self.judge(404, sent_s)
+        assert len(judge.check()) == found
+
+    @pytest.mark.parametrize(('sent_s', 'found'), [(112.1, 1), (111.9, 0)])
+    async def test_removed_route_that_is_served(self, sent_s, found):
+        judge, _ = self.judge(200, sent_s, 110.0)
+        assert len(judge.check()) == found
+
+    async def test_refusal_after_the_removal_is_right(self):
+        judge, _ = self.judge(404, 109.95, 110.0)
+        assert not judge.check()
+
+    async def test_disturbed_host_is_excused(self):
+        judge, host = self.judge(404, 103.0)
+        host.disruptions.note(100.5, 101.0)
+        assert not judge.check()
+
+    async def test_host_is_not_excused_for_others(self):
+        judge, _ = self.judge(404, 103.0)
+        hosts.Host('other', 1, 'a-1', '.').disruptions.note(100.5, 103.0)
+        assert len(judge.check()) == 1
+
+    async def test_versions_keep_the_newest_routes(self):
+        judge, _ = self.judge(200, 100.0)
+        for version in (3, 4):
+            judge.note_accepted(judge.prefixes(version))
+        assert [route.prefix for route in judge.routes] == ['v2', 'v3', 'v4']
+        assert judge.routes[0].removed_s < float('inf')
+        assert judge.prefixes(5) == ['v4', 'v5']
