Move requests and responses out of the HTTP server

http_server.py had 517 lines, and every decision on a request imported the server for the class of its argument. Requests, responses and their encoding are in http_messages.py; http_server.py has 442 lines. Nothing else changes.

--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -11,7 +11,7 @@
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
 
@@ -51,7 +51,7 @@
 
     def deliver(
         self, call: attempts.Call, reply: http_client.Reply, now_s: float
-    ) -> http_server.Response:
+    ) -> http_messages.Response:
         """Returns the answer of a target.
 
         Args:
@@ -68,13 +68,13 @@
             call.sends,
             call.req.arrived_s,
         )
-        return http_server.Response(
+        return http_messages.Response(
             reply.status, self._dialect.answer_headers(reply), reply.body
         )
 
     def pass_on_refusal(
         self, call: attempts.Call, reply: http_client.Reply
-    ) -> http_server.Response:
+    ) -> http_messages.Response:
         """Returns the refusal of a host that a request was relayed to.
 
         Args:
@@ -85,13 +85,13 @@
         self._request_log.log_answer(
             call.request_id, reply.status, 'relay', 1, call.req.arrived_s
         )
-        return http_server.Response(
+        return http_messages.Response(
             reply.status, self._dialect.answer_headers(reply), reply.body
         )
 
     def give_up(
         self, call: attempts.Call, reason: str, wait_s: float = 0.0
-    ) -> http_server.Response:
+    ) -> http_messages.Response:
         """Returns the final answer to a request that can't be served.
 
         Args:
@@ -111,15 +111,15 @@
             call.request_id, status, reason, call.sends, call.req.arrived_s
         )
         self._stats.count_refusal(reason)
-        return http_server.Response(status)
+        return http_messages.Response(status)
 
     def refuse(
         self,
-        req: http_server.Request,
+        req: http_messages.Request,
         reason: str,
         wait_s: float,
         sends: int = 0,
-    ) -> http_server.Response:
+    ) -> http_messages.Response:
         """Returns an answer stating that a request has not been executed.
 
         Args:
@@ -136,7 +136,7 @@
         )
         self._stats.count_refusal(reason)
         after = f'{wait_s:.3f}'.encode()
-        return http_server.Response(503, [(b'retry-after', after)])
+        return http_messages.Response(503, [(b'retry-after', after)])
 
 
 def retry_after_s(refused: candidates.NoPlacement) -> float:
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -4,7 +4,7 @@
 
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.gateway import targets as targets_
 
@@ -45,7 +45,7 @@
 
     def __init__(
         self,
-        req: http_server.Request,
+        req: http_messages.Request,
         request_id: bytes,
         route: model.Route,
         service: str,
--- a/ragwortchute/gateway/crash_guard.py
+++ b/ragwortchute/gateway/crash_guard.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import pacing
 
 # A request is refused after it has crashed this many targets.
@@ -103,7 +103,7 @@
             collections.OrderedDict()
         )
 
-    def blocked_s(self, req: http_server.Request, now_s: float) -> float:
+    def blocked_s(self, req: http_messages.Request, now_s: float) -> float:
         """Returns how long a request remains blocked; 0 if it is not blocked.
 
         Args:
@@ -116,7 +116,7 @@
 
     def report_crash(
         self,
-        req: http_server.Request,
+        req: http_messages.Request,
         target: str,
         sent_s: float,
         lost_s: float,
@@ -142,7 +142,7 @@
         # This host counts crashes as well: it may be cut off from the owners.
         self.handle_notice(notice, now_s)
 
-    def note_answer(self, req: http_server.Request, now_s: float) -> None:
+    def note_answer(self, req: http_messages.Request, now_s: float) -> None:
         """Clears the suspicion of a request that a target has answered.
 
         The owners of its digest are told if this host suspected it, too.
@@ -205,7 +205,7 @@
             self._log.event('request-blocked', digest=f'{key:x}', for_s=BLOCK_S)
 
 
-def digest(req: http_server.Request) -> int:
+def digest(req: http_messages.Request) -> int:
     """Returns a hash of a request that does not depend on its identity.
 
     It covers the method, host name, request target and body.
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 
 # Header in which a host names the target that answered a relayed request. It is
@@ -66,17 +66,17 @@
     __slots__ = ()
 
     @abc.abstractmethod
-    def request_id(self, req: http_server.Request) -> bytes:
+    def request_id(self, req: http_messages.Request) -> bytes:
         """Returns the identity of a request, empty if it has none."""
 
     @abc.abstractmethod
-    def remaining_s(self, req: http_server.Request) -> float | None:
+    def remaining_s(self, req: http_messages.Request) -> float | None:
         """Returns the remaining time of the caller, None if it states none."""
 
     @abc.abstractmethod
     def encode(
         self,
-        req: http_server.Request,
+        req: http_messages.Request,
         remaining_s: float,
         entry: model.TargetEntry | None,
     ) -> bytes:
@@ -90,7 +90,7 @@
 
     @abc.abstractmethod
     def accept(
-        self, req: http_server.Request
+        self, req: http_messages.Request
     ) -> cabc.Callable[[http_client.Reply], bool]:
         """Returns a predicate that recognises the answers to a request."""
 
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -19,7 +19,7 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
@@ -131,8 +131,8 @@
         await self._crash_checks.close()
 
     async def serve(
-        self, req: http_server.Request, *, relayed: bool = False
-    ) -> http_server.Response:
+        self, req: http_messages.Request, *, relayed: bool = False
+    ) -> http_messages.Response:
         """Answers a request of a caller.
 
         Args:
@@ -150,7 +150,7 @@
             self._request_log.log_answer(
                 request_id, 404, 'no-route', 0, req.arrived_s
             )
-            return http_server.Response(404)
+            return http_messages.Response(404)
         blocked_s = self._blocked_s(req)
         if blocked_s > 0:
             return self._answers.refuse(req, 'crashes-targets', blocked_s)
@@ -184,7 +184,7 @@
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
         return resp
 
-    async def _wait_for_state(self, req: http_server.Request) -> bool:
+    async def _wait_for_state(self, req: http_messages.Request) -> bool:
         """Waits, shortly after the start, until the store has been read.
 
         Returns:
@@ -196,7 +196,9 @@
             left_s = min(left_s, remaining_s / 2)
         return await self._state.wait_complete(left_s)
 
-    async def _relay(self, call: attempts.Call) -> http_server.Response | None:
+    async def _relay(
+        self, call: attempts.Call
+    ) -> http_messages.Response | None:
         """Relays a request to a host in one of its home regions.
 
         Returns:
@@ -216,7 +218,7 @@
 
     async def _run(
         self, call: attempts.Call, outstanding: list[attempts.Attempt]
-    ) -> http_server.Response:
+    ) -> http_messages.Response:
         """Sends, retries and hedges a request until it has a final answer.
 
         Args:
@@ -269,7 +271,7 @@
 
     async def _send_next(
         self, call: attempts.Call, outstanding: list[attempts.Attempt]
-    ) -> http_server.Response | None:
+    ) -> http_messages.Response | None:
         """Sends a request to a target.
 
         Returns:
@@ -390,7 +392,7 @@
             and not self._blocked_s(call.req)
         )
 
-    def _blocked_s(self, req: http_server.Request) -> float:
+    def _blocked_s(self, req: http_messages.Request) -> float:
         """Returns how long a request is refused as it crashes targets."""
         return self._crash_guard.blocked_s(req, self._loop.time())
 
@@ -404,7 +406,7 @@
 
     def _finish_attempt(
         self, call: attempts.Call, attempt: attempts.Attempt
-    ) -> http_server.Response | None:
+    ) -> http_messages.Response | None:
         """Processes the end of an attempt.
 
         Returns:
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -7,12 +7,11 @@
 import asyncio
 import collections
 from collections import abc
-import http
 
 import httptools
-import msgspec
 
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 
 # Reading from a connection pauses while this many requests are pending.
@@ -24,75 +23,12 @@
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
-HOP_BY_HOP = frozenset(
-    {
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    }
-)
-
-_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class Request(msgspec.Struct, eq=False):
-    """A complete HTTP request.
-
-    Attributes:
-        method: Method.
-        target: Path with query, as sent.
-        host: Host name in lower case, without a port.
-        headers: Names in lower case and values, without hop-by-hop headers.
-        body: Body, decoded from chunks.
-        arrived_s: Loop time at which the request was complete.
-        disconnected: Future that is done once the caller's connection is lost.
-    """
-
-    method: str
-    target: str
-    host: str
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    arrived_s: float
-    disconnected: asyncio.Future[None]
-
-    def get(self, name: bytes) -> bytes | None:
-        """Returns the first value of a header, None if it is absent."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    @property
-    def path(self) -> str:
-        """Path without the query string."""
-        return self.target.partition('?')[0]
-
-
-class Response(msgspec.Struct):
-    """A complete HTTP response.
-
-    Attributes:
-        status: HTTP status code.
-        headers: Names and values, without `Connection` and `Content-Length`.
-        body: Body.
-        close: Whether the connection is closed after this response.
-    """
-
-    status: int
-    headers: abc.Sequence[tuple[bytes, bytes]] = ()
-    body: bytes = b''
-    close: bool = False
-
-
-Handler = abc.Callable[[Request], abc.Awaitable[Response]]
+Handler = abc.Callable[
+    [http_messages.Request], abc.Awaitable[http_messages.Response]
+]
 
 
 class _Exchange:
@@ -106,7 +42,7 @@
     __slots__ = ('response', 'task')
 
     def __init__(self) -> None:
-        self.response: Response | None = None
+        self.response: http_messages.Response | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -386,7 +322,7 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
-    def _build_request(self) -> Request:
+    def _build_request(self) -> http_messages.Request:
         method = self._parser.get_method().decode('ascii')
         host = ''
         headers = []
@@ -401,7 +337,7 @@
             if name == b'host':
                 host_count += 1
                 host = value.decode('latin-1').strip().lower()
-            elif name in HOP_BY_HOP or name in connection_tokens:
+            elif name in http_messages.HOP_BY_HOP or name in connection_tokens:
                 continue
             elif name != b'content-length' and name != b'expect':
                 headers.append((name, value))
@@ -410,7 +346,7 @@
         target = self._url.decode('latin-1')
         if not target.startswith('/'):
             raise ValueError('request target is not a path')
-        return Request(
+        return http_messages.Request(
             method,
             target,
             host.rpartition(':')[0] if ':' in host else host,
@@ -421,13 +357,13 @@
         )
 
     async def _serve(
-        self, req: Request, exchange: _Exchange, keep_alive: bool
+        self, req: http_messages.Request, exchange: _Exchange, keep_alive: bool
     ) -> None:
         try:
             resp = await self._listener.handler(req)
         except Exception:
             self._listener.log.failure('handler', req.target)
-            resp = Response(502, close=True)
+            resp = http_messages.Response(502, close=True)
         resp.close = resp.close or not keep_alive
         exchange.response = resp
         self._flush()
@@ -443,7 +379,7 @@
             self._listener.notify_finished()
             if self._transport is None:
                 return
-            self._transport.write(encode(resp))
+            self._transport.write(http_messages.encode(resp))
             self._idle_since_s = self._loop.time()
             if resp.close:
                 self._begin_close()
@@ -461,12 +397,14 @@
         if self._exchanges:
             # Responses to earlier requests are sent first.
             exchange = _Exchange()
-            exchange.response = Response(status, close=True)
+            exchange.response = http_messages.Response(status, close=True)
             self._exchanges.append(exchange)
             self._flush()
             return
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode(Response(status, close=True)))
+            self._transport.write(
+                http_messages.encode(http_messages.Response(status, close=True))
+            )
         self._begin_close()
 
     def _begin_close(self) -> None:
@@ -502,16 +440,3 @@
         limit = self._listener.limits().max_header_bytes
         if size > limit and not self._close_started_s:
             self._reject(431)
-
-
-def encode(resp: Response) -> bytes:
-    """Encodes the head and body of a response."""
-    reason = _REASONS.get(resp.status, 'Unknown')
-    lines = [f'HTTP/1.1 {resp.status} {reason}\r\n'.encode()]
-    for name, value in resp.headers:
-        lines.append(name + b': ' + value + b'\r\n')
-    if resp.close:
-        lines.append(b'connection: close\r\n')
-    lines.append(b'content-length: %d\r\n\r\n' % len(resp.body))
-    lines.append(resp.body)
-    return b''.join(lines)
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from ragwortchute import scraping
 from ragwortchute.gateway import application
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 
 PATH = '/metrics'
 
@@ -21,12 +21,12 @@
         self._add_request_metrics()
         self._add_state_metrics()
 
-    async def serve(self, req: http_server.Request) -> http_server.Response:
+    async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Returns the metrics for the path `PATH`, else 404."""
         if req.path != PATH:
-            return http_server.Response(404)
+            return http_messages.Response(404)
         content, headers = self._metrics.render(())
-        return http_server.Response(
+        return http_messages.Response(
             200,
             [
                 (name.lower().encode(), value.encode())
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -16,7 +16,7 @@
 from ragwortchute import stores
 from ragwortchute.gateway import dispatcher as dispatcher_
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import replica
 
@@ -71,7 +71,7 @@
         self._dispatcher = dispatcher
         self._cache: dict[str, _CachedBody] = {}
 
-    async def serve(self, req: http_server.Request) -> http_server.Response:
+    async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Serves a request of another host."""
         if req.host != HOST_NAME:
             return await self._dispatcher.serve(req, relayed=True)
@@ -81,10 +81,10 @@
         replica_ = self._replicas.get(query.get('prefix', ''))
         after_revision = query.get('after', '')
         if replica_ is None or not after_revision.isdecimal():
-            return http_server.Response(404)
+            return http_messages.Response(404)
         wait_ms = query.get('wait_ms', '0')
         if not wait_ms.isdecimal():
-            return http_server.Response(400)
+            return http_messages.Response(400)
         await replica_.wait_filled(FILL_TIMEOUT_S)
         try:
             if int(after_revision):
@@ -94,15 +94,15 @@
                 query['prefix'], replica_, int(after_revision)
             )
         except errors.HistoryGone:
-            return http_server.Response(_GONE)
+            return http_messages.Response(_GONE)
         except errors.StoreUnavailable:
-            return http_server.Response(_UNAVAILABLE)
+            return http_messages.Response(_UNAVAILABLE)
         confirmed_after_s = replica_.confirmed_s - arrived_s
         header = (
             CONFIRMED_AFTER_MS,
             f'{confirmed_after_s * 1000:.0f}'.encode(),
         )
-        return http_server.Response(_OK, [header], body)
+        return http_messages.Response(_OK, [header], body)
 
     def _encoded_changes(
         self, prefix: str, replica_: replica.Replica, after_revision: int
--- a/ragwortchute/platform/endpoints.py
+++ b/ragwortchute/platform/endpoints.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ragwortchute.gateway import application
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 
 RESOLVE_PATH = '/resolve'
 READY_PATH = '/ready'
@@ -26,14 +26,16 @@
     def __init__(self, gateway: application.Gateway) -> None:
         self._gateway = gateway
 
-    async def resolve(self, req: http_server.Request) -> http_server.Response:
+    async def resolve(
+        self, req: http_messages.Request
+    ) -> http_messages.Response:
         """Serves `GET /resolve?name=HOST&region=REGION&zone=ZONE`.
 
         Responds with 503 while there are no addresses or the configuration and
         targets are not complete.
         """
         if req.path != RESOLVE_PATH:
-            return http_server.Response(404)
+            return http_messages.Response(404)
         query = dict(parse.parse_qsl(req.target.partition('?')[2]))
         addresses = self._gateway.addresses(
             query.get('name', '').lower(),
@@ -41,15 +43,15 @@
             query.get('zone', ''),
         )
         if not addresses or not self._gateway.state.complete:
-            return http_server.Response(503)
+            return http_messages.Response(503)
         body = msgspec.json.encode(
             _Addresses(addresses, application.ADDRESS_TTL_S)
         )
         headers = [(b'content-type', b'application/json')]
-        return http_server.Response(200, headers, body)
+        return http_messages.Response(200, headers, body)
 
-    async def ready(self, req: http_server.Request) -> http_server.Response:
+    async def ready(self, req: http_messages.Request) -> http_messages.Response:
         """Serves `GET /ready`: 200 if new callers are accepted, else 503."""
         if req.path != READY_PATH:
-            return http_server.Response(404)
-        return http_server.Response(200 if self._gateway.ready else 503)
+            return http_messages.Response(404)
+        return http_messages.Response(200 if self._gateway.ready else 503)
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -5,7 +5,7 @@
 
 from ragwortchute.gateway import dialect
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 
 REQUEST_ID = b'x-request-id'
@@ -33,7 +33,7 @@
 # Request headers that are set for each target.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
 # Response headers that are not returned to the caller.
-_INTERNAL_HEADERS = http_server.HOP_BY_HOP | {
+_INTERNAL_HEADERS = http_messages.HOP_BY_HOP | {
     b'content-length',
     SERVER_LOAD,
     INSTANCE_ID,
@@ -47,11 +47,11 @@
 
     __slots__ = ()
 
-    def request_id(self, req: http_server.Request) -> bytes:
+    def request_id(self, req: http_messages.Request) -> bytes:
         """See base class."""
         return req.get(REQUEST_ID) or b''
 
-    def remaining_s(self, req: http_server.Request) -> float | None:
+    def remaining_s(self, req: http_messages.Request) -> float | None:
         """See base class."""
         value = req.get(DEADLINE_MS)
         if value is None:
@@ -63,7 +63,7 @@
 
     def encode(
         self,
-        req: http_server.Request,
+        req: http_messages.Request,
         remaining_s: float,
         entry: model.TargetEntry,
     ) -> bytes:
@@ -89,7 +89,7 @@
         return b''.join(chunks)
 
     def accept(
-        self, req: http_server.Request
+        self, req: http_messages.Request
     ) -> abc.Callable[[http_client.Reply], bool]:
         """See base class."""
         request_id = self.request_id(req)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,6 +8,7 @@
 import json
 from urllib import parse
 
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 
@@ -107,7 +108,9 @@
             async with self._changed:
                 self._changed.notify_all()
 
-    async def _serve(self, req: http_server.Request) -> http_server.Response:
+    async def _serve(
+        self, req: http_messages.Request
+    ) -> http_messages.Response:
         path, _, query_string = req.target.partition('?')
         query = dict(parse.parse_qsl(query_string))
         parts = path.strip('/').split('/')
@@ -116,10 +119,10 @@
         self.calls[f'{req.method} {kind}'] += 1
         self.stale_calls[kind] += query.get('allow_stale') == '1'
         if self.mode == 'busy':
-            return http_server.Response(503)
+            return http_messages.Response(503)
         if self.mode == 'reset':
             await self.close_connections()
-            return http_server.Response(503, close=True)
+            return http_messages.Response(503, close=True)
         if self.mode == 'silent':
             await asyncio.sleep(3600)
         if req.method == 'GET' and 'watch' in query:
@@ -140,11 +143,11 @@
         await self.put(kind, name, body['spec'])
         return self._json_response(200, self._objects[kind, name])
 
-    def _get(self, kind: str, name: str) -> http_server.Response:
+    def _get(self, kind: str, name: str) -> http_messages.Response:
         obj = self._objects.get((kind, name))
         return self._json_response(404 if obj is None else 200, obj or {})
 
-    def _list(self, kind: str, after: str) -> http_server.Response:
+    def _list(self, kind: str, after: str) -> http_messages.Response:
         names = [name for name in self.names(kind) if name > after]
         items = [self._objects[kind, name] for name in names[:PAGE_SIZE]]
         return self._json_response(
@@ -158,7 +161,7 @@
 
     async def _watch(
         self, kind: str, revision: int, wait_s: float
-    ) -> http_server.Response:
+    ) -> http_messages.Response:
         if revision < self._oldest_revision:
             return self._json_response(410, {})
         end_s = asyncio.get_running_loop().time() + wait_s
@@ -179,9 +182,13 @@
             except TimeoutError:
                 continue
 
-    def _json_response(self, status: int, body: object) -> http_server.Response:
+    def _json_response(
+        self, status: int, body: object
+    ) -> http_messages.Response:
         headers = [(b'content-type', b'application/json')]
-        return http_server.Response(status, headers, json.dumps(body).encode())
+        return http_messages.Response(
+            status, headers, json.dumps(body).encode()
+        )
 
 
 class NullLog:
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -10,7 +10,7 @@
 
 from ragwortchute.gateway import application
 from ragwortchute.gateway import dispatcher
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import registration
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
@@ -482,7 +482,7 @@
         home_host, remote_host = deployment.hosts
 
         async def answer_unsigned(req):
-            return http_server.Response(200, (), b'unsigned')
+            return http_messages.Response(200, (), b'unsigned')
 
         home_host.peers.handler = answer_unsigned
         resp = await self.request(remote_host)
--- a/tests/test_gateway/test_crash_guard.py
+++ b/tests/test_gateway/test_crash_guard.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ragwortchute.gateway import crash_guard
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import pacing
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
@@ -56,7 +56,7 @@
 
 
 def request(target='/r/poison', body=b'', request_id=b'1'):
-    return http_server.Request(
+    return http_messages.Request(
         'POST',
         target,
         'example',
@@ -69,7 +69,7 @@
 
 def request_as_sent(target):
     """Returns a request as `Rig.request` sends it by default."""
-    return http_server.Request('GET', target, 'example', [], b'', 0.0, None)
+    return http_messages.Request('GET', target, 'example', [], b'', 0.0, None)
 
 
 class TestCounting:
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -6,7 +6,7 @@
 
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dispatcher
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
@@ -361,7 +361,9 @@
         headers = [(b'x-request-deadline-ms', b'3000')]
         gone = asyncio.get_running_loop().create_future()
         serving = rig.dispatcher.serve(
-            http_server.Request('GET', '/r/x', 'example', headers, b'', 0, gone)
+            http_messages.Request(
+                'GET', '/r/x', 'example', headers, b'', 0, gone
+            )
         )
         with pytest.raises(StopIteration) as stopped:
             serving.send(None)
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 from tests.test_gateway import rig as rigs
@@ -26,7 +27,7 @@
     async def handle(self, req):
         self.requests.append(req)
         await asyncio.sleep(self.delays.get(req.path, 0))
-        return http_server.Response(200, (), req.path.encode() + req.body)
+        return http_messages.Response(200, (), req.path.encode() + req.body)
 
     async def connect(self):
         return await asyncio.open_connection('127.0.0.1', self.listener.port)
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ragwortchute.gateway import crash_guard
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import peer_table
 from tests.test_gateway import host_network
 
@@ -134,7 +134,9 @@
             guard = crash_guard.CrashGuard(host.me.name, host, host._log)
             host.on_crash_notice = guard.handle_notice
             guards.append(guard)
-        req = http_server.Request('GET', '/r/x', 'example', [], b'', 0.0, None)
+        req = http_messages.Request(
+            'GET', '/r/x', 'example', [], b'', 0.0, None
+        )
         now_s = net.now_s
         guards[2].report_crash(req, 't1', now_s - 0.2, now_s - 0.1, now_s)
         net.run(0.5)
--- a/tests/test_gateway/test_parsers.py
+++ b/tests/test_gateway/test_parsers.py
@@ -9,6 +9,7 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 from tests.test_gateway import rig as rigs
@@ -150,7 +151,7 @@
 
     async def handle(req):
         requests.append(req)
-        return http_server.Response(200, (), req.body)
+        return http_messages.Response(200, (), req.body)
 
     limits = model.Limits(max_header_bytes=MAX_HEADER_BYTES, max_body_bytes=100)
     listener = http_server.Listener(
--- a/tests/test_gateway/test_peer_api.py
+++ b/tests/test_gateway/test_peer_api.py
@@ -8,6 +8,7 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 from ragwortchute.gateway import peer_api
@@ -65,7 +66,7 @@
 def copy_request(after, wait_ms='0'):
     gone = asyncio.get_running_loop().create_future()
     target = f'/copy?prefix=config%2F&after={after}&wait_ms={wait_ms}'
-    return http_server.Request(
+    return http_messages.Request(
         'GET', target, peer_api.HOST_NAME, [], b'', 0.0, gone
     )
 
--- a/tests/test_platform/test_endpoints.py
+++ b/tests/test_platform/test_endpoints.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import metrics
 from ragwortchute.platform import __main__ as daemon
 from ragwortchute.platform import endpoints
@@ -17,7 +17,7 @@
 
 
 def request(target):
-    return http_server.Request('GET', target, 'x', [], b'', 0.0, None)
+    return http_messages.Request('GET', target, 'x', [], b'', 0.0, None)
 
 
 @pytest.fixture
