--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -14,7 +14,6 @@
 from standins import platform_store
 from standins import platform_targets
 
-HOSTS_PER_DOMAIN = 2
 TARGETS_PER_DOMAIN = 3
 CALLERS = 6
 START_TIMEOUT_S = 15.0
@@ -41,6 +40,7 @@
         seed: Seed of the choice and timing of faults.
         folder: Directory for the settings and logs of the hosts.
         faults: Faults that the run chooses from.
+        hosts_per_domain: Number of hosts in each failure domain.
 
     Attributes:
         violations: Violations found so far.
@@ -54,7 +54,13 @@
         fault_log: Log of the injected faults.
     """
 
-    def __init__(self, seed: int, folder: str, faults: list[Fault]) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: str,
+        faults: list[Fault],
+        hosts_per_domain: int = 2,
+    ) -> None:
         self._seed = seed
         self._faults = faults
         self.rng = random.Random(seed)
@@ -65,7 +71,7 @@
             for index, (domain, number) in enumerate(
                 (domain, number)
                 for domain in hosts_.DOMAINS
-                for number in range(HOSTS_PER_DOMAIN)
+                for number in range(hosts_per_domain)
             )
         ]
         self.targets: list[platform_targets.TargetServer] = []
@@ -89,10 +95,10 @@
     async def run(self, seconds: float) -> list[str]:
         """Injects faults for `seconds` and returns the violations found."""
         try:
-            await self._start()
+            await self.start()
             await self._play(seconds)
         finally:
-            await self._stop()
+            await self.stop()
         self._check_runs()
         self.violations += self.judge.check()
         self.violations += self.cfg_judge.check()
@@ -127,7 +133,8 @@
             await asyncio.gather(*callers)
             timer.cancel()
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Starts the store, the targets and the hosts."""
         await self.store.start()
         for domain in hosts_.DOMAINS:
             for number in range(TARGETS_PER_DOMAIN):
@@ -334,7 +341,8 @@
                 f'{served:.2f} of calls served after recovery'
             )
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
+        """Ends the hosts and stops the targets and the store."""
         for host in self.hosts:
             host.signal(signal.SIGCONT)
             host.signal(signal.SIGKILL)
--- a/benchmarks/soak/statements.py
+++ b/benchmarks/soak/statements.py
@@ -99,6 +99,20 @@
         finally:
             self._retract()
 
+    def name_limit(
+        self, target: platform_targets.TargetServer, per_s: float
+    ) -> NamedLimit:
+        """Lets a target name a limit.
+
+        Args:
+            target: The target.
+            per_s: Requests per second.
+        """
+        limit = NamedLimit(target, per_s, self._loop.time())
+        self._limits.append(limit)
+        target.limit_per_s = per_s
+        return limit
+
     def note_answer(self, host: str, head: str) -> None:
         """Notes what the head of an answer, in lower case, has told a host."""
         now_s = self._loop.time()
@@ -132,10 +146,7 @@
             await asyncio.sleep(duration_s)
             target.fault = target.retry_after = ''
             return
-        per_s = self._rng.choice((0.5, 3.0, 12.0))
-        limit = NamedLimit(target, per_s, self._loop.time())
-        self._limits.append(limit)
-        target.limit_per_s = per_s
+        limit = self.name_limit(target, self._rng.choice((0.5, 3.0, 12.0)))
         await asyncio.sleep(duration_s + CONTACT_S)
         target.limit_per_s = None
         limit.ended_s = self._loop.time()
