Don't give up an answer of the store that is arriving

Cause: a read had a timeout for the whole answer, and the age limit or news of the change ended it at any moment. A host threw away most of 450 KB, asked elsewhere for all of it, and threw that away as well.

Ruled out: the time of the reader alone (0.72 s for its read, 0.3 s for copies).

Change: while parts of an answer arrive, it is not given up, neither at its timeout (at most 4 s more) nor by the age limit or news. A host that hears nothing for 0.25 or 0.3 s asks elsewhere as before.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -30,6 +30,7 @@
 from ragwortchute.gateway import sources
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
 from ragwortchute.gateway import target_statements
@@ -279,7 +280,7 @@
         )
         return [host.caller_address for host in hosts]
 
-    async def start(self, feeds: list[store_follower.Feed]) -> None:
+    async def start(self, feeds: list[store_feed.Feed]) -> None:
         """Starts the listeners and the tasks that follow the store.
 
         The listener for callers starts last.
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute import progress as progress_
 
 MAX_BODY_BYTES = 16 << 20
 # Bytes received for one request that belong to no body: heads, interim
@@ -22,6 +23,10 @@
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 CONNECT_TIMEOUT_S = 1.0
+# A response that is arriving at its timeout is given up if no part comes for
+# the first of these times, and after the second in any case.
+STALL_S = 0.3
+MAX_EXTENSION_S = 4.0
 # Detect within about 3 s a peer that is gone without having sent a reset.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -83,6 +88,7 @@
         '_headers',
         '_loop',
         '_on_lost',
+        '_on_part',
         '_parser',
         '_peer',
         '_received_body_bytes',
@@ -103,6 +109,7 @@
         self._transport: asyncio.Transport | None = None
         self._fut: asyncio.Future[Reply] | None = None
         self._accept: Accept | None = None
+        self._on_part: abc.Callable[[], None] | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -125,7 +132,10 @@
         )
 
     def send(
-        self, data: bytes, accept: Accept | None = None
+        self,
+        data: bytes,
+        accept: Accept | None = None,
+        on_part: abc.Callable[[], None] | None = None,
     ) -> asyncio.Future[Reply]:
         """Sends a request and returns a future of its response.
 
@@ -137,9 +147,11 @@
             data: Encoded head and body.
             accept: Returns whether a response belongs to the request; by
                 default, every response does.
+            on_part: Called for each part of a body.
         """
         self._fut = self._loop.create_future()
         self._accept = accept
+        self._on_part = on_part
         self._parser = httptools.HttpResponseParser(self)
         self._delimited = True
         # Only the head of the response to a HEAD request is sent.
@@ -243,6 +255,8 @@
             )
             return
         self._body.append(body)
+        if self._on_part is not None:
+            self._on_part()
 
     def on_message_complete(self) -> None:
         """Stores the response if it belongs to the request."""
@@ -280,6 +294,7 @@
 
     def _finish(self, reply: Reply) -> None:
         fut, self._fut = self._fut, None
+        self._on_part = None
         self._accepted_reply = None
         self._headers = []
         self._body = []
@@ -301,6 +316,7 @@
             self._accepted_reply.reusable = False
             return
         fut, self._fut = self._fut, None
+        self._on_part = None
         self._headers = []
         if self._transport is not None:
             self._transport.abort()
@@ -369,7 +385,10 @@
 
 
 async def exchange(
-    source: ConnectionSource, data: bytes, timeout_s: float
+    source: ConnectionSource,
+    data: bytes,
+    timeout_s: float,
+    progress: progress_.Progress | None = None,
 ) -> Reply:
     """Sends one request and returns the complete response.
 
@@ -377,26 +396,53 @@
         source: Source of the connection, which is released afterwards.
         data: Encoded head and body.
         timeout_s: Longest time in seconds to connect, send the request and
-            receive the response.
+            receive the response. A response that is arriving then has up to
+            `MAX_EXTENSION_S` more while no more than `STALL_S` pass without a
+            part of it: another attempt would start from its beginning.
+        progress: Updated while the response arrives.
 
     Raises:
         ConnectFailed: No connection could be opened; nothing was sent.
-        AttemptTimeout: No complete response within `timeout_s`.
+        AttemptTimeout: No complete response in time.
         TargetError: The connection was lost or the response is malformed.
     """
-    conn = None
+    progress = progress or progress_.Progress()
+    end_s = asyncio.get_running_loop().time() + timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout_at(end_s):
             conn = await source.acquire()
-            return await conn.send(data)
     except TimeoutError as exc:
-        if conn is None:
-            raise errors.ConnectFailed(
-                'connection timed out', step='connect'
-            ) from exc
-        raise errors.AttemptTimeout(
-            'response timed out', step='answer'
+        raise errors.ConnectFailed(
+            'connection timed out', step='connect'
         ) from exc
+    try:
+        fut = conn.send(data, on_part=progress.note_part)
+        await _wait_arrived(fut, end_s, progress)
+        return fut.result()
     finally:
-        if conn is not None:
-            source.release(conn)
+        source.release(conn)
+
+
+async def _wait_arrived(
+    fut: asyncio.Future[Reply], end_s: float, progress: progress_.Progress
+) -> None:
+    """Waits until a response is complete.
+
+    Args:
+        fut: Future of the response.
+        end_s: Loop time at which it is due, unless it is arriving then.
+        progress: Progress of the response.
+
+    Raises:
+        AttemptTimeout: It is not complete in time.
+    """
+    loop = asyncio.get_running_loop()
+    max_end_s = end_s + MAX_EXTENSION_S
+    while not fut.done():
+        left_s = end_s - loop.time()
+        if left_s > 0:
+            await asyncio.wait((fut,), timeout=left_s)
+            continue
+        end_s = min(progress.last_s + STALL_S, max_end_s)
+        if end_s <= loop.time():
+            raise errors.AttemptTimeout('response timed out', step='answer')
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute import progress as progress_
 from ragwortchute import stores
 from ragwortchute.gateway import dispatcher as dispatcher_
 from ragwortchute.gateway import http_client
@@ -155,6 +156,7 @@
         after_revision: int,
         timeout_s: float,
         may_be_stale: bool = False,
+        progress: progress_.Progress | None = None,
     ) -> stores.WatchAnswer:
         """See base class; waits at most `MAX_WAIT_S`.
 
@@ -170,7 +172,10 @@
         head = f'GET {path} HTTP/1.1\r\nhost: {HOST_NAME}\r\n\r\n'
         try:
             reply = await http_client.exchange(
-                self._pool, head.encode(), wait_s + RESPONSE_TIMEOUT_S
+                self._pool,
+                head.encode(),
+                wait_s + RESPONSE_TIMEOUT_S,
+                progress,
             )
         except errors.TargetError as exc:
             raise self._unavailable(str(exc)) from exc
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -6,7 +6,6 @@
 state stays in force.
 """
 
-import abc
 import asyncio
 import collections
 from collections import abc as cabc
@@ -16,10 +15,12 @@
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute import progress
 from ragwortchute import stores
 from ragwortchute.gateway import age_limit
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import replica as replica_
+from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_health
 
 FIRST_BACKOFF_S = 0.1
@@ -31,53 +32,13 @@
 # revision without changes is relied on only if a later watch that starts before
 # it, has not returned any either.
 CONFIRM_S = 3.0
+# An answer of which a part has come within this time is not given up: another
+# source would send all of it again, on a link that may be slow.
+ARRIVING_S = 0.25
 # How long a source is not used after a failure.
 SOURCE_RETRY_S = 2.0
 
 
-class Feed(abc.ABC):
-    """Receives the objects below a prefix and their changes.
-
-    Attributes:
-        prefix: Prefix of the names in the store.
-        entries_expire: Whether entries expire while their writers can't reach
-            the store, and are written again afterwards.
-        holds_configuration: Whether one of the objects is the configuration.
-        watch_timeout_s: Longest wait of one watch of the store, in seconds.
-            Each is billed as a call. One that is open while the store drops
-            its history may miss a change without noticing, so it is renewed.
-        max_age_s: Longest time in seconds since the replica was confirmed as
-            the newest, after which the host reads the store itself.
-        batch_delay_s: Pause in seconds after a change was read from the store,
-            so that one call returns changes in close succession.
-    """
-
-    prefix = ''
-    watch_timeout_s = 4.0
-    max_age_s = float('inf')
-    batch_delay_s = 0.3
-    entries_expire = False
-    holds_configuration = False
-
-    @abc.abstractmethod
-    def replace(
-        self, objects: list[stores.StoredObject], revision: int
-    ) -> None:
-        """Replaces all objects by those of a revision."""
-
-    @abc.abstractmethod
-    def put(self, obj: stores.StoredObject, revision: int) -> None:
-        """Adds or updates an object."""
-
-    @abc.abstractmethod
-    def remove(self, name: str, revision: int) -> None:
-        """Removes an object."""
-
-    def confirm(self, confirmed_s: float) -> None:
-        """Notes the loop time until which the store had no later change."""
-        del confirmed_s  # Most feeds have no use for it.
-
-
 class Source(msgspec.Struct, frozen=True):
     """The store or a replica of it on another host.
 
@@ -109,7 +70,7 @@
     def __init__(
         self,
         sources: cabc.Callable[[], list[Source]],
-        feed: Feed,
+        feed: store_feed.Feed,
         health: store_health.StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
@@ -121,6 +82,8 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._wake = asyncio.Event()
+        # Progress of the answer that is awaited.
+        self._progress = progress.Progress()
         self._filled = asyncio.Event()
         self._age_limit = age_limit.AgeLimit(feed.max_age_s)
         self._needs_full_read = True
@@ -204,6 +167,8 @@
             now_s = self._loop.time()
             confirmed_s = self.replica.confirmed_s
             due_in_s = self._age_limit.due_in_s(confirmed_s, now_s)
+            if self._is_arriving(now_s):
+                due_in_s = max(due_in_s, ARRIVING_S)
             if due_in_s > 0:
                 await asyncio.sleep(due_in_s)
                 continue
@@ -221,6 +186,10 @@
             else:
                 self._wake.set()
 
+    def _is_arriving(self, now_s: float) -> bool:
+        """Returns whether a part of a large answer has just arrived."""
+        return now_s - self._progress.last_s < ARRIVING_S
+
     async def _read(self) -> None:
         """Reads the sources until cancelled."""
         backoff_s = FIRST_BACKOFF_S
@@ -298,7 +267,11 @@
             self._health.record_failure(exc)
 
     def _check_newer_revision(self, revision: int, source: Source) -> None:
-        if revision > self.known_revision and not self._wake.is_set():
+        if self._is_arriving(self._loop.time()):
+            self._loop.call_later(
+                ARRIVING_S, self._check_newer_revision, revision, source
+            )
+        elif revision > self.known_revision and not self._wake.is_set():
             self._log.event(
                 'behind',
                 prefix=self.prefix,
@@ -323,7 +296,12 @@
         # A stale answer could list a target that left before this host started.
         answer = await self._watch_until_woken(
             source,
-            source.store.watch(self.prefix, after_revision=0, timeout_s=0),
+            source.store.watch(
+                self.prefix,
+                after_revision=0,
+                timeout_s=0,
+                progress=self._begin_progress(),
+            ),
         )
         if answer is None:
             return
@@ -343,6 +321,7 @@
                 self.prefix,
                 after_revision=self.replica.revision,
                 timeout_s=self._watch_timeout_s(source, asked_s),
+                progress=self._begin_progress(),
             ),
         )
         if answer is None:
@@ -352,6 +331,11 @@
         if not source.name and (answer.objects or answer.removed):
             await asyncio.sleep(self._feed.batch_delay_s)
 
+    def _begin_progress(self) -> progress.Progress:
+        """Returns the progress of an answer that is requested now."""
+        self._progress = progress.Progress()
+        return self._progress
+
     def _watch_timeout_s(self, source: Source, now_s: float) -> float:
         """Returns how long a watch of a source may wait, in seconds.
 
@@ -415,6 +399,7 @@
                 (watch, wake), return_when=asyncio.FIRST_COMPLETED
             )
         finally:
+            self._progress = progress.Progress()
             wake.cancel()
             if not watch.done():
                 watch.cancel()
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -8,7 +8,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import model
-from ragwortchute.gateway import store_follower
+from ragwortchute.gateway import store_feed
 
 CONFIG_KIND = 'config/'
 CONFIG_NAME = 'main'
@@ -74,7 +74,7 @@
     born: int
 
 
-class _LoggedFeed(store_follower.Feed):
+class _LoggedFeed(store_feed.Feed):
     """Feed that updates the state of a host and logs malformed objects.
 
     Args:
@@ -186,7 +186,7 @@
             return None
 
 
-class EvacuationFeed(store_follower.Feed):
+class EvacuationFeed(store_feed.Feed):
     """Feed of the failure domains that the operator takes out of service.
 
     Args:
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute import progress as progress_
 from ragwortchute import stores
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import pools
@@ -111,6 +112,7 @@
         after_revision: int,
         timeout_s: float,
         may_be_stale: bool = False,
+        progress: progress_.Progress | None = None,
     ) -> stores.WatchAnswer:
         """See base class; with revision 0, returns all objects.
 
@@ -120,14 +122,17 @@
         """
         kind = parse.quote(prefix.rstrip('/'))
         if not after_revision:
-            return await self._read_all(kind, may_be_stale)
+            return await self._read_all(kind, may_be_stale, progress)
         path = (
             f'/objects/{kind}?watch={after_revision}'
             f'&wait_ms={int(timeout_s * 1000)}'
         )
         loop = asyncio.get_running_loop()
         asked_s = loop.time()
-        reply = await self._send('GET', path, extra_s=timeout_s)
+        progress = progress or progress_.Progress()
+        reply = await self._send(
+            'GET', path, extra_s=timeout_s, progress=progress
+        )
         elapsed_s = loop.time() - asked_s
         if reply.status == _GONE:
             raise errors.HistoryGone(
@@ -159,7 +164,10 @@
         self._pool.close()
 
     async def _read_all(
-        self, kind: str, may_be_stale: bool
+        self,
+        kind: str,
+        may_be_stale: bool,
+        progress: progress_.Progress | None,
     ) -> stores.WatchAnswer:
         objects = []
         revision = 0
@@ -171,7 +179,7 @@
             if may_be_stale:
                 query['allow_stale'] = '1'
             path = f'/objects/{kind}?{parse.urlencode(query)}'
-            reply = await self._send('GET', path.rstrip('?'))
+            reply = await self._send('GET', path.rstrip('?'), progress=progress)
             self._expect_ok(reply, write=False)
             page = self._decode(reply, _Page)
             revision = revision or page.current_rev
@@ -187,6 +195,7 @@
         body: bytes = b'',
         *,
         extra_s: float = 0.0,
+        progress: progress_.Progress | None = None,
     ) -> http_client.Reply:
         """Sends one request and returns the complete response.
 
@@ -195,6 +204,7 @@
             path: Path with query.
             body: Body as JSON.
             extra_s: Seconds that the store may take beyond `TIMEOUT_S`.
+            progress: Updated while the response arrives.
 
         Raises:
             StoreUnavailable: No complete response in time.
@@ -208,7 +218,7 @@
         write = method != 'GET'
         try:
             return await http_client.exchange(
-                self._pool, data, TIMEOUT_S + extra_s
+                self._pool, data, TIMEOUT_S + extra_s, progress
             )
         except errors.ConnectFailed as exc:
             raise self._unavailable(str(exc), False) from exc
@@ -258,7 +268,7 @@
     """Returns when the store knew of no later change, after the request.
 
     Args:
-        elapsed_s: Seconds from the request to the answer.
+        elapsed_s: Seconds from the request to the first part of the answer.
         timeout_s: How long the store was to wait for a change, in seconds.
     """
     if elapsed_s >= timeout_s:
--- a/ragwortchute/stores/__init__.py
+++ b/ragwortchute/stores/__init__.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ragwortchute import progress as progress_
 from ragwortchute import registry
 
 # Passed to `put` to write unconditionally; not all stores support it.
@@ -74,6 +75,7 @@
         after_revision: int,
         timeout_s: float,
         may_be_stale: bool = False,
+        progress: progress_.Progress | None = None,
     ) -> 'WatchAnswer':
         """Waits for changes of objects whose names start with a prefix.
 
@@ -84,6 +86,7 @@
             timeout_s: Longest wait in seconds.
             may_be_stale: Whether the answer may be some seconds old, which a
                 store may charge less for.
+            progress: Updated while the answer arrives, if the client can tell.
 
         Returns:
             The changes since `after_revision`; none after a timeout.
--- a/ragwortchute/stores/http.py
+++ b/ragwortchute/stores/http.py
@@ -21,6 +21,7 @@
 import yarl
 
 from ragwortchute import errors
+from ragwortchute import progress as progress_
 from ragwortchute import stores
 
 T = TypeVar('T')
@@ -98,6 +99,7 @@
         after_revision: int,
         timeout_s: float,
         may_be_stale: bool = False,
+        progress: progress_.Progress | None = None,
     ) -> stores.WatchAnswer:
         """See base class."""
         query = {
--- a/ragwortchute/stores/memory.py
+++ b/ragwortchute/stores/memory.py
@@ -6,6 +6,7 @@
 
 from ragwortchute import clock
 from ragwortchute import errors
+from ragwortchute import progress as progress_
 from ragwortchute import stores
 
 MAX_VALUE_BYTES = 1_000_000  # limit of the platform's object API
@@ -166,6 +167,7 @@
         after_revision: int,
         timeout_s: float,
         may_be_stale: bool = False,
+        progress: progress_.Progress | None = None,
     ) -> stores.WatchAnswer:
         """See base class."""
         self.counters.watch += 1
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy on loopback that delays, blocks or resets connections."""
+"""TCP proxy on loopback that delays, slows, blocks or resets connections."""
 
 import asyncio
 import contextlib
@@ -6,12 +6,31 @@
 _CHUNK_BYTES = 65536
 
 
+class Link:
+    """One direction of a link that several proxies share.
+
+    Args:
+        bytes_per_s: What it transfers per second.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_s = 0.0
+
+    async def transfer(self, size: int) -> None:
+        """Waits until a number of bytes has passed after all earlier ones."""
+        now_s = asyncio.get_running_loop().time()
+        self._free_s = max(now_s, self._free_s) + size / self._bytes_per_s
+        await asyncio.sleep(self._free_s - now_s)
+
+
 class FaultProxy:
     """Forwards connections to one address and injects faults.
 
     Args:
         ip: IP address of the upstream server.
         port: Port of the upstream server.
+        link: Link to the client; None for one without a limit.
 
     Attributes:
         port: Listening port; 0 before `start`.
@@ -21,7 +40,8 @@
         one_way: While true, nothing is forwarded to the client.
     """
 
-    def __init__(self, ip: str, port: int) -> None:
+    def __init__(self, ip: str, port: int, link: Link | None = None) -> None:
+        self._link = link
         self._upstream_ip = ip
         self._upstream_port = port
         self._server: asyncio.Server | None = None
@@ -86,6 +106,8 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(_CHUNK_BYTES):
+                if self._link is not None and to_client:
+                    await self._link.transfer(len(data))
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 while self.silent or (self.one_way and to_client):
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -98,7 +98,13 @@
         return stored
 
     async def watch(
-        self, prefix, *, after_revision, timeout_s, may_be_stale=False
+        self,
+        prefix,
+        *,
+        after_revision,
+        timeout_s,
+        may_be_stale=False,
+        progress=None,
     ):
         await self._call('watch')
         end_s = self.store.clock.monotonic() + timeout_s
--- a/tests/test_gateway/test_http_client.py
+++ b/tests/test_gateway/test_http_client.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ragwortchute import errors
+from ragwortchute import progress
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import pools
 from tests.test_gateway import rig as rigs
@@ -169,6 +170,58 @@
             await http_client.exchange(pool, b'x', 0.5)
 
 
+class TestArrivingResponses:
+    """A response that is arriving must not be given up at its timeout."""
+
+    @pytest.fixture
+    async def slow_peer(self):
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n')
+            for _ in range(self.parts):
+                await asyncio.sleep(0.1)
+                writer.write(b'x' * 10)
+            if self.parts < 10:
+                await asyncio.sleep(5)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        yield server.sockets[0].getsockname()[1]
+        server.close()
+
+    async def exchange(self, port):
+        pool = pools.Pool('127.0.0.1', port)
+        reading = progress.Progress()
+        started_s = asyncio.get_running_loop().time()
+        try:
+            reply = await http_client.exchange(
+                pool, b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 0.25, reading
+            )
+        except errors.AttemptTimeout:
+            reply = None
+        assert reading.first_s < reading.last_s
+        return reply, asyncio.get_running_loop().time() - started_s
+
+    async def test_it_is_awaited(self, slow_peer):
+        self.parts = 10
+        reply, took_s = await self.exchange(slow_peer)
+        assert len(reply.body) == 100
+        assert took_s > 0.9
+
+    async def test_it_is_given_up_once_nothing_comes(self, slow_peer):
+        self.parts = 4
+        reply, took_s = await self.exchange(slow_peer)
+        assert reply is None
+        assert 0.65 < took_s < 1.2
+
+    async def test_it_is_given_up_after_a_while(self, slow_peer, monkeypatch):
+        self.parts = 10
+        monkeypatch.setattr(http_client, 'MAX_EXTENSION_S', 0.2)
+        reply, took_s = await self.exchange(slow_peer)
+        assert reply is None
+        assert took_s < 0.8
+
+
 class TestHostPools:
     """Connections to dead hosts must not accumulate."""
 
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -9,6 +9,7 @@
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import replica
+from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
 from ragwortchute.platform import objects
@@ -16,7 +17,7 @@
 from tests.test_gateway import rig as rigs
 
 
-class RecordingFeed(store_follower.Feed):
+class RecordingFeed(store_feed.Feed):
     """Feed that keeps the values of the objects."""
 
     prefix = 'things/'
@@ -288,7 +289,13 @@
         raise NotImplementedError
 
     async def watch(
-        self, prefix, *, after_revision, timeout_s, may_be_stale=False
+        self,
+        prefix,
+        *,
+        after_revision,
+        timeout_s,
+        may_be_stale=False,
+        progress=None,
     ):
         asked_s = asyncio.get_running_loop().time()
         if self.failing:
@@ -304,6 +311,52 @@
         pass
 
 
+class SlowReplicaStore(ReplicaStore):
+    """Replica whose answers to a watch arrive in several parts."""
+
+    PARTS = 8
+    PART_S = 0.1
+
+    async def watch(self, prefix, *, after_revision, progress, **kwargs):
+        if after_revision:
+            for _ in range(self.PARTS):
+                await asyncio.sleep(self.PART_S)
+                progress.note_part()
+        return await super().watch(
+            prefix, after_revision=after_revision, progress=progress, **kwargs
+        )
+
+
+class TestArrivingAnswers:
+    """An answer that is arriving must not be given up for another source."""
+
+    @pytest.fixture
+    async def slow(self, rig):
+        slow = SlowReplicaStore()
+        obj = stores.StoredObject('a', 5, b'1')
+        slow.replica.replace((obj,), 5)
+        slow.replica.confirm(asyncio.get_running_loop().time())
+        rig.other = slow
+        rig.feed.max_age_s = 0.3
+        rig.follow()
+        await rig.until({'a': '1'})
+        changed = stores.StoredObject('a', 6, b'2')
+        slow.replica.apply(stores.WatchAnswer(6, (changed,)))
+        return slow
+
+    async def test_age_of_the_replica_does_not_end_it(self, rig, slow):
+        await rig.until({'a': '2'}, SlowReplicaStore.PARTS * 0.15)
+        assert rig.server.calls.total() == 0
+
+    async def test_news_of_another_host_does_not_end_it(self, rig, slow):
+        newer = ReplicaStore()
+        newer.failing = True
+        await asyncio.sleep(SlowReplicaStore.PART_S * 1.5)
+        rig.follower.on_newer_revision(6, store_follower.Source('h3', newer))
+        await rig.until({'a': '2'}, SlowReplicaStore.PARTS * 0.15)
+        assert 'behind' not in rig.log.kinds()
+
+
 class TestReplicaSources:
     """A replica that fails or is outdated must not delay its readers."""
 
