Count the age of a large answer from its first part

On a slow link a host took its configuration for confirmed later than it was.

Cause: an answer with changes was assumed to have been under way for 0.3 s at most. One of 450 KB takes 0.7 s at 5 Mbit/s, and the store had composed it before its first part arrived.

Change: the time of the first part counts.

--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -133,7 +133,7 @@
         reply = await self._send(
             'GET', path, extra_s=timeout_s, progress=progress
         )
-        elapsed_s = loop.time() - asked_s
+        elapsed_s = min(progress.first_s, loop.time()) - asked_s
         if reply.status == _GONE:
             raise errors.HistoryGone(
                 f'history starts after revision {after_revision}',
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -11,6 +11,7 @@
 from ragwortchute.platform import objects
 from ragwortchute.platform import settings
 from ragwortchute.platform import wire
+from standins import fault_proxy
 from standins import platform_store
 from tests.test_gateway import rig as rigs
 
@@ -413,6 +414,23 @@
             await client.put('k/n', b'1', expected_version=0)
         assert exc_info.value.maybe_applied
 
+    async def test_slow_answer_confirms_only_its_beginning(self, store):
+        server, _ = store
+        proxy = fault_proxy.FaultProxy(
+            '127.0.0.1', server.port, fault_proxy.Link(400_000)
+        )
+        await proxy.start()
+        client = objects.ObjectStore('127.0.0.1', proxy.port)
+        await server.put('k', 'n', 'x' * 400_000)
+        revision = server.revision - 1
+        answer = await client.watch(
+            'k/', after_revision=revision, timeout_s=5.0
+        )
+        await client.close()
+        proxy.stop()
+        # The store had composed it before its first part arrived.
+        assert answer.confirmed_after_s < 0.4
+
     async def test_object_written_after_removal_is_not_removed(self, store):
         server, client = store
         await client.put('k/n', b'1', expected_version=0)
