--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: all setup test lint format docs demo bench-path bench-policy \
-  bench-slopes bench-domain bench-overload fault-matrix fuzz soak
+  bench-slopes bench-domain bench-overload fault-matrix fuzz fuzz-parsers soak
 
 all: test
 
@@ -57,5 +57,9 @@
 fuzz: setup
 	$(PY) -m benchmarks.fuzz
 
+# A million inputs; those of CI are fewer and the same each time.
+fuzz-parsers: setup
+	HYPOTHESIS_PROFILE=fuzz $(PY) -m pytest tests/test_gateway/test_parsers.py
+
 docs: setup
 	$(VENV)/bin/sphinx-build -q -W -b html docs build/docs
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared test configuration: Hypothesis profile and known failures."""
 
+import os
 import pathlib
 
 import hypothesis
@@ -10,7 +11,11 @@
 hypothesis.settings.register_profile(
     'ci', derandomize=True, deadline=None, print_blob=True
 )
-hypothesis.settings.load_profile('ci')
+# A long run by hand: other examples each time.
+hypothesis.settings.register_profile(
+    'fuzz', max_examples=250_000, deadline=None, print_blob=True
+)
+hypothesis.settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
 def known_red() -> list[str]:
