--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -354,8 +354,9 @@
     ) -> _ProbeResult | None:
         """Returns the result of a probe; None if the target is no candidate.
 
-        A target is no candidate if its probe failed, it is unhealthy or cold,
-        or has just said that it takes no request of this host now.
+        A target is no candidate if its probe failed, it is unhealthy, it is
+        cold and this host may not send to it now, or it has said in the answer
+        that it takes no request of this host.
         """
         now_s = self._loop.time()
         try:
--- a/ragwortchute/gateway/send_limits.py
+++ b/ragwortchute/gateway/send_limits.py
@@ -86,9 +86,10 @@
             target: The target.
             now_s: Loop time in seconds.
         """
-        return (
-            not self._statements.is_leaving(target.key)
-            and self._stated_wait(target, now_s).wait_s <= 0
+        return not (
+            self._statements.is_leaving(target.key)
+            or self._pauses.wait_s(target.key, now_s) > 0
+            or self._limit_wait_s(target, now_s) > 0
         )
 
     def shortest_wait(
