--- a/benchmarks/soak/configurations.py
+++ b/benchmarks/soak/configurations.py
@@ -2,7 +2,7 @@
 
 A host that reaches the store has to answer by a version of the configuration
 two seconds after the store has accepted it, also while the hosts that it reads
-copies from are stopped, paused or cut off from the store. The judge sees when
+copies from are stopped, paused or cut off from the store. The checker sees when
 a version was accepted and what a host answers to a request.
 """
 
@@ -24,7 +24,7 @@
 
 
 class Route(msgspec.Struct):
-    """A route of the judge.
+    """A route of this checker.
 
     Attributes:
         prefix: Its path without slashes.
@@ -38,7 +38,7 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """An answer of a host to a request on a route of the judge.
+    """An answer of a host to a request on a route of this checker.
 
     Attributes:
         host: Name of the host.
@@ -55,7 +55,7 @@
     status: int
 
 
-class Judge:
+class ConfigurationChecker:
     """Checks that hosts in touch with the store answer by the newest version.
 
     Args:
@@ -65,7 +65,7 @@
 
     Attributes:
         routes: Routes of all versions, the oldest first.
-        answers: Answers to the requests of the judge.
+        answers: Answers to the requests of this checker.
     """
 
     def __init__(
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -83,9 +83,11 @@
         self.fault_times_s: list[float] = []
         self.late_s = 0.0
         self.fault_log: list[str] = []
-        self.judge = statements.Judge(seed, self.hosts, self.targets)
+        self.statement_checker = statements.StatementChecker(
+            seed, self.hosts, self.targets
+        )
         self.store_disruptions = disruptions.Disruptions()
-        self.cfg_judge = configurations.Judge(
+        self.cfg_checker = configurations.ConfigurationChecker(
             seed, self.hosts, self.store_disruptions
         )
         self._ids = 0
@@ -100,8 +102,8 @@
         finally:
             await self.stop()
         self._check_runs()
-        self.violations += self.judge.check()
-        self.violations += self.cfg_judge.check()
+        self.violations += self.statement_checker.check()
+        self.violations += self.cfg_checker.check()
         return self.violations
 
     async def _play(self, seconds: float) -> None:
@@ -111,10 +113,10 @@
             for number in range(CALLERS)
         ]
         timer = asyncio.create_task(self._measure_delay())
-        judges = [
-            asyncio.create_task(self.judge.run()),
-            asyncio.create_task(self.cfg_judge.change(self.configure)),
-            asyncio.create_task(self.cfg_judge.send(self.call)),
+        checks = [
+            asyncio.create_task(self.statement_checker.run()),
+            asyncio.create_task(self.cfg_checker.change(self.configure)),
+            asyncio.create_task(self.cfg_checker.send(self.call)),
         ]
         try:
             end_s = self.loop.time() + seconds
@@ -125,11 +127,11 @@
                 task.add_done_callback(faults.discard)
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
             await asyncio.gather(*faults)
-            await _cancel(judges)
+            await _cancel(checks)
             await self._recover()
         finally:
             self._calling = False
-            await _cancel(judges)
+            await _cancel(checks)
             await asyncio.gather(*callers)
             timer.cancel()
 
@@ -169,7 +171,7 @@
         """
         self._version += rng.randint(1, 3)
         routes = []
-        prefixes = self.cfg_judge.prefixes(self._version)
+        prefixes = self.cfg_checker.prefixes(self._version)
         for name in (READ, WRITE, *prefixes):
             routes.append(
                 {
@@ -198,7 +200,7 @@
             'limits': {'idle_timeout_s': 10},
         }
         await self.store.put('config', 'main', spec)
-        self.cfg_judge.note_accepted(prefixes)
+        self.cfg_checker.note_accepted(prefixes)
 
     async def _measure_delay(self) -> None:
         """Measures how late this process runs its tasks.
@@ -234,7 +236,7 @@
         request_id = f'q{self._ids}'
         path = f'/{prefix}/{request_id}'
         started_s = self.loop.time()
-        self.judge.sent[request_id] = statements.SentRequest(
+        self.statement_checker.sent[request_id] = statements.SentRequest(
             host.name, started_s
         )
         try:
@@ -268,7 +270,7 @@
         self, reader: asyncio.StreamReader, host: hosts_.Host, request_id: str
     ) -> int:
         head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
-        self.judge.note_answer(host.name, head)
+        self.statement_checker.note_answer(host.name, head)
         status = int(head.split(' ')[1])
         length = int(head.partition('content-length: ')[2].split('\r')[0])
         body = await reader.readexactly(length)
--- a/benchmarks/soak/statements.py
+++ b/benchmarks/soak/statements.py
@@ -1,6 +1,6 @@
 """Targets of the soak that leave, name limits and ask for pauses.
 
-The judge sees what callers and targets see: which host a request was sent to,
+The checker sees what callers and targets see: which host a request was sent to,
 what the answers that the host passed on said, and what arrived at the targets.
 """
 
@@ -59,7 +59,7 @@
     faults_s: list[float]
 
 
-class Judge:
+class StatementChecker:
     """Makes targets state things and checks that hosts comply.
 
     Args:
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -74,85 +74,87 @@
 class TestStatements:
     """The checks of what targets state must be able to fail."""
 
-    def judge(self, *sent_s):
-        """Returns a judge with requests of one host, and their target."""
+    def make_checker(self, *sent_s):
+        """Returns a checker with requests of one host, and their target."""
         target = platform_targets.TargetServer('t')
         host = hosts.Host('h', 0, 'a-1', '.')
-        judge = statements.Judge(1, [host], [target])
+        checker = statements.StatementChecker(1, [host], [target])
         for number, at_s in enumerate(sent_s):
-            judge.sent[f'q{number}'] = statements.SentRequest('h', at_s)
+            checker.sent[f'q{number}'] = statements.SentRequest('h', at_s)
             target.arrivals.append((at_s + 0.01, f'/r/q{number}'))
-        return judge, host, target
+        return checker, host, target
 
     @pytest.mark.parametrize(
         ('sent_s', 'fault_s', 'found'),
         [(102.1, None, 1), (101.9, None, 0), (102.1, 101.0, 0)],
     )
     async def test_request_to_a_leaving_target(self, sent_s, fault_s, found):
-        judge, host, _ = self.judge(sent_s)
-        judge._told_leaving_s['h', 't'] = 100.0
+        checker, host, _ = self.make_checker(sent_s)
+        checker._told_leaving_s['h', 't'] = 100.0
         if fault_s is not None:
             host.faults_s.append(fault_s)
-        assert len(judge.check()) == found
+        assert len(checker.check()) == found
 
     @pytest.mark.parametrize(('requests', 'found'), [(3, 1), (2, 0)])
     async def test_requests_in_a_pause(self, requests, found):
-        judge, _, target = self.judge(*[101.0] * requests, 100.0)
+        checker, _, target = self.make_checker(*[101.0] * requests, 100.0)
         turned_away = platform_targets.TurnedAway(100.0, f'/r/q{requests}', 3.0)
         target.pauses.append(turned_away)
-        assert len(judge.check()) == found
+        assert len(checker.check()) == found
 
     @pytest.mark.parametrize(('requests', 'found'), [(24, 1), (23, 0)])
     async def test_requests_beyond_a_limit(self, requests, found):
-        judge, _, target = self.judge(*[104.0] * requests)
-        judge._told_limit_s['h', 't'] = 100.0
+        checker, _, target = self.make_checker(*[104.0] * requests)
+        checker._told_limit_s['h', 't'] = 100.0
         limit = statements.NamedLimit(target, 3.0, 100.0)
-        judge._limits.append(limit)
-        assert len(judge.check()) == found
+        checker._limits.append(limit)
+        assert len(checker.check()) == found
 
 
 class TestConfigurations:
     """The check of the configuration in force must be able to fail."""
 
-    def judge(self, status, sent_s, removed_s=float('inf')):
-        """Returns a judge with an answer on a route added at 100 s."""
+    def make_checker(self, status, sent_s, removed_s=float('inf')):
+        """Returns a checker with an answer on a route added at 100 s."""
         host = hosts.Host('h', 0, 'a-1', '.')
-        judge = configurations.Judge(1, [host], disruptions.Disruptions())
+        checker = configurations.ConfigurationChecker(
+            1, [host], disruptions.Disruptions()
+        )
         route = configurations.Route('v2', 100.0, removed_s)
-        judge.routes.append(route)
-        judge.answers.append(
+        checker.routes.append(route)
+        checker.answers.append(
             configurations.Answer('h', route, sent_s, sent_s + 0.1, status)
         )
-        return judge, host
+        return checker, host
 
     @pytest.mark.parametrize(('sent_s', 'found'), [(102.1, 1), (101.9, 0)])
     async def test_added_route_that_is_refused(self, sent_s, found):
-        judge, _ = self.judge(404, sent_s)
-        assert len(judge.check()) == found
+        checker, _ = self.make_checker(404, sent_s)
+        assert len(checker.check()) == found
 
     @pytest.mark.parametrize(('sent_s', 'found'), [(112.1, 1), (111.9, 0)])
     async def test_removed_route_that_is_served(self, sent_s, found):
-        judge, _ = self.judge(200, sent_s, 110.0)
-        assert len(judge.check()) == found
+        checker, _ = self.make_checker(200, sent_s, 110.0)
+        assert len(checker.check()) == found
 
     async def test_refusal_after_the_removal_is_right(self):
-        judge, _ = self.judge(404, 109.95, 110.0)
-        assert not judge.check()
+        checker, _ = self.make_checker(404, 109.95, 110.0)
+        assert not checker.check()
 
     async def test_disturbed_host_is_excused(self):
-        judge, host = self.judge(404, 103.0)
+        checker, host = self.make_checker(404, 103.0)
         host.disruptions.note(100.5, 101.0)
-        assert not judge.check()
+        assert not checker.check()
 
     async def test_host_is_not_excused_for_others(self):
-        judge, _ = self.judge(404, 103.0)
+        checker, _ = self.make_checker(404, 103.0)
         hosts.Host('other', 1, 'a-1', '.').disruptions.note(100.5, 103.0)
-        assert len(judge.check()) == 1
+        assert len(checker.check()) == 1
 
     async def test_versions_keep_the_newest_routes(self):
-        judge, _ = self.judge(200, 100.0)
+        checker, _ = self.make_checker(200, 100.0)
         for version in (3, 4):
-            judge.note_accepted(judge.prefixes(version))
-        assert [route.prefix for route in judge.routes] == ['v2', 'v3', 'v4']
-        assert judge.routes[0].removed_s < float('inf')
-        assert judge.prefixes(5) == ['v4', 'v5']
+            checker.note_accepted(checker.prefixes(version))
+        assert [route.prefix for route in checker.routes] == ['v2', 'v3', 'v4']
+        assert checker.routes[0].removed_s < float('inf')
+        assert checker.prefixes(5) == ['v4', 'v5']
--- a/tests/test_system/test_target_statements.py
+++ b/tests/test_system/test_target_statements.py
@@ -51,16 +51,16 @@
             await run.stop()
 
     async def test_one_target_each(self, load):
-        judge = load.run.judge
+        checker = load.run.statement_checker
         limited, leaving, paused = load.run.targets[:3]
-        limit = judge.name_limit(limited, 3.0)
+        limit = checker.name_limit(limited, 3.0)
         leaving.leaving = True
         paused.fault = 'shed'
         paused.retry_after = '4'
         window_s = 2 * statements.LIMIT_WINDOW_S
         await load.send(statements.CONTACT_S + window_s)
         assert leaving.arrivals and paused.pauses
-        assert not judge.check()
+        assert not checker.check()
         used = [
             arrived_s
             for arrived_s, _ in limited.arrivals
@@ -75,7 +75,7 @@
             target.retry_after = '2'
         await load.send(4.0)
         assert all(target.pauses for target in load.run.targets)
-        assert not load.run.judge.check()
+        assert not load.run.statement_checker.check()
         for target in load.run.targets:
             target.fault = ''
         await load.send(5.0)
@@ -87,5 +87,5 @@
         for target in load.run.targets:
             target.leaving = True
         await load.send(5.0)
-        assert not load.run.judge.check()
+        assert not load.run.statement_checker.check()
         assert set(load.statuses[-REQUESTS_PER_S:]) == {503}
