--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -5,6 +5,7 @@
 import pytest
 
 from standins import platform_targets
+from tests import steady_load
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
 
@@ -44,11 +45,7 @@
         self.statuses = []
 
     async def run(self, seconds):
-        tasks = []
-        for _ in range(int(seconds * REQUESTS_PER_S)):
-            tasks.append(asyncio.create_task(self._request()))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        await asyncio.gather(*tasks)
+        await steady_load.send(self._request, REQUESTS_PER_S, seconds)
 
     async def _request(self):
         self.count += 1
--- a/tests/test_system/test_target_statements.py
+++ b/tests/test_system/test_target_statements.py
@@ -1,11 +1,10 @@
 """What targets say binds nine host processes under load."""
 
-import asyncio
-
 import pytest
 
 from benchmarks.soak import run as runs
 from benchmarks.soak import statements
+from tests import steady_load
 
 HOSTS_PER_DOMAIN = 3
 REQUESTS_PER_S = 160
@@ -22,11 +21,7 @@
         self.statuses = []
 
     async def send(self, seconds):
-        tasks = []
-        for _ in range(int(seconds * REQUESTS_PER_S)):
-            tasks.append(asyncio.create_task(self._call()))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        await asyncio.gather(*tasks)
+        await steady_load.send(self._call, REQUESTS_PER_S, seconds)
 
     async def _call(self):
         self.count += 1
