--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -71,8 +71,8 @@
         slowness: Multiplier of the processing time, reported to callers.
         fault: Simulated fault: empty, `shed`, `error`, `hang`, `reset`,
             `truncate`, `garbage`, `extra`, `late`, `unframed`, `encoded`,
-            `no-id` or `lose`. Both `reset` and `lose` run the request and
-            reset the connection instead of answering.
+            `no-id` or `lose`. `reset` resets the connection instead of running
+            the request, `lose` instead of answering it.
         healthy: Result of the health check.
         states_in_health: Whether health answers have the statements, too.
         rejects_probes: Whether health requests are turned away like others
@@ -209,6 +209,9 @@
                 self._record_pause(now_s, path)
             self._write(writer, 503, id_headers, b'')
             return True
+        if self.fault == 'reset':
+            writer.transport.abort()
+            return False
         run = Run(
             headers.get('x-request-id', ''),
             path,
@@ -254,10 +257,10 @@
             await fut
         self._running += 1
         self.runs.append(run)
-        if run.path == self.crash_path:
-            await self.stop()
-            return False
         try:
+            if run.path == self.crash_path:
+                await self.stop()
+                return False
             disconnected = asyncio.create_task(reader.read(1))
             work_s = self.work_s * self.slowness
             if self.fault == 'hang':
@@ -286,7 +289,7 @@
         """Writes the response; returns whether the connection stays open."""
         headers = {**id_headers, 'x-server-stamp': f'stamp.{self.name}'}
         text = b'answer of ' + self.name.encode() + b' ' + body
-        if self.fault in ('reset', 'lose'):
+        if self.fault == 'lose':
             writer.transport.abort()
             return False
         if self.fault == 'error':
