--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -39,12 +39,12 @@
 from ragwortchute import config
 from ragwortchute import documents
 from ragwortchute import records
+from ragwortchute import scraping
 from ragwortchute import serving
 from ragwortchute import slots
 from ragwortchute.callers import application
 from ragwortchute.dispatch import dispatcher
 from ragwortchute.documents import matching
-from ragwortchute.operators import metrics
 from ragwortchute.stores import memory
 from ragwortchute.upstream import http
 
@@ -471,7 +471,7 @@
                 return
             used = resource.getrusage(resource.RUSAGE_SELF)
             cpu_s = used.ru_utime + used.ru_stime
-            pipe.send(Usage(cpu_s, metrics.resident_bytes()))
+            pipe.send(Usage(cpu_s, scraping.resident_bytes()))
 
         port = await start_server(ports)
         serving.freeze_startup_objects()
