--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -314,6 +314,8 @@
         for cell in make_cells(seed, FAULT_PAIRS)
         if only in f'{" + ".join(cell.faults)} / {cell.step}'
     ]
+    if not selected:
+        raise click.UsageError(f'no cell has {only!r} in its name')
     workers = min(workers, len(selected))
     click.echo(f'{len(selected)} cells, seed {seed}')
     context = multiprocessing.get_context('spawn')
