--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -98,6 +98,15 @@
     not_warm: list[float] = msgspec.field(default_factory=list)
 
 
+def order_of_round(number: int) -> tuple[Variant, ...]:
+    """Returns the variants in the order of a round, another one each time.
+
+    Load from other processes is thereby spread over them.
+    """
+    offset = number % len(VARIANTS)
+    return VARIANTS[offset:] + VARIANTS[:offset]
+
+
 def capacity_per_s(targets: int) -> float:
     """Returns the answers per second when all slots are always busy."""
     speed = (1 - SLOW_SHARE) + SLOW_SHARE / SLOW_FACTOR
@@ -369,10 +378,7 @@
         cpu_before_s = time.process_time()
         started_s = time.monotonic()
         for number in range(rounds):
-            # The order of the policies changes between rounds, so that load
-            # from other processes is spread over them.
-            offset = number * (len(VARIANTS) // 2)
-            for variant in VARIANTS[offset:] + VARIANTS[:offset]:
+            for variant in order_of_round(number):
                 await _apply_policy(deployment, variant, targets)
                 deployment.targets.log.runs.clear()
                 await _measure(
