--- a/standins/targets.py
+++ b/standins/targets.py
@@ -363,7 +363,15 @@
             return
         if action == 'cold':
             self.turn_cold()
-        for name, value in urllib.parse.parse_qsl(url.query):
+        settings = urllib.parse.parse_qsl(url.query)
+        unknown = [
+            name for name, _ in settings if not hasattr(self.behaviour, name)
+        ]
+        if unknown:
+            error = json.dumps({'error': f'unknown: {", ".join(unknown)}'})
+            conn.respond(400, [], error.encode())
+            return
+        for name, value in settings:
             field_type = type(getattr(self.behaviour, name))
             parsed = value == '1' if field_type is bool else field_type(value)
             setattr(self.behaviour, name, parsed)
--- a/tests/test_standins/test_targets.py
+++ b/tests/test_standins/test_targets.py
@@ -74,3 +74,18 @@
         target.behaviour.truncate = True
         with pytest.raises(aiohttp.ClientPayloadError):
             await post(target)
+
+
+class TestControl:
+    """A misspelt setting must not look as if it were set."""
+
+    async def test_unknown_setting_is_refused(self, target_set):
+        target = await target_set.add('t0', 4)
+        url = f'http://{target.address}/_standin/set?drain=1&slow_factor=4'
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url, timeout=aiohttp.ClientTimeout(2.0)) as resp,
+        ):
+            assert resp.status == 400
+            assert 'drain' in await resp.text()
+        assert target.behaviour.slow_factor == 1.0
