--- a/tests/test_gateway/test_http_client.py
+++ b/tests/test_gateway/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of client connections and their pools."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -175,19 +176,23 @@
 
     @pytest.fixture
     async def slow_peer(self):
+        handlers = []
+
         async def serve(reader, writer):
+            handlers.append(asyncio.current_task())
             await reader.readuntil(b'\r\n\r\n')
             writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n')
             for _ in range(self.parts):
                 await asyncio.sleep(0.1)
                 writer.write(b'x' * 10)
-            if self.parts < 10:
-                await asyncio.sleep(5)
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
             writer.close()
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         yield server.sockets[0].getsockname()[1]
         server.close()
+        await asyncio.gather(*handlers)
 
     async def exchange(self, port):
         pool = pools.Pool('127.0.0.1', port)
@@ -199,6 +204,7 @@
             )
         except errors.AttemptTimeout:
             reply = None
+        pool.close()
         assert reading.first_s < reading.last_s
         return reply, asyncio.get_running_loop().time() - started_s
 
