--- a/tests/test_gateway/test_large_configurations.py
+++ b/tests/test_gateway/test_large_configurations.py
@@ -1,7 +1,6 @@
 """Large configurations on the slow links of small hosts."""
 
 import asyncio
-import os
 import random
 
 import msgspec
@@ -53,27 +52,21 @@
         host._host_pools = ProxiedPools(self.proxies)
         return host
 
-    async def add(self, name, domain):
-        self.proxies[name] = proxy = fault_proxy.FaultProxy(
-            f'127.2.{os.getpid() % 250}.{self.addresses + 1}',
-            0,
-            fault_proxy.Link(self.bytes_per_s),
-        )
-        await proxy.start()
-        return await super().add(name, domain)
-
     async def run(self, host):
         me = host.membership.me
-        self.proxies[me.name]._upstream_ip = me.ip
-        self.proxies[me.name]._upstream_port = me.peer_port
-        store_proxy = fault_proxy.FaultProxy(
-            '127.0.0.1', self.server.port, fault_proxy.Link(self.bytes_per_s)
-        )
-        await store_proxy.start()
+        self.proxies[me.name] = await self.proxy(me.ip, me.peer_port)
+        store_proxy = await self.proxy('127.0.0.1', self.server.port)
         self.store_proxies.append(store_proxy)
         host._store = objects.ObjectStore('127.0.0.1', store_proxy.port)
         await super().run(host)
 
+    async def proxy(self, ip, port):
+        """Returns a proxy whose clients have a slow link."""
+        link = fault_proxy.Link(self.bytes_per_s)
+        proxy = fault_proxy.FaultProxy(ip, port, link)
+        await proxy.start()
+        return proxy
+
     def start_clients(self, reader):
         proxy = self.proxies[reader.membership.me.name]
         for number in range(CLIENTS):
