Let a soak run end while one of its calls connects

Cause: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, if the awaited task has just ended.

Change: timeouts of calls are asyncio.timeout blocks, which keep it.

test_call_that_is_cancelled_as_it_connects_ends failed before. Not a fault of a host; no other wait_for in benchmarks, stand-ins and gateway.

--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -27,6 +27,7 @@
 # Paths of the routes of callers, without slashes.
 READ = 'r'
 WRITE = 'w'
+_CONNECT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 3.0
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -240,9 +241,10 @@
             host.name, started_s
         )
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(host.ip, host.port), 1.0
-            )
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    host.ip, host.port
+                )
         except (OSError, TimeoutError):
             return 0
         body = request_id.encode()
@@ -253,9 +255,8 @@
             + body
         )
         try:
-            status = await asyncio.wait_for(
-                self._read_response(reader, host, request_id), _READ_TIMEOUT_S
-            )
+            async with asyncio.timeout(_READ_TIMEOUT_S):
+                status = await self._read_response(reader, host, request_id)
         except (OSError, EOFError, TimeoutError) as exc:
             self._check_cut_off(host, request_id, started_s, exc)
             return 0
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import pytest
 
@@ -71,6 +72,31 @@
         assert run.late_s > 0.2
 
 
+class TestCalls:
+    """A run must end, whatever its callers are doing at that moment."""
+
+    async def test_call_that_is_cancelled_as_it_connects_ends(
+        self, tmp_path, monkeypatch
+    ):
+        run = runs.Soak(1, str(tmp_path), [])
+        connected = asyncio.get_running_loop().create_future()
+        reader = asyncio.StreamReader()
+
+        async def open_connection(ip, port):
+            await connected
+            return reader, mock.Mock()
+
+        monkeypatch.setattr(asyncio, 'open_connection', open_connection)
+        task = asyncio.create_task(run.call(run.hosts[0], runs.READ))
+        await asyncio.sleep(0.01)
+        connected.set_result(None)
+        await asyncio.sleep(0)
+        task.cancel()
+        reader.feed_data(b'HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n')
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+
 class TestStatements:
     """The checks of what targets state must be able to fail."""
 
