--- /dev/null
+++ b/tests/test_gateway/test_replica_sources.py
@@ -0,0 +1,217 @@
+"""Tests of hosts that read replicas of other hosts."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.gateway import replica
+from ragwortchute.gateway import store_follower
+from tests.test_gateway import test_store_follower
+
+
+@pytest.fixture
+async def rig():
+    rig = test_store_follower.Rig()
+    await rig.start()
+    yield rig
+    await rig.stop()
+
+
+class ReplicaStore(stores.Store):
+    """Client of another host's replica, without a network."""
+
+    def __init__(self):
+        self.replica = replica.Replica()
+        self.failing = False
+
+    async def get(self, name):
+        raise NotImplementedError
+
+    async def list(self, prefix):
+        raise NotImplementedError
+
+    async def put(self, name, value, *, expected_version):
+        raise NotImplementedError
+
+    async def watch(
+        self,
+        prefix,
+        *,
+        after_revision,
+        timeout_s,
+        may_be_stale=False,
+        progress=None,
+    ):
+        asked_s = asyncio.get_running_loop().time()
+        if self.failing:
+            raise errors.StoreUnavailable('down')
+        if after_revision:
+            await self.replica.wait(after_revision, min(timeout_s, 0.2))
+        return msgspec.structs.replace(
+            self.replica.read(after_revision),
+            confirmed_after_s=self.replica.confirmed_s - asked_s,
+        )
+
+    async def close(self):
+        pass
+
+
+class SlowReplicaStore(ReplicaStore):
+    """Replica whose answers to a watch arrive in several parts."""
+
+    PARTS = 8
+    PART_S = 0.1
+
+    async def watch(self, prefix, *, after_revision, progress, **kwargs):
+        if after_revision:
+            for _ in range(self.PARTS):
+                await asyncio.sleep(self.PART_S)
+                progress.note_part()
+        return await super().watch(
+            prefix, after_revision=after_revision, progress=progress, **kwargs
+        )
+
+
+class TestArrivingAnswers:
+    """An answer that is arriving must not be given up for another source."""
+
+    @pytest.fixture
+    async def slow(self, rig):
+        slow = SlowReplicaStore()
+        obj = stores.StoredObject('a', 5, b'1')
+        slow.replica.replace((obj,), 5)
+        slow.replica.confirm(asyncio.get_running_loop().time())
+        rig.other = slow
+        rig.feed.max_age_s = 0.3
+        rig.follow()
+        await rig.until({'a': '1'})
+        changed = stores.StoredObject('a', 6, b'2')
+        slow.replica.apply(stores.WatchAnswer(6, (changed,)))
+        return slow
+
+    async def test_age_of_the_replica_does_not_end_it(self, rig, slow):
+        await rig.until({'a': '2'}, SlowReplicaStore.PARTS * 0.15)
+        assert rig.server.calls.total() == 0
+
+    async def test_news_of_another_host_does_not_end_it(self, rig, slow):
+        newer = ReplicaStore()
+        newer.failing = True
+        await asyncio.sleep(SlowReplicaStore.PART_S * 1.5)
+        rig.follower.on_newer_revision(6, store_follower.Source('h3', newer))
+        await rig.until({'a': '2'}, SlowReplicaStore.PARTS * 0.15)
+        assert 'behind' not in rig.log.kinds()
+
+
+class TestReplicaSources:
+    """A replica that fails or is outdated must not delay its readers."""
+
+    async def test_replica_is_read_instead_of_the_store(self, rig):
+        rig.other = ReplicaStore()
+        obj = stores.StoredObject('a', 5, b'1')
+        rig.other.replica.replace((obj,), 5)
+        rig.follow()
+        await rig.until({'a': '1'})
+        changed = stores.StoredObject('a', 6, b'2')
+        rig.other.replica.apply(stores.WatchAnswer(6, (changed,)))
+        await rig.until({'a': '2'})
+        assert rig.server.calls.total() == 0
+
+    async def test_new_reader_does_not_wait_long_for_a_silent_store(self, rig):
+        # The reader of a failure domain stops while the store is silent, and
+        # this host takes its place. A watch of 4 s would still be pending when
+        # the store is back (kplma-gate, trouble-3, seed 1053968240604).
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((), rig.server.revision)
+        rig.follow()
+        await asyncio.sleep(0.1)
+        rig.server.mode = 'silent'
+        rig.other = None
+        await asyncio.sleep(1.0)
+        rig.server.mode = 'up'
+        await rig.server.put('things', 'a', 1)
+        await rig.until({'a': '1'}, 2.5)
+
+    async def test_failing_replica_leads_to_the_store(self, rig):
+        await rig.server.put('things', 'a', 1)
+        rig.other = ReplicaStore()
+        rig.other.failing = True
+        rig.follow()
+        await rig.until({'a': '1'})
+
+    async def test_replica_with_the_newer_revision_is_read(self, rig):
+        # The store is unresponsive, and the first replica has missed the
+        # change as well. Trying the sources in order took 3 s.
+        old = stores.StoredObject('a', 1, b'1')
+        new = stores.StoredObject('a', 9, b'2')
+        rig.other, third = ReplicaStore(), ReplicaStore()
+        rig.other.replica.replace((old,), 1)
+        third.replica.replace((new,), 9)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.mode = 'silent'
+        rig.follower.on_newer_revision(9, store_follower.Source('h3', third))
+        await rig.until({'a': '2'}, 1.0)
+
+    async def test_outdated_replica_is_abandoned(self, rig):
+        # The host that reads the store has lost the connection to it.
+        rig.other = ReplicaStore()
+        obj = stores.StoredObject('a', 1, b'1')
+        rig.other.replica.replace((obj,), 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        revision = await rig.server.put('things', 'a', 2)
+        rig.follower.on_newer_revision(revision, rig.store_source())
+        await rig.until({'a': '2'}, 1.5)
+
+
+class TestAge:
+    """A replica that nobody confirms must not be relied on for long."""
+
+    async def test_source_that_confirms_nothing_leads_to_the_store(self, rig):
+        rig.feed.max_age_s = 0.5
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.other.replica.confirm(asyncio.get_running_loop().time())
+        rig.follow()
+        await rig.until({'a': '1'})
+        await rig.server.put('things', 'a', 2)
+        await rig.until({'a': '2'}, 0.6)
+
+    async def test_confirmed_replica_causes_no_call(self, rig):
+        rig.feed.max_age_s = 0.5
+        loop = asyncio.get_running_loop()
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.follow()
+        for _ in range(15):
+            rig.other.replica.confirm(loop.time())
+            await asyncio.sleep(0.1)
+        assert rig.server.calls.total() == 0
+
+    async def test_confirmation_of_the_source_counts_as_it_is(self, rig):
+        # A reader of a reader must not count the age from its own read.
+        confirmed_s = asyncio.get_running_loop().time() - 5.0
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.other.replica.confirm(confirmed_s)
+        rig.follow()
+        await rig.until({'a': '1'})
+        confirmed_by_follower_s = rig.follower.replica.confirmed_s
+        assert confirmed_by_follower_s == pytest.approx(confirmed_s)
+
+    async def test_silent_store_is_left_for_a_confirmed_replica(self, rig):
+        rig.feed.max_age_s = 0.5
+        rig.feed.watch_timeout_s = 0.3
+        await rig.server.put('things', 'a', 1)
+        rig.follow()
+        await rig.until({'a': '1'})
+        rig.server.mode = 'silent'
+        await asyncio.sleep(0.4)
+        rig.other = ReplicaStore()
+        newer = stores.StoredObject('a', 9, b'2')
+        rig.other.replica.replace((newer,), 9)
+        rig.other.replica.confirm(asyncio.get_running_loop().time())
+        await rig.until({'a': '2'}, 1.5)
