Read the replica again after one call to the store

Cause: a host whose replica was not confirmed in time took its source for failed, and read the store alone for 2 s, with three calls.

Change: the check is one call, and the replica is read again after it. Only if the store fails too, another replica is read instead.

test_check_of_the_store_is_one_call failed before.

--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -89,6 +89,8 @@
         self._needs_full_read = True
         self._last_failure_s: dict[str, float] = {}
         self._source_name = ''
+        # Replica in whose place the store is read, empty if there is none.
+        self._outdated_source = ''
         # Name of the source that has answered last.
         self._answered_by = ''
         self._preferred_source: Source | None = None
@@ -180,10 +182,13 @@
                 age_s=round(now_s - confirmed_s, 2),
                 source=self._source_name or 'store',
             )
-            self._last_failure_s[self._source_name] = now_s
             if self._source_name:
+                # One call. The replica is read again after it, unless it fails:
+                # its host may recover soon, and there may be hundreds of hosts.
+                self._outdated_source = self._source_name
                 self._read_next(self._store_source())
             else:
+                self._last_failure_s[self._source_name] = now_s
                 self._wake.set()
 
     def _is_arriving(self, now_s: float) -> bool:
@@ -255,7 +260,11 @@
         return next(source for source in self._sources() if not source.name)
 
     def _record_failure(self, source: Source, exc: errors.StoreError) -> None:
-        self._last_failure_s[source.name] = self._loop.time()
+        now_s = self._loop.time()
+        self._last_failure_s[source.name] = now_s
+        if self._outdated_source:
+            self._last_failure_s[self._outdated_source] = now_s
+            self._outdated_source = ''
         if source.name:
             self._log.event(
                 'source-failed',
@@ -457,6 +466,7 @@
         self, source: Source, answer: stores.WatchAnswer
     ) -> None:
         self._answered_by = source.name
+        self._outdated_source = ''
         if source.name:
             return
         self._health.record_success()
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -191,6 +191,36 @@
             await asyncio.sleep(0.1)
         assert rig.server.calls.total() == 0
 
+    async def test_check_of_the_store_is_one_call(self, rig):
+        # Hundreds of hosts may read a replica that was not confirmed in time.
+        rig.feed.max_age_s = 0.5
+        rig.feed.watch_timeout_s = 0.3
+        loop = asyncio.get_running_loop()
+        rig.other = ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.other.replica.confirm(loop.time())
+        rig.follow()
+        await asyncio.sleep(0.7)
+        for _ in range(15):
+            rig.other.replica.confirm(loop.time())
+            await asyncio.sleep(0.1)
+        assert rig.server.calls.total() == 1
+
+    async def test_other_replica_is_read_if_the_check_fails(self, rig):
+        rig.feed.max_age_s = 0.5
+        rig.other, third = ReplicaStore(), ReplicaStore()
+        rig.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.other.replica.confirm(asyncio.get_running_loop().time())
+        third.replica.replace((stores.StoredObject('a', 9, b'2'),), 9)
+        sources = rig.sources
+        rig.sources = lambda: [
+            *sources(),
+            store_follower.Source('h3', third),
+        ]
+        rig.server.mode = 'busy'
+        rig.follow()
+        await rig.until({'a': '2'}, 2.0)
+
     async def test_confirmation_of_the_source_counts_as_it_is(self, rig):
         # A reader of a reader must not count the age from its own read.
         confirmed_s = asyncio.get_running_loop().time() - 5.0
