--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,82 @@
+"""Requests that have run are answered 503, which says that they have not.
+
+Some upstreams fail part of their requests while their health check is good.
+They answer such a request 503, without the header that says that it did not
+run.
+"""
+
+import asyncio
+import pathlib
+
+from review.standins import client
+from review.standins import deployment as deployments
+
+REQUESTS = 400
+INTERVAL_S = 0.02
+DEADLINE_S = 2.5
+# Two of sixteen upstreams fail this share of their requests.
+GREY = ('i-dispatch-luzon-makati-1', 'i-dispatch-visayas-cebu-1')
+FAIL_SHARE = 0.45
+PROMISES = (408, 421, 429, 503)
+
+
+async def case(deployment: deployments.Deployment) -> bool:
+    """Returns whether no request has run whose answer denies that."""
+    await deployment.start(
+        dict.fromkeys(deployments.ZONES, 1), deployments.small_fleet()
+    )
+    if deployments.trouble():
+        for name in GREY:
+            deployment.upstreams[name].fail_status = 503
+            deployment.upstreams[name].fail_share = FAIL_SHARE
+            deployment.note(f'{name} fails {FAIL_SHARE:g} of its requests')
+    attempts = await _send(deployment)
+    runs = {
+        run.request_id: (upstream.name, run)
+        for upstream in deployment.upstreams.values()
+        for run in upstream.runs
+    }
+    deployment.write_attempts(attempts)
+    broken = 0
+    for attempt in attempts:
+        known = runs.get(attempt.request_id)
+        if known is None or attempt.status not in PROMISES:
+            continue
+        broken += 1
+        name, run = known
+        deployment.note(
+            f'{attempt.request_id} was answered {attempt.status}, but {name} '
+            f'ran it at {run.at_s - deployment.started_s:.3f} s'
+        )
+    served = sum(attempt.status == 200 for attempt in attempts)
+    deployment.note(
+        f'{len(attempts)} bookings, {served} served, {broken} answered '
+        'as not run although they ran'
+    )
+    if served < REQUESTS / 2:
+        raise deployments.CaseError('too few were served')
+    return not broken
+
+
+async def _send(
+    deployment: deployments.Deployment,
+) -> list[client.Attempt]:
+    """Sends bookings, which may run once, to all machines in turn."""
+    machines = list(deployment.machines.values())
+    tasks: list[asyncio.Task[client.Attempt]] = []
+    for number in range(REQUESTS):
+        conn = deployment.connection(machines[number % len(machines)])
+        coro = conn.send(
+            'POST',
+            deployments.HOST_NAME,
+            '/pufi791/2f',
+            DEADLINE_S,
+            body=b'booking',
+        )
+        tasks.append(asyncio.create_task(coro))
+        await asyncio.sleep(INTERVAL_S)
+    return await asyncio.gather(*tasks)
+
+
+if __name__ == '__main__':
+    deployments.run(pathlib.Path(__file__).parent, case)
