--- /dev/null
+++ b/review/5/__init__.py
@@ -0,0 +1,1 @@
+"""A case of the review."""
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -27,6 +27,7 @@
         announced_bytes: Length of the body that the answer announced.
         received_bytes: Bytes of the body that arrived.
         error: What ended it in place of an answer.
+        kept: Whether its connection has carried a request before.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     announced_bytes: int = 0
     received_bytes: int = 0
     error: str = ''
+    kept: bool = False
 
     def line(self, started_s: float) -> str:
         """Returns a line of the record."""
@@ -132,6 +134,7 @@
             'x-request-deadline-ms': str(int(deadline_s * 1000)),
         }
         attempt = Attempt(request_id, self._host, target, time.monotonic())
+        attempt.kept = self.is_open
         try:
             async with asyncio.timeout(deadline_s):
                 if not self.is_open:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -198,8 +198,8 @@
             ],
             'limits': {
                 'max_header_bytes': 16384,
-                'max_body_bytes': 1 << 20,
-                'header_timeout_s': 5.0,
+                'max_body_bytes': 67108864,
+                'header_timeout_s': 3.0,
                 'idle_timeout_s': 15.0,
             },
         }
