--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -28,6 +28,8 @@
         received_bytes: Bytes of the body that arrived.
         error: What ended it in place of an answer.
         kept: Whether its connection has carried a request before.
+        early_bytes: Bytes that had arrived on its connection before it was
+            sent.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     received_bytes: int = 0
     error: str = ''
     kept: bool = False
+    early_bytes: int = 0
 
     def line(self, started_s: float) -> str:
         """Returns a line of the record."""
@@ -54,6 +57,35 @@
         )
 
 
+class _Reader(asyncio.StreamReader):
+    """Reader that counts what has arrived and has not been read.
+
+    Attributes:
+        unread_bytes: Bytes that have arrived and have not been read.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unread_bytes = 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Adds bytes that have arrived."""
+        self.unread_bytes += len(data)
+        super().feed_data(data)
+
+    async def readuntil(self, separator: bytes = b'\n') -> bytes:
+        """Reads up to the end of a separator."""
+        data = await super().readuntil(separator)
+        self.unread_bytes -= len(data)
+        return data
+
+    async def read(self, n: int = -1) -> bytes:
+        """Reads at most `n` bytes."""
+        data = await super().read(n)
+        self.unread_bytes -= len(data)
+        return data
+
+
 class Connection:
     """A connection of a client to a machine.
 
@@ -69,7 +101,7 @@
         self._host = host
         self._address = address
         self._receive_buffer_bytes = receive_buffer_bytes
-        self._reader: asyncio.StreamReader | None = None
+        self._reader: _Reader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
     @property
@@ -99,7 +131,11 @@
         except BaseException:
             sock.close()
             raise
-        self._reader, self._writer = await asyncio.open_connection(sock=sock)
+        reader = _Reader()
+        protocol = asyncio.StreamReaderProtocol(reader)
+        transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
+        self._reader = reader
+        self._writer = asyncio.StreamWriter(transport, protocol, reader, loop)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -115,6 +151,7 @@
         deadline_s: float,
         *,
         body: bytes = b'',
+        headers: dict[str, str] | None = None,
         bytes_per_s: float = 0.0,
     ) -> Attempt:
         """Sends a request and reads its answer.
@@ -125,13 +162,15 @@
             target: Path and query.
             deadline_s: Seconds that the client waits.
             body: Body.
+            headers: Further headers.
             bytes_per_s: Speed at which the client reads; 0 for no limit.
         """
         request_id = f'{next(_NUMBERS):016x}'
-        headers = {
+        all_headers = {
             'host': name,
             'x-request-id': request_id,
             'x-request-deadline-ms': str(int(deadline_s * 1000)),
+            **(headers or {}),
         }
         attempt = Attempt(request_id, self._host, target, time.monotonic())
         attempt.kept = self.is_open
@@ -139,8 +178,9 @@
             async with asyncio.timeout(deadline_s):
                 if not self.is_open:
                     await self.open()
+                attempt.early_bytes = self._reader.unread_bytes
                 start = f'{method} {target} HTTP/1.1'
-                self._writer.write(wire.encode(start, headers, body))
+                self._writer.write(wire.encode(start, all_headers, body))
                 attempt.sent_s = time.monotonic()
                 await self._read(attempt, bytes_per_s)
         except TimeoutError:
