--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,8 @@
-"""Requests that have run are answered 503, which says that they have not.
+"""An entry of another writer ends the reading of upstreams for good.
 
-Some upstreams fail part of their requests while their health check is good.
-They answer such a request 503, without the header that says that it did not
-run.
+The entry is nested deeply and is removed again after two seconds. Upstreams
+that register later are never used: the routes to them, which the operator adds
+later, are not served.
 """
 
 import asyncio
@@ -10,72 +10,75 @@
 
 from review.standins import client
 from review.standins import deployment as deployments
+from review.standins import upstream as upstreams
 
-REQUESTS = 400
-INTERVAL_S = 0.02
-DEADLINE_S = 2.5
-# Two of sixteen upstreams fail this share of their requests.
-GREY = ('i-dispatch-luzon-makati-1', 'i-dispatch-visayas-cebu-1')
-FAIL_SHARE = 0.45
-PROMISES = (408, 421, 429, 503)
+# Arrays within arrays, 4,000 bytes in all.
+NESTED = b'[' * 2000 + b']' * 2000
+ENTRY_S = 2.0
+ADDED = {
+    'audit-view': ('/audit9/', 'idempotent', 1.0, 0.4, 1, 'audit'),
+}
+# From the change of the configuration until the requests that count.
+SETTLE_S = 6.0
+REQUESTS = 200
+INTERVAL_S = 0.03
+MIN_REQUESTS = 20
+MIN_SHARE = 0.25
 
 
 async def case(deployment: deployments.Deployment) -> bool:
-    """Returns whether no request has run whose answer denies that."""
+    """Returns whether the routes that were added later are served."""
     await deployment.start(
         dict.fromkeys(deployments.ZONES, 1), deployments.small_fleet()
     )
+    await _send(deployment, {'/lohu930/2f': 0})
     if deployments.trouble():
-        for name in GREY:
-            deployment.upstreams[name].fail_status = 503
-            deployment.upstreams[name].fail_share = FAIL_SHARE
-            deployment.note(f'{name} fails {FAIL_SHARE:g} of its requests')
-    attempts = await _send(deployment)
-    runs = {
-        run.request_id: (upstream.name, run)
-        for upstream in deployment.upstreams.values()
-        for run in upstream.runs
-    }
-    deployment.write_attempts(attempts)
-    broken = 0
-    for attempt in attempts:
-        known = runs.get(attempt.request_id)
-        if known is None or attempt.status not in PROMISES:
-            continue
-        broken += 1
-        name, run = known
-        deployment.note(
-            f'{attempt.request_id} was answered {attempt.status}, but {name} '
-            f'ran it at {run.at_s - deployment.started_s:.3f} s'
+        deployment.note('entry of another writer')
+        await deployment.store.write('servers', 'i-0', NESTED)
+    await asyncio.sleep(ENTRY_S)
+    await deployment.store.remove('servers', 'i-0')
+    deployment.note('no entry of another writer')
+    await asyncio.sleep(deployments.CONTACT_S)
+    for number, zone in enumerate(deployments.ZONES):
+        await deployment.add_upstream(
+            upstreams.Upstream(f'i-audit-{number}', 'audit', zone)
         )
-    served = sum(attempt.status == 200 for attempt in attempts)
+    await deployment.configure(deployments.ROUTES, ADDED)
+    await asyncio.sleep(SETTLE_S)
+    served = await _send(deployment, {'/lohu930/2f': 0, '/audit9/2f': 0})
+    for machine in deployment.machines.values():
+        ready = await deployment.is_ready(machine)
+        deployment.note(f'{machine.name} says ready: {ready}')
+        for line in deployment.lines_of_log(machine, 'error')[:1]:
+            deployment.note(f'{machine.name} logged {line[:120]}')
+    first, added = served.values()
     deployment.note(
-        f'{len(attempts)} bookings, {served} served, {broken} answered '
-        'as not run although they ran'
+        f'of {REQUESTS} requests each: first route {first} served, '
+        f'route added later {added} served'
     )
-    if served < REQUESTS / 2:
-        raise deployments.CaseError('too few were served')
-    return not broken
+    if first < MIN_REQUESTS:
+        raise deployments.CaseError('the first routes are not served')
+    return added >= first * MIN_SHARE
 
 
 async def _send(
-    deployment: deployments.Deployment,
-) -> list[client.Attempt]:
-    """Sends bookings, which may run once, to all machines in turn."""
+    deployment: deployments.Deployment, served: dict[str, int]
+) -> dict[str, int]:
+    """Sends requests to all machines in turn; counts those that are served."""
     machines = list(deployment.machines.values())
     tasks: list[asyncio.Task[client.Attempt]] = []
     for number in range(REQUESTS):
-        conn = deployment.connection(machines[number % len(machines)])
-        coro = conn.send(
-            'POST',
-            deployments.HOST_NAME,
-            '/pufi791/2f',
-            DEADLINE_S,
-            body=b'booking',
-        )
-        tasks.append(asyncio.create_task(coro))
+        machine = machines[number % len(machines)]
+        for path in served:
+            conn = deployment.connection(machine)
+            coro = conn.send_once('GET', deployments.HOST_NAME, path, 2.0)
+            tasks.append(asyncio.create_task(coro))
         await asyncio.sleep(INTERVAL_S)
-    return await asyncio.gather(*tasks)
+    attempts = await asyncio.gather(*tasks)
+    deployment.write_attempts(attempts)
+    for attempt in attempts:
+        served[attempt.target] += attempt.status == 200 and attempt.complete
+    return served
 
 
 if __name__ == '__main__':
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,141 +1,77 @@
-"""One request within the operator's limits ends the process of a machine.
+"""A request on a kept connection gets an answer that is not its own.
 
-The operator allows bodies of 64 MiB. A client sends one of 60 MiB. The machine
-holds it several times over and exceeds its memory, so the platform kills the
-process, and the requests that it had passed on are lost.
+A client offers another protocol with its first request, as HTTP libraries do.
+The machine answers the request, and then sends an answer that nobody waits for,
+which the client takes for that of its next request.
 """
 
 import asyncio
 import pathlib
-import signal
 
 from review.standins import client
 from review.standins import deployment as deployments
 
-MEMORY_MB = 300
-BODY_BYTES = 60 << 20
-CLIENTS = 12
-WORK_S = 0.4
-DEADLINE_S = 2.0
-BEFORE_S = 3.0
-AFTER_S = 5.0
-WATCH_INTERVAL_S = 0.005
-RESTART_S = 1.0
-# More lost requests than this break the rule.
-MAX_LOST = 3
+CLIENTS = 20
+DEADLINE_S = 2.5
+# What a client sends that may speak HTTP/2 on the same port.
+UPGRADE = {
+    'connection': 'Upgrade, HTTP2-Settings',
+    'upgrade': 'h2c',
+    'http2-settings': 'AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA',
+}
 
 
 async def case(deployment: deployments.Deployment) -> bool:
-    """Returns whether the requests on kept connections are answered."""
+    """Returns whether each answer belongs to its request."""
     await deployment.start(
-        dict.fromkeys(deployments.ZONES, 1), deployments.small_fleet(WORK_S)
+        dict.fromkeys(deployments.ZONES, 1), deployments.small_fleet()
     )
-    machine = deployment.machines['front-luzon-makati-1']
-    attempts: list[client.Attempt] = []
-    tasks = [
-        asyncio.create_task(coro)
-        for coro in (
-            _enforce_memory(deployment, machine),
-            *(_ask(deployment, machine, attempts) for _ in range(CLIENTS)),
+    machines = list(deployment.machines.values())
+    groups = await asyncio.gather(
+        *(
+            _visit(deployment.connection(machines[number % len(machines)]))
+            for number in range(CLIENTS)
         )
-    ]
-    await asyncio.sleep(BEFORE_S)
-    if deployments.trouble():
-        deployment.note(f'a client sends a body of {BODY_BYTES} bytes')
-        large = await deployment.connection(machine).send(
-            'POST',
-            deployments.HOST_NAME,
-            '/pufi791/2f',
-            DEADLINE_S,
-            body=b'x' * BODY_BYTES,
-        )
-        deployment.write(large.line(deployment.started_s))
-    await asyncio.sleep(AFTER_S)
-    for task in tasks:
-        task.cancel()
-    ended = await asyncio.gather(*tasks, return_exceptions=True)
-    for result in ended:
-        if isinstance(result, Exception):
-            raise result
-    return _judge(deployment, attempts)
-
-
-def _judge(
-    deployment: deployments.Deployment, attempts: list[client.Attempt]
-) -> bool:
-    """Returns whether no more requests were lost than the rule allows."""
+    )
+    attempts = [attempt for group in groups for attempt in group]
     deployment.write_attempts(attempts)
-    passed_on = {
+    runs = {
         run.request_id
         for upstream in deployment.upstreams.values()
         for run in upstream.runs
     }
-    lost = [
+    foreign = [
         attempt
         for attempt in attempts
-        if attempt.kept
-        and attempt.request_id in passed_on
-        and attempt.error
-        and attempt.error != 'deadline'
+        if attempt.status and attempt.early_bytes
     ]
-    served = sum(attempt.complete for attempt in attempts)
+    for attempt in foreign:
+        deployment.note(
+            f'{attempt.request_id}: {attempt.status}, which was sent before '
+            f'the request; ran at an upstream: {attempt.request_id in runs}'
+        )
+    served = sum(attempt.status == 200 for attempt in attempts)
     deployment.note(
-        f'{served} of {len(attempts)} requests were answered; {len(lost)} on '
-        'kept connections were passed on to sound upstreams and ended with '
-        'their connection'
+        f'{len(attempts)} requests, {served} served, {len(foreign)} got an '
+        'answer that was sent before them'
     )
-    if not served:
-        raise deployments.CaseError('no request was answered')
-    return len(lost) <= MAX_LOST
-
+    if served < CLIENTS:
+        raise deployments.CaseError('too few were served')
+    return not foreign
 
-async def _ask(
-    deployment: deployments.Deployment,
-    machine: deployments.Machine,
-    attempts: list[client.Attempt],
-) -> None:
-    """Sends one request after the other on a connection that it keeps."""
-    conn = deployment.connection(machine)
-    while True:
-        attempt = await conn.send(
-            'GET', deployments.HOST_NAME, '/lohu930/2f', DEADLINE_S
-        )
-        attempts.append(attempt)
-        if attempt.error:
-            await asyncio.sleep(WORK_S)
-
-
-async def _enforce_memory(
-    deployment: deployments.Deployment, machine: deployments.Machine
-) -> None:
-    """Kills a process that exceeds its memory, and starts it again.
-
-    The memory is what the process holds at the moment; bytes that it has not
-    read yet, which the platform counts too, are left out.
-    """
-    most_mb = 0
-    try:
-        while True:
-            used_mb = _resident_mb(machine)
-            most_mb = max(most_mb, used_mb)
-            if used_mb > MEMORY_MB:
-                deployment.note(f'{machine.name} holds {used_mb} MB')
-                deployment.signal(machine, signal.SIGKILL)
-                machine.process.wait()
-                await asyncio.sleep(RESTART_S)
-                deployment.start_process(machine)
-            await asyncio.sleep(WATCH_INTERVAL_S)
-    finally:
-        deployment.note(f'{machine.name} held {most_mb} MB at most')
 
-
-def _resident_mb(machine: deployments.Machine) -> int:
-    """Returns the resident memory of the process of a machine."""
-    path = pathlib.Path(f'/proc/{machine.process.pid}/status')
-    for line in path.read_text().splitlines():
-        if line.startswith('VmRSS:'):
-            return int(line.split()[1]) // 1024
-    return 0
+async def _visit(conn: client.Connection) -> list[client.Attempt]:
+    """Reads the job board and then books, on one connection."""
+    headers = UPGRADE if deployments.trouble() else {}
+    name = deployments.HOST_NAME
+    first = await conn.send(
+        'GET', name, '/lohu930/2f', DEADLINE_S, headers=headers
+    )
+    second = await conn.send(
+        'POST', name, '/pufi791/2f', DEADLINE_S, body=b'booking'
+    )
+    conn.close()
+    return [first, second]
 
 
 if __name__ == '__main__':
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -192,6 +192,21 @@
         attempt.ended_s = time.monotonic()
         return attempt
 
+    async def send_once(
+        self,
+        method: str,
+        name: str,
+        target: str,
+        deadline_s: float,
+        *,
+        body: bytes = b'',
+    ) -> Attempt:
+        """Sends a request and closes the connection; see `send`."""
+        try:
+            return await self.send(method, name, target, deadline_s, body=body)
+        finally:
+            self.close()
+
     async def _read(self, attempt: Attempt, bytes_per_s: float) -> None:
         head = await wire.read_head(self._reader)
         attempt.status = head.status
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -357,9 +357,10 @@
             finally:
                 await deployment.close()
 
+    signal.signal(signal.SIGTERM, _stop)
     try:
         result = HELD if asyncio.run(play()) else BROKEN
-    except Exception:
+    except BaseException:
         lines.append(traceback.format_exc())
         result = NOT_RUN
     lines.append(f'exit {result}, TROUBLE={int(trouble())}')
@@ -368,6 +369,11 @@
     sys.exit(result)
 
 
+def _stop(*_: object) -> None:
+    """Ends the case, and with it the processes that it started."""
+    raise KeyboardInterrupt
+
+
 def _route(
     name: str,
     prefix: str,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -6,11 +6,13 @@
 import asyncio
 import dataclasses
 import json
+import time
 from urllib import parse
 
 from review.standins import wire
 
 PAGE_ITEMS = 500
+HISTORY_S = 20.0
 _REASONS = {
     200: 'OK',
     201: 'Created',
@@ -61,6 +63,7 @@
     rev: int
     kind: str
     event: bytes
+    at_s: float
 
 
 class Store:
@@ -109,7 +112,7 @@
     async def _note(self, kind: str, obj: _Object, *, deleted: bool) -> None:
         flag = b'true' if deleted else b'false'
         event = b'{"object":%b,"deleted":%b}' % (obj.encode(), flag)
-        self._changes.append(_Change(self._rev, kind, event))
+        self._changes.append(_Change(self._rev, kind, event, time.monotonic()))
         async with self._changed:
             self._changed.notify_all()
 
@@ -177,11 +180,19 @@
             self._rev,
         )
 
+    def _oldest_rev(self) -> int:
+        """Returns the revision after which the history is complete."""
+        start_s = time.monotonic() - HISTORY_S
+        old = [change.rev for change in self._changes if change.at_s < start_s]
+        return max(old, default=0)
+
     async def _watch(
         self, kind: str, query: dict[str, str]
     ) -> tuple[int, bytes]:
         loop = asyncio.get_running_loop()
         after = int(query['watch'])
+        if after < self._oldest_rev():
+            return 410, b'{}'
         end_s = loop.time() + int(query.get('wait_ms', 0)) / 1000
         while True:
             events = [
