--- a/ragwortchute/errors.py
+++ b/ragwortchute/errors.py
@@ -44,6 +44,10 @@
         self.path = path
 
 
+class DecodeFailed(RagwortchuteError):
+    """A value of another process is malformed or of another type."""
+
+
 class StoreError(RagwortchuteError):
     """A request to the object API failed."""
 
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from ragwortchute import decoding
+from ragwortchute import errors
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import heartbeats
@@ -224,8 +226,8 @@
             sender_address: Address and port that it was sent from.
         """
         try:
-            message = self._decoder.decode(data)
-        except msgspec.DecodeError as exc:
+            message = decoding.decode_msgpack(data, self._decoder)
+        except errors.DecodeFailed as exc:
             self._log.event('peer-malformed', error=str(exc))
             return
         known_sender = self.peers.get(message.sender)
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ragwortchute import decoding
 from ragwortchute import errors
 from ragwortchute import progress as progress_
 from ragwortchute import stores
@@ -34,6 +35,8 @@
 # Longest wait for a response, in addition to the wait for a change.
 RESPONSE_TIMEOUT_S = 0.6
 
+_ANSWER_DECODER = msgspec.msgpack.Decoder(stores.WatchAnswer)
+
 _OK = 200
 _GONE = 410
 _UNAVAILABLE = 503
@@ -187,7 +190,7 @@
             raise self._unavailable(f'status {reply.status}')
         try:
             answer = _decode_answer(reply.body)
-        except (msgspec.DecodeError, zlib.error) as exc:
+        except (errors.DecodeFailed, zlib.error) as exc:
             raise self._unavailable(f'malformed response: {exc}') from exc
         return msgspec.structs.replace(
             answer, confirmed_after_s=_parse_confirmed_after_s(reply)
@@ -225,9 +228,7 @@
     """Decodes what `_encode_answer` has encoded.
 
     Raises:
-        msgspec.DecodeError: The content is malformed.
+        DecodeFailed: The content is malformed.
         zlib.error: The compressed data is malformed.
     """
-    return msgspec.msgpack.decode(
-        zlib.decompress(data), type=stores.WatchAnswer
-    )
+    return decoding.decode_msgpack(zlib.decompress(data), _ANSWER_DECODER)
--- a/ragwortchute/gateway/registration.py
+++ b/ragwortchute/gateway/registration.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ragwortchute import decoding
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import application
@@ -253,8 +254,8 @@
 
     def _decode(self, obj: stores.StoredObject) -> _HostRecord:
         try:
-            entry = msgspec.json.decode(obj.value, type=model.HostEntry)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            entry = decoding.decode_json(obj.value, model.HostEntry)
+        except errors.DecodeFailed as exc:
             self._log.event('host-malformed', name=obj.name, error=str(exc))
             entry = None
         return _HostRecord(entry, obj.version)
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ragwortchute import decoding
+from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
@@ -132,7 +134,7 @@
             return
         try:
             cfg = decode_configuration(obj.value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except errors.DecodeFailed as exc:
             self._log.event(
                 'configuration-malformed', revision=obj.version, error=str(exc)
             )
@@ -181,7 +183,7 @@
     def _decode(self, obj: stores.StoredObject) -> model.TargetEntry | None:
         try:
             return decode_target(obj.name, obj.value)
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        except (errors.DecodeFailed, ValueError) as exc:
             self._log.event('target-malformed', target=obj.name, error=str(exc))
             return None
 
@@ -222,9 +224,9 @@
     """Decodes the configuration object.
 
     Raises:
-        msgspec.DecodeError: The object is malformed.
+        DecodeFailed: The object is malformed.
     """
-    cfg = msgspec.json.decode(value, type=_Config)
+    cfg = decoding.decode_json(value, _Config)
     services = {
         service.name: model.Service(
             service.name,
@@ -251,10 +253,10 @@
         value: Value of the object.
 
     Raises:
-        msgspec.DecodeError: The object is malformed.
+        DecodeFailed: The object is malformed.
         ValueError: The state or the address is invalid.
     """
-    server = msgspec.json.decode(value, type=_Server)
+    server = decoding.decode_json(value, _Server)
     if server.status.state not in _STATES:
         raise ValueError(f'state {server.status.state!r} is unknown')
     ip, port = _parse_address(server.address)
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+from collections import abc
+from typing import TypeVar
 from urllib import parse
 
 import msgspec
@@ -13,6 +15,9 @@
 from ragwortchute import stores
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import pools
+from ragwortchute.platform import store_answers
+
+T = TypeVar('T')
 
 # The store usually responds within 4 ms; a slow one takes up to 85 times as
 # long.
@@ -27,32 +32,6 @@
 _GONE = 410
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-    rev: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _Page(msgspec.Struct):
-    current_rev: int
-    items: list[msgspec.Raw] = []
-    more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: msgspec.Raw
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    current_rev: int
-    events: list[_Event] = []
-
-
 @stores.REGISTRY.register('objects')
 class ObjectStore(stores.Store):
     """Client of one store; connections are pooled.
@@ -141,19 +120,19 @@
                 peer=self._peer,
             )
         self._expect_ok(reply, write=False)
-        events = self._decode(reply, _Events)
+        answer = self._decode(reply, store_answers.decode_changes)
         objects: dict[str, stores.StoredObject] = {}
         removed: set[str] = set()
-        for event in events.events:
-            obj = self._decode_object(event.object)
+        for change in answer.changes:
+            obj = change.obj
             objects.pop(obj.name, None)
-            if event.deleted:
+            if change.deleted:
                 removed.add(obj.name)
             else:
                 removed.discard(obj.name)
                 objects[obj.name] = obj
         return stores.WatchAnswer(
-            events.current_rev,
+            answer.revision,
             tuple(objects.values()),
             tuple(removed),
             _confirmed_after_s(elapsed_s, timeout_s),
@@ -181,10 +160,10 @@
             path = f'/objects/{kind}?{parse.urlencode(query)}'
             reply = await self._send('GET', path.rstrip('?'), progress=progress)
             self._expect_ok(reply, write=False)
-            page = self._decode(reply, _Page)
-            revision = revision or page.current_rev
-            objects += [self._decode_object(item) for item in page.items]
-            if not page.more or not page.items:
+            page = self._decode(reply, store_answers.decode_page)
+            revision = revision or page.revision
+            objects += page.objects
+            if not page.more or not page.objects:
                 return stores.WatchAnswer(revision, tuple(objects))
             after = objects[-1].name
 
@@ -236,26 +215,19 @@
         self, reply: http_client.Reply, name: str, *, write: bool
     ) -> stores.StoredObject:
         self._expect_ok(reply, write=write)
-        obj = self._decode(reply, _Object)
-        return stores.StoredObject(name, obj.metadata.rev, bytes(obj.spec))
+        obj = self._decode(reply, store_answers.decode_object)
+        return stores.StoredObject(name, obj.version, obj.value)
 
-    def _decode(self, reply: http_client.Reply, type_: type) -> object:
+    def _decode(
+        self, reply: http_client.Reply, decode: abc.Callable[[bytes], T]
+    ) -> T:
         try:
-            return msgspec.json.decode(reply.body, type=type_)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            return decode(reply.body)
+        except errors.DecodeFailed as exc:
             raise self._unavailable(
                 f'malformed response: {exc}', False
             ) from exc
 
-    def _decode_object(self, raw: msgspec.Raw) -> stores.StoredObject:
-        try:
-            obj = msgspec.json.decode(raw, type=_Object)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise self._unavailable(f'malformed object: {exc}', False) from exc
-        return stores.StoredObject(
-            obj.metadata.name, obj.metadata.rev, bytes(obj.spec)
-        )
-
     def _unavailable(
         self, message: str, maybe_applied: bool
     ) -> errors.StoreUnavailable:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,6 +8,8 @@
 import json
 from urllib import parse
 
+import msgspec
+
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
@@ -56,7 +58,10 @@
         await self._listener.stop()
 
     async def put(self, kind: str, name: str, spec: object) -> int:
-        """Writes an object unless it is unchanged; returns the revision."""
+        """Writes an object unless it is unchanged; returns the revision.
+
+        A `spec` of type `msgspec.Raw` is returned to readers as it is.
+        """
         key = (kind, name)
         old = self._objects.get(key)
         if old is not None and old['spec'] == spec:
@@ -187,7 +192,7 @@
     ) -> http_messages.Response:
         headers = [(b'content-type', b'application/json')]
         return http_messages.Response(
-            status, headers, json.dumps(body).encode()
+            status, headers, msgspec.json.encode(body)
         )
 
 
