--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import random
 
 import msgspec
@@ -19,6 +20,7 @@
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import parts
 from ragwortchute.gateway import pauses
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
@@ -123,9 +125,9 @@
         self._log = log
         self.rng = random.Random()
         self._loop = asyncio.get_running_loop()
-        self._tasks: list[asyncio.Task[None]] = []
         me = settings.me
         self.stats = stats_.Stats()
+        self._parts = parts.Parts(log, self.stats, self.rng)
         self.health = store_health.StoreHealth(log)
         self.state = host_state.HostState(
             dialect, settings.domains, me.failure_domain, log
@@ -294,33 +296,24 @@
             )
             self._followers[feed.prefix] = follower
             self._replicas[feed.prefix] = follower.replica
-            self.spawn('follower', self._follow(follower))
-        self.spawn('membership', self.membership.run())
-        self.spawn('maintenance', self._maintain())
-        self.spawn('failure-reports', self._report_failures())
+            self.spawn('follower', functools.partial(self._follow, follower))
+        self.spawn('membership', self.membership.run)
+        self.spawn('maintenance', self._maintain)
+        self.spawn('failure-reports', self._report_failures)
         ip, _, port = me.caller_address.rpartition(':')
         await self.callers.start(ip, int(port))
         self._log.event('start', caller_address=me.caller_address)
 
     def spawn(
-        self, name: str, coro: abc.Coroutine[object, object, None]
+        self, name: str, run: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
-        """Runs a coroutine until this host is closed; logs its failure.
+        """Runs a part until this host is closed, again if it fails.
 
         Args:
             name: Name of the part in the log.
-            coro: The coroutine.
+            run: Runs the part.
         """
-        self._tasks.append(self._loop.create_task(self._run_part(name, coro)))
-
-    async def _run_part(
-        self, name: str, coro: abc.Coroutine[object, object, None]
-    ) -> None:
-        try:
-            await coro
-        except Exception:
-            self._log.failure('part', name)
-            raise
+        self._parts.spawn(name, run)
 
     async def leave(self) -> None:
         """Stops gracefully: redirects new callers and finishes requests."""
@@ -341,9 +334,7 @@
 
     async def close(self) -> None:
         """Cancels all tasks and closes all connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._parts.close()
         await self.callers.stop()
         await self.peers.stop()
         await self.dispatcher.close()
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -147,7 +147,11 @@
             await asyncio.sleep(EXPIRY_CHECK_S)
             now_s = loop.time()
             for conn in list(self.connections):
-                conn.expire(now_s, self.limits())
+                try:
+                    conn.expire(now_s, self.limits())
+                except Exception:
+                    self.log.failure('expiry', self.name)
+                    conn.abort()
 
 
 class _ServerConnection(asyncio.Protocol):
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -82,6 +82,12 @@
             lambda: dict(stats.attempts),
             'outcome',
         )
+        metrics.add_counter(
+            'ragwortchute_gateway_part_failures_total',
+            'Errors that ended a part of the host, which is started again.',
+            lambda: dict(stats.part_failures),
+            'part',
+        )
         metrics.add_counter(
             'ragwortchute_gateway_answers_total',
             'Answers by route and upper bound of their duration in ms.',
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -153,7 +153,12 @@
             )
 
     async def run(self) -> None:
-        """Replicates until cancelled."""
+        """Replicates until cancelled.
+
+        It begins with a full read, since an earlier run may have ended between
+        a change of the replica and of what the feed updates.
+        """
+        self._needs_full_read = True
         async with asyncio.TaskGroup() as group:
             group.create_task(self._read())
             if math.isfinite(self._feed.max_age_s):
--- a/ragwortchute/platform/__main__.py
+++ b/ragwortchute/platform/__main__.py
@@ -59,7 +59,7 @@
         ]
     )
     registration_ = registration.Registration(gateway, store, HOSTS_KIND, log)
-    gateway.spawn('registration', registration_.run())
+    gateway.spawn('registration', registration_.run)
     await stop.wait()
     await gateway.leave()
     for listener in listeners:
