--- /dev/null
+++ b/ragwortchute/gateway/server_connection.py
@@ -0,0 +1,365 @@
+"""Connection of a caller to an HTTP/1.1 server.
+
+It parses requests, handles each one in a task of its own, and writes the
+responses in the order of the requests.
+"""
+
+import asyncio
+import collections
+from collections import abc
+import typing
+
+import httptools
+
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import model
+
+# Reading from a connection pauses while this many requests are pending.
+MAX_PIPELINED = 64
+# How long this host keeps reading from a connection that it closes: closing a
+# socket with unread data sends a reset, which may discard the last response.
+CLOSE_LINGER_S = 1.0
+# Framing of a chunk that carries a single byte, rounded up.
+FRAMING_BYTES_PER_BODY_BYTE = 8
+
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+Handler = abc.Callable[
+    [http_messages.Request], abc.Awaitable[http_messages.Response]
+]
+
+
+class Owner(typing.Protocol):
+    """What a connection needs of the listener that accepted it.
+
+    Attributes:
+        handler: Returns the response to a request.
+        limits: Returns the current limits on requests.
+        log: Event log.
+        name: Name of the listener in the log.
+        draining: Whether connections are closed after their last response.
+        connections: Open connections.
+    """
+
+    handler: Handler
+    limits: abc.Callable[[], model.Limits]
+    log: eventlog.EventLog
+    name: str
+    draining: bool
+    connections: set['ServerConnection']
+
+    def notify_finished(self) -> None:
+        """Notes that a request or connection has ended."""
+
+
+class _Exchange:
+    """A pending request on a connection.
+
+    Attributes:
+        response: The response, None until the handler returns it.
+        task: Task that runs the handler.
+    """
+
+    __slots__ = ('response', 'task')
+
+    def __init__(self) -> None:
+        self.response: http_messages.Response | None = None
+        self.task: asyncio.Task[None] | None = None
+
+
+class ServerConnection(asyncio.Protocol):
+    """An accepted connection.
+
+    Args:
+        listener: The listener that accepted it.
+    """
+
+    __slots__ = (
+        '_body',
+        '_body_bytes',
+        '_close_started_s',
+        '_closed',
+        '_exchanges',
+        '_head_bytes',
+        '_head_started_s',
+        '_headers',
+        '_idle_since_s',
+        '_listener',
+        '_loop',
+        '_parser',
+        '_reading_paused',
+        '_received_bytes',
+        '_requests_begun',
+        '_transport',
+        '_url',
+    )
+
+    def __init__(self, listener: Owner) -> None:
+        self._listener = listener
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._closed: asyncio.Future[None] = self._loop.create_future()
+        self._idle_since_s = self._loop.time()
+        self._head_started_s = 0.0
+        self._close_started_s = 0.0
+        self._reading_paused = False
+        self._requests_begun = 0
+        self._reset_request()
+
+    @property
+    def running(self) -> int:
+        """Number of requests whose response has not been written yet."""
+        return len(self._exchanges)
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is pending or incomplete."""
+        if not self._exchanges and not self._head_started_s:
+            self._begin_close()
+
+    def abort(self) -> None:
+        """Closes the connection immediately."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def expire(self, now_s: float, limits: model.Limits) -> None:
+        """Closes the connection if one of its timeouts has expired."""
+        if self._close_started_s:
+            if now_s - self._close_started_s > CLOSE_LINGER_S:
+                self.abort()
+        elif self._head_started_s:
+            if now_s - self._head_started_s > limits.header_timeout_s:
+                self._reject(408)
+        elif (
+            not self._exchanges
+            and now_s - self._idle_since_s > limits.idle_timeout_s
+        ):
+            self._begin_close()
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See base class."""
+        self._transport = transport
+        self._listener.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """See base class."""
+        if self._close_started_s:
+            return
+        begun_before = self._requests_begun
+        was_between_requests = not self._head_started_s
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(501)
+        except httptools.HttpParserError:
+            if not self._close_started_s:
+                self._reject(400)
+        # The parser reports a header or trailer only when it is complete, so
+        # the bytes of an incomplete one are counted here. Data that also
+        # belongs to an earlier request is left out.
+        begun = self._requests_begun - begun_before
+        if self._head_started_s and (
+            begun == 0 or (begun == 1 and was_between_requests)
+        ):
+            self._received_bytes += len(data)
+            framing_bytes = self._received_bytes - self._body_bytes
+            allowed = self._body_bytes * FRAMING_BYTES_PER_BODY_BYTE
+            self._check_head(framing_bytes - allowed)
+
+    def eof_received(self) -> bool:
+        """See base class."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """See base class."""
+        self._listener.connections.discard(self)
+        self._transport = None
+        if not self._closed.done():
+            self._closed.set_result(None)
+        self._exchanges.clear()
+        self._listener.notify_finished()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._reset_request()
+        self._requests_begun += 1
+        self._head_started_s = self._loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Appends a part of the request target."""
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header."""
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Sends `100 Continue` if the caller expects it."""
+        expects_continue = any(
+            name == b'expect' and value.lower() == b'100-continue'
+            for name, value in self._headers
+        )
+        if (
+            expects_continue
+            and self._transport is not None
+            and not self._exchanges
+        ):
+            self._transport.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Adds a part of the body."""
+        self._body_bytes += len(body)
+        if self._close_started_s:
+            return
+        if self._body_bytes > self._listener.limits().max_body_bytes:
+            self._reject(413)
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Starts the handler of the request."""
+        self._head_started_s = 0.0
+        if self._close_started_s:
+            return
+        try:
+            req = self._build_request()
+        except ValueError:
+            self._reject(400)
+            return
+        exchange = _Exchange()
+        self._exchanges.append(exchange)
+        keep_alive = self._parser.should_keep_alive()
+        exchange.task = self._loop.create_task(
+            self._serve(req, exchange, keep_alive)
+        )
+        if len(self._exchanges) >= MAX_PIPELINED and not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _build_request(self) -> http_messages.Request:
+        method = self._parser.get_method().decode('ascii')
+        host = ''
+        headers = []
+        connection_tokens: set[bytes] = set()
+        for name, value in self._headers:
+            if name == b'connection':
+                connection_tokens |= {
+                    item.strip() for item in value.lower().split(b',')
+                }
+        host_count = 0
+        for name, value in self._headers:
+            if name == b'host':
+                host_count += 1
+                host = value.decode('latin-1').strip().lower()
+            elif name in http_messages.HOP_BY_HOP or name in connection_tokens:
+                continue
+            elif name != b'content-length' and name != b'expect':
+                headers.append((name, value))
+        if host_count != 1:
+            raise ValueError('request needs exactly one Host header')
+        target = self._url.decode('latin-1')
+        if not target.startswith('/'):
+            raise ValueError('request target is not a path')
+        return http_messages.Request(
+            method,
+            target,
+            host.rpartition(':')[0] if ':' in host else host,
+            headers,
+            b''.join(self._body),
+            self._loop.time(),
+            self._closed,
+        )
+
+    async def _serve(
+        self, req: http_messages.Request, exchange: _Exchange, keep_alive: bool
+    ) -> None:
+        try:
+            resp = await self._listener.handler(req)
+        except Exception:
+            self._listener.log.failure('handler', req.target)
+            resp = http_messages.Response(502, close=True)
+        resp.close = resp.close or not keep_alive
+        exchange.response = resp
+        self._flush()
+
+    def _flush(self) -> None:
+        """Writes available responses in the order of the requests."""
+        while self._exchanges and self._exchanges[0].response is not None:
+            resp = self._exchanges[0].response
+            is_last = len(self._exchanges) == 1
+            if self._listener.draining and is_last and not self._head_started_s:
+                resp.close = True
+            self._exchanges.popleft()
+            self._listener.notify_finished()
+            if self._transport is None:
+                return
+            self._transport.write(http_messages.encode(resp))
+            self._idle_since_s = self._loop.time()
+            if resp.close:
+                self._begin_close()
+                return
+        if self._reading_paused and len(self._exchanges) < MAX_PIPELINED:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+    def _reject(self, status: int) -> None:
+        """Responds to an invalid request with an error and closes."""
+        self._head_started_s = 0.0
+        self._listener.log.event(
+            'rejected', listener=self._listener.name, status=status
+        )
+        if self._exchanges:
+            # Responses to earlier requests are sent first.
+            exchange = _Exchange()
+            exchange.response = http_messages.Response(status, close=True)
+            self._exchanges.append(exchange)
+            self._flush()
+            return
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(
+                http_messages.encode(http_messages.Response(status, close=True))
+            )
+        self._begin_close()
+
+    def _begin_close(self) -> None:
+        """Shuts down the sending side; further received data is ignored."""
+        if self._close_started_s or self._transport is None:
+            return
+        self._close_started_s = self._loop.time()
+        self._exchanges.clear()
+        if self._transport.is_closing():
+            return
+        try:
+            self._transport.write_eof()
+        except OSError as exc:
+            # The peer has reset the connection, which is reported next.
+            self._listener.log.event(
+                'close-failed', listener=self._listener.name, error=str(exc)
+            )
+            self._transport.abort()
+
+    def _reset_request(self) -> None:
+        self._url = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._received_bytes = 0
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        self._check_head(self._head_bytes)
+
+    def _check_head(self, size: int) -> None:
+        limit = self._listener.limits().max_header_bytes
+        if size > limit and not self._close_started_s:
+            self._reject(431)
--- a/tests/test_gateway/test_parsers.py
+++ b/tests/test_gateway/test_parsers.py
@@ -12,6 +12,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
+from ragwortchute.gateway import server_connection
 from tests.test_gateway import rig as rigs
 
 MAX_HEADER_BYTES = 2000
@@ -157,7 +158,7 @@
     listener = http_server.Listener(
         handle, lambda: limits, rigs.MemoryLog(), 'fuzz'
     )
-    conn = http_server._ServerConnection(listener)
+    conn = server_connection.ServerConnection(listener)
     transport = Transport()
     conn.connection_made(transport)
     for piece in pieces(data, cuts):
