--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -153,9 +153,7 @@
         begun_before = self._requests_begun
         was_between_requests = not self._head_started_s
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(501)
+            self._parse(data)
         except httptools.HttpParserError:
             if not self._close_started_s:
                 self._reject(400)
@@ -204,6 +202,8 @@
 
     def on_headers_complete(self) -> None:
         """Sends `100 Continue` if the caller expects it."""
+        if self._parser.should_upgrade():
+            return
         expects_continue = any(
             name == b'expect' and value.lower() == b'100-continue'
             for name, value in self._headers
@@ -227,6 +227,8 @@
 
     def on_message_complete(self) -> None:
         """Starts the handler of the request."""
+        if self._parser.should_upgrade():
+            return
         self._head_started_s = 0.0
         if self._close_started_s:
             return
@@ -245,6 +247,39 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses received bytes.
+
+        A request to change the protocol is served as any other, which HTTP
+        allows. The parser takes what follows its head as the other protocol,
+        even its body, so it is parsed again without the request to change.
+
+        Raises:
+            HttpParserError: The bytes are malformed.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                if self._parser.get_method() == b'CONNECT':
+                    self._reject(501)
+                    return
+                data = self._encode_head_without_upgrade() + data[exc.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+                self._requests_begun -= 1
+
+    def _encode_head_without_upgrade(self) -> bytes:
+        """Returns the head of the current request without `Upgrade`."""
+        version = self._parser.get_http_version().encode('ascii')
+        chunks = [self._parser.get_method(), b' ', self._url, b' HTTP/']
+        chunks += [version, b'\r\n']
+        for name, value in self._headers:
+            if name != b'upgrade':
+                chunks += [name, b': ', value, b'\r\n']
+        chunks.append(b'\r\n')
+        return b''.join(chunks)
+
     def _build_request(self) -> http_messages.Request:
         method = self._parser.get_method().decode('ascii')
         host = ''
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -105,6 +105,82 @@
         assert (await rigs.read_response(reader)).body == b'/cab'
 
 
+UPGRADE = b'Host: example\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n'
+
+
+class TestUpgrade:
+    """A request to change the protocol must be answered once (review, case 5).
+
+    It was answered by its handler and then again with 501, which the next
+    request on the connection took for its own answer.
+    """
+
+    @pytest.mark.parametrize(
+        ('head', 'body'),
+        [
+            (b'GET /u HTTP/1.1\r\n' + UPGRADE + b'\r\n', b''),
+            (
+                b'POST /u HTTP/1.1\r\n'
+                + UPGRADE
+                + b'Content-Length: 3\r\n\r\n',
+                b'abc',
+            ),
+            (
+                b'POST /u HTTP/1.1\r\n'
+                + UPGRADE
+                + b'Transfer-Encoding: chunked\r\n\r\n',
+                b'3\r\nabc\r\n0\r\n\r\n',
+            ),
+            (
+                b'GET /u HTTP/1.1\r\nHost: example\r\n'
+                b'Connection: Upgrade, HTTP2-Settings, keep-alive\r\n'
+                b'Upgrade: h2c, websocket\r\nHTTP2-Settings: AAMA\r\n\r\n',
+                b'',
+            ),
+        ],
+    )
+    @pytest.mark.parametrize('cut', [False, True])
+    async def test_next_request_gets_its_own_answer(
+        self, serve, head, body, cut
+    ):
+        server = await serve()
+        reader, writer = await server.connect()
+        data = head + body + GET % 1
+        step = 1 if cut else len(data)
+        for start in range(0, len(data), step):
+            writer.write(data[start : start + step])
+            await asyncio.sleep(0)
+        first = await rigs.read_response(reader)
+        second = await rigs.read_response(reader)
+        assert first.body == (b'/uabc' if body else b'/u')
+        assert second.body == b'/1'
+        writer.write(GET % 2)
+        assert (await rigs.read_response(reader)).body == b'/2'
+        assert [req.target for req in server.requests] == ['/u', '/1', '/2']
+        assert not server.requests[0].headers
+
+    async def test_expected_continue_is_sent_once(self, serve):
+        server = await serve()
+        reader, writer = await server.connect()
+        writer.write(
+            b'POST /u HTTP/1.1\r\n'
+            + UPGRADE
+            + b'Expect: 100-continue\r\nContent-Length: 2\r\n\r\n'
+        )
+        line = await reader.readuntil(b'\r\n\r\n')
+        assert line.startswith(b'HTTP/1.1 100 ')
+        writer.write(b'ab')
+        assert (await rigs.read_response(reader)).body == b'/uab'
+
+    async def test_tunnel_is_rejected_once(self, serve):
+        server = await serve()
+        reader, writer = await server.connect()
+        writer.write(GET % 0 + b'CONNECT example:1 HTTP/1.1\r\nHost: e\r\n\r\n')
+        assert (await rigs.read_response(reader)).body == b'/0'
+        assert (await rigs.read_response(reader)).status == 501
+        assert await reader.read() == b''
+
+
 class TestRejected:
     """Ambiguous or oversized requests must be rejected."""
 
