--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -89,6 +89,7 @@
         '_listener',
         '_loop',
         '_parser',
+        '_reading_ended',
         '_reading_paused',
         '_received_bytes',
         '_requests_begun',
@@ -106,6 +107,7 @@
         self._idle_since_s = self._loop.time()
         self._head_started_s = 0.0
         self._close_started_s = 0.0
+        self._reading_ended = False
         self._reading_paused = False
         self._requests_begun = 0
         self._reset_request()
@@ -148,14 +150,14 @@
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
-        if self._close_started_s:
+        if self._reading_ended:
             return
         begun_before = self._requests_begun
         was_between_requests = not self._head_started_s
         try:
             self._parse(data)
         except httptools.HttpParserError:
-            if not self._close_started_s:
+            if not self._reading_ended:
                 self._reject(400)
         # The parser reports a header or trailer only when it is complete, so
         # the bytes of an incomplete one are counted here. Data that also
@@ -186,23 +188,29 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        if self._reading_ended:
+            return
         self._reset_request()
         self._requests_begun += 1
         self._head_started_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
+        if self._reading_ended:
+            return
         self._url += url
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header."""
+        if self._reading_ended:
+            return
         self._headers.append((name.lower(), value))
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Sends `100 Continue` if the caller expects it."""
-        if self._parser.should_upgrade():
+        if self._reading_ended or self._parser.should_upgrade():
             return
         expects_continue = any(
             name == b'expect' and value.lower() == b'100-continue'
@@ -217,9 +225,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
-        self._body_bytes += len(body)
-        if self._close_started_s:
+        if self._reading_ended:
             return
+        self._body_bytes += len(body)
         if self._body_bytes > self._listener.limits().max_body_bytes:
             self._reject(413)
             return
@@ -227,11 +235,9 @@
 
     def on_message_complete(self) -> None:
         """Starts the handler of the request."""
-        if self._parser.should_upgrade():
+        if self._reading_ended or self._parser.should_upgrade():
             return
         self._head_started_s = 0.0
-        if self._close_started_s:
-            return
         try:
             req = self._build_request()
         except ValueError:
@@ -239,10 +245,9 @@
             return
         exchange = _Exchange()
         self._exchanges.append(exchange)
-        keep_alive = self._parser.should_keep_alive()
-        exchange.task = self._loop.create_task(
-            self._serve(req, exchange, keep_alive)
-        )
+        exchange.task = self._loop.create_task(self._serve(req, exchange))
+        if not self._parser.should_keep_alive():
+            self._end_reading()
         if len(self._exchanges) >= MAX_PIPELINED and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
@@ -262,6 +267,8 @@
                 self._parser.feed_data(data)
                 return
             except httptools.HttpParserUpgrade as exc:
+                if self._reading_ended:
+                    return
                 if self._parser.get_method() == b'CONNECT':
                     self._reject(501)
                     return
@@ -314,26 +321,33 @@
             self._closed,
         )
 
+    def _end_reading(self) -> None:
+        """Ignores all further data; the last response closes the connection.
+
+        Requests that the caller sends behind it have then not been read.
+        """
+        self._reading_ended = True
+        self._head_started_s = 0.0
+
     async def _serve(
-        self, req: http_messages.Request, exchange: _Exchange, keep_alive: bool
+        self, req: http_messages.Request, exchange: _Exchange
     ) -> None:
         try:
             resp = await self._listener.handler(req)
         except Exception:
             self._listener.log.failure('handler', req.target)
-            resp = http_messages.Response(502, close=True)
-        resp.close = resp.close or not keep_alive
+            resp = http_messages.Response(502)
         exchange.response = resp
         self._flush()
 
     def _flush(self) -> None:
         """Writes available responses in the order of the requests."""
         while self._exchanges and self._exchanges[0].response is not None:
-            resp = self._exchanges[0].response
-            is_last = len(self._exchanges) == 1
-            if self._listener.draining and is_last and not self._head_started_s:
-                resp.close = True
-            self._exchanges.popleft()
+            resp = self._exchanges.popleft().response
+            is_last = not self._exchanges and not self._head_started_s
+            if resp.close or (self._listener.draining and is_last):
+                self._end_reading()
+            resp.close = self._reading_ended and not self._exchanges
             self._listener.notify_finished()
             if self._transport is None:
                 return
@@ -348,7 +362,7 @@
 
     def _reject(self, status: int) -> None:
         """Responds to an invalid request with an error and closes."""
-        self._head_started_s = 0.0
+        self._end_reading()
         self._listener.log.event(
             'rejected', listener=self._listener.name, status=status
         )
@@ -369,6 +383,7 @@
         """Shuts down the sending side; further received data is ignored."""
         if self._close_started_s or self._transport is None:
             return
+        self._end_reading()
         self._close_started_s = self._loop.time()
         self._exchanges.clear()
         if self._transport.is_closing():
@@ -396,5 +411,5 @@
 
     def _check_head(self, size: int) -> None:
         limit = self._listener.limits().max_header_bytes
-        if size > limit and not self._close_started_s:
+        if size > limit and not self._reading_ended:
             self._reject(431)
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -78,6 +78,71 @@
         assert await reader.read() == b''
 
 
+class TestLastRequest:
+    """A close must not drop requests that the handler has started to serve.
+
+    Requests behind the one that closes the connection were started, too, and
+    then ended without a response (issue 30, LOST).
+    """
+
+    CLOSE = b'GET /c HTTP/1.1\r\nHost: example\r\nConnection: close\r\n\r\n'
+
+    async def responses(self, server, data):
+        reader, writer = await server.connect()
+        writer.write(data)
+        responses = []
+        while not reader.at_eof():
+            responses.append(await rigs.read_response(reader))
+            if responses[-1].headers.get('connection') == 'close':
+                assert await reader.read() == b''
+        return responses
+
+    async def test_requests_behind_a_close_are_not_served(self, serve):
+        server = await serve()
+        server.delays = {'/0': 0.05}
+        responses = await self.responses(
+            server, GET % 0 + self.CLOSE + GET % 1 + b'nonsense'
+        )
+        assert [resp.body for resp in responses] == [b'/0', b'/c']
+        assert [req.target for req in server.requests] == ['/0', '/c']
+
+    async def test_requests_behind_a_rejected_one_are_not_served(self, serve):
+        server = await serve()
+        server.delays = {'/0': 0.05}
+        responses = await self.responses(
+            server, GET % 0 + b'GET /b HTTP/1.1\r\n\r\n' + GET % 1
+        )
+        assert [resp.status for resp in responses] == [200, 400]
+        assert [req.target for req in server.requests] == ['/0']
+
+    async def test_failed_handler_drops_no_other_request(self, serve):
+        server = await serve()
+        server.listener.log.failure = lambda *args: None
+        handle = server.handle
+
+        async def fail(req):
+            if req.path == '/0':
+                raise ValueError
+            return await handle(req)
+
+        server.listener.handler = fail
+        server.delays = {'/1': 0.05}
+        responses = await self.responses(server, GET % 0 + GET % 1 + self.CLOSE)
+        assert [resp.status for resp in responses] == [502, 200, 200]
+
+    async def test_close_asked_for_by_a_handler_is_the_last_response(
+        self, serve
+    ):
+        server = await serve()
+
+        async def close(req):
+            return http_messages.Response(200, (), b'', req.path == '/0')
+
+        server.listener.handler = close
+        responses = await self.responses(server, GET % 0 + GET % 1 + GET % 2)
+        assert [resp.status for resp in responses] == [200, 200, 200]
+
+
 class TestBodies:
     """Bodies must be complete with every transfer encoding."""
 
