--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -53,12 +53,17 @@
         self._expiry_task = asyncio.create_task(self._expire_connections())
 
     def drain(self) -> None:
-        """Closes each connection after the response to its last request."""
+        """Closes each connection after a last request.
+
+        That is the last one that has arrived, or else the next.
+        """
         self.draining = True
+        for conn in self.connections:
+            conn.drain()
 
     def stop_accepting(self) -> None:
         """Closes the listening socket and starts to drain."""
-        self.draining = True
+        self.drain()
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -117,6 +117,17 @@
         """Number of requests whose response has not been written yet."""
         return len(self._exchanges)
 
+    def drain(self) -> None:
+        """Makes the last request that has arrived, or else the next, the last.
+
+        Its response closes the connection. A caller that has sent further
+        requests sees by it that they were not read. Waiting for a moment
+        without pending requests instead may take forever, since callers may
+        send requests before earlier ones are answered.
+        """
+        if self._exchanges and not self._head_started_s:
+            self._end_reading()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is pending or incomplete."""
         if not self._exchanges and not self._head_started_s:
@@ -246,7 +257,7 @@
         exchange = _Exchange()
         self._exchanges.append(exchange)
         exchange.task = self._loop.create_task(self._serve(req, exchange))
-        if not self._parser.should_keep_alive():
+        if self._listener.draining or not self._parser.should_keep_alive():
             self._end_reading()
         if len(self._exchanges) >= MAX_PIPELINED and not self._reading_paused:
             self._reading_paused = True
@@ -344,8 +355,7 @@
         """Writes available responses in the order of the requests."""
         while self._exchanges and self._exchanges[0].response is not None:
             resp = self._exchanges.popleft().response
-            is_last = not self._exchanges and not self._head_started_s
-            if resp.close or (self._listener.draining and is_last):
+            if resp.close:
                 self._end_reading()
             resp.close = self._reading_ended and not self._exchanges
             self._listener.notify_finished()
--- /dev/null
+++ b/standins/pipelining.py
@@ -0,0 +1,133 @@
+"""Stand-in for callers that send on before earlier requests are answered."""
+
+import asyncio
+import collections
+import itertools
+
+CONNECT_TIMEOUT_S = 1.0
+ANSWER_TIMEOUT_S = 10.0
+_NUMBERS = itertools.count(1)
+
+
+class SentRequest:
+    """A request and what became of it.
+
+    Attributes:
+        request_id: Value of its header `X-Request-Id`.
+        sent_s: Loop time at which it was sent, in seconds.
+        status: Status of its answer, 0 without one.
+        complete: Whether all of the answer has arrived.
+        unread: Whether an earlier answer has closed the connection, so that
+            the host states that it has not read the request.
+    """
+
+    __slots__ = ('complete', 'request_id', 'sent_s', 'status', 'unread')
+
+    def __init__(self, request_id: str, sent_s: float) -> None:
+        self.request_id = request_id
+        self.sent_s = sent_s
+        self.status = 0
+        self.complete = False
+        self.unread = False
+
+
+class PipeliningCaller:
+    """Keeps several requests outstanding on a connection, until stopped.
+
+    Args:
+        ip: Address of the host.
+        port: Port of the host.
+        host_name: Value of the header `Host`.
+        prefix: Path of the route with slashes at both ends.
+        depth: Number of requests that are outstanding at the same time.
+        read_bytes_per_s: Speed at which answers are read; 0 for no limit.
+
+    Attributes:
+        requests: All requests, in the order in which they were sent.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        host_name: str,
+        prefix: str,
+        depth: int,
+        read_bytes_per_s: float = 0.0,
+    ) -> None:
+        self._ip = ip
+        self._port = port
+        self._host_name = host_name
+        self._prefix = prefix
+        self._depth = depth
+        self._read_bytes_per_s = read_bytes_per_s
+        self._loop = asyncio.get_running_loop()
+        self._stopping = False
+        self.requests: list[SentRequest] = []
+
+    def stop(self) -> None:
+        """Sends no further requests."""
+        self._stopping = True
+
+    async def run(self) -> None:
+        """Sends requests until stopped and all of them are ended."""
+        while not self._stopping:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(
+                        self._ip, self._port, limit=1 << 14
+                    )
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    await self._use(reader, writer)
+            except (OSError, EOFError, TimeoutError):
+                continue
+            finally:
+                writer.transport.abort()
+
+    async def _use(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends requests on a connection until an answer closes it."""
+        outstanding: collections.deque[SentRequest] = collections.deque()
+        while True:
+            while len(outstanding) < self._depth and not self._stopping:
+                outstanding.append(self._send(writer))
+            if not outstanding:
+                return
+            closes = await self._read(reader, outstanding[0])
+            outstanding.popleft()
+            if closes:
+                for req in outstanding:
+                    req.unread = True
+                return
+
+    def _send(self, writer: asyncio.StreamWriter) -> SentRequest:
+        req = SentRequest(f'p{next(_NUMBERS)}', self._loop.time())
+        self.requests.append(req)
+        writer.write(
+            f'GET {self._prefix}{req.request_id} HTTP/1.1\r\n'
+            f'Host: {self._host_name}\r\nX-Request-Id: {req.request_id}\r\n'
+            'X-Request-Deadline-Ms: 2000\r\n\r\n'.encode()
+        )
+        return req
+
+    async def _read(
+        self, reader: asyncio.StreamReader, req: SentRequest
+    ) -> bool:
+        """Reads an answer; returns whether it closes the connection."""
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
+        req.status = int(head.split(' ')[1])
+        left = int(head.partition('content-length: ')[2].split('\r')[0])
+        while left:
+            data = await reader.read(min(left, 1 << 14))
+            if not data:
+                raise EOFError('connection ended in an answer')
+            left -= len(data)
+            if self._read_bytes_per_s:
+                await asyncio.sleep(len(data) / self._read_bytes_per_s)
+        req.complete = True
+        return 'connection: close' in head
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -86,6 +86,7 @@
             turns a request away; empty for none.
         pauses: Requests that it turned away with a valid header of this kind.
         crash_path: Path of requests that crash the target; empty for none.
+        answer_bytes: Length to which bodies of answers are filled up.
         runs: Requests whose execution began.
         arrivals: Loop time in seconds and path of each request received.
         connections: Number of accepted connections.
@@ -121,6 +122,7 @@
         self.retry_after = ''
         self.pauses: list[TurnedAway] = []
         self.crash_path = ''
+        self.answer_bytes = 0
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
         self.connections = 0
@@ -289,6 +291,7 @@
         """Writes the response; returns whether the connection stays open."""
         headers = {**id_headers, 'x-server-stamp': f'stamp.{self.name}'}
         text = b'answer of ' + self.name.encode() + b' ' + body
+        text = text.ljust(self.answer_bytes)
         if self.fault == 'lose':
             writer.transport.abort()
             return False
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -333,6 +333,37 @@
         assert 'connection' not in first.headers
         assert second.headers['connection'] == 'close'
 
+    async def test_requests_behind_the_last_one_are_not_read(self, serve):
+        # A caller that always has a request outstanding would otherwise keep
+        # its connection until the host exits (issue 30, LOST).
+        server = await serve()
+        server.delays = {'/0': 0.1, '/1': 0.2}
+        reader, writer = await server.connect()
+        writer.write(GET % 0 + GET % 1)
+        await asyncio.sleep(0.02)
+        server.listener.drain()
+        writer.write(GET % 2 + b'GET /3 HTTP/1.1\r\n' + UPGRADE + b'\r\n')
+        first = await rigs.read_response(reader)
+        second = await rigs.read_response(reader)
+        assert 'connection' not in first.headers
+        assert second.headers['connection'] == 'close'
+        assert await reader.read() == b''
+        assert [req.target for req in server.requests] == ['/0', '/1']
+
+    async def test_incomplete_request_is_the_last_one(self, serve):
+        server = await serve()
+        server.delays = {'/0': 0.1}
+        reader, writer = await server.connect()
+        writer.write(GET % 0 + (GET % 1)[:9])
+        await asyncio.sleep(0.02)
+        server.listener.close()
+        writer.write((GET % 1)[9:] + GET % 2 + UPGRADE)
+        first = await rigs.read_response(reader)
+        second = await rigs.read_response(reader)
+        assert 'connection' not in first.headers
+        assert second.headers['connection'] == 'close'
+        assert [req.target for req in server.requests] == ['/0', '/1']
+
     async def test_idle_connections_are_closed(self, serve):
         server = await serve()
         reader, writer = await server.connect()
--- /dev/null
+++ b/tests/test_system/test_planned_stop.py
@@ -0,0 +1,102 @@
+"""Planned stops of host processes whose callers keep their connections."""
+
+import asyncio
+import contextlib
+import signal
+
+import pytest
+
+from benchmarks.soak import run as runs
+from standins import pipelining
+
+CALLERS = 20
+PREFIX = f'/{runs.READ}/'
+# A stopping host accepts connections for 2.6 s, and its requests take less
+# than a second.
+MAX_STOP_S = 5.0
+
+
+class Stop:
+    """Hosts, targets, and callers of the host that is stopped."""
+
+    def __init__(self, run):
+        self.run = run
+        self.host = run.hosts[0]
+        self.callers = []
+
+    def add_callers(self, count, depth, read_bytes_per_s=0.0):
+        for _ in range(count):
+            self.callers.append(
+                pipelining.PipeliningCaller(
+                    self.host.ip,
+                    self.host.port,
+                    'soak.example',
+                    PREFIX,
+                    depth,
+                    read_bytes_per_s,
+                )
+            )
+
+    async def play(self, before_s=1.0):
+        """Stops the host under load; returns how long that takes."""
+        loop = asyncio.get_running_loop()
+        tasks = [asyncio.create_task(caller.run()) for caller in self.callers]
+        await asyncio.sleep(before_s)
+        self.stopped_s = loop.time()
+        self.host.signal(signal.SIGTERM)
+        await self.host.wait_ended()
+        took_s = loop.time() - self.stopped_s
+        for caller in self.callers:
+            caller.stop()
+        await asyncio.gather(*tasks)
+        return took_s
+
+    def requests(self):
+        return [req for caller in self.callers for req in caller.requests]
+
+    def ran(self):
+        return {
+            run.request_id for target in self.run.targets for run in target.runs
+        }
+
+    def lost(self):
+        """Returns the requests that ran and have no complete answer."""
+        ran = self.ran()
+        return [
+            (req.request_id, round(req.sent_s - self.stopped_s, 2), req.unread)
+            for req in self.requests()
+            if req.request_id in ran and not req.complete
+        ]
+
+
+@contextlib.asynccontextmanager
+async def deployment(folder):
+    run = runs.Soak(1, str(folder), [], 1)
+    try:
+        await run.start()
+        yield Stop(run)
+    finally:
+        await run.stop()
+
+
+class TestPipelinedRequests:
+    """A planned stop must lose no request that a target has run (issue 30).
+
+    The host never saw a last request on connections with two or three requests
+    outstanding. It went on reading until the end of its grace period, and then
+    cut off what was running.
+    """
+
+    @pytest.mark.parametrize('depth', [2, 3])
+    async def test_none_is_lost(self, tmp_path, depth):
+        async with deployment(tmp_path) as stop:
+            for target in stop.run.targets:
+                target.slots = 20
+                target.work_s = 0.1
+            stop.add_callers(CALLERS, depth)
+            took_s = await stop.play()
+            served = sum(req.status == 200 for req in stop.requests())
+            assert served > CALLERS * 10
+            assert not stop.lost()
+            assert took_s < MAX_STOP_S
+            assert stop.host.process.returncode == 0
