--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -89,13 +89,16 @@
         return self._server.sockets[0].getsockname()[1]
 
     async def wait_finished(self, timeout_s: float) -> bool:
-        """Waits until no request is pending.
+        """Waits until all responses have been sent.
+
+        Connections that lately had one must have been closed by the peer, or
+        have lingered long enough for it to arrive.
 
         Args:
             timeout_s: Longest wait in seconds.
 
         Returns:
-            Whether all requests were finished in time.
+            Whether that was so in time.
         """
         self._finished_fut = asyncio.get_running_loop().create_future()
         self.notify_finished()
@@ -103,9 +106,11 @@
         return self._finished_fut.done()
 
     def notify_finished(self) -> None:
-        """Wakes `wait_finished` if no request is pending any more."""
+        """Wakes `wait_finished` if all responses have been sent."""
         fut = self._finished_fut
-        if fut is not None and not fut.done() and not self.running:
+        if fut is None or fut.done():
+            return
+        if not any(conn.unfinished for conn in self.connections):
             fut.set_result(None)
 
     @property
@@ -124,3 +129,4 @@
                 except Exception:
                     self.log.failure('expiry', self.name)
                     conn.abort()
+            self.notify_finished()
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -17,8 +17,9 @@
 
 # Reading from a connection pauses while this many requests are pending.
 MAX_PIPELINED = 64
-# How long this host keeps reading from a connection that it closes: closing a
-# socket with unread data sends a reset, which may discard the last response.
+# How long this host keeps reading from a connection that it closes after the
+# last response has been written: closing a socket with unread data sends a
+# reset, which may discard what the peer has not read yet.
 CLOSE_LINGER_S = 1.0
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
@@ -51,7 +52,7 @@
     connections: set['ServerConnection']
 
     def notify_finished(self) -> None:
-        """Notes that a request or connection has ended."""
+        """Notes that a connection has ended."""
 
 
 class _Exchange:
@@ -93,7 +94,9 @@
         '_reading_paused',
         '_received_bytes',
         '_requests_begun',
+        '_sent_s',
         '_transport',
+        '_unsent_bytes',
         '_url',
     )
 
@@ -110,6 +113,9 @@
         self._reading_ended = False
         self._reading_paused = False
         self._requests_begun = 0
+        # Loop time of the last progress in sending responses.
+        self._sent_s = float('-inf')
+        self._unsent_bytes = 0
         self._reset_request()
 
     @property
@@ -117,6 +123,15 @@
         """Number of requests whose response has not been written yet."""
         return len(self._exchanges)
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a response is pending or may not have arrived yet."""
+        return (
+            bool(self._exchanges)
+            or self._transport.get_write_buffer_size() > 0
+            or self._loop.time() - self._sent_s <= CLOSE_LINGER_S
+        )
+
     def drain(self) -> None:
         """Makes the last request that has arrived, or else the next, the last.
 
@@ -140,18 +155,35 @@
 
     def expire(self, now_s: float, limits: model.Limits) -> None:
         """Closes the connection if one of its timeouts has expired."""
+        self._note_progress(now_s)
         if self._close_started_s:
-            if now_s - self._close_started_s > CLOSE_LINGER_S:
-                self.abort()
+            self._expire_close(now_s, limits)
         elif self._head_started_s:
             if now_s - self._head_started_s > limits.header_timeout_s:
                 self._reject(408)
         elif (
             not self._exchanges
-            and now_s - self._idle_since_s > limits.idle_timeout_s
+            and now_s - max(self._idle_since_s, self._sent_s)
+            > limits.idle_timeout_s
         ):
             self._begin_close()
 
+    def _note_progress(self, now_s: float) -> None:
+        """Notes whether the peer has received more of the responses."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._sent_s = now_s
+
+    def _expire_close(self, now_s: float, limits: model.Limits) -> None:
+        """Ends the close of a connection if the peer takes too long."""
+        if self._unsent_bytes:
+            # The peer is as slow as one that sends nothing.
+            if now_s - self._sent_s > limits.idle_timeout_s:
+                self.abort()
+        elif now_s - max(self._sent_s, self._close_started_s) > CLOSE_LINGER_S:
+            self.abort()
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -358,11 +390,10 @@
             if resp.close:
                 self._end_reading()
             resp.close = self._reading_ended and not self._exchanges
-            self._listener.notify_finished()
             if self._transport is None:
                 return
             self._transport.write(http_messages.encode(resp))
-            self._idle_since_s = self._loop.time()
+            self._idle_since_s = self._sent_s = self._loop.time()
             if resp.close:
                 self._begin_close()
                 return
@@ -398,6 +429,9 @@
         self._exchanges.clear()
         if self._transport.is_closing():
             return
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
         try:
             self._transport.write_eof()
         except OSError as exc:
--- a/tests/test_gateway/test_http_server.py
+++ b/tests/test_gateway/test_http_server.py
@@ -9,6 +9,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
+from ragwortchute.gateway import server_connection
 from tests.test_gateway import rig as rigs
 
 GET = b'GET /%d HTTP/1.1\r\nHost: example\r\n\r\n'
@@ -397,6 +398,87 @@
         assert resp.status == 431
 
 
+class SlowReader:
+    """Caller that reads a response in pieces from a small receive buffer."""
+
+    def __init__(self, server):
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        self.sock.connect(('127.0.0.1', server.listener.port))
+        self.sock.setblocking(False)
+
+    async def read(self, bytes_per_s, most=1 << 30):
+        loop = asyncio.get_running_loop()
+        received = 0
+        while received < most:
+            data = await loop.sock_recv(self.sock, 1 << 16)
+            if not data:
+                break
+            received += len(data)
+            await asyncio.sleep(len(data) / bytes_per_s)
+        return received
+
+
+class TestLongResponses:
+    """A close must not cut a response that the caller still reads.
+
+    Connections were reset a second after the response was handed over, and a
+    stopping host exited at that moment (KNOWN-RED 15, issue 30, LOST).
+    """
+
+    SIZE = 12 << 20
+    BYTES_PER_S = 5e6
+
+    @pytest.fixture
+    async def server(self, serve):
+        server = await serve()
+
+        async def respond(req):
+            return http_messages.Response(200, (), b'x' * self.SIZE)
+
+        server.listener.handler = respond
+        return server
+
+    async def test_slow_caller_gets_all_of_it(self, server):
+        caller = SlowReader(server)
+        caller.sock.send(
+            b'GET /0 HTTP/1.1\r\nHost: example\r\nConnection: close\r\n\r\n'
+        )
+        assert await caller.read(self.BYTES_PER_S) > self.SIZE
+
+    async def test_stop_waits_for_it(self, server):
+        caller = SlowReader(server)
+        caller.sock.send(GET % 0)
+        first = await caller.read(self.BYTES_PER_S, 1 << 16)
+        server.listener.close()
+        caller.sock.send(GET % 1)
+        read_task = asyncio.create_task(caller.read(self.BYTES_PER_S))
+        assert await server.listener.wait_finished(6.0)
+        await server.listener.stop()
+        assert first + await read_task > self.SIZE
+
+    async def test_stop_waits_for_no_idle_connection(self, serve):
+        server = await serve()
+        reader, writer = await server.connect()
+        writer.write(GET % 0)
+        await rigs.read_response(reader)
+        await asyncio.sleep(server_connection.CLOSE_LINGER_S + 0.1)
+        server.listener.close()
+        assert await server.listener.wait_finished(0.1)
+
+    async def test_caller_that_does_not_read_is_dropped(self, serve):
+        server = await serve(idle_timeout_s=0.5)
+
+        async def respond(req):
+            return http_messages.Response(200, (), b'x' * self.SIZE)
+
+        server.listener.handler = respond
+        caller = SlowReader(server)
+        caller.sock.send(GET % 0)
+        await asyncio.sleep(2.5)
+        assert not server.listener.connections
+
+
 class TestEndlessFraming:
     """Memory must stay bounded whatever a caller sends as framing."""
 
--- a/tests/test_system/test_planned_stop.py
+++ b/tests/test_system/test_planned_stop.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from benchmarks.soak import hosts
 from benchmarks.soak import run as runs
 from standins import pipelining
 
@@ -100,3 +101,23 @@
             assert not stop.lost()
             assert took_s < MAX_STOP_S
             assert stop.host.process.returncode == 0
+
+
+class TestLongAnswers:
+    """A host must not exit before callers have its last answers (issue 30).
+
+    It exited once it had handed them over. What it had not yet written was
+    dropped, and with requests unread in the socket, the reset also discarded
+    what the caller had not read.
+    """
+
+    async def test_slow_callers_get_all_of_them(self, tmp_path):
+        async with deployment(tmp_path) as stop:
+            for target in stop.run.targets:
+                target.answer_bytes = 6 << 20
+            stop.add_callers(4, 2, read_bytes_per_s=4e6)
+            took_s = await stop.play(before_s=0.3)
+            assert [req for req in stop.requests() if req.status == 200]
+            assert not stop.lost()
+            assert took_s < hosts.GRACE_S
+            assert stop.host.process.returncode == 0
