--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -328,7 +328,9 @@
         self.callers.stop_accepting()
         await asyncio.sleep(DRAIN_READ_S)
         self.callers.close()
+        self.peers.drain()
         await self.callers.wait_finished(end_s - self._loop.time())
+        self.peers.close()
         await self.peers.wait_finished(end_s - self._loop.time())
         self._log.event('stop', running=self.callers.running)
 
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -40,6 +40,7 @@
         self.addresses = 0
         self.targets = []
         self.tasks = []
+        self.grace_s = 2.0
 
     async def start(self, *domains, targets=2):
         await self.server.start()
@@ -75,7 +76,7 @@
 
     def build(self, me):
         settings = application.Settings(
-            me, rigs.DOMAINS, me.ip, 2.0, 5.4, dispatcher.Limits()
+            me, rigs.DOMAINS, me.ip, self.grace_s, 5.4, dispatcher.Limits()
         )
         store = objects.ObjectStore('127.0.0.1', self.server.port)
         log = rigs.MemoryLog()
@@ -547,3 +548,30 @@
         assert (await request_task).status == 200
         assert not host.ready
         await leave_task
+
+    async def test_relayed_requests_are_served(self, deployment):
+        # A host that had not heard of the stop relayed to the stopping host
+        # until that reset its connections. It then answered 502, since the
+        # request may have been executed.
+        deployment.grace_s = 6.0
+        await deployment.start('a1', 'a2', 'b1')
+        await deployment.until(
+            lambda: all(len(host.hosts()) == 3 for host in deployment.hosts)
+        )
+        await deployment.until(
+            lambda: all(host.ready for host in deployment.hosts)
+        )
+        for target in deployment.targets:
+            target.slots = 100
+            target.work_s = 0.3
+        stopping, _, relaying = deployment.hosts
+        stopping._socket.send = lambda *args: None
+        leave_task = asyncio.create_task(stopping.leave())
+        tasks = []
+        while not leave_task.done():
+            tasks.append(asyncio.create_task(TestRelay().request(relaying)))
+            await asyncio.sleep(0.02)
+        await stopping.close()
+        statuses = [(await task).status for task in tasks]
+        assert len(statuses) > 100
+        assert set(statuses) == {200}
