--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_state
+from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.gateway import relays as relays_
@@ -311,11 +312,25 @@
         call.sends += 1
         call.tried_targets.add(target.entry.name)
         target.note_sent(now_s)
-        fut = placed.conn.send(data, self._dialect.accept(call.req))
+        fut = placed.conn.send(data, self._accept(call, target))
         outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
         self._request_log.log_send(call, outstanding[-1])
 
+    def _accept(
+        self, call: attempts.Call, target: targets_.Target
+    ) -> http_client.Accept:
+        """Returns a predicate that logs the answers of others that it skips."""
+        belongs = self._dialect.accept(call.req)
+
+        def accept(reply: http_client.Reply) -> bool:
+            accepted = belongs(reply)
+            if not accepted:
+                self._request_log.log_skipped_answer(call, target, reply)
+            return accepted
+
+        return accept
+
     def _requirements(self, call: attempts.Call) -> candidates.Requirements:
         route = call.route
         targets = [
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -5,8 +5,10 @@
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
+from ragwortchute.gateway import http_client
 from ragwortchute.gateway import model
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import targets as targets_
 
 # Older configurations, and those that were never confirmed, are logged as this.
 MAX_LOGGED_AGE_S = 1000.0
@@ -111,6 +113,27 @@
             ms=round((self._loop.time() - sent_s) * 1000, 1),
         )
 
+    def log_skipped_answer(
+        self,
+        call: attempts.Call,
+        target: targets_.Target,
+        reply: http_client.Reply,
+    ) -> None:
+        """Logs and counts an answer of a target to another request.
+
+        Args:
+            call: The request that awaits its answer.
+            target: The target.
+            reply: The answer.
+        """
+        self._stats.count_failed_attempt('answer-skipped')
+        self._log.event(
+            'answer-skipped',
+            id=call.request_id.decode('latin-1'),
+            target=target.entry.name,
+            status=reply.status,
+        )
+
     def log_failed_attempt(
         self,
         call: attempts.Call,
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -94,20 +94,23 @@
         """See base class."""
         request_id = self.request_id(req)
 
-        def has_request_id(reply: http_client.Reply) -> bool:
+        def belongs(reply: http_client.Reply) -> bool:
             reply_id = reply.get(REQUEST_ID)
-            # Responses without an ID are rejected later instead of skipped.
-            return reply_id is None or reply_id == request_id
+            if reply_id is not None:
+                return reply_id == request_id
+            # Without an ID, it may repeat the answer to a health request that
+            # the connection has carried before. Others are rejected later.
+            return not (request_id and _may_answer_probe(reply))
 
-        return has_request_id
+        return belongs
 
     def is_not_run(self, reply: http_client.Reply) -> bool:
-        """See base class."""
-        return reply.get(NOT_EXECUTED) is not None or reply.status == 421
+        """See base class; without an ID, the request is not known."""
+        return reply.get(REQUEST_ID) is not None and _turns_away(reply)
 
     def is_misdirected(self, reply: http_client.Reply) -> bool:
-        """See base class."""
-        return reply.status == 421
+        """See base class; without an ID, the request is not known."""
+        return reply.get(REQUEST_ID) is not None and reply.status == 421
 
     def is_authentic(self, reply: http_client.Reply) -> bool:
         """See base class."""
@@ -179,7 +182,7 @@
         """See base class."""
         instance = reply.get(INSTANCE_ID)
         constraints = self.decode_constraints(reply)
-        if instance is None and self.is_not_run(reply):
+        if instance is None and _turns_away(reply):
             # A target that turns the request away need not give its name.
             return _decode_reading(reply, taken_s, False, constraints)
         if instance is None or instance != entry.name.encode('latin-1'):
@@ -199,6 +202,15 @@
         return _decode_reading(reply, taken_s, True)
 
 
+def _turns_away(reply: http_client.Reply) -> bool:
+    """Returns whether an answer states that its request was not executed."""
+    return reply.get(NOT_EXECUTED) is not None or reply.status == 421
+
+
+def _may_answer_probe(reply: http_client.Reply) -> bool:
+    return _turns_away(reply) or reply.get(INSTANCE_ID) is not None
+
+
 def _parse_all(
     reply: http_client.Reply, header: bytes, maximum: float
 ) -> list[float | None]:
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -87,6 +87,8 @@
         pauses: Requests that it turned away with a valid header of this kind.
         crash_path: Path of requests that crash the target; empty for none.
         answer_bytes: Length to which bodies of answers are filled up.
+        repeats_refusals: Whether the answer to a request comes behind the
+            last refusal on its connection, which is written once more.
         runs: Requests whose execution began.
         arrivals: Loop time in seconds and path of each request received.
         connections: Number of accepted connections.
@@ -123,6 +125,7 @@
         self.pauses: list[TurnedAway] = []
         self.crash_path = ''
         self.answer_bytes = 0
+        self.repeats_refusals = False
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
         self.connections = 0
@@ -134,6 +137,8 @@
         )
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Headers of the last refusal on each connection.
+        self._refusals: dict[asyncio.StreamWriter, dict[str, str]] = {}
 
     @property
     def entry(self) -> dict[str, object]:
@@ -177,6 +182,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._refusals.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -199,8 +205,11 @@
         id_headers = {'x-request-id': headers.get('x-request-id', '')}
         id_headers |= self._statements()
         if headers.get('x-expect-instance', self.name) != self.name:
-            self._write(writer, 421, {'x-instance-id': self.name}, b'')
+            id_headers['x-instance-id'] = self.name
+            self._write(writer, 421, id_headers, b'')
             return True
+        if self.repeats_refusals and writer in self._refusals:
+            self._write(writer, 503, self._refusals[writer], b'')
         full = self._running >= self.slots and len(self._waiting) >= self.queue
         if full or self.fault == 'shed':
             id_headers['x-not-executed'] = '1'
@@ -209,7 +218,7 @@
             if self.retry_after:
                 id_headers['retry-after'] = self.retry_after
                 self._record_pause(now_s, path)
-            self._write(writer, 503, id_headers, b'')
+            self._refuse(writer, id_headers)
             return True
         if self.fault == 'reset':
             writer.transport.abort()
@@ -239,7 +248,7 @@
             headers['x-not-executed'] = '1'
             if self.retry_after:
                 headers['retry-after'] = self.retry_after
-            self._write(writer, 503, headers, b'')
+            self._refuse(writer, headers)
             return
         headers['x-instance-id'] = self.name
         self._write(writer, 200 if self.healthy else 503, headers, b'')
@@ -324,6 +333,12 @@
             )
         return True
 
+    def _refuse(
+        self, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> None:
+        self._refusals[writer] = headers
+        self._write(writer, 503, headers, b'')
+
     def _write(
         self,
         writer: asyncio.StreamWriter,
