--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -1,7 +1,8 @@
 """Final answers to callers: those of targets, failures and refusals.
 
 A refusal with status 503 guarantees that the request has not been executed.
-Where that is uncertain, the status is 502 or 504.
+Where that is uncertain, the status is 502 or 504. That holds also for the
+answer of a target that has executed a request and returns such a status.
 """
 
 import asyncio
@@ -52,13 +53,16 @@
     def deliver(
         self, call: attempts.Call, reply: http_client.Reply, now_s: float
     ) -> http_messages.Response:
-        """Returns the answer of a target.
+        """Returns the answer of a target that has executed a request.
 
         Args:
             call: The request.
             reply: The answer.
             now_s: Loop time in seconds.
         """
+        if self._dialect.states_not_run(reply.status):
+            # The caller would send it again, and it would run twice.
+            return self._fail(call, 502, f'executed-{reply.status}')
         elapsed_s = now_s - call.req.arrived_s
         self._stats.count_answer(call.route.name, elapsed_s)
         self._request_log.log_answer(
@@ -107,6 +111,12 @@
             status = 502
         else:
             return self.refuse(call.req, reason, wait_s, call.sends)
+        return self._fail(call, status, reason)
+
+    def _fail(
+        self, call: attempts.Call, status: int, reason: str
+    ) -> http_messages.Response:
+        """Returns an answer that does not tell whether a request has run."""
         self._request_log.log_answer(
             call.request_id, status, reason, call.sends, call.req.arrived_s
         )
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -98,6 +98,10 @@
     def is_not_run(self, reply: http_client.Reply) -> bool:
         """Tells whether the target states that it didn't run the request."""
 
+    @abc.abstractmethod
+    def states_not_run(self, status: int) -> bool:
+        """Tells whether callers take a status for "was not executed"."""
+
     @abc.abstractmethod
     def is_misdirected(self, reply: http_client.Reply) -> bool:
         """Tells whether another incarnation answered."""
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -460,7 +460,7 @@
             self._request_log.log_failed_attempt(call, attempt, 'spoiled')
             return None
         call.answered_by = target.entry.name
-        if reply.status >= 500:
+        if reply.status >= 500 or self._dialect.states_not_run(reply.status):
             self._note_failure(target, 1.0)
             call.last_failure = reply
             self._request_log.log_failed_attempt(
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -26,6 +26,7 @@
 MAX_PAUSE_S = 86400.0
 
 _UNAVAILABLE = 503
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, _UNAVAILABLE})
 
 _CONSTRAINT_HEADERS = frozenset({SERVER_LIMIT, SERVER_LEAVING, RETRY_AFTER})
 _NO_CONSTRAINTS = dialect.Constraints()
@@ -108,6 +109,10 @@
         """See base class; without an ID, the request is not known."""
         return reply.get(REQUEST_ID) is not None and _turns_away(reply)
 
+    def states_not_run(self, status: int) -> bool:
+        """See base class."""
+        return status in _NOT_RUN_STATUSES
+
     def is_misdirected(self, reply: http_client.Reply) -> bool:
         """See base class; without an ID, the request is not known."""
         return reply.get(REQUEST_ID) is not None and reply.status == 421
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -9,7 +9,9 @@
 
 REASON_PHRASES = {
     200: 'OK',
+    408: 'Request Timeout',
     421: 'Misdirected Request',
+    429: 'Too Many Requests',
     500: 'Error',
     503: 'Full',
 }
@@ -86,6 +88,7 @@
             turns a request away; empty for none.
         pauses: Requests that it turned away with a valid header of this kind.
         crash_path: Path of requests that crash the target; empty for none.
+        error_status: Status of the answers while `fault` is `error`.
         answer_bytes: Length to which bodies of answers are filled up.
         repeats_refusals: Whether the answer to a request comes behind the
             last refusal on its connection, which is written once more.
@@ -125,6 +128,7 @@
         self.pauses: list[TurnedAway] = []
         self.crash_path = ''
         self.answer_bytes = 0
+        self.error_status = 500
         self.repeats_refusals = False
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -305,7 +309,7 @@
             writer.transport.abort()
             return False
         if self.fault == 'error':
-            self._write(writer, 500, headers, b'failed')
+            self._write(writer, self.error_status, headers, b'failed')
             return True
         if self.fault == 'encoded':
             headers['content-encoding'] = 'gzip'
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -56,6 +56,24 @@
         assert (answer.status, answer.body) == (500, b'failed')
         assert answer.headers['x-server-stamp'] == 'stamp.t0'
 
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    @pytest.mark.parametrize('idempotent', [True, False])
+    async def test_status_not_run_after_a_run_is_not_forwarded(
+        self, start, status, idempotent
+    ):
+        # The caller would send the request again, and it would run twice
+        # (review, case 2).
+        targets = servers(2)
+        for target in targets:
+            target.fault = 'error'
+            target.error_status = status
+        rig = await start(*targets, routes=[rigs.route(idempotent=idempotent)])
+        answer = await rig.request(method='POST')
+        assert answer.status == 502
+        assert 'x-server-stamp' not in answer.headers
+        runs = sum(len(target.runs) for target in targets)
+        assert runs == (2 if idempotent else 1)
+
     @pytest.mark.parametrize('fault', ['late', 'extra'])
     async def test_duplicate_answer_is_discarded(self, start, fault):
         # A target answers twice. The second answer must not be taken for the
