--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ragwortchute import stores
+from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dialect as dialects
@@ -60,6 +61,11 @@
 # which a change must be in force that there is one. The news may take the rest
 # of the time to arrive.
 OUTDATED_AFTER_FRACTION = 0.5
+# Used where the settings name no memory.
+DEFAULT_MEMORY_BYTES = 200e6
+# Share of the memory for long bodies of requests; the rest is for the process
+# itself and for answers.
+BODIES_MEMORY_FRACTION = 0.35
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -76,6 +82,7 @@
         limits: Limits of resends and of load on cold targets, over all hosts.
         config_s: Seconds within which a change of the configuration must be
             in force.
+        memory_bytes: Memory beyond which the platform kills the process.
     """
 
     me: model.HostEntry
@@ -85,6 +92,7 @@
     dead_s: float
     limits: dispatcher.Limits
     config_s: float = 2.0
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
 
 
 class Gateway:
@@ -105,6 +113,7 @@
         pauses: Pauses that targets have asked this host for.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
+        bodies: Room for long bodies of requests.
         callers: Listener for callers.
         peers: Listener for other hosts.
         leaving: Whether this host is stopping.
@@ -188,14 +197,21 @@
         loans.send = self.membership.ask_for_loans
         loans.reply = self.membership.send_loan
         self.membership.on_loan = self.dispatcher.retries.handle_loan
+        self.bodies = body_budget.BodyBudget(
+            int(settings.memory_bytes * BODIES_MEMORY_FRACTION)
+        )
         self.callers = http_server.Listener(
-            self.dispatcher.serve, lambda: self.state.limits, log, 'callers'
+            self.dispatcher.serve,
+            lambda: self.state.limits,
+            log,
+            'callers',
+            self.bodies,
         )
         self._followers: dict[str, store_follower.Follower] = {}
         self._replicas: dict[str, replica.Replica] = {}
         api = peer_api.PeerApi(self._replicas, self.dispatcher)
         self.peers = http_server.Listener(
-            api.serve, lambda: self.state.limits, log, 'peers'
+            api.serve, lambda: self.state.limits, log, 'peers', self.bodies
         )
         self.membership.local_revisions = self._last_change_revisions
         self.membership.on_peer_revision = self._on_peer_revision
--- a/ragwortchute/gateway/crash_guard.py
+++ b/ragwortchute/gateway/crash_guard.py
@@ -213,7 +213,8 @@
     hashed = xxhash.xxh3_64()
     for part in (req.method, req.host, req.target):
         hashed.update(part.encode('latin-1') + b'\0')
-    hashed.update(req.body)
+    for body_part in req.body_parts:
+        hashed.update(body_part)
     return hashed.intdigest()
 
 
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -74,13 +74,13 @@
         """Returns the remaining time of the caller, None if it states none."""
 
     @abc.abstractmethod
-    def encode(
+    def encode_head(
         self,
         req: http_messages.Request,
         remaining_s: float,
         entry: model.TargetEntry | None,
     ) -> bytes:
-        """Encodes a request for a target or for another host.
+        """Encodes the head of a request for a target or for another host.
 
         Args:
             req: The request.
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -306,13 +306,15 @@
     ) -> None:
         now_s = self._loop.time()
         target = placed.target
-        data = self._dialect.encode(
+        head = self._dialect.encode_head(
             call.req, max(0.001, call.deadline_s - now_s), target.entry
         )
         call.sends += 1
         call.tried_targets.add(target.entry.name)
         target.note_sent(now_s)
-        fut = placed.conn.send(data, self._accept(call, target))
+        fut = placed.conn.send(
+            head, self._accept(call, target), body_parts=call.req.body_parts
+        )
         outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
         self._request_log.log_send(call, outstanding[-1])
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import socket
 import typing
@@ -22,6 +23,8 @@
 MAX_FRAMING_BYTES = 64 << 10
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# A body of one part up to this length is written together with its head.
+MAX_JOINED_BYTES = 64 << 10
 CONNECT_TIMEOUT_S = 1.0
 # A response that is arriving at its timeout is given up if no part comes for
 # the first of these times, and after the second in any case.
@@ -94,6 +97,8 @@
         '_received_body_bytes',
         '_received_bytes',
         '_transport',
+        '_unsent_parts',
+        '_writing_paused',
         'idle_since_s',
         'keep_alive_s',
     )
@@ -119,6 +124,9 @@
         self._delimited = True
         self._has_body = True
         self._accepted_reply: Reply | None = None
+        # Parts of the body of the request that have not been written yet.
+        self._unsent_parts: collections.deque[bytes] = collections.deque()
+        self._writing_paused = False
         self.idle_since_s = 0.0
         self.keep_alive_s = 0.0
 
@@ -136,6 +144,7 @@
         data: bytes,
         accept: Accept | None = None,
         on_part: abc.Callable[[], None] | None = None,
+        body_parts: abc.Sequence[bytes] = (),
     ) -> asyncio.Future[Reply]:
         """Sends a request and returns a future of its response.
 
@@ -144,10 +153,12 @@
         request; `abort` does.
 
         Args:
-            data: Encoded head and body.
+            data: Encoded head, and the body unless it is given in parts.
             accept: Returns whether a response belongs to the request; by
                 default, every response does.
             on_part: Called for each part of a body.
+            body_parts: Parts of the body. They are written as the peer reads
+                them, so that a long body is not copied as a whole.
         """
         self._fut = self._loop.create_future()
         self._accept = accept
@@ -159,7 +170,12 @@
         self._received_bytes = 0
         self._received_body_bytes = 0
         self._accepted_reply = None
+        if len(body_parts) == 1 and len(body_parts[0]) <= MAX_JOINED_BYTES:
+            data += body_parts[0]
+            body_parts = ()
+        self._unsent_parts = collections.deque(body_parts)
         self._transport.write(data)
+        self._write_parts()
         return self._fut
 
     def abort(self) -> None:
@@ -215,6 +231,20 @@
         if self._on_lost is not None:
             self._on_lost(self)
 
+    def pause_writing(self) -> None:
+        """See base class."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """See base class."""
+        self._writing_paused = False
+        self._write_parts()
+
+    def _write_parts(self) -> None:
+        """Writes parts of the body until the peer reads no further."""
+        while self._unsent_parts and not self._writing_paused:
+            self._transport.write(self._unsent_parts.popleft())
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -303,9 +333,15 @@
         if keep_alive is not None:
             self.keep_alive_s = parse_keep_alive(keep_alive)
         transport = self._transport
+        is_sent = not self._unsent_parts
+        self._unsent_parts.clear()
         if transport is None:
             reply.reusable = False
-        elif not reply.reusable or transport.get_write_buffer_size():
+        elif (
+            not reply.reusable
+            or not is_sent
+            or transport.get_write_buffer_size()
+        ):
             reply.reusable = False
             transport.abort()
         if fut is not None and not fut.done():
@@ -318,6 +354,7 @@
         fut, self._fut = self._fut, None
         self._on_part = None
         self._headers = []
+        self._unsent_parts.clear()
         if self._transport is not None:
             self._transport.abort()
         if fut is not None and not fut.done():
--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -32,7 +32,7 @@
         target: Path with query, as sent.
         host: Host name in lower case, without a port.
         headers: Names in lower case and values, without hop-by-hop headers.
-        body: Body, decoded from chunks.
+        body_parts: Parts of the body, decoded from chunks.
         arrived_s: Loop time at which the request was complete.
         disconnected: Future that is done once the caller's connection is lost.
     """
@@ -41,7 +41,7 @@
     target: str
     host: str
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body_parts: list[bytes]
     arrived_s: float
     disconnected: asyncio.Future[None]
 
@@ -52,6 +52,16 @@
                 return value
         return None
 
+    @property
+    def body(self) -> bytes:
+        """The whole body; this copies a long one."""
+        return b''.join(self.body_parts)
+
+    @property
+    def body_bytes(self) -> int:
+        """Length of the body."""
+        return sum(len(part) for part in self.body_parts)
+
     @property
     def path(self) -> str:
         """Path without the query string."""
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -3,11 +3,14 @@
 import asyncio
 from collections import abc
 
+from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 from ragwortchute.gateway import server_connection
 
 EXPIRY_CHECK_S = 0.25
+# Room for long bodies of a listener that shares none.
+DEFAULT_BODIES_BYTES = 16 << 20
 
 
 class Listener:
@@ -18,6 +21,7 @@
         limits: Returns the current limits on requests.
         log: Event log.
         name: Name of the listener in the log.
+        bodies: Room for long bodies, which listeners may share.
 
     Attributes:
         draining: Whether connections are closed after their last response.
@@ -30,11 +34,13 @@
         limits: abc.Callable[[], model.Limits],
         log: eventlog.EventLog,
         name: str,
+        bodies: body_budget.BodyBudget | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.log = log
         self.name = name
+        self.bodies = bodies or body_budget.BodyBudget(DEFAULT_BODIES_BYTES)
         self.draining = False
         self.connections: set[server_connection.ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -112,6 +112,11 @@
             'Requests of callers that run at this moment.',
             lambda: {'': gateway.callers.running},
         )
+        metrics.add_gauge(
+            'ragwortchute_gateway_body_bytes',
+            'Room that long bodies of requests take.',
+            lambda: {'': gateway.bodies.used_bytes},
+        )
         metrics.add_gauge(
             'ragwortchute_gateway_revision',
             'Revision up to which changes are known, by prefix.',
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -143,8 +143,12 @@
         left_s = call.deadline_s - self._loop.time()
         if left_s <= 0:
             return RelayResult(reason='deadline')
-        data = self._dialect.encode(call.req, left_s, None)
-        fut = conn.send(data, self._dialect.accept(call.req))
+        head = self._dialect.encode_head(call.req, left_s, None)
+        fut = conn.send(
+            head,
+            self._dialect.accept(call.req),
+            body_parts=call.req.body_parts,
+        )
         futs: set[asyncio.Future] = {fut}
         if call.route.idempotent:
             futs.add(call.req.disconnected)
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -11,6 +11,8 @@
 
 import httptools
 
+from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import body_reader
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
@@ -21,6 +23,11 @@
 # last response has been written: closing a socket with unread data sends a
 # reset, which may discard what the peer has not read yet.
 CLOSE_LINGER_S = 1.0
+# How long the rest of a long body waits for room. Callers give up on a host
+# that does not read their request for a second.
+BODY_WAIT_S = 0.8
+# Named to a caller whose body found no room.
+_BODY_RETRY_AFTER_S = 0.5
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
@@ -40,6 +47,7 @@
         limits: Returns the current limits on requests.
         log: Event log.
         name: Name of the listener in the log.
+        bodies: Room for long bodies.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
     """
@@ -48,6 +56,7 @@
     limits: abc.Callable[[], model.Limits]
     log: eventlog.EventLog
     name: str
+    bodies: body_budget.BodyBudget
     draining: bool
     connections: set['ServerConnection']
 
@@ -79,10 +88,11 @@
 
     __slots__ = (
         '_body',
-        '_body_bytes',
+        '_body_wait_timer',
         '_close_started_s',
         '_closed',
         '_exchanges',
+        '_expects_continue',
         '_head_bytes',
         '_head_started_s',
         '_headers',
@@ -116,6 +126,8 @@
         # Loop time of the last progress in sending responses.
         self._sent_s = float('-inf')
         self._unsent_bytes = 0
+        self._body = body_reader.BodyReader(listener.bodies, self._on_body_room)
+        self._body_wait_timer: asyncio.TimerHandle | None = None
         self._reset_request()
 
     @property
@@ -158,6 +170,8 @@
         self._note_progress(now_s)
         if self._close_started_s:
             self._expire_close(now_s, limits)
+        elif self._body.waiting:
+            return
         elif self._head_started_s:
             if now_s - self._head_started_s > limits.header_timeout_s:
                 self._reject(408)
@@ -210,8 +224,8 @@
             begun == 0 or (begun == 1 and was_between_requests)
         ):
             self._received_bytes += len(data)
-            framing_bytes = self._received_bytes - self._body_bytes
-            allowed = self._body_bytes * FRAMING_BYTES_PER_BODY_BYTE
+            framing_bytes = self._received_bytes - self._body.size_bytes
+            allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
             self._check_head(framing_bytes - allowed)
 
     def eof_received(self) -> bool:
@@ -222,6 +236,7 @@
         """See base class."""
         self._listener.connections.discard(self)
         self._transport = None
+        self._drop_body()
         if not self._closed.done():
             self._closed.set_result(None)
         self._exchanges.clear()
@@ -252,29 +267,33 @@
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Sends `100 Continue` if the caller expects it."""
+        """Asks for the room for the body and lets the caller send it."""
         if self._reading_ended or self._parser.should_upgrade():
             return
-        expects_continue = any(
-            name == b'expect' and value.lower() == b'100-continue'
-            for name, value in self._headers
-        )
-        if (
-            expects_continue
-            and self._transport is not None
-            and not self._exchanges
-        ):
-            self._transport.write(_CONTINUE)
+        size_bytes = 0
+        for name, value in self._headers:
+            if name == b'content-length':
+                size_bytes = int(value)
+            elif name == b'expect' and value.lower() == b'100-continue':
+                self._expects_continue = True
+        if size_bytes > self._listener.limits().max_body_bytes:
+            self._reject(413)
+            return
+        self._expect_body(size_bytes)
+        if not self._body.waiting:
+            self._write_continue()
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
         if self._reading_ended:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > self._listener.limits().max_body_bytes:
+        self._body.add(body)
+        max_body_bytes = self._listener.limits().max_body_bytes
+        if self._body.size_bytes > max_body_bytes:
             self._reject(413)
-            return
-        self._body.append(body)
+        elif self._body.outgrown:
+            # It is sent in chunks, and its length is not known.
+            self._expect_body(min(2 * self._body.size_bytes, max_body_bytes))
 
     def on_message_complete(self) -> None:
         """Starts the handler of the request."""
@@ -286,14 +305,67 @@
         except ValueError:
             self._reject(400)
             return
+        self._stop_body_wait()
+        req.body_parts, room = self._body.take()
         exchange = _Exchange()
         self._exchanges.append(exchange)
-        exchange.task = self._loop.create_task(self._serve(req, exchange))
+        exchange.task = self._loop.create_task(self._serve(req, exchange, room))
         if self._listener.draining or not self._parser.should_keep_alive():
             self._end_reading()
-        if len(self._exchanges) >= MAX_PIPELINED and not self._reading_paused:
-            self._reading_paused = True
+        self._update_reading()
+
+    def _expect_body(self, size_bytes: int) -> None:
+        """Reads a long body only once there is room for it.
+
+        Args:
+            size_bytes: Length that it will have.
+        """
+        if self._body.waiting:
+            return
+        self._body.expect(size_bytes)
+        if self._body.waiting:
+            self._body_wait_timer = self._loop.call_later(
+                BODY_WAIT_S, self._refuse_body
+            )
+            self._update_reading()
+
+    def _on_body_room(self) -> None:
+        """Goes on to read a body that had to wait for room."""
+        self._stop_body_wait()
+        self._head_started_s = self._loop.time()
+        self._write_continue()
+        self._update_reading()
+
+    def _refuse_body(self) -> None:
+        """Rejects a request whose body has found no room."""
+        after = f'{_BODY_RETRY_AFTER_S:g}'.encode()
+        self._reject(503, [(b'retry-after', after)])
+
+    def _stop_body_wait(self) -> None:
+        if self._body_wait_timer is not None:
+            self._body_wait_timer.cancel()
+            self._body_wait_timer = None
+
+    def _drop_body(self) -> None:
+        self._stop_body_wait()
+        self._body.clear()
+
+    def _write_continue(self) -> None:
+        if self._expects_continue and not self._exchanges:
+            self._transport.write(_CONTINUE)
+
+    def _update_reading(self) -> None:
+        """Pauses reading, or goes on, as the pending requests demand."""
+        pause = not self._reading_ended and (
+            self._body.waiting or len(self._exchanges) >= MAX_PIPELINED
+        )
+        if pause == self._reading_paused or self._transport is None:
+            return
+        self._reading_paused = pause
+        if pause:
             self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _parse(self, data: bytes) -> None:
         """Parses received bytes.
@@ -359,7 +431,7 @@
             target,
             host.rpartition(':')[0] if ':' in host else host,
             headers,
-            b''.join(self._body),
+            [],
             self._loop.time(),
             self._closed,
         )
@@ -371,15 +443,23 @@
         """
         self._reading_ended = True
         self._head_started_s = 0.0
+        self._drop_body()
+        self._update_reading()
 
     async def _serve(
-        self, req: http_messages.Request, exchange: _Exchange
+        self,
+        req: http_messages.Request,
+        exchange: _Exchange,
+        room: body_budget.Room,
     ) -> None:
         try:
             resp = await self._listener.handler(req)
         except Exception:
             self._listener.log.failure('handler', req.target)
             resp = http_messages.Response(502)
+        finally:
+            if room.size_bytes:
+                self._listener.bodies.release(room, room.size_bytes)
         exchange.response = resp
         self._flush()
 
@@ -397,27 +477,27 @@
             if resp.close:
                 self._begin_close()
                 return
-        if self._reading_paused and len(self._exchanges) < MAX_PIPELINED:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        self._update_reading()
 
-    def _reject(self, status: int) -> None:
-        """Responds to an invalid request with an error and closes."""
+    def _reject(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]] = ()
+    ) -> None:
+        """Responds to a request that is not handled and closes."""
         self._end_reading()
         self._listener.log.event(
             'rejected', listener=self._listener.name, status=status
         )
+        resp = http_messages.Response(status, headers, close=True)
         if self._exchanges:
             # Responses to earlier requests are sent first.
             exchange = _Exchange()
-            exchange.response = http_messages.Response(status, close=True)
+            exchange.response = resp
             self._exchanges.append(exchange)
             self._flush()
             return
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(
-                http_messages.encode(http_messages.Response(status, close=True))
-            )
+            self._transport.write(http_messages.encode(resp))
+            self._sent_s = self._loop.time()
         self._begin_close()
 
     def _begin_close(self) -> None:
@@ -429,9 +509,6 @@
         self._exchanges.clear()
         if self._transport.is_closing():
             return
-        if self._reading_paused:
-            self._reading_paused = False
-            self._transport.resume_reading()
         try:
             self._transport.write_eof()
         except OSError as exc:
@@ -444,8 +521,8 @@
     def _reset_request(self) -> None:
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._expects_continue = False
+        self._body.clear()
         self._head_bytes = 0
         self._received_bytes = 0
 
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -97,6 +97,7 @@
         peer_ip=ip,
         grace_s=bounds.get('grace_s', 6.0),
         config_s=bounds.get('config_s', 2.0),
+        memory_bytes=_memory_bytes(values),
         dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
         limits=dispatcher.Limits(
             retry_ratio=bounds.get('retry_budget_ratio', 0.2),
@@ -116,6 +117,14 @@
     )
 
 
+def _memory_bytes(values: '_Values') -> float:
+    """Returns the memory of this host in bytes."""
+    memory_mb = values.number('limits.memory_mb', 0.0)
+    if memory_mb <= 0:
+        return application.DEFAULT_MEMORY_BYTES
+    return memory_mb * 1e6
+
+
 class _Values:
     """Values by name, parsed from lines of the form `name=value`."""
 
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -31,6 +31,8 @@
 _CONSTRAINT_HEADERS = frozenset({SERVER_LIMIT, SERVER_LEAVING, RETRY_AFTER})
 _NO_CONSTRAINTS = dialect.Constraints()
 
+# Requests with these methods need no length if they have no body.
+_BODYLESS_METHODS = frozenset({'GET', 'HEAD', 'DELETE', 'OPTIONS'})
 # Request headers that are set for each target.
 _REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
 # Response headers that are not returned to the caller.
@@ -62,7 +64,7 @@
         except ValueError:
             return None
 
-    def encode(
+    def encode_head(
         self,
         req: http_messages.Request,
         remaining_s: float,
@@ -83,10 +85,10 @@
             chunks.append(
                 f'x-expect-instance: {entry.name}\r\n'.encode('latin-1')
             )
-        if req.body or req.method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
-            chunks.append(b'content-length: %d\r\n' % len(req.body))
+        size_bytes = req.body_bytes
+        if size_bytes or req.method not in _BODYLESS_METHODS:
+            chunks.append(b'content-length: %d\r\n' % size_bytes)
         chunks.append(b'\r\n')
-        chunks.append(req.body)
         return b''.join(chunks)
 
     def accept(
--- a/tests/test_gateway/test_crash_guard.py
+++ b/tests/test_gateway/test_crash_guard.py
@@ -61,7 +61,7 @@
         target,
         'example',
         [(b'x-request-id', request_id)],
-        body,
+        [body],
         0.0,
         None,
     )
@@ -69,7 +69,7 @@
 
 def request_as_sent(target):
     """Returns a request as `Rig.request` sends it by default."""
-    return http_messages.Request('GET', target, 'example', [], b'', 0.0, None)
+    return http_messages.Request('GET', target, 'example', [], [], 0.0, None)
 
 
 class TestCounting:
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -430,7 +430,7 @@
         gone = asyncio.get_running_loop().create_future()
         serving = rig.dispatcher.serve(
             http_messages.Request(
-                'GET', '/r/x', 'example', headers, b'', 0, gone
+                'GET', '/r/x', 'example', headers, [], 0, gone
             )
         )
         with pytest.raises(StopIteration) as stopped:
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -134,9 +134,7 @@
             guard = crash_guard.CrashGuard(host.me.name, host, host._log)
             host.on_crash_notice = guard.handle_notice
             guards.append(guard)
-        req = http_messages.Request(
-            'GET', '/r/x', 'example', [], b'', 0.0, None
-        )
+        req = http_messages.Request('GET', '/r/x', 'example', [], [], 0.0, None)
         now_s = net.now_s
         guards[2].report_crash(req, 't1', now_s - 0.2, now_s - 0.1, now_s)
         net.run(0.5)
--- a/tests/test_gateway/test_peer_api.py
+++ b/tests/test_gateway/test_peer_api.py
@@ -67,7 +67,7 @@
     gone = asyncio.get_running_loop().create_future()
     target = f'/copy?prefix=config%2F&after={after}&wait_ms={wait_ms}'
     return http_messages.Request(
-        'GET', target, peer_api.HOST_NAME, [], b'', 0.0, gone
+        'GET', target, peer_api.HOST_NAME, [], [], 0.0, gone
     )
 
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -49,6 +49,11 @@
         assert node.gateway.dead_s == pytest.approx(6.4)
         assert (node.store_ip, node.store_port) == ('10.200.1.7', 8142)
 
+    def test_memory_is_parsed(self):
+        node = settings.parse(SETTINGS + 'limits.memory_mb=300\n', 5)
+        assert node.gateway.memory_bytes == 300e6
+        assert settings.parse(SETTINGS, 5).gateway.memory_bytes > 0
+
     @pytest.mark.parametrize(
         ('line', 'message'),
         [
--- a/tests/test_platform/test_endpoints.py
+++ b/tests/test_platform/test_endpoints.py
@@ -17,7 +17,7 @@
 
 
 def request(target):
-    return http_messages.Request('GET', target, 'x', [], b'', 0.0, None)
+    return http_messages.Request('GET', target, 'x', [], [], 0.0, None)
 
 
 @pytest.fixture
