--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -1,6 +1,7 @@
 """Feeds that decode objects of the platform's store for the gateway."""
 
 import ipaddress
+import re
 
 import msgspec
 
@@ -24,6 +25,10 @@
 _MAX_AGE_S = 4.5
 
 
+# Names are sent in headers.
+_NAME = re.compile('[!-~]+')
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float
@@ -254,8 +259,10 @@
 
     Raises:
         DecodeFailed: The object is malformed.
-        ValueError: The state or the address is invalid.
+        ValueError: The name, the state or the address is invalid.
     """
+    if not _NAME.fullmatch(name):
+        raise ValueError(f'name {name!r} can not be sent in a header')
     server = decoding.decode_json(value, _Server)
     if server.status.state not in _STATES:
         raise ValueError(f'state {server.status.state!r} is unknown')
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -145,6 +145,17 @@
         assert set(rig.state.targets) == {'good'}
         assert 'target-malformed' in rig.log.kinds()
 
+    @pytest.mark.parametrize(
+        'name', ['\u2603', 'a b', 'a\r\nx: y', '', 'a\x7f']
+    )
+    async def test_name_that_fits_no_header_adds_no_target(self, name):
+        # It ended each health request of the target, and of the requests that
+        # had chosen it, with an error.
+        rig = FeedRig()
+        rig.feed.put(stores.StoredObject(name, 2, server_json()), 2)
+        assert not rig.state.targets
+        assert rig.log.kinds() == ['target-malformed']
+
     async def test_malformed_entry_does_not_affect_others(self):
         rig = FeedRig()
         rig.feed.replace(
