--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -22,6 +22,10 @@
 
 # No target takes as many requests per second; a higher limit is an error.
 MAX_LIMIT_PER_S = 1e6
+# No target has as many requests; the fourth figure is a percentage.
+_MAX_LOAD = 1e6
+# No target stays cold for longer than a day.
+_MAX_WARMUP_MS = 86400e3
 # No target asks for a pause longer than a day; a longer one is an error.
 MAX_PAUSE_S = 86400.0
 
@@ -246,33 +250,30 @@
     healthy: bool,
     constraints: dialect.Constraints = _NO_CONSTRAINTS,
 ) -> dialect.Reading:
-    cold_s = 0.0
-    warmup = reply.get(WARMUP_MS)
-    if warmup is not None:
-        try:
-            cold_s = float(warmup) / 1000
-        except ValueError:
-            cold_s = 0.0
-    load = reply.get(SERVER_LOAD)
-    if load is None:
-        return dialect.Reading(
-            taken_s, healthy, cold_s=cold_s, constraints=constraints
-        )
-    try:
-        values = [int(item) for item in load.split(b',')]
-        running, waiting, slots = values[:3]
-    except ValueError:
+    """Decodes load and warm-up; a malformed or absurd value is left out."""
+    cold_s = _decode_cold_s(reply)
+    values = [
+        _parse_number(item, _MAX_LOAD)
+        for item in (reply.get(SERVER_LOAD) or b'').split(b',')
+    ]
+    if len(values) < 3 or None in values:
         return dialect.Reading(
             taken_s, healthy, cold_s=cold_s, constraints=constraints
         )
-    slowness = values[3] / 100 if len(values) > 3 else 1.0
     return dialect.Reading(
         taken_s,
         healthy,
-        running,
-        waiting,
-        slots,
-        slowness,
-        cold_s,
-        constraints,
+        running=int(values[0]),
+        waiting=int(values[1]),
+        slots=int(values[2]),
+        slowness=values[3] / 100 if len(values) > 3 else 1.0,
+        cold_s=cold_s,
+        constraints=constraints,
     )
+
+
+def _decode_cold_s(reply: http_client.Reply) -> float:
+    value = reply.get(WARMUP_MS)
+    if value is None:
+        return 0.0
+    return (_parse_number(value, _MAX_WARMUP_MS) or 0.0) / 1000
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -339,6 +339,49 @@
     await server.stop()
 
 
+class TestReadings:
+    """An absurd figure of a target must not end a request with 502."""
+
+    def decode(self, load, warmup=b'0'):
+        headers = [(wire.SERVER_LOAD, load), (wire.WARMUP_MS, warmup)]
+        reply = http_client.Reply(200, headers)
+        return wire.PlatformDialect().decode_load(reply, None, 1.0)
+
+    def test_figures_are_decoded(self):
+        reading = self.decode(b'3,2,8,150', b'250')
+        assert (reading.running, reading.waiting, reading.slots) == (3, 2, 8)
+        assert reading.slowness == 1.5
+        assert reading.cold_s == 0.25
+        assert self.decode(b'3, 2, 8').slowness == 1.0
+
+    @pytest.mark.parametrize(
+        'load',
+        [
+            b'1,2,3,' + b'9' * 400,
+            b'9' * 400 + b',2,3',
+            b'9' * 5000 + b',2,3',
+            b'-1,2,3',
+            b'1,2',
+            b'1,2,x',
+            b'nan,2,3',
+            b'1,2,3,nan',
+            b'1,2,3,inf',
+            b'\xff',
+            b'',
+        ],
+    )
+    def test_odd_load_is_left_out(self, load):
+        reading = self.decode(load)
+        assert (reading.running, reading.slots) == (0, 0)
+        assert reading.slowness == 1.0
+
+    @pytest.mark.parametrize(
+        'warmup', [b'nan', b'inf', b'-5', b'1e300', b'x', b'']
+    )
+    def test_odd_warmup_is_left_out(self, warmup):
+        assert self.decode(b'1,2,3', warmup).cold_s == 0.0
+
+
 class TestConstraints:
     """An invalid header of a target must change nothing."""
 
