--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -9,6 +9,7 @@
 from benchmarks.soak import configurations
 from benchmarks.soak import disruptions
 from benchmarks.soak import hosts as hosts_
+from benchmarks.soak import pipelines
 from benchmarks.soak import statements
 from standins import fault_proxy
 from standins import platform_store
@@ -91,6 +92,9 @@
         self.cfg_checker = configurations.ConfigurationChecker(
             seed, self.hosts, self.store_disruptions
         )
+        self.pipeline_checker = pipelines.PipelineChecker(
+            self.hosts, self.targets, self.had_fault, f'/{READ}/'
+        )
         self._ids = 0
         self._version = 1
         self._calling = True
@@ -105,6 +109,7 @@
         self._check_runs()
         self.violations += self.statement_checker.check()
         self.violations += self.cfg_checker.check()
+        self.violations += self.pipeline_checker.check()
         return self.violations
 
     async def _play(self, seconds: float) -> None:
@@ -118,6 +123,7 @@
             asyncio.create_task(self.statement_checker.run()),
             asyncio.create_task(self.cfg_checker.change(self.configure)),
             asyncio.create_task(self.cfg_checker.send(self.call)),
+            asyncio.create_task(self.pipeline_checker.run()),
         ]
         try:
             end_s = self.loop.time() + seconds
--- a/standins/pipelining.py
+++ b/standins/pipelining.py
@@ -15,17 +15,26 @@
     Attributes:
         request_id: Value of its header `X-Request-Id`.
         sent_s: Loop time at which it was sent, in seconds.
+        ended_s: Loop time of its answer or of the end of its connection.
         status: Status of its answer, 0 without one.
         complete: Whether all of the answer has arrived.
         unread: Whether an earlier answer has closed the connection, so that
             the host states that it has not read the request.
     """
 
-    __slots__ = ('complete', 'request_id', 'sent_s', 'status', 'unread')
+    __slots__ = (
+        'complete',
+        'ended_s',
+        'request_id',
+        'sent_s',
+        'status',
+        'unread',
+    )
 
     def __init__(self, request_id: str, sent_s: float) -> None:
         self.request_id = request_id
         self.sent_s = sent_s
+        self.ended_s = 0.0
         self.status = 0
         self.complete = False
         self.unread = False
@@ -41,6 +50,7 @@
         prefix: Path of the route with slashes at both ends.
         depth: Number of requests that are outstanding at the same time.
         read_bytes_per_s: Speed at which answers are read; 0 for no limit.
+        pause_s: Time from an answer to the next request, in seconds.
 
     Attributes:
         requests: All requests, in the order in which they were sent.
@@ -54,6 +64,7 @@
         prefix: str,
         depth: int,
         read_bytes_per_s: float = 0.0,
+        pause_s: float = 0.0,
     ) -> None:
         self._ip = ip
         self._port = port
@@ -61,6 +72,8 @@
         self._prefix = prefix
         self._depth = depth
         self._read_bytes_per_s = read_bytes_per_s
+        self._pause_s = pause_s
+        self._outstanding: collections.deque[SentRequest] = collections.deque()
         self._loop = asyncio.get_running_loop()
         self._stopping = False
         self.requests: list[SentRequest] = []
@@ -81,29 +94,36 @@
                 await asyncio.sleep(0.05)
                 continue
             try:
-                async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                    await self._use(reader, writer)
+                await self._use(reader, writer)
             except (OSError, EOFError, TimeoutError):
                 continue
             finally:
                 writer.transport.abort()
+                self._end_outstanding()
+
+    def _end_outstanding(self) -> None:
+        while self._outstanding:
+            self._outstanding.popleft().ended_s = self._loop.time()
 
     async def _use(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Sends requests on a connection until an answer closes it."""
-        outstanding: collections.deque[SentRequest] = collections.deque()
         while True:
-            while len(outstanding) < self._depth and not self._stopping:
-                outstanding.append(self._send(writer))
-            if not outstanding:
+            while len(self._outstanding) < self._depth and not self._stopping:
+                self._outstanding.append(self._send(writer))
+            if not self._outstanding:
                 return
-            closes = await self._read(reader, outstanding[0])
-            outstanding.popleft()
+            req = self._outstanding[0]
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                closes = await self._read(reader, req)
+            req.ended_s = self._loop.time()
+            self._outstanding.popleft()
             if closes:
-                for req in outstanding:
-                    req.unread = True
+                for unread in self._outstanding:
+                    unread.unread = True
                 return
+            await asyncio.sleep(self._pause_s)
 
     def _send(self, writer: asyncio.StreamWriter) -> SentRequest:
         req = SentRequest(f'p{next(_NUMBERS)}', self._loop.time())
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -12,6 +12,7 @@
 from benchmarks.soak import hosts
 from benchmarks.soak import run as runs
 from benchmarks.soak import statements
+from standins import pipelining
 from standins import platform_targets
 
 SECONDS = 6.0
@@ -98,6 +99,42 @@
             await task
 
 
+class TestPipelines:
+    """Lost requests of pipelining callers must be found, and only those."""
+
+    async def violations(self, tmp_path, fault_s=0.0, **fields):
+        run = runs.Soak(1, str(tmp_path), [])
+        if fault_s:
+            run.fault_times_s.append(fault_s)
+        target = platform_targets.TargetServer('t')
+        target.runs.append(platform_targets.Run('p1', '/r/p1', 900, 100.1))
+        run.targets.append(target)
+        caller = pipelining.PipeliningCaller('', 0, '', '/r/', 2)
+        req = pipelining.SentRequest('p1', 100.0)
+        req.ended_s = 101.0
+        for name, value in fields.items():
+            setattr(req, name, value)
+        caller.requests.append(req)
+        run.pipeline_checker._callers.append(caller)
+        return run.pipeline_checker.check()
+
+    @pytest.mark.parametrize('unread', [False, True])
+    async def test_request_that_ran_without_an_answer(self, tmp_path, unread):
+        assert len(await self.violations(tmp_path, unread=unread)) == 1
+
+    async def test_answered_request(self, tmp_path):
+        assert not await self.violations(tmp_path, complete=True)
+
+    async def test_request_that_did_not_run(self, tmp_path):
+        assert not await self.violations(tmp_path, request_id='p2')
+
+    @pytest.mark.parametrize(
+        ('fault_s', 'found'), [(96.0, 1), (98.0, 0), (100.5, 0), (101.5, 1)]
+    )
+    async def test_faults_excuse_it(self, tmp_path, fault_s, found):
+        assert len(await self.violations(tmp_path, fault_s)) == found
+
+
 class TestStatements:
     """The checks of what targets state must be able to fail."""
 
