--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -21,6 +21,9 @@
     }
 )
 
+# Headers that are set for each connection that carries the request.
+_REPLACED_HEADERS = frozenset({b'host', b'content-length', b'expect'})
+
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -68,6 +71,53 @@
         return self.target.partition('?')[0]
 
 
+def build_request(
+    method: bytes,
+    url: bytes,
+    headers: list[tuple[bytes, bytes]],
+    arrived_s: float,
+    disconnected: asyncio.Future[None],
+) -> Request:
+    """Returns a request, still without its body, from what was parsed.
+
+    Args:
+        method: Method.
+        url: Request target.
+        headers: All headers, names in lower case.
+        arrived_s: Loop time at which the request was complete.
+        disconnected: Future that is done once the connection is lost.
+
+    Raises:
+        ValueError: The target is no path, or there is not one `Host` header.
+    """
+    hosts = [value for name, value in headers if name == b'host']
+    if len(hosts) != 1:
+        raise ValueError('request needs exactly one Host header')
+    if not url.startswith(b'/'):
+        raise ValueError('request target is not a path')
+    dropped = HOP_BY_HOP | _REPLACED_HEADERS | _connection_tokens(headers)
+    host = hosts[0].decode('latin-1').strip().lower()
+    return Request(
+        method.decode('ascii'),
+        url.decode('latin-1'),
+        host.rpartition(':')[0] if ':' in host else host,
+        [item for item in headers if item[0] not in dropped],
+        [],
+        arrived_s,
+        disconnected,
+    )
+
+
+def _connection_tokens(headers: list[tuple[bytes, bytes]]) -> set[bytes]:
+    """Returns the names of further headers that concern one connection."""
+    return {
+        token.strip()
+        for name, value in headers
+        if name == b'connection'
+        for token in value.lower().split(b',')
+    }
+
+
 class Response(msgspec.Struct):
     """A complete HTTP response.
 
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -301,7 +301,13 @@
             return
         self._head_started_s = 0.0
         try:
-            req = self._build_request()
+            req = http_messages.build_request(
+                self._parser.get_method(),
+                self._url,
+                self._headers,
+                self._loop.time(),
+                self._closed,
+            )
         except ValueError:
             self._reject(400)
             return
@@ -353,6 +359,7 @@
     def _write_continue(self) -> None:
         if self._expects_continue and not self._exchanges:
             self._transport.write(_CONTINUE)
+        self._expects_continue = False
 
     def _update_reading(self) -> None:
         """Pauses reading, or goes on, as the pending requests demand."""
@@ -402,40 +409,6 @@
         chunks.append(b'\r\n')
         return b''.join(chunks)
 
-    def _build_request(self) -> http_messages.Request:
-        method = self._parser.get_method().decode('ascii')
-        host = ''
-        headers = []
-        connection_tokens: set[bytes] = set()
-        for name, value in self._headers:
-            if name == b'connection':
-                connection_tokens |= {
-                    item.strip() for item in value.lower().split(b',')
-                }
-        host_count = 0
-        for name, value in self._headers:
-            if name == b'host':
-                host_count += 1
-                host = value.decode('latin-1').strip().lower()
-            elif name in http_messages.HOP_BY_HOP or name in connection_tokens:
-                continue
-            elif name != b'content-length' and name != b'expect':
-                headers.append((name, value))
-        if host_count != 1:
-            raise ValueError('request needs exactly one Host header')
-        target = self._url.decode('latin-1')
-        if not target.startswith('/'):
-            raise ValueError('request target is not a path')
-        return http_messages.Request(
-            method,
-            target,
-            host.rpartition(':')[0] if ':' in host else host,
-            headers,
-            [],
-            self._loop.time(),
-            self._closed,
-        )
-
     def _end_reading(self) -> None:
         """Ignores all further data; the last response closes the connection.
 
--- a/tests/test_gateway/test_long_bodies.py
+++ b/tests/test_gateway/test_long_bodies.py
@@ -248,6 +248,19 @@
         writer.write(b'x' * MIB)
         assert (await rigs.read_response(reader)).status == 200
 
+    async def test_body_that_waits_midway_gets_no_second_continue(self, serve):
+        server = await serve(4 * MIB)
+        reader, writer = await server.connect()
+        writer.write(
+            HEAD + b'Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        assert (await reader.readuntil(b'\r\n\r\n')).startswith(b'HTTP/1.1 100')
+        rooms = fill(server.bodies, 4 * MIB)
+        writer.write(in_chunks(3 * MIB).partition(b'\r\n\r\n')[2])
+        await asyncio.sleep(0.2)
+        empty(server.bodies, rooms)
+        assert (await rigs.read_response(reader)).status == 200
+
 
 class TestClient:
     """A long body must be written as the peer reads it, and only once."""
