--- a/tests/test_platform/test_endpoints.py
+++ b/tests/test_platform/test_endpoints.py
@@ -9,7 +9,7 @@
 
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import metrics
-from ragwortchute.platform import __main__ as daemon
+from ragwortchute.platform import daemon
 from ragwortchute.platform import endpoints
 from tests.test_gateway import test_application
 
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -20,6 +20,7 @@
 REGRESSIONS = {
     103: 'a stopping host closed a connection with a request in transit',
     424: 'the run did not end, as a call went on after it was cancelled',
+    1104: 'a host was not back after a stop and a reload (beside load only)',
 }
 
 
