--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -21,8 +21,9 @@
     }
 )
 
-# Headers that are set for each connection that carries the request.
-_REPLACED_HEADERS = frozenset({b'host', b'content-length', b'expect'})
+# Headers that are not forwarded as they are: they concern one connection, or
+# are set anew on each.
+_DROPPED_HEADERS = HOP_BY_HOP | {b'host', b'content-length', b'expect'}
 
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -95,13 +96,17 @@
         raise ValueError('request needs exactly one Host header')
     if not url.startswith(b'/'):
         raise ValueError('request target is not a path')
-    dropped = HOP_BY_HOP | _REPLACED_HEADERS | _connection_tokens(headers)
+    tokens = _connection_tokens(headers)
     host = hosts[0].decode('latin-1').strip().lower()
     return Request(
         method.decode('ascii'),
         url.decode('latin-1'),
         host.rpartition(':')[0] if ':' in host else host,
-        [item for item in headers if item[0] not in dropped],
+        [
+            (name, value)
+            for name, value in headers
+            if name not in _DROPPED_HEADERS and name not in tokens
+        ],
         [],
         arrived_s,
         disconnected,
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -36,7 +36,6 @@
 # Longest wait for a response, in addition to the wait for a change.
 RESPONSE_TIMEOUT_S = 0.6
 
-
 _OK = 200
 _GONE = 410
 _UNAVAILABLE = 503
--- a/ragwortchute/platform/store_answers.py
+++ b/ragwortchute/platform/store_answers.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+from typing import TypeVar
 
 import msgspec
 
@@ -14,6 +15,8 @@
 from ragwortchute import stores
 from ragwortchute.platform import json_parts
 
+T = TypeVar('T')
+
 
 class Page(msgspec.Struct, frozen=True):
     """Objects of a list.
@@ -85,10 +88,7 @@
     Raises:
         DecodeFailed: It is malformed.
     """
-    try:
-        page = decoding.decode_json(body, _Page)
-    except errors.DecodeFailed:
-        page = _split(body, _split_page)
+    page = _decode(body, _Page, _split_page)
     return Page(
         page.current_rev,
         [decode_object(item) for item in page.items],
@@ -102,10 +102,7 @@
     Raises:
         DecodeFailed: It is malformed.
     """
-    try:
-        events = decoding.decode_json(body, _Events)
-    except errors.DecodeFailed:
-        events = _split(body, _split_events)
+    events = _decode(body, _Events, _split_events)
     return Changes(
         events.current_rev,
         [
@@ -121,26 +118,30 @@
     Raises:
         DecodeFailed: It is malformed, beyond its value.
     """
-    try:
-        obj = decoding.decode_json(data, _Object)
-    except errors.DecodeFailed:
-        obj = _split(bytes(data), _split_object)
+    obj = _decode(data, _Object, _split_object)
     return stores.StoredObject(
         obj.metadata.name, obj.metadata.rev, bytes(obj.spec)
     )
 
 
-_Split = abc.Callable[[bytes], _Page | _Events | _Object]
-
+def _decode(data: bytes, type_: type[T], split: abc.Callable[[bytes], T]) -> T:
+    """Decodes a text as a whole, or else the parts that are needed.
 
-def _split(data: bytes, split: _Split) -> _Page | _Events | _Object:
-    """Splits a text that can't be decoded as a whole.
+    Args:
+        data: The text.
+        type_: Type of its value.
+        split: Decodes the parts of the text.
 
     Raises:
-        DecodeFailed: The parts that are needed can't be decoded, either.
+        DecodeFailed: A part that is needed can't be decoded, either.
     """
     try:
-        return split(data)
+        return decoding.decode_json(data, type_)
+    except errors.DecodeFailed:
+        # The parts tell which value is to blame; it is reported there.
+        pass
+    try:
+        return split(bytes(data))
     except json_parts.MalformedText as exc:
         raise errors.DecodeFailed(str(exc)) from exc
     except KeyError as exc:
