--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -113,6 +113,22 @@
     )
 
 
+def encode_head(
+    method: bytes, url: bytes, version: str, headers: list[tuple[bytes, bytes]]
+) -> bytes:
+    """Returns the head of a request as it may have been sent.
+
+    Args:
+        method: Method.
+        url: Request target.
+        version: Version of HTTP, such as `1.1`.
+        headers: Names and values.
+    """
+    lines = [b'%s %s HTTP/%s' % (method, url, version.encode('ascii'))]
+    lines += [name + b': ' + value for name, value in headers]
+    return b'\r\n'.join([*lines, b'', b''])
+
+
 def _connection_tokens(headers: list[tuple[bytes, bytes]]) -> set[bytes]:
     """Returns the names of further headers that concern one connection."""
     return {
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -236,7 +236,8 @@
         """See base class."""
         self._listener.connections.discard(self)
         self._transport = None
-        self._drop_body()
+        self._stop_body_wait()
+        self._body.clear()
         if not self._closed.done():
             self._closed.set_result(None)
         self._exchanges.clear()
@@ -268,9 +269,9 @@
 
     def on_headers_complete(self) -> None:
         """Asks for the room for the body and lets the caller send it."""
+        size_bytes = 0
         if self._reading_ended or self._parser.should_upgrade():
             return
-        size_bytes = 0
         for name, value in self._headers:
             if name == b'content-length':
                 size_bytes = int(value)
@@ -326,10 +327,8 @@
         Args:
             size_bytes: Length that it will have.
         """
-        if self._body.waiting:
-            return
         self._body.expect(size_bytes)
-        if self._body.waiting:
+        if self._body.waiting and self._body_wait_timer is None:
             self._body_wait_timer = self._loop.call_later(
                 BODY_WAIT_S, self._refuse_body
             )
@@ -352,10 +351,6 @@
             self._body_wait_timer.cancel()
             self._body_wait_timer = None
 
-    def _drop_body(self) -> None:
-        self._stop_body_wait()
-        self._body.clear()
-
     def _write_continue(self) -> None:
         if self._expects_continue and not self._exchanges:
             self._transport.write(_CONTINUE)
@@ -394,21 +389,16 @@
                 if self._parser.get_method() == b'CONNECT':
                     self._reject(501)
                     return
-                data = self._encode_head_without_upgrade() + data[exc.args[0] :]
+                head = http_messages.encode_head(
+                    self._parser.get_method(),
+                    self._url,
+                    self._parser.get_http_version(),
+                    [item for item in self._headers if item[0] != b'upgrade'],
+                )
+                data = head + data[exc.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
                 self._requests_begun -= 1
 
-    def _encode_head_without_upgrade(self) -> bytes:
-        """Returns the head of the current request without `Upgrade`."""
-        version = self._parser.get_http_version().encode('ascii')
-        chunks = [self._parser.get_method(), b' ', self._url, b' HTTP/']
-        chunks += [version, b'\r\n']
-        for name, value in self._headers:
-            if name != b'upgrade':
-                chunks += [name, b': ', value, b'\r\n']
-        chunks.append(b'\r\n')
-        return b''.join(chunks)
-
     def _end_reading(self) -> None:
         """Ignores all further data; the last response closes the connection.
 
@@ -416,7 +406,8 @@
         """
         self._reading_ended = True
         self._head_started_s = 0.0
-        self._drop_body()
+        self._stop_body_wait()
+        self._body.clear()
         self._update_reading()
 
     async def _serve(
