Keep revisions without changes apart from the follower

When a revision that the store returns without changes may be relied on is a decision of its own; it moves to unchanged_answers.py as it was.

--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 from collections import abc as cabc
 import math
 import random
@@ -22,16 +21,13 @@
 from ragwortchute.gateway import replica as replica_
 from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_health
+from ragwortchute.gateway import unchanged_answers
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
 # How long a host that learns of a newer revision from another host waits for
 # its own watch to return that revision.
 HINT_DELAY_S = 0.3
-# The store may return no changes for a second, but the revision after them. A
-# revision without changes is relied on only if a later watch that starts before
-# it, has not returned any either.
-CONFIRM_S = 3.0
 # An answer of which a part has come within this time is not given up: another
 # source would send all of it again, on a link that may be slow.
 ARRIVING_S = 0.25
@@ -97,10 +93,7 @@
         self._store_answered = False
         self._preferred_source: Source | None = None
         self._reading_replica = False
-        # Time and revision of answers of the store without changes.
-        self._unconfirmed: collections.deque[tuple[float, int]] = (
-            collections.deque()
-        )
+        self._unchanged = unchanged_answers.UnchangedAnswers()
         self._seen_revision = 0
         self._newest_revision = 0
         self._behind_since_s = 0.0
@@ -445,14 +438,13 @@
         """Returns an answer with a revision that can be relied on."""
         self._seen_revision = max(self._seen_revision, answer.revision)
         if source.name or answer.objects or answer.removed:
-            self._unconfirmed.clear()
+            self._unchanged.clear()
             return answer
-        now_s = self._loop.time()
-        self._unconfirmed.append((now_s, answer.revision))
-        revision = self.replica.revision
-        while self._unconfirmed[0][0] <= now_s - CONFIRM_S:
-            _, revision = self._unconfirmed.popleft()
-        return stores.WatchAnswer(max(revision, self.replica.revision))
+        return stores.WatchAnswer(
+            self._unchanged.reliable_revision(
+                self._loop.time(), answer.revision, self.replica.revision
+            )
+        )
 
     def _defer_removals(
         self, source: Source, answer: stores.WatchAnswer, *, full_read: bool
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -11,6 +11,7 @@
 from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
+from ragwortchute.gateway import unchanged_answers
 from ragwortchute.platform import objects
 from standins import platform_store
 from tests.test_gateway import rig as rigs
@@ -159,7 +160,7 @@
         rig.follow()
         await rig.until({'a': '1'})
         await rig.server.put('others', 'b', 1)
-        await asyncio.sleep(store_follower.CONFIRM_S + 0.6)
+        await asyncio.sleep(unchanged_answers.CONFIRM_S + 0.6)
         assert rig.follower.replica.revision == rig.server.revision
 
     async def test_change_that_a_watch_misses_arrives_at_its_renewal(self, rig):
