--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -30,6 +30,7 @@
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import send_limits
+from ragwortchute.gateway import server_connection
 from ragwortchute.gateway import sources
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
@@ -168,11 +169,35 @@
             self.rng, self.state.note_reported_failure
         )
         self.membership.on_failure_reports = self._failure_reports.handle_batch
-        guard = crash_guard.CrashGuard(me.name, self.membership, log)
+        self.dispatcher = self._create_dispatcher(dialect, reader)
+        self._followers: dict[str, store_follower.Follower] = {}
+        self._replicas: dict[str, replica.Replica] = {}
+        self.bodies = body_budget.BodyBudget(
+            int(settings.memory_bytes * BODIES_MEMORY_FRACTION)
+        )
+        self.callers = self._create_listener(self.dispatcher.serve, 'callers')
+        api = peer_api.PeerApi(self._replicas, self.dispatcher)
+        self.peers = self._create_listener(api.serve, 'peers')
+        self.membership.local_revisions = self._last_change_revisions
+        self.membership.on_peer_revision = self._on_peer_revision
+        self.leaving = False
+        self.peers_searched = False
+        self.registered = asyncio.Event()
+
+    def _create_dispatcher(
+        self,
+        dialect: dialects.Dialect,
+        reader: statement_reader.StatementReader,
+    ) -> dispatcher.Dispatcher:
+        """Returns the dispatcher, connected to the other hosts."""
+        log = self._log
+        guard = crash_guard.CrashGuard(
+            self._settings.me.name, self.membership, log
+        )
         self.membership.on_crash_notice = guard.handle_notice
         self.membership.on_answer_notice = guard.handle_answer_notice
         request_log_ = request_log.RequestLog(log, self.state, self.stats)
-        self.dispatcher = dispatcher.Dispatcher(
+        dispatcher_ = dispatcher.Dispatcher(
             state=self.state,
             dialect=dialect,
             selector=self._selector,
@@ -189,35 +214,22 @@
             failures=self._failure_reports,
             statements=reader,
             is_outdated=self._is_outdated,
-            limits=settings.limits,
+            limits=self._settings.limits,
             stats=self.stats,
             rng=self.rng,
         )
-        loans = self.dispatcher.retries.loans
+        loans = dispatcher_.retries.loans
         loans.send = self.membership.ask_for_loans
         loans.reply = self.membership.send_loan
-        self.membership.on_loan = self.dispatcher.retries.handle_loan
-        self.bodies = body_budget.BodyBudget(
-            int(settings.memory_bytes * BODIES_MEMORY_FRACTION)
-        )
-        self.callers = http_server.Listener(
-            self.dispatcher.serve,
-            lambda: self.state.limits,
-            log,
-            'callers',
-            self.bodies,
+        self.membership.on_loan = dispatcher_.retries.handle_loan
+        return dispatcher_
+
+    def _create_listener(
+        self, handler: server_connection.Handler, name: str
+    ) -> http_server.Listener:
+        return http_server.Listener(
+            handler, lambda: self.state.limits, self._log, name, self.bodies
         )
-        self._followers: dict[str, store_follower.Follower] = {}
-        self._replicas: dict[str, replica.Replica] = {}
-        api = peer_api.PeerApi(self._replicas, self.dispatcher)
-        self.peers = http_server.Listener(
-            api.serve, lambda: self.state.limits, log, 'peers', self.bodies
-        )
-        self.membership.local_revisions = self._last_change_revisions
-        self.membership.on_peer_revision = self._on_peer_revision
-        self.leaving = False
-        self.peers_searched = False
-        self.registered = asyncio.Event()
 
     @property
     def ready(self) -> bool:
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -206,20 +206,10 @@
             StoreUnavailable: No valid response, or the host has no replica.
         """
         wait_s = min(timeout_s, MAX_WAIT_S)
-        path = (
-            f'/copy?prefix={parse.quote(prefix, safe="")}'
-            f'&after={after_revision}&wait_ms={int(wait_s * 1000)}'
-        )
-        own = self._replicas.get(prefix)
-        if own is not None and own.revision == after_revision:
-            path += '&deltas=1'
-        head = f'GET {path} HTTP/1.1\r\nhost: {HOST_NAME}\r\n\r\n'
+        head = self._encode_watch(prefix, after_revision, wait_s)
         try:
             reply = await http_client.exchange(
-                self._pool,
-                head.encode(),
-                wait_s + RESPONSE_TIMEOUT_S,
-                progress,
+                self._pool, head, wait_s + RESPONSE_TIMEOUT_S, progress
             )
         except errors.TargetError as exc:
             raise self._unavailable(str(exc)) from exc
@@ -246,6 +236,19 @@
     async def close(self) -> None:
         """See base class."""
 
+    def _encode_watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> bytes:
+        """Encodes a request of the changes after a revision."""
+        path = (
+            f'/copy?prefix={parse.quote(prefix, safe="")}'
+            f'&after={after_revision}&wait_ms={int(wait_s * 1000)}'
+        )
+        own = self._replicas.get(prefix)
+        if own is not None and own.revision == after_revision:
+            path += '&deltas=1'
+        return f'GET {path} HTTP/1.1\r\nhost: {HOST_NAME}\r\n\r\n'.encode()
+
     def _apply_delta(
         self, prefix: str, delta: value_delta.ValueDelta
     ) -> stores.StoredObject:
