--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -220,6 +220,7 @@
                 self._preferred_source = source
             except errors.StoreError as exc:
                 if self._may_ask_again(source, exc):
+                    self._store_answered = False
                     self._health.record_failure(exc)
                     self._preferred_source = source
                     continue
@@ -232,14 +233,15 @@
     def _may_ask_again(self, source: Source, exc: errors.StoreError) -> bool:
         """Returns whether the store is asked again at once after a failure.
 
-        A store that drops its history also cuts the watches, and answers the
-        next call. If readers left it for that, nobody would confirm replicas,
-        and hundreds of hosts would ask the store themselves.
+        A store that drops its history cuts the watches and answers the next
+        call. If readers left it for that, hundreds of hosts would ask it.
         """
-        if source.name or not self._store_answered:
-            return False
-        self._store_answered = False
-        return isinstance(exc, errors.StoreUnavailable) and exc.connection_lost
+        return (
+            not source.name
+            and self._store_answered
+            and isinstance(exc, errors.StoreUnavailable)
+            and exc.connection_lost
+        )
 
     async def _pause(self, delay_s: float) -> None:
         """Waits until the delay has passed or another source is known."""
@@ -289,6 +291,7 @@
                 error=str(exc),
             )
         else:
+            self._store_answered = False
             self._health.record_failure(exc)
 
     def _check_newer_revision(self, revision: int, source: Source) -> None:
