--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -114,7 +114,7 @@
         pauses: Pauses that targets have asked this host for.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
-        bodies: Room for long bodies of requests.
+        bodies: Memory for long bodies of requests.
         callers: Listener for callers.
         peers: Listener for other hosts.
         leaving: Whether this host is stopping.
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -9,7 +9,7 @@
 from ragwortchute.gateway import server_connection
 
 EXPIRY_CHECK_S = 0.25
-# Room for long bodies of a listener that shares none.
+# Memory for long bodies of a listener that shares none.
 DEFAULT_BODIES_BYTES = 16 << 20
 
 
@@ -21,7 +21,7 @@
         limits: Returns the current limits on requests.
         log: Event log.
         name: Name of the listener in the log.
-        bodies: Room for long bodies, which listeners may share.
+        bodies: Memory for long bodies, which listeners may share.
 
     Attributes:
         draining: Whether connections are closed after their last response.
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -114,7 +114,7 @@
         )
         metrics.add_gauge(
             'ragwortchute_gateway_body_bytes',
-            'Room that long bodies of requests take.',
+            'Memory reserved for long bodies of requests.',
             lambda: {'': gateway.bodies.used_bytes},
         )
         metrics.add_gauge(
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -23,10 +23,10 @@
 # last response has been written: closing a socket with unread data sends a
 # reset, which may discard what the peer has not read yet.
 CLOSE_LINGER_S = 1.0
-# How long the rest of a long body waits for room. Callers give up on a host
+# How long the rest of a long body waits for memory. Callers give up on a host
 # that does not read their request for a second.
 BODY_WAIT_S = 0.8
-# Named to a caller whose body found no room.
+# Named to a caller for whose body no memory was left.
 _BODY_RETRY_AFTER_S = 0.5
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
@@ -47,7 +47,7 @@
         limits: Returns the current limits on requests.
         log: Event log.
         name: Name of the listener in the log.
-        bodies: Room for long bodies.
+        bodies: Memory for long bodies.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
     """
@@ -126,7 +126,9 @@
         # Loop time of the last progress in sending responses.
         self._sent_s = float('-inf')
         self._unsent_bytes = 0
-        self._body = body_reader.BodyReader(listener.bodies, self._on_body_room)
+        self._body = body_reader.BodyReader(
+            listener.bodies, self._on_body_reserved
+        )
         self._body_wait_timer: asyncio.TimerHandle | None = None
         self._reset_request()
 
@@ -268,7 +270,7 @@
         self._count_head(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Asks for the room for the body and lets the caller send it."""
+        """Reserves memory for the body and lets the caller send it."""
         size_bytes = 0
         if self._reading_ended or self._parser.should_upgrade():
             return
@@ -313,16 +315,18 @@
             self._reject(400)
             return
         self._stop_body_wait()
-        req.body_parts, room = self._body.take()
+        req.body_parts, reservation = self._body.take()
         exchange = _Exchange()
         self._exchanges.append(exchange)
-        exchange.task = self._loop.create_task(self._serve(req, exchange, room))
+        exchange.task = self._loop.create_task(
+            self._serve(req, exchange, reservation)
+        )
         if self._listener.draining or not self._parser.should_keep_alive():
             self._end_reading()
         self._update_reading()
 
     def _expect_body(self, size_bytes: int) -> None:
-        """Reads a long body only once there is room for it.
+        """Reads a long body only once memory is reserved for it.
 
         Args:
             size_bytes: Length that it will have.
@@ -334,15 +338,15 @@
             )
             self._update_reading()
 
-    def _on_body_room(self) -> None:
-        """Goes on to read a body that had to wait for room."""
+    def _on_body_reserved(self) -> None:
+        """Goes on to read a body that had to wait for memory."""
         self._stop_body_wait()
         self._head_started_s = self._loop.time()
         self._write_continue()
         self._update_reading()
 
     def _refuse_body(self) -> None:
-        """Rejects a request whose body has found no room."""
+        """Rejects a request for whose body no memory is left."""
         after = f'{_BODY_RETRY_AFTER_S:g}'.encode()
         self._reject(503, [(b'retry-after', after)])
 
@@ -414,7 +418,7 @@
         self,
         req: http_messages.Request,
         exchange: _Exchange,
-        room: body_budget.Room,
+        reservation: body_budget.Reservation,
     ) -> None:
         try:
             resp = await self._listener.handler(req)
@@ -422,8 +426,7 @@
             self._listener.log.failure('handler', req.target)
             resp = http_messages.Response(502)
         finally:
-            if room.size_bytes:
-                self._listener.bodies.release(room, room.size_bytes)
+            self._listener.bodies.shrink(reservation, 0)
         exchange.response = resp
         self._flush()
 
--- a/tests/test_gateway/test_long_bodies.py
+++ b/tests/test_gateway/test_long_bodies.py
@@ -1,4 +1,4 @@
-"""Tests of long bodies of requests and of the room for them."""
+"""Tests of long bodies of requests and of the memory for them."""
 
 import asyncio
 
@@ -17,62 +17,62 @@
 
 
 def fill(budget, size_bytes):
-    """Takes room, and one byte beyond the limit of 4 MiB."""
-    rooms = [body_budget.Room(), body_budget.Room()]
-    budget.acquire(rooms[0], size_bytes)
-    budget.acquire(rooms[1], 1)
-    return rooms
+    """Reserves memory, and one byte beyond the limit of 4 MiB."""
+    reservations = [body_budget.Reservation(), body_budget.Reservation()]
+    budget.extend(reservations[0], size_bytes)
+    budget.extend(reservations[1], 1)
+    return reservations
 
 
-def empty(budget, rooms):
-    for room in rooms:
-        budget.release(room, room.size_bytes)
+def empty(budget, reservations):
+    for reservation in reservations:
+        budget.shrink(reservation, 0)
 
 
 class TestBudget:
-    """Bodies at the same time must not exceed the room, nor wait for good."""
+    """Bodies at the same time must not exceed the memory, nor wait for good."""
 
     async def test_bodies_are_granted_in_order(self):
         budget = body_budget.BodyBudget(100)
-        rooms = [body_budget.Room() for _ in range(4)]
-        assert budget.acquire(rooms[0], 60) is None
+        reservations = [body_budget.Reservation() for _ in range(4)]
+        assert budget.extend(reservations[0], 60) is None
         # One body may exceed the limit.
-        assert budget.acquire(rooms[1], 60) is None
-        third = budget.acquire(rooms[2], 60)
+        assert budget.extend(reservations[1], 60) is None
+        third = budget.extend(reservations[2], 60)
         # The last one would keep the third waiting.
-        last = budget.acquire(rooms[3], 10)
-        budget.release(rooms[0], 60)
+        last = budget.extend(reservations[3], 10)
+        budget.shrink(reservations[0], 0)
         assert not (third.done() or last.done())
-        budget.release(rooms[1], 60)
+        budget.shrink(reservations[1], 0)
         assert third.done() and last.done()
         assert budget.used_bytes == 70
 
     async def test_body_beyond_the_limit_may_grow(self):
         budget = body_budget.BodyBudget(100)
-        rooms = [body_budget.Room() for _ in range(2)]
-        assert budget.acquire(rooms[0], 60) is None
-        assert budget.acquire(rooms[1], 60) is None
-        first = budget.acquire(rooms[0], 10)
-        assert budget.acquire(rooms[1], 60) is None
-        budget.release(rooms[1], 120)
+        reservations = [body_budget.Reservation() for _ in range(2)]
+        assert budget.extend(reservations[0], 60) is None
+        assert budget.extend(reservations[1], 60) is None
+        first = budget.extend(reservations[0], 10)
+        assert budget.extend(reservations[1], 60) is None
+        budget.shrink(reservations[1], 0)
         assert first.done()
         assert budget.used_bytes == 70
 
     async def test_withdrawn_wait_does_not_block_others(self):
         budget = body_budget.BodyBudget(100)
-        rooms = [body_budget.Room() for _ in range(4)]
-        budget.acquire(rooms[0], 60)
-        budget.acquire(rooms[1], 60)
-        large = budget.acquire(rooms[2], 90)
-        small = budget.acquire(rooms[3], 30)
-        budget.release(rooms[0], 60)
-        budget.withdraw(rooms[2])
+        reservations = [body_budget.Reservation() for _ in range(4)]
+        budget.extend(reservations[0], 60)
+        budget.extend(reservations[1], 60)
+        large = budget.extend(reservations[2], 90)
+        small = budget.extend(reservations[3], 30)
+        budget.shrink(reservations[0], 0)
+        budget.withdraw(reservations[2])
         assert small.done() and not large.done()
         assert budget.used_bytes == 90
 
 
 class TestReader:
-    """Room must be given back exactly once, however a body ends."""
+    """Memory must be released exactly once, however a body ends."""
 
     def reader(self, budget):
         return body_reader.BodyReader(budget, lambda: None)
@@ -82,11 +82,11 @@
         reader = self.reader(budget)
         reader.expect(3 * MIB)
         reader.add(b'x' * MIB)
-        parts, room = reader.take()
-        assert len(b''.join(parts)) == room.size_bytes == MIB
+        parts, reservation = reader.take()
+        assert len(b''.join(parts)) == reservation.size_bytes == MIB
         assert budget.used_bytes == MIB
 
-    async def test_small_body_takes_no_room(self):
+    async def test_small_body_reserves_nothing(self):
         budget = body_budget.BodyBudget(10 * MIB)
         reader = self.reader(budget)
         reader.expect(body_reader.SMALL_BODY_BYTES)
@@ -95,16 +95,16 @@
     @pytest.mark.parametrize('granted', [False, True])
     async def test_body_that_waits_is_dropped(self, granted):
         budget = body_budget.BodyBudget(4 * MIB)
-        rooms = fill(budget, 4 * MIB)
+        reservations = fill(budget, 4 * MIB)
         reader = self.reader(budget)
         reader.expect(MIB)
         assert reader.waiting
         if granted:
-            empty(budget, rooms)
+            empty(budget, reservations)
         reader.clear()
         await asyncio.sleep(0)
         if not granted:
-            empty(budget, rooms)
+            empty(budget, reservations)
         assert budget.used_bytes == 0
         assert not reader.waiting
 
@@ -165,13 +165,15 @@
 
 @pytest.mark.parametrize('encode', [with_length, in_chunks])
 class TestServer:
-    """Long bodies must wait for room instead of ending the process.
+    """Long bodies must wait for memory instead of ending the process.
 
     Two bodies within the limits of the configuration made a host exceed its
     memory, and all its requests were lost (KNOWN-RED 10; review, case 1).
     """
 
-    async def test_bodies_beyond_the_room_are_read_in_turn(self, serve, encode):
+    async def test_bodies_beyond_the_memory_are_read_in_turn(
+        self, serve, encode
+    ):
         server = await serve(4 * MIB)
         connections = [await server.connect() for _ in range(4)]
         for _, writer in connections:
@@ -180,7 +182,7 @@
             assert (await rigs.read_response(reader)).body == b'%d' % (3 * MIB)
         assert server.bodies.used_bytes == 0
 
-    async def test_room_is_held_until_the_response(self, serve, encode):
+    async def test_memory_is_held_until_the_response(self, serve, encode):
         server = await serve(4 * MIB)
         server.answer.clear()
         reader, writer = await server.connect()
@@ -191,7 +193,7 @@
         await rigs.read_response(reader)
         assert server.bodies.used_bytes == 0
 
-    async def test_body_without_room_is_refused(self, serve, encode):
+    async def test_body_without_memory_is_refused(self, serve, encode):
         server = await serve(4 * MIB)
         fill(server.bodies, 4 * MIB)
         reader, writer = await server.connect()
@@ -211,7 +213,7 @@
         writer.write(with_length(1000))
         assert (await rigs.read_response(reader)).status == 200
 
-    async def test_room_of_a_lost_connection_is_given_back(self, serve, encode):
+    async def test_memory_of_a_lost_connection_is_released(self, serve, encode):
         server = await serve(4 * MIB)
         _, writer = await server.connect()
         writer.write(encode(3 * MIB)[: 2 * MIB])
@@ -232,17 +234,17 @@
         resp = await asyncio.wait_for(rigs.read_response(reader), 0.5)
         assert resp.status == 413
 
-    async def test_caller_that_waits_for_continue_gets_it_with_the_room(
+    async def test_caller_that_waits_for_continue_gets_it_with_the_memory(
         self, serve
     ):
         server = await serve(4 * MIB)
-        rooms = fill(server.bodies, 4 * MIB)
+        reservations = fill(server.bodies, 4 * MIB)
         reader, writer = await server.connect()
         writer.write(
             HEAD + b'Expect: 100-continue\r\nContent-Length: %d\r\n\r\n' % MIB
         )
         await asyncio.sleep(server_connection.BODY_WAIT_S / 2)
-        empty(server.bodies, rooms)
+        empty(server.bodies, reservations)
         line = await reader.readuntil(b'\r\n\r\n')
         assert line.startswith(b'HTTP/1.1 100 ')
         writer.write(b'x' * MIB)
@@ -255,10 +257,10 @@
             HEAD + b'Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n'
         )
         assert (await reader.readuntil(b'\r\n\r\n')).startswith(b'HTTP/1.1 100')
-        rooms = fill(server.bodies, 4 * MIB)
+        reservations = fill(server.bodies, 4 * MIB)
         writer.write(in_chunks(3 * MIB).partition(b'\r\n\r\n')[2])
         await asyncio.sleep(0.2)
-        empty(server.bodies, rooms)
+        empty(server.bodies, reservations)
         assert (await rigs.read_response(reader)).status == 200
 
 
