--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -21,7 +21,6 @@
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
-from ragwortchute.gateway import parts
 from ragwortchute.gateway import pauses
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
@@ -37,6 +36,7 @@
 from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
+from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_statements
 
 # How long callers may cache an address response.
@@ -137,7 +137,7 @@
         self._loop = asyncio.get_running_loop()
         me = settings.me
         self.stats = stats_.Stats()
-        self._parts = parts.Parts(log, self.stats, self.rng)
+        self._supervisor = supervisor.Supervisor(log, self.stats, self.rng)
         self.health = store_health.StoreHealth(log)
         self.state = host_state.HostState(
             dialect, settings.domains, me.failure_domain, log
@@ -341,7 +341,7 @@
             name: Name of the part in the log.
             run: Runs the part.
         """
-        self._parts.spawn(name, run)
+        self._supervisor.spawn(name, run)
 
     async def leave(self) -> None:
         """Stops gracefully: redirects new callers and finishes requests."""
@@ -364,7 +364,7 @@
 
     async def close(self) -> None:
         """Cancels all tasks and closes all connections."""
-        await self._parts.close()
+        await self._supervisor.close()
         await self.callers.stop()
         await self.peers.stop()
         await self.dispatcher.close()
--- a/ragwortchute/gateway/parts.py
+++ b/ragwortchute/gateway/supervisor.py
@@ -1,4 +1,4 @@
-"""Parts of a host that run until it is closed."""
+"""Supervision of the tasks that a host runs until it is closed."""
 
 import asyncio
 from collections import abc
@@ -14,7 +14,7 @@
 MAX_RESTART_DELAY_S = 3.0
 
 
-class Parts:
+class Supervisor:
     """Runs the parts of a host and starts those again that fail.
 
     A part that ended would leave the host serving with state that is no longer
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -250,7 +250,7 @@
     healthy: bool,
     constraints: dialect.Constraints = _NO_CONSTRAINTS,
 ) -> dialect.Reading:
-    """Decodes load and warm-up; a malformed or absurd value is left out."""
+    """Decodes load and warm-up; an invalid value is left out."""
     cold_s = _decode_cold_s(reply)
     values = [
         _parse_number(item, _MAX_LOAD)
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -109,8 +109,8 @@
     """An earlier refusal must not be taken for the current request's.
 
     A target wrote the refusal of a health request, which has no id, once more
-    on a kept connection. The caller was told that its request had not run while
-    it ran, or it was sent to a second target (issue 30, REFUSED, TWICE).
+    on a reused connection. The caller was told that its request had not run
+    while it ran, or it was sent to a second target (issue 30, REFUSED, TWICE).
     """
 
     @pytest.mark.parametrize('of_probe', [True, False])
--- a/tests/test_gateway/test_parts.py
+++ b/tests/test_gateway/test_supervisor.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from ragwortchute.gateway import parts
 from ragwortchute.gateway import stats
+from ragwortchute.gateway import supervisor
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
 from tests.test_gateway import test_store_follower
@@ -19,7 +19,7 @@
         self.event('error', step=kind, subject=subject)
 
 
-class TestParts:
+class TestSupervisor:
     """A part that fails must run again (issue 30).
 
     The follower of the targets ended at an entry that it could not decode, and
@@ -31,9 +31,11 @@
         self.log = FailureLog()
         self.stats = stats.Stats()
         self.runs = 0
-        host_parts = parts.Parts(self.log, self.stats, random.Random(1))
-        yield host_parts
-        await host_parts.close()
+        supervisor_ = supervisor.Supervisor(
+            self.log, self.stats, random.Random(1)
+        )
+        yield supervisor_
+        await supervisor_.close()
 
     async def fail_twice(self):
         self.runs += 1
@@ -82,7 +84,9 @@
     async def test_change_is_applied_after_the_restart(self):
         rig = test_store_follower.Rig()
         await rig.start()
-        host_parts = parts.Parts(FailureLog(), stats.Stats(), random.Random(1))
+        supervisor_ = supervisor.Supervisor(
+            FailureLog(), stats.Stats(), random.Random(1)
+        )
         try:
             put = rig.feed.put
 
@@ -91,13 +95,13 @@
                 raise OverflowError
 
             await rig.server.put('things', 'a', 1)
-            host_parts.spawn('follower', rig.follower.run)
+            supervisor_.spawn('follower', rig.follower.run)
             await rig.until({'a': '1'})
             rig.feed.put = fail_once
             await rig.server.put('things', 'a', 2)
             await rig.until({'a': '2'})
         finally:
-            await host_parts.close()
+            await supervisor_.close()
             await rig.stop()
 
 
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -340,7 +340,7 @@
 
 
 class TestReadings:
-    """An absurd figure of a target must not end a request with 502."""
+    """An invalid figure of a target must not end a request with 502."""
 
     def decode(self, load, warmup=b'0'):
         headers = [(wire.SERVER_LOAD, load), (wire.WARMUP_MS, warmup)]
@@ -370,7 +370,7 @@
             b'',
         ],
     )
-    def test_odd_load_is_left_out(self, load):
+    def test_invalid_load_is_left_out(self, load):
         reading = self.decode(load)
         assert (reading.running, reading.slots) == (0, 0)
         assert reading.slowness == 1.0
@@ -378,7 +378,7 @@
     @pytest.mark.parametrize(
         'warmup', [b'nan', b'inf', b'-5', b'1e300', b'x', b'']
     )
-    def test_odd_warmup_is_left_out(self, warmup):
+    def test_invalid_warmup_is_left_out(self, warmup):
         assert self.decode(b'1,2,3', warmup).cold_s == 0.0
 
 
--- a/tests/test_platform/test_odd_entries.py
+++ b/tests/test_platform/test_unreadable_entries.py
@@ -25,7 +25,7 @@
 NESTED_OBJECTS = b'{"a":' * DEPTH + b'1' + b'}' * DEPTH
 HALF_SURROGATE = b'"\\udcff\\udcfe"'
 
-ODD_VALUES = {
+MALFORMED_VALUES = {
     'nested': NESTED,
     'nested-objects': NESTED_OBJECTS,
     'half-surrogate': HALF_SURROGATE,
@@ -48,12 +48,12 @@
     return msgspec.json.encode(encoded)
 
 
-ODD_ENTRIES = {
-    **ODD_VALUES,
+MALFORMED_ENTRIES = {
+    **MALFORMED_VALUES,
     **{
         f'{field}-{name}': entry_with(field, value)
         for field in ('address', 'info', 'status', 'born')
-        for name, value in ODD_VALUES.items()
+        for name, value in MALFORMED_VALUES.items()
         if name != 'integer-too-large'
     },
 }
@@ -86,8 +86,8 @@
     async def add_target(self, name):
         await self.server.put('servers', name, test_adapter.SERVER)
 
-    async def add_odd_entry(self, entry):
-        await self.server.put('servers', 'odd', msgspec.Raw(entry))
+    async def add_malformed_entry(self, entry):
+        await self.server.put('servers', 'malformed', msgspec.Raw(entry))
 
     async def until_targets(self, *names):
         for _ in range(100):
@@ -110,7 +110,9 @@
     await rig.stop()
 
 
-@pytest.mark.parametrize('entry', ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+@pytest.mark.parametrize(
+    'entry', MALFORMED_ENTRIES.values(), ids=MALFORMED_ENTRIES
+)
 class TestTargets:
     """An entry that can't be read must hide no other entry (review, 3 and 4).
 
@@ -122,14 +124,14 @@
         await rig.add_target('before')
         await rig.start()
         await rig.until_targets('before')
-        await rig.add_odd_entry(entry)
+        await rig.add_malformed_entry(entry)
         await rig.add_target('after')
         await rig.until_targets('before', 'after')
         assert not rig.task.done()
 
     async def test_others_are_read_at_the_start(self, rig, entry):
         await rig.add_target('before')
-        await rig.add_odd_entry(entry)
+        await rig.add_malformed_entry(entry)
         await rig.add_target('after')
         await rig.start()
         await rig.until_targets('before', 'after')
@@ -141,11 +143,11 @@
 
     @pytest.mark.parametrize('value', [NESTED, HALF_SURROGATE])
     async def test_target_is_removed(self, rig, value):
-        await rig.add_target('odd')
+        await rig.add_target('malformed')
         await rig.add_target('other')
         await rig.start()
-        await rig.until_targets('odd', 'other')
-        await rig.add_odd_entry(value)
+        await rig.until_targets('malformed', 'other')
+        await rig.add_malformed_entry(value)
         await rig.until_targets('other')
 
 
