--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -454,18 +454,10 @@
         self._listener.log.event(
             'rejected', listener=self._listener.name, status=status
         )
-        resp = http_messages.Response(status, headers, close=True)
-        if self._exchanges:
-            # Responses to earlier requests are sent first.
-            exchange = _Exchange()
-            exchange.response = resp
-            self._exchanges.append(exchange)
-            self._flush()
-            return
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(http_messages.encode(resp))
-            self._sent_s = self._loop.time()
-        self._begin_close()
+        exchange = _Exchange()
+        exchange.response = http_messages.Response(status, headers, close=True)
+        self._exchanges.append(exchange)
+        self._flush()
 
     def _begin_close(self) -> None:
         """Shuts down the sending side; further received data is ignored."""
