--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -173,7 +173,7 @@
         if len(body_parts) == 1 and len(body_parts[0]) <= MAX_JOINED_BYTES:
             data += body_parts[0]
             body_parts = ()
-        self._unsent_parts = collections.deque(body_parts)
+        self._unsent_parts.extend(body_parts)
         self._transport.write(data)
         self._write_parts()
         return self._fut
