Give the listeners of a host in tests different ports

Change: these tests and the soak use free_port of the stand-in deployment, which counts upwards below the ephemeral range; it takes the address now.

--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -4,10 +4,10 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 from benchmarks.soak import disruptions
+from standins import deployment
 from standins import fault_proxy
 
 DOMAINS = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b'}
@@ -15,9 +15,6 @@
 CONTACT_S = 3.0
 GRACE_S = 6.0
 
-# Addresses of hosts that may not be listening yet.
-_assigned: set[tuple[str, int]] = set()
-
 
 class Host:
     """One host process.
@@ -33,8 +30,8 @@
         self.domain = domain
         # Concurrent soak processes use different addresses.
         self.ip = f'127.3.{os.getpid() % 250}.{index + 1}'
-        self.port = _free_port(self.ip)
-        self.peer_port = _free_port(self.ip)
+        self.port = deployment.free_port(self.ip)
+        self.peer_port = deployment.free_port(self.ip)
         self.folder = pathlib.Path(folder)
         self.process: asyncio.subprocess.Process | None = None
         self.proxy: fault_proxy.FaultProxy | None = None
@@ -55,8 +52,8 @@
         path.write_text(
             f'node={self.name}\nip={self.ip}\nzone={self.domain}\n{domains}'
             f'listen.front={self.ip}:{self.port}\n'
-            f'listen.readiness={self.ip}:{_free_port(self.ip)}\n'
-            f'listen.directory={self.ip}:{_free_port(self.ip)}\n'
+            f'listen.readiness={self.ip}:{deployment.free_port(self.ip)}\n'
+            f'listen.directory={self.ip}:{deployment.free_port(self.ip)}\n'
             f'port_range={self.peer_port},{self.peer_port}\n'
             f'bounds=grace_s={GRACE_S},contact_s={CONTACT_S},retry_slack=50\n'
             f'provider.address=127.0.0.1:{self.proxy.port}\n'
@@ -90,14 +87,3 @@
         except TimeoutError:
             self.signal(signal.SIGKILL)
             await self.process.wait()
-
-
-def _free_port(ip: str) -> int:
-    """Returns a free port that no host of this process has been given."""
-    while True:
-        with socket.socket() as sock:
-            sock.bind((ip, 0))
-            address = sock.getsockname()
-        if address not in _assigned:
-            _assigned.add(address)
-            return address[1]
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -389,18 +389,20 @@
     ]
 
 
-def free_port() -> int:
-    """Returns a loopback port that is free at the time of the call.
-
-    The port is below the kernel's ephemeral range, so that no outgoing
-    connection can take it before the host listens. Concurrent processes start
-    at different ports to avoid choosing the same one.
+def free_port(ip: str = '127.0.0.1') -> int:
+    """Returns a free port of a loopback address.
+
+    The port is free at the time of the call, and returned again only after
+    `_PORT_COUNT` calls, whatever the address. It is below the kernel's
+    ephemeral range, so that no outgoing connection can take it before the host
+    listens. Concurrent processes start at different ports to avoid choosing the
+    same one.
     """
     while True:
         port = _FIRST_PORT + next(_PORT_OFFSETS) % _PORT_COUNT
         with socket.socket() as sock:
             try:
-                sock.bind(('127.0.0.1', port))
+                sock.bind((ip, port))
             except OSError:
                 continue
             return port
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import random
-import socket
 
 import msgspec
 
@@ -14,18 +13,13 @@
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
 from ragwortchute.platform import wire
+from standins import deployment as deployment_lib
 from standins import platform_store
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 from tests.test_platform import test_adapter
 
 
-def free_port(ip):
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
-
-
 async def never_answer(*args, **kwargs):
     await asyncio.Event().wait()
 
@@ -57,16 +51,15 @@
         )
 
     async def add(self, name, domain):
-        # Each host has its own IP address: on a shared one, an outgoing
-        # connection may take a free port before the host binds it.
+        # Each host has an IP address of its own, as on the platform.
         self.addresses += 1
         ip = f'127.2.{os.getpid() % 250}.{self.addresses}'
         me = rigs.host(
             name,
             domain,
-            caller_address=f'{ip}:{free_port(ip)}',
+            caller_address=f'{ip}:{deployment_lib.free_port(ip)}',
             ip=ip,
-            peer_port=free_port(ip),
+            peer_port=deployment_lib.free_port(ip),
         )
         host = self.build(me)
         await self.run(host)
