--- a/tests/test_gateway/test_long_bodies.py
+++ b/tests/test_gateway/test_long_bodies.py
@@ -10,7 +10,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway import request_reader
 from tests.test_gateway import rig as rigs
 
 MIB = 1 << 20
@@ -243,7 +243,7 @@
         writer.write(
             HEAD + b'Expect: 100-continue\r\nContent-Length: %d\r\n\r\n' % MIB
         )
-        await asyncio.sleep(server_connection.BODY_WAIT_S / 2)
+        await asyncio.sleep(request_reader.BODY_WAIT_S / 2)
         empty(server.bodies, reservations)
         line = await reader.readuntil(b'\r\n\r\n')
         assert line.startswith(b'HTTP/1.1 100 ')
