--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -9,7 +9,10 @@
 from collections import abc
 import typing
 
+import msgspec
+
 from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import delivery as delivery_
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
@@ -54,17 +57,40 @@
         """Notes that a connection has ended."""
 
 
+class Cut(msgspec.Struct, frozen=True):
+    """What a connection has not finished when its host closes it.
+
+    Attributes:
+        pending: Targets of requests without a response, with their age in
+            seconds.
+        incomplete: Whether a request has been read in part.
+        unsent_bytes: Bytes of responses that the kernel has not taken.
+        unacknowledged_bytes: Further bytes that the caller's machine has not
+            acknowledged.
+        unread: Whether a caller that sends ahead may not have read its
+            responses: it has not closed the connection.
+    """
+
+    pending: list[tuple[str, float]]
+    incomplete: bool
+    unsent_bytes: int
+    unacknowledged_bytes: int
+    unread: bool
+
+
 class _Exchange:
     """A pending request on a connection.
 
     Attributes:
+        req: The request, None if it was rejected before it was complete.
         response: The response, None until the handler returns it.
         task: Task that runs the handler.
     """
 
-    __slots__ = ('response', 'task')
+    __slots__ = ('req', 'response', 'task')
 
-    def __init__(self) -> None:
+    def __init__(self, req: http_messages.Request | None = None) -> None:
+        self.req = req
         self.response: http_messages.Response | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -79,12 +105,14 @@
     __slots__ = (
         '_close_started_s',
         '_closed',
+        '_delivery',
         '_exchanges',
         '_idle_since_s',
         '_listener',
         '_loop',
         '_reader',
         '_reading_paused',
+        '_sends_ahead',
         '_sent_s',
         '_transport',
         '_unsent_bytes',
@@ -102,6 +130,9 @@
         self._idle_since_s = self._loop.time()
         self._close_started_s = 0.0
         self._reading_paused = False
+        # Whether the caller sends requests before earlier ones are answered.
+        self._sends_ahead = False
+        self._delivery: delivery_.Delivery | None = None
         # Loop time of the last progress in sending responses.
         self._sent_s = float('-inf')
         self._unsent_bytes = 0
@@ -136,6 +167,26 @@
         if not self._exchanges and not self._reader.started_s:
             self._begin_close()
 
+    def cut(self) -> Cut | None:
+        """Returns what is unfinished, None if nothing is."""
+        now_s = self._loop.time()
+        self._delivery.update(now_s, closed=bool(self._close_started_s))
+        cut = Cut(
+            [
+                (exchange.req.target, round(now_s - exchange.req.arrived_s, 3))
+                for exchange in self._exchanges
+                if exchange.req is not None
+            ],
+            bool(self._reader.started_s),
+            self._delivery.unsent_bytes,
+            self._delivery.unacknowledged_bytes,
+            self._sends_ahead,
+        )
+        finished = self._delivery.complete and not (
+            cut.pending or cut.incomplete or cut.unread
+        )
+        return None if finished else cut
+
     def abort(self) -> None:
         """Closes the connection immediately."""
         if self._transport is not None:
@@ -179,6 +230,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
         self._transport = transport
+        self._delivery = delivery_.Delivery(transport, self._loop.time())
         self._listener.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -205,8 +257,10 @@
         self, req: http_messages.Request, reservation: body_budget.Reservation
     ) -> None:
         """Starts the handler of a request."""
-        exchange = _Exchange()
+        exchange = _Exchange(req)
         self._exchanges.append(exchange)
+        if len(self._exchanges) > 1 or self._transport.get_write_buffer_size():
+            self._sends_ahead = True
         exchange.task = self._loop.create_task(
             self._serve(req, exchange, reservation)
         )
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -255,3 +255,69 @@
         caller.sock.send(servers.GET % 0)
         await asyncio.sleep(2.5)
         assert not server.listener.connections
+
+
+class TestCut:
+    """A host that ends must log what its connections had not finished.
+
+    The record of issue 33 did not tell which of these states was lost.
+    """
+
+    async def cut(self, server):
+        await server.listener.stop()
+        return [
+            fields
+            for kind, fields in server.listener.log.lines
+            if kind == 'cut'
+        ]
+
+    async def test_pending_request(self, serve):
+        server = await serve()
+        server.delays = {'/0': 9}
+        _, writer = await server.connect()
+        writer.write(servers.GET % 0)
+        await asyncio.sleep(0.05)
+        (cut,) = await self.cut(server)
+        ((target, age_s),) = cut['pending']
+        assert target == '/0'
+        assert 0 < age_s < 5
+
+    async def test_incomplete_request(self, serve):
+        server = await serve()
+        _, writer = await server.connect()
+        writer.write((servers.GET % 0)[:9])
+        await asyncio.sleep(0.05)
+        (cut,) = await self.cut(server)
+        assert cut['incomplete']
+
+    async def test_response_that_is_not_acknowledged(self, serve):
+        server = await serve()
+
+        async def respond(req):
+            return http_messages.Response(200, (), b'x' * (12 << 20))
+
+        server.listener.handler = respond
+        caller = SlowReader(server)
+        caller.sock.send(servers.GET % 0)
+        await asyncio.sleep(0.1)
+        (cut,) = await self.cut(server)
+        assert cut['unsent_bytes']
+        assert cut['unacknowledged_bytes']
+        caller.sock.close()
+
+    async def test_caller_that_sends_ahead(self, serve):
+        server = await serve()
+        reader, writer = await server.connect()
+        writer.write(servers.GET % 0 + servers.GET % 1)
+        for _ in range(2):
+            await rigs.read_response(reader)
+        (cut,) = await self.cut(server)
+        assert cut['unread']
+        assert not cut['pending']
+
+    async def test_finished_connection_is_not_logged(self, serve):
+        server = await serve()
+        reader, writer = await server.connect()
+        writer.write(servers.GET % 0)
+        await rigs.read_response(reader)
+        assert not await self.cut(server)
