--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -52,6 +52,8 @@
         fault_times_s: Loop times of the unplanned faults of all parts: start
             and end of those that last.
         store_disruptions: Times in which the store was disturbed for all hosts.
+        timeouts_s: Timeouts of routes that configurations choose from, in
+            seconds.
         late_s: Greatest delay of this process's own timer, in seconds.
         fault_log: Log of the injected faults.
     """
@@ -83,6 +85,7 @@
         self.evacuated_at_s: dict[str, float] = {}
         self.removed_at_s: dict[str, float] = {}
         self.fault_times_s: list[float] = []
+        self.timeouts_s: tuple[float, ...] = (0.8, 1.0, 1.2)
         self.late_s = 0.0
         self.fault_log: list[str] = []
         self.statement_checker = statements.StatementChecker(
@@ -188,7 +191,7 @@
                     'route_type': (
                         'non_idempotent' if name == WRITE else 'idempotent'
                     ),
-                    'timeout_s': rng.choice((0.8, 1.0, 1.2)),
+                    'timeout_s': rng.choice(self.timeouts_s),
                     'target_latency_s': 0.2,
                     'priority': 1,
                     'service': 'svc',
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections import abc
 
-import msgspec
-
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
@@ -89,17 +87,8 @@
             self._expiry_task.cancel()
             self._expiry_task = None
         for conn in list(self.connections):
-            self._log_cut(conn)
             conn.abort()
 
-    def _log_cut(self, conn: server_connection.ServerConnection) -> None:
-        """Logs what a connection has not finished."""
-        cut = conn.cut()
-        if cut is not None:
-            self.log.event(
-                'cut', listener=self.name, **msgspec.structs.asdict(cut)
-            )
-
     @property
     def port(self) -> int:
         """Port of the listening socket."""
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -57,8 +57,8 @@
         """Notes that a connection has ended."""
 
 
-class Cut(msgspec.Struct, frozen=True):
-    """What a connection has not finished when its host closes it.
+class _Cut(msgspec.Struct, frozen=True):
+    """What a connection has not finished when its host ends it.
 
     Attributes:
         pending: Targets of requests without a response, with their age in
@@ -167,30 +167,18 @@
         if not self._exchanges and not self._reader.started_s:
             self._begin_close()
 
-    def cut(self) -> Cut | None:
-        """Returns what is unfinished, None if nothing is."""
-        now_s = self._loop.time()
-        self._delivery.update(now_s, closed=bool(self._close_started_s))
-        cut = Cut(
-            [
-                (exchange.req.target, round(now_s - exchange.req.arrived_s, 3))
-                for exchange in self._exchanges
-                if exchange.req is not None
-            ],
-            bool(self._reader.started_s),
-            self._delivery.unsent_bytes,
-            self._delivery.unacknowledged_bytes,
-            self._sends_ahead,
-        )
-        finished = self._delivery.complete and not (
-            cut.pending or cut.incomplete or cut.unread
-        )
-        return None if finished else cut
-
     def abort(self) -> None:
-        """Closes the connection immediately."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Closes the connection immediately and logs what is unfinished."""
+        if self._transport is None:
+            return
+        cut = self._cut()
+        if cut is not None:
+            self._listener.log.event(
+                'cut',
+                listener=self._listener.name,
+                **msgspec.structs.asdict(cut),
+            )
+        self._transport.abort()
 
     def expire(self, now_s: float, limits: model.Limits) -> None:
         """Closes the connection if one of its timeouts has expired."""
@@ -225,6 +213,26 @@
         elif now_s - max(self._sent_s, self._close_started_s) > CLOSE_LINGER_S:
             self.abort()
 
+    def _cut(self) -> _Cut | None:
+        """Returns what is unfinished, None if nothing is."""
+        now_s = self._loop.time()
+        self._delivery.update(now_s, closed=bool(self._close_started_s))
+        cut = _Cut(
+            [
+                (exchange.req.target, round(now_s - exchange.req.arrived_s, 3))
+                for exchange in self._exchanges
+                if exchange.req is not None
+            ],
+            bool(self._reader.started_s),
+            self._delivery.unsent_bytes,
+            self._delivery.unacknowledged_bytes,
+            self._sends_ahead,
+        )
+        finished = self._delivery.complete and not (
+            cut.pending or cut.incomplete or cut.unread
+        )
+        return None if finished else cut
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/standins/pipelining.py
+++ b/standins/pipelining.py
@@ -51,6 +51,7 @@
         depth: Number of requests that are outstanding at the same time.
         read_bytes_per_s: Speed at which answers are read; 0 for no limit.
         pause_s: Time from an answer to the next request, in seconds.
+        deadline_ms: Value of the header `X-Request-Deadline-Ms`.
 
     Attributes:
         requests: All requests, in the order in which they were sent.
@@ -65,6 +66,7 @@
         depth: int,
         read_bytes_per_s: float = 0.0,
         pause_s: float = 0.0,
+        deadline_ms: int = 2000,
     ) -> None:
         self._ip = ip
         self._port = port
@@ -73,6 +75,7 @@
         self._depth = depth
         self._read_bytes_per_s = read_bytes_per_s
         self._pause_s = pause_s
+        self._deadline_ms = deadline_ms
         self._outstanding: collections.deque[SentRequest] = collections.deque()
         self._loop = asyncio.get_running_loop()
         self._stopping = False
@@ -116,7 +119,7 @@
                 return
             req = self._outstanding[0]
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                closes = await self._read(reader, req)
+                closes = await read_answer(reader, req, self._read_bytes_per_s)
             req.ended_s = self._loop.time()
             self._outstanding.popleft()
             if closes:
@@ -131,23 +134,38 @@
         writer.write(
             f'GET {self._prefix}{req.request_id} HTTP/1.1\r\n'
             f'Host: {self._host_name}\r\nX-Request-Id: {req.request_id}\r\n'
-            'X-Request-Deadline-Ms: 2000\r\n\r\n'.encode()
+            f'X-Request-Deadline-Ms: {self._deadline_ms}\r\n\r\n'.encode()
         )
         return req
 
-    async def _read(
-        self, reader: asyncio.StreamReader, req: SentRequest
-    ) -> bool:
-        """Reads an answer; returns whether it closes the connection."""
-        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
-        req.status = int(head.split(' ')[1])
-        left = int(head.partition('content-length: ')[2].split('\r')[0])
-        while left:
-            data = await reader.read(min(left, 1 << 14))
-            if not data:
-                raise EOFError('connection ended in an answer')
-            left -= len(data)
-            if self._read_bytes_per_s:
-                await asyncio.sleep(len(data) / self._read_bytes_per_s)
-        req.complete = True
-        return 'connection: close' in head
+
+async def read_answer(
+    reader: asyncio.StreamReader,
+    req: SentRequest,
+    read_bytes_per_s: float = 0.0,
+) -> bool:
+    """Reads an answer and notes it in its request.
+
+    Args:
+        reader: Stream of the connection.
+        req: The request.
+        read_bytes_per_s: Speed at which it is read; 0 for no limit.
+
+    Returns:
+        Whether it closes the connection.
+
+    Raises:
+        EOFError: The connection ended in the answer.
+    """
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
+    req.status = int(head.split(' ')[1])
+    left = int(head.partition('content-length: ')[2].split('\r')[0])
+    while left:
+        data = await reader.read(min(left, 1 << 14))
+        if not data:
+            raise EOFError('connection ended in an answer')
+        left -= len(data)
+        if read_bytes_per_s:
+            await asyncio.sleep(len(data) / read_bytes_per_s)
+    req.complete = True
+    return 'connection: close' in head
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -258,7 +258,7 @@
 
 
 class TestCut:
-    """A host that ends must log what its connections had not finished.
+    """A host must log what was unfinished on a connection that it ends.
 
     The record of issue 33 did not tell which of these states was lost.
     """
--- a/tests/test_system/test_planned_stop.py
+++ b/tests/test_system/test_planned_stop.py
@@ -9,6 +9,7 @@
 from benchmarks.soak import hosts
 from benchmarks.soak import run as runs
 from standins import pipelining
+from standins import uploading
 
 CALLERS = 20
 PREFIX = f'/{runs.READ}/'
@@ -25,7 +26,7 @@
         self.host = run.hosts[0]
         self.callers = []
 
-    def add_callers(self, count, depth, read_bytes_per_s=0.0):
+    def add_callers(self, count, depth, read_bytes_per_s=0.0, deadline_ms=2000):
         for _ in range(count):
             self.callers.append(
                 pipelining.PipeliningCaller(
@@ -35,6 +36,21 @@
                     PREFIX,
                     depth,
                     read_bytes_per_s,
+                    deadline_ms=deadline_ms,
+                )
+            )
+
+    def add_uploading_callers(self, count, body_s, spread_s):
+        for number in range(count):
+            self.callers.append(
+                uploading.UploadingCaller(
+                    self.host.ip,
+                    self.host.port,
+                    'soak.example',
+                    PREFIX,
+                    8192,
+                    body_s,
+                    spread_s * number / count,
                 )
             )
 
@@ -71,8 +87,9 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(folder):
+async def deployment(folder, timeout_s=1.0):
     run = runs.Soak(1, str(folder), [], 1)
+    run.timeouts_s = (timeout_s,)
     try:
         await run.start()
         yield Stop(run)
@@ -121,3 +138,62 @@
             assert not stop.lost()
             assert took_s < hosts.GRACE_S
             assert stop.host.process.returncode == 0
+
+
+class TestUnreadAnswers:
+    """A request behind an answer that is being read must not reset it.
+
+    A host took an answer for delivered when the kernel had taken its bytes, and
+    ended while callers with several requests outstanding read on (issue 33).
+    """
+
+    @pytest.mark.parametrize(
+        ('depth', 'answer_bytes', 'read_bytes_per_s'),
+        [(3, 1_000_000, 800_000), (2, 3_000_000, 2_000_000)],
+    )
+    async def test_none_is_lost(
+        self, tmp_path, depth, answer_bytes, read_bytes_per_s
+    ):
+        async with deployment(tmp_path) as stop:
+            for target in stop.run.targets:
+                target.slots = 20
+                target.answer_bytes = answer_bytes
+            stop.add_callers(12, depth, read_bytes_per_s=read_bytes_per_s)
+            took_s = await stop.play(before_s=2.0)
+            assert [req for req in stop.requests() if req.status == 200]
+            assert not stop.lost()
+            assert took_s < hosts.GRACE_S
+            assert stop.host.process.returncode == 0
+
+
+class TestLateRequests:
+    """A stopping host must pass on no request that can't end in time.
+
+    It passed them on until the end of its grace period, and then cut them off
+    without an answer, also those that may not repeat (issue 33).
+    """
+
+    @pytest.fixture
+    async def stop(self, tmp_path):
+        async with deployment(tmp_path, timeout_s=8.0) as stop:
+            for target in stop.run.targets:
+                target.slots = 20
+            yield stop
+
+    async def test_late_bodies_are_refused(self, stop):
+        for target in stop.run.targets:
+            target.work_s = 2.5
+        stop.add_uploading_callers(20, 2.0, spread_s=4.5)
+        await stop.play(before_s=7.0)
+        assert any(req.status == 200 for req in stop.requests())
+        assert not stop.lost()
+
+    async def test_long_work_is_refused_when_too_little_time_is_left(
+        self, stop
+    ):
+        for target in stop.run.targets:
+            target.work_s = 4.5
+        stop.add_callers(20, 1, deadline_ms=8000)
+        await stop.play(before_s=7.5)
+        assert any(req.status == 200 for req in stop.requests())
+        assert not stop.lost()
