--- a/ragwortchute/gateway/delivery.py
+++ b/ragwortchute/gateway/delivery.py
@@ -16,47 +16,61 @@
 
     Args:
         transport: Transport of the connection.
-        now_s: Loop time in seconds.
 
     Attributes:
-        progress_s: Loop time at which progress was last noted, in seconds.
-        unsent_bytes: Bytes that the kernel had not taken then.
+        complete: Whether the peer had acknowledged everything at the last
+            update, and nothing was written since.
+        progress_s: Loop time of the last write or noted progress, in seconds;
+            minus infinity before.
+        unsent_bytes: Bytes that the kernel had not taken at the last update.
         unacknowledged_bytes: Bytes that the peer had not acknowledged then,
             besides these.
     """
 
     __slots__ = (
         '_transport',
+        'complete',
         'progress_s',
         'unacknowledged_bytes',
         'unsent_bytes',
     )
 
-    def __init__(self, transport: asyncio.Transport, now_s: float) -> None:
+    def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
-        self.progress_s = now_s
+        self.complete = True
+        self.progress_s = float('-inf')
         self.unsent_bytes = 0
         self.unacknowledged_bytes = 0
 
-    @property
-    def complete(self) -> bool:
-        """Whether the peer had acknowledged everything at the last update."""
-        return not self.unsent_bytes and not self.unacknowledged_bytes
+    def note_write(self, now_s: float) -> None:
+        """Notes that something was written."""
+        self.complete = False
+        self.progress_s = now_s
+
+    def update_unsent(self, now_s: float) -> None:
+        """Notes whether the kernel has taken more of what was written."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self.unsent_bytes:
+            self.unsent_bytes = unsent_bytes
+            self.progress_s = now_s
 
     def update(self, now_s: float, *, closed: bool) -> None:
-        """Notes what is undelivered, and whether that has changed.
+        """Notes whether the peer has received more of what was written.
 
         Args:
             now_s: Loop time in seconds.
             closed: Whether the sending side has been shut down. The kernel
                 counts its end as a byte.
         """
-        before = self.unsent_bytes, self.unacknowledged_bytes
-        self.unsent_bytes = self._transport.get_write_buffer_size()
+        if self.complete:
+            return
+        self.update_unsent(now_s)
         end_bytes = 1 if closed and not self.unsent_bytes else 0
-        self.unacknowledged_bytes = max(0, self._outq_bytes() - end_bytes)
-        if (self.unsent_bytes, self.unacknowledged_bytes) != before:
+        unacknowledged_bytes = max(0, self._outq_bytes() - end_bytes)
+        if unacknowledged_bytes != self.unacknowledged_bytes:
+            self.unacknowledged_bytes = unacknowledged_bytes
             self.progress_s = now_s
+        self.complete = not self.unsent_bytes and not unacknowledged_bytes
 
     def _outq_bytes(self) -> int:
         """Returns the length of the kernel's send queue; 0 if it is unknown."""
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -95,10 +95,10 @@
         return self._server.sockets[0].getsockname()[1]
 
     async def wait_finished(self, timeout_s: float) -> bool:
-        """Waits until all responses have been sent.
+        """Waits until callers have received all responses.
 
-        Connections that lately had one must have been closed by the peer, or
-        have lingered long enough for it to arrive.
+        A caller that may still read must have closed its connection, others
+        have lingered long enough.
 
         Args:
             timeout_s: Longest wait in seconds.
@@ -106,13 +106,16 @@
         Returns:
             Whether that was so in time.
         """
-        self._finished_fut = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._finished_fut = loop.create_future()
+        for conn in self.connections:
+            conn.update_delivery(loop.time())
         self.notify_finished()
         await asyncio.wait((self._finished_fut,), timeout=max(0.0, timeout_s))
         return self._finished_fut.done()
 
     def notify_finished(self) -> None:
-        """Wakes `wait_finished` if all responses have been sent."""
+        """Wakes `wait_finished` if all responses have been received."""
         fut = self._finished_fut
         if fut is None or fut.done():
             return
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -20,9 +20,9 @@
 
 # Reading from a connection pauses while this many requests are pending.
 MAX_PIPELINED = 64
-# How long this host keeps reading from a connection that it closes after the
-# last response has been written: closing a socket with unread data sends a
-# reset, which may discard what the peer has not read yet.
+# How long this host keeps reading from a connection that it closes once the
+# caller has received all of it: closing a socket with unread data resets it,
+# which may discard what the caller has not read yet.
 CLOSE_LINGER_S = 1.0
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -67,8 +67,8 @@
         unsent_bytes: Bytes of responses that the kernel has not taken.
         unacknowledged_bytes: Further bytes that the caller's machine has not
             acknowledged.
-        unread: Whether a caller that sends ahead may not have read its
-            responses: it has not closed the connection.
+        unread: Whether the caller may not have read its responses: it sends
+            ahead or was told of the close, and has not closed.
     """
 
     pending: list[tuple[str, float]]
@@ -113,9 +113,8 @@
         '_reader',
         '_reading_paused',
         '_sends_ahead',
-        '_sent_s',
         '_transport',
-        '_unsent_bytes',
+        '_wrote_last',
     )
 
     def __init__(self, listener: Owner) -> None:
@@ -133,9 +132,8 @@
         # Whether the caller sends requests before earlier ones are answered.
         self._sends_ahead = False
         self._delivery: delivery_.Delivery | None = None
-        # Loop time of the last progress in sending responses.
-        self._sent_s = float('-inf')
-        self._unsent_bytes = 0
+        # Whether a response that closes the connection has been written.
+        self._wrote_last = False
 
     @property
     def running(self) -> int:
@@ -144,13 +142,28 @@
 
     @property
     def unfinished(self) -> bool:
-        """Whether a response is pending or may not have arrived yet."""
+        """Whether a response is pending, or the caller may still read one."""
         return (
             bool(self._exchanges)
-            or self._transport.get_write_buffer_size() > 0
-            or self._loop.time() - self._sent_s <= CLOSE_LINGER_S
+            or not self._delivery.complete
+            or self._may_be_unread
+            or self._loop.time() - self._delivery.progress_s <= CLOSE_LINGER_S
         )
 
+    @property
+    def _may_be_unread(self) -> bool:
+        """Whether a request behind a response that is being read may reset it.
+
+        A caller that sends ahead may write to a socket that is closed already.
+        One that was told of the close ends the connection when it has read all.
+        """
+        return self._sends_ahead or self._wrote_last
+
+    def update_delivery(self, now_s: float) -> None:
+        """Notes whether the caller has received more of the responses."""
+        closed = bool(self._close_started_s)
+        self._delivery.update(now_s, closed=closed)
+
     def drain(self) -> None:
         """Makes the last request that has arrived, or else the next, the last.
 
@@ -182,41 +195,39 @@
 
     def expire(self, now_s: float, limits: model.Limits) -> None:
         """Closes the connection if one of its timeouts has expired."""
-        self._note_progress(now_s)
         if self._close_started_s:
             self._expire_close(now_s, limits)
-        elif self._reader.waiting:
             return
-        elif self._reader.started_s:
+        if self._listener.draining:
+            self.update_delivery(now_s)
+        else:
+            self._delivery.update_unsent(now_s)
+        if self._reader.waiting:
+            return
+        if self._reader.started_s:
             if now_s - self._reader.started_s > limits.header_timeout_s:
                 self.reject(408)
         elif (
             not self._exchanges
-            and now_s - max(self._idle_since_s, self._sent_s)
+            and now_s - max(self._idle_since_s, self._delivery.progress_s)
             > limits.idle_timeout_s
         ):
             self._begin_close()
 
-    def _note_progress(self, now_s: float) -> None:
-        """Notes whether the peer has received more of the responses."""
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes != self._unsent_bytes:
-            self._unsent_bytes = unsent_bytes
-            self._sent_s = now_s
-
     def _expire_close(self, now_s: float, limits: model.Limits) -> None:
-        """Ends the close of a connection if the peer takes too long."""
-        if self._unsent_bytes:
-            # The peer is as slow as one that sends nothing.
-            if now_s - self._sent_s > limits.idle_timeout_s:
-                self.abort()
-        elif now_s - max(self._sent_s, self._close_started_s) > CLOSE_LINGER_S:
+        """Ends the close of a connection if the caller takes too long."""
+        self.update_delivery(now_s)
+        may_read = not self._delivery.complete or self._may_be_unread
+        limit_s = limits.idle_timeout_s if may_read else CLOSE_LINGER_S
+        if now_s - max(self._delivery.progress_s, self._close_started_s) > (
+            max(limit_s, CLOSE_LINGER_S)
+        ):
             self.abort()
 
     def _cut(self) -> _Cut | None:
         """Returns what is unfinished, None if nothing is."""
         now_s = self._loop.time()
-        self._delivery.update(now_s, closed=bool(self._close_started_s))
+        self.update_delivery(now_s)
         cut = _Cut(
             [
                 (exchange.req.target, round(now_s - exchange.req.arrived_s, 3))
@@ -226,7 +237,7 @@
             bool(self._reader.started_s),
             self._delivery.unsent_bytes,
             self._delivery.unacknowledged_bytes,
-            self._sends_ahead,
+            self._may_be_unread,
         )
         finished = self._delivery.complete and not (
             cut.pending or cut.incomplete or cut.unread
@@ -238,7 +249,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
         self._transport = transport
-        self._delivery = delivery_.Delivery(transport, self._loop.time())
+        self._delivery = delivery_.Delivery(transport)
         self._listener.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -328,8 +339,10 @@
             if self._transport is None:
                 return
             self._transport.write(http_messages.encode(resp))
-            self._idle_since_s = self._sent_s = self._loop.time()
+            self._idle_since_s = self._loop.time()
+            self._delivery.note_write(self._idle_since_s)
             if resp.close:
+                self._wrote_last = True
                 self._begin_close()
                 return
         self.update_reading()
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -257,6 +257,58 @@
         assert not server.listener.connections
 
 
+class TestUnreadResponses:
+    """A request behind a response that is being read must not reset it.
+
+    The kernel had taken the response, and the connection was reset a second
+    later, or when the host ended (issue 33, LOST).
+    """
+
+    SIZE = 400_000
+
+    @pytest.fixture
+    async def caller(self, serve):
+        self.server = await serve()
+        self.ran = []
+
+        async def respond(req):
+            self.ran.append(req.target)
+            return http_messages.Response(200, (), b'x' * self.SIZE)
+
+        self.server.listener.handler = respond
+        caller = SlowReader(self.server)
+        yield caller
+        caller.sock.close()
+
+    async def test_request_behind_the_last_one_resets_nothing(self, caller):
+        caller.sock.send(servers.GET % 0 + servers.GET % 1)
+        await asyncio.sleep(0.1)
+        self.server.listener.close()
+        await asyncio.sleep(server_connection.CLOSE_LINGER_S + 0.6)
+        caller.sock.send(servers.GET % 2)
+        assert await caller.read(4e6) > 2 * self.SIZE
+        assert self.ran == ['/0', '/1']
+
+    async def test_stop_waits_until_the_caller_has_closed(self, caller):
+        caller.sock.send(servers.GET % 0 + servers.GET % 1)
+        await asyncio.sleep(0.1)
+        self.server.listener.close()
+        await caller.read(4e6)
+        await asyncio.sleep(server_connection.CLOSE_LINGER_S + 0.6)
+        assert not await self.server.listener.wait_finished(0.1)
+        caller.sock.close()
+        assert await self.server.listener.wait_finished(1.0)
+
+    async def test_caller_that_never_closes_is_dropped(self, serve):
+        server = await serve(idle_timeout_s=0.5)
+        reader, writer = await server.connect()
+        writer.write(servers.GET % 0 + TestLastRequest.CLOSE)
+        assert len(await reader.read()) > 0
+        await asyncio.sleep(server_connection.CLOSE_LINGER_S + 0.6)
+        assert not server.listener.connections
+        writer.close()
+
+
 class TestCut:
     """A host must log what was unfinished on a connection that it ends.
 
