--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import socket
 
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
@@ -9,6 +10,9 @@
 from ragwortchute.gateway import server_connection
 
 EXPIRY_CHECK_S = 0.25
+# The kernel takes this much of a response before it can send it. With more, a
+# host would take many responses for sent that a slow caller has yet to read.
+UNSENT_IN_KERNEL_BYTES = 128 << 10
 # Memory for long bodies of a listener that shares none.
 DEFAULT_BODIES_BYTES = 16 << 20
 
@@ -56,8 +60,23 @@
             port,
             backlog=backlog,
         )
+        for sock in self._server.sockets:
+            self._limit_unsent(sock)
         self._expiry_task = asyncio.create_task(self._expire_connections())
 
+    def _limit_unsent(self, sock: socket.socket) -> None:
+        """Bounds what the kernel takes for each accepted connection."""
+        try:
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_NOTSENT_LOWAT,
+                UNSENT_IN_KERNEL_BYTES,
+            )
+        except OSError as exc:
+            self.log.event(
+                'unsent-unlimited', listener=self.name, error=str(exc)
+            )
+
     def drain(self) -> None:
         """Closes each connection after a last request.
 
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -115,6 +115,7 @@
         '_sends_ahead',
         '_transport',
         '_wrote_last',
+        '_writing_paused',
     )
 
     def __init__(self, listener: Owner) -> None:
@@ -134,6 +135,7 @@
         self._delivery: delivery_.Delivery | None = None
         # Whether a response that closes the connection has been written.
         self._wrote_last = False
+        self._writing_paused = False
 
     @property
     def running(self) -> int:
@@ -270,6 +272,16 @@
         self._exchanges.clear()
         self._listener.notify_finished()
 
+    def pause_writing(self) -> None:
+        """See base class."""
+        self._writing_paused = True
+        self.update_reading()
+
+    def resume_writing(self) -> None:
+        """See base class."""
+        self._writing_paused = False
+        self.update_reading()
+
     # Callbacks of the reader.
 
     def handle_request(
@@ -293,9 +305,15 @@
             self._transport.write(_CONTINUE)
 
     def update_reading(self) -> None:
-        """Pauses reading, or goes on, as the pending requests demand."""
+        """Pauses reading, or goes on, as the pending requests demand.
+
+        A caller that leaves its responses unread gets no further one: a request
+        that has not run can be sent again.
+        """
         pause = not self._reader.ended and (
-            self._reader.waiting or len(self._exchanges) >= MAX_PIPELINED
+            self._reader.waiting
+            or self._writing_paused
+            or len(self._exchanges) >= MAX_PIPELINED
         )
         if pause == self._reading_paused or self._transport is None:
             return
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -308,6 +308,16 @@
         assert not server.listener.connections
         writer.close()
 
+    async def test_request_behind_unread_responses_is_not_run(self, caller):
+        self.SIZE = 8 << 20
+        caller.sock.send(servers.GET % 0)
+        await asyncio.sleep(0.1)
+        caller.sock.send(servers.GET % 1)
+        await asyncio.sleep(0.2)
+        assert self.ran == ['/0']
+        await caller.read(1e8, self.SIZE + 1000)
+        assert self.ran == ['/0', '/1']
+
 
 class TestCut:
     """A host must log what was unfinished on a connection that it ends.
