--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -16,6 +16,7 @@
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import failure_reports
+from ragwortchute.gateway import grace
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership as membership_
@@ -169,6 +170,7 @@
             self.rng, self.state.note_reported_failure
         )
         self.membership.on_failure_reports = self._failure_reports.handle_batch
+        self._grace_period = grace.GracePeriod()
         self.dispatcher = self._create_dispatcher(dialect, reader)
         self._followers: dict[str, store_follower.Follower] = {}
         self._replicas: dict[str, replica.Replica] = {}
@@ -213,6 +215,7 @@
             crash_guard=guard,
             failures=self._failure_reports,
             statements=reader,
+            grace_period=self._grace_period,
             is_outdated=self._is_outdated,
             limits=self._settings.limits,
             stats=self.stats,
@@ -347,6 +350,7 @@
         """Stops gracefully: redirects new callers and finishes requests."""
         started_s = self._loop.time()
         end_s = started_s + self._settings.grace_s - GRACE_MARGIN_S
+        self._grace_period.ends_s = end_s
         self._log.event('leaving', running=self.callers.running)
         self.leaving = True
         self.membership.leaving = True
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -18,9 +18,11 @@
 from ragwortchute.gateway import crash_guard as crash_guard_
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import failure_reports
+from ragwortchute.gateway import grace
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import measurements
 from ragwortchute.gateway import model
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
@@ -75,6 +77,7 @@
         crash_guard: Blocks requests that crash targets.
         failures: Reports failures of targets to other hosts.
         statements: Reads what targets say in their answers.
+        grace_period: Tells which requests can end before a stop ends.
         is_outdated: Returns whether a newer configuration must be in force.
         limits: Limits on retries over all hosts.
         request_log: Log of requests.
@@ -96,6 +99,7 @@
         crash_guard: crash_guard_.CrashGuard,
         failures: failure_reports.FailureReports,
         statements: statement_reader.StatementReader,
+        grace_period: grace.GracePeriod,
         is_outdated: abc.Callable[[], bool],
         limits: Limits,
         request_log: request_log_.RequestLog,
@@ -109,6 +113,7 @@
         self._crash_guard = crash_guard
         self._failures = failures
         self._statements = statements
+        self._grace_period = grace_period
         self._is_outdated = is_outdated
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
         self.retries = retries.Retries(
@@ -126,6 +131,9 @@
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
         self.work_times = work_times.WorkTimes()
+        self._measurements = measurements.Measurements(
+            selector, self.work_times, grace_period
+        )
 
     async def close(self) -> None:
         """Cancels background checks."""
@@ -180,6 +188,7 @@
         finally:
             for attempt in outstanding:
                 attempt.conn.abort()
+                self._measurements.note_end(call, attempt, self._loop.time())
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
@@ -206,12 +215,16 @@
             The final answer, or None if the request has not been executed
             there and this host must send it to a target itself.
         """
+        sent_s = self._loop.time()
+        if not self._grace_period.can_end(call, sent_s):
+            return self._answers.give_up(call, 'stopping')
         result = await self._relays.send(call)
+        now_s = self._loop.time()
+        self._grace_period.note_duration(call.route, now_s - sent_s)
         if result.reason:
             return self._answers.give_up(call, result.reason)
         if result.reply is None:
             return None
-        now_s = self._loop.time()
         if self._dialect.is_authentic(result.reply):
             self._statements.note_relayed(result.reply, now_s)
             return self._answers.deliver(call, result.reply, now_s)
@@ -278,6 +291,8 @@
         Returns:
             The final answer if it can't be sent, else None.
         """
+        if not self._grace_period.can_end(call, self._loop.time()):
+            return self._answers.give_up(call, 'stopping')
         if call.sends:
             if not self.retries.may_repeat(call):
                 return self._answers.give_up(call, 'no-more-attempts')
@@ -383,6 +398,8 @@
         call.hedge_decided = True
         if not self._may_retry(call) or self._blocked_s(call.req) > 0:
             return
+        if not self._grace_period.can_end(call, self._loop.time()):
+            return
         placed = await self._selector.select(self._requirements(call))
         if not isinstance(placed, candidates.Placement):
             return
@@ -431,6 +448,7 @@
         """
         target = attempt.target
         now_s = self._loop.time()
+        self._measurements.note_end(call, attempt, now_s)
         try:
             reply = attempt.fut.result()
         except errors.TargetError as exc:
@@ -472,29 +490,9 @@
                 return None
             return self._answers.deliver(call, reply, now_s)
         target.note_success()
-        self._record_work_time(call.route, attempt, now_s)
+        self._measurements.note_success(call, attempt, now_s)
         return self._answers.deliver(call, reply, now_s)
 
     def _note_failure(self, target: targets_.Target, weight: float) -> None:
         target.note_failure(self._loop.time(), weight)
         self._failures.note_failure(target.entry.name, weight)
-
-    # Measurements.
-
-    def _record_work_time(
-        self, route: model.Route, attempt: attempts.Attempt, now_s: float
-    ) -> None:
-        """Updates the mean processing time at slowness 1 of a route.
-
-        Attempts that had to queue or ran on a cold target are left out.
-        """
-        reading = attempt.placement.reading
-        slots = max(1, reading.slots)
-        if reading.running + reading.waiting >= slots or reading.cold_s > 0:
-            return
-        mean_slowness = self._selector.mean_slowness(
-            attempt.target.entry.service
-        )
-        elapsed_s = now_s - attempt.sent_s - attempt.target.rtt_s
-        factor = (reading.slowness + mean_slowness) / 2
-        self.work_times.record(route, elapsed_s / max(1.0, factor))
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -8,6 +8,7 @@
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import failure_reports
+from ragwortchute.gateway import grace
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership
@@ -126,6 +127,7 @@
         statements: What targets have said to all hosts.
         pauses: Pauses that targets have asked the host for.
         guard: Blocks requests that crash targets.
+        grace_period: Time that the host has left in a stop.
         rng: Source of randomness of the host.
         dispatcher: Serves requests.
         listener: Listener for callers.
@@ -168,6 +170,7 @@
             rng, self.state.note_reported_failure
         )
         self.guard = crash_guard.CrashGuard('h1', self.membership, self.log)
+        self.grace_period = grace.GracePeriod()
         request_log_ = request_log.RequestLog(self.log, self.state, self.stats)
         self.dispatcher = dispatcher.Dispatcher(
             state=self.state,
@@ -185,6 +188,7 @@
             crash_guard=self.guard,
             failures=self.failures,
             statements=self.reader,
+            grace_period=self.grace_period,
             is_outdated=lambda: self.outdated,
             limits=limits,
             stats=self.stats,
