--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -50,6 +50,9 @@
 DRAIN_READ_S = 0.25
 # A stopping host exits this long before the platform would kill it.
 GRACE_MARGIN_S = 0.4
+# A stopping host refuses incomplete requests this long before it exits, while
+# their callers can still read so.
+REFUSE_INCOMPLETE_S = 1.0
 # Longest wait at the start for other hosts whose replicas can be read.
 FIND_PEERS_TIMEOUT_S = 5.0
 FIND_PEERS_CHECK_S = 0.02
@@ -361,9 +364,15 @@
         await asyncio.sleep(DRAIN_READ_S)
         self.callers.close()
         self.peers.drain()
-        await self.callers.wait_finished(end_s - self._loop.time())
+        refuse_s = end_s - REFUSE_INCOMPLETE_S
+        await self.callers.wait_finished(refuse_s - self._loop.time())
+        self.callers.refuse_incomplete()
         self.peers.close()
-        await self.peers.wait_finished(end_s - self._loop.time())
+        self.peers.refuse_incomplete()
+        left_s = end_s - self._loop.time()
+        await asyncio.gather(
+            self.callers.wait_finished(left_s), self.peers.wait_finished(left_s)
+        )
         self._log.event('stop', running=self.callers.running)
 
     async def close(self) -> None:
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -99,6 +99,11 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    def refuse_incomplete(self) -> None:
+        """Refuses all requests that have been read in part."""
+        for conn in list(self.connections):
+            conn.refuse_incomplete()
+
     async def stop(self) -> None:
         """Closes the listener and all connections immediately."""
         self.close()
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -24,6 +24,9 @@
 # caller has received all of it: closing a socket with unread data resets it,
 # which may discard what the caller has not read yet.
 CLOSE_LINGER_S = 1.0
+# Named to a caller whose request the stopping host has no time to read, in
+# seconds; other hosts can take it.
+_RETRY_AFTER = b'0.05'
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -144,9 +147,10 @@
 
     @property
     def unfinished(self) -> bool:
-        """Whether a response is pending, or the caller may still read one."""
+        """Whether a request is pending, or the caller may still read."""
         return (
             bool(self._exchanges)
+            or bool(self._reader.started_s)
             or not self._delivery.complete
             or self._may_be_unread
             or self._loop.time() - self._delivery.progress_s <= CLOSE_LINGER_S
@@ -182,6 +186,11 @@
         if not self._exchanges and not self._reader.started_s:
             self._begin_close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuses a request that has been read in part."""
+        if self._reader.started_s:
+            self.reject(503, [(b'retry-after', _RETRY_AFTER)])
+
     def abort(self) -> None:
         """Closes the connection immediately and logs what is unfinished."""
         if self._transport is None:
--- a/tests/test_gateway/test_stop.py
+++ b/tests/test_gateway/test_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from ragwortchute.gateway import application
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
@@ -77,3 +79,46 @@
         statuses = [(await task).status for task in tasks]
         assert len(statuses) > 100
         assert set(statuses) == {200}
+
+
+class TestIncompleteRequests:
+    """A caller that sends a body must learn that its request has not run.
+
+    The host ended in the middle of the body, with no answer, when nothing else
+    was pending (issue 33).
+    """
+
+    HEAD = (
+        b'POST /a/x HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: r1\r\n'
+        b'Content-Length: 4\r\n\r\n'
+    )
+
+    @pytest.fixture
+    async def stopping(self, deployment, monkeypatch):
+        monkeypatch.setattr(application, 'DRAIN_ACCEPT_S', 0.1)
+        deployment.grace_s = 3.0
+        await deployment.start('a1')
+        (host,) = deployment.hosts
+        await deployment.until(lambda: host.ready)
+        ip, _, port = host.membership.me.caller_address.rpartition(':')
+        self.reader, self.writer = await asyncio.open_connection(ip, int(port))
+        self.writer.write(self.HEAD + b'x')
+        await asyncio.sleep(0.05)
+        leave_task = asyncio.create_task(host.leave())
+        yield leave_task
+        self.writer.close()
+        await leave_task
+
+    async def test_body_that_is_complete_in_time_is_served(self, stopping):
+        await asyncio.sleep(1.0)
+        assert not stopping.done()
+        self.writer.write(b'xxx')
+        assert (await rigs.read_response(self.reader)).status == 200
+
+    async def test_body_that_is_not_is_refused(self, deployment, stopping):
+        resp = await rigs.read_response(self.reader)
+        assert (resp.status, resp.headers['connection']) == (503, 'close')
+        assert not stopping.done()
+        self.writer.write(b'xxx')
+        await asyncio.sleep(0.1)
+        assert not any(target.runs for target in deployment.targets)
