--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -427,21 +427,30 @@
 class TestCancelledSelection:
     """A selection that is cancelled must not keep connections."""
 
-    async def test_connections_return_to_their_pools(self, start):
+    async def test_connections_return_to_their_pools(self, start, monkeypatch):
+        monkeypatch.setattr(candidates, 'LOCAL_PROBE_TIMEOUT_S', 0.9)
         targets = servers(3)
         rig = await start(*targets)
         answers = []
+        asked = asyncio.Semaphore(0)
+
+        def withhold(*args):
+            answers.append(args)
+            asked.release()
+
         for target in targets:
             target.write_health = target._write
-            target._write = lambda *args: answers.append(args)
+            target._write = withhold
         required = candidates.Requirements(
             list(rig.state.targets.values()), 0.1, 0.2, 1.0
         )
         task = asyncio.create_task(rig.selector.select(required))
-        await asyncio.sleep(0.01)
+        async with asyncio.timeout(0.8):
+            for _ in targets:
+                await asked.acquire()
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        assert len(answers) == 3
+        assert task.cancelled()
         for target, args in zip(targets, answers, strict=True):
             target.write_health(*args)
         await asyncio.sleep(0.02)
