--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -35,6 +35,9 @@
 # Probes that take longer than this are not waited for.
 LOCAL_PROBE_TIMEOUT_S = 0.02
 REMOTE_PROBE_TIMEOUT_S = 0.06
+# A timer that fires this late tells that the process was held up. Targets may
+# then have answered in time, or have been probed late.
+HELD_UP_S = 0.005
 # Refusal reason: no probed target answered and can take the request.
 NO_ANSWER = 'no-answer'
 _SLOWNESS_SMOOTHING = 0.02
@@ -303,7 +306,8 @@
         """Probes targets concurrently.
 
         Returns once a target costs at most `early_accept_s`, all probes have
-        ended, or the timeout has passed.
+        ended, or the timeout has passed. It is waited for a second time if this
+        process was held up.
         """
         tasks = {
             self._loop.create_task(target.probe()): target for target in group
@@ -315,11 +319,16 @@
             REMOTE_PROBE_TIMEOUT_S if remote else LOCAL_PROBE_TIMEOUT_S,
         )
         end_s = self._loop.time() + timeout_s
+        extended = False
         results: list[_ProbeResult] = []
         pending = set(tasks)
         try:
             while pending:
                 left_s = end_s - self._loop.time()
+                if left_s < -HELD_UP_S and not (extended or results):
+                    extended = True
+                    left_s = min(timeout_s, required.remaining_s - timeout_s)
+                    end_s = self._loop.time() + left_s
                 if left_s <= 0:
                     break
                 done, pending = await asyncio.wait(
