--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -266,6 +266,7 @@
     def data_received(self, data: bytes) -> None:
         """See base class."""
         self._reader.feed(data)
+        self.update_reading()
 
     def eof_received(self) -> bool:
         """See base class."""
@@ -317,12 +318,12 @@
         """Pauses reading, or goes on, as the pending requests demand.
 
         A caller that leaves its responses unread gets no further one: a request
-        that has not run can be sent again.
+        that has not run can be sent again. One that has begun is read to its
+        end, as its caller may read nothing before it has sent all of it.
         """
+        full = self._writing_paused or len(self._exchanges) >= MAX_PIPELINED
         pause = not self._reader.ended and (
-            self._reader.waiting
-            or self._writing_paused
-            or len(self._exchanges) >= MAX_PIPELINED
+            self._reader.waiting or (full and not self._reader.started_s)
         )
         if pause == self._reading_paused or self._transport is None:
             return
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -318,6 +318,26 @@
         await caller.read(1e8, self.SIZE + 1000)
         assert self.ran == ['/0', '/1']
 
+    @pytest.mark.parametrize('count', [1, server_connection.MAX_PIPELINED])
+    async def test_request_that_has_begun_is_read(self, serve, count):
+        server = await serve(header_timeout_s=0.5)
+
+        async def respond(req):
+            size = (8 << 20) // count if req.method == 'GET' else 2
+            return http_messages.Response(200, (), b'x' * size)
+
+        server.listener.handler = respond
+        caller = SlowReader(server)
+        head = b'POST /p HTTP/1.1\r\nHost: example\r\nContent-Length: 2\r\n\r\n'
+        caller.sock.send(servers.GET % 0 * count + head + b'x')
+        await asyncio.sleep(0.1)
+        caller.sock.send(b'x')
+        read_task = asyncio.create_task(caller.read(4e6, 8 << 20))
+        await asyncio.sleep(1.0)
+        assert 'rejected' not in server.listener.log.kinds()
+        read_task.cancel()
+        caller.sock.close()
+
 
 class TestCut:
     """A host must log what was unfinished on a connection that it ends.
