--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -188,7 +188,7 @@
         finally:
             for attempt in outstanding:
                 attempt.conn.abort()
-                self._measurements.note_end(call, attempt, self._loop.time())
+                self._measurements.note_abort(call, attempt, self._loop.time())
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
@@ -220,7 +220,8 @@
             return self._answers.give_up(call, 'stopping')
         result = await self._relays.send(call)
         now_s = self._loop.time()
-        self._grace_period.note_duration(call.route, now_s - sent_s)
+        if call.sends:
+            self._grace_period.note_duration(call.route, now_s - sent_s)
         if result.reason:
             return self._answers.give_up(call, result.reason)
         if result.reply is None:
@@ -448,7 +449,6 @@
         """
         target = attempt.target
         now_s = self._loop.time()
-        self._measurements.note_end(call, attempt, now_s)
         try:
             reply = attempt.fut.result()
         except errors.TargetError as exc:
@@ -474,6 +474,7 @@
             self._request_log.log_failed_attempt(call, attempt, 'shed')
             return None
         call.maybe_executed = True
+        self._measurements.note_end(call, attempt, now_s)
         self._crash_guard.note_answer(call.req, now_s)
         if not self._dialect.is_authentic(reply):
             self._note_failure(target, 1.0)
--- a/ragwortchute/gateway/grace.py
+++ b/ragwortchute/gateway/grace.py
@@ -10,8 +10,10 @@
 DURATION_FACTOR = 1.5
 # Number of durations that are kept for each route.
 RECENT_DURATIONS = 64
-# One in this many requests may have taken longer than what is expected.
+# One in this many requests may have taken longer than what is expected, and one
+# of fewer if there are as many as this.
 EXCEPTIONS_ONE_IN = 32
+MIN_FOR_EXCEPTION = 8
 
 
 class GracePeriod:
@@ -62,5 +64,7 @@
         if durations_s is None:
             return False
         exceptions = len(durations_s) // EXCEPTIONS_ONE_IN
+        if len(durations_s) >= MIN_FOR_EXCEPTION:
+            exceptions = max(1, exceptions)
         usual_s = heapq.nlargest(exceptions + 1, durations_s)[-1]
         return usual_s * DURATION_FACTOR <= left_s
--- a/ragwortchute/gateway/measurements.py
+++ b/ragwortchute/gateway/measurements.py
@@ -30,9 +30,19 @@
     def note_end(
         self, call: attempts.Call, attempt: attempts.Attempt, now_s: float
     ) -> None:
-        """Records that an attempt has ended, with or without an answer."""
+        """Records that a target has ended a request, well or not."""
         self._grace_period.note_duration(call.route, now_s - attempt.sent_s)
 
+    def note_abort(
+        self, call: attempts.Call, attempt: attempts.Attempt, now_s: float
+    ) -> None:
+        """Records that an attempt was given up.
+
+        One that another target was faster than tells nothing.
+        """
+        if not call.answered_by:
+            self.note_end(call, attempt, now_s)
+
     def note_success(
         self, call: attempts.Call, attempt: attempts.Attempt, now_s: float
     ) -> None:
--- a/tests/test_gateway/test_grace.py
+++ b/tests/test_gateway/test_grace.py
@@ -47,8 +47,9 @@
         self.note(period, 0.1, usual_s)
         assert period.can_end(call(30.0), NOW_S) == can
 
-    def test_single_hung_request_refuses_no_others(self, period):
-        self.note(period, *[0.1] * 40, 30.0)
+    @pytest.mark.parametrize('others', [7, 30, 63])
+    def test_single_hung_request_refuses_no_others(self, period, others):
+        self.note(period, *[0.1] * others, 30.0)
         assert period.can_end(call(30.0), NOW_S)
 
     def test_old_durations_are_forgotten(self, period):
@@ -91,3 +92,16 @@
         rig.grace_period.ends_s -= 3.0
         assert (await task).status == 500
         assert sum(len(target.runs) for target in rig.targets) == 1
+
+    async def test_rejections_are_no_durations(self, rig):
+        # They take no time, whatever the work of a request takes.
+        rig.grace_period.ends_s += 100.0
+        for target in rig.targets:
+            target.fault = 'shed'
+        for _ in range(20):
+            await rig.request(deadline_ms=8000)
+        rig.grace_period.ends_s -= 100.0
+        for target in rig.targets:
+            target.fault = ''
+        assert (await rig.request(deadline_ms=8000)).status == 503
+        assert not any(target.runs for target in rig.targets)
