--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -60,21 +60,27 @@
         """Notes that a connection has ended."""
 
 
+class _Pending(msgspec.Struct, frozen=True):
+    """A request without a response, and its age in seconds."""
+
+    target: str
+    age_s: float
+
+
 class _Cut(msgspec.Struct, frozen=True):
     """What a connection has not finished when its host ends it.
 
     Attributes:
-        pending: Targets of requests without a response, with their age in
-            seconds.
+        pending: Requests without a response.
         incomplete: Whether a request has been read in part.
         unsent_bytes: Bytes of responses that the kernel has not taken.
         unacknowledged_bytes: Further bytes that the caller's machine has not
             acknowledged.
         unread: Whether the caller may not have read its responses: it sends
-            ahead or was told of the close, and has not closed.
+            before it has read them, and has not closed.
     """
 
-    pending: list[tuple[str, float]]
+    pending: list[_Pending]
     incomplete: bool
     unsent_bytes: int
     unacknowledged_bytes: int
@@ -117,7 +123,6 @@
         '_reading_paused',
         '_sends_ahead',
         '_transport',
-        '_wrote_last',
         '_writing_paused',
     )
 
@@ -133,11 +138,11 @@
         self._idle_since_s = self._loop.time()
         self._close_started_s = 0.0
         self._reading_paused = False
-        # Whether the caller sends requests before earlier ones are answered.
+        # Whether the caller sends before it has read all responses. What it
+        # sends to a socket that is closed already would reset them, so the
+        # caller must have closed the connection first.
         self._sends_ahead = False
         self._delivery: delivery_.Delivery | None = None
-        # Whether a response that closes the connection has been written.
-        self._wrote_last = False
         self._writing_paused = False
 
     @property
@@ -152,19 +157,10 @@
             bool(self._exchanges)
             or bool(self._reader.started_s)
             or not self._delivery.complete
-            or self._may_be_unread
+            or self._sends_ahead
             or self._loop.time() - self._delivery.progress_s <= CLOSE_LINGER_S
         )
 
-    @property
-    def _may_be_unread(self) -> bool:
-        """Whether a request behind a response that is being read may reset it.
-
-        A caller that sends ahead may write to a socket that is closed already.
-        One that was told of the close ends the connection when it has read all.
-        """
-        return self._sends_ahead or self._wrote_last
-
     def update_delivery(self, now_s: float) -> None:
         """Notes whether the caller has received more of the responses."""
         closed = bool(self._close_started_s)
@@ -195,14 +191,10 @@
         """Closes the connection immediately and logs what is unfinished."""
         if self._transport is None:
             return
-        cut = self._cut()
-        if cut is not None:
-            self._listener.log.event(
-                'cut',
-                listener=self._listener.name,
-                **msgspec.structs.asdict(cut),
-            )
-        self._transport.abort()
+        try:
+            self._log_cut()
+        finally:
+            self._transport.abort()
 
     def expire(self, now_s: float, limits: model.Limits) -> None:
         """Closes the connection if one of its timeouts has expired."""
@@ -228,32 +220,35 @@
     def _expire_close(self, now_s: float, limits: model.Limits) -> None:
         """Ends the close of a connection if the caller takes too long."""
         self.update_delivery(now_s)
-        may_read = not self._delivery.complete or self._may_be_unread
+        may_read = not self._delivery.complete or self._sends_ahead
         limit_s = limits.idle_timeout_s if may_read else CLOSE_LINGER_S
         if now_s - max(self._delivery.progress_s, self._close_started_s) > (
             max(limit_s, CLOSE_LINGER_S)
         ):
             self.abort()
 
-    def _cut(self) -> _Cut | None:
-        """Returns what is unfinished, None if nothing is."""
+    def _log_cut(self) -> None:
+        """Logs what is unfinished, if anything is."""
         now_s = self._loop.time()
         self.update_delivery(now_s)
         cut = _Cut(
             [
-                (exchange.req.target, round(now_s - exchange.req.arrived_s, 3))
+                _Pending(exchange.req.target, now_s - exchange.req.arrived_s)
                 for exchange in self._exchanges
                 if exchange.req is not None
             ],
             bool(self._reader.started_s),
             self._delivery.unsent_bytes,
             self._delivery.unacknowledged_bytes,
-            self._may_be_unread,
+            self._sends_ahead,
         )
-        finished = self._delivery.complete and not (
+        if self._delivery.complete and not (
             cut.pending or cut.incomplete or cut.unread
+        ):
+            return
+        self._listener.log.event(
+            'cut', listener=self._listener.name, **msgspec.structs.asdict(cut)
         )
-        return None if finished else cut
 
     # Callbacks of the transport.
 
@@ -370,7 +365,6 @@
             self._idle_since_s = self._loop.time()
             self._delivery.note_write(self._idle_since_s)
             if resp.close:
-                self._wrote_last = True
                 self._begin_close()
                 return
         self.update_reading()
@@ -379,6 +373,9 @@
         self, status: int, headers: abc.Sequence[tuple[bytes, bytes]] = ()
     ) -> None:
         """Responds to a request that is not handled and closes."""
+        if self._reader.started_s:
+            # The caller may go on sending the rest of it.
+            self._sends_ahead = True
         self._end_reading()
         self._listener.log.event(
             'rejected', listener=self._listener.name, status=status
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -299,6 +299,34 @@
         caller.sock.close()
         assert await self.server.listener.wait_finished(1.0)
 
+    async def test_caller_that_sends_nothing_more_is_not_waited_for(
+        self, serve
+    ):
+        # Each would otherwise occupy a descriptor for the idle timeout.
+        server = await serve()
+        writers = []
+        for _ in range(10):
+            reader, writer = await server.connect()
+            writer.write(TestLastRequest.CLOSE)
+            assert len(await reader.read()) > 0
+            writers.append(writer)
+        await asyncio.sleep(server_connection.CLOSE_LINGER_S + 0.6)
+        assert not server.listener.connections
+        for writer in writers:
+            writer.close()
+
+    async def test_refused_body_is_read_until_the_caller_closes(self, serve):
+        server = await serve(max_body_bytes=100)
+        reader, writer = await server.connect()
+        writer.write(
+            b'POST / HTTP/1.1\r\nHost: example\r\nContent-Length: 900\r\n\r\n'
+        )
+        await asyncio.sleep(server_connection.CLOSE_LINGER_S + 0.6)
+        writer.write(b'x' * 900)
+        assert (await rigs.read_response(reader)).status == 413
+        assert server.listener.connections
+        writer.close()
+
     async def test_caller_that_never_closes_is_dropped(self, serve):
         server = await serve(idle_timeout_s=0.5)
         reader, writer = await server.connect()
@@ -360,9 +388,9 @@
         writer.write(servers.GET % 0)
         await asyncio.sleep(0.05)
         (cut,) = await self.cut(server)
-        ((target, age_s),) = cut['pending']
-        assert target == '/0'
-        assert 0 < age_s < 5
+        (pending,) = cut['pending']
+        assert pending.target == '/0'
+        assert 0 < pending.age_s < 5
 
     async def test_incomplete_request(self, serve):
         server = await serve()
