--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -145,8 +145,7 @@
             self._dialect.request_id(req), 503, reason, sends, req.arrived_s
         )
         self._stats.count_refusal(reason)
-        after = f'{wait_s:.3f}'.encode()
-        return http_messages.Response(503, [(b'retry-after', after)])
+        return http_messages.Response(503, [http_messages.retry_after(wait_s)])
 
 
 def retry_after_s(refused: candidates.NoPlacement) -> float:
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -53,6 +53,9 @@
 # A stopping host refuses incomplete requests this long before it exits, while
 # their callers can still read so.
 REFUSE_INCOMPLETE_S = 1.0
+# How long a host that ends waits for the delivery of responses behind requests
+# that did not end in time.
+LAST_RESPONSES_S = 0.1
 # Longest wait at the start for other hosts whose replicas can be read.
 FIND_PEERS_TIMEOUT_S = 5.0
 FIND_PEERS_CHECK_S = 0.02
@@ -369,11 +372,22 @@
         self.callers.refuse_incomplete()
         self.peers.close()
         self.peers.refuse_incomplete()
+        await self._wait_finished(end_s)
+        self._log.event('stop', running=self.callers.running)
+        self.callers.fail_pending()
+        self.peers.fail_pending()
+        await self._wait_finished(end_s + LAST_RESPONSES_S)
+
+    async def _wait_finished(self, end_s: float) -> None:
+        """Waits until callers and other hosts have all responses.
+
+        Args:
+            end_s: Loop time until which to wait, in seconds.
+        """
         left_s = end_s - self._loop.time()
         await asyncio.gather(
             self.callers.wait_finished(left_s), self.peers.wait_finished(left_s)
         )
-        self._log.event('stop', running=self.callers.running)
 
     async def close(self) -> None:
         """Cancels all tasks and closes all connections."""
--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -155,6 +155,15 @@
     close: bool = False
 
 
+def retry_after(wait_s: float) -> tuple[bytes, bytes]:
+    """Returns the header that names the time until a request may be repeated.
+
+    Args:
+        wait_s: The time in seconds.
+    """
+    return b'retry-after', f'{wait_s:.3f}'.encode()
+
+
 def encode(resp: Response) -> bytes:
     """Encodes the head and body of a response."""
     reason = _REASONS.get(resp.status, 'Unknown')
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -99,6 +99,11 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    def fail_pending(self) -> None:
+        """Ends all requests that are still at work."""
+        for conn in list(self.connections):
+            conn.fail_pending()
+
     def refuse_incomplete(self) -> None:
         """Refuses all requests that have been read in part."""
         for conn in list(self.connections):
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -262,8 +262,8 @@
 
     def _refuse_body(self) -> None:
         """Rejects a request for whose body no memory is left."""
-        after = f'{_BODY_RETRY_AFTER_S:g}'.encode()
-        self._receiver.reject(503, [(b'retry-after', after)])
+        after = http_messages.retry_after(_BODY_RETRY_AFTER_S)
+        self._receiver.reject(503, [after])
 
     def _stop_body_wait(self) -> None:
         if self._body_wait_timer is not None:
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -24,9 +24,9 @@
 # caller has received all of it: closing a socket with unread data resets it,
 # which may discard what the caller has not read yet.
 CLOSE_LINGER_S = 1.0
-# Named to a caller whose request the stopping host has no time to read, in
-# seconds; other hosts can take it.
-_RETRY_AFTER = b'0.05'
+# Named to a caller whose request the stopping host has no time to read; other
+# hosts can take it.
+_RETRY_AFTER_S = 0.05
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -182,10 +182,22 @@
         if not self._exchanges and not self._reader.started_s:
             self._begin_close()
 
+    def fail_pending(self) -> None:
+        """Ends requests that are still at work, delivers responses behind them.
+
+        The requests may have run.
+        """
+        if any(exchange.response is None for exchange in self._exchanges):
+            self._log_cut()
+        for exchange in self._exchanges:
+            if exchange.response is None:
+                exchange.response = http_messages.Response(502)
+        self._flush()
+
     def refuse_incomplete(self) -> None:
         """Refuses a request that has been read in part."""
         if self._reader.started_s:
-            self.reject(503, [(b'retry-after', _RETRY_AFTER)])
+            self.reject(503, [http_messages.retry_after(_RETRY_AFTER_S)])
 
     def abort(self) -> None:
         """Closes the connection immediately and logs what is unfinished."""
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -175,6 +175,23 @@
         resp = await rigs.read_response(reader)
         assert resp.status == 431
 
+    async def test_responses_behind_a_request_at_work_are_delivered(
+        self, serve
+    ):
+        # At the end of a stop, both were cut off (issue 33).
+        server = await serve()
+        server.delays = {'/0': 60}
+        reader, writer = await server.connect()
+        writer.write(servers.GET % 0 + servers.GET % 1)
+        await asyncio.sleep(0.05)
+        server.listener.close()
+        server.listener.fail_pending()
+        first = await rigs.read_response(reader)
+        second = await rigs.read_response(reader)
+        assert (first.status, second.status) == (502, 200)
+        assert await reader.read() == b''
+        assert 'cut' in server.listener.log.kinds()
+
 
 class SlowReader:
     """Caller that reads a response in pieces from a small receive buffer."""
