--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -62,6 +62,7 @@
         """
         if self._dialect.states_not_run(reply.status):
             # The caller would send it again, and it would run twice.
+            reply.discard_rest()
             return self._fail(call, 502, f'executed-{reply.status}')
         elapsed_s = now_s - call.req.arrived_s
         self._stats.count_answer(call.route.name, elapsed_s)
@@ -72,9 +73,7 @@
             call.sends,
             call.req.arrived_s,
         )
-        return http_messages.Response(
-            reply.status, self._dialect.answer_headers(reply), reply.body
-        )
+        return self._pass_on(reply)
 
     def pass_on_refusal(
         self, call: attempts.Call, reply: http_client.Reply
@@ -89,8 +88,14 @@
         self._request_log.log_answer(
             call.request_id, reply.status, 'relay', 1, call.req.arrived_s
         )
+        return self._pass_on(reply)
+
+    def _pass_on(self, reply: http_client.Reply) -> http_messages.Response:
         return http_messages.Response(
-            reply.status, self._dialect.answer_headers(reply), reply.body
+            reply.status,
+            self._dialect.answer_headers(reply),
+            reply.body,
+            rest=reply.rest,
         )
 
     def give_up(
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ragwortchute import stores
+from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import crash_guard
@@ -25,6 +26,7 @@
 from ragwortchute.gateway import pauses
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
+from ragwortchute.gateway import planned_stop
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import replica
@@ -42,20 +44,6 @@
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
-# How long a stopping host accepts new connections: callers still have cached
-# address responses that name it.
-DRAIN_ACCEPT_S = 2.6
-# How long a stopping host reads requests after it has closed its listener:
-# requests on the last accepted connections may still be in transit.
-DRAIN_READ_S = 0.25
-# A stopping host exits this long before the platform would kill it.
-GRACE_MARGIN_S = 0.4
-# A stopping host refuses incomplete requests this long before it exits, while
-# their callers can still read so.
-REFUSE_INCOMPLETE_S = 1.0
-# How long a host that ends waits for the delivery of responses behind requests
-# that did not end in time.
-LAST_RESPONSES_S = 0.1
 # Longest wait at the start for other hosts whose replicas can be read.
 FIND_PEERS_TIMEOUT_S = 5.0
 FIND_PEERS_CHECK_S = 0.02
@@ -72,8 +60,10 @@
 # Used where the settings name no memory.
 DEFAULT_MEMORY_BYTES = 200e6
 # Share of the memory for long bodies of requests; the rest is for the process
-# itself and for answers.
+# itself and for small answers.
 BODIES_MEMORY_FRACTION = 0.35
+# Share of the memory for long answers that are passed on.
+ANSWERS_MEMORY_FRACTION = 0.15
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -122,6 +112,7 @@
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         bodies: Memory for long bodies of requests.
+        answers: Memory for long answers.
         callers: Listener for callers.
         peers: Listener for other hosts.
         leaving: Whether this host is stopping.
@@ -204,6 +195,9 @@
         )
         self.membership.on_crash_notice = guard.handle_notice
         self.membership.on_answer_notice = guard.handle_answer_notice
+        self.answers = answer_memory.AnswerMemory(
+            int(self._settings.memory_bytes * ANSWERS_MEMORY_FRACTION)
+        )
         request_log_ = request_log.RequestLog(log, self.state, self.stats)
         dispatcher_ = dispatcher.Dispatcher(
             state=self.state,
@@ -216,6 +210,7 @@
                 request_log_,
                 self.stats,
                 self.rng,
+                self.answers,
             ),
             request_log=request_log_,
             crash_guard=guard,
@@ -226,6 +221,7 @@
             limits=self._settings.limits,
             stats=self.stats,
             rng=self.rng,
+            memory=self.answers,
         )
         loans = dispatcher_.retries.loans
         loans.send = self.membership.ask_for_loans
@@ -354,40 +350,17 @@
 
     async def leave(self) -> None:
         """Stops gracefully: redirects new callers and finishes requests."""
-        started_s = self._loop.time()
-        end_s = started_s + self._settings.grace_s - GRACE_MARGIN_S
-        self._grace_period.ends_s = end_s
         self._log.event('leaving', running=self.callers.running)
         self.leaving = True
         self.membership.leaving = True
-        self.membership.announce_stop(started_s)
-        self.callers.drain()
-        await asyncio.sleep(DRAIN_ACCEPT_S)
-        self.callers.stop_accepting()
-        await asyncio.sleep(DRAIN_READ_S)
-        self.callers.close()
-        self.peers.drain()
-        refuse_s = end_s - REFUSE_INCOMPLETE_S
-        await self.callers.wait_finished(refuse_s - self._loop.time())
-        self.callers.refuse_incomplete()
-        self.peers.close()
-        self.peers.refuse_incomplete()
-        await self._wait_finished(end_s)
-        self._log.event('stop', running=self.callers.running)
-        self.callers.fail_pending()
-        self.peers.fail_pending()
-        await self._wait_finished(end_s + LAST_RESPONSES_S)
-
-    async def _wait_finished(self, end_s: float) -> None:
-        """Waits until callers and other hosts have all responses.
-
-        Args:
-            end_s: Loop time until which to wait, in seconds.
-        """
-        left_s = end_s - self._loop.time()
-        await asyncio.gather(
-            self.callers.wait_finished(left_s), self.peers.wait_finished(left_s)
+        self.membership.announce_stop(self._loop.time())
+        await planned_stop.run(
+            self.callers,
+            self.peers,
+            self._grace_period,
+            self._settings.grace_s,
         )
+        self._log.event('stop', running=self.callers.running)
 
     async def close(self) -> None:
         """Cancels all tasks and closes all connections."""
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -91,3 +91,25 @@
     def target(self) -> targets_.Target:
         """The target that the request was sent to."""
         return self.placement.target
+
+
+async def wait_any(
+    call: Call, outstanding: list[Attempt], wait_s: float
+) -> None:
+    """Waits for the end of an attempt or until the caller is gone.
+
+    The latter counts for idempotent requests only: others are finished.
+
+    Args:
+        call: The request.
+        outstanding: Its attempts without an answer.
+        wait_s: Longest wait in seconds.
+    """
+    futs: set[asyncio.Future] = {item.fut for item in outstanding}
+    if call.route.idempotent:
+        futs.add(call.req.disconnected)
+    await asyncio.wait(
+        futs,
+        timeout=max(0.0, wait_s),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import answers
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
@@ -23,12 +24,13 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import measurements
-from ragwortchute.gateway import model
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
+from ragwortchute.gateway import routing
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import streamed_answers
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
 
@@ -83,6 +85,7 @@
         request_log: Log of requests.
         stats: Counters.
         rng: Source of randomness.
+        memory: Memory for long answers.
 
     Attributes:
         retries: Retry budgets.
@@ -105,6 +108,7 @@
         request_log: request_log_.RequestLog,
         stats: stats_.Stats,
         rng: random.Random,
+        memory: answer_memory.AnswerMemory,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -115,7 +119,11 @@
         self._statements = statements
         self._grace_period = grace_period
         self._is_outdated = is_outdated
+        self._memory = memory
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
+        self._streamed = streamed_answers.StreamedAnswers(
+            request_log, self._crash_checks, self._note_failure
+        )
         self.retries = retries.Retries(
             limits.retry_ratio,
             limits.retry_slack,
@@ -174,7 +182,7 @@
             req,
             request_id,
             route,
-            self._pick_service(route),
+            routing.pick_service(route, self._rng),
             req.arrived_s + remaining_s - ANSWER_MARGIN_S,
         )
         if outside_homes:
@@ -254,34 +262,18 @@
                     return refusal
                 continue
             hedge_s = self._hedge_delay_s(call, outstanding)
-            await self._wait_for_event(call, outstanding, min(left_s, hedge_s))
+            await attempts.wait_any(call, outstanding, min(left_s, hedge_s))
             for attempt in [item for item in outstanding if item.fut.done()]:
                 outstanding.remove(attempt)
                 resp = self._finish_attempt(call, attempt)
                 if resp is not None:
                     return resp
+                if not attempt.conn.usable:
+                    # The rest of its answer may still be arriving.
+                    attempt.conn.abort()
             if outstanding and self._hedge_delay_s(call, outstanding) <= 0:
                 await self._try_hedge(call, outstanding)
 
-    async def _wait_for_event(
-        self,
-        call: attempts.Call,
-        outstanding: list[attempts.Attempt],
-        wait_s: float,
-    ) -> None:
-        """Waits for the end of an attempt or until the caller is gone.
-
-        The latter counts for idempotent requests only: others are finished.
-        """
-        futs: set[asyncio.Future] = {item.fut for item in outstanding}
-        if call.route.idempotent:
-            futs.add(call.req.disconnected)
-        await asyncio.wait(
-            futs,
-            timeout=max(0.0, wait_s),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-
     # Sending.
 
     async def _send_next(
@@ -329,7 +321,10 @@
         call.tried_targets.add(target.entry.name)
         target.note_sent(now_s)
         fut = placed.conn.send(
-            head, self._accept(call, target), body_parts=call.req.body_parts
+            head,
+            self._accept(call, target),
+            body_parts=call.req.body_parts,
+            memory=self._memory,
         )
         outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
@@ -363,12 +358,6 @@
             call.deadline_s - self._loop.time(),
         )
 
-    def _pick_service(self, route: model.Route) -> str:
-        if len(route.services) == 1:
-            return route.services[0].service
-        weights = [entry.weight for entry in route.services]
-        return self._rng.choices(route.services, weights)[0].service
-
     # Hedging.
 
     def _hedge_delay_s(
@@ -483,15 +472,17 @@
         call.answered_by = target.entry.name
         if reply.status >= 500 or self._dialect.states_not_run(reply.status):
             self._note_failure(target, 1.0)
-            call.last_failure = reply
             self._request_log.log_failed_attempt(
                 call, attempt, f'status-{reply.status}'
             )
             if call.route.idempotent and self._may_retry(call):
+                if reply.rest is None:
+                    call.last_failure = reply
                 return None
-            return self._answers.deliver(call, reply, now_s)
-        target.note_success()
-        self._measurements.note_success(call, attempt, now_s)
+        else:
+            target.note_success()
+            self._measurements.note_success(call, attempt, now_s)
+        self._streamed.follow(call, attempt, reply)
         return self._answers.deliver(call, reply, now_s)
 
     def _note_failure(self, target: targets_.Target, weight: float) -> None:
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http_client.py
@@ -2,20 +2,20 @@
 
 A connection carries one request at a time and never resends it. Responses that
 do not belong to the request are skipped, since a target may send a response
-twice or late.
+twice or late. A long response may be passed on while it arrives.
 """
 
 import asyncio
 import collections
 from collections import abc
-import socket
-import typing
 
 import httptools
 import msgspec
 
 from ragwortchute import errors
-from ragwortchute import progress as progress_
+from ragwortchute.gateway import answer_memory
+from ragwortchute.gateway import body_stream
+from ragwortchute.gateway import keepalive
 
 MAX_BODY_BYTES = 16 << 20
 # Bytes received for one request that belong to no body: heads, interim
@@ -25,35 +25,34 @@
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # A body of one part up to this length is written together with its head.
 MAX_JOINED_BYTES = 64 << 10
+# A response that may be passed on while it arrives is collected up to this
+# length, so that the request can be sent elsewhere if it breaks off.
+MAX_COLLECTED_BYTES = 64 << 10
 CONNECT_TIMEOUT_S = 1.0
-# A response that is arriving at its timeout is given up if no part comes for
-# the first of these times, and after the second in any case.
-STALL_S = 0.3
-MAX_EXTENSION_S = 4.0
-# Detect within about 3 s a peer that is gone without having sent a reset.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-# Close a connection if data stays unacknowledged this long: the path is broken.
-USER_TIMEOUT_MS = 3000
 
 _BODYLESS_STATUSES = frozenset({204, 304})
+# All connections read into it, one after another.
+_READ_BUFFER = memoryview(bytearray(256 << 10))
+_SMALL_READ_BUFFER = _READ_BUFFER[: answer_memory.SMALL_ANSWER_BYTES]
 
 
 class Reply(msgspec.Struct):
-    """A complete HTTP response.
+    """An HTTP response whose head is complete.
 
     Attributes:
         status: HTTP status code.
         headers: Names in lower case and values, in the order received.
         body: Body, decoded from chunks.
         reusable: Whether the connection may carry another request.
+        rest: Body that is still arriving; `body` is empty then, and the
+            connection is in use until its end.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes = b''
     reusable: bool = True
+    rest: body_stream.BodyStream | None = None
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if it is absent."""
@@ -62,12 +61,17 @@
                 return value
         return None
 
+    def discard_rest(self) -> None:
+        """Ends a body that is still arriving, and its connection."""
+        if self.rest is not None:
+            self.rest.discard()
+
 
 # Returns whether a response belongs to the pending request.
 Accept = abc.Callable[[Reply], bool]
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A connection opened by this host.
 
     Args:
@@ -89,13 +93,18 @@
         '_fut',
         '_has_body',
         '_headers',
+        '_length',
         '_loop',
+        '_memory',
         '_on_lost',
         '_on_part',
         '_parser',
         '_peer',
         '_received_body_bytes',
         '_received_bytes',
+        '_share',
+        '_skipping',
+        '_streamed_reply',
         '_transport',
         '_unsent_parts',
         '_writing_paused',
@@ -124,6 +133,14 @@
         self._delimited = True
         self._has_body = True
         self._accepted_reply: Reply | None = None
+        # Memory for a long response, and its share of it.
+        self._memory: answer_memory.AnswerMemory | None = None
+        self._share: answer_memory.Share | None = None
+        self._length: int | None = None
+        # Response that is passed on while it arrives.
+        self._streamed_reply: Reply | None = None
+        # Whether the body that arrives belongs to no request.
+        self._skipping = False
         # Parts of the body of the request that have not been written yet.
         self._unsent_parts: collections.deque[bytes] = collections.deque()
         self._writing_paused = False
@@ -145,6 +162,7 @@
         accept: Accept | None = None,
         on_part: abc.Callable[[], None] | None = None,
         body_parts: abc.Sequence[bytes] = (),
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> asyncio.Future[Reply]:
         """Sends a request and returns a future of its response.
 
@@ -159,6 +177,9 @@
             on_part: Called for each part of a body.
             body_parts: Parts of the body. They are written as the peer reads
                 them, so that a long body is not copied as a whole.
+            memory: Memory for long responses. If it is given, the future of a
+                long response is done once that is known, and the rest of its
+                body is passed on while it arrives.
         """
         self._fut = self._loop.create_future()
         self._accept = accept
@@ -170,6 +191,8 @@
         self._received_bytes = 0
         self._received_body_bytes = 0
         self._accepted_reply = None
+        self._memory = memory
+        self._streamed_reply = None
         if len(body_parts) == 1 and len(body_parts[0]) <= MAX_JOINED_BYTES:
             data += body_parts[0]
             body_parts = ()
@@ -191,10 +214,24 @@
         self.idle_since_s = self._loop.time()
         sock = transport.get_extra_info('socket')
         if sock is not None:
-            set_keepalive(sock)
-
-    def data_received(self, data: bytes) -> None:
+            keepalive.set_keepalive(sock)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See base class; a long response is read in parts of its share."""
+        if self._memory is None:
+            return _READ_BUFFER
+        if self._share is None:
+            return _SMALL_READ_BUFFER
+        return _READ_BUFFER[
+            : min(answer_memory.MAX_READ_BYTES, self._share.half_bytes)
+        ]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """See base class."""
+        self.data_received(_READ_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parses received bytes."""
         if self._fut is None:
             # Unsolicited data: no request is pending.
             self._transport.abort()
@@ -211,14 +248,15 @@
             self._finish(reply)
         elif self._fut is not None:
             self._check_framing()
+            if self._memory is not None:
+                self._check_length()
 
     def eof_received(self) -> bool:
         """See base class."""
         if self._fut is not None and not self._delimited:
-            status = self._parser.get_status_code()
-            reply = Reply(status, self._headers, b''.join(self._body), False)
-            if self._accept is None or self._accept(reply):
-                self._finish(reply)
+            self._accept_complete(reusable=False)
+            if self._accepted_reply is not None:
+                self._finish(self._accepted_reply)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -253,6 +291,8 @@
         self._body = []
         self._body_bytes = 0
         self._delimited = True
+        self._length = None
+        self._skipping = False
         if self._accepted_reply is not None:
             # Unexpected data after the response: do not reuse the connection.
             self._accepted_reply.reusable = False
@@ -269,37 +309,47 @@
         if not self._has_body:
             self._accept_reply(Reply(status, self._headers, b'', False))
             return
-        self._delimited = any(
-            name in (b'content-length', b'transfer-encoding')
-            for name, _ in self._headers
-        )
+        framing = dict(self._headers)
+        if b'transfer-encoding' in framing:
+            return
+        length = framing.get(b'content-length')
+        if length is None:
+            self._delimited = False
+            return
+        self._length = int(length)
+        if self._memory is not None and self._length > MAX_BODY_BYTES:
+            self._fail_too_large()
 
     def on_body(self, body: bytes) -> None:
         """Adds a part of the body."""
         self._body_bytes += len(body)
         self._received_body_bytes += len(body)
         if self._body_bytes > MAX_BODY_BYTES:
-            self._fail(
-                errors.AnswerTooLarge,
-                f'response exceeds {MAX_BODY_BYTES} bytes',
-            )
+            self._fail_too_large()
             return
-        self._body.append(body)
+        if self._streamed_reply is not None:
+            if self._accepted_reply is None:
+                self._streamed_reply.rest.add(body)
+        elif not self._skipping:
+            self._body.append(body)
         if self._on_part is not None:
             self._on_part()
 
     def on_message_complete(self) -> None:
         """Stores the response if it belongs to the request."""
-        status = self._parser.get_status_code()
-        if status >= 200:
-            self._accept_reply(
-                Reply(
-                    status,
-                    self._headers,
-                    b''.join(self._body),
-                    self._parser.should_keep_alive(),
-                )
-            )
+        if self._parser.get_status_code() >= 200:
+            self._accept_complete(reusable=self._parser.should_keep_alive())
+
+    def _accept_complete(self, *, reusable: bool) -> None:
+        """Stores a response whose body is complete."""
+        reply = self._streamed_reply
+        if reply is None and not self._skipping:
+            status = self._parser.get_status_code()
+            body = b''.join(self._body)
+            self._accept_reply(Reply(status, self._headers, body, reusable))
+        elif reply is not None and self._accepted_reply is None:
+            reply.reusable = reusable
+            self._accepted_reply = reply
 
     def _accept_reply(self, reply: Reply) -> None:
         if self._accepted_reply is not None or self._fut is None:
@@ -307,6 +357,33 @@
         if self._accept is None or self._accept(reply):
             self._accepted_reply = reply
 
+    def _check_length(self) -> None:
+        """Passes on or skips a response that has become long."""
+        if self._fut is None or self._streamed_reply is not None:
+            return
+        if self._share is None:
+            if self._received_bytes <= answer_memory.SMALL_ANSWER_BYTES:
+                return
+            self._share = answer_memory.Share(self._memory)
+        limit_bytes = min(MAX_COLLECTED_BYTES, self._share.half_bytes)
+        if self._skipping or self._body_bytes <= limit_bytes:
+            return
+        parts, self._body = self._body, []
+        status = self._parser.get_status_code()
+        reply = Reply(status, list(self._headers), b'', False)
+        if self._accept is not None and not self._accept(reply):
+            self._skipping = True
+            return
+        reply.rest = body_stream.BodyStream(
+            self._transport, self._peer, self._share, parts, self._length
+        )
+        self._streamed_reply = reply
+        if self._fut.done():
+            # Nobody awaits the response any more.
+            reply.rest.discard()
+        else:
+            self._fut.set_result(reply)
+
     def _check_framing(self) -> None:
         """Closes the connection of a peer that sends framing without end.
 
@@ -328,6 +405,7 @@
         self._accepted_reply = None
         self._headers = []
         self._body = []
+        self._end_share()
         self.idle_since_s = self._loop.time()
         keep_alive = reply.get(b'keep-alive')
         if keep_alive is not None:
@@ -344,9 +422,16 @@
         ):
             reply.reusable = False
             transport.abort()
-        if fut is not None and not fut.done():
+        if reply.rest is not None:
+            reply.rest.finish()
+        elif fut is not None and not fut.done():
             fut.set_result(reply)
 
+    def _fail_too_large(self) -> None:
+        self._fail(
+            errors.AnswerTooLarge, f'response exceeds {MAX_BODY_BYTES} bytes'
+        )
+
     def _fail(self, kind: type[errors.TargetError], detail: str) -> None:
         if self._accepted_reply is not None:
             self._accepted_reply.reusable = False
@@ -355,14 +440,26 @@
         self._on_part = None
         self._headers = []
         self._unsent_parts.clear()
+        reply = self._streamed_reply
+        self._end_share()
         if self._transport is not None:
             self._transport.abort()
-        if fut is not None and not fut.done():
-            fut.set_exception(kind(detail, step='answer', peer=self._peer))
+        error = kind(detail, step='answer', peer=self._peer)
+        if reply is not None:
+            reply.rest.break_off(error)
+        elif fut is not None and not fut.done():
+            fut.set_exception(error)
             # Mark the exception as retrieved: nobody awaits the future of an
             # abandoned request.
             fut.exception()
 
+    def _end_share(self) -> None:
+        """Returns the share of a response that was not passed on."""
+        if self._share is not None and self._streamed_reply is None:
+            self._share.end()
+        self._share = None
+        self._streamed_reply = None
+
 
 def parse_keep_alive(value: bytes) -> float:
     """Returns the timeout of a `Keep-Alive` header in seconds, or 0."""
@@ -373,18 +470,6 @@
     return 0.0
 
 
-def set_keepalive(sock: socket.socket) -> None:
-    """Makes the kernel close the connection if the peer is unresponsive."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
 async def connect(
     ip: str,
     port: int,
@@ -409,77 +494,3 @@
             str(exc) or 'connection timed out', step='connect', peer=peer
         ) from exc
     return conn
-
-
-class ConnectionSource(typing.Protocol):
-    """Provides connections to one address, such as a pool."""
-
-    async def acquire(self) -> ClientConnection:
-        """Returns a connection without a pending request."""
-
-    def release(self, conn: ClientConnection) -> None:
-        """Returns a connection to the source."""
-
-
-async def exchange(
-    source: ConnectionSource,
-    data: bytes,
-    timeout_s: float,
-    progress: progress_.Progress | None = None,
-) -> Reply:
-    """Sends one request and returns the complete response.
-
-    Args:
-        source: Source of the connection, which is released afterwards.
-        data: Encoded head and body.
-        timeout_s: Longest time in seconds to connect, send the request and
-            receive the response. A response that is arriving then has up to
-            `MAX_EXTENSION_S` more while no more than `STALL_S` pass without a
-            part of it: another attempt would start from its beginning.
-        progress: Updated while the response arrives.
-
-    Raises:
-        ConnectFailed: No connection could be opened; nothing was sent.
-        AttemptTimeout: No complete response in time.
-        TargetError: The connection was lost or the response is malformed.
-    """
-    progress = progress or progress_.Progress()
-    end_s = asyncio.get_running_loop().time() + timeout_s
-    try:
-        async with asyncio.timeout_at(end_s):
-            conn = await source.acquire()
-    except TimeoutError as exc:
-        raise errors.ConnectFailed(
-            'connection timed out', step='connect'
-        ) from exc
-    try:
-        fut = conn.send(data, on_part=progress.note_part)
-        await _wait_arrived(fut, end_s, progress)
-        return fut.result()
-    finally:
-        source.release(conn)
-
-
-async def _wait_arrived(
-    fut: asyncio.Future[Reply], end_s: float, progress: progress_.Progress
-) -> None:
-    """Waits until a response is complete.
-
-    Args:
-        fut: Future of the response.
-        end_s: Loop time at which it is due, unless it is arriving then.
-        progress: Progress of the response.
-
-    Raises:
-        AttemptTimeout: It is not complete in time.
-    """
-    loop = asyncio.get_running_loop()
-    max_end_s = end_s + MAX_EXTENSION_S
-    while not fut.done():
-        left_s = end_s - loop.time()
-        if left_s > 0:
-            await asyncio.wait((fut,), timeout=left_s)
-            continue
-        end_s = min(progress.last_s + STALL_S, max_end_s)
-        if end_s <= loop.time():
-            raise errors.AttemptTimeout('response timed out', step='answer')
--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ragwortchute.gateway import body_stream
+
 # Headers that concern one connection and are not forwarded.
 HOP_BY_HOP = frozenset(
     {
@@ -39,6 +41,7 @@
         body_parts: Parts of the body, decoded from chunks.
         arrived_s: Loop time at which the request was complete.
         disconnected: Future that is done once the caller's connection is lost.
+        accepts_chunks: Whether the caller understands an answer in chunks.
     """
 
     method: str
@@ -48,6 +51,7 @@
     body_parts: list[bytes]
     arrived_s: float
     disconnected: asyncio.Future[None]
+    accepts_chunks: bool = True
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if it is absent."""
@@ -140,19 +144,26 @@
 
 
 class Response(msgspec.Struct):
-    """A complete HTTP response.
+    """An HTTP response whose head is complete.
 
     Attributes:
         status: HTTP status code.
         headers: Names and values, without `Connection` and `Content-Length`.
         body: Body.
         close: Whether the connection is closed after this response.
+        rest: Body that is still arriving; `body` is empty then.
     """
 
     status: int
     headers: abc.Sequence[tuple[bytes, bytes]] = ()
     body: bytes = b''
     close: bool = False
+    rest: body_stream.BodyStream | None = None
+
+    def drop_rest(self) -> None:
+        """Notes that the caller takes no more of a body that arrives."""
+        if self.rest is not None:
+            self.rest.leave()
 
 
 def retry_after(wait_s: float) -> tuple[bytes, bytes]:
@@ -166,12 +177,28 @@
 
 def encode(resp: Response) -> bytes:
     """Encodes the head and body of a response."""
+    return encode_response_head(resp, len(resp.body)) + resp.body
+
+
+def encode_response_head(
+    resp: Response, length: int | None, *, chunked: bool = False
+) -> bytes:
+    """Encodes the head of a response.
+
+    Args:
+        resp: The response.
+        length: Length of its body in bytes, None if it is not known.
+        chunked: Whether the body is sent in chunks.
+    """
     reason = _REASONS.get(resp.status, 'Unknown')
     lines = [f'HTTP/1.1 {resp.status} {reason}\r\n'.encode()]
     for name, value in resp.headers:
         lines.append(name + b': ' + value + b'\r\n')
     if resp.close:
         lines.append(b'connection: close\r\n')
-    lines.append(b'content-length: %d\r\n\r\n' % len(resp.body))
-    lines.append(resp.body)
+    if length is not None:
+        lines.append(b'content-length: %d\r\n' % length)
+    elif chunked:
+        lines.append(b'transfer-encoding: chunked\r\n')
+    lines.append(b'\r\n')
     return b''.join(lines)
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -18,6 +18,7 @@
 from ragwortchute import stores
 from ragwortchute.gateway import dispatcher as dispatcher_
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_exchange
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import replica
@@ -208,7 +209,7 @@
         wait_s = min(timeout_s, MAX_WAIT_S)
         head = self._encode_watch(prefix, after_revision, wait_s)
         try:
-            reply = await http_client.exchange(
+            reply = await http_exchange.exchange(
                 self._pool, head, wait_s + RESPONSE_TIMEOUT_S, progress
             )
         except errors.TargetError as exc:
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import functools
 import random
 
 import msgspec
 
 from ragwortchute import errors
+from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import http_client
@@ -19,6 +21,7 @@
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway import streamed_answers
 
 _NOT_FOUND = 404
 _FIRST_ERROR = 400
@@ -47,12 +50,14 @@
         request_log: Log of requests.
         stats: Counters.
         rng: Source of randomness.
+        memory: Memory for long answers.
     """
 
     __slots__ = (
         '_dialect',
         '_hosts',
         '_loop',
+        '_memory',
         '_pools',
         '_request_log',
         '_rng',
@@ -67,8 +72,10 @@
         request_log: request_log_.RequestLog,
         stats: stats_.Stats,
         rng: random.Random,
+        memory: answer_memory.AnswerMemory,
     ) -> None:
         self._hosts = hosts
+        self._memory = memory
         self._pools = host_pools
         self._dialect = dialect
         self._request_log = request_log
@@ -113,22 +120,33 @@
         try:
             result = await self._exchange(call, conn)
         except errors.TargetError as exc:
+            pool.release(conn)
             self._request_log.log_relay(call, host, str(exc), now_s)
             return RelayResult(reason='relay-lost')
-        finally:
-            pool.release(conn)
         reply = result.reply
         if reply is None:
+            pool.release(conn)
             return result
+        streamed_answers.follow_relay(
+            call,
+            reply,
+            pool,
+            conn,
+            functools.partial(
+                self._request_log.log_broken_answer, call, host.name
+            ),
+        )
         self._request_log.log_relay(call, host, str(reply.status), now_s)
         if reply.status == _NOT_FOUND and not self._dialect.is_authentic(reply):
             # The other host does not have the route.
             call.sends = 0
             call.maybe_executed = False
+            reply.discard_rest()
             return RelayResult()
         if reply.status < _FIRST_ERROR and not self._dialect.is_authentic(
             reply
         ):
+            reply.discard_rest()
             return RelayResult(reason='relay-spoiled')
         return result
 
@@ -148,6 +166,7 @@
             head,
             self._dialect.accept(call.req),
             body_parts=call.req.body_parts,
+            memory=self._memory,
         )
         futs: set[asyncio.Future] = {fut}
         if call.route.idempotent:
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ragwortchute import errors
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
@@ -134,6 +135,26 @@
             status=reply.status,
         )
 
+    def log_broken_answer(
+        self, call: attempts.Call, sender: str, error: errors.TargetError
+    ) -> None:
+        """Logs and counts an answer that broke off while it was passed on.
+
+        Args:
+            call: The request.
+            sender: Name of the target or host that sent it.
+            error: Why it broke off.
+        """
+        self._stats.count_failed_attempt('answer-broken')
+        self._log.event(
+            'answer-broken',
+            id=call.request_id.decode('latin-1'),
+            sender=sender,
+            outcome=type(error).__name__,
+            ms=round((self._loop.time() - call.req.arrived_s) * 1000, 1),
+            error=str(error),
+        )
+
     def log_failed_attempt(
         self,
         call: attempts.Call,
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -237,6 +237,7 @@
             self._receiver.reject(400)
             return
         self._stop_body_wait()
+        req.accepts_chunks = self._parser.get_http_version() != '1.0'
         req.body_parts, reservation = self._body.take()
         self._receiver.handle_request(req, reservation)
 
--- a/ragwortchute/gateway/routing.py
+++ b/ragwortchute/gateway/routing.py
@@ -1,5 +1,7 @@
 """Matching of requests to routes by host name and path prefix."""
 
+import random
+
 from ragwortchute.gateway import model
 
 
@@ -58,3 +60,11 @@
     def hosts(self) -> list[str]:
         """Returns all host names, sorted."""
         return sorted(self._by_host)
+
+
+def pick_service(route: model.Route, rng: random.Random) -> str:
+    """Returns one of the services of a route, by weight."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [entry.weight for entry in route.services]
+    return rng.choices(route.services, weights)[0].service
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -17,6 +17,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.gateway import request_reader
+from ragwortchute.gateway import response_writer
 
 # Reading from a connection pauses while this many requests are pending.
 MAX_PIPELINED = 64
@@ -123,6 +124,7 @@
         '_reading_paused',
         '_sends_ahead',
         '_transport',
+        '_writer',
         '_writing_paused',
     )
 
@@ -143,6 +145,8 @@
         # caller must have closed the connection first.
         self._sends_ahead = False
         self._delivery: delivery_.Delivery | None = None
+        # Writes the first response while its body arrives.
+        self._writer: response_writer.ResponseWriter | None = None
         self._writing_paused = False
 
     @property
@@ -210,16 +214,17 @@
 
     def expire(self, now_s: float, limits: model.Limits) -> None:
         """Closes the connection if one of its timeouts has expired."""
-        if self._close_started_s:
-            self._expire_close(now_s, limits)
-            return
-        if self._listener.draining:
+        if self._close_started_s or self._listener.draining:
             self.update_delivery(now_s)
         else:
             self._delivery.update_unsent(now_s)
-        if self._reader.waiting:
+        if self._is_stalled(now_s, limits):
+            self.abort()
+        elif self._close_started_s:
+            self._expire_close(now_s, limits)
+        elif self._reader.waiting:
             return
-        if self._reader.started_s:
+        elif self._reader.started_s:
             if now_s - self._reader.started_s > limits.header_timeout_s:
                 self.reject(408)
         elif (
@@ -229,9 +234,15 @@
         ):
             self._begin_close()
 
+    def _is_stalled(self, now_s: float, limits: model.Limits) -> bool:
+        """Returns whether the caller takes nothing of a streamed response."""
+        if self._writer is None:
+            return False
+        since_s = max(self._writer.stalled_since_s, self._delivery.progress_s)
+        return now_s - since_s > limits.idle_timeout_s
+
     def _expire_close(self, now_s: float, limits: model.Limits) -> None:
         """Ends the close of a connection if the caller takes too long."""
-        self.update_delivery(now_s)
         may_read = not self._delivery.complete or self._sends_ahead
         limit_s = limits.idle_timeout_s if may_read else CLOSE_LINGER_S
         if now_s - max(self._delivery.progress_s, self._close_started_s) > (
@@ -286,18 +297,22 @@
         self._reader.end()
         if not self._closed.done():
             self._closed.set_result(None)
-        self._exchanges.clear()
+        self._drop_exchanges()
         self._listener.notify_finished()
 
     def pause_writing(self) -> None:
         """See base class."""
         self._writing_paused = True
         self.update_reading()
+        if self._writer is not None:
+            self._writer.pause()
 
     def resume_writing(self) -> None:
         """See base class."""
         self._writing_paused = False
         self.update_reading()
+        if self._writer is not None:
+            self._writer.resume()
 
     # Callbacks of the reader.
 
@@ -362,17 +377,24 @@
         finally:
             self._listener.bodies.shrink(reservation, 0)
         exchange.response = resp
-        self._flush()
+        if exchange in self._exchanges:
+            self._flush()
+        else:
+            resp.drop_rest()
 
     def _flush(self) -> None:
         """Writes available responses in the order of the requests."""
-        while self._exchanges and self._exchanges[0].response is not None:
-            resp = self._exchanges.popleft().response
+        while self._writer is None and self._exchanges:
+            resp = self._exchanges[0].response
+            if resp is None or self._transport is None:
+                break
             if resp.close:
                 self._end_reading()
-            resp.close = self._reader.ended and not self._exchanges
-            if self._transport is None:
-                return
+            resp.close = self._reader.ended and len(self._exchanges) == 1
+            if resp.rest is not None:
+                self._start_writer(self._exchanges[0])
+                continue
+            self._exchanges.popleft()
             self._transport.write(http_messages.encode(resp))
             self._idle_since_s = self._loop.time()
             self._delivery.note_write(self._idle_since_s)
@@ -381,6 +403,42 @@
                 return
         self.update_reading()
 
+    def _start_writer(self, exchange: _Exchange) -> None:
+        """Starts to write a response whose body is still arriving."""
+        self._writer = response_writer.ResponseWriter(
+            self._transport,
+            exchange.response,
+            accepts_chunks=exchange.req.accepts_chunks,
+            paused=self._writing_paused,
+            on_done=self._end_writer,
+        )
+        if exchange.response.close:
+            self._end_reading()
+        self._delivery.note_write(self._loop.time())
+        self._writer.start()
+
+    def _end_writer(self) -> None:
+        """Goes on after a response, or closes if it is incomplete."""
+        writer, self._writer = self._writer, None
+        if self._transport is None:
+            return
+        if not writer.broken:
+            self._exchanges.popleft()
+        self._idle_since_s = self._loop.time()
+        self._delivery.note_write(self._idle_since_s)
+        if writer.broken or (self._reader.ended and not self._exchanges):
+            self._begin_close()
+        else:
+            self._flush()
+
+    def _drop_exchanges(self) -> None:
+        """Ends the responses that can't be written any more."""
+        self._writer = None
+        for exchange in self._exchanges:
+            if exchange.response is not None:
+                exchange.response.drop_rest()
+        self._exchanges.clear()
+
     def reject(
         self, status: int, headers: abc.Sequence[tuple[bytes, bytes]] = ()
     ) -> None:
@@ -403,7 +461,7 @@
             return
         self._end_reading()
         self._close_started_s = self._loop.time()
-        self._exchanges.clear()
+        self._drop_exchanges()
         if self._transport.is_closing():
             return
         try:
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -14,6 +14,7 @@
 from ragwortchute import progress as progress_
 from ragwortchute import stores
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_exchange
 from ragwortchute.gateway import pools
 from ragwortchute.platform import store_answers
 
@@ -196,7 +197,7 @@
         data = head.encode() + b'\r\n' + body
         write = method != 'GET'
         try:
-            return await http_client.exchange(
+            return await http_exchange.exchange(
                 self._pool, data, TIMEOUT_S + extra_s, progress
             )
         except errors.ConnectFailed as exc:
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -15,6 +15,13 @@
     500: 'Error',
     503: 'Full',
 }
+# Faults in which an answer has no end, with the header that frames its body.
+ENDLESS_FRAMING = {
+    'endless-chunked': {'transfer-encoding': 'chunked'},
+    'endless-announced': {'content-length': '100000000000'},
+    'endless-unframed': {},
+}
+ENDLESS_PART_BYTES = 1 << 16
 
 
 class Run:
@@ -322,6 +329,8 @@
             self._write(writer, 200, headers, text, length=len(text) + 10)
             await writer.drain()
             return False
+        if self.fault in ENDLESS_FRAMING:
+            return await self._answer_without_end(writer, headers)
         if self.fault == 'unframed':
             self._write(writer, 200, headers, text, length=-1)
             await writer.drain()
@@ -337,6 +346,19 @@
             )
         return True
 
+    async def _answer_without_end(
+        self, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> bool:
+        """Writes a body until the caller closes the connection."""
+        headers = {**headers, **ENDLESS_FRAMING[self.fault]}
+        self._write(writer, 200, headers, b'', length=-1)
+        part = b'z' * ENDLESS_PART_BYTES
+        if self.fault == 'endless-chunked':
+            part = b'%x\r\n%b\r\n' % (len(part), part)
+        while True:
+            writer.write(part)
+            await writer.drain()
+
     def _refuse(
         self, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> None:
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dispatcher
@@ -26,6 +27,7 @@
 from ragwortchute.platform import wire
 from standins import platform_targets
 
+MAX_ANSWERS_BYTES = 8 << 20
 DOMAINS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b'}
 
 
@@ -128,6 +130,7 @@
         pauses: Pauses that targets have asked the host for.
         guard: Blocks requests that crash targets.
         grace_period: Time that the host has left in a stop.
+        answers: Memory for long answers.
         rng: Source of randomness of the host.
         dispatcher: Serves requests.
         listener: Listener for callers.
@@ -169,6 +172,7 @@
         self.failures = failure_reports.FailureReports(
             rng, self.state.note_reported_failure
         )
+        self.answers = answer_memory.AnswerMemory(MAX_ANSWERS_BYTES)
         self.guard = crash_guard.CrashGuard('h1', self.membership, self.log)
         self.grace_period = grace.GracePeriod()
         request_log_ = request_log.RequestLog(self.log, self.state, self.stats)
@@ -183,6 +187,7 @@
                 request_log_,
                 self.stats,
                 rng,
+                self.answers,
             ),
             request_log=request_log_,
             crash_guard=self.guard,
@@ -193,6 +198,7 @@
             limits=limits,
             stats=self.stats,
             rng=rng,
+            memory=self.answers,
         )
         self.listener = http_server.Listener(
             self.dispatcher.serve,
--- a/tests/test_gateway/test_http_client.py
+++ b/tests/test_gateway/test_http_client.py
@@ -8,6 +8,7 @@
 from ragwortchute import errors
 from ragwortchute import progress
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_exchange
 from ragwortchute.gateway import pools
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_parsers
@@ -130,7 +131,7 @@
     async def test_connection_is_reused(self, peer):
         pool = pools.Pool('127.0.0.1', peer.port)
         for _ in range(3):
-            await http_client.exchange(
+            await http_exchange.exchange(
                 pool, b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 1.0
             )
         assert (peer.connections, peer.requests) == (1, 3)
@@ -139,7 +140,7 @@
         pool = pools.Pool('127.0.0.1', peer.port)
         peer.close_after = True
         for _ in range(2):
-            await http_client.exchange(
+            await http_exchange.exchange(
                 pool, b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 1.0
             )
             await asyncio.sleep(0.02)
@@ -152,16 +153,16 @@
         ]
         pool = pools.Pool('127.0.0.1', peer.port)
         request = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
-        await http_client.exchange(pool, request, 1.0)
+        await http_exchange.exchange(pool, request, 1.0)
         await asyncio.sleep(0.6)
-        await http_client.exchange(pool, request, 1.0)
+        await http_exchange.exchange(pool, request, 1.0)
         assert peer.connections == 2
 
     async def test_unresponsive_peer_times_out(self, peer):
         peer.responses = [b'']
         pool = pools.Pool('127.0.0.1', peer.port)
         with pytest.raises(errors.AttemptTimeout):
-            await http_client.exchange(
+            await http_exchange.exchange(
                 pool, b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 0.1
             )
         assert not pool.has_idle
@@ -169,7 +170,7 @@
     async def test_refused_connection_raises_connect_failed(self):
         pool = pools.Pool('127.0.0.1', 1)
         with pytest.raises(errors.ConnectFailed):
-            await http_client.exchange(pool, b'x', 0.5)
+            await http_exchange.exchange(pool, b'x', 0.5)
 
 
 class TestArrivingResponses:
@@ -200,7 +201,7 @@
         reading = progress.Progress()
         started_s = asyncio.get_running_loop().time()
         try:
-            reply = await http_client.exchange(
+            reply = await http_exchange.exchange(
                 pool, b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 0.25, reading
             )
         except errors.AttemptTimeout:
@@ -223,7 +224,7 @@
 
     async def test_it_is_given_up_after_a_while(self, slow_peer, monkeypatch):
         self.parts = 10
-        monkeypatch.setattr(http_client, 'MAX_EXTENSION_S', 0.2)
+        monkeypatch.setattr(http_exchange, 'MAX_EXTENSION_S', 0.2)
         reply, took_s = await self.exchange(slow_peer)
         assert reply is None
         assert took_s < 0.8
@@ -239,7 +240,7 @@
             for name in ('gone', 'kept')
         )
         for host in (dead, kept):
-            await http_client.exchange(
+            await http_exchange.exchange(
                 all_pools.get(host), b'GET / HTTP/1.1\r\nhost: x\r\n\r\n', 1.0
             )
         before = all_pools.get(kept)
--- a/tests/test_gateway/test_stop.py
+++ b/tests/test_gateway/test_stop.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ragwortchute.gateway import application
+from ragwortchute.gateway import planned_stop
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
 
@@ -17,7 +17,7 @@
     ):
         # The connection is accepted just before the host stops accepting, and
         # the request arrives afterwards. Found by the soak with seed 103.
-        monkeypatch.setattr(application, 'DRAIN_ACCEPT_S', 0.1)
+        monkeypatch.setattr(planned_stop, 'DRAIN_ACCEPT_S', 0.1)
         await deployment.start('a1')
         (host,) = deployment.hosts
         await deployment.until(lambda: host.ready)
@@ -95,7 +95,7 @@
 
     @pytest.fixture
     async def stopping(self, deployment, monkeypatch):
-        monkeypatch.setattr(application, 'DRAIN_ACCEPT_S', 0.1)
+        monkeypatch.setattr(planned_stop, 'DRAIN_ACCEPT_S', 0.1)
         deployment.grace_s = 3.0
         await deployment.start('a1')
         (host,) = deployment.hosts
