Read older hosts before the store when readers are lost

Callers saw: requests decided by a configuration older than config_s, and 404 for routes that had been added, in all of a region after most hosts had lost power.

Cause, shown: the readers of all failure domains of that region were lost, and 30 hosts that had read from them asked the store at the same moment. A watch returns every version since that of the caller, each whole: 3 of 160 KB each, 14 MB over a link between regions of 60 Mbit/s. Connections to the store timed out, hosts gave up what was on its way and asked again.

Change: before the store, a host reads up to two older hosts of its failure domain that were heard of within the last second, both if its source fails and if its copy is not confirmed in time. A host that has failed is not read again before it is heard of.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -33,6 +33,7 @@
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import server_connection
+from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import sources
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
@@ -373,20 +374,25 @@
         await self._store.close()
         self._log.flush()
 
-    def _sources(self) -> list[store_follower.Source]:
+    def _sources(self) -> list[source_choice.Source]:
         """Returns the sources of the store's objects, in order of use."""
-        hosts = self.hosts()
+        now_s = self._loop.time()
+        heard = self.membership.peers.heard(now_s - sources.HEARD_S)
+        order = sources.source_order(self._settings.me, self.hosts(), heard)
         return [
             self._replica_source(host)
             if host
-            else store_follower.Source('', self._store)
-            for host in sources.source_order(self._settings.me, hosts)
+            else source_choice.Source('', self._store)
+            for host in order
         ]
 
-    def _replica_source(self, host: model.HostEntry) -> store_follower.Source:
+    def _replica_source(self, host: model.HostEntry) -> source_choice.Source:
         pool = self._host_pools.get(host)
-        return store_follower.Source(
-            host.name, peer_api.PeerStore(host.name, pool, self._replicas)
+        peer = self.membership.peers.get(host.name)
+        return source_choice.Source(
+            host.name,
+            peer_api.PeerStore(host.name, pool, self._replicas),
+            peer.last_heartbeat_s if peer is not None else float('-inf'),
         )
 
     async def _follow(self, follower: store_follower.Follower) -> None:
--- a/ragwortchute/gateway/peer_table.py
+++ b/ragwortchute/gateway/peer_table.py
@@ -104,6 +104,19 @@
             and self.is_alive(peer, now_s)
         ]
 
+    def heard(self, since_s: float) -> list[str]:
+        """Returns the names of the hosts heard of since a loop time.
+
+        Args:
+            since_s: Loop time in seconds.
+
+        Returns:
+            The names, that of the host that was heard of last first.
+        """
+        peers = [peer for peer in self.all() if peer.last_heartbeat_s > since_s]
+        peers.sort(key=lambda peer: peer.last_heartbeat_s, reverse=True)
+        return [peer.entry.name for peer in peers]
+
     def retained_names(self, now_s: float) -> list[str]:
         """Returns the names of the hosts that may be alive.
 
--- a/ragwortchute/gateway/sources.py
+++ b/ragwortchute/gateway/sources.py
@@ -6,6 +6,12 @@
 readers of each region read the store: if one of them can no longer reach it,
 the heartbeats of the other tell of newer revisions. A host whose source fails
 uses the next one.
+
+If readers are lost, all hosts that have read from them look for another source
+at the same moment. The store would send the configuration to each of them, with
+every version since theirs, and over the link between two regions to hosts
+elsewhere. A host therefore reads from an older host of its failure domain that
+has been heard of lately, and only hosts that know of none read the store.
 """
 
 from collections import abc
@@ -14,6 +20,10 @@
 
 # Readers of a region that read the store.
 STORE_READERS_PER_REGION = 2
+# Age in seconds of a heartbeat up to which its host is likely to be running.
+HEARD_S = 1.0
+# Hosts that are read, one after the other, before the store is.
+MAX_DEPUTIES = 2
 
 
 def domain_reader(
@@ -34,13 +44,16 @@
 
 
 def source_order(
-    me: model.HostEntry, hosts: list[model.HostEntry]
+    me: model.HostEntry,
+    hosts: list[model.HostEntry],
+    heard: abc.Sequence[str] = (),
 ) -> list[model.HostEntry | None]:
     """Returns the sources of a host in order of preference.
 
     Args:
         me: The host.
         hosts: Live hosts, including the host itself.
+        heard: Names of hosts that have been heard of lately, the last first.
 
     Returns:
         Hosts whose replica can be read; None stands for the store.
@@ -48,7 +61,8 @@
     others = [host for host in hosts if host.name != me.name]
     reader = domain_reader(me.failure_domain, [*others, me])
     if reader.name != me.name:
-        return [reader, None, *_other_readers(me, others)]
+        deputies = _deputies(me, reader, others, heard)
+        return [reader, *deputies, None, *_other_readers(me, others)]
     store_readers = _store_readers(me.region, [*others, me])
     replicas = _other_readers(me, others)
     if me.name in {host.name for host in store_readers}:
@@ -56,6 +70,27 @@
     return [*store_readers, None, *replicas]
 
 
+def _deputies(
+    me: model.HostEntry,
+    reader: model.HostEntry,
+    others: list[model.HostEntry],
+    heard: abc.Sequence[str],
+) -> list[model.HostEntry]:
+    """Returns the hosts to read from if the reader fails.
+
+    They are older than this host, so that two never wait for each other.
+    """
+    older = {
+        host.name: host
+        for host in others
+        if host.failure_domain == me.failure_domain
+        and (host.incarnation, host.name) < (me.incarnation, me.name)
+        and host.name != reader.name
+    }
+    names = [name for name in heard if name in older]
+    return [older[name] for name in names[:MAX_DEPUTIES]]
+
+
 def _other_readers(
     me: model.HostEntry, others: list[model.HostEntry]
 ) -> list[model.HostEntry]:
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway import age_limit
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import replica as replica_
+from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_health
 from ragwortchute.gateway import unchanged_answers
@@ -31,20 +32,6 @@
 # An answer of which a part has come within this time is not given up: another
 # source would send all of it again, on a link that may be slow.
 ARRIVING_S = 0.25
-# How long a source is not used after a failure.
-SOURCE_RETRY_S = 2.0
-
-
-class Source(msgspec.Struct, frozen=True):
-    """The store or a replica of it on another host.
-
-    Attributes:
-        name: Name of the host with the replica; empty for the store itself.
-        store: Client of the store or of the replica.
-    """
-
-    name: str
-    store: stores.Store
 
 
 class Follower:
@@ -65,13 +52,13 @@
 
     def __init__(
         self,
-        sources: cabc.Callable[[], list[Source]],
+        sources: cabc.Callable[[], list[source_choice.Source]],
         feed: store_feed.Feed,
         health: store_health.StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
-        self._sources = sources
+        self._sources = source_choice.SourceChoice(sources)
         self._feed = feed
         self._health = health
         self._log = log
@@ -83,15 +70,14 @@
         self._filled = asyncio.Event()
         self._age_limit = age_limit.AgeLimit(feed.max_age_s)
         self._needs_full_read = True
-        self._last_failure_s: dict[str, float] = {}
         self._source_name = ''
-        # Replica in whose place the store is read, empty if there is none.
-        self._outdated_source = ''
+        # Replicas in whose place others or the store are read.
+        self._outdated_sources: set[str] = set()
         # Name of the source that has answered last.
         self._answered_by = ''
         # Whether the store has answered the last call of it.
         self._store_answered = False
-        self._preferred_source: Source | None = None
+        self._preferred_source: source_choice.Source | None = None
         self._reading_replica = False
         self._unchanged = unchanged_answers.UnchangedAnswers()
         self._seen_revision = 0
@@ -127,7 +113,9 @@
             return 0.0
         return self._loop.time() - self._behind_since_s
 
-    def on_newer_revision(self, revision: int, source: Source) -> None:
+    def on_newer_revision(
+        self, revision: int, source: source_choice.Source
+    ) -> None:
         """Notes that a source has a newer revision.
 
         Args:
@@ -162,7 +150,8 @@
     async def _limit_age(self) -> None:
         """Reads another source if the replica is not confirmed in time.
 
-        That is the store, or a replica if the store does not answer.
+        That is one that comes before the store, then the store, or another
+        replica if the store does not answer.
         """
         await self._filled.wait()
         while True:
@@ -185,10 +174,13 @@
             if self._source_name:
                 # One call. The replica is read again after it, unless it fails:
                 # its host may recover soon, and there may be hundreds of hosts.
-                self._outdated_source = self._source_name
-                self._read_next(self._store_source())
+                self._outdated_sources.add(self._source_name)
+                source = self._sources.next_to_check(self._outdated_sources)
+                if source.name:
+                    self._outdated_sources.add(source.name)
+                self._read_next(source)
             else:
-                self._last_failure_s[self._source_name] = now_s
+                self._sources.note_failure(self._source_name)
                 self._wake.set()
 
     def _is_arriving(self, now_s: float) -> bool:
@@ -230,7 +222,9 @@
                     await self._pause(backoff_s * jitter)
                     backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
-    def _may_ask_again(self, source: Source, exc: errors.StoreError) -> bool:
+    def _may_ask_again(
+        self, source: source_choice.Source, exc: errors.StoreError
+    ) -> bool:
         """Returns whether the store is asked again at once after a failure.
 
         A store that drops its history cuts the watches and answers the next
@@ -251,10 +245,10 @@
         except TimeoutError:
             return
 
-    def _next_source(self) -> Source:
+    def _next_source(self) -> source_choice.Source:
         """Returns the source to read next and logs a change of source."""
         preferred, self._preferred_source = self._preferred_source, None
-        source = preferred or self._first_usable_source()
+        source = preferred or self._sources.first_usable()
         if source.name != self._source_name:
             self._log.event(
                 'source', prefix=self.prefix, source=source.name or 'store'
@@ -262,27 +256,13 @@
             self._source_name = source.name
         return source
 
-    def _first_usable_source(self) -> Source:
-        """Returns the first source without a recent failure, else the store."""
-        now_s = self._loop.time()
-        sources = self._sources()
-        for source in sources:
-            if (
-                now_s - self._last_failure_s.get(source.name, -1e9)
-                > SOURCE_RETRY_S
-            ):
-                return source
-        return self._store_source()
-
-    def _store_source(self) -> Source:
-        return next(source for source in self._sources() if not source.name)
-
-    def _record_failure(self, source: Source, exc: errors.StoreError) -> None:
-        now_s = self._loop.time()
-        self._last_failure_s[source.name] = now_s
-        if self._outdated_source:
-            self._last_failure_s[self._outdated_source] = now_s
-            self._outdated_source = ''
+    def _record_failure(
+        self, source: source_choice.Source, exc: errors.StoreError
+    ) -> None:
+        self._sources.note_failure(source.name)
+        for name in self._outdated_sources:
+            self._sources.note_failure(name)
+        self._outdated_sources.clear()
         if source.name:
             self._log.event(
                 'source-failed',
@@ -294,7 +274,9 @@
             self._store_answered = False
             self._health.record_failure(exc)
 
-    def _check_newer_revision(self, revision: int, source: Source) -> None:
+    def _check_newer_revision(
+        self, revision: int, source: source_choice.Source
+    ) -> None:
         if self._is_arriving(self._loop.time()):
             self._loop.call_later(
                 ARRIVING_S, self._check_newer_revision, revision, source
@@ -308,18 +290,18 @@
                 known_by=source.name or 'store',
             )
             # The current source lacks the revision.
-            self._last_failure_s[self._source_name] = self._loop.time()
+            self._sources.note_failure(self._source_name)
             self._needs_full_read = (
                 self._needs_full_read or not self._source_name
             )
             self._read_next(source)
 
-    def _read_next(self, source: Source) -> None:
+    def _read_next(self, source: source_choice.Source) -> None:
         """Ends the current read or pause and reads a source next."""
         self._preferred_source = source
         self._wake.set()
 
-    async def _read_all(self, source: Source) -> None:
+    async def _read_all(self, source: source_choice.Source) -> None:
         asked_s = self._loop.time()
         # A stale answer could list a target that left before this host started.
         answer = await self._watch_until_woken(
@@ -341,7 +323,7 @@
             self._feed.replace(list(answer.objects), answer.revision)
         self._note_confirmed(asked_s + answer.confirmed_after_s)
 
-    async def _read_changes(self, source: Source) -> None:
+    async def _read_changes(self, source: source_choice.Source) -> None:
         asked_s = self._loop.time()
         answer = await self._watch_until_woken(
             source,
@@ -364,7 +346,9 @@
         self._progress = progress.Progress()
         return self._progress
 
-    def _watch_timeout_s(self, source: Source, now_s: float) -> float:
+    def _watch_timeout_s(
+        self, source: source_choice.Source, now_s: float
+    ) -> float:
         """Returns how long a watch of a source may wait, in seconds.
 
         A long watch that is sent to an unresponsive store would still be
@@ -381,7 +365,10 @@
         return min(wait_s, max(0.0, left_s))
 
     def _apply_changes(
-        self, source: Source, answer: stores.WatchAnswer, asked_s: float
+        self,
+        source: source_choice.Source,
+        answer: stores.WatchAnswer,
+        asked_s: float,
     ) -> None:
         """Applies the changes that a source has returned.
 
@@ -404,11 +391,13 @@
         """Notes until when the store is known to have had no later change."""
         self.replica.confirm(min(confirmed_s, self._loop.time()))
         self._feed.confirm(self.replica.confirmed_s)
+        if self._loop.time() - self.replica.confirmed_s < self._feed.max_age_s:
+            self._outdated_sources.clear()
         self._filled.set()
 
     async def _watch_until_woken(
         self,
-        source: Source,
+        source: source_choice.Source,
         coro: cabc.Coroutine[object, object, stores.WatchAnswer],
     ) -> stores.WatchAnswer | None:
         """Waits for an answer, at most until another source is to be read.
@@ -436,7 +425,7 @@
         return watch.result() if watch.done() else None
 
     def _confirm(
-        self, source: Source, answer: stores.WatchAnswer
+        self, source: source_choice.Source, answer: stores.WatchAnswer
     ) -> stores.WatchAnswer:
         """Returns an answer with a revision that can be relied on."""
         self._seen_revision = max(self._seen_revision, answer.revision)
@@ -450,7 +439,11 @@
         )
 
     def _defer_removals(
-        self, source: Source, answer: stores.WatchAnswer, *, full_read: bool
+        self,
+        source: source_choice.Source,
+        answer: stores.WatchAnswer,
+        *,
+        full_read: bool,
     ) -> stores.WatchAnswer:
         """Defers removals right after an outage of the store.
 
@@ -481,10 +474,9 @@
         self._wake.set()
 
     def _record_success(
-        self, source: Source, answer: stores.WatchAnswer
+        self, source: source_choice.Source, answer: stores.WatchAnswer
     ) -> None:
         self._answered_by = source.name
-        self._outdated_source = ''
         if source.name:
             return
         self._store_answered = True
--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -311,6 +311,15 @@
         left = [host for host in hosts if host.name != 'h00']
         assert not self.order('h01', hosts=left)[0]
 
+    def test_older_host_that_was_heard_of_comes_before_the_store(self):
+        hosts = [rigs.host(f'h{number}', 'a1') for number in range(5)]
+        heard = ['h4', 'h0', 'h2', 'h1']
+        order = sources.source_order(hosts[3], hosts, heard)
+        names = [host and host.name for host in order]
+        assert names == ['h0', 'h2', 'h1', None]
+        order = sources.source_order(hosts[1], hosts, heard)
+        assert [host and host.name for host in order] == ['h0', None]
+
     def test_host_alone_reads_the_store(self):
         assert sources.source_order(self.HOSTS[1], []) == [None]
 
--- /dev/null
+++ b/tests/test_gateway/test_reader_loss.py
@@ -0,0 +1,31 @@
+"""Tests of hosts whose reader is lost."""
+
+import asyncio
+
+from tests.test_platform import test_adapter
+
+
+class TestReaderLoss:
+    """The loss of a reader must not make all hosts read the store at once."""
+
+    async def test_few_hosts_read_the_store(self, deployment):
+        # Its answers to 30 hosts filled a link between regions for 2 s.
+        await deployment.start(*['a1'] * 10)
+        await asyncio.sleep(3.0)
+        reader = deployment.hosts.pop(0)
+        marks = [len(host.log.lines) for host in deployment.hosts]
+        await reader.close()
+        newer = {**test_adapter.CONFIG, 'config_version': 9}
+        await deployment.server.put('config', 'main', newer)
+        await deployment.until(
+            lambda: all(
+                host.state.cfg.version == 9 for host in deployment.hosts
+            ),
+            2.0,
+        )
+        turned = ('source', {'prefix': 'config/', 'source': 'store'})
+        lines = [
+            host.log.lines[mark:]
+            for host, mark in zip(deployment.hosts, marks, strict=True)
+        ]
+        assert sum(turned in each for each in lines) <= 4
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -8,7 +8,7 @@
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import replica
-from ragwortchute.gateway import store_follower
+from ragwortchute.gateway import source_choice
 from tests.test_gateway import test_store_follower
 
 
@@ -100,7 +100,7 @@
         newer = ReplicaStore()
         newer.failing = True
         await asyncio.sleep(SlowReplicaStore.PART_S * 1.5)
-        rig.follower.on_newer_revision(6, store_follower.Source('h3', newer))
+        rig.follower.on_newer_revision(6, source_choice.Source('h3', newer))
         await rig.until({'a': '2'}, SlowReplicaStore.PARTS * 0.15)
         assert 'behind' not in rig.log.kinds()
 
@@ -141,6 +141,26 @@
         rig.follow()
         await rig.until({'a': '1'})
 
+    @pytest.mark.parametrize('heard', [False, True])
+    async def test_failed_host_is_left_until_it_is_heard_of(
+        self, monkeypatch, rig, heard
+    ):
+        monkeypatch.setattr(source_choice, 'RETRY_S', 0.1)
+        choice = source_choice.SourceChoice(
+            lambda: [
+                source_choice.Source('h2', rig.store, self.heard_s),
+                rig.store_source(),
+            ]
+        )
+        loop = asyncio.get_running_loop()
+        self.heard_s = loop.time() - 0.1
+        assert choice.first_usable().name == 'h2'
+        choice.note_failure('h2')
+        await asyncio.sleep(0.2)
+        if heard:
+            self.heard_s = loop.time()
+        assert choice.first_usable().name == ('h2' if heard else '')
+
     async def test_replica_with_the_newer_revision_is_read(self, rig):
         # The store is unresponsive, and the first replica has missed the
         # change as well. Trying the sources in order took 3 s.
@@ -152,7 +172,7 @@
         rig.follow()
         await rig.until({'a': '1'})
         rig.server.mode = 'silent'
-        rig.follower.on_newer_revision(9, store_follower.Source('h3', third))
+        rig.follower.on_newer_revision(9, source_choice.Source('h3', third))
         await rig.until({'a': '2'}, 1.0)
 
     async def test_outdated_replica_is_abandoned(self, rig):
@@ -180,6 +200,32 @@
         await rig.server.put('things', 'a', 2)
         await rig.until({'a': '2'}, 0.6)
 
+    @pytest.mark.parametrize('confirmed', [False, True])
+    async def test_older_host_is_read_before_the_store(self, rig, confirmed):
+        # All hosts of a failure domain have a copy of the same age.
+        rig.feed.max_age_s = 0.5
+        loop = asyncio.get_running_loop()
+        old = stores.StoredObject('a', 1, b'1')
+        rig.other, deputy = ReplicaStore(), ReplicaStore()
+        for store in (rig.other, deputy):
+            store.replica.replace((old,), 1)
+            store.replica.confirm(loop.time())
+        rig.sources = lambda: [
+            source_choice.Source('h2', rig.other),
+            source_choice.Source('h3', deputy),
+            rig.store_source(),
+        ]
+        rig.follow()
+        await rig.until({'a': '1'})
+        await rig.server.put('things', 'a', 2)
+        if confirmed:
+            new = stores.StoredObject('a', rig.server.revision, b'2')
+            await asyncio.sleep(0.4)
+            deputy.replica.apply(stores.WatchAnswer(new.version, (new,)))
+            deputy.replica.confirm(loop.time())
+        await rig.until({'a': '2'}, 1.2)
+        assert rig.server.calls.total() == (0 if confirmed else 1)
+
     async def test_confirmed_replica_causes_no_call(self, rig):
         rig.feed.max_age_s = 0.5
         loop = asyncio.get_running_loop()
@@ -215,7 +261,7 @@
         sources = rig.sources
         rig.sources = lambda: [
             *sources(),
-            store_follower.Source('h3', third),
+            source_choice.Source('h3', third),
         ]
         rig.server.mode = 'busy'
         rig.follow()
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -8,6 +8,7 @@
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import replica
+from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
@@ -64,12 +65,12 @@
         )
 
     def store_source(self):
-        return store_follower.Source('', self.store)
+        return source_choice.Source('', self.store)
 
     def sources(self):
         if self.other is None:
             return [self.store_source()]
-        return [store_follower.Source('h2', self.other), self.store_source()]
+        return [source_choice.Source('h2', self.other), self.store_source()]
 
     def follow(self):
         self.create_follower()
@@ -252,7 +253,7 @@
     async def start(self, rig):
         rig.sources = lambda: [
             rig.store_source(),
-            store_follower.Source('h2', rig.store),
+            source_choice.Source('h2', rig.store),
         ]
         await rig.server.put('things', 'a', 1)
         rig.follow()
--- a/tests/test_platform/test_unreadable_entries.py
+++ b/tests/test_platform/test_unreadable_entries.py
@@ -10,6 +10,7 @@
 from ragwortchute import stores
 from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import membership
+from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
 from ragwortchute.platform import feeds
@@ -75,7 +76,7 @@
         feed = feeds.TargetFeed(self.state, self.log)
         feed.batch_delay_s = 0.0
         follower = store_follower.Follower(
-            lambda: [store_follower.Source('', self.store)],
+            lambda: [source_choice.Source('', self.store)],
             feed,
             store_health.StoreHealth(self.log),
             self.log,
