Let no reader give up a check of the store for the age of its copy

Cause, read in the logs: a host whose copy was old gave up the answer of the store after 0.4 s and asked for all of it again. News of another host made it leave the store for 2 s as well. Both readers of the store in the region did so, and read each other for that time: nobody confirmed any copy, so all hosts checked theirs at the same moment again.

Change: a call of the store that waits for no change ends by its own timeout. News of another host don't count as a failure of the store, and a store that was given up is asked again after 0.5 s instead of 2 s.

--- a/ragwortchute/gateway/source_choice.py
+++ b/ragwortchute/gateway/source_choice.py
@@ -7,8 +7,11 @@
 
 from ragwortchute import stores
 
-# How long a source is not used after a failure.
+# How long a host is not read after a failure.
 RETRY_S = 2.0
+# The same for the store. Two readers of it that have given it up read each
+# other meanwhile, and nobody confirms what they have.
+STORE_RETRY_S = 0.5
 
 
 class Source(msgspec.Struct, frozen=True):
@@ -74,7 +77,8 @@
         have lost power, and each attempt takes the time of a timeout.
         """
         failed_s = self._failed_s.get(source.name, float('-inf'))
+        retry_s = RETRY_S if source.name else STORE_RETRY_S
         return (
-            self._loop.time() - failed_s > RETRY_S
+            self._loop.time() - failed_s > retry_s
             and source.heard_s >= failed_s
         )
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -67,6 +67,9 @@
         self._wake = asyncio.Event()
         # Progress of the answer that is awaited.
         self._progress = progress.Progress()
+        # Whether the store is asked without waiting for a change. If its answer
+        # is late because many hosts ask, to ask anew makes it later.
+        self._checks_store = False
         self._filled = asyncio.Event()
         self._age_limit = age_limit.AgeLimit(feed.max_age_s)
         self._needs_full_read = True
@@ -158,7 +161,7 @@
             now_s = self._loop.time()
             confirmed_s = self.replica.confirmed_s
             due_in_s = self._age_limit.due_in_s(confirmed_s, now_s)
-            if self._is_arriving(now_s):
+            if self._is_arriving(now_s) or self._checks_store:
                 due_in_s = max(due_in_s, ARRIVING_S)
             if due_in_s > 0:
                 await asyncio.sleep(due_in_s)
@@ -289,8 +292,10 @@
                 changed=revision,
                 known_by=source.name or 'store',
             )
-            # The current source lacks the revision.
-            self._sources.note_failure(self._source_name)
+            if self._source_name:
+                # It lacks the revision. The store, which may only be slow, is
+                # read again after the other host.
+                self._sources.note_failure(self._source_name)
             self._needs_full_read = (
                 self._needs_full_read or not self._source_name
             )
@@ -325,12 +330,14 @@
 
     async def _read_changes(self, source: source_choice.Source) -> None:
         asked_s = self._loop.time()
+        wait_s = self._watch_timeout_s(source, asked_s)
+        self._checks_store = not (source.name or wait_s)
         answer = await self._watch_until_woken(
             source,
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
-                timeout_s=self._watch_timeout_s(source, asked_s),
+                timeout_s=wait_s,
                 progress=self._begin_progress(),
             ),
         )
@@ -417,6 +424,7 @@
             )
         finally:
             self._progress = progress.Progress()
+            self._checks_store = False
             wake.cancel()
             if not watch.done():
                 watch.cancel()
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -75,6 +75,17 @@
         )
 
 
+class BusyStore(ReplicaStore):
+    """Store whose answers are late because many hosts ask it."""
+
+    calls = 0
+
+    async def watch(self, prefix, **kwargs):
+        self.calls += 1
+        await asyncio.sleep(0.7)
+        return await super().watch(prefix, **kwargs)
+
+
 class TestArrivingAnswers:
     """An answer that is arriving must not be given up for another source."""
 
@@ -175,6 +186,25 @@
         rig.follower.on_newer_revision(9, source_choice.Source('h3', third))
         await rig.until({'a': '2'}, 1.0)
 
+    async def test_reader_of_the_store_returns_to_it_soon(self, rig):
+        # Two of them read each other for 2 s and had no news of the store.
+        await rig.server.put('things', 'a', 1)
+        other = ReplicaStore()
+        rig.sources = lambda: [
+            rig.store_source(),
+            source_choice.Source('h2', other),
+        ]
+        rig.follow()
+        await rig.until({'a': '1'})
+        new = stores.StoredObject('a', rig.server.revision + 1, b'2')
+        other.replica.replace((new,), new.version)
+        source = source_choice.Source('h2', other)
+        rig.follower.on_newer_revision(new.version, source)
+        await rig.until({'a': '2'})
+        for value in (2, 3):
+            await rig.server.put('things', 'a', value)
+        await rig.until({'a': '3'}, 1.2)
+
     async def test_outdated_replica_is_abandoned(self, rig):
         # The host that reads the store has lost the connection to it.
         rig.other = ReplicaStore()
@@ -226,6 +256,24 @@
         await rig.until({'a': '2'}, 1.2)
         assert rig.server.calls.total() == (0 if confirmed else 1)
 
+    async def test_check_of_the_store_is_not_given_up(self, rig):
+        # It gave the answer up after 0.4 s and asked for all of it again.
+        rig.feed.max_age_s = 0.5
+        old, new = (stores.StoredObject('a', n, b'%d' % n) for n in (1, 2))
+        rig.other, store = ReplicaStore(), BusyStore()
+        rig.other.replica.replace((old,), 1)
+        rig.other.replica.confirm(asyncio.get_running_loop().time())
+        store.replica.replace((old,), 1)
+        store.replica.apply(stores.WatchAnswer(2, (new,)))
+        rig.sources = lambda: [
+            source_choice.Source('h2', rig.other),
+            source_choice.Source('', store),
+        ]
+        rig.follow()
+        await rig.until({'a': '1'})
+        await rig.until({'a': '2'}, 1.4)
+        assert store.calls == 1
+
     async def test_confirmed_replica_causes_no_call(self, rig):
         rig.feed.max_age_s = 0.5
         loop = asyncio.get_running_loop()
