Refuse at once if a newer configuration is known and the own one is old

Callers saw: a host that has just read an old copy served with it for half of config_s after it had learned of a newer version, however old its copy was.

Cause: only the time since the news counted, not the age of what is in force.

Change: if a newer version is known and the copy was not confirmed for config_s, requests are refused (`outdated-configuration`). Without such news nothing is refused: that may be an outage of the store.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -421,10 +421,16 @@
         }
 
     def _is_outdated(self) -> bool:
-        """Returns whether a newer configuration must be in force by now."""
-        limit_s = self._settings.config_s * OUTDATED_AFTER_FRACTION
+        """Returns whether a newer configuration must be in force by now.
+
+        The news of it may be as old as what is in force here: at once, if that
+        was not confirmed for all of the time within which a change must be.
+        """
+        config_s = self._settings.config_s
+        oldest_s = self._loop.time() - config_s
         return any(
-            follower.behind_s() > limit_s
+            follower.behind_s() > config_s * OUTDATED_AFTER_FRACTION
+            or (follower.behind_s() and follower.replica.confirmed_s < oldest_s)
             for follower in self._followers.values()
             if follower.holds_configuration
         )
--- a/tests/test_gateway/test_reader_loss.py
+++ b/tests/test_gateway/test_reader_loss.py
@@ -1,7 +1,8 @@
-"""Tests of hosts whose reader is lost."""
+"""Tests of hosts whose reader is lost or that have an old configuration."""
 
 import asyncio
 
+from tests.test_gateway import rig as rigs
 from tests.test_platform import test_adapter
 
 
@@ -29,3 +30,20 @@
             for host, mark in zip(deployment.hosts, marks, strict=True)
         ]
         assert sum(turned in each for each in lines) <= 4
+
+
+class TestOldCopies:
+    """No request may be decided by a configuration known to be too old."""
+
+    async def test_newer_one_is_known(self, deployment):
+        await deployment.start('a1')
+        await deployment.until(lambda: deployment.hosts[0].ready)
+        host = deployment.hosts[0]
+        follower = host._followers['config/']
+        newer = rigs.host('h9', 'a1')
+        host._on_peer_revision(newer, 'config/', follower.known_revision + 9)
+        await asyncio.sleep(0)
+        assert not host._is_outdated()
+        now_s = asyncio.get_running_loop().time()
+        follower.replica.confirmed_s = now_s - 2.1
+        assert host._is_outdated()
