--- a/benchmarks/soak/__init__.py
+++ b/benchmarks/soak/__init__.py
@@ -10,7 +10,8 @@
 - a successful response is complete and belongs to the caller's own request,
 - a removed target or an evacuated failure domain receives no request after
   its time limit from hosts that could reach the store throughout,
-- a planned stop on its own does not break off any request,
+- no request is lost that a sound target has run, or that a sound host has read,
+  also on connections that callers use until the process is gone (see `kept`),
 - a host that reaches the store answers by a new version of the configuration
   within its time limit, whatever happens to others (see `configurations`),
 - hosts do what targets say in their answers (see `statements`),
--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -23,7 +23,8 @@
         counts = dict(sorted(soak.statuses.items()))
         click.echo(
             f'seed {number}: {counts}, '
-            f'own process up to {soak.late_s:.2f} s late'
+            f'own process up to {soak.late_s:.2f} s late, kept connections: '
+            f'{dict(sorted(soak.kept_checker.counts.items()))}'
         )
         if soak.violations:
             click.echo('\n'.join(soak.violations[:5] + soak.fault_log[-12:]))
--- a/benchmarks/soak/configurations.py
+++ b/benchmarks/soak/configurations.py
@@ -165,3 +165,44 @@
             )
             or self._store_disruptions.overlap(since_s, answer.answered_s)
         )
+
+
+def route_spec(
+    name: str,
+    idempotent: bool,
+    timeout_s: float,
+    service: str = 'svc',
+    target_latency_s: float = 0.2,
+) -> dict[str, object]:
+    """Returns the entry of a route in a version of the configuration.
+
+    Args:
+        name: Its name, and its path without slashes.
+        idempotent: Whether its requests may be repeated.
+        timeout_s: Timeout in seconds.
+        service: Service that its requests go to.
+        target_latency_s: Latency objective in seconds.
+    """
+    return {
+        'name': name,
+        'hostname': 'soak.example',
+        'path_prefix': f'/{name}/',
+        'route_type': 'idempotent' if idempotent else 'non_idempotent',
+        'timeout_s': timeout_s,
+        'target_latency_s': target_latency_s,
+        'priority': 1,
+        'service': service,
+        'attempts': 2,
+        'allowed_regions': [],
+    }
+
+
+def service_spec(name: str) -> dict[str, object]:
+    """Returns the entry of a service in a version of the configuration."""
+    return {
+        'name': name,
+        'health_path': '/health',
+        'max_conns': 200,
+        'warmup_s': 2.0,
+        'warmup_per_s': 10.0,
+    }
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -33,7 +33,7 @@
     host.stopping = True
     soak.note_fault()
     host.note_fault()
-    with host.disruptions.during():
+    with host.disruptions.during(), host.unplanned.during():
         host.signal(signal.SIGKILL)
         await host.process.wait()
         await asyncio.sleep(soak.rng.uniform(0.1, 1.0))
@@ -64,7 +64,7 @@
     host = soak.rng.choice(soak.hosts)
     soak.note_fault()
     host.note_fault()
-    with host.disruptions.during():
+    with host.disruptions.during(), host.unplanned.during():
         host.signal(signal.SIGSTOP)
         await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
         host.signal(signal.SIGCONT)
@@ -137,8 +137,9 @@
     soak.note_fault()
     target.fault = soak.rng.choice(_TARGET_FAULTS)
     name = f'{target.name} {target.fault}'
-    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
-    target.fault = ''
+    with soak.target_disruptions[target.name].during():
+        await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
+        target.fault = ''
     soak.note_fault()
     return name
 
@@ -173,7 +174,7 @@
     if since_s is not None and not soak.had_fault(
         since_s - hosts.CONTACT_S, soak.loop.time()
     ):
-        for target in soak.targets:
+        for target in soak.all_targets():
             late = [
                 path
                 for arrived_s, path in target.arrivals
--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -23,6 +23,9 @@
         name: Name of the host.
         faults_s: Loop times of its stops, starts, pauses and cuts.
         disruptions: Times in which it did not run, or not reach the store.
+        unplanned: Times in which it was killed or paused.
+        signalled_s: Loop time of the first SIGTERM to each of its processes.
+        started_s: Loop time of its last start.
     """
 
     def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
@@ -38,6 +41,9 @@
         self.stopping = False
         self.faults_s: list[float] = []
         self.disruptions = disruptions.Disruptions()
+        self.unplanned = disruptions.Disruptions()
+        self.signalled_s: list[float] = []
+        self.started_s = 0.0
 
     def note_fault(self) -> None:
         """Records the time of a stop, start, pause or cut."""
@@ -69,6 +75,7 @@
         )
         os.close(log)
         self.stopping = False
+        self.started_s = asyncio.get_running_loop().time()
 
     def _open_log(self) -> int:
         path = self.folder / f'{self.name}.log'
@@ -76,8 +83,15 @@
 
     def signal(self, signum: int) -> None:
         """Sends a signal to the host process if it is running."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signum)
+        if self.process is None or self.process.returncode is not None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if signum == signal.SIGTERM and not self._is_signalled():
+            self.signalled_s.append(now_s)
+        self.process.send_signal(signum)
+
+    def _is_signalled(self) -> bool:
+        return bool(self.signalled_s) and self.signalled_s[-1] > self.started_s
 
     async def wait_ended(self) -> None:
         """Waits for the process to exit; kills it after `GRACE_S` seconds."""
--- /dev/null
+++ b/benchmarks/soak/kept.py
@@ -0,0 +1,286 @@
+"""Callers of the soak that keep their connections, and what became of them.
+
+Each host has callers of every kind. They send on the connections that they
+have until the process is gone, also while the host stops. The checker knows of
+each request whether it ran and whether its caller got a whole answer.
+"""
+
+import collections
+
+import msgspec
+
+from benchmarks.soak import disruptions
+from benchmarks.soak import hosts as hosts_
+from standins import pipelining
+from standins import platform_targets
+from standins import uploading
+
+# Bounds that the platform documents.
+LOSS_SLACK_S = 0.2
+LATE_WORK_SHARE = 1 / 6
+LATE_WORK_SENT_S = 3.0
+# Planned work lasts this much longer than the grace period.
+AFTER_GRACE_S = 1.0
+# Timeout of the routes of this module, and deadline of their requests.
+TIMEOUT_S = 8.0
+DEADLINE_MS = 8000
+BODY_BYTES = 8192
+PAUSE_S = 0.02
+# Only this many hosts have callers that read long answers.
+READING_HOSTS = 6
+_SITE = 'soak.example'
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class Route(msgspec.Struct, frozen=True):
+    """A route of requests that take long.
+
+    Attributes:
+        name: Its path without slashes.
+        idempotent: Whether its requests may be repeated.
+        work_s: Processing time of a request, in seconds.
+        answer_bytes: Length of an answer.
+    """
+
+    name: str
+    idempotent: bool
+    work_s: float
+    answer_bytes: int = 0
+
+
+ROUTES = (
+    Route('long', True, 1.5),
+    Route('longer', True, 4.5),
+    Route('once', False, 2.5),
+    Route('wide', True, 0.02, 1_000_000),
+)
+
+
+class Client(msgspec.Struct, frozen=True):
+    """A caller and what its requests may expect.
+
+    Attributes:
+        host: The host that it sends to.
+        caller: The caller.
+        idempotent: Whether its requests may be repeated.
+        timeout_s: Time in which its requests are to be answered.
+    """
+
+    host: hosts_.Host
+    caller: pipelining.PipeliningCaller | uploading.UploadingCaller
+    idempotent: bool = True
+    timeout_s: float = TIMEOUT_S
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """An execution of a request on a target."""
+
+    target: str
+    run: platform_targets.Run
+
+
+class Checker:
+    """Judges the requests of callers that keep their connections.
+
+    Args:
+        hosts: The hosts.
+        target_disruptions: Faults of targets by their name.
+
+    Attributes:
+        clients: The callers.
+        counts: Requests by what became of them.
+    """
+
+    def __init__(
+        self,
+        hosts: list[hosts_.Host],
+        target_disruptions: dict[str, disruptions.Disruptions],
+    ) -> None:
+        self._hosts = hosts
+        self._target_disruptions = target_disruptions
+        self.clients: list[Client] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def add_clients(self, prefix: str, timeout_s: float) -> None:
+        """Adds callers of all kinds.
+
+        Args:
+            prefix: Path without slashes of a route with short requests.
+            timeout_s: Greatest timeout of that route, in seconds.
+        """
+        for index, host in enumerate(self._hosts):
+            caller = _pipelining(host, prefix, 3, 2000, pause_s=PAUSE_S)
+            self.clients += [
+                Client(host, caller, timeout_s=timeout_s),
+                Client(host, _pipelining(host, 'long', 1)),
+                Client(host, _pipelining(host, 'longer', 1)),
+                Client(host, _uploading(host, 0.0, 0.0), False),
+                Client(host, _uploading(host, 2.0, 0.3 * index), False),
+            ]
+        for host in self._hosts[:READING_HOSTS]:
+            self.clients += [
+                Client(host, _pipelining(host, 'wide', 3, bytes_per_s=8e5)),
+                Client(host, _pipelining(host, 'wide', 2, bytes_per_s=2e6)),
+            ]
+
+    def stop(self) -> None:
+        """Lets the callers send no further requests."""
+        for client in self.clients:
+            client.caller.stop()
+
+    def check(self, targets: list[platform_targets.TargetServer]) -> list[str]:
+        """Judges all requests and returns the violations.
+
+        Args:
+            targets: All targets of the run.
+        """
+        executions = collections.defaultdict(list)
+        for target in targets:
+            for run in target.runs:
+                executions[run.request_id].append(Execution(target.name, run))
+        violations = []
+        for client in self.clients:
+            for req in client.caller.requests:
+                ran = executions[req.request_id]
+                fault = self._fault(client, req, ran)
+                if fault:
+                    violations.append(
+                        f'{req.request_id} to {client.host.name}: {fault}, '
+                        f'sent {_describe_stop(client.host, req)}'
+                    )
+        return violations
+
+    def _fault(
+        self,
+        client: Client,
+        req: pipelining.SentRequest,
+        ran: list[Execution],
+    ) -> str:
+        """Returns what is wrong with a request; empty if nothing is."""
+        signalled_s = _stop_around(client.host, req)
+        self.counts['requests'] += 1
+        self.counts['in stops'] += signalled_s is not None
+        if len(ran) > 1 and not client.idempotent:
+            return f'ran {len(ran)} times'
+        if req.mixed:
+            return 'got the answer of another request'
+        if req.status in _NOT_RUN_STATUSES and ran and not client.idempotent:
+            return f'answered {req.status}, but ran at {ran[0].target}'
+        loss = _loss(req, ran, signalled_s)
+        if not loss:
+            return ''
+        excuse = self._excuse(client, req, ran, signalled_s)
+        if excuse:
+            self.counts[f'lost, {excuse}'] += 1
+            return ''
+        return loss
+
+    def _excuse(
+        self,
+        client: Client,
+        req: pipelining.SentRequest,
+        ran: list[Execution],
+        signalled_s: float | None,
+    ) -> str:
+        """Returns what excuses a lost request; empty if nothing does."""
+        since_s = req.sent_s - hosts_.CONTACT_S
+        if client.host.unplanned.overlap(since_s, req.ended_s):
+            return 'fault of the host'
+        if any(
+            self._target_disruptions[execution.target].overlap(
+                since_s, req.ended_s
+            )
+            for execution in ran
+            if execution.target in self._target_disruptions
+        ):
+            return 'fault of the target'
+        if req.ended_s >= req.sent_s + client.timeout_s:
+            return 'timeout'
+        if signalled_s is not None and _works_late(req, ran, signalled_s):
+            return 'work in the last sixth of the grace period'
+        return ''
+
+
+def _loss(
+    req: pipelining.SentRequest,
+    ran: list[Execution],
+    signalled_s: float | None,
+) -> str:
+    """Returns how a request was lost; empty if it was not."""
+    if not req.complete and ran:
+        reason = 'stated to be unread' if req.unread else 'no whole answer'
+        return f'ran at {ran[0].target}, {reason}'
+    if not req.complete:
+        waited_s = req.ended_s - req.sent_s
+        is_due = req.sent and not req.behind and waited_s > LOSS_SLACK_S
+        return f'not run, no answer for {waited_s:.2f} s' if is_due else ''
+    if signalled_s is None or req.stamped:
+        return ''
+    # The target's own work ends when the host breaks it off.
+    if any(execution.run.ended != 'done' for execution in ran):
+        return f'broken off at {ran[0].target}, answered {req.status}'
+    return ''
+
+
+def _works_late(
+    req: pipelining.SentRequest, ran: list[Execution], signalled_s: float
+) -> bool:
+    """Returns whether a target works on a request near the end of a stop."""
+    end_s = signalled_s + hosts_.GRACE_S
+    late_s = end_s - hosts_.GRACE_S * LATE_WORK_SHARE
+    return req.sent_s <= signalled_s + LATE_WORK_SENT_S and any(
+        execution.run.started_s < end_s and execution.run.ended_s >= late_s
+        for execution in ran
+    )
+
+
+def _stop_around(
+    host: hosts_.Host, req: pipelining.SentRequest
+) -> float | None:
+    """Returns the time of the last SIGTERM that a request meets, if any."""
+    limit_s = hosts_.GRACE_S + AFTER_GRACE_S
+    met = [
+        signalled_s
+        for signalled_s in host.signalled_s
+        if req.sent_s <= signalled_s + limit_s and req.ended_s >= signalled_s
+    ]
+    return met[-1] if met else None
+
+
+def _describe_stop(host: hosts_.Host, req: pipelining.SentRequest) -> str:
+    signalled_s = _stop_around(host, req)
+    if signalled_s is None:
+        return f'at {req.sent_s:.2f} s, ended at {req.ended_s:.2f} s, no stop'
+    return (
+        f'{req.sent_s - signalled_s:.2f} s and ended '
+        f'{req.ended_s - signalled_s:.2f} s after SIGTERM'
+    )
+
+
+def _pipelining(
+    host: hosts_.Host,
+    prefix: str,
+    depth: int,
+    deadline_ms: int = DEADLINE_MS,
+    *,
+    bytes_per_s: float = 0.0,
+    pause_s: float = 0.0,
+) -> pipelining.PipeliningCaller:
+    return pipelining.PipeliningCaller(
+        host.ip,
+        host.port,
+        _SITE,
+        f'/{prefix}/',
+        depth,
+        bytes_per_s,
+        pause_s,
+        deadline_ms,
+    )
+
+
+def _uploading(
+    host: hosts_.Host, body_s: float, delay_s: float
+) -> uploading.UploadingCaller:
+    return uploading.UploadingCaller(
+        host.ip, host.port, _SITE, '/once/', BODY_BYTES, body_s, delay_s
+    )
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -9,13 +9,15 @@
 from benchmarks.soak import configurations
 from benchmarks.soak import disruptions
 from benchmarks.soak import hosts as hosts_
-from benchmarks.soak import pipelines
+from benchmarks.soak import kept
 from benchmarks.soak import statements
 from standins import fault_proxy
 from standins import platform_store
 from standins import platform_targets
 
 TARGETS_PER_DOMAIN = 3
+WORK_TARGETS_PER_DOMAIN = 2
+WORK_SLOTS = 24
 CALLERS = 6
 START_TIMEOUT_S = 15.0
 RECOVERY_S = 8.0
@@ -28,6 +30,7 @@
 # Paths of the routes of callers, without slashes.
 READ = 'r'
 WRITE = 'w'
+_WORK_SERVICE = 'work'
 _CONNECT_TIMEOUT_S = 1.0
 _READ_TIMEOUT_S = 3.0
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -52,6 +55,9 @@
         fault_times_s: Loop times of the unplanned faults of all parts: start
             and end of those that last.
         store_disruptions: Times in which the store was disturbed for all hosts.
+        target_disruptions: Times of the faults of targets, by their name.
+        work_targets: Targets of the requests that take long.
+        kept_checker: Callers that keep their connections, and their checks.
         timeouts_s: Timeouts of routes that configurations choose from, in
             seconds.
         late_s: Greatest delay of this process's own timer, in seconds.
@@ -95,9 +101,11 @@
         self.cfg_checker = configurations.ConfigurationChecker(
             seed, self.hosts, self.store_disruptions
         )
-        self.pipeline_checker = pipelines.PipelineChecker(
-            self.hosts, self.targets, self.had_fault, f'/{READ}/'
+        self.target_disruptions: dict[str, disruptions.Disruptions] = (
+            collections.defaultdict(disruptions.Disruptions)
         )
+        self.work_targets: list[platform_targets.TargetServer] = []
+        self.kept_checker = kept.Checker(self.hosts, self.target_disruptions)
         self._ids = 0
         self._version = 1
         self._calling = True
@@ -112,7 +120,7 @@
         self._check_runs()
         self.violations += self.statement_checker.check()
         self.violations += self.cfg_checker.check()
-        self.violations += self.pipeline_checker.check()
+        self.violations += self.kept_checker.check(self.all_targets())
         return self.violations
 
     async def _play(self, seconds: float) -> None:
@@ -126,7 +134,11 @@
             asyncio.create_task(self.statement_checker.run()),
             asyncio.create_task(self.cfg_checker.change(self.configure)),
             asyncio.create_task(self.cfg_checker.send(self.call)),
-            asyncio.create_task(self.pipeline_checker.run()),
+        ]
+        self.kept_checker.add_clients(READ, max(self.timeouts_s))
+        kept_callers = [
+            asyncio.create_task(client.caller.run())
+            for client in self.kept_checker.clients
         ]
         try:
             end_s = self.loop.time() + seconds
@@ -138,11 +150,14 @@
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
             await asyncio.gather(*faults)
             await _cancel(checks)
+            # Their last requests end while the hosts recover.
+            self.kept_checker.stop()
             await self._recover()
         finally:
             self._calling = False
+            self.kept_checker.stop()
             await _cancel(checks)
-            await asyncio.gather(*callers)
+            await asyncio.gather(*callers, *kept_callers)
             timer.cancel()
 
     async def start(self) -> None:
@@ -151,6 +166,8 @@
         for domain in hosts_.DOMAINS:
             for number in range(TARGETS_PER_DOMAIN):
                 await self.add_target(f't-{domain}-{number}', domain)
+            for number in range(WORK_TARGETS_PER_DOMAIN):
+                await self._add_work_target(f'w-{domain}-{number}', domain)
         await self.configure(self.rng)
         for host in self.hosts:
             host.proxy = fault_proxy.FaultProxy('127.0.0.1', self.store.port)
@@ -173,6 +190,22 @@
         await self.store.put('servers', name, target.entry)
         return target
 
+    async def _add_work_target(self, name: str, domain: str) -> None:
+        target = platform_targets.TargetServer(
+            name, _WORK_SERVICE, domain, slots=WORK_SLOTS
+        )
+        target.work_by_route = {
+            route.name: platform_targets.Work(route.work_s, route.answer_bytes)
+            for route in kept.ROUTES
+        }
+        await target.start()
+        self.work_targets.append(target)
+        await self.store.put('servers', name, target.entry)
+
+    def all_targets(self) -> list[platform_targets.TargetServer]:
+        """Returns the targets of all services."""
+        return [*self.targets, *self.work_targets]
+
     async def configure(self, rng: random.Random) -> None:
         """Writes a new version of the configuration.
 
@@ -180,33 +213,30 @@
             rng: Source of its number and timeouts.
         """
         self._version += rng.randint(1, 3)
-        routes = []
         prefixes = self.cfg_checker.prefixes(self._version)
-        for name in (READ, WRITE, *prefixes):
-            routes.append(
-                {
-                    'name': name,
-                    'hostname': 'soak.example',
-                    'path_prefix': f'/{name}/',
-                    'route_type': (
-                        'non_idempotent' if name == WRITE else 'idempotent'
-                    ),
-                    'timeout_s': rng.choice(self.timeouts_s),
-                    'target_latency_s': 0.2,
-                    'priority': 1,
-                    'service': 'svc',
-                    'attempts': 2,
-                    'allowed_regions': [],
-                }
+        routes = [
+            configurations.route_spec(
+                name, name != WRITE, rng.choice(self.timeouts_s)
+            )
+            for name in (READ, WRITE, *prefixes)
+        ]
+        routes += [
+            configurations.route_spec(
+                route.name,
+                route.idempotent,
+                kept.TIMEOUT_S,
+                _WORK_SERVICE,
+                target_latency_s=kept.TIMEOUT_S,
             )
-        service = {
-            'name': 'svc', 'health_path': '/health', 'max_conns': 200,
-            'warmup_s': 2.0, 'warmup_per_s': 10.0,
-        }  # fmt: skip
+            for route in kept.ROUTES
+        ]
         spec = {
             'config_version': self._version,
             'routes': routes,
-            'services': [service],
+            'services': [
+                configurations.service_spec('svc'),
+                configurations.service_spec(_WORK_SERVICE),
+            ],
             'limits': {'idle_timeout_s': 10},
         }
         await self.store.put('config', 'main', spec)
@@ -363,7 +393,7 @@
                 await host.process.wait()
             if host.proxy is not None:
                 host.proxy.stop()
-        for target in self.targets:
+        for target in self.all_targets():
             await target.stop()
         await self.store.stop()
 
@@ -371,8 +401,9 @@
         runs: collections.Counter[str] = collections.Counter()
         for target in self.targets:
             runs.update(
-                run.request_id for run in target.runs if run.path[:2] == '/w'
+                run.request_id for run in target.runs if run.path[:3] == '/w/'
             )
+        for target in self.all_targets():
             self.check_times(target)
         for request_id, count in runs.items():
             if count > 1:
@@ -410,7 +441,10 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: str, faults: list[Fault]
+    seed: int,
+    seconds: float,
+    folder: str,
+    faults: list[Fault],
 ) -> Soak:
     """Runs one seed, leaving settings and logs in `folder`."""
     soak = Soak(seed, folder, faults)
--- a/standins/pipelining.py
+++ b/standins/pipelining.py
@@ -18,15 +18,24 @@
         ended_s: Loop time of its answer or of the end of its connection.
         status: Status of its answer, 0 without one.
         complete: Whether all of the answer has arrived.
+        stamped: Whether the answer bears the stamp of a target.
+        mixed: Whether the answer is a success without a stamp or with the id
+            of another request.
+        behind: Whether it was sent before an earlier one was answered.
+        sent: Whether all of it has been sent.
         unread: Whether an earlier answer has closed the connection, so that
             the host states that it has not read the request.
     """
 
     __slots__ = (
+        'behind',
         'complete',
         'ended_s',
+        'mixed',
         'request_id',
+        'sent',
         'sent_s',
+        'stamped',
         'status',
         'unread',
     )
@@ -37,6 +46,10 @@
         self.ended_s = 0.0
         self.status = 0
         self.complete = False
+        self.stamped = False
+        self.mixed = False
+        self.behind = False
+        self.sent = True
         self.unread = False
 
 
@@ -130,6 +143,7 @@
 
     def _send(self, writer: asyncio.StreamWriter) -> SentRequest:
         req = SentRequest(f'p{next(_NUMBERS)}', self._loop.time())
+        req.behind = bool(self._outstanding)
         self.requests.append(req)
         writer.write(
             f'GET {self._prefix}{req.request_id} HTTP/1.1\r\n'
@@ -159,6 +173,9 @@
     """
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1').lower()
     req.status = int(head.split(' ')[1])
+    req.stamped = 'x-server-stamp' in head
+    has_id = f'x-request-id: {req.request_id}\r' in head
+    req.mixed = req.status == 200 and not (req.stamped and has_id)
     left = int(head.partition('content-length: ')[2].split('\r')[0])
     while left:
         data = await reader.read(min(left, 1 << 14))
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -35,9 +35,17 @@
         started_s: Loop time at which the request arrived, in seconds.
         ended: Empty during the execution, then `done`, or `dropped` if the
             caller disconnected the connection first.
+        ended_s: Loop time of its end, infinity during the execution.
     """
 
-    __slots__ = ('deadline_ms', 'ended', 'path', 'request_id', 'started_s')
+    __slots__ = (
+        'deadline_ms',
+        'ended',
+        'ended_s',
+        'path',
+        'request_id',
+        'started_s',
+    )
 
     def __init__(
         self, request_id: str, path: str, deadline_ms: int, started_s: float
@@ -47,6 +55,22 @@
         self.deadline_ms = deadline_ms
         self.started_s = started_s
         self.ended = ''
+        self.ended_s = float('inf')
+
+
+class Work:
+    """What a target does for the requests of a route.
+
+    Attributes:
+        work_s: Processing time of a request, in seconds.
+        answer_bytes: Length to which bodies of answers are filled up.
+    """
+
+    __slots__ = ('answer_bytes', 'work_s')
+
+    def __init__(self, work_s: float, answer_bytes: int = 0) -> None:
+        self.work_s = work_s
+        self.answer_bytes = answer_bytes
 
 
 class TurnedAway:
@@ -97,6 +121,8 @@
         crash_path: Path of requests that crash the target; empty for none.
         error_status: Status of the answers while `fault` is `error`.
         answer_bytes: Length to which bodies of answers are filled up.
+        work_by_route: Processing on routes that differ in it, by the first
+            part of their path.
         repeats_refusals: Whether the answer to a request comes behind the
             last refusal on its connection, which is written once more.
         runs: Requests whose execution began.
@@ -135,6 +161,7 @@
         self.pauses: list[TurnedAway] = []
         self.crash_path = ''
         self.answer_bytes = 0
+        self.work_by_route: dict[str, Work] = {}
         self.error_status = 500
         self.repeats_refusals = False
         self.runs: list[Run] = []
@@ -242,7 +269,13 @@
         )
         if not await self._execute(run, reader):
             return False
-        return await self._respond(writer, id_headers, body)
+        text = b'answer of ' + self.name.encode() + b' ' + body
+        text = text.ljust(self._work(path).answer_bytes)
+        return await self._respond(writer, id_headers, text)
+
+    def _work(self, path: str) -> Work:
+        default = Work(self.work_s, self.answer_bytes)
+        return self.work_by_route.get(path.split('/')[1], default)
 
     def _statements(self) -> dict[str, str]:
         """Returns what the target says in its answers."""
@@ -284,7 +317,7 @@
                 await self.stop()
                 return False
             disconnected = asyncio.create_task(reader.read(1))
-            work_s = self.work_s * self.slowness
+            work_s = self._work(run.path).work_s * self.slowness
             if self.fault == 'hang':
                 work_s = 3600.0
             done, _ = await asyncio.wait((disconnected,), timeout=work_s)
@@ -293,6 +326,7 @@
             disconnected.cancel()
             await asyncio.gather(disconnected, return_exceptions=True)
             run.ended = 'dropped' if done else 'done'
+            run.ended_s = asyncio.get_running_loop().time()
             return not done
         finally:
             self._running -= 1
@@ -306,12 +340,10 @@
         self,
         writer: asyncio.StreamWriter,
         id_headers: dict[str, str],
-        body: bytes,
+        text: bytes,
     ) -> bool:
         """Writes the response; returns whether the connection stays open."""
         headers = {**id_headers, 'x-server-stamp': f'stamp.{self.name}'}
-        text = b'answer of ' + self.name.encode() + b' ' + body
-        text = text.ljust(self.answer_bytes)
         if self.fault == 'lose':
             writer.transport.abort()
             return False
--- a/standins/uploading.py
+++ b/standins/uploading.py
@@ -78,6 +78,7 @@
     ) -> bool:
         """Sends a request; returns whether its answer closes the connection."""
         req = pipelining.SentRequest(f'u{next(_NUMBERS)}', self._loop.time())
+        req.sent = False
         self.requests.append(req)
         writer.write(
             f'POST {self._prefix}{req.request_id} HTTP/1.1\r\n'
@@ -88,6 +89,7 @@
             await asyncio.sleep(self._body_s / PARTS)
             writer.write(self._part)
         req.sent_s = self._loop.time()
+        req.sent = True
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 closes = await pipelining.read_answer(reader, req)
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -10,6 +10,7 @@
 from benchmarks.soak import disruptions
 from benchmarks.soak import faults
 from benchmarks.soak import hosts
+from benchmarks.soak import kept
 from benchmarks.soak import run as runs
 from benchmarks.soak import statements
 from standins import pipelining
@@ -24,6 +25,33 @@
 }
 
 
+class KeptCase:
+    """A request sent at 100 s that ran and got no answer until 101 s."""
+
+    def __init__(self):
+        self.host = hosts.Host('h', 0, 'a-1', '.')
+        self.target = platform_targets.TargetServer('t')
+        self.run = platform_targets.Run('p1', '/r/p1', 900, 100.1)
+        self.run.ended_s = 100.9
+        self.target.runs.append(self.run)
+        self.target_faults = disruptions.Disruptions()
+        self.other_target_faults = disruptions.Disruptions()
+        self.req = pipelining.SentRequest('p1', 100.0)
+        self.req.ended_s = 101.0
+        self.idempotent = True
+
+    def is_wrong(self):
+        faults_by_target = {
+            't': self.target_faults,
+            'other': self.other_target_faults,
+        }
+        checker = kept.Checker([self.host], faults_by_target)
+        caller = pipelining.PipeliningCaller('', 0, '', '/r/', 2)
+        caller.requests.append(self.req)
+        checker.clients.append(kept.Client(self.host, caller, self.idempotent))
+        return len(checker.check([self.target])) == 1
+
+
 class TestSoak:
     """Successive faults must not violate guarantees to callers or targets."""
 
@@ -100,40 +128,104 @@
             await task
 
 
-class TestPipelines:
-    """Lost requests of pipelining callers must be found, and only those."""
+class TestKeptConnections:
+    """Lost requests on kept connections must be found, and only those."""
 
-    async def violations(self, tmp_path, fault_s=0.0, **fields):
-        run = runs.Soak(1, str(tmp_path), [])
-        if fault_s:
-            run.fault_times_s.append(fault_s)
-        target = platform_targets.TargetServer('t')
-        target.runs.append(platform_targets.Run('p1', '/r/p1', 900, 100.1))
-        run.targets.append(target)
-        caller = pipelining.PipeliningCaller('', 0, '', '/r/', 2)
-        req = pipelining.SentRequest('p1', 100.0)
-        req.ended_s = 101.0
-        for name, value in fields.items():
-            setattr(req, name, value)
-        caller.requests.append(req)
-        run.pipeline_checker._callers.append(caller)
-        return run.pipeline_checker.check()
+    @pytest.fixture
+    def case(self):
+        return KeptCase()
 
     @pytest.mark.parametrize('unread', [False, True])
-    async def test_request_that_ran_without_an_answer(self, tmp_path, unread):
-        assert len(await self.violations(tmp_path, unread=unread)) == 1
+    async def test_request_that_ran_without_an_answer(self, case, unread):
+        case.req.unread = unread
+        assert case.is_wrong()
 
-    async def test_answered_request(self, tmp_path):
-        assert not await self.violations(tmp_path, complete=True)
+    async def test_answered_request(self, case):
+        case.req.complete = case.req.stamped = True
+        assert not case.is_wrong()
 
-    async def test_request_that_did_not_run(self, tmp_path):
-        assert not await self.violations(tmp_path, request_id='p2')
+    @pytest.mark.parametrize(
+        ('ended_s', 'behind', 'sent', 'found'),
+        [
+            (100.3, False, True, True),
+            (100.1, False, True, False),
+            (100.3, True, True, False),
+            (100.3, False, False, False),
+        ],
+    )
+    async def test_request_that_did_not_run(
+        self, case, ended_s, behind, sent, found
+    ):
+        case.target.runs.clear()
+        case.req.ended_s, case.req.behind, case.req.sent = ended_s, behind, sent
+        assert case.is_wrong() == found
 
     @pytest.mark.parametrize(
-        ('fault_s', 'found'), [(96.0, 1), (98.0, 0), (100.5, 0), (101.5, 1)]
+        ('fault_s', 'found'),
+        [(96.0, True), (98.0, False), (100.5, False), (101.5, True)],
     )
-    async def test_faults_excuse_it(self, tmp_path, fault_s, found):
-        assert len(await self.violations(tmp_path, fault_s)) == found
+    @pytest.mark.parametrize('part', ['host', 'target'])
+    async def test_faults_excuse_it(self, case, part, fault_s, found):
+        faulty = {'host': case.host.unplanned, 'target': case.target_faults}
+        faulty[part].note(fault_s, fault_s)
+        assert case.is_wrong() == found
+
+    async def test_faults_of_others_do_not_excuse_it(self, case):
+        case.other_target_faults.note(100.5, 100.6)
+        case.host.disruptions.note(100.5, 100.6)
+        assert case.is_wrong()
+
+    @pytest.mark.parametrize(('ended_s', 'found'), [(108, False), (107, True)])
+    async def test_timeout_excuses_it(self, case, ended_s, found):
+        case.req.ended_s = ended_s
+        assert case.is_wrong() == found
+
+    @pytest.mark.parametrize(
+        ('signalled_s', 'run_ended_s', 'found'),
+        [(99.0, 104.5, False), (99.0, 103.5, True), (96.5, 102.0, True)],
+    )
+    async def test_late_work_in_a_stop_excuses_it(
+        self, case, signalled_s, run_ended_s, found
+    ):
+        case.host.signalled_s.append(signalled_s)
+        case.run.ended_s = run_ended_s
+        case.req.ended_s = run_ended_s + 0.1
+        assert case.is_wrong() == found
+
+    @pytest.mark.parametrize(
+        ('signalled_s', 'run_ended', 'found'),
+        [
+            (99.0, 'dropped', True),
+            (99.0, 'done', False),
+            (90, 'dropped', False),
+        ],
+    )
+    async def test_own_answer_in_place_of_the_targets(
+        self, case, signalled_s, run_ended, found
+    ):
+        case.host.signalled_s.append(signalled_s)
+        case.req.complete = True
+        case.req.status = 504
+        case.run.ended = run_ended
+        assert case.is_wrong() == found
+
+    @pytest.mark.parametrize('idempotent', [False, True])
+    async def test_refusal_after_a_run(self, case, idempotent):
+        case.req.complete = True
+        case.req.status = 503
+        case.idempotent = idempotent
+        assert case.is_wrong() == (not idempotent)
+
+    @pytest.mark.parametrize('idempotent', [False, True])
+    async def test_second_run(self, case, idempotent):
+        case.req.complete = case.req.stamped = True
+        case.target.runs.append(case.run)
+        case.idempotent = idempotent
+        assert case.is_wrong() == (not idempotent)
+
+    async def test_answer_of_another_request(self, case):
+        case.req.complete = case.req.mixed = True
+        assert case.is_wrong()
 
 
 class TestStatements:
