--- a/benchmarks/soak/__init__.py
+++ b/benchmarks/soak/__init__.py
@@ -17,6 +17,8 @@
 - hosts do what targets say in their answers (see `statements`),
 - requests are served again after all faults have ended.
 
-`python -m benchmarks.soak --seed 1 --seconds 20` runs one seed; `--seeds N`
-runs N consecutive seeds. The seed of a failing run is printed.
+`python -m benchmarks.soak --seed 1 --seconds 20` runs one seed, with signals
+and changes that overlap in planned stops (see `stops`); `--seeds N` runs N
+consecutive seeds, `--hosts N` sets the hosts in each failure domain. The seed
+of a failing run is printed.
 """
--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -5,8 +5,8 @@
 
 import click
 
-from benchmarks.soak import faults
 from benchmarks.soak import run
+from benchmarks.soak import stops
 
 
 @click.command()
@@ -15,11 +15,14 @@
 @click.option(
     '--seconds', default=20.0, help='Seconds of fault injection per seed.'
 )
-def main(seed: int, seeds: int, seconds: float) -> None:
+@click.option('--hosts', default=2, help='Hosts in each failure domain.')
+def main(seed: int, seeds: int, seconds: float, hosts: int) -> None:
     """Runs seeds until one finds a violation."""
     for number in range(seed, seed + seeds):
         folder = tempfile.mkdtemp(prefix=f'soak-{number}-')
-        soak = asyncio.run(run.run_seed(number, seconds, folder, faults.FAULTS))
+        soak = asyncio.run(
+            run.run_seed(number, seconds, folder, stops.FAULTS, hosts)
+        )
         counts = dict(sorted(soak.statuses.items()))
         click.echo(
             f'seed {number}: {counts}, '
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -28,7 +28,7 @@
 async def kill(soak: run.Soak) -> str:
     """Kills a host with SIGKILL and restarts it."""
     host = soak.rng.choice(soak.hosts)
-    if host.stopping:
+    if host.stopping or not soak.others_reachable(host):
         return 'none'
     host.stopping = True
     soak.note_fault()
@@ -47,12 +47,13 @@
 async def planned_stop(soak: run.Soak) -> str:
     """Stops a host gracefully with SIGTERM and restarts it."""
     host = soak.rng.choice(soak.hosts)
-    if host.stopping:
+    if host.stopping or not soak.others_reachable(host):
         return 'none'
     host.stopping = True
     with host.disruptions.during():
         host.signal(signal.SIGTERM)
         await host.wait_ended()
+        soak.check_end(host)
         await host.start()
     host.note_fault()
     return host.name
@@ -62,6 +63,8 @@
 async def pause(soak: run.Soak) -> str:
     """Suspends a host with SIGSTOP for a while."""
     host = soak.rng.choice(soak.hosts)
+    if not soak.others_reachable(host):
+        return 'none'
     soak.note_fault()
     host.note_fault()
     with host.disruptions.during(), host.unplanned.during():
--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -14,6 +14,8 @@
 # Bounds that the platform documents.
 CONTACT_S = 3.0
 GRACE_S = 6.0
+# Time from the start of a process until it takes requests.
+START_S = 1.5
 
 
 class Host:
@@ -90,6 +92,15 @@
             self.signalled_s.append(now_s)
         self.process.send_signal(signum)
 
+    def is_reachable(self) -> bool:
+        """Returns whether it takes requests, as far as the run knows."""
+        now_s = asyncio.get_running_loop().time()
+        return (
+            not self.stopping
+            and now_s > self.started_s + START_S
+            and not self.unplanned.overlap(now_s, now_s)
+        )
+
     def _is_signalled(self) -> bool:
         return bool(self.signalled_s) and self.signalled_s[-1] > self.started_s
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -17,6 +17,7 @@
 
 TARGETS_PER_DOMAIN = 3
 WORK_TARGETS_PER_DOMAIN = 2
+MAX_WORK_TARGETS = 14
 WORK_SLOTS = 24
 CALLERS = 6
 START_TIMEOUT_S = 15.0
@@ -202,10 +203,41 @@
         self.work_targets.append(target)
         await self.store.put('servers', name, target.entry)
 
+    async def replace_work_target(
+        self,
+    ) -> platform_targets.TargetServer | None:
+        """Adds a target of long requests; returns the one that is to go."""
+        number = len(self.work_targets)
+        if number >= MAX_WORK_TARGETS:
+            return None
+        oldest = len(hosts_.DOMAINS) * WORK_TARGETS_PER_DOMAIN
+        target = self.work_targets[number - oldest]
+        domain = target.failure_domain
+        await self._add_work_target(f'w-{domain}-{number}', domain)
+        return target
+
     def all_targets(self) -> list[platform_targets.TargetServer]:
         """Returns the targets of all services."""
         return [*self.targets, *self.work_targets]
 
+    def others_reachable(self, host: hosts_.Host) -> bool:
+        """Returns whether callers of a host have another one to go to."""
+        return any(
+            other.is_reachable() for other in self.hosts if other is not host
+        )
+
+    def check_end(self, host: hosts_.Host) -> None:
+        """Checks that a host has ended by itself in a planned stop."""
+        code = host.process.returncode
+        signalled_s = host.signalled_s[-1]
+        if code and not host.unplanned.overlap(
+            signalled_s - hosts_.CONTACT_S, self.loop.time()
+        ):
+            self.violations.append(
+                f'{host.name}: ended with {code} '
+                f'{self.loop.time() - signalled_s:.2f} s after SIGTERM'
+            )
+
     async def configure(self, rng: random.Random) -> None:
         """Writes a new version of the configuration.
 
@@ -445,8 +477,9 @@
     seconds: float,
     folder: str,
     faults: list[Fault],
+    hosts_per_domain: int = 2,
 ) -> Soak:
     """Runs one seed, leaving settings and logs in `folder`."""
-    soak = Soak(seed, folder, faults)
+    soak = Soak(seed, folder, faults, hosts_per_domain)
     await soak.run(seconds)
     return soak
--- a/standins/uploading.py
+++ b/standins/uploading.py
@@ -87,9 +87,12 @@
         )
         for _ in range(PARTS):
             await asyncio.sleep(self._body_s / PARTS)
+            if writer.transport.is_closing():
+                break
             writer.write(self._part)
+        else:
+            req.sent = True
         req.sent_s = self._loop.time()
-        req.sent = True
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 closes = await pipelining.read_answer(reader, req)
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -1,6 +1,7 @@
 """A short seeded run of the soak test, and seeds that failed before."""
 
 import asyncio
+import signal
 import time
 from unittest import mock
 
@@ -13,10 +14,14 @@
 from benchmarks.soak import kept
 from benchmarks.soak import run as runs
 from benchmarks.soak import statements
+from benchmarks.soak import stops
 from standins import pipelining
 from standins import platform_targets
 
 SECONDS = 6.0
+STOPS_SEED = 3301
+# Faults that are planned stops with something else.
+STOP_FAULTS = 6
 # Seeds that violated a guarantee before, with the cause.
 REGRESSIONS = {
     103: 'a stopping host closed a connection with a request in transit',
@@ -62,6 +67,61 @@
         assert run.statuses[200] > 0
 
 
+class TestOverlappingStops:
+    """Signals and changes in a planned stop must lose no request (issue 33)."""
+
+    async def test_promises_hold(self, tmp_path):
+        run = await runs.run_seed(
+            STOPS_SEED, SECONDS, str(tmp_path), stops.FAULTS[-STOP_FAULTS:]
+        )
+        assert not run.violations, run.fault_log
+        assert run.kept_checker.counts['in stops'] > 0
+
+    def test_faults_are_chosen(self):
+        chosen = stops.FAULTS[-STOP_FAULTS:]
+        assert not set(chosen) & set(faults.FAULTS)
+        assert stops.FAULTS[:-STOP_FAULTS] == faults.FAULTS
+
+
+class TestStops:
+    """A stop must leave another host reachable and end by itself."""
+
+    @pytest.fixture
+    async def run(self, tmp_path):
+        return runs.Soak(1, str(tmp_path), [], 1)
+
+    @pytest.mark.parametrize(('code', 'found'), [(0, 0), (-9, 1), (-1, 1)])
+    async def test_end_of_a_host(self, run, code, found):
+        run.hosts[0].signalled_s.append(run.loop.time())
+        run.hosts[0].process = mock.Mock(returncode=code)
+        run.check_end(run.hosts[0])
+        assert len(run.violations) == found
+
+    async def test_pause_excuses_it(self, run):
+        now_s = run.loop.time()
+        run.hosts[0].unplanned.note(now_s, now_s)
+        await self.test_end_of_a_host(run, -9, 0)
+
+    async def test_last_reachable_host_is_not_stopped(self, run):
+        for host in run.hosts:
+            host.started_s = float('-inf')
+        run.hosts[0].stopping = True
+        claimed = stops._claim(run)
+        assert claimed in run.hosts[1:]
+        assert claimed.stopping
+        assert stops._claim(run) is None
+
+    async def test_first_signal_of_a_process_counts(self, run):
+        host = run.hosts[0]
+        for _ in range(2):
+            host.started_s = run.loop.time()
+            host.process = mock.Mock(returncode=None)
+            for signum in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+                await asyncio.sleep(0.001)
+                host.signal(signum)
+        assert len(host.signalled_s) == 2
+
+
 class TestChecks:
     """A check that can't fail proves nothing."""
 
