--- a/benchmarks/soak/kept.py
+++ b/benchmarks/soak/kept.py
@@ -21,9 +21,9 @@
 LATE_WORK_SENT_S = 3.0
 # Planned work lasts this much longer than the grace period.
 AFTER_GRACE_S = 1.0
-# Timeout of the routes of this module, and deadline of their requests.
-TIMEOUT_S = 8.0
 DEADLINE_MS = 8000
+# Hosts send their last answer this long before a timeout, at most.
+TIMEOUT_MARGIN_S = 0.02
 BODY_BYTES = 8192
 PAUSE_S = 0.02
 # Only this many hosts have callers that read long answers.
@@ -33,27 +33,34 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """A route of requests that take long.
+    """A route of requests on kept connections.
+
+    Its timeout is the same in all versions of the configuration, so that the
+    checker knows it.
 
     Attributes:
         name: Its path without slashes.
         idempotent: Whether its requests may be repeated.
-        work_s: Processing time of a request, in seconds.
+        work_s: Processing time of a request in seconds; 0 for that of each
+            target.
         answer_bytes: Length of an answer.
+        timeout_s: Its timeout in seconds.
     """
 
     name: str
-    idempotent: bool
-    work_s: float
+    idempotent: bool = True
+    work_s: float = 0.0
     answer_bytes: int = 0
+    timeout_s: float = 8.0
 
 
-ROUTES = (
-    Route('long', True, 1.5),
-    Route('longer', True, 4.5),
-    Route('once', False, 2.5),
-    Route('wide', True, 0.02, 1_000_000),
-)
+SHORT = Route('short', timeout_s=1.0)
+LONG = Route('long', work_s=1.5)
+LONGER = Route('longer', work_s=4.5)
+ONCE = Route('once', False, work_s=2.5)
+WIDE = Route('wide', work_s=0.02, answer_bytes=1_000_000)
+# Routes of the service with long requests.
+WORK_ROUTES = (LONG, LONGER, ONCE, WIDE)
 
 
 class Client(msgspec.Struct, frozen=True):
@@ -62,14 +69,12 @@
     Attributes:
         host: The host that it sends to.
         caller: The caller.
-        idempotent: Whether its requests may be repeated.
-        timeout_s: Time in which its requests are to be answered.
+        route: The route of its requests.
     """
 
     host: hosts_.Host
     caller: pipelining.PipeliningCaller | uploading.UploadingCaller
-    idempotent: bool = True
-    timeout_s: float = TIMEOUT_S
+    route: Route
 
 
 class Execution(msgspec.Struct, frozen=True):
@@ -101,26 +106,20 @@
         self.clients: list[Client] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
-    def add_clients(self, prefix: str, timeout_s: float) -> None:
-        """Adds callers of all kinds.
-
-        Args:
-            prefix: Path without slashes of a route with short requests.
-            timeout_s: Greatest timeout of that route, in seconds.
-        """
+    def add_clients(self) -> None:
+        """Adds callers of all kinds."""
         for index, host in enumerate(self._hosts):
-            caller = _pipelining(host, prefix, 3, 2000, pause_s=PAUSE_S)
             self.clients += [
-                Client(host, caller, timeout_s=timeout_s),
-                Client(host, _pipelining(host, 'long', 1)),
-                Client(host, _pipelining(host, 'longer', 1)),
-                Client(host, _uploading(host, 0.0, 0.0), False),
-                Client(host, _uploading(host, 2.0, 0.3 * index), False),
+                _pipelining(host, SHORT, 3, pause_s=PAUSE_S),
+                _pipelining(host, LONG, 1),
+                _pipelining(host, LONGER, 1),
+                _uploading(host, 0.0, 0.0),
+                _uploading(host, 2.0, 0.3 * index),
             ]
         for host in self._hosts[:READING_HOSTS]:
             self.clients += [
-                Client(host, _pipelining(host, 'wide', 3, bytes_per_s=8e5)),
-                Client(host, _pipelining(host, 'wide', 2, bytes_per_s=2e6)),
+                _pipelining(host, WIDE, 3, bytes_per_s=8e5),
+                _pipelining(host, WIDE, 2, bytes_per_s=2e6),
             ]
 
     def stop(self) -> None:
@@ -160,11 +159,15 @@
         signalled_s = _stop_around(client.host, req)
         self.counts['requests'] += 1
         self.counts['in stops'] += signalled_s is not None
-        if len(ran) > 1 and not client.idempotent:
+        if len(ran) > 1 and not client.route.idempotent:
             return f'ran {len(ran)} times'
         if req.mixed:
             return 'got the answer of another request'
-        if req.status in _NOT_RUN_STATUSES and ran and not client.idempotent:
+        if (
+            req.status in _NOT_RUN_STATUSES
+            and ran
+            and not client.route.idempotent
+        ):
             return f'answered {req.status}, but ran at {ran[0].target}'
         loss = _loss(req, ran, signalled_s)
         if not loss:
@@ -194,7 +197,8 @@
             if execution.target in self._target_disruptions
         ):
             return 'fault of the target'
-        if req.ended_s >= req.sent_s + client.timeout_s:
+        timeout_s = client.route.timeout_s - TIMEOUT_MARGIN_S
+        if req.ended_s >= req.sent_s + timeout_s:
             return 'timeout'
         if signalled_s is not None and _works_late(req, ran, signalled_s):
             return 'work in the last sixth of the grace period'
@@ -259,28 +263,33 @@
 
 def _pipelining(
     host: hosts_.Host,
-    prefix: str,
+    route: Route,
     depth: int,
-    deadline_ms: int = DEADLINE_MS,
     *,
     bytes_per_s: float = 0.0,
     pause_s: float = 0.0,
-) -> pipelining.PipeliningCaller:
-    return pipelining.PipeliningCaller(
+) -> Client:
+    caller = pipelining.PipeliningCaller(
         host.ip,
         host.port,
         _SITE,
-        f'/{prefix}/',
+        f'/{route.name}/',
         depth,
         bytes_per_s,
         pause_s,
-        deadline_ms,
+        DEADLINE_MS,
     )
+    return Client(host, caller, route)
 
 
-def _uploading(
-    host: hosts_.Host, body_s: float, delay_s: float
-) -> uploading.UploadingCaller:
-    return uploading.UploadingCaller(
-        host.ip, host.port, _SITE, '/once/', BODY_BYTES, body_s, delay_s
+def _uploading(host: hosts_.Host, body_s: float, delay_s: float) -> Client:
+    caller = uploading.UploadingCaller(
+        host.ip,
+        host.port,
+        _SITE,
+        f'/{ONCE.name}/',
+        BODY_BYTES,
+        body_s,
+        delay_s,
     )
+    return Client(host, caller, ONCE)
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -136,7 +136,7 @@
             asyncio.create_task(self.cfg_checker.change(self.configure)),
             asyncio.create_task(self.cfg_checker.send(self.call)),
         ]
-        self.kept_checker.add_clients(READ, max(self.timeouts_s))
+        self.kept_checker.add_clients()
         kept_callers = [
             asyncio.create_task(client.caller.run())
             for client in self.kept_checker.clients
@@ -197,7 +197,7 @@
         )
         target.work_by_route = {
             route.name: platform_targets.Work(route.work_s, route.answer_bytes)
-            for route in kept.ROUTES
+            for route in kept.WORK_ROUTES
         }
         await target.start()
         self.work_targets.append(target)
@@ -252,15 +252,20 @@
             )
             for name in (READ, WRITE, *prefixes)
         ]
+        routes += [
+            configurations.route_spec(
+                kept.SHORT.name, True, kept.SHORT.timeout_s
+            )
+        ]
         routes += [
             configurations.route_spec(
                 route.name,
                 route.idempotent,
-                kept.TIMEOUT_S,
+                route.timeout_s,
                 _WORK_SERVICE,
-                target_latency_s=kept.TIMEOUT_S,
+                target_latency_s=route.timeout_s,
             )
-            for route in kept.ROUTES
+            for route in kept.WORK_ROUTES
         ]
         spec = {
             'config_version': self._version,
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -53,7 +53,8 @@
         checker = kept.Checker([self.host], faults_by_target)
         caller = pipelining.PipeliningCaller('', 0, '', '/r/', 2)
         caller.requests.append(self.req)
-        checker.clients.append(kept.Client(self.host, caller, self.idempotent))
+        route = kept.Route('r', self.idempotent)
+        checker.clients.append(kept.Client(self.host, caller, route))
         return len(checker.check([self.target])) == 1
 
 
@@ -235,7 +236,9 @@
         case.host.disruptions.note(100.5, 100.6)
         assert case.is_wrong()
 
-    @pytest.mark.parametrize(('ended_s', 'found'), [(108, False), (107, True)])
+    @pytest.mark.parametrize(
+        ('ended_s', 'found'), [(107.99, False), (107.9, True)]
+    )
     async def test_timeout_excuses_it(self, case, ended_s, found):
         case.req.ended_s = ended_s
         assert case.is_wrong() == found
