--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import signal
 import sys
 
@@ -17,6 +18,8 @@
 GRACE_S = 6.0
 # Time from the start of a process until it takes requests.
 START_S = 1.5
+# Time in which the interpreter starts, beside load.
+INTERPRETER_START_S = 0.3
 
 
 class Host:
@@ -96,6 +99,8 @@
         if self.process is None or self.process.returncode is not None:
             return
         now_s = asyncio.get_running_loop().time()
+        if signum == signal.SIGHUP and self._is_interpreter_starting(now_s):
+            return
         if signum == signal.SIGTERM and not self._is_signalled():
             self.signalled_s.append(now_s)
         # `send_signal` of the process might collect its exit code and drop it.
@@ -116,6 +121,16 @@
             and not self.unplanned.overlap(now_s, now_s)
         )
 
+    def _is_interpreter_starting(self, now_s: float) -> bool:
+        """Returns whether SIGHUP would end a process that runs no code yet."""
+        if now_s > self.started_s + INTERPRETER_START_S:
+            return False
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        handled = re.findall(r'^Sig(?:Ign|Cgt):\s*(\w+)', status, re.MULTILINE)
+        return not any(
+            int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in handled
+        )
+
     def _is_signalled(self) -> bool:
         return bool(self.signalled_s) and self.signalled_s[-1] > self.started_s
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -404,6 +404,9 @@
             host.proxy.reset()
             host.signal(signal.SIGCONT)
             self.note_fault()
+            code = host.process.returncode
+            if code is not None:
+                self.violations.append(f'{host.name}: ended with {code}')
         self.store.mode = 'up'
         self.store.suppress_events = False
         for target in self.targets:
