--- a/benchmarks/soak/kept.py
+++ b/benchmarks/soak/kept.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections import abc
 
 import msgspec
 
@@ -59,6 +60,9 @@
 LONGER = Route('longer', work_s=4.5)
 ONCE = Route('once', False, work_s=2.5)
 WIDE = Route('wide', work_s=0.02, answer_bytes=1_000_000)
+# Any of the routes of callers that open a connection for each request, with
+# the greatest of their timeouts.
+CALL = Route('', timeout_s=1.2)
 # Routes of the service with long requests.
 WORK_ROUTES = (LONG, LONGER, ONCE, WIDE)
 
@@ -77,6 +81,14 @@
     route: Route
 
 
+class SentRequest(msgspec.Struct, frozen=True):
+    """A request with its host and route."""
+
+    host: hosts_.Host
+    route: Route
+    req: pipelining.SentRequest
+
+
 class Execution(msgspec.Struct, frozen=True):
     """An execution of a request on a target."""
 
@@ -103,6 +115,7 @@
     ) -> None:
         self._hosts = hosts
         self._target_disruptions = target_disruptions
+        self._cut_off: list[SentRequest] = []
         self.clients: list[Client] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -122,6 +135,20 @@
                 _pipelining(host, WIDE, 2, bytes_per_s=2e6),
             ]
 
+    def note_cut_off(
+        self,
+        host: hosts_.Host,
+        request_id: str,
+        started_s: float,
+        ended_s: float,
+    ) -> None:
+        """Notes a request on a connection of its own that got no answer."""
+        req = pipelining.SentRequest(request_id, started_s)
+        req.ended_s = ended_s
+        # Its host may have closed the listener before it took the connection.
+        req.sent = False
+        self._cut_off.append(SentRequest(host, CALL, req))
+
     def stop(self) -> None:
         """Lets the callers send no further requests."""
         for client in self.clients:
@@ -138,41 +165,44 @@
             for run in target.runs:
                 executions[run.request_id].append(Execution(target.name, run))
         violations = []
+        for sent in self._sent_requests():
+            ran = executions[sent.req.request_id]
+            fault = self._fault(sent, ran)
+            if sent.route is CALL and not ran:
+                self.counts['calls cut off, not run'] += 1
+            if fault:
+                violations.append(
+                    f'{sent.req.request_id} to {sent.host.name}: {fault}, '
+                    f'sent {_describe_stop(sent.host, sent.req)}'
+                )
+        return violations
+
+    def _sent_requests(self) -> abc.Iterator[SentRequest]:
         for client in self.clients:
             for req in client.caller.requests:
-                ran = executions[req.request_id]
-                fault = self._fault(client, req, ran)
-                if fault:
-                    violations.append(
-                        f'{req.request_id} to {client.host.name}: {fault}, '
-                        f'sent {_describe_stop(client.host, req)}'
-                    )
-        return violations
+                yield SentRequest(client.host, client.route, req)
+        yield from self._cut_off
 
     def _fault(
         self,
-        client: Client,
-        req: pipelining.SentRequest,
+        sent: SentRequest,
         ran: list[Execution],
     ) -> str:
         """Returns what is wrong with a request; empty if nothing is."""
-        signalled_s = _stop_around(client.host, req)
+        req, idempotent = sent.req, sent.route.idempotent
+        signalled_s = _stop_around(sent.host, req)
         self.counts['requests'] += 1
         self.counts['in stops'] += signalled_s is not None
-        if len(ran) > 1 and not client.route.idempotent:
+        if len(ran) > 1 and not idempotent:
             return f'ran {len(ran)} times'
         if req.mixed:
             return 'got the answer of another request'
-        if (
-            req.status in _NOT_RUN_STATUSES
-            and ran
-            and not client.route.idempotent
-        ):
+        if req.status in _NOT_RUN_STATUSES and ran and not idempotent:
             return f'answered {req.status}, but ran at {ran[0].target}'
         loss = _loss(req, ran, signalled_s)
         if not loss:
             return ''
-        excuse = self._excuse(client, req, ran, signalled_s)
+        excuse = self._excuse(sent, ran, signalled_s)
         if excuse:
             self.counts[f'lost, {excuse}'] += 1
             return ''
@@ -180,14 +210,14 @@
 
     def _excuse(
         self,
-        client: Client,
-        req: pipelining.SentRequest,
+        sent: SentRequest,
         ran: list[Execution],
         signalled_s: float | None,
     ) -> str:
         """Returns what excuses a lost request; empty if nothing does."""
+        req = sent.req
         since_s = req.sent_s - hosts_.CONTACT_S
-        if client.host.unplanned.overlap(since_s, req.ended_s):
+        if sent.host.unplanned.overlap(since_s, req.ended_s):
             return 'fault of the host'
         if any(
             self._target_disruptions[execution.target].overlap(
@@ -197,7 +227,7 @@
             if execution.target in self._target_disruptions
         ):
             return 'fault of the target'
-        timeout_s = client.route.timeout_s - TIMEOUT_MARGIN_S
+        timeout_s = sent.route.timeout_s - TIMEOUT_MARGIN_S
         if req.ended_s >= req.sent_s + timeout_s:
             return 'timeout'
         if signalled_s is not None and _works_late(req, ran, signalled_s):
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -370,7 +370,9 @@
         exc: Exception,
     ) -> None:
         """Records a violation if no unplanned fault explains the failure."""
-        if not self.had_fault(started_s - hosts_.CONTACT_S, self.loop.time()):
+        ended_s = self.loop.time()
+        self.kept_checker.note_cut_off(host, request_id, started_s, ended_s)
+        if not self.had_fault(started_s - hosts_.CONTACT_S, ended_s):
             self.violations.append(
                 f'{request_id}: cut off by {host.name} without a fault: '
                 f'{type(exc).__name__}'
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -191,6 +191,36 @@
         assert run.late_s > 0.2
 
 
+class TestCutOff:
+    """A call that ran is lost unless its own host or target had a fault."""
+
+    @pytest.mark.parametrize(
+        ('part', 'found'),
+        [('host', 0), ('target', 0), ('other host', 1), ('store', 1)],
+    )
+    async def test_faults_excuse_it(self, tmp_path, part, found):
+        run = runs.Soak(1, str(tmp_path), [])
+        target = platform_targets.TargetServer('t')
+        now_s = run.loop.time()
+        target.runs.append(platform_targets.Run('q1', '/r/q1', 900, now_s))
+        {
+            'host': run.hosts[0].unplanned,
+            'target': run.target_disruptions['t'],
+            'other host': run.hosts[1].unplanned,
+            'store': run.store_disruptions,
+        }[part].note(now_s, now_s)
+        run.note_fault()
+        run._check_cut_off(run.hosts[0], 'q1', now_s, EOFError())
+        assert not run.violations
+        assert len(run.kept_checker.check([target])) == found
+
+    async def test_call_that_did_not_run(self, tmp_path):
+        checker = runs.Soak(1, str(tmp_path), []).kept_checker
+        checker.note_cut_off(hosts.Host('h', 0, 'a-1', '.'), 'q1', 100.0, 101.0)
+        assert not checker.check([])
+        assert checker.counts['calls cut off, not run'] == 1
+
+
 class TestCalls:
     """A run must end, whatever its callers are doing at that moment."""
 
