--- a/benchmarks/soak/kept.py
+++ b/benchmarks/soak/kept.py
@@ -192,7 +192,9 @@
         req, idempotent = sent.req, sent.route.idempotent
         signalled_s = _stop_around(sent.host, req)
         self.counts['requests'] += 1
-        self.counts['in stops'] += signalled_s is not None
+        excuse = self._excuse(sent, ran, signalled_s)
+        if signalled_s is not None:
+            self.counts['in stops, excused' if excuse else 'in stops'] += 1
         if len(ran) > 1 and not idempotent:
             return f'ran {len(ran)} times'
         if req.mixed:
@@ -202,7 +204,6 @@
         loss = _loss(req, ran, signalled_s)
         if not loss:
             return ''
-        excuse = self._excuse(sent, ran, signalled_s)
         if excuse:
             self.counts[f'lost, {excuse}'] += 1
             return ''
