--- a/benchmarks/soak/hosts.py
+++ b/benchmarks/soak/hosts.py
@@ -12,6 +12,8 @@
 from standins import deployment
 from standins import fault_proxy
 
+# Networks of 250 addresses that runs may use.
+_NETWORKS = 250 * 250
 DOMAINS = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b'}
 # Bounds that the platform documents.
 CONTACT_S = 3.0
@@ -37,8 +39,10 @@
     def __init__(self, name: str, index: int, domain: str, folder: str) -> None:
         self.name = name
         self.domain = domain
-        # Concurrent soak processes use different addresses.
-        self.ip = f'127.3.{os.getpid() % 250}.{index + 1}'
+        # Concurrent soak processes use different addresses, since the port
+        # for metrics is the same for all hosts.
+        high, low = divmod(os.getpid() % _NETWORKS, 250)
+        self.ip = f'127.{high + 3}.{low}.{index + 1}'
         self.port = deployment.free_port(self.ip)
         self.peer_port = deployment.free_port(self.ip)
         self.folder = pathlib.Path(folder)
