--- a/ragwortchute/platform/daemon.py
+++ b/ragwortchute/platform/daemon.py
@@ -65,6 +65,10 @@
     for listener in listeners:
         await listener.stop()
     await gateway.close()
+    # A signal that comes once the loop is closed would end the process itself.
+    signal.pthread_sigmask(
+        signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    )
 
 
 def _reload(node: settings.NodeSettings, log: eventlog.EventLog) -> None:
--- a/tests/test_system/test_signals.py
+++ b/tests/test_system/test_signals.py
@@ -48,3 +48,25 @@
             assert await run.call(host, runs.READ) == 200
         finally:
             await run.stop()
+
+
+class TestEnd:
+    """A signal that comes as a process exits must not end it (issue 33).
+
+    Closing the event loop gives signals their default action back (soak, seed
+    3337).
+    """
+
+    async def test_further_signals_leave_the_exit_code(self, tmp_path):
+        run = runs.Soak(1, str(tmp_path), [], 1)
+        try:
+            await run.start()
+            host = run.hosts[0]
+            host.signal(signal.SIGTERM)
+            while host.process.returncode is None:
+                host.signal(signal.SIGTERM)
+                host.signal(signal.SIGHUP)
+                await asyncio.sleep(INTERVAL_S)
+            assert host.process.returncode == 0
+        finally:
+            await run.stop()
