--- a/tests/test_peers/test_tcp.py
+++ b/tests/test_peers/test_tcp.py
@@ -236,6 +236,8 @@
             return wire.SlotGrant(message.count, 0, ())
 
         pair.b.on(wire.SlotRequest, answer)
+        # The timeout below must not include the time to connect.
+        assert await pair.request_loan(3) == 3
         with pytest.raises(errors.PeerTimeout):
             await pair.request_loan(1, timeout_s=0.05)
         second = asyncio.create_task(pair.request_loan(2))
