--- a/standins/pipelining.py
+++ b/standins/pipelining.py
@@ -4,7 +4,8 @@
 import collections
 import itertools
 
-CONNECT_TIMEOUT_S = 1.0
+from standins import connecting
+
 ANSWER_TIMEOUT_S = 10.0
 _NUMBERS = itertools.count(1)
 
@@ -101,14 +102,12 @@
     async def run(self) -> None:
         """Sends requests until stopped and all of them are ended."""
         while not self._stopping:
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(
-                        self._ip, self._port, limit=1 << 14
-                    )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.05)
+            streams = await connecting.connect(
+                self._ip, self._port, limit=1 << 14
+            )
+            if streams is None:
                 continue
+            reader, writer = streams
             try:
                 await self._use(reader, writer)
             except (OSError, EOFError, TimeoutError):
--- a/standins/reading.py
+++ b/standins/reading.py
@@ -4,7 +4,8 @@
 import collections
 import itertools
 
-CONNECT_TIMEOUT_S = 1.0
+from standins import connecting
+
 ANSWER_TIMEOUT_S = 10.0
 READ_BYTES = 1 << 16
 _NUMBERS = itertools.count(1)
@@ -49,14 +50,10 @@
     async def run(self) -> None:
         """Sends requests until stopped."""
         while not self._stopping:
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(
-                        self._ip, self._port
-                    )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.05)
+            streams = await connecting.connect(self._ip, self._port)
+            if streams is None:
                 continue
+            reader, writer = streams
             writer.write(
                 f'GET {self._path} HTTP/1.1\r\nHost: {self._host_name}\r\n'
                 f'X-Request-Id: l{next(_NUMBERS)}\r\n'
--- a/standins/uploading.py
+++ b/standins/uploading.py
@@ -3,9 +3,9 @@
 import asyncio
 import itertools
 
+from standins import connecting
 from standins import pipelining
 
-CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 10.0
 # A body is sent in this many parts.
 PARTS = 20
@@ -57,14 +57,10 @@
         """Sends requests until stopped and the last one is ended."""
         await asyncio.sleep(self._delay_s)
         while not self._stopping:
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(
-                        self._ip, self._port
-                    )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.05)
+            streams = await connecting.connect(self._ip, self._port)
+            if streams is None:
                 continue
+            reader, writer = streams
             try:
                 while not await self._send(reader, writer):
                     pass
