Prepare the gateway for organisations, rollouts and optional parts

Decodes organisations, public routes and software versions of targets. The checks of a request before it is sent move to their own module, and a call carries its homes, priority and organisation, so that they are set in one place. Optional parts exchange payloads between hosts by name.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -82,6 +82,9 @@
         config_s: Seconds within which a change of the configuration must be
             in force.
         memory_bytes: Memory beyond which the platform kills the process.
+        max_descriptors: Descriptors that the process may hold; 0 if unknown.
+        contracts: Names of the optional parts that the deployment uses.
+        bounds: Bounds of the deployment by name.
     """
 
     me: model.HostEntry
@@ -92,6 +95,9 @@
     limits: dispatcher.Limits
     config_s: float = 2.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = 0
+    contracts: frozenset[str] = frozenset()
+    bounds: dict[str, float] = {}
 
 
 class Gateway:
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -18,10 +18,13 @@
         route: Route of the request.
         service: Service whose targets may process it.
         deadline_s: Loop time at which the answer is due, in seconds.
+        organisation: Organisation of the caller, None if it needs none.
 
     Attributes:
         answered_by: Name of the target whose answer is delivered, empty if
             there is none.
+        homes: Regions that may serve it; empty allows all.
+        priority: Priority under overload; 0 is the highest.
         hedge_decided: Whether a hedge was sent or decided against.
         maybe_executed: Whether a target may have executed the request.
         sends: Number of targets or hosts that it was sent to.
@@ -33,8 +36,11 @@
         'answered_by',
         'deadline_s',
         'hedge_decided',
+        'homes',
         'last_failure',
         'maybe_executed',
+        'organisation',
+        'priority',
         'req',
         'request_id',
         'route',
@@ -50,12 +56,16 @@
         route: model.Route,
         service: str,
         deadline_s: float,
+        organisation: model.Organisation | None = None,
     ) -> None:
         self.req = req
         self.request_id = request_id
         self.route = route
         self.service = service
         self.deadline_s = deadline_s
+        self.organisation = organisation
+        self.homes = route.homes
+        self.priority = route.priority
         self.answered_by = ''
         self.hedge_decided = False
         self.maybe_executed = False
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -23,27 +23,21 @@
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import intake
 from ragwortchute.gateway import measurements
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
-from ragwortchute.gateway import routing
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import streamed_answers
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
 
-# The final answer is sent this long before the deadline of the caller.
-ANSWER_MARGIN_S = 0.004
 # A hedge is sent once an answer takes longer than this share of the latency
 # objective and longer than this many times the expected time.
 HEDGE_AFTER_OBJECTIVES = 0.4
 HEDGE_AFTER_EXPECTED = 1.4
-# For this long after its start, a host makes requests wait until it has read
-# the store. After a power failure all hosts start at the same time, and most
-# callers try only one other host after a refusal.
-STARTUP_WAIT_S = 0.6
 # Share of a failure that the rejection of a request counts as.
 SHED_WEIGHT = 0.5
 
@@ -118,7 +112,6 @@
         self._failures = failures
         self._statements = statements
         self._grace_period = grace_period
-        self._is_outdated = is_outdated
         self._memory = memory
         self._crash_checks = crash_checks.CrashChecks(crash_guard)
         self.retries = retries.Retries(
@@ -131,10 +124,18 @@
         )
         self._request_log = request_log
         self._answers = answers.Answers(dialect, self._request_log, stats, rng)
+        self._intake = intake.Intake(
+            state,
+            dialect,
+            crash_guard,
+            is_outdated,
+            self._answers,
+            request_log,
+            rng,
+        )
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._started_s = self._loop.time()
         self.work_times = work_times.WorkTimes()
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
@@ -159,36 +160,11 @@
             req: The request.
             relayed: Whether another host relayed it.
         """
-        state = self._state
-        request_id = self._dialect.request_id(req)
-        if not state.complete and not await self._wait_for_state(req):
-            return self._answers.refuse(req, 'no-configuration', 0.2)
-        if self._is_outdated():
-            return self._answers.refuse(req, 'outdated-configuration', 0.2)
-        route = state.table.match(req.host, req.path)
-        if route is None:
-            self._request_log.log_answer(
-                request_id, 404, 'no-route', 0, req.arrived_s
-            )
-            return http_messages.Response(404)
-        blocked_s = self._blocked_s(req)
-        if blocked_s > 0:
-            return self._answers.refuse(req, 'crashes-targets', blocked_s)
-        outside_homes = route.homes and state.region not in route.homes
-        if relayed and outside_homes:
-            # The host that relayed it has a different configuration.
-            return self._answers.refuse(req, 'relay-mismatch', 0.2)
-        remaining_s = self._dialect.remaining_s(req)
-        if remaining_s is None or remaining_s > route.timeout_s:
-            remaining_s = route.timeout_s
-        call = attempts.Call(
-            req,
-            request_id,
-            route,
-            routing.pick_service(route, self._rng),
-            req.arrived_s + remaining_s - ANSWER_MARGIN_S,
-        )
-        if outside_homes:
+        accepted = await self._intake.accept(req, relayed=relayed)
+        if isinstance(accepted, http_messages.Response):
+            return accepted
+        call = accepted
+        if self._intake.is_outside_homes(call):
             resp = await self._relay(call)
             if resp is not None:
                 return resp
@@ -205,18 +181,6 @@
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
         return resp
 
-    async def _wait_for_state(self, req: http_messages.Request) -> bool:
-        """Waits, shortly after the start, until the store has been read.
-
-        Returns:
-            Whether the configuration and targets are complete.
-        """
-        left_s = self._started_s + STARTUP_WAIT_S - self._loop.time()
-        remaining_s = self._dialect.remaining_s(req)
-        if remaining_s is not None:
-            left_s = min(left_s, remaining_s / 2)
-        return await self._state.wait_complete(left_s)
-
     async def _relay(
         self, call: attempts.Call
     ) -> http_messages.Response | None:
@@ -351,7 +315,7 @@
         route = call.route
         targets = [
             target
-            for target in self._state.eligible(call.service, route.homes)
+            for target in self._state.eligible(call.service, call.homes)
             if target.entry.name not in call.tried_targets
         ]
         return candidates.Requirements(
--- a/ragwortchute/gateway/heartbeats.py
+++ b/ragwortchute/gateway/heartbeats.py
@@ -49,6 +49,7 @@
         failures: Reports of failures of targets, see `failure_reports`.
         loans: Requests for retries and answers to them.
         statements: What targets have said in answers, see `target_statements`.
+        parts: Payloads of optional parts, by the name of the part.
     """
 
     sender: str
@@ -61,6 +62,7 @@
     failures: bytes = b''
     loans: tuple[retry_loans.LoanMessage, ...] = ()
     statements: bytes = b''
+    parts: dict[str, bytes] = {}
 
 
 def key_of(entry: model.HostEntry) -> int:
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
+from ragwortchute.gateway import part_messages
 from ragwortchute.gateway import peer_table
 from ragwortchute.gateway import retry_loans
 
@@ -77,6 +78,7 @@
             on and the loop time of their arrival.
         on_loan: Called with the name of a host, its message about a loan of
             retries and the loop time of its arrival.
+        parts: Messages of optional parts.
         peers: The other hosts.
     """
 
@@ -100,6 +102,7 @@
         self.local_statements: abc.Callable[[float], bytes] = lambda _: b''
         self.on_statements: abc.Callable[[bytes, float], None] = lambda *_: None
         self.leaving = False
+        self.parts = part_messages.PartMessages(me.name, self._send_to_names)
         self.peers = peer_table.PeerTable(me, dead_s)
         self._transport = transport
         self._log = log
@@ -256,6 +259,8 @@
             self.on_statements(message.statements, now_s)
         if message.failures:
             self.on_failure_reports(message.failures, now_s)
+        if message.parts:
+            self.parts.handle(sender.entry.name, message.parts, now_s)
         if message.requested_keys:
             self._send_entries(sender, message.requested_keys)
         if is_new:
--- a/ragwortchute/gateway/model.py
+++ b/ragwortchute/gateway/model.py
@@ -29,6 +29,7 @@
         services: Services among which the requests are divided.
         attempts: Largest number of targets that a request may be sent to.
         homes: Regions that may serve the requests; empty allows all.
+        public: Whether the requests need no key of an organisation.
     """
 
     name: str
@@ -41,6 +42,31 @@
     services: tuple[WeightedService, ...]
     attempts: int
     homes: tuple[str, ...] = ()
+    public: bool = False
+
+
+class Organisation(msgspec.Struct, frozen=True):
+    """A customer whose callers identify themselves by keys.
+
+    Attributes:
+        name: Name of the organisation.
+        keys: Keys of its callers. They must not be logged.
+        priority: Priority under overload, 0 is the highest; None leaves that
+            of the route.
+        rate_per_s: Requests per second that all hosts serve; 0 if unlimited.
+        burst: Requests that all hosts serve at once beyond that.
+        homes: Regions that may serve its requests; empty allows all.
+    """
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    homes: tuple[str, ...] = ()
+
+    def __repr__(self) -> str:
+        return f'Organisation({self.name!r}, {len(self.keys)} keys)'
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -71,12 +97,22 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    Attributes:
+        version: Number of the version.
+        routes: All routes.
+        services: Services by name.
+        limits: Limits on the requests of callers.
+        organisations: Organisations by name; None if the configuration has no
+            list of them, so that requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    organisations: dict[str, Organisation] | None = None
 
 
 class TargetEntry(msgspec.Struct, frozen=True):
@@ -92,6 +128,7 @@
         ready: False once it is draining.
         warmup_left_s: Remaining warm-up time at its last report, in seconds.
         born_ms: Start of the process in Unix milliseconds.
+        software_version: Version of its software, empty if it states none.
     """
 
     name: str
@@ -103,6 +140,7 @@
     ready: bool
     warmup_left_s: float
     born_ms: int
+    software_version: str = ''
 
 
 class HostEntry(msgspec.Struct, frozen=True):
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -108,7 +108,7 @@
     async def send(self, call: attempts.Call) -> RelayResult:
         """Relays a request to a host in one of its home regions."""
         now_s = self._loop.time()
-        host = self.choose(call.route.homes, now_s)
+        host = self.choose(call.homes, now_s)
         if host is None:
             return RelayResult()
         pool = self._pools.get(host)
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -46,6 +46,7 @@
     service: str | None = None
     traffic_split: list[_Split] = []
     allowed_regions: list[str] = []
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -56,17 +57,28 @@
     warmup_per_s: float = 0.0
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    allowed_regions: list[str] = []
+
+
 class _Config(msgspec.Struct):
     config_version: int
     routes: list[_Route]
     services: list[_Service]
     limits: model.Limits = msgspec.field(default_factory=model.Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Info(msgspec.Struct):
     service: str
     zone: str
     slots: int
+    config_version: str = ''
 
 
 class _Status(msgspec.Struct):
@@ -247,6 +259,7 @@
         tuple(_decode_route(route) for route in cfg.routes),
         services,
         cfg.limits,
+        _decode_organisations(cfg.tenants),
     )
 
 
@@ -277,6 +290,7 @@
         ready=server.status.state == 'ready',
         warmup_left_s=max(0.0, server.status.warmup_left_s),
         born_ms=server.born,
+        software_version=server.info.config_version,
     )
 
 
@@ -288,6 +302,24 @@
     return ip, int(port)
 
 
+def _decode_organisations(
+    tenants: list[_Tenant] | None,
+) -> dict[str, model.Organisation] | None:
+    if tenants is None:
+        return None
+    return {
+        tenant.name: model.Organisation(
+            tenant.name,
+            frozenset(tenant.api_keys),
+            tenant.priority,
+            tenant.rate_per_s,
+            tenant.burst,
+            tuple(tenant.allowed_regions),
+        )
+        for tenant in tenants
+    }
+
+
 def _decode_route(route: _Route) -> model.Route:
     if route.traffic_split:
         services = tuple(
@@ -307,4 +339,5 @@
         services=services,
         attempts=max(1, route.attempts),
         homes=tuple(route.allowed_regions),
+        public=route.public,
     )
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -98,6 +98,9 @@
         grace_s=bounds.get('grace_s', 6.0),
         config_s=bounds.get('config_s', 2.0),
         memory_bytes=_memory_bytes(values),
+        max_descriptors=int(values.number('limits.max_fds', 0.0)),
+        contracts=frozenset(values.items('contracts')),
+        bounds=bounds,
         dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
         limits=dispatcher.Limits(
             retry_ratio=bounds.get('retry_budget_ratio', 0.2),
@@ -168,6 +171,11 @@
             if name.startswith(prefix)
         }
 
+    def items(self, name: str) -> list[str]:
+        """Returns the items of a list."""
+        items = self._values.get(name, '').split(',')
+        return [item.strip() for item in items if item.strip()]
+
     def pairs(self, name: str) -> dict[str, float]:
         """Returns the `name=number` pairs of a list; skips other items."""
         pairs = {}
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -7,6 +7,7 @@
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import intake
 from ragwortchute.gateway import model
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
@@ -360,7 +361,7 @@
         # Once the wait at the start is over, the store must be considered
         # down and the refusal must come without any wait.
         rig = rigs.Rig()
-        rig.dispatcher._started_s -= dispatcher.STARTUP_WAIT_S
+        rig.dispatcher._intake._started_s -= intake.STARTUP_WAIT_S
         headers = [(b'x-request-deadline-ms', b'3000')]
         gone = asyncio.get_running_loop().create_future()
         serving = rig.dispatcher.serve(
