--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -41,6 +41,7 @@
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
 from ragwortchute.gateway import supervisor
+from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
 
 # How long callers may cache an address response.
@@ -116,6 +117,7 @@
         health: Availability of the store.
         statements: What targets have said to all hosts.
         pauses: Pauses that targets have asked this host for.
+        target_report: What targets have said, by their names.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         bodies: Memory for long bodies of requests.
@@ -157,6 +159,9 @@
         self.membership.local_statements = self.statements.encode
         self.membership.on_statements = self.statements.handle
         self.pauses = pauses.Pauses(log)
+        self.target_report = target_report.TargetReport(
+            self.state, self.statements, self.pauses
+        )
         self._send_limits = send_limits.SendLimits(
             self.statements,
             self.pauses,
@@ -269,36 +274,6 @@
             if replica_.revision
         }
 
-    def target_limits(self) -> dict[str, float]:
-        """Returns the limits per second that targets name, by target."""
-        now_s = self._loop.time()
-        limits = {
-            name: self.statements.limit_per_s(target.key, now_s)
-            for name, target in self.state.targets.items()
-        }
-        return {
-            name: limit_per_s
-            for name, limit_per_s in limits.items()
-            if limit_per_s is not None
-        }
-
-    def target_pauses_s(self) -> dict[str, float]:
-        """Returns for how long targets want no request, by target."""
-        now_s = self._loop.time()
-        pauses_s = {
-            name: self.pauses.left_s(target.key, now_s)
-            for name, target in self.state.targets.items()
-        }
-        return {name: left_s for name, left_s in pauses_s.items() if left_s}
-
-    def leaving_targets(self) -> dict[str, float]:
-        """Returns the targets that have said that they leave, each with 1."""
-        return {
-            name: 1.0
-            for name, target in self.state.targets.items()
-            if self.statements.is_leaving(target.key)
-        }
-
     def hosts(self) -> list[model.HostEntry]:
         """Returns the hosts that accept new callers."""
         return self.membership.available_hosts(self._loop.time())
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -149,19 +149,19 @@
         metrics.add_gauge(
             'ragwortchute_gateway_target_limit_per_second',
             'Requests per second that a target takes from all hosts.',
-            lambda: gateway.target_limits(),
+            gateway.target_report.limits_per_s,
             'target',
         )
         metrics.add_gauge(
             'ragwortchute_gateway_target_pause_seconds',
             'Time for which a target wants no request from this host.',
-            lambda: gateway.target_pauses_s(),
+            gateway.target_report.pauses_s,
             'target',
         )
         metrics.add_gauge(
             'ragwortchute_gateway_target_leaving',
             'Targets that have said that they leave.',
-            lambda: gateway.leaving_targets(),
+            gateway.target_report.leaving,
             'target',
         )
 
--- a/tests/test_gateway/test_target_statements.py
+++ b/tests/test_gateway/test_target_statements.py
@@ -214,5 +214,7 @@
         now_s = asyncio.get_running_loop().time()
         host.pauses.start(host.state.targets['t0'].entry, 5.0, now_s)
         host.statements.note_leaving(host.state.targets['t1'].entry, now_s)
-        assert host.target_pauses_s() == {'t0': pytest.approx(5.0, abs=0.2)}
-        assert host.leaving_targets() == {'t1': 1.0}
+        assert host.target_report.pauses_s() == {
+            't0': pytest.approx(5.0, abs=0.2)
+        }
+        assert host.target_report.leaving() == {'t1': 1.0}
