Keep values of the store out of the representation of records

A stored object, a difference between two of its versions and a decoded organisation may hold keys of callers. Whatever prints such a record, such as a traceback with its arguments, would have shown them.

--- a/ragwortchute/gateway/value_delta.py
+++ b/ragwortchute/gateway/value_delta.py
@@ -43,6 +43,10 @@
     base_version: int
     parts: list[Kept | bytes]
 
+    def __repr__(self) -> str:
+        # The parts may hold keys.
+        return f'ValueDelta({self.name!r}, version={self.version})'
+
 
 def diff(old: bytes, new: bytes) -> list[Kept | bytes] | None:
     """Returns the parts of a new value, None if most of it is new.
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -65,6 +65,9 @@
     burst: float = 0.0
     allowed_regions: list[str] = []
 
+    def __repr__(self) -> str:
+        return f'_Tenant({self.name!r})'
+
 
 class _Config(msgspec.Struct):
     config_version: int
--- a/ragwortchute/stores/__init__.py
+++ b/ragwortchute/stores/__init__.py
@@ -26,6 +26,13 @@
     version: int
     value: bytes
 
+    def __repr__(self) -> str:
+        # The value may hold keys.
+        return (
+            f'StoredObject({self.name!r}, version={self.version}, '
+            f'{len(self.value)} bytes)'
+        )
+
 
 class Store(abc.ABC):
     """Client of an object store with versions, conditional puts and watches."""
