Let a listener refuse a request before its body is read

A body of 360 KB takes 0.3 s on a link of 10 Mbit/s. The reader asks the listener once the head is complete, for bodies of 16 KB and more and for those in chunks; a refusal closes the connection, as one for a body that is too long does. Shorter bodies are read, so that their connection stays open. The reader also notes which headers came behind the body, so that a key in a trailer can be told from one in the head. Nothing uses this yet.

--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -42,6 +42,9 @@
         arrived_s: Loop time at which the request was complete.
         disconnected: Future that is done once the caller's connection is lost.
         accepts_chunks: Whether the caller understands an answer in chunks.
+        trailer_names: Names of the headers that came behind the body.
+        organisation: Name of the organisation that the host which relayed the
+            request has found, empty if none.
     """
 
     method: str
@@ -52,6 +55,12 @@
     arrived_s: float
     disconnected: asyncio.Future[None]
     accepts_chunks: bool = True
+    trailer_names: frozenset[bytes] = frozenset()
+    organisation: str = ''
+
+    def __repr__(self) -> str:
+        # Headers may hold keys.
+        return f'Request({self.method} {self.host} {self.path})'
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if it is absent."""
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -7,6 +7,7 @@
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
+from ragwortchute.gateway import request_reader
 from ragwortchute.gateway import server_connection
 
 EXPIRY_CHECK_S = 0.25
@@ -30,6 +31,8 @@
     Attributes:
         draining: Whether connections are closed after their last response.
         connections: Open connections.
+        refuse_early: Returns the refusal of a request whose body has not been
+            read, None if the head gives no reason for one.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         bodies: body_budget.BodyBudget | None = None,
     ) -> None:
         self.handler = handler
+        self.refuse_early: request_reader.EarlyRefusal = lambda _: None
         self.limits = limits
         self.log = log
         self.name = name
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -16,10 +16,18 @@
 BODY_WAIT_S = 0.8
 # Named to a caller for whose body no memory was left.
 _BODY_RETRY_AFTER_S = 0.5
+# A request with a shorter body is refused once it is complete, which keeps its
+# connection open.
+MIN_EARLY_BYTES = 16 << 10
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
 
+EarlyRefusal = abc.Callable[
+    [http_messages.Request], http_messages.Response | None
+]
+
+
 class Receiver(typing.Protocol):
     """What a reader needs of its connection."""
 
@@ -53,6 +61,8 @@
         limits: Returns the current limits on requests.
         bodies: Memory for long bodies.
         disconnected: Future that is done once the connection is lost.
+        refusal_of: Returns the refusal of a request whose body has not been
+            read, None if its head gives no reason for one.
 
     Attributes:
         ended: Whether all further data is ignored.
@@ -65,6 +75,7 @@
         '_body_wait_timer',
         '_disconnected',
         '_expects_continue',
+        '_first_trailer',
         '_head_bytes',
         '_headers',
         '_limits',
@@ -72,6 +83,7 @@
         '_parser',
         '_received_bytes',
         '_receiver',
+        '_refusal_of',
         '_requests_begun',
         '_url',
         'ended',
@@ -84,8 +96,10 @@
         limits: abc.Callable[[], model.Limits],
         bodies: body_budget.BodyBudget,
         disconnected: asyncio.Future[None],
+        refusal_of: EarlyRefusal = lambda _: None,
     ) -> None:
         self._receiver = receiver
+        self._refusal_of = refusal_of
         self._limits = limits
         self._disconnected = disconnected
         self._loop = asyncio.get_running_loop()
@@ -204,6 +218,9 @@
         if size_bytes > self._limits().max_body_bytes:
             self._receiver.reject(413)
             return
+        self._first_trailer = len(self._headers)
+        if self._refuse_early(size_bytes):
+            return
         self._expect_body(size_bytes)
         if not self._body.waiting:
             self._continue()
@@ -238,9 +255,40 @@
             return
         self._stop_body_wait()
         req.accepts_chunks = self._parser.get_http_version() != '1.0'
+        trailers = self._headers[self._first_trailer :]
+        if trailers:
+            req.trailer_names = frozenset(name for name, _ in trailers)
         req.body_parts, reservation = self._body.take()
         self._receiver.handle_request(req, reservation)
 
+    def _refuse_early(self, size_bytes: int) -> bool:
+        """Refuses a request with a long body if the head is reason enough.
+
+        Args:
+            size_bytes: Length of the body; 0 if it is sent in chunks.
+
+        Returns:
+            Whether it was refused.
+        """
+        chunked = any(item[0] == b'transfer-encoding' for item in self._headers)
+        if size_bytes < MIN_EARLY_BYTES and not chunked:
+            return False
+        try:
+            req = http_messages.build_request(
+                self._parser.get_method(),
+                self._url,
+                self._headers,
+                self._loop.time(),
+                self._disconnected,
+            )
+        except ValueError:
+            # It is rejected once it is complete.
+            return False
+        resp = self._refusal_of(req)
+        if resp is not None:
+            self._receiver.reject(resp.status, resp.headers)
+        return resp is not None
+
     def _expect_body(self, size_bytes: int) -> None:
         """Reads a long body only once memory is reserved for it.
 
@@ -281,6 +329,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._expects_continue = False
         self._body.clear()
+        self._first_trailer = 0
         self._head_bytes = 0
         self._received_bytes = 0
 
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -47,9 +47,12 @@
         bodies: Memory for long bodies.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
+        refuse_early: Returns the refusal of a request whose body has not been
+            read, None if the head gives no reason for one.
     """
 
     handler: Handler
+    refuse_early: request_reader.EarlyRefusal
     limits: abc.Callable[[], model.Limits]
     log: eventlog.EventLog
     name: str
@@ -136,7 +139,11 @@
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._closed: asyncio.Future[None] = self._loop.create_future()
         self._reader = request_reader.RequestReader(
-            self, listener.limits, listener.bodies, self._closed
+            self,
+            listener.limits,
+            listener.bodies,
+            self._closed,
+            listener.refuse_early,
         )
         self._idle_since_s = self._loop.time()
         # Whether the caller has ended its sending side.
