Identify the organisations of requests by their keys

The intake looks up the key of a request at the first host that reads it and answers 401 if it is not known, or 503 if the configuration was not confirmed within 0.9 of config_s, or another host names a newer one: a host that is behind must not refuse a key that was just added. The headers of the caller are removed from the request when it is accepted, so that no retry, hedge or relay can send them; targets get the name of the organisation. Homes and priority of the organisation apply, and every send checks that the organisation still has the key if another configuration is in force by then.

Where the contract 'tenants' is present, each host draws a token at its start and publishes it in its entry. The listener for hosts serves only requests that carry it, since a caller could otherwise name an organisation, or read the keys from a replica of the configuration.

--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import abc
 import random
 
 from ragwortchute.gateway import attempts
@@ -15,6 +16,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway.organisations import identity
 
 MIN_RETRY_AFTER_S = 0.05
 # Longer estimates are capped, as the load may change within this time.
@@ -23,6 +25,15 @@
 # don't return at the same time.
 MIN_SPREAD = 0.75
 MAX_SPREAD = 1.25
+OVER_QUOTA = 'over-quota'
+
+_UNAUTHORISED = 401
+# Refusals with another status than 503. All state that a request has not run.
+_STATUSES = {
+    identity.UNKNOWN_KEY: _UNAUTHORISED,
+    identity.KEY_WITHDRAWN: _UNAUTHORISED,
+    OVER_QUOTA: 429,
+}
 
 
 class Answers:
@@ -33,9 +44,20 @@
         request_log: Log of requests.
         stats: Counters.
         rng: Source of randomness.
+
+    Attributes:
+        on_not_run: Called with a request that is answered by a refusal which
+            states that it has not run.
     """
 
-    __slots__ = ('_dialect', '_loop', '_request_log', '_rng', '_stats')
+    __slots__ = (
+        '_dialect',
+        '_loop',
+        '_request_log',
+        '_rng',
+        '_stats',
+        'on_not_run',
+    )
 
     def __init__(
         self,
@@ -49,6 +71,7 @@
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self.on_not_run: abc.Callable[[attempts.Call], None] = lambda _: None
 
     def deliver(
         self, call: attempts.Call, reply: http_client.Reply, now_s: float
@@ -72,6 +95,7 @@
             'answer',
             call.sends,
             call.req.arrived_s,
+            call.organisation,
         )
         return self._pass_on(reply)
 
@@ -84,10 +108,19 @@
             call: The request.
             reply: Answer of that host.
         """
-        self._stats.count_refusal('relay')
+        self._count_refusal('relay', call)
         self._request_log.log_answer(
-            call.request_id, reply.status, 'relay', 1, call.req.arrived_s
+            call.request_id,
+            reply.status,
+            'relay',
+            1,
+            call.req.arrived_s,
+            call.organisation,
         )
+        if reply.status == _UNAUTHORISED or self._dialect.states_not_run(
+            reply.status
+        ):
+            self.on_not_run(call)
         return self._pass_on(reply)
 
     def _pass_on(self, reply: http_client.Reply) -> http_messages.Response:
@@ -115,7 +148,8 @@
         elif call.maybe_executed or (call.sends and reason == 'caller-gone'):
             status = 502
         else:
-            return self.refuse(call.req, reason, wait_s, call.sends)
+            self.on_not_run(call)
+            return self.refuse(call.req, reason, wait_s, call.sends, call)
         return self._fail(call, status, reason)
 
     def _fail(
@@ -123,9 +157,14 @@
     ) -> http_messages.Response:
         """Returns an answer that does not tell whether a request has run."""
         self._request_log.log_answer(
-            call.request_id, status, reason, call.sends, call.req.arrived_s
+            call.request_id,
+            status,
+            reason,
+            call.sends,
+            call.req.arrived_s,
+            call.organisation,
         )
-        self._stats.count_refusal(reason)
+        self._count_refusal(reason, call)
         return http_messages.Response(status)
 
     def refuse(
@@ -134,6 +173,7 @@
         reason: str,
         wait_s: float,
         sends: int = 0,
+        call: attempts.Call | None = None,
     ) -> http_messages.Response:
         """Returns an answer stating that a request has not been executed.
 
@@ -143,14 +183,31 @@
             wait_s: Time in seconds after which the caller may retry. It is
                 randomised so that callers don't retry at the same time.
             sends: Number of targets that it was sent to and that rejected it.
+            call: The request if it was accepted, else None.
         """
+        status = _STATUSES.get(reason, 503)
+        organisation = call.organisation if call is not None else None
         wait_s = max(MIN_RETRY_AFTER_S, wait_s)
         wait_s *= self._rng.uniform(MIN_SPREAD, MAX_SPREAD)
         self._request_log.log_answer(
-            self._dialect.request_id(req), 503, reason, sends, req.arrived_s
+            self._dialect.request_id(req),
+            status,
+            reason,
+            sends,
+            req.arrived_s,
+            organisation,
         )
+        self._count_refusal(reason, call)
+        if status == _UNAUTHORISED:
+            return http_messages.Response(status)
+        return http_messages.Response(
+            status, [http_messages.retry_after(wait_s)]
+        )
+
+    def _count_refusal(self, reason: str, call: attempts.Call | None) -> None:
         self._stats.count_refusal(reason)
-        return http_messages.Response(503, [http_messages.retry_after(wait_s)])
+        if call is not None and call.key:
+            self._stats.organisation_refusals.add(call.organisation.name)
 
 
 def retry_after_s(refused: candidates.NoPlacement) -> float:
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -4,6 +4,7 @@
 from collections import abc
 import functools
 import random
+import secrets
 
 import msgspec
 
@@ -43,6 +44,8 @@
 from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.organisations import host_tokens
+from ragwortchute.gateway.organisations import recency
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -143,6 +146,9 @@
         self.rng = random.Random()
         self._loop = asyncio.get_running_loop()
         me = settings.me
+        if host_tokens.CONTRACT in settings.contracts:
+            token = secrets.token_hex(host_tokens.TOKEN_BYTES)
+            me = msgspec.structs.replace(me, token=token)
         self.stats = stats_.Stats()
         self._supervisor = supervisor.Supervisor(log, self.stats, self.rng)
         self.health = store_health.StoreHealth(log)
@@ -180,14 +186,16 @@
         )
         self.membership.on_failure_reports = self._failure_reports.handle_batch
         self._grace_period = grace.GracePeriod()
-        self.dispatcher = self._create_dispatcher(dialect, reader)
         self._followers: dict[str, store_follower.Follower] = {}
+        self.dispatcher = self._create_dispatcher(dialect, reader)
         self._replicas: dict[str, replica.Replica] = {}
         self.bodies = body_budget.BodyBudget(
             int(settings.memory_bytes * BODIES_MEMORY_FRACTION)
         )
         self.callers = self._create_listener(self.dispatcher.serve, 'callers')
-        api = peer_api.PeerApi(self._replicas, self.dispatcher)
+        self.callers.refuse_early = self.dispatcher.refuse_early
+        gate = host_tokens.HostGate(me.token, self.state.has_organisations)
+        api = peer_api.PeerApi(self._replicas, self.dispatcher, gate)
         self.peers = self._create_listener(api.serve, 'peers')
         self.membership.local_revisions = self._last_change_revisions
         self.membership.on_peer_revision = self._on_peer_revision
@@ -230,6 +238,9 @@
             statements=reader,
             grace_period=self._grace_period,
             is_outdated=self._is_outdated,
+            is_confirmed=recency.Recency(
+                self.state, self._followers, self._settings.config_s
+            ).is_confirmed,
             limits=self._settings.limits,
             stats=self.stats,
             rng=self.rng,
@@ -372,7 +383,7 @@
         peer = self.membership.peers.get(host.name)
         return source_choice.Source(
             host.name,
-            peer_api.PeerStore(host.name, pool, self._replicas),
+            peer_api.PeerStore(host.name, pool, self._replicas, host.token),
             peer.last_heartbeat_s if peer is not None else float('-inf'),
         )
 
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -23,6 +23,10 @@
     Attributes:
         answered_by: Name of the target whose answer is delivered, empty if
             there is none.
+        cfg: Configuration by which its caller was identified last.
+        key: Key of the caller, empty if this host has not looked one up.
+        added_headers: Headers that its targets get beside those of the caller.
+        has_credit: Whether it has spent credit of its organisation.
         homes: Regions that may serve it; empty allows all.
         priority: Priority under overload; 0 is the highest.
         hedge_decided: Whether a hedge was sent or decided against.
@@ -33,10 +37,14 @@
     """
 
     __slots__ = (
+        'added_headers',
         'answered_by',
+        'cfg',
         'deadline_s',
+        'has_credit',
         'hedge_decided',
         'homes',
+        'key',
         'last_failure',
         'maybe_executed',
         'organisation',
@@ -64,6 +72,10 @@
         self.service = service
         self.deadline_s = deadline_s
         self.organisation = organisation
+        self.cfg: model.Configuration | None = None
+        self.key = ''
+        self.added_headers: tuple[tuple[bytes, bytes], ...] = ()
+        self.has_credit = False
         self.homes = route.homes
         self.priority = route.priority
         self.answered_by = ''
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -16,6 +16,11 @@
 # Header in which a host names the target that answered a relayed request. It is
 # the same with every dialect and not passed on to callers.
 TARGET_NAME = b'x-ragwortchute-target'
+# Headers that hosts add to requests to other hosts: the token of the receiving
+# host, and the name of the organisation of a relayed request.
+HOST_TOKEN = b'x-ragwortchute-token'
+RELAYED_ORGANISATION = b'x-ragwortchute-organisation'
+HOST_HEADERS = frozenset({HOST_TOKEN, RELAYED_ORGANISATION})
 
 
 class Constraints(msgspec.Struct, frozen=True):
@@ -73,12 +78,29 @@
     def remaining_s(self, req: http_messages.Request) -> float | None:
         """Returns the remaining time of the caller, None if it states none."""
 
+    @abc.abstractmethod
+    def credential(self, req: http_messages.Request) -> str:
+        """Returns the key that a caller has sent.
+
+        It is empty unless there is exactly one, in the head of the request.
+        White space around it does not count.
+        """
+
+    @abc.abstractmethod
+    def drop_identity(self, req: http_messages.Request) -> None:
+        """Removes the headers that name a key or an organisation."""
+
+    @abc.abstractmethod
+    def organisation_header(self, name: str) -> tuple[bytes, bytes]:
+        """Returns the header that names an organisation to a target."""
+
     @abc.abstractmethod
     def encode_head(
         self,
         req: http_messages.Request,
         remaining_s: float,
         entry: model.TargetEntry | None,
+        added: cabc.Iterable[tuple[bytes, bytes]] = (),
     ) -> bytes:
         """Encodes the head of a request for a target or for another host.
 
@@ -86,6 +108,7 @@
             req: The request.
             remaining_s: Time until the answer is due, in seconds.
             entry: The target, None to encode the request for a host.
+            added: Headers to add to those of the request.
         """
 
     @abc.abstractmethod
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -25,6 +25,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import intake
 from ragwortchute.gateway import measurements
+from ragwortchute.gateway import organisations
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
@@ -33,6 +34,7 @@
 from ragwortchute.gateway import streamed_answers
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
+from ragwortchute.gateway.organisations import identity
 
 # A hedge is sent once an answer takes longer than this share of the latency
 # objective and longer than this many times the expected time.
@@ -75,13 +77,18 @@
         statements: Reads what targets say in their answers.
         grace_period: Tells which requests can end before a stop ends.
         is_outdated: Returns whether a newer configuration must be in force.
+        is_confirmed: Returns whether the configuration was confirmed recently
+            enough to refuse a request for what it lacks.
         limits: Limits on retries over all hosts.
         request_log: Log of requests.
         stats: Counters.
         rng: Source of randomness.
         memory: Memory for long answers.
+        quotas: Quotas of organisations, None if there are none.
 
     Attributes:
+        refuse_early: Returns the refusal of a request whose body has not been
+            read, None if its head gives no reason for one.
         retries: Retry budgets.
         work_times: Mean processing times by route.
     """
@@ -98,11 +105,13 @@
         statements: statement_reader.StatementReader,
         grace_period: grace.GracePeriod,
         is_outdated: abc.Callable[[], bool],
+        is_confirmed: abc.Callable[[], bool],
         limits: Limits,
         request_log: request_log_.RequestLog,
         stats: stats_.Stats,
         rng: random.Random,
         memory: answer_memory.AnswerMemory,
+        quotas: organisations.Quotas | None = None,
     ) -> None:
         self._state = state
         self._dialect = dialect
@@ -129,10 +138,15 @@
             dialect,
             crash_guard,
             is_outdated,
+            identity.Identity(state, dialect, is_confirmed),
+            quotas,
             self._answers,
             request_log,
+            stats,
             rng,
         )
+        self.refuse_early = self._intake.refuse_early
+        relays.recheck = self._intake.recheck
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -267,9 +281,12 @@
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
             )
-        if call.sends and not self._spend_retry(call):
+        reason = self._intake.recheck(call)
+        if not reason and call.sends and not self._spend_retry(call):
+            reason = 'retry-budget'
+        if reason:
             placed.target.pool.release(placed.conn)
-            return self._answers.give_up(call, 'retry-budget')
+            return self._answers.give_up(call, reason)
         self._send(call, placed, outstanding)
         return None
 
@@ -282,7 +299,10 @@
         now_s = self._loop.time()
         target = placed.target
         head = self._dialect.encode_head(
-            call.req, max(0.001, call.deadline_s - now_s), target.entry
+            call.req,
+            max(0.001, call.deadline_s - now_s),
+            target.entry,
+            call.added_headers,
         )
         call.sends += 1
         call.tried_targets.add(target.entry.name)
@@ -381,6 +401,7 @@
             and not call.req.disconnected.done()
             and placed.expected_s < min(remaining_s, call.route.objective_s)
             and not self._blocked_s(call.req)
+            and not self._intake.recheck(call)
         )
 
     def _blocked_s(self, req: http_messages.Request) -> float:
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -13,6 +13,10 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import routing
 from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.organisations import key_index
+
+# Names of organisations with unusable names or keys in one line of the log.
+MAX_LOGGED_NAMES = 10
 
 
 class HostState:
@@ -30,6 +34,7 @@
         cfg_revision: Revision of the store at which it was read.
         cfg_confirmed_s: Loop time at which it is known to have been the newest.
         table: Routes of the configuration in force.
+        keys: Keys of the organisations of the configuration in force.
         limits: Limits of the configuration in force.
         targets: Targets by name.
         domains_out: Failure domains whose targets get no requests.
@@ -51,6 +56,7 @@
         self.cfg_revision = 0
         self.cfg_confirmed_s = float('-inf')
         self.table = routing.RouteTable(())
+        self.keys = key_index.KeyIndex()
         self.limits = model.Limits()
         self.targets: dict[str, targets_.Target] = {}
         self.domains_out: set[str] = set()
@@ -72,6 +78,10 @@
             and self._domains_out_read
         )
 
+    def has_organisations(self) -> bool:
+        """Returns whether the configuration in force has organisations."""
+        return self.cfg is not None and self.cfg.organisations is not None
+
     async def wait_complete(self, timeout_s: float) -> bool:
         """Waits until the state is complete.
 
@@ -108,6 +118,7 @@
         self.cfg = cfg
         self.cfg_revision = revision
         self.table = routing.RouteTable(cfg.routes)
+        self.keys = key_index.KeyIndex(cfg.organisations, self.keys)
         self.limits = cfg.limits
         for target in self.targets.values():
             target.service = cfg.services.get(target.entry.service)
@@ -117,6 +128,15 @@
             revision=revision,
             routes=len(cfg.routes),
         )
+        if cfg.organisations is not None:
+            self._log.event(
+                'organisations',
+                revision=revision,
+                count=len(cfg.organisations),
+                keys=len(self.keys),
+                unusable=self.keys.unusable[:MAX_LOGGED_NAMES],
+                shared=self.keys.shared[:MAX_LOGGED_NAMES],
+            )
         self._signal_if_complete()
 
     def set_target(self, entry: model.TargetEntry, revision: int) -> None:
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -82,6 +82,18 @@
             lambda: dict(stats.attempts),
             'outcome',
         )
+        metrics.add_counter(
+            'ragwortchute_gateway_organisation_requests_total',
+            'Requests by organisation; the largest, and the sum of the rest.',
+            stats.organisation_requests.shown,
+            'organisation',
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_organisation_refusals_total',
+            'Final answers that no target made, by organisation.',
+            stats.organisation_refusals.shown,
+            'organisation',
+        )
         metrics.add_counter(
             'ragwortchute_gateway_part_failures_total',
             'Errors that ended a part of the host, which is started again.',
--- a/ragwortchute/gateway/model.py
+++ b/ragwortchute/gateway/model.py
@@ -143,7 +143,7 @@
     software_version: str = ''
 
 
-class HostEntry(msgspec.Struct, frozen=True):
+class HostEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """An entry host.
 
     Attributes:
@@ -155,6 +155,8 @@
         ip: IP address for other hosts.
         peer_port: Port for other hosts, UDP and TCP.
         weight: Share of callers that it can serve, relative to other hosts.
+        token: Token that its requests from other hosts carry, empty if they
+            need none; see `organisations.host_tokens`. It must not be logged.
     """
 
     name: str
@@ -165,3 +167,7 @@
     ip: str
     peer_port: int
     weight: float = 1.0
+    token: str = ''
+
+    def __repr__(self) -> str:
+        return f'HostEntry({self.name!r}, incarnation={self.incarnation})'
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -23,6 +23,7 @@
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import value_delta
+from ragwortchute.gateway.organisations import host_tokens
 
 HOST_NAME = 'ragwortchute-peer'
 # Milliseconds from the arrival of a request to the time at which the replica
@@ -81,20 +82,26 @@
     Args:
         replicas: Replicas by prefix of the store.
         dispatcher: Serves relayed requests.
+        gate: Recognises requests of other hosts; None if all are served.
     """
 
     def __init__(
         self,
         replicas: abc.Mapping[str, replica.Replica],
         dispatcher: dispatcher_.Dispatcher,
+        gate: host_tokens.HostGate | None = None,
     ) -> None:
         self._replicas = replicas
         self._dispatcher = dispatcher
+        self._gate = gate or host_tokens.HostGate('', lambda: False)
         self._cache: dict[str, _CachedBody] = {}
 
     async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Serves a request of another host."""
-        if req.host != HOST_NAME:
+        reads_replica = req.host == HOST_NAME
+        if not self._gate.admits(req, reads_replica=reads_replica):
+            return http_messages.Response(404)
+        if not reads_replica:
             return await self._dispatcher.serve(req, relayed=True)
         loop = asyncio.get_running_loop()
         arrived_s = loop.time()
@@ -164,6 +171,7 @@
         pool: Connections to that host; `close` leaves them open.
         replicas: Replicas of this host by prefix; they are read when the other
             host returns differences.
+        token: Token of the other host, empty if it has none.
     """
 
     def __init__(
@@ -171,8 +179,10 @@
         name: str,
         pool: pools.Pool,
         replicas: abc.Mapping[str, replica.Replica],
+        token: str = '',
     ) -> None:
         self._peer = name
+        self._token = token
         self._pool = pool
         self._replicas = replicas
 
@@ -248,7 +258,11 @@
         own = self._replicas.get(prefix)
         if own is not None and own.revision == after_revision:
             path += '&deltas=1'
-        return f'GET {path} HTTP/1.1\r\nhost: {HOST_NAME}\r\n\r\n'.encode()
+        headers = [
+            (b'host', HOST_NAME.encode()),
+            *host_tokens.token_headers(self._token),
+        ]
+        return http_messages.encode_head(b'GET', path.encode(), '1.1', headers)
 
     def _apply_delta(
         self, prefix: str, delta: value_delta.ValueDelta
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import abc
 import functools
 import random
 
@@ -22,6 +23,7 @@
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import streamed_answers
+from ragwortchute.gateway.organisations import host_tokens
 
 _NOT_FOUND = 404
 _FIRST_ERROR = 400
@@ -51,6 +53,10 @@
         stats: Counters.
         rng: Source of randomness.
         memory: Memory for long answers.
+
+    Attributes:
+        recheck: Returns why a request must not be sent any more, empty if it
+            may.
     """
 
     __slots__ = (
@@ -62,6 +68,7 @@
         '_request_log',
         '_rng',
         '_stats',
+        'recheck',
     )
 
     def __init__(
@@ -82,6 +89,7 @@
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self.recheck: abc.Callable[[attempts.Call], str] = lambda _: ''
 
     def choose(
         self, homes: tuple[str, ...], now_s: float
@@ -118,7 +126,7 @@
             self._request_log.log_relay(call, host, str(exc), now_s)
             return RelayResult()
         try:
-            result = await self._exchange(call, conn)
+            result = await self._exchange(call, host, conn)
         except errors.TargetError as exc:
             pool.release(conn)
             self._request_log.log_relay(call, host, str(exc), now_s)
@@ -151,7 +159,10 @@
         return result
 
     async def _exchange(
-        self, call: attempts.Call, conn: http_client.ClientConnection
+        self,
+        call: attempts.Call,
+        host: model.HostEntry,
+        conn: http_client.ClientConnection,
     ) -> RelayResult:
         """Sends a request on a connection and waits for its answer.
 
@@ -161,7 +172,15 @@
         left_s = call.deadline_s - self._loop.time()
         if left_s <= 0:
             return RelayResult(reason='deadline')
-        head = self._dialect.encode_head(call.req, left_s, None)
+        reason = self.recheck(call)
+        if reason:
+            return RelayResult(reason=reason)
+        head = self._dialect.encode_head(
+            call.req,
+            left_s,
+            None,
+            host_tokens.relay_headers(host, call.organisation),
+        )
         fut = conn.send(
             head,
             self._dialect.accept(call.req),
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -54,6 +54,7 @@
             age_ms=round((attempt.sent_s - reading.taken_s) * 1000, 1),
             expected_ms=round(placed.expected_s * 1000),
             revision=self._state.cfg_revision,
+            **_organisation_field(call.organisation),
         )
 
     def log_answer(
@@ -63,6 +64,7 @@
         outcome: str,
         sends: int,
         arrived_s: float,
+        organisation: model.Organisation | None = None,
     ) -> None:
         """Logs the final answer to a request.
 
@@ -72,6 +74,7 @@
             outcome: Reason of a refusal or failure, else `answer`.
             sends: Number of targets or hosts that it was sent to.
             arrived_s: Loop time of the arrival of the request, in seconds.
+            organisation: Organisation of the caller, None if there is none.
         """
         self._log.event(
             'request',
@@ -82,6 +85,7 @@
             ms=round((self._loop.time() - arrived_s) * 1000, 1),
             revision=self._state.cfg_revision,
             revision_age_ms=self._configuration_age_ms(),
+            **_organisation_field(organisation),
         )
 
     def _configuration_age_ms(self) -> int | None:
@@ -180,3 +184,9 @@
             ms=round((self._loop.time() - attempt.sent_s) * 1000, 1),
             error=error,
         )
+
+
+def _organisation_field(
+    organisation: model.Organisation | None,
+) -> dict[str, str]:
+    return {} if organisation is None else {'organisation': organisation.name}
--- a/ragwortchute/gateway/stats.py
+++ b/ragwortchute/gateway/stats.py
@@ -3,6 +3,7 @@
 import collections
 
 from ragwortchute import durations
+from ragwortchute.gateway.organisations import counts
 
 MAX_ROUTES = 1000  # routes with a histogram of their own
 
@@ -19,12 +20,17 @@
         attempts: Attempts without a response to return, by outcome.
         latency: Latency histograms of responses of targets, by route.
         part_failures: Unexpected ends of parts of this host, by name.
+        organisation_requests: Requests by organisation, at the first host that
+            read them.
+        organisation_refusals: Error responses to them that hosts generated.
     """
 
     __slots__ = (
         'attempts',
         'hedges',
         'latency',
+        'organisation_refusals',
+        'organisation_requests',
         'part_failures',
         'refusals',
         'relays',
@@ -41,6 +47,8 @@
         self.attempts: collections.Counter[str] = collections.Counter()
         self.part_failures: collections.Counter[str] = collections.Counter()
         self.latency: dict[str, durations.Durations] = {}
+        self.organisation_requests = counts.OrganisationCounts()
+        self.organisation_refusals = counts.OrganisationCounts()
 
     def count_answer(self, route: str, elapsed_s: float) -> None:
         """Counts a response of a target.
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -19,6 +19,9 @@
 SERVER_LIMIT = b'server-limit'
 SERVER_LEAVING = b'server-leaving'
 RETRY_AFTER = b'retry-after'
+# Key of a caller, and name of its organisation, which only targets get.
+CREDENTIAL = b'x-credential'
+TENANT = b'x-tenant'
 
 # No target takes as many requests per second; a higher limit is an error.
 MAX_LIMIT_PER_S = 1e6
@@ -37,8 +40,10 @@
 
 # Requests with these methods need no length if they have no body.
 _BODYLESS_METHODS = frozenset({'GET', 'HEAD', 'DELETE', 'OPTIONS'})
-# Request headers that are set for each target.
-_REPLACED_HEADERS = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
+_IDENTITY_HEADERS = frozenset({CREDENTIAL, TENANT})
+# Request headers that are set for each target or host. Those that hosts add
+# are not taken from callers.
+_REPLACED_HEADERS = dialect.HOST_HEADERS | {DEADLINE_MS, EXPECT_INSTANCE}
 # Response headers that are not returned to the caller.
 _INTERNAL_HEADERS = http_messages.HOP_BY_HOP | {
     b'content-length',
@@ -68,11 +73,38 @@
         except ValueError:
             return None
 
+    def credential(self, req: http_messages.Request) -> str:
+        """See base class; one that is not valid UTF-8 is no key."""
+        values = [value for name, value in req.headers if name == CREDENTIAL]
+        if len(values) != 1 or CREDENTIAL in req.trailer_names:
+            return ''
+        try:
+            return values[0].strip(b' \t').decode()
+        except UnicodeDecodeError:
+            return ''
+
+    def drop_identity(self, req: http_messages.Request) -> None:
+        """See base class.
+
+        Some servers take an underscore in a name for a hyphen, so that names
+        with underscores are removed, too.
+        """
+        req.headers = [
+            item
+            for item in req.headers
+            if item[0].replace(b'_', b'-') not in _IDENTITY_HEADERS
+        ]
+
+    def organisation_header(self, name: str) -> tuple[bytes, bytes]:
+        """See base class."""
+        return TENANT, name.encode()
+
     def encode_head(
         self,
         req: http_messages.Request,
         remaining_s: float,
-        entry: model.TargetEntry,
+        entry: model.TargetEntry | None,
+        added: abc.Iterable[tuple[bytes, bytes]] = (),
     ) -> bytes:
         """See base class."""
         chunks = [
@@ -82,6 +114,7 @@
         for name, value in req.headers:
             if name not in _REPLACED_HEADERS:
                 chunks.append(name + b': ' + value + b'\r\n')
+        chunks += [name + b': ' + value + b'\r\n' for name, value in added]
         chunks.append(
             b'x-request-deadline-ms: %d\r\n' % max(1, int(remaining_s * 1000))
         )
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -135,6 +135,7 @@
         dispatcher: Serves requests.
         listener: Listener for callers.
         outdated: Whether the host knows of a newer configuration for too long.
+        confirmed: Whether the configuration was confirmed recently.
     """
 
     def __init__(
@@ -195,6 +196,7 @@
             statements=self.reader,
             grace_period=self.grace_period,
             is_outdated=lambda: self.outdated,
+            is_confirmed=lambda: self.confirmed,
             limits=limits,
             stats=self.stats,
             rng=rng,
@@ -207,6 +209,7 @@
             'callers',
         )
         self.outdated = False
+        self.confirmed = True
         self._request_count = 0
 
     async def start(
