--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -14,6 +14,7 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import model
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway.organisations import identity
@@ -108,7 +109,7 @@
             call: The request.
             reply: Answer of that host.
         """
-        self._count_refusal('relay', call)
+        self._count_refusal('relay', call.req, call.organisation)
         self._request_log.log_answer(
             call.request_id,
             reply.status,
@@ -149,7 +150,9 @@
             status = 502
         else:
             self.on_not_run(call)
-            return self.refuse(call.req, reason, wait_s, call.sends, call)
+            return self.refuse(
+                call.req, reason, wait_s, call.sends, call.organisation
+            )
         return self._fail(call, status, reason)
 
     def _fail(
@@ -164,7 +167,7 @@
             call.req.arrived_s,
             call.organisation,
         )
-        self._count_refusal(reason, call)
+        self._count_refusal(reason, call.req, call.organisation)
         return http_messages.Response(status)
 
     def refuse(
@@ -173,7 +176,7 @@
         reason: str,
         wait_s: float,
         sends: int = 0,
-        call: attempts.Call | None = None,
+        organisation: model.Organisation | None = None,
     ) -> http_messages.Response:
         """Returns an answer stating that a request has not been executed.
 
@@ -183,10 +186,9 @@
             wait_s: Time in seconds after which the caller may retry. It is
                 randomised so that callers don't retry at the same time.
             sends: Number of targets that it was sent to and that rejected it.
-            call: The request if it was accepted, else None.
+            organisation: Organisation of the caller, None if none is known.
         """
         status = _STATUSES.get(reason, 503)
-        organisation = call.organisation if call is not None else None
         wait_s = max(MIN_RETRY_AFTER_S, wait_s)
         wait_s *= self._rng.uniform(MIN_SPREAD, MAX_SPREAD)
         self._request_log.log_answer(
@@ -197,17 +199,23 @@
             req.arrived_s,
             organisation,
         )
-        self._count_refusal(reason, call)
+        self._count_refusal(reason, req, organisation)
         if status == _UNAUTHORISED:
             return http_messages.Response(status)
         return http_messages.Response(
             status, [http_messages.retry_after(wait_s)]
         )
 
-    def _count_refusal(self, reason: str, call: attempts.Call | None) -> None:
+    def _count_refusal(
+        self,
+        reason: str,
+        req: http_messages.Request,
+        organisation: model.Organisation | None,
+    ) -> None:
         self._stats.count_refusal(reason)
-        if call is not None and call.key:
-            self._stats.organisation_refusals.add(call.organisation.name)
+        # The host that relayed a request counts its refusal, too.
+        if organisation is not None and not req.organisation:
+            self._stats.organisation_refusals.add(organisation.name)
 
 
 def retry_after_s(refused: candidates.NoPlacement) -> float:
--- a/ragwortchute/gateway/intake.py
+++ b/ragwortchute/gateway/intake.py
@@ -119,7 +119,12 @@
             return self._refuse(req, caller)
         blocked_s = self._crash_guard.blocked_s(req, self._loop.time())
         if blocked_s > 0:
-            return self._answers.refuse(req, 'crashes-targets', blocked_s)
+            return self._answers.refuse(
+                req,
+                'crashes-targets',
+                blocked_s,
+                organisation=caller.organisation,
+            )
         remaining_s = self._dialect.remaining_s(req)
         if remaining_s is None or remaining_s > route.timeout_s:
             remaining_s = route.timeout_s
@@ -221,7 +226,10 @@
         if wait_s <= 0:
             self._quotas.give_back(caller.organisation, now_s)
             return None
-        return self._answers.refuse(req, answers_.OVER_QUOTA, wait_s)
+        self._stats.organisation_requests.add(caller.organisation.name)
+        return self._answers.refuse(
+            req, answers_.OVER_QUOTA, wait_s, organisation=caller.organisation
+        )
 
     def _answer_not_found(
         self, req: http_messages.Request, reason: str
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -30,6 +30,7 @@
     Attributes:
         request_id: Value of the header `x-request-id`.
         path: Path of the request.
+        head: Head of the request, as received.
         deadline_ms: Value of the header `x-request-deadline-ms`; 0 if it is
             missing.
         started_s: Loop time at which the request arrived, in seconds.
@@ -42,16 +43,23 @@
         'deadline_ms',
         'ended',
         'ended_s',
+        'head',
         'path',
         'request_id',
         'started_s',
     )
 
     def __init__(
-        self, request_id: str, path: str, deadline_ms: int, started_s: float
+        self,
+        request_id: str,
+        path: str,
+        deadline_ms: int,
+        started_s: float,
+        head: str = '',
     ) -> None:
         self.request_id = request_id
         self.path = path
+        self.head = head
         self.deadline_ms = deadline_ms
         self.started_s = started_s
         self.ended = ''
@@ -266,6 +274,7 @@
             path,
             int(headers.get('x-request-deadline-ms', 0)),
             now_s,
+            head,
         )
         if not await self._execute(run, reader):
             return False
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -34,10 +34,12 @@
         self.targets = []
         self.tasks = []
         self.grace_s = 2.0
+        self.configuration = test_adapter.CONFIG
+        self.contracts = frozenset()
 
     async def start(self, *domains, targets=2):
         await self.server.start()
-        await self.server.put('config', 'main', test_adapter.CONFIG)
+        await self.server.put('config', 'main', self.configuration)
         for number in range(targets):
             target = platform_targets.TargetServer(f't{number}', 's')
             await target.start()
@@ -68,7 +70,13 @@
 
     def build(self, me):
         settings = application.Settings(
-            me, rigs.DOMAINS, me.ip, self.grace_s, 5.4, dispatcher.Limits()
+            me,
+            rigs.DOMAINS,
+            me.ip,
+            self.grace_s,
+            5.4,
+            dispatcher.Limits(),
+            contracts=self.contracts,
         )
         store = objects.ObjectStore('127.0.0.1', self.server.port)
         log = rigs.MemoryLog()
