Find the refusal reasons of the gateway in all their forms again

test_operations_list_every_reason_of_the_gateway fails since the checks of a request moved to the intake: it did not see the reasons that are passed to _refuse, and took numbers for reasons. It now sees these calls, only takes strings, and also requires every reason that organisations have.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -248,7 +248,9 @@
     'StatedWait',
     'give_up',
     'refuse',
+    '_refuse',
     'count_refusal',
+    '_count_refusal',
 }
 # Functions that return the reason of a refusal, or '' for none.
 _REASON_FUNCTIONS = {'_find_reason', 'offer', 'refusal_reason'}
@@ -315,17 +317,27 @@
     return found
 
 
+def string_constants(tree):
+    """Returns the constants of a module that are strings, by name."""
+    return {
+        node.targets[0].id: node.value.value
+        for node in tree.body
+        if isinstance(node, ast.Assign)
+        and isinstance(node.value, ast.Constant)
+        and isinstance(node.value.value, str)
+    }
+
+
 def gateway_reasons():
     """Returns the reasons for which the gateway gives up a request."""
-    found = set()
+    # The functions of this module return the reasons, which are its constants.
+    identity = PACKAGE / 'gateway' / 'organisations' / 'identity.py'
+    reasons = string_constants(ast.parse(identity.read_text()))
+    found = set(reasons.values())
     for path in sorted((PACKAGE / 'gateway').glob('*.py')):
         tree = ast.parse(path.read_text())
-        constants = {
-            node.targets[0].id: node.value.value
-            for node in tree.body
-            if isinstance(node, ast.Assign)
-            and isinstance(node.value, ast.Constant)
-        }
+        constants = string_constants(tree)
+        found |= {constants.get('OVER_QUOTA', '')}
         for node in ast.walk(tree):
             if not isinstance(node, ast.Call):
                 continue
