Read the configuration in full if newer versions are known

Cause: a watch returns each version since the known one. Change: a host that knows of a newer revision than its own reads the store in full, which returns the last version only.

--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -11,12 +11,11 @@
 import math
 import random
 
-import msgspec
-
 from ragwortchute import errors
 from ragwortchute import progress
 from ragwortchute import stores
 from ragwortchute.gateway import age_limit
+from ragwortchute.gateway import deferred_removals
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import replica as replica_
 from ragwortchute.gateway import source_choice
@@ -78,7 +77,7 @@
         self._outdated_sources: set[str] = set()
         # Name of the source that has answered last.
         self._answered_by = ''
-        # Whether the store has answered the last call of it.
+        # Whether the store has answered its last call.
         self._store_answered = False
         self._preferred_source: source_choice.Source | None = None
         self._reading_replica = False
@@ -198,7 +197,7 @@
             self._reading_replica = bool(source.name)
             self.replica.filling = not (source.name or self.replica.revision)
             try:
-                if self._needs_full_read:
+                if self._needs_full_read or self._lacks_versions(source):
                     await self._read_all(source)
                 else:
                     await self._read_changes(source)
@@ -225,6 +224,14 @@
                     await self._pause(backoff_s * jitter)
                     backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
+    def _lacks_versions(self, source: source_choice.Source) -> bool:
+        """Returns whether a full read of the store is shorter than changes.
+
+        Those contain each version of the configuration since the known one.
+        """
+        from_store = not source.name
+        return from_store and self.holds_configuration and self.behind_s() > 0
+
     def _may_ask_again(
         self, source: source_choice.Source, exc: errors.StoreError
     ) -> bool:
@@ -410,7 +417,7 @@
         """Waits for an answer, at most until another source is to be read.
 
         Returns:
-            The answer, or None if another source is to be read instead.
+            The answer; None if another source is to be read instead.
 
         Raises:
             StoreError: The source has no valid answer.
@@ -437,13 +444,11 @@
     ) -> stores.WatchAnswer:
         """Returns an answer with a revision that can be relied on."""
         self._seen_revision = max(self._seen_revision, answer.revision)
-        if source.name or answer.objects or answer.removed:
+        if source.name:
             self._unchanged.clear()
             return answer
-        return stores.WatchAnswer(
-            self._unchanged.reliable_revision(
-                self._loop.time(), answer.revision, self.replica.revision
-            )
+        return self._unchanged.reliable_answer(
+            self._loop.time(), answer, self.replica.revision
         )
 
     def _defer_removals(
@@ -455,21 +460,14 @@
     ) -> stores.WatchAnswer:
         """Defers removals right after an outage of the store.
 
-        Entries expire during an outage because their writers can't renew them.
         Entries that are still missing at the end of the delay are removed.
         """
         left_s = self._health.removal_delay_left_s()
         if source.name or not self._feed.entries_expire or left_s <= 0:
             return answer
-        if full_read:
-            deferred = self.replica.objects_not_in(answer.objects)
-            filtered = msgspec.structs.replace(
-                answer, objects=answer.objects + deferred
-            )
-            names = [obj.name for obj in deferred]
-        else:
-            filtered = msgspec.structs.replace(answer, removed=())
-            names = list(answer.removed)
+        filtered, names = deferred_removals.without_removals(
+            answer, self.replica, full_read=full_read
+        )
         if names:
             self._log.event(
                 'removals-put-off', names=names, for_s=round(left_s, 2)
--- a/ragwortchute/gateway/unchanged_answers.py
+++ b/ragwortchute/gateway/unchanged_answers.py
@@ -7,6 +7,8 @@
 
 import collections
 
+from ragwortchute import stores
+
 CONFIRM_S = 3.0
 
 
@@ -25,6 +27,23 @@
         """Forgets all answers, since there was a change."""
         self._answers.clear()
 
+    def reliable_answer(
+        self, now_s: float, answer: stores.WatchAnswer, known_revision: int
+    ) -> stores.WatchAnswer:
+        """Returns an answer of the store with a revision that is reliable.
+
+        Args:
+            now_s: Loop time in seconds.
+            answer: The answer; one with changes is returned as it is.
+            known_revision: Revision that has been relied on so far.
+        """
+        if answer.objects or answer.removed:
+            self.clear()
+            return answer
+        return stores.WatchAnswer(
+            self.reliable_revision(now_s, answer.revision, known_revision)
+        )
+
     def reliable_revision(
         self, now_s: float, revision: int, known_revision: int
     ) -> int:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -37,6 +37,7 @@
         self.stale_calls: collections.Counter[str] = collections.Counter()
         self.mode = 'up'
         self.suppress_events = False
+        self.sent_bytes = 0
         self._objects: dict[tuple[str, str], dict[str, object]] = {}
         self._history: list[tuple[int, str, str, dict[str, object], bool]] = []
         self._oldest_revision = 1
@@ -191,9 +192,9 @@
         self, status: int, body: object
     ) -> http_messages.Response:
         headers = [(b'content-type', b'application/json')]
-        return http_messages.Response(
-            status, headers, msgspec.json.encode(body)
-        )
+        content = msgspec.json.encode(body)
+        self.sent_bytes += len(content)
+        return http_messages.Response(status, headers, content)
 
 
 class NullLog:
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -352,6 +352,22 @@
         await rig.until({'a': '2'})
         assert rig.follower.behind_s() == 0
 
+    async def test_versions_in_between_are_not_read(self, rig):
+        # The store returned each version to each host whose reader was lost,
+        # which filled the link between two regions.
+        rig.feed.holds_configuration = True
+        await rig.server.put('things', 'a', 0)
+        rig.follow()
+        await rig.until({'a': '0'})
+        rig.server.suppress_events = True
+        await rig.server.close_connections()
+        sent_bytes = rig.server.sent_bytes
+        for value in ('x' * 50_000, 'y' * 50_000, 'z' * 50_000):
+            revision = await rig.server.put('things', 'a', value)
+        rig.follower.on_newer_revision(revision, rig.store_source())
+        await rig.until({'a': '"' + 'z' * 50_000 + '"'})
+        assert rig.server.sent_bytes - sent_bytes < 2 * 50_000
+
     async def test_claim_that_the_store_refutes_is_dropped(self, rig):
         # Otherwise, one wrong message would make all hosts refuse requests.
         await rig.server.put('things', 'a', 1)
