--- /dev/null
+++ b/tests/test_resources/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits for callers, with real processes."""
