--- a/ragwortchute/errors.py
+++ b/ragwortchute/errors.py
@@ -117,6 +117,10 @@
     not_run = True
 
 
+class NoDescriptor(ConnectFailed):
+    """This host may open no further connection, so nothing was sent."""
+
+
 class TargetShed(TargetError):
     """The target shed the request: it refused explicitly before running it.
 
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -9,7 +9,6 @@
 
 from ragwortchute import stores
 from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dialect as dialects
@@ -26,13 +25,13 @@
 from ragwortchute.gateway import pauses
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
+from ragwortchute.gateway import pipeline
 from ragwortchute.gateway import planned_stop
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import server_connection
 from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import sources
 from ragwortchute.gateway import statement_reader
@@ -43,6 +42,8 @@
 from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.resources import account
+from ragwortchute.gateway.resources import limits as limits_
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -61,11 +62,6 @@
 OUTDATED_AFTER_FRACTION = 0.5
 # Used where the settings name no memory.
 DEFAULT_MEMORY_BYTES = 200e6
-# Share of the memory for long bodies of requests; the rest is for the process
-# itself and for small answers.
-BODIES_MEMORY_FRACTION = 0.35
-# Share of the memory for long answers that are passed on.
-ANSWERS_MEMORY_FRACTION = 0.15
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -120,6 +116,7 @@
         target_report: What targets have said, by their names.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
+        account: Account of memory, connections and descriptors.
         bodies: Memory for long bodies of requests.
         answers: Memory for long answers.
         callers: Listener for callers.
@@ -174,7 +171,11 @@
         self._selector = candidates.TargetSelector(
             self.rng, self._send_limits, reader, settings.limits.probes_per_s
         )
-        self._host_pools = pools.HostPools()
+        self.account = account.Account(
+            limits_.derive(settings.memory_bytes, settings.max_descriptors), log
+        )
+        self.state.upstream = self.account.upstream
+        self._host_pools = pools.HostPools(self.account.upstream)
         self._failure_reports = failure_reports.FailureReports(
             self.rng, self.state.note_reported_failure
         )
@@ -183,12 +184,11 @@
         self.dispatcher = self._create_dispatcher(dialect, reader)
         self._followers: dict[str, store_follower.Follower] = {}
         self._replicas: dict[str, replica.Replica] = {}
-        self.bodies = body_budget.BodyBudget(
-            int(settings.memory_bytes * BODIES_MEMORY_FRACTION)
-        )
+        self.bodies = self.account.bodies
         self.callers = self._create_listener(self.dispatcher.serve, 'callers')
         api = peer_api.PeerApi(self._replicas, self.dispatcher)
         self.peers = self._create_listener(api.serve, 'peers')
+        self.peers.essential = True
         self.membership.local_revisions = self._last_change_revisions
         self.membership.on_peer_revision = self._on_peer_revision
         self.leaving = False
@@ -208,7 +208,7 @@
         self.membership.on_crash_notice = guard.handle_notice
         self.membership.on_answer_notice = guard.handle_answer_notice
         self.answers = answer_memory.AnswerMemory(
-            int(self._settings.memory_bytes * ANSWERS_MEMORY_FRACTION)
+            self.account.limits.answer_bytes
         )
         request_log_ = request_log.RequestLog(log, self.state, self.stats)
         dispatcher_ = dispatcher.Dispatcher(
@@ -242,10 +242,14 @@
         return dispatcher_
 
     def _create_listener(
-        self, handler: server_connection.Handler, name: str
+        self, handler: pipeline.Handler, name: str
     ) -> http_server.Listener:
         return http_server.Listener(
-            handler, lambda: self.state.limits, self._log, name, self.bodies
+            handler,
+            lambda: self.state.limits,
+            self._log,
+            name,
+            account=self.account,
         )
 
     @property
@@ -439,6 +443,7 @@
         while True:
             await asyncio.sleep(eventlog.FLUSH_S)
             now_s = self._loop.time()
+            self.account.update(self.state.limits.max_body_bytes)
             senders = self.membership.possible_senders(now_s)
             self._host_pools.keep_only(frozenset(senders))
             self._send_limits.fleet = pacing.make_fleet(
--- a/ragwortchute/gateway/body_budget.py
+++ b/ragwortchute/gateway/body_budget.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
-import collections
+from collections import abc
+
+from ragwortchute.gateway.resources import limits
 
 
 class Reservation:
@@ -14,12 +16,14 @@
 
     Attributes:
         size_bytes: Reserved bytes.
+        short_bytes: Those of the memory that only short bodies may take.
     """
 
-    __slots__ = ('size_bytes',)
+    __slots__ = ('short_bytes', 'size_bytes')
 
     def __init__(self) -> None:
         self.size_bytes = 0
+        self.short_bytes = 0
 
 
 class BodyBudget:
@@ -31,39 +35,69 @@
 
     Args:
         limit_bytes: Bytes that may be reserved at the same time.
+        short_limit_bytes: Bytes that only short bodies may take in addition.
+        on_wait: Called when a body has to wait.
 
     Attributes:
+        limit_bytes: Bytes that may be reserved beside a body that exceeds the
+            limit.
+        most_bytes: Bytes that may be reserved while no body exceeds this.
         used_bytes: Reserved bytes of all bodies.
     """
 
-    __slots__ = ('_exempt', '_limit_bytes', '_waiting', 'used_bytes')
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
+    __slots__ = (
+        '_exempt',
+        '_on_wait',
+        '_short_bytes',
+        '_short_limit_bytes',
+        '_waiting',
+        'limit_bytes',
+        'most_bytes',
+        'used_bytes',
+    )
+
+    def __init__(
+        self,
+        limit_bytes: int,
+        short_limit_bytes: int = 0,
+        on_wait: abc.Callable[[], None] | None = None,
+    ) -> None:
+        self.limit_bytes = limit_bytes
+        self.most_bytes = limit_bytes
+        self._short_limit_bytes = short_limit_bytes
+        self._on_wait = on_wait
         self._exempt: Reservation | None = None
-        self._waiting: collections.deque[
-            tuple[Reservation, int, asyncio.Future[None]]
-        ] = collections.deque()
+        self._waiting: dict[Reservation, tuple[int, asyncio.Future[None]]] = {}
+        self._short_bytes = 0
         self.used_bytes = 0
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a body waits for memory."""
+        return bool(self._waiting)
+
     def extend(
         self, reservation: Reservation, size_bytes: int
     ) -> asyncio.Future[None] | None:
         """Reserves more memory for a body.
 
         Args:
-            reservation: Reservation of the body.
+            reservation: Reservation of the body, which does not wait.
             size_bytes: Bytes to add to it.
 
         Returns:
             None if they are reserved, else a future that is done once they are.
         """
+        if self._extend_short(reservation, size_bytes):
+            return None
         waits = self._waiting and reservation is not self._exempt
         if not waits and self._may_grant(reservation, size_bytes):
             self._grant(reservation, size_bytes)
             return None
         fut = asyncio.get_running_loop().create_future()
-        self._waiting.append((reservation, size_bytes, fut))
+        self._waiting[reservation] = size_bytes, fut
+        if self._on_wait is not None:
+            self._on_wait()
         return fut
 
     def shrink(self, reservation: Reservation, size_bytes: int) -> None:
@@ -73,32 +107,55 @@
             return
         self.used_bytes -= unused_bytes
         reservation.size_bytes = size_bytes
+        unused_short_bytes = max(0, reservation.short_bytes - size_bytes)
+        reservation.short_bytes -= unused_short_bytes
+        self._short_bytes -= unused_short_bytes
         if reservation is self._exempt and not size_bytes:
             self._exempt = None
         self._grant_waiting()
 
     def withdraw(self, reservation: Reservation) -> None:
         """Ends the wait of a reservation for more memory."""
-        self._waiting = collections.deque(
-            item for item in self._waiting if item[0] is not reservation
+        if self._waiting.pop(reservation, None) is not None:
+            self._grant_waiting()
+
+    def _extend_short(self, reservation: Reservation, size_bytes: int) -> bool:
+        """Takes memory for short bodies; returns whether there was enough."""
+        is_short = (
+            reservation.size_bytes + size_bytes <= limits.SHORT_BODY_BYTES
         )
-        self._grant_waiting()
+        is_left = self._short_bytes + size_bytes <= self._short_limit_bytes
+        if not (is_short and is_left):
+            return False
+        self._short_bytes += size_bytes
+        reservation.short_bytes += size_bytes
+        reservation.size_bytes += size_bytes
+        self.used_bytes += size_bytes
+        return True
 
     def _grant_waiting(self) -> None:
-        while self._waiting and self._may_grant(*self._waiting[0][:2]):
-            reservation, size_bytes, fut = self._waiting.popleft()
+        while self._waiting:
+            reservation, (size_bytes, fut) = next(iter(self._waiting.items()))
+            if not self._may_grant(reservation, size_bytes):
+                return
+            del self._waiting[reservation]
             self._grant(reservation, size_bytes)
             fut.set_result(None)
 
     def _may_grant(self, reservation: Reservation, size_bytes: int) -> bool:
+        if self._exempt is reservation:
+            return True
+        long_bytes = self.used_bytes - self._short_bytes
+        if self._exempt is not None:
+            return long_bytes + size_bytes <= self.limit_bytes
+        own_bytes = reservation.size_bytes - reservation.short_bytes
         return (
-            self.used_bytes + size_bytes <= self._limit_bytes
-            or self._exempt is None
-            or self._exempt is reservation
+            long_bytes + size_bytes <= self.most_bytes
+            or long_bytes - own_bytes <= self.limit_bytes
         )
 
     def _grant(self, reservation: Reservation, size_bytes: int) -> None:
         self.used_bytes += size_bytes
         reservation.size_bytes += size_bytes
-        if self.used_bytes > self._limit_bytes:
+        if self.used_bytes - self._short_bytes > self.most_bytes:
             self._exempt = reservation
--- a/ragwortchute/gateway/body_reader.py
+++ b/ragwortchute/gateway/body_reader.py
@@ -7,6 +7,10 @@
 
 # Bodies up to this length need no reservation.
 SMALL_BODY_BYTES = 64 << 10
+# Parts below this length are joined as they arrive: a body in chunks of a byte
+# would take an object and a pointer for each.
+SMALL_PART_BYTES = 4 << 10
+JOINED_BYTES = 64 << 10
 
 
 class BodyReader:
@@ -17,15 +21,18 @@
         on_reserved: Called when a body that had to wait may be read on.
 
     Attributes:
+        has_long_parts: Whether the last part was not small.
         size_bytes: Length of the body so far.
     """
 
     __slots__ = (
         '_budget',
+        '_joined',
         '_on_reserved',
         '_parts',
         '_reservation',
         '_waiter',
+        'has_long_parts',
         'size_bytes',
     )
 
@@ -37,8 +44,11 @@
         self._budget = budget
         self._on_reserved = on_reserved
         self._parts: list[bytes] = []
+        # Small parts that have arrived last.
+        self._joined = bytearray()
         self._reservation = body_budget.Reservation()
         self._waiter: asyncio.Future[None] | None = None
+        self.has_long_parts = False
         self.size_bytes = 0
 
     @property
@@ -67,8 +77,15 @@
 
     def add(self, part: bytes) -> None:
         """Adds a part."""
-        self._parts.append(part)
         self.size_bytes += len(part)
+        self.has_long_parts = len(part) >= SMALL_PART_BYTES
+        if not self.has_long_parts:
+            self._joined += part
+            if len(self._joined) >= JOINED_BYTES:
+                self._end_joined()
+        else:
+            self._end_joined()
+            self._parts.append(part)
 
     def take(self) -> tuple[list[bytes], body_budget.Reservation]:
         """Returns the parts of the complete body and their reservation.
@@ -76,10 +93,12 @@
         The caller must release it. The reader is empty afterwards.
         """
         self._end_wait()
+        self._end_joined()
         self._budget.shrink(self._reservation, self.size_bytes)
         taken = self._parts, self._reservation
         self._parts = []
         self._reservation = body_budget.Reservation()
+        self.has_long_parts = False
         self.size_bytes = 0
         return taken
 
@@ -87,9 +106,26 @@
         """Drops the body and releases its memory."""
         self._end_wait()
         self._parts = []
+        self._joined.clear()
+        self.has_long_parts = False
         self.size_bytes = 0
         self._budget.shrink(self._reservation, 0)
 
+    @property
+    def reserved_bytes(self) -> int:
+        """Bytes that are reserved for the body."""
+        return self._reservation.size_bytes
+
+    @property
+    def unreserved_bytes(self) -> int:
+        """Bytes of a body without a reservation."""
+        return 0 if self._reservation.size_bytes else self.size_bytes
+
+    def _end_joined(self) -> None:
+        if self._joined:
+            self._parts.append(bytes(self._joined))
+            self._joined.clear()
+
     def _end_wait(self) -> None:
         if self._waiter is not None:
             self._waiter = None
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -370,6 +370,9 @@
         now_s = self._loop.time()
         try:
             conn, reading = task.result()
+        except errors.NoDescriptor:
+            # The shortage is this host's; it says nothing of the target.
+            return None
         except errors.TargetError:
             target.note_failure(now_s)
             return None
--- /dev/null
+++ b/ragwortchute/gateway/connection_owner.py
@@ -0,0 +1,40 @@
+"""What a connection of a caller needs of the listener that accepted it."""
+
+import asyncio
+from collections import abc
+import typing
+
+from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import model
+from ragwortchute.gateway import pipeline
+from ragwortchute.gateway.resources import account as account_
+
+
+class Owner(typing.Protocol):
+    """The listener.
+
+    Attributes:
+        handler: Returns the response to a request.
+        limits: Returns the current limits on requests.
+        log: Event log.
+        name: Name of the listener in the log.
+        bodies: Memory for long bodies.
+        account: Account of memory and connections.
+        essential: Whether its connections may take reserved descriptors.
+        draining: Whether connections are closed after their last response.
+        connections: Open connections.
+    """
+
+    handler: pipeline.Handler
+    limits: abc.Callable[[], model.Limits]
+    log: eventlog.EventLog
+    name: str
+    bodies: body_budget.BodyBudget
+    account: account_.Account
+    essential: bool
+    draining: bool
+    connections: set[asyncio.BufferedProtocol]
+
+    def notify_finished(self) -> None:
+        """Notes that a connection has ended."""
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -13,6 +13,7 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import routing
 from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.resources import upstream as upstream_
 
 
 class HostState:
@@ -33,6 +34,7 @@
         limits: Limits of the configuration in force.
         targets: Targets by name.
         domains_out: Failure domains whose targets get no requests.
+        upstream: Bounds the connections to targets; None for no bound.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.limits = model.Limits()
         self.targets: dict[str, targets_.Target] = {}
         self.domains_out: set[str] = set()
+        self.upstream: upstream_.Upstream | None = None
         self._completed = asyncio.Event()
         self._targets_read = False
         self._domains_out_read = False
@@ -263,6 +266,7 @@
             region,
             same_domain=entry.failure_domain == self._failure_domain,
             same_region=region == self.region,
+            upstream=self.upstream,
         )
         if self.cfg is not None:
             target.service = self.cfg.services.get(entry.service)
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -7,14 +7,20 @@
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
+from ragwortchute.gateway import pipeline
 from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.resources import account as account_
+from ragwortchute.gateway.resources import limits as limits_
 
 EXPIRY_CHECK_S = 0.25
 # The kernel takes this much of a response before it can send it. With more, a
 # host would take many responses for sent that a slow caller has yet to read.
 UNSENT_IN_KERNEL_BYTES = 128 << 10
-# Memory for long bodies of a listener that shares none.
-DEFAULT_BODIES_BYTES = 16 << 20
+# Connections accepted at once: those beyond the limit hold descriptors until
+# the loop has closed them.
+ACCEPT_BATCH = 4
+# Memory of a listener that shares no account.
+DEFAULT_MEMORY_BYTES = 200e6
 
 
 class Listener:
@@ -25,26 +31,33 @@
         limits: Returns the current limits on requests.
         log: Event log.
         name: Name of the listener in the log.
-        bodies: Memory for long bodies, which listeners may share.
+        bodies: Memory for long bodies; that of the account by default.
+        account: Account of memory and connections, which listeners may share.
 
     Attributes:
+        essential: Whether connections may take reserved descriptors.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
     """
 
     def __init__(
         self,
-        handler: server_connection.Handler,
+        handler: pipeline.Handler,
         limits: abc.Callable[[], model.Limits],
         log: eventlog.EventLog,
         name: str,
         bodies: body_budget.BodyBudget | None = None,
+        account: account_.Account | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.log = log
         self.name = name
-        self.bodies = bodies or body_budget.BodyBudget(DEFAULT_BODIES_BYTES)
+        self.account = account or account_.Account(
+            limits_.derive(DEFAULT_MEMORY_BYTES, 0), log
+        )
+        self.bodies = bodies or self.account.bodies
+        self.essential = False
         self.draining = False
         self.connections: set[server_connection.ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -54,14 +67,21 @@
     async def start(self, ip: str, port: int, backlog: int = 512) -> None:
         """Starts to listen and to close idle connections."""
         loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((ip, port))
+        except OSError:
+            sock.close()
+            raise
         self._server = await loop.create_server(
             lambda: server_connection.ServerConnection(self),
-            ip,
-            port,
-            backlog=backlog,
+            sock=sock,
+            backlog=ACCEPT_BATCH,
         )
-        for sock in self._server.sockets:
-            self._limit_unsent(sock)
+        # The loop takes its backlog for the number to accept at once, too.
+        sock.listen(backlog)
+        self._limit_unsent(sock)
         self._expiry_task = asyncio.create_task(self._expire_connections())
 
     def _limit_unsent(self, sock: socket.socket) -> None:
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -19,6 +19,7 @@
         self._metrics = scraping.Metrics()
         scraping.add_process(self._metrics)
         self._add_request_metrics()
+        self._add_limit_metrics()
         self._add_state_metrics()
 
     async def serve(self, req: http_messages.Request) -> http_messages.Response:
@@ -104,6 +105,37 @@
             'route',
         )
 
+    def _add_limit_metrics(self) -> None:
+        account = self._gateway.account
+        self._metrics.add_counter(
+            'ragwortchute_gateway_limited_total',
+            'Requests refused and connections closed at a limit, by limit.',
+            lambda: dict(account.shed),
+            'limit',
+        )
+        for name, help_text, read_value in (
+            (
+                'ragwortchute_gateway_request_bytes',
+                'Memory of requests and of responses that are not taken.',
+                lambda: account.held_bytes,
+            ),
+            (
+                'ragwortchute_gateway_accepted_connections',
+                'Connections accepted from callers and other hosts.',
+                lambda: len(account.connections),
+            ),
+            (
+                'ragwortchute_gateway_target_connections',
+                'Connections to targets and other hosts.',
+                lambda: account.upstream.used,
+            ),
+        ):
+            self._metrics.add_gauge(
+                name,
+                help_text,
+                lambda read_value=read_value: {'': read_value()},
+            )
+
     def _add_state_metrics(self) -> None:
         gateway = self._gateway
         metrics = self._metrics
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peer_api.py
@@ -210,7 +210,10 @@
         head = self._encode_watch(prefix, after_revision, wait_s)
         try:
             reply = await http_exchange.exchange(
-                self._pool, head, wait_s + RESPONSE_TIMEOUT_S, progress
+                pools.EssentialConnections(self._pool),
+                head,
+                wait_s + RESPONSE_TIMEOUT_S,
+                progress,
             )
         except errors.TargetError as exc:
             raise self._unavailable(str(exc)) from exc
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -10,6 +10,7 @@
 from ragwortchute.gateway import body_reader
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.resources import account
 
 # How long the rest of a long body waits for memory. Callers give up on a host
 # that does not read their request for a second.
@@ -18,6 +19,10 @@
 _BODY_RETRY_AFTER_S = 0.5
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Bytes read at once: of a body in long parts, and of anything else. Parsing
+# 16 KiB of the shortest headers or chunks takes a few milliseconds.
+LONG_READ_BYTES = 64 << 10
+READ_BYTES = 16 << 10
 
 
 class Receiver(typing.Protocol):
@@ -58,6 +63,7 @@
         ended: Whether all further data is ignored.
         started_s: Loop time at which the incomplete request began, 0 if there
             is none.
+        head_held_bytes: Memory of the head of the last request that began.
     """
 
     __slots__ = (
@@ -75,6 +81,7 @@
         '_requests_begun',
         '_url',
         'ended',
+        'head_held_bytes',
         'started_s',
     )
 
@@ -102,6 +109,28 @@
         """Whether the rest of a body must wait for memory."""
         return self._body.waiting
 
+    @property
+    def has_reservation(self) -> bool:
+        """Whether memory is reserved for the body of the request."""
+        return self._body.reserved_bytes > 0
+
+    @property
+    def read_bytes(self) -> int:
+        """Number of bytes to read at once."""
+        return LONG_READ_BYTES if self._body.has_long_parts else READ_BYTES
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the incomplete request without a reservation."""
+        if not self.started_s:
+            return 0
+        # The parser keeps an incomplete header.
+        unparsed_bytes = min(self._received_bytes, READ_BYTES)
+        return (
+            max(self.head_held_bytes, unparsed_bytes)
+            + self._body.unreserved_bytes
+        )
+
     @property
     def should_keep_alive(self) -> bool:
         """Whether the caller lets the connection carry another request."""
@@ -111,10 +140,11 @@
         """Ignores all further data and drops an incomplete request."""
         self.ended = True
         self.started_s = 0.0
+        self._headers = []
         self._stop_body_wait()
         self._body.clear()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses received bytes."""
         if self.ended:
             return
@@ -137,7 +167,7 @@
             allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
             self._check_head(framing_bytes - allowed)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
         """Parses received bytes.
 
         A request to change the protocol is served as any other, which HTTP
@@ -163,7 +193,7 @@
                     self._parser.get_http_version(),
                     [item for item in self._headers if item[0] != b'upgrade'],
                 )
-                data = head + data[exc.args[0] :]
+                data = head + bytes(data[exc.args[0] :])
                 self._parser = httptools.HttpRequestParser(self)
                 self._requests_begun -= 1
 
@@ -182,6 +212,7 @@
         if self.ended:
             return
         self._url += url
+        self.head_held_bytes += len(url)
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -189,7 +220,9 @@
         if self.ended:
             return
         self._headers.append((name.lower(), value))
-        self._count_head(len(name) + len(value) + 4)
+        size = len(name) + len(value)
+        self.head_held_bytes += size + account.HEADER_BYTES
+        self._count_head(size + 4)
 
     def on_headers_complete(self) -> None:
         """Reserves memory for the body and lets the caller send it."""
@@ -236,6 +269,8 @@
         except ValueError:
             self._receiver.reject(400)
             return
+        # An idle connection would keep them until its next request.
+        self._headers = []
         self._stop_body_wait()
         req.accepts_chunks = self._parser.get_http_version() != '1.0'
         req.body_parts, reservation = self._body.take()
@@ -282,6 +317,7 @@
         self._expects_continue = False
         self._body.clear()
         self._head_bytes = 0
+        self.head_held_bytes = 0
         self._received_bytes = 0
 
     def _count_head(self, size: int) -> None:
--- /dev/null
+++ b/ragwortchute/gateway/resources/account.py
@@ -0,0 +1,221 @@
+"""Account of memory and connections, and what happens at each limit."""
+
+import asyncio
+import collections
+
+from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway.resources import limits as limits_
+from ragwortchute.gateway.resources import upstream as upstream_
+from ragwortchute.gateway.resources import victims
+
+# Memory of a request beside its head and body: its task and its attempts.
+REQUEST_BYTES = 8 << 10
+# Memory of a header beside its name and value.
+HEADER_BYTES = 150
+# A connection is not read on while its own requests hold this much.
+CONNECTION_BYTES = 256 << 10
+# Requests of a connection that are at work at the same time, by the share of
+# the memory or of the connections that is in use.
+MAX_AT_WORK = 64
+_HIGH_PRESSURE = 0.5
+_HIGH_PRESSURE_AT_WORK = 4
+_FULL_PRESSURE = 0.75
+# A body that has not grown for this long gives way to others.
+STALLED_S = 0.2
+# Shortest time between two responses that are ended for their connections to
+# targets: a burst of health requests alone takes many connections for a moment.
+STREAMS_SHED_INTERVAL_S = 0.05
+LOG_INTERVAL_S = 1.0
+
+# Names of the limits in metrics and the log.
+MEMORY = 'request-memory'
+BODIES = 'body-memory'
+ACCEPTED = 'accepted-connections'
+UPSTREAM = 'target-connections'
+
+
+class Account:
+    """Memory, connections and descriptors of a host.
+
+    Args:
+        limits: Limits of the host.
+        log: Event log.
+
+    Attributes:
+        limits: Limits of the host.
+        bodies: Memory for bodies with a reservation.
+        upstream: Connections to targets and other hosts.
+        connections: Connections accepted from callers and other hosts.
+        held_bytes: Memory held for requests and unread responses.
+        shed: Connections and requests that were refused or closed, by the name
+            of the limit.
+    """
+
+    def __init__(self, limits: limits_.Limits, log: eventlog.EventLog) -> None:
+        self.limits = limits
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self.bodies = body_budget.BodyBudget(
+            limits.body_bytes, limits.short_body_bytes, self._on_body_wait
+        )
+        self.upstream = upstream_.Upstream(self._upstream_limit)
+        self.upstream.on_shortage = self._on_upstream_shortage
+        self.connections: set[victims.Holder] = set()
+        self.held_bytes = 0
+        self.shed: collections.Counter[str] = collections.Counter()
+        self._streams_shed_s = float('-inf')
+        self._logged: collections.Counter[str] = collections.Counter()
+        self._logged_s = float('-inf')
+        self._memory_victims = victims.Victims(
+            _holds_request_memory, self.connections
+        )
+        self._queue_victims = victims.Victims(
+            lambda holder: holder.has_queue(), self.connections
+        )
+        self._body_victims = victims.Victims(
+            lambda holder: holder.has_body(), self.connections
+        )
+        self._accepted_victims = victims.Victims(
+            lambda holder: not holder.is_at_work(), self.connections
+        )
+        self._stream_victims = victims.Victims(
+            lambda holder: holder.has_streams(), self.connections
+        )
+
+    def max_at_work(self) -> int:
+        """Returns how many requests of a connection may be at work."""
+        pressure = max(
+            self.held_bytes / max(1, self.limits.request_bytes),
+            self.upstream.pressure,
+        )
+        if pressure >= _FULL_PRESSURE:
+            return 1
+        if pressure >= _HIGH_PRESSURE:
+            return _HIGH_PRESSURE_AT_WORK
+        share = int(self._upstream_limit() * limits_.PIPELINE_FRACTION)
+        return max(1, min(MAX_AT_WORK, share))
+
+    # Connections.
+
+    def add(self, holder: victims.Holder, *, essential: bool = False) -> bool:
+        """Adds an accepted connection.
+
+        Args:
+            holder: The connection.
+            essential: Whether it may take a reserved descriptor.
+
+        Returns:
+            Whether it may stay open.
+        """
+        excess = len(self.connections) - self.limits.accepted_connections
+        if excess >= 0:
+            victim = self._accepted_victims.take(self._loop.time())
+            self.shed[ACCEPTED] += 1
+            if victim is not None:
+                victim.shed()
+                self.connections.discard(victim)
+            elif not essential or excess >= limits_.RESERVED_FOR_HOSTS:
+                return False
+        self.connections.add(holder)
+        return True
+
+    def remove(self, holder: victims.Holder) -> None:
+        """Removes a connection that is closed."""
+        self.connections.discard(holder)
+
+    def _upstream_limit(self) -> int:
+        accepted = min(len(self.connections), self.limits.accepted_connections)
+        return self.limits.connections - accepted
+
+    def _on_upstream_shortage(self) -> None:
+        """Ends a response that holds connections and is taken slowly."""
+        now_s = self._loop.time()
+        if now_s - self._streams_shed_s < STREAMS_SHED_INTERVAL_S:
+            return
+        victim = self._stream_victims.take(now_s)
+        if victim is not None:
+            self._streams_shed_s = now_s
+            self.shed[UPSTREAM] += 1
+            victim.shed_streams()
+
+    # Memory.
+
+    def hold(self, holder: victims.Holder, change_bytes: int) -> None:
+        """Changes what a connection holds for requests and responses.
+
+        If that is too much, requests that have been read in part are refused,
+        then requests and responses that wait behind others, and in the end the
+        request that this connection sends.
+        """
+        self.held_bytes += change_bytes
+        if change_bytes <= 0 or not self.is_full:
+            return
+        now_s = self._loop.time()
+        while self.is_full:
+            victim = self._memory_victims.take(now_s, spared=holder)
+            if victim is None:
+                break
+            self.shed[MEMORY] += 1
+            if victim.is_incomplete():
+                victim.shed_request()
+            else:
+                victim.shed()
+        while self.is_full:
+            victim = self._queue_victims.take(now_s)
+            if victim is None:
+                break
+            self.shed[MEMORY] += 1
+            victim.shed_queue()
+        if self.is_full and holder.is_incomplete():
+            self.shed[MEMORY] += 1
+            holder.shed_request()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether there is no memory for further requests."""
+        return self.held_bytes > self.limits.request_bytes
+
+    def update(self, max_body_bytes: int) -> None:
+        """Adapts the limits and makes room for bodies, periodically.
+
+        Args:
+            max_body_bytes: Greatest length of a body that is allowed.
+        """
+        self.bodies.limit_bytes = self.limits.long_body_bytes(max_body_bytes)
+        self.bodies.most_bytes = self.limits.body_bytes
+        self.upstream.prune()
+        self._on_body_wait()
+        self._log_shed()
+
+    def _on_body_wait(self) -> None:
+        """Refuses bodies that don't grow while others wait for memory."""
+        now_s = self._loop.time()
+        while self.bodies.has_waiting:
+            victim = self._body_victims.take(now_s)
+            if victim is None or now_s - victim.progress_s < STALLED_S:
+                return
+            self.shed[BODIES] += 1
+            victim.shed_request()
+
+    def _log_shed(self) -> None:
+        """Logs what was refused or closed, at most once in an interval."""
+        now_s = self._loop.time()
+        if now_s - self._logged_s < LOG_INTERVAL_S or self.shed == self._logged:
+            return
+        self._log.event(
+            'callers-limited',
+            shed=dict(self.shed - self._logged),
+            connections=len(self.connections),
+            upstream=self.upstream.used,
+            held_bytes=self.held_bytes,
+            body_bytes=self.bodies.used_bytes,
+        )
+        self._logged = self.shed.copy()
+        self._logged_s = now_s
+
+
+def _holds_request_memory(holder: victims.Holder) -> bool:
+    return holder.is_incomplete() or (
+        holder.has_unread() and not holder.is_at_work()
+    )
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -5,19 +5,21 @@
 """
 
 import asyncio
-import collections
 from collections import abc
-import typing
 
 import msgspec
 
+from ragwortchute.gateway import accounted_connection
 from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import connection_owner
 from ragwortchute.gateway import delivery as delivery_
-from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import exchanges as exchanges_
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway import pipeline as pipeline_
 from ragwortchute.gateway import request_reader
 from ragwortchute.gateway import response_writer
+from ragwortchute.gateway.resources import account as account_
 
 # Reading from a connection pauses while this many requests are pending.
 MAX_PIPELINED = 64
@@ -29,83 +31,16 @@
 # hosts can take it.
 _RETRY_AFTER_S = 0.05
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# All connections read into it, one after another. What a read brings is parsed
+# before any other connection is served, so it bounds the time that takes.
+_READ_BUFFER = memoryview(bytearray(request_reader.LONG_READ_BYTES))
+# Read while requests are pending: each may be as short as 40 bytes.
+_PIPELINE_READ_BYTES = 4 << 10
 
 
-Handler = abc.Callable[
-    [http_messages.Request], abc.Awaitable[http_messages.Response]
-]
-
-
-class Owner(typing.Protocol):
-    """What a connection needs of the listener that accepted it.
-
-    Attributes:
-        handler: Returns the response to a request.
-        limits: Returns the current limits on requests.
-        log: Event log.
-        name: Name of the listener in the log.
-        bodies: Memory for long bodies.
-        draining: Whether connections are closed after their last response.
-        connections: Open connections.
-    """
-
-    handler: Handler
-    limits: abc.Callable[[], model.Limits]
-    log: eventlog.EventLog
-    name: str
-    bodies: body_budget.BodyBudget
-    draining: bool
-    connections: set['ServerConnection']
-
-    def notify_finished(self) -> None:
-        """Notes that a connection has ended."""
-
-
-class _Pending(msgspec.Struct, frozen=True):
-    """A request without a response, and its age in seconds."""
-
-    target: str
-    age_s: float
-
-
-class _Cut(msgspec.Struct, frozen=True):
-    """What a connection has not finished when its host ends it.
-
-    Attributes:
-        pending: Requests without a response.
-        incomplete: Whether a request has been read in part.
-        unsent_bytes: Bytes of responses that the kernel has not taken.
-        unacknowledged_bytes: Further bytes that the caller's machine has not
-            acknowledged.
-        unread: Whether the caller may not have read its responses: it sends
-            before it has read them, and has not closed.
-    """
-
-    pending: list[_Pending]
-    incomplete: bool
-    unsent_bytes: int
-    unacknowledged_bytes: int
-    unread: bool
-
-
-class _Exchange:
-    """A pending request on a connection.
-
-    Attributes:
-        req: The request, None if it was rejected before it was complete.
-        response: The response, None until the handler returns it.
-        task: Task that runs the handler.
-    """
-
-    __slots__ = ('req', 'response', 'task')
-
-    def __init__(self, req: http_messages.Request | None = None) -> None:
-        self.req = req
-        self.response: http_messages.Response | None = None
-        self.task: asyncio.Task[None] | None = None
-
-
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(
+    accounted_connection.AccountedConnection, asyncio.BufferedProtocol
+):
     """An accepted connection.
 
     Args:
@@ -113,32 +48,44 @@
     """
 
     __slots__ = (
+        '_account',
         '_caller_ended',
         '_close_started_s',
         '_closed',
         '_delivery',
-        '_exchanges',
+        '_held_bytes',
         '_idle_since_s',
         '_listener',
         '_loop',
+        '_pipeline',
         '_reader',
         '_reading_paused',
+        '_received_s',
         '_sends_ahead',
         '_transport',
         '_writer',
         '_writing_paused',
     )
 
-    def __init__(self, listener: Owner) -> None:
+    def __init__(self, listener: connection_owner.Owner) -> None:
         self._listener = listener
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._account = listener.account
+        self._held_bytes = 0
+        self._pipeline = pipeline_.Pipeline(
+            listener.handler,
+            listener.account,
+            listener.bodies,
+            listener.log,
+            self._flush,
+        )
         self._closed: asyncio.Future[None] = self._loop.create_future()
         self._reader = request_reader.RequestReader(
             self, listener.limits, listener.bodies, self._closed
         )
         self._idle_since_s = self._loop.time()
+        self._received_s = self._idle_since_s
         # Whether the caller has ended its sending side.
         self._caller_ended = False
         self._close_started_s = 0.0
@@ -155,13 +102,13 @@
     @property
     def running(self) -> int:
         """Number of requests whose response has not been written yet."""
-        return len(self._exchanges)
+        return len(self._pipeline)
 
     @property
     def unfinished(self) -> bool:
         """Whether a request is pending, or the caller may still read."""
         return (
-            bool(self._exchanges)
+            bool(self._pipeline)
             or bool(self._reader.started_s)
             or not self._delivery.complete
             or self._sends_ahead
@@ -170,8 +117,7 @@
 
     def update_delivery(self, now_s: float) -> None:
         """Notes whether the caller has received more of the responses."""
-        closed = bool(self._close_started_s)
-        self._delivery.update(now_s, closed=closed)
+        self._delivery.update(now_s, closed=bool(self._close_started_s))
 
     def drain(self) -> None:
         """Makes the last request that has arrived, or else the next, the last.
@@ -181,12 +127,12 @@
         without pending requests instead may take forever, since callers may
         send requests before earlier ones are answered.
         """
-        if self._exchanges and not self._reader.started_s:
+        if self._pipeline and not self._reader.started_s:
             self._end_reading()
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is pending or incomplete."""
-        if not self._exchanges and not self._reader.started_s:
+        if not self._pipeline and not self._reader.started_s:
             self._begin_close()
 
     def fail_pending(self) -> None:
@@ -194,11 +140,9 @@
 
         The requests may have run.
         """
-        if any(exchange.response is None for exchange in self._exchanges):
+        if self._pipeline.has_work():
             self._log_cut()
-        for exchange in self._exchanges:
-            if exchange.response is None:
-                exchange.response = http_messages.Response(502)
+            self._pipeline.fail_work()
         self._flush()
 
     def refuse_incomplete(self) -> None:
@@ -231,7 +175,7 @@
             if now_s - self._reader.started_s > limits.header_timeout_s:
                 self.reject(408)
         elif (
-            not self._exchanges
+            not self._pipeline
             and now_s - max(self._idle_since_s, self._delivery.progress_s)
             > limits.idle_timeout_s
         ):
@@ -257,12 +201,8 @@
         """Logs what is unfinished, if anything is."""
         now_s = self._loop.time()
         self.update_delivery(now_s)
-        cut = _Cut(
-            [
-                _Pending(exchange.req.target, now_s - exchange.req.arrived_s)
-                for exchange in self._exchanges
-                if exchange.req is not None
-            ],
+        cut = exchanges_.Cut(
+            exchanges_.describe_pending(self._pipeline.exchanges, now_s),
             bool(self._reader.started_s),
             self._delivery.unsent_bytes,
             self._delivery.unacknowledged_bytes,
@@ -282,12 +222,28 @@
         """See base class."""
         self._transport = transport
         self._delivery = delivery_.Delivery(transport)
-        self._listener.connections.add(self)
+        if self._account.add(self, essential=self._listener.essential):
+            self._listener.connections.add(self)
+        else:
+            transport.abort()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See base class."""
+        read_bytes = self._reader.read_bytes
+        if self._pipeline and not self._reader.started_s:
+            read_bytes = _PIPELINE_READ_BYTES
+        return _READ_BUFFER[:read_bytes]
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         """See base class."""
+        self.data_received(_READ_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Parses received bytes."""
+        self._received_s = self._loop.time()
         self._reader.feed(data)
         self.update_reading()
+        self._update_held()
 
     def eof_received(self) -> bool:
         """Closes the connection, unless a response is being passed on.
@@ -304,11 +260,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """See base class."""
         self._listener.connections.discard(self)
+        self._account.remove(self)
         self._transport = None
         self._reader.end()
         if not self._closed.done():
             self._closed.set_result(None)
         self._drop_exchanges()
+        self._update_held()
         self._listener.notify_finished()
 
     def pause_writing(self) -> None:
@@ -331,20 +289,16 @@
         self, req: http_messages.Request, reservation: body_budget.Reservation
     ) -> None:
         """Starts the handler of a request."""
-        exchange = _Exchange(req)
-        self._exchanges.append(exchange)
-        if len(self._exchanges) > 1 or self._transport.get_write_buffer_size():
+        if self._pipeline or self._transport.get_write_buffer_size():
             self._sends_ahead = True
-        exchange.task = self._loop.create_task(
-            self._serve(req, exchange, reservation)
-        )
+        self._pipeline.add(req, reservation, self._reader.head_held_bytes)
         if self._listener.draining or not self._reader.should_keep_alive:
             self._end_reading()
         self.update_reading()
 
     def write_continue(self) -> None:
         """Lets the caller send a body, unless responses come first."""
-        if not self._exchanges:
+        if not self._pipeline:
             self._transport.write(_CONTINUE)
 
     def update_reading(self) -> None:
@@ -354,7 +308,12 @@
         that has not run can be sent again. One that has begun is read to its
         end, as its caller may read nothing before it has sent all of it.
         """
-        full = self._writing_paused or len(self._exchanges) >= MAX_PIPELINED
+        full = (
+            self._writing_paused
+            or len(self._pipeline) >= MAX_PIPELINED
+            or self._pipeline.held_bytes >= account_.CONNECTION_BYTES
+            or (self._account.is_full and bool(self._pipeline))
+        )
         pause = not self._reader.ended and (
             self._reader.waiting or (full and not self._reader.started_s)
         )
@@ -374,52 +333,35 @@
         self._reader.end()
         self.update_reading()
 
-    async def _serve(
-        self,
-        req: http_messages.Request,
-        exchange: _Exchange,
-        reservation: body_budget.Reservation,
-    ) -> None:
-        try:
-            resp = await self._listener.handler(req)
-        except Exception:
-            self._listener.log.failure('handler', req.target)
-            resp = http_messages.Response(502)
-        finally:
-            self._listener.bodies.shrink(reservation, 0)
-        exchange.response = resp
-        if exchange in self._exchanges:
-            self._flush()
-        else:
-            resp.drop_rest()
-
     def _flush(self) -> None:
         """Writes available responses in the order of the requests."""
-        while self._writer is None and self._exchanges:
-            resp = self._exchanges[0].response
+        exchanges = self._pipeline.exchanges
+        while self._writer is None and exchanges:
+            resp = exchanges[0].response
             if resp is None or self._transport is None:
                 break
             if resp.close:
                 self._end_reading()
-            resp.close = self._reader.ended and len(self._exchanges) == 1
+            resp.close = self._reader.ended and len(exchanges) == 1
             if resp.rest is not None:
-                self._start_writer(self._exchanges[0])
+                self._start_writer(exchanges[0])
                 continue
-            self._exchanges.popleft()
+            self._pipeline.pop()
             self._transport.write(http_messages.encode(resp))
             self._idle_since_s = self._loop.time()
             self._delivery.note_write(self._idle_since_s)
             if resp.close:
                 self._begin_close()
-                return
+                break
         self.update_reading()
+        self._update_held()
 
-    def _start_writer(self, exchange: _Exchange) -> None:
+    def _start_writer(self, exchange: exchanges_.Exchange) -> None:
         """Starts to write a response whose body is still arriving."""
         self._writer = response_writer.ResponseWriter(
             self._transport,
             exchange.response,
-            accepts_chunks=exchange.req.accepts_chunks,
+            accepts_chunks=exchange.accepts_chunks,
             paused=self._writing_paused,
             on_done=self._end_writer,
         )
@@ -434,10 +376,10 @@
         if self._transport is None:
             return
         if not writer.broken:
-            self._exchanges.popleft()
+            self._pipeline.pop()
         self._idle_since_s = self._loop.time()
         self._delivery.note_write(self._idle_since_s)
-        if writer.broken or (self._reader.ended and not self._exchanges):
+        if writer.broken or (self._reader.ended and not self._pipeline):
             self._begin_close()
         else:
             self._flush()
@@ -445,25 +387,28 @@
     def _drop_exchanges(self) -> None:
         """Ends the responses that can't be written any more."""
         self._writer = None
-        for exchange in self._exchanges:
-            if exchange.response is not None:
-                exchange.response.drop_rest()
-        self._exchanges.clear()
+        self._pipeline.drop()
 
     def reject(
         self, status: int, headers: abc.Sequence[tuple[bytes, bytes]] = ()
     ) -> None:
         """Responds to a request that is not handled and closes."""
+        self._listener.log.event(
+            'rejected', listener=self._listener.name, status=status
+        )
+        self._refuse(status, headers)
+
+    def _refuse(
+        self, status: int, headers: abc.Sequence[tuple[bytes, bytes]]
+    ) -> None:
+        """See base class."""
         if self._reader.started_s:
             # The caller may go on sending the rest of it.
             self._sends_ahead = True
         self._end_reading()
-        self._listener.log.event(
-            'rejected', listener=self._listener.name, status=status
+        self._pipeline.add_response(
+            http_messages.Response(status, headers, close=True)
         )
-        exchange = _Exchange()
-        exchange.response = http_messages.Response(status, headers, close=True)
-        self._exchanges.append(exchange)
         self._flush()
 
     def _begin_close(self) -> None:
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -12,6 +12,7 @@
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import pools
 from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.resources import upstream as upstream_
 
 CONNECT_TIMEOUT_S = 0.5
 # A health request without an answer is given up after this time, and its
@@ -41,6 +42,7 @@
         region: Region of the target.
         same_domain: Whether it is in the failure domain of this host.
         same_region: Whether it is in the region of this host.
+        upstream: Bounds the connections to all targets; None for no bound.
 
     Attributes:
         entry: Its entry in the store.
@@ -89,6 +91,7 @@
         *,
         same_domain: bool,
         same_region: bool,
+        upstream: upstream_.Upstream | None = None,
     ) -> None:
         self.entry = entry
         self.service: model.Service | None = None
@@ -108,7 +111,9 @@
         if same_region:
             self.rtt_s = SAME_DOMAIN_S if same_domain else SAME_REGION_S
         self._dialect = dialect
-        self.pool = pools.Pool(entry.ip, entry.port, CONNECT_TIMEOUT_S)
+        self.pool = pools.Pool(
+            entry.ip, entry.port, CONNECT_TIMEOUT_S, upstream
+        )
         self._sent_s: collections.deque[float] = collections.deque(maxlen=64)
         self._failures = 0
         self._ejected_until_s = 0.0
--- a/ragwortchute/platform/daemon.py
+++ b/ragwortchute/platform/daemon.py
@@ -12,6 +12,8 @@
 from ragwortchute.gateway import metrics
 from ragwortchute.gateway import model
 from ragwortchute.gateway import registration
+from ragwortchute.gateway.resources import account
+from ragwortchute.gateway.resources import limits
 from ragwortchute.platform import endpoints
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
@@ -38,6 +40,7 @@
     )
     endpoints_ = endpoints.Endpoints(gateway)
     listeners = []
+    operators = account.Account(limits.for_operators(), log)
     metrics_endpoint = metrics.MetricsEndpoint(gateway)
     for handler, address, name in (
         (endpoints_.resolve, node.directory, 'directory'),
@@ -48,7 +51,13 @@
             'metrics',
         ),
     ):
-        listener = http_server.Listener(handler, model.Limits, log, name)
+        listener = http_server.Listener(
+            handler,
+            model.Limits,
+            log,
+            name,
+            account=gateway.account if name == 'directory' else operators,
+        )
         await listener.start(*address)
         listeners.append(listener)
     await gateway.start(
--- /dev/null
+++ b/tests/test_resources/test_account.py
@@ -0,0 +1,350 @@
+"""Tests of the limits, and of who is refused or closed when one is reached."""
+
+import asyncio
+
+import pytest
+
+from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import http_server
+from ragwortchute.gateway import model
+from ragwortchute.gateway.resources import account as account_
+from ragwortchute.gateway.resources import limits as limits_
+from ragwortchute.gateway.resources import upstream as upstream_
+from ragwortchute.gateway.resources import victims
+from tests.test_gateway import rig as rigs
+
+MIB = 1 << 20
+# The smallest and the largest machine of a host.
+MACHINES = ((200e6, 4_100), (552e6, 8_192))
+# Hosts have up to 950 targets and send seven health requests per request.
+TARGETS = 950
+
+
+def limits(**fields):
+    """Returns small limits."""
+    values = {
+        'body_bytes': 4 * MIB,
+        'short_body_bytes': 0,
+        'request_bytes': MIB,
+        'answer_bytes': MIB,
+        'accepted_connections': 4,
+        'connections': 8,
+    }
+    return limits_.Limits(**(values | fields))
+
+
+class Holder:
+    """A connection with a given state."""
+
+    def __init__(self, progress_s, **state):
+        self.progress_s = progress_s
+        self.state = state
+        self.calls = []
+
+    def __getattr__(self, name):
+        if name.startswith('shed'):
+            return lambda: self.calls.append(name)
+        return lambda: self.state.get(name, False)
+
+
+class TestLimits:
+    """No caller inside the limits of the configuration may meet a default."""
+
+    @pytest.mark.parametrize(('memory_bytes', 'descriptors'), MACHINES)
+    def test_defaults_exceed_a_single_request(
+        self, memory_bytes, descriptors, monkeypatch
+    ):
+        monkeypatch.setattr(limits_, 'process_descriptors', lambda: descriptors)
+        derived = limits_.derive(memory_bytes, descriptors)
+        configured = model.Limits()
+        assert derived.body_bytes > configured.max_body_bytes
+        # The shortest headers of a head take 30 times its length.
+        assert derived.request_bytes > 30 * configured.max_header_bytes
+        assert derived.connections - derived.accepted_connections > (
+            2 * account_.MAX_AT_WORK
+        )
+
+    @pytest.mark.parametrize(('memory_bytes', 'descriptors'), MACHINES)
+    def test_parts_leave_room(self, memory_bytes, descriptors, monkeypatch):
+        monkeypatch.setattr(limits_, 'process_descriptors', lambda: descriptors)
+        derived = limits_.derive(memory_bytes, descriptors)
+        longest = model.Limits().max_body_bytes
+        bodies = max(
+            derived.body_bytes, derived.long_body_bytes(longest) + longest
+        )
+        used = (
+            bodies
+            + derived.short_body_bytes
+            + derived.request_bytes
+            + derived.answer_bytes
+        )
+        assert used <= 0.75 * memory_bytes
+        reserved = limits_.RESERVED_DESCRIPTORS + descriptors // 10
+        assert derived.connections <= descriptors - reserved
+
+    def test_unknown_number_of_descriptors_is_that_of_the_process(self):
+        assert limits_.derive(200e6, 0) == limits_.derive(
+            200e6, limits_.process_descriptors()
+        )
+
+    def test_process_may_be_allowed_fewer_than_the_machine(self, monkeypatch):
+        monkeypatch.setattr(limits_, 'process_descriptors', lambda: 1000)
+        assert limits_.derive(200e6, 4_100) == limits_.derive(200e6, 1000)
+
+
+class TestVictims:
+    """The one without progress for the longest time must be first."""
+
+    def test_order(self):
+        holders = {Holder(3.0), Holder(1.0), Holder(2.0)}
+        found = victims.Victims(lambda holder: True, holders)
+        order = [found.take(10.0).progress_s for _ in range(3)]
+        assert order == [1.0, 2.0, 3.0]
+        assert found.take(10.0) is None
+
+    def test_progress_since_the_search_spares(self):
+        first, second = Holder(1.0), Holder(2.0)
+        found = victims.Victims(lambda holder: True, {first, second})
+        first.progress_s, before = 1.0, found.take(10.0)
+        assert before is first
+        second.progress_s = 11.0
+        assert found.take(10.01) is None
+        assert found.take(10.0 + 2 * victims.SEARCH_INTERVAL_S) is first
+
+    def test_closed_connection_is_not_returned(self):
+        holders = {Holder(1.0), Holder(2.0)}
+        found = victims.Victims(lambda holder: True, holders)
+        found.take(10.0)
+        holders.clear()
+        assert found.take(10.0) is None
+
+
+class TestAccount:
+    """A request at work at a target must never be given up."""
+
+    async def account(self, **fields):
+        return account_.Account(limits(**fields), rigs.MemoryLog())
+
+    async def test_connection_at_work_stays(self):
+        account = await self.account()
+        busy = [Holder(n, is_at_work=True) for n in range(3)]
+        idle = Holder(9.0)
+        for holder in (*busy, idle):
+            assert account.add(holder)
+        assert account.add(Holder(10.0, is_at_work=True))
+        assert idle.calls == ['shed']
+        assert not account.add(Holder(11.0))
+        assert not any(holder.calls for holder in busy)
+        assert account.shed[account_.ACCEPTED] == 2
+
+    async def test_other_hosts_may_take_reserved_descriptors(self):
+        account = await self.account()
+        for number in range(4):
+            account.add(Holder(number, is_at_work=True))
+        assert not account.add(Holder(5.0))
+        assert account.add(Holder(5.0), essential=True)
+
+    async def test_unfinished_request_gives_way_to_another(self):
+        account = await self.account()
+        busy = Holder(0.0, is_at_work=True)
+        stalled = Holder(1.0, is_incomplete=True)
+        growing = Holder(2.0, is_incomplete=True)
+        for holder in (busy, stalled, growing):
+            account.add(holder)
+        account.hold(growing, MIB + 1)
+        assert stalled.calls == ['shed_request']
+        assert not busy.calls
+
+    async def test_grower_is_refused_if_nothing_else_can_be(self):
+        account = await self.account()
+        growing = Holder(1.0, is_incomplete=True)
+        account.add(growing)
+        account.hold(growing, MIB + 1)
+        assert growing.calls == ['shed_request']
+
+    async def test_stalled_body_gives_way_to_one_that_waits(self):
+        account = await self.account()
+        now_s = asyncio.get_running_loop().time()
+        stalled = Holder(now_s - 1.0, has_body=True)
+        growing = Holder(now_s, has_body=True)
+        account.add(stalled)
+        account.add(growing)
+        reservations = [body_budget.Reservation() for _ in range(3)]
+        account.bodies.extend(reservations[0], 3 * MIB)
+        account.bodies.extend(reservations[1], 3 * MIB)
+        assert account.bodies.extend(reservations[2], 3 * MIB) is not None
+        assert stalled.calls == ['shed_request']
+        assert not growing.calls
+
+    async def test_log_is_not_flooded(self):
+        account = await self.account(accepted_connections=0)
+        for _ in range(1000):
+            account.add(Holder(1.0))
+        for _ in range(100):
+            account.update(MIB)
+        lines = account._log.lines
+        assert [kind for kind, _ in lines] == ['callers-limited']
+        assert lines[0][1]['shed'] == {account_.ACCEPTED: 1000}
+
+    async def test_pressure_leaves_connections_to_others(self):
+        account = await self.account(connections=400)
+        assert account.max_at_work() > 4
+        slots = [account.upstream.take() for _ in range(200)]
+        assert account.max_at_work() == 4
+        slots += [account.upstream.take() for _ in range(100)]
+        assert account.max_at_work() == 1
+
+
+class Connection:
+    """A connection to a target."""
+
+    def __init__(self, idle_since_s):
+        self.idle_since_s = idle_since_s
+        self.aborted = False
+
+    def abort(self):
+        self.aborted = True
+
+
+class TestUpstream:
+    """Idle connections must give way to those that carry requests."""
+
+    async def test_longest_idle_connection_is_closed_first(self):
+        upstream = upstream_.Upstream(lambda: 2)
+        conns = [Connection(1.0), Connection(2.0)]
+        for conn in conns:
+            assert upstream.take() is not None
+            upstream.note_idle(conn)
+        assert upstream.take() is not None
+        assert [conn.aborted for conn in conns] == [True, False]
+
+    async def test_essential_connection_is_never_refused(self):
+        upstream = upstream_.Upstream(lambda: 1)
+        assert upstream.take() is not None
+        assert upstream.take() is None
+        assert upstream.take(essential=True) is not None
+
+    async def test_second_end_has_no_effect(self):
+        upstream = upstream_.Upstream(lambda: 1)
+        slot = upstream.take()
+        upstream.end(slot)
+        upstream.end(slot)
+        assert upstream.used == 0
+        assert upstream.take() is not None
+        assert upstream.take() is None
+
+
+class Server:
+    """Listener with small limits whose handler waits until it is told."""
+
+    def __init__(self, **fields):
+        self.log = rigs.MemoryLog()
+        self.account = account_.Account(limits(**fields), self.log)
+        self.answer = asyncio.Event()
+        self.handled = []
+        self.configured = model.Limits(idle_timeout_s=1.0)
+        self.listener = http_server.Listener(
+            self.handle,
+            lambda: self.configured,
+            self.log,
+            'test',
+            account=self.account,
+        )
+
+    async def handle(self, req):
+        self.handled.append(req.target)
+        await self.answer.wait()
+        return http_messages.Response(200, (), req.target.encode())
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.listener.port)
+
+
+@pytest.fixture
+async def serve():
+    started = []
+
+    async def run(**fields):
+        server = Server(**fields)
+        started.append(server)
+        await server.listener.start('127.0.0.1', 0)
+        return server
+
+    yield run
+    for server in started:
+        server.answer.set()
+        await server.listener.stop()
+
+
+GET = b'GET /%d HTTP/1.1\r\nHost: example\r\n\r\n'
+
+
+class TestListener:
+    """Refusals must be truthful, and calm callers must not be refused."""
+
+    async def test_refused_request_has_not_run(self, serve):
+        server = await serve(request_bytes=100_000)
+        reader, writer = await server.connect()
+        writer.write(GET[:-2] % 1 + b'a:bc\r\n' * 1_000)
+        resp = await asyncio.wait_for(rigs.read_response(reader), 5)
+        assert resp.status == 503
+        assert float(resp.headers['retry-after']) > 0
+        assert not server.handled
+        writer.close()
+
+    async def test_requests_that_wait_run_in_order(self, serve):
+        server = await serve()
+        reader, writer = await server.connect()
+        writer.write(b''.join(GET % number for number in range(50)))
+        await asyncio.sleep(0.2)
+        assert len(server.handled) == server.account.max_at_work()
+        server.answer.set()
+        for number in range(50):
+            resp = await asyncio.wait_for(rigs.read_response(reader), 5)
+            assert (resp.status, resp.body) == (200, b'/%d' % number)
+        assert server.handled == [f'/{number}' for number in range(50)]
+        writer.close()
+
+    async def test_requests_that_wait_never_run_once_the_caller_left(
+        self, serve
+    ):
+        server = await serve()
+        _, writer = await server.connect()
+        writer.write(b''.join(GET % number for number in range(20)))
+        await asyncio.sleep(0.2)
+        handled = list(server.handled)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        server.answer.set()
+        await asyncio.sleep(0.1)
+        assert server.handled == handled
+        assert server.account.held_bytes == 0
+
+    async def test_idle_callers_stay_connected(self, serve):
+        server = await serve(accepted_connections=20)
+        server.answer.set()
+        callers = [await server.connect() for _ in range(20)]
+        for round_ in range(3):
+            for reader, writer in callers:
+                writer.write(GET % round_)
+                assert (await rigs.read_response(reader)).status == 200
+            await asyncio.sleep(0.8 * server.configured.idle_timeout_s)
+        for reader, writer in callers:
+            writer.write(GET % 9)
+            assert (await rigs.read_response(reader)).status == 200
+            writer.close()
+        assert not server.account.shed
+
+    async def test_nothing_is_held_afterwards(self, serve):
+        server = await serve()
+        server.answer.set()
+        for _ in range(3):
+            reader, writer = await server.connect()
+            writer.write(GET % 1 + GET % 2 + GET[:-2] % 3)
+            await rigs.read_response(reader)
+            await rigs.read_response(reader)
+            writer.close()
+        await asyncio.sleep(0.1)
+        assert server.account.held_bytes == 0
+        assert not server.account.connections
--- a/tests/test_resources/test_bodies.py
+++ b/tests/test_resources/test_bodies.py
@@ -5,6 +5,9 @@
 were fixed before the limits were added.
 """
 
+import asyncio
+
+from ragwortchute.gateway import model
 from standins import platform_targets
 from tests.test_resources import crowds
 from tests.test_resources import processes
@@ -23,6 +26,10 @@
 ONE_BYTE_CHUNKS = 40_000
 ONE_BYTE_CALLERS = 100
 SETTLE_S = 2.0
+# The smallest machine of a deployment.
+HOST = processes.Machine(memory_mb=200, max_descriptors=4_100)
+MAX_ANSWER_S = 20.0
+LIMITED = 'ragwortchute_gateway_limited_total'
 
 
 class TestLargeBodies:
@@ -91,3 +98,43 @@
             await crowds.send_all(sock, crowds.in_chunks(number), data)
 
         await self.check(site, gather, ONE_BYTE_CALLERS, send)
+
+
+class BriefTarget(platform_targets.TargetServer):
+    """Target whose answers don't repeat the body of the request."""
+
+    async def _respond(self, writer, id_headers, text):
+        return await super()._respond(writer, id_headers, b'ok')
+
+
+class TestSingleRequest:
+    """A single request inside the limits must be served by the defaults."""
+
+    async def request(self, host, data):
+        reader, writer = await asyncio.open_connection(host.ip, host.port)
+        try:
+            for part in data:
+                writer.write(part)
+                await writer.drain()
+            async with asyncio.timeout(MAX_ANSWER_S):
+                head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200 '), head
+        finally:
+            writer.transport.abort()
+
+    async def test_longest_bodies_and_heads(self, site):
+        await site.start(HOST, BriefTarget('t0'))
+        (host,) = site.hosts
+        limits = model.Limits()
+        body = bytes(limits.max_body_bytes)
+        await self.request(host, [crowds.with_length(1, len(body)), body])
+        chunks = [
+            b'%x\r\n%b\r\n' % (CHUNK_BYTES, body[:CHUNK_BYTES])
+            for _ in range(len(body) // CHUNK_BYTES)
+        ]
+        await self.request(host, [crowds.in_chunks(2), *chunks, b'0\r\n\r\n'])
+        head = b'GET /read/3 HTTP/1.1\r\nHost: example\r\n'
+        count = (limits.max_header_bytes - 100) // 7
+        await self.request(host, [head, b'a:bc\r\n' * count, b'\r\n'])
+        host.check()
+        assert await processes.metric(host, LIMITED) == 0
