--- a/ragwortchute/gateway/connection_owner.py
+++ b/ragwortchute/gateway/connection_owner.py
@@ -8,6 +8,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pipeline
+from ragwortchute.gateway import request_reader
 from ragwortchute.gateway.resources import account as account_
 
 
@@ -16,6 +17,8 @@
 
     Attributes:
         handler: Returns the response to a request.
+        refuse_early: Returns the refusal of a request whose body has not been
+            read, None if the head gives no reason for one.
         limits: Returns the current limits on requests.
         log: Event log.
         name: Name of the listener in the log.
@@ -27,6 +30,7 @@
     """
 
     handler: pipeline.Handler
+    refuse_early: request_reader.EarlyRefusal
     limits: abc.Callable[[], model.Limits]
     log: eventlog.EventLog
     name: str
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -8,6 +8,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pipeline
+from ragwortchute.gateway import request_reader
 from ragwortchute.gateway import server_connection
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.resources import limits as limits_
@@ -38,6 +39,8 @@
         essential: Whether connections may take reserved descriptors.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
+        refuse_early: Returns the refusal of a request whose body has not been
+            read, None if the head gives no reason for one.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         account: account_.Account | None = None,
     ) -> None:
         self.handler = handler
+        self.refuse_early: request_reader.EarlyRefusal = lambda _: None
         self.limits = limits
         self.log = log
         self.name = name
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -82,7 +82,11 @@
         )
         self._closed: asyncio.Future[None] = self._loop.create_future()
         self._reader = request_reader.RequestReader(
-            self, listener.limits, listener.bodies, self._closed
+            self,
+            listener.limits,
+            listener.bodies,
+            self._closed,
+            listener.refuse_early,
         )
         self._idle_since_s = self._loop.time()
         self._received_s = self._idle_since_s
