--- /dev/null
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -0,0 +1,342 @@
+"""Accounts of a coordinator: credit and demand of each organisation.
+
+Load: an organisation may jump to several times its rate at once, over all
+hosts. Every request that hosts report is taken from the credit, which may
+become negative; what was used too much is saved before anything else is
+admitted. The share of the requests that hosts admit is chosen so that the
+credit moves to its target.
+"""
+
+from collections import abc
+import math
+
+import msgspec
+
+from ragwortchute.gateway.organisations import quota_limits
+from ragwortchute.gateway.organisations import quota_messages
+
+# Time in which the credit is steered to its target.
+STEER_S = 1.5
+# Time constant of the demand, and the number of requests at the rate of the
+# organisation that it spans at least, up to a largest time.
+DEMAND_S = 0.3
+DEMAND_REQUESTS = 3.0
+MAX_DEMAND_S = 2.0
+# Largest debt, in seconds of the rate.
+DEBT_S = 5.0
+# Organisations below this share of their largest credit are announced.
+ANNOUNCE_FRACTION = 0.5
+# Changes since the last announcement that are announced at once: the admitted
+# share falls by this factor, or the credit by this share of its largest.
+ALERT_FACTOR = 0.75
+ALERT_FALL = 0.25
+# A host that was not heard of for this long may be cut off.
+SILENT_S = 1.05
+# A new coordinator announces what it has taken over for this long, until it has
+# heard which hosts report to it.
+HOLD_S = 0.6
+# Counts of a host that have not changed for this long or twice as long are
+# dropped.
+RETENTION_S = 20.0
+# The part of the rate that a coordinator gives out, by the share of the hosts
+# that it hears from: linear, 1 from 7/8 on and 0 up to 1/8, so that two
+# coordinators that do not hear of each other give out the rate once.
+_SHARE_SLOPE = 4 / 3
+
+
+def rate_share(heard: int, hosts: int) -> float:
+    """Returns the part of all rates that a coordinator may give out.
+
+    Args:
+        heard: Hosts that it hears from, itself included.
+        hosts: Hosts that may be alive.
+    """
+    heard_share = heard / max(1, hosts, heard)
+    return min(1.0, max(0.0, 0.5 + (heard_share - 0.5) * _SHARE_SLOPE))
+
+
+class _Account(msgspec.Struct):
+    """Account of one organisation.
+
+    Attributes:
+        level: Credit.
+        demand_per_s: Smoothed demand.
+        demanded: Requests received since the last update.
+        admit_fraction: Share of the requests that hosts should admit.
+        announced_fraction: The same in the last announcement.
+        announced_level: Credit at the last announcement.
+    """
+
+    level: float
+    demand_per_s: float = 0.0
+    demanded: int = 0
+    admit_fraction: float = 1.0
+    announced_fraction: float = 1.0
+    announced_level: float = 0.0
+
+
+class _Reporter:
+    """Counts of one host.
+
+    Attributes:
+        incarnation: Incarnation of the host.
+        number: Number of its last report.
+        heard_s: Loop time of its last report, in seconds.
+    """
+
+    __slots__ = ('_new', '_old', 'heard_s', 'incarnation', 'number')
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.number = -1
+        self.heard_s = float('-inf')
+        self._new: dict[int, quota_messages.Use] = {}
+        self._old: dict[int, quota_messages.Use] = {}
+
+    def replace(self, use: quota_messages.Use) -> tuple[int, int]:
+        """Returns how many requests were admitted and received since then.
+
+        Counts of which nothing is known are taken from the recent ones.
+        """
+        known = self._new.get(use.key) or self._old.get(use.key)
+        self._new[use.key] = use
+        if known is None:
+            return use.recent, use.recent
+        return (
+            quota_messages.difference(use.admitted, known.admitted),
+            quota_messages.difference(use.demanded, known.demanded),
+        )
+
+    def forget(self) -> None:
+        """Drops all counts."""
+        self._new = {}
+        self._old = {}
+
+    def drop_unchanged(self) -> None:
+        """Drops counts that have not changed since the last call but one."""
+        self._old, self._new = self._new, {}
+
+
+class Accounts:
+    """Accounts of the organisations of a shard.
+
+    Args:
+        states: Last announced states, by key.
+        announced_s: Loop time of the announcement, in seconds.
+        default_fraction: Credit of others, as a share of their largest.
+        now_s: Loop time in seconds.
+
+    Attributes:
+        share: Part of all rates that may be given out.
+    """
+
+    __slots__ = (
+        '_accounts',
+        '_default_fraction',
+        '_dropped_s',
+        '_reporters',
+        '_started_s',
+        '_updated_s',
+        'share',
+    )
+
+    def __init__(
+        self,
+        states: abc.Mapping[int, quota_messages.State],
+        announced_s: float,
+        default_fraction: float,
+        now_s: float,
+    ) -> None:
+        self.share = 0.0
+        self._default_fraction = default_fraction
+        self._started_s = self._dropped_s = now_s
+        # Credit for the time since the announcement is added, as requests since
+        # then are taken from it.
+        self._updated_s = announced_s
+        self._accounts = {
+            key: _Account(
+                state.level,
+                state.demand_per_s,
+                0,
+                state.admit_fraction,
+                state.admit_fraction,
+                state.level,
+            )
+            for key, state in states.items()
+        }
+        self._reporters: dict[str, _Reporter] = {}
+
+    def record(
+        self,
+        sender: str,
+        report: quota_messages.Report,
+        limits: abc.Mapping[int, quota_limits.Limit],
+        now_s: float,
+    ) -> None:
+        """Takes what a host has reported from the credit.
+
+        Args:
+            sender: Name of the host.
+            report: Its report. Repeated and overtaken ones are ignored.
+            limits: Limits by the key of the organisation.
+            now_s: Loop time in seconds.
+        """
+        reporter = self._reporters.get(sender)
+        if reporter is None or reporter.incarnation < report.incarnation:
+            reporter = _Reporter(report.incarnation)
+            self._reporters[sender] = reporter
+        elif (
+            reporter.incarnation > report.incarnation
+            or reporter.number >= report.number
+        ):
+            return
+        if now_s - reporter.heard_s > SILENT_S:
+            # What it used while it was cut off was not given out here.
+            reporter.forget()
+        reporter.number = report.number
+        reporter.heard_s = now_s
+        for use in quota_messages.unpack_uses(report.uses):
+            limit = limits.get(use.key)
+            if limit is None:
+                continue
+            admitted, demanded = reporter.replace(use)
+            account = self._account(limit, now_s)
+            account.level -= admitted
+            account.demanded += max(0, demanded)
+
+    def is_provisional(self, now_s: float) -> bool:
+        """Returns whether it is not known yet which hosts report."""
+        return now_s - self._started_s < HOLD_S
+
+    def update(
+        self,
+        limits: abc.Mapping[int, quota_limits.Limit],
+        hosts: abc.Collection[str],
+        now_s: float,
+    ) -> bool:
+        """Adds credit for the time since the last update, and steers it.
+
+        Args:
+            limits: Limits by the key of the organisation.
+            hosts: Names of the hosts that may be alive.
+            now_s: Loop time in seconds.
+
+        Returns:
+            Whether hosts should learn of a change at once.
+        """
+        elapsed_s = now_s - self._updated_s
+        if elapsed_s <= 0 or self.is_provisional(now_s):
+            return False
+        measured_s = now_s - max(self._updated_s, self._started_s)
+        self._updated_s = now_s
+        self.share = rate_share(self._heard(now_s), len(hosts))
+        if now_s - self._dropped_s >= RETENTION_S:
+            self._drop_old(hosts, now_s)
+        alert = False
+        for key, account in list(self._accounts.items()):
+            limit = limits.get(key)
+            if limit is None:
+                del self._accounts[key]
+                continue
+            self._steer(account, limit, elapsed_s, measured_s)
+            alert = alert or (
+                account.admit_fraction
+                < account.announced_fraction * ALERT_FACTOR
+                or account.level
+                < account.announced_level - limit.depth * ALERT_FALL
+            )
+        return alert
+
+    def take_states(
+        self, limits: abc.Mapping[int, quota_limits.Limit]
+    ) -> tuple[list[quota_messages.State], bool]:
+        """Returns what should be announced.
+
+        Args:
+            limits: Limits by the key of the organisation.
+
+        Returns:
+            Organisations near their quota or beyond it, the furthest ones
+            first, and whether these are all.
+        """
+        near: list[tuple[float, int]] = []
+        for key, account in self._accounts.items():
+            limit = limits.get(key)
+            if limit is None:
+                continue
+            account.announced_fraction = account.admit_fraction
+            account.announced_level = account.level
+            fraction = account.level / limit.depth
+            if account.admit_fraction < 1 or fraction < ANNOUNCE_FRACTION:
+                near.append((fraction, key))
+        near.sort()
+        states = []
+        for _, key in near[: quota_messages.MAX_ENTRIES]:
+            account = self._accounts[key]
+            states.append(
+                quota_messages.State(
+                    key,
+                    account.admit_fraction,
+                    account.level,
+                    account.demand_per_s,
+                )
+            )
+        return states, len(near) <= quota_messages.MAX_ENTRIES
+
+    def _heard(self, now_s: float) -> int:
+        """Returns the number of hosts heard of recently, with this one."""
+        oldest_s = now_s - SILENT_S
+        return sum(
+            reporter.heard_s > oldest_s for reporter in self._reporters.values()
+        )
+
+    def _account(self, limit: quota_limits.Limit, now_s: float) -> _Account:
+        account = self._accounts.get(limit.key)
+        if account is None:
+            level = limit.depth * self._default_fraction
+            level += (now_s - self._started_s) * limit.rate_per_s * self.share
+            level = min(limit.depth, level)
+            account = _Account(level, announced_level=level)
+            self._accounts[limit.key] = account
+        return account
+
+    def _steer(
+        self,
+        account: _Account,
+        limit: quota_limits.Limit,
+        elapsed_s: float,
+        measured_s: float,
+    ) -> None:
+        """Updates the credit, the demand and the admitted share."""
+        rate_per_s = limit.rate_per_s * self.share
+        # Use that has left the window need not be saved any more.
+        account.level = max(
+            -limit.rate_per_s * DEBT_S,
+            min(
+                limit.depth * self.share,
+                account.level + rate_per_s * elapsed_s,
+            ),
+        )
+        span_s = min(
+            MAX_DEMAND_S, max(DEMAND_S, DEMAND_REQUESTS / limit.rate_per_s)
+        )
+        weight = 1 - math.exp(-measured_s / span_s)
+        account.demand_per_s += weight * (
+            account.demanded / measured_s - account.demand_per_s
+        )
+        account.demanded = 0
+        spare_per_s = rate_per_s + (account.level - limit.target) / STEER_S
+        if spare_per_s <= 0:
+            account.admit_fraction = 0.0
+        else:
+            account.admit_fraction = spare_per_s / max(
+                spare_per_s, account.demand_per_s
+            )
+
+    def _drop_old(self, hosts: abc.Collection[str], now_s: float) -> None:
+        """Drops counts and accounts that are no longer needed."""
+        self._dropped_s = now_s
+        for name, reporter in list(self._reporters.items()):
+            reporter.drop_unchanged()
+            if name not in hosts and now_s - reporter.heard_s > RETENTION_S:
+                del self._reporters[name]
--- /dev/null
+++ b/ragwortchute/gateway/organisations/quota_limits.py
@@ -0,0 +1,107 @@
+"""Derives from the limit of an organisation how its quota is kept.
+
+In any window, the quota is the rate times the window and the burst. The bound
+exceeds it by a factor and a slack. This excess has three uses: requests that
+are admitted before the hosts know of each other's, requests that are sent later
+than they are admitted, and bursts of organisations whose own is small.
+"""
+
+from collections import abc
+
+import msgspec
+import xxhash
+
+from ragwortchute.gateway import model
+
+# Smallest burst, and the same in seconds of the rate. Requests that arrive at
+# random exceed their rate for a while.
+MIN_BURST = 10.0
+MIN_BURST_S = 0.25
+# Largest share of what the bound allows at once that is planned as a burst. The
+# rest covers requests that the coordinator has not heard of.
+MAX_BURST_FRACTION = 0.6
+# Level of the credit, as a share of its largest, towards which it is steered
+# while more is demanded than the quota allows.
+TARGET_FRACTION = 0.25
+# Part of its share that a host uses without contact, and the tokens that all
+# hosts together start with, as a share of what the bound allows at once.
+ALONE_RATE_FRACTION = 0.5
+ALONE_START_FRACTION = 0.2
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bound on the requests of an organisation over all hosts.
+
+    Attributes:
+        window_s: Length of the sliding window in seconds.
+        overage: Share by which the quota may be exceeded.
+        slack: Requests by which it may be exceeded beyond that.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
+
+    def largest(self, rate_per_s: float, burst: float) -> float:
+        """Returns how many requests a window may contain."""
+        quota = rate_per_s * self.window_s + burst
+        return quota * (1 + self.overage) + self.slack
+
+
+def make_bounds(bounds: abc.Mapping[str, float]) -> Bounds:
+    """Returns the bound that the settings of a deployment name."""
+    default = Bounds()
+    return Bounds(
+        bounds.get('quota_window_s', default.window_s),
+        bounds.get('quota_overage', default.overage),
+        bounds.get('quota_slack', default.slack),
+    )
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """How the quota of an organisation is kept.
+
+    Attributes:
+        name: Name of the organisation.
+        key: Hash of the name.
+        rate_per_s: Requests per second over all hosts.
+        depth: Largest credit.
+        target: Credit that is kept while more is demanded than allowed.
+        alone_tokens: Tokens of all hosts together at the start of a host.
+    """
+
+    name: str
+    key: int
+    rate_per_s: float
+    depth: float
+    target: float
+    alone_tokens: float
+
+
+def key_of(name: str) -> int:
+    """Returns the hash by which messages name an organisation."""
+    return xxhash.xxh64_intdigest(name.encode())
+
+
+def make_limit(organisation: model.Organisation, bounds: Bounds) -> Limit:
+    """Returns how the quota of an organisation is kept.
+
+    Args:
+        organisation: The organisation; its rate is above 0.
+        bounds: Bound on its requests.
+    """
+    rate_per_s = organisation.rate_per_s
+    excess = (
+        bounds.largest(rate_per_s, organisation.burst)
+        - rate_per_s * bounds.window_s
+    )
+    burst = max(organisation.burst, MIN_BURST_S * rate_per_s) + MIN_BURST
+    depth = min(burst, excess * MAX_BURST_FRACTION)
+    return Limit(
+        organisation.name,
+        key_of(organisation.name),
+        rate_per_s,
+        depth,
+        depth * TARGET_FRACTION,
+        excess * ALONE_START_FRACTION,
+    )
--- /dev/null
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -0,0 +1,289 @@
+"""Which host coordinates the quotas of a shard of the organisations.
+
+The hosts of each shard are ranked by rendezvous hashing. The first one that is
+alive coordinates: another takes over once it has heard no announcement for a
+while that grows with its rank. Of two coordinators that hear of each other,
+the one of the lower rank goes on.
+"""
+
+from collections import abc
+import random
+
+from ragwortchute.gateway import shares
+from ragwortchute.gateway.organisations import quota_accounts
+from ragwortchute.gateway.organisations import quota_limits
+from ragwortchute.gateway.organisations import quota_messages
+
+# Hosts of a shard: the coordinator hears each of them several times a second.
+HOSTS_PER_SHARD = 250
+# A host has contact for this long after an announcement: with regard to
+# organisations of which a share is admitted, and to others, whose load may jump
+# while the host is cut off.
+THROTTLED_CONTACT_S = 1.2
+CONTACT_S = 0.95
+# A host takes over after this time without an announcement, and this time more
+# for each host that precedes it, up to a number of hosts.
+TAKEOVER_S = 0.7
+TAKEOVER_STEP_S = 0.2
+# The same time at a host that has never heard an announcement.
+FIRST_TAKEOVER_S = 0.3
+MAX_STEPS = 8
+# Interval of announcements. Changes are announced at once as long as there are
+# tokens.
+ANNOUNCE_S = 0.4
+ALERT_TOKENS = 6.0
+ALERT_TOKENS_PER_S = 1.0
+# A host that may give out less than this part of all rates does not coordinate.
+MIN_SHARE = 0.02
+# Credit that a coordinator starts with, as a share of the largest: if it has
+# heard announcements, for organisations that were not listed, and otherwise.
+UNLISTED_LEVEL = quota_accounts.ANNOUNCE_FRACTION
+UNKNOWN_LEVEL = 0.1
+
+
+def shard_count(hosts: int) -> int:
+    """Returns the number of shards of a deployment."""
+    return 1 + hosts // HOSTS_PER_SHARD
+
+
+class Shard:
+    """One shard of the organisations, as seen by one host.
+
+    Args:
+        index: Number of the shard.
+        own_name: Name of this host.
+        incarnation: Incarnation of this host.
+
+    Attributes:
+        index: Number of the shard.
+        coordinator: Name of the coordinator, empty before the first one.
+        heard_s: Loop time of its last announcement, in seconds.
+        announced_s: The same of the last one that was not provisional.
+        states: States of the organisations that were announced, by key.
+        accounts: The accounts if this host coordinates, else None.
+    """
+
+    __slots__ = (
+        '_alert_tokens',
+        '_contact_s',
+        '_announced_s',
+        '_incarnation',
+        '_number',
+        '_own_incarnation',
+        '_own_name',
+        '_own_number',
+        '_ranked_hosts',
+        '_ranks',
+        '_stepped_s',
+        '_waiting_since_s',
+        'accounts',
+        'announced_s',
+        'coordinator',
+        'heard_s',
+        'index',
+        'states',
+    )
+
+    def __init__(self, index: int, own_name: str, incarnation: int) -> None:
+        self.index = index
+        self.coordinator = ''
+        self.heard_s = float('-inf')
+        self.announced_s = float('-inf')
+        self.states: dict[int, quota_messages.State] = {}
+        self.accounts: quota_accounts.Accounts | None = None
+        self._own_name = own_name
+        self._own_incarnation = incarnation
+        self._own_number = 0
+        self._incarnation = 0
+        self._number = 0
+        self._contact_s = float('-inf')
+        self._ranked_hosts: frozenset[str] = frozenset()
+        self._ranks: dict[str, int] = {}
+        self._waiting_since_s: float | None = None
+        self._stepped_s = float('-inf')
+        self._announced_s = float('-inf')
+        self._alert_tokens = ALERT_TOKENS
+
+    def has_contact(self, now_s: float, *, throttled: bool) -> bool:
+        """Returns whether a coordinator was heard of recently.
+
+        Args:
+            now_s: Loop time in seconds.
+            throttled: Whether a share of the requests is to be admitted.
+        """
+        if throttled:
+            return now_s - self._contact_s < THROTTLED_CONTACT_S
+        return now_s - self.announced_s < CONTACT_S
+
+    def accept(
+        self, announcement: quota_messages.Announcement, now_s: float
+    ) -> bool:
+        """Takes over an announcement unless it is old or of a lesser host.
+
+        Args:
+            announcement: The announcement.
+            now_s: Loop time in seconds.
+
+        Returns:
+            Whether it is news and should be passed on.
+        """
+        name = announcement.coordinator
+        if name == self._own_name:
+            return False
+        if name == self.coordinator:
+            last = (self._incarnation, self._number)
+            if (announcement.incarnation, announcement.number) <= last:
+                return False
+        elif now_s - self.heard_s < TAKEOVER_S and self._rank(
+            self.coordinator
+        ) < self._rank(name):
+            return False
+        self.accounts = None
+        self._follow(announcement, now_s)
+        return True
+
+    def step(
+        self,
+        hosts: frozenset[str],
+        settled: bool,
+        limits: abc.Mapping[int, quota_limits.Limit],
+        now_s: float,
+    ) -> quota_messages.Announcement | None:
+        """Takes over or updates the accounts, periodically.
+
+        Args:
+            hosts: Names of the hosts that may be alive, this one included.
+            settled: Whether this host has had time to learn of the others.
+            limits: Limits by the key of the organisation.
+            now_s: Loop time in seconds.
+
+        Returns:
+            An announcement that should be sent, if any.
+        """
+        self._rank_hosts(hosts)
+        if self.accounts is None:
+            if not settled:
+                self._waiting_since_s = None
+                return None
+            if self._waiting_since_s is None:
+                self._waiting_since_s = now_s
+            steps = min(MAX_STEPS, self._rank(self._own_name))
+            silent_s = now_s - max(self.heard_s, self._waiting_since_s)
+            first_s = TAKEOVER_S if self.coordinator else FIRST_TAKEOVER_S
+            if silent_s < first_s + TAKEOVER_STEP_S * steps:
+                return None
+            self._take_over(now_s)
+            return self._announce(limits, now_s)
+        alert = self.accounts.update(limits, hosts, now_s)
+        if self.accounts.is_provisional(now_s):
+            return None
+        if self.accounts.share < MIN_SHARE:
+            # It hears from too few hosts; each uses its share alone.
+            self.accounts = None
+            self._contact_s = float('-inf')
+            self._waiting_since_s = now_s
+            return None
+        self._alert_tokens = min(
+            ALERT_TOKENS,
+            self._alert_tokens + (now_s - self._stepped_s) * ALERT_TOKENS_PER_S,
+        )
+        self._stepped_s = now_s
+        if now_s - self._announced_s < ANNOUNCE_S:
+            if not alert or self._alert_tokens < 1:
+                return None
+            self._alert_tokens -= 1
+        return self._announce(limits, now_s)
+
+    def _take_over(self, now_s: float) -> None:
+        """Starts to coordinate with the credit that was last announced."""
+        known = self.heard_s > float('-inf')
+        self.accounts = quota_accounts.Accounts(
+            self.states,
+            self.heard_s if known else now_s,
+            UNLISTED_LEVEL if known else UNKNOWN_LEVEL,
+            now_s,
+        )
+        self._stepped_s = now_s
+
+    def _announce(
+        self, limits: abc.Mapping[int, quota_limits.Limit], now_s: float
+    ) -> quota_messages.Announcement:
+        states, complete = self.accounts.take_states(limits)
+        provisional = self.accounts.is_provisional(now_s)
+        self._own_number += 1
+        self._announced_s = now_s
+        announcement = quota_messages.Announcement(
+            self.index,
+            self._own_name,
+            self._own_incarnation,
+            self._own_number,
+            provisional,
+            complete,
+            quota_messages.pack_states(states),
+        )
+        self._follow(announcement, now_s)
+        return announcement
+
+    def _follow(
+        self, announcement: quota_messages.Announcement, now_s: float
+    ) -> None:
+        self.coordinator = announcement.coordinator
+        self._incarnation = announcement.incarnation
+        self._number = announcement.number
+        self.heard_s = now_s
+        # A provisional announcement prolongs contact only.
+        if self.has_contact(now_s, throttled=True):
+            self._contact_s = now_s
+        if announcement.provisional:
+            return
+        self.announced_s = self._contact_s = now_s
+        states = {
+            state.key: state
+            for state in quota_messages.unpack_states(announcement.states)
+        }
+        if not announcement.complete:
+            states = {**self.states, **states}
+        self.states = states
+
+    def _rank_hosts(self, hosts: frozenset[str]) -> None:
+        if hosts == self._ranked_hosts:
+            return
+        self._ranked_hosts = hosts
+        key = f'quota/{self.index}'
+        ranked = sorted(hosts, key=lambda host: shares.weight(key, host))
+        self._ranks = {name: rank for rank, name in enumerate(ranked)}
+
+    def _rank(self, name: str) -> int:
+        """Returns the rank of a host; hosts that are not known come last."""
+        return self._ranks.get(name, len(self._ranks))
+
+
+def receivers(
+    near: abc.Sequence[str], own_name: str, number: int, fanout: int
+) -> list[str]:
+    """Returns the hosts that this host passes an announcement on to.
+
+    The hosts of the region form a De Bruijn graph over an order that differs
+    for each announcement: each host has as many predecessors as successors, so
+    that few lost messages and dead hosts keep it from few others, and from
+    others the next time.
+
+    Args:
+        near: Names of the live hosts of the region, this one included.
+        own_name: Name of this host.
+        number: Number of the announcement.
+        fanout: Number of receivers.
+    """
+    rng = random.Random(number)
+    order = sorted(near)
+    rng.shuffle(order)
+    try:
+        position = order.index(own_name)
+    except ValueError:
+        return []
+    chosen = {
+        order[(position * fanout + step) % len(order)]
+        for step in range(1, fanout + 1)
+    }
+    chosen.discard(own_name)
+    return sorted(chosen)
--- /dev/null
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -0,0 +1,224 @@
+"""What one host admits of the requests of an organisation.
+
+In contact with a coordinator, a host admits the share of its requests that was
+announced, and between two announcements no more than a part of the credit.
+Without contact, it admits a part of its equal share of the rate.
+"""
+
+import random
+
+from ragwortchute.gateway import model
+from ragwortchute.gateway import shares
+from ragwortchute.gateway.organisations import quota_limits
+from ragwortchute.gateway.organisations import quota_messages
+
+# Requests that a host may admit between two announcements: at least this many,
+# and the larger one of this share of the credit and its share of the demand.
+MIN_BETWEEN = 3.0
+LEVEL_FRACTION = 0.2
+# The same for organisations that are not announced, as a share of the largest
+# credit.
+UNLISTED_FRACTION = 0.5
+# Number of hosts from which on that is reduced in proportion, as all of them
+# may be cut off.
+UNLISTED_HOSTS = 120
+# Factor on what the rate adds between two announcements.
+RATE_HEADROOM = 1.2
+# Weight of the last interval in the demand of a host.
+DEMAND_WEIGHT = 0.3
+# Reports that name a count after it has changed.
+REPORTS_PER_CHANGE = 3
+# Interval of the marks from which recent requests are counted, in seconds.
+MARK_S = 0.5
+# Longest time that is named to callers, in seconds.
+MAX_WAIT_S = 30.0
+
+
+class Use:
+    """Requests of one organisation at this host.
+
+    Args:
+        limit: How the quota of the organisation is kept.
+        rng: Source of randomness.
+
+    Attributes:
+        organisation: The organisation that the limit was made for.
+        limit: How the quota of the organisation is kept.
+        admitted: Requests admitted since the start of the host.
+        demanded: Requests received since the start of the host.
+        reports_left: Reports that should still name the counts.
+        changed_s: Loop time of the last request, in seconds.
+        state: Last announced state, None if the organisation is not listed.
+        alone: Whether the last request met the share without contact.
+    """
+
+    __slots__ = (
+        '_between',
+        '_bucket',
+        '_carried',
+        '_demand_per_s',
+        '_mark_s',
+        '_marks',
+        '_measured',
+        '_rng',
+        'admitted',
+        'alone',
+        'changed_s',
+        'demanded',
+        'limit',
+        'organisation',
+        'reports_left',
+        'state',
+    )
+
+    def __init__(self, limit: quota_limits.Limit, rng: random.Random) -> None:
+        self.organisation: model.Organisation | None = None
+        self.limit = limit
+        self.admitted = 0
+        self.demanded = 0
+        self.reports_left = 0
+        self.changed_s = 0.0
+        self.state: quota_messages.State | None = None
+        self.alone = False
+        self._rng = rng
+        # Fractions of requests that add up; hosts begin at random places, so
+        # that the sum over all hosts is exact.
+        self._carried = rng.random()
+        self._between = 0
+        self._demand_per_s = 0.0
+        self._measured = 0
+        self._marks = (0, 0)
+        self._mark_s = float('-inf')
+        self._bucket: shares.TokenBucket | None = None
+
+    def admit(self, now_s: float, announced_s: float, hosts: int) -> float:
+        """Admits a request as announced.
+
+        Args:
+            now_s: Loop time in seconds.
+            announced_s: Loop time of the last announcement.
+            hosts: Number of hosts that may be alive.
+
+        Returns:
+            0.0 if it is admitted, else the time until credit is expected.
+        """
+        self.alone = False
+        self._note_request(now_s)
+        state = self.state
+        if self.throttled:
+            self._carried += state.admit_fraction
+            if self._carried < 1:
+                return self._shared_wait_s(state)
+            self._carried -= 1
+        if self._between >= self._most_between(now_s - announced_s, hosts):
+            return 1 / self.limit.rate_per_s
+        self._between += 1
+        self.admitted += 1
+        return 0.0
+
+    def admit_alone(self, now_s: float, hosts: int) -> float:
+        """Admits a request within the share of a host without contact.
+
+        Args:
+            now_s: Loop time in seconds.
+            hosts: Number of hosts that may be alive.
+
+        Returns:
+            0.0 if it is admitted, else the time until credit is expected.
+        """
+        self.alone = True
+        self._note_request(now_s)
+        hosts = shares.assumed_hosts(hosts)
+        tokens = self.limit.alone_tokens / hosts
+        if self._bucket is None:
+            # Shares below one request add up to the whole over all hosts.
+            self._bucket = shares.TokenBucket(tokens + self._rng.random())
+        rate_per_s = (
+            self.limit.rate_per_s * quota_limits.ALONE_RATE_FRACTION / hosts
+        )
+        wait_s = self._bucket.wait_s(now_s, rate_per_s, 1 + tokens)
+        if wait_s > 0:
+            return min(MAX_WAIT_S, wait_s)
+        self._bucket.spend()
+        self.admitted += 1
+        return 0.0
+
+    @property
+    def throttled(self) -> bool:
+        """Whether only a share of the requests is to be admitted."""
+        return self.state is not None and self.state.admit_fraction < 1
+
+    def give_back(self, now_s: float) -> None:
+        """Counts an admitted request as not admitted."""
+        self.admitted -= 1
+        self._between = max(0, self._between - 1)
+        self.reports_left = REPORTS_PER_CHANGE
+        self.changed_s = now_s
+
+    def note_announcement(self, state: quota_messages.State | None) -> None:
+        """Takes over what the coordinator has announced."""
+        self.state = state
+        self._between = 0
+
+    def measure(self, interval_s: float, now_s: float) -> None:
+        """Updates the demand of this host, periodically.
+
+        Args:
+            interval_s: Time since the last call in seconds.
+            now_s: Loop time in seconds.
+        """
+        received = self.demanded - self._measured
+        self._measured = self.demanded
+        self._demand_per_s += DEMAND_WEIGHT * (
+            received / interval_s - self._demand_per_s
+        )
+        if now_s - self._mark_s >= MARK_S:
+            self._marks = (self._marks[1], self.admitted)
+            self._mark_s = now_s
+
+    def report(self) -> quota_messages.Use:
+        """Returns the counts as they are reported."""
+        self.reports_left -= 1
+        return quota_messages.Use(
+            self.limit.key,
+            self.admitted,
+            self.demanded,
+            self.admitted - self._marks[0],
+        )
+
+    def _note_request(self, now_s: float) -> None:
+        self.demanded += 1
+        self.reports_left = REPORTS_PER_CHANGE
+        self.changed_s = now_s
+
+    def _most_between(self, elapsed_s: float, hosts: int) -> float:
+        """Returns how many requests may be admitted between announcements."""
+        limit = self.limit
+        state = self.state
+        if state is None:
+            own_share = min(1.0, self._demand_per_s / limit.rate_per_s)
+            fraction = UNLISTED_FRACTION * min(
+                1.0, UNLISTED_HOSTS / shares.assumed_hosts(hosts)
+            )
+            return (
+                max(MIN_BETWEEN, fraction * limit.depth)
+                + own_share * limit.rate_per_s * elapsed_s
+            )
+        own_share = min(1.0, self._demand_per_s / max(state.demand_per_s, 1e-3))
+        level = max(0.0, state.level)
+        return (
+            max(MIN_BETWEEN, LEVEL_FRACTION * level, own_share * level)
+            + own_share * limit.rate_per_s * elapsed_s * RATE_HEADROOM
+        )
+
+    def _shared_wait_s(self, state: quota_messages.State) -> float:
+        """Returns when a refused caller should return.
+
+        The callers that are refused in a second return spread over the time in
+        which the rate has room for all of them.
+        """
+        rate_per_s = self.limit.rate_per_s
+        credit_s = max(0.0, 1 - state.level) / rate_per_s
+        waiting = state.demand_per_s * (1 - state.admit_fraction)
+        spread_s = 2 * self._rng.random() * max(1.0, waiting) / rate_per_s
+        return min(MAX_WAIT_S, credit_s + spread_s)
--- /dev/null
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -0,0 +1,393 @@
+"""Quotas of organisations over all hosts.
+
+Load: each host gets a few requests a second, those of most organisations one
+now and then, while one organisation may jump to several times its rate. Hosts
+admit requests without asking, and report counts to a coordinator a few times a
+second; it announces which share of the requests is to be admitted. Hosts
+without contact use a part of their equal share.
+"""
+
+import asyncio
+from collections import abc
+import random
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import model
+from ragwortchute.gateway import organisations
+from ragwortchute.gateway.organisations import quota_accounts
+from ragwortchute.gateway.organisations import quota_limits
+from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.organisations import quota_roles
+from ragwortchute.gateway.organisations import quota_use
+
+# Interval of the task, and the number of intervals between two reports.
+TICK_S = 0.1
+TICKS_PER_REPORT = 2
+# A host that has nothing to report shows that it is there after this time.
+EMPTY_REPORT_S = 0.5
+# Organisations without a request for this long are forgotten. The coordinator
+# drops their counts earlier.
+FORGET_S = 4 * quota_accounts.RETENTION_S
+# Hosts that an announcement is passed on to, and hosts of each other region
+# that the coordinator sends it to.
+FANOUT = 2
+REGION_SENDS = 2
+# Organisations whose use is shown in metrics.
+MAX_GAUGES = 100
+
+
+class Hosts(msgspec.Struct, frozen=True):
+    """The hosts of the deployment as a host knows them.
+
+    Attributes:
+        names: Names of the hosts that may be alive, this one included.
+        near: Names of the live hosts of the own region, this one included.
+        far: Names of the live hosts of each other region.
+        settled: Whether this host has had time to learn of the others.
+    """
+
+    names: frozenset[str] = frozenset()
+    near: tuple[str, ...] = ()
+    far: tuple[tuple[str, ...], ...] = ()
+    settled: bool = False
+
+
+# Sends a payload to hosts, without a guarantee of delivery.
+SendCallback = abc.Callable[[list[str], str, bytes], None]
+
+
+class HostQuotas(organisations.Quotas):
+    """Quotas of organisations at one host.
+
+    Args:
+        me: Entry of this host.
+        bounds: Bound on the requests of an organisation.
+        send: Sends a message to other hosts.
+        hosts: Returns the hosts of the deployment at a loop time in seconds.
+        log: Event log.
+        rng: Source of randomness.
+
+    Attributes:
+        admitted: Requests admitted.
+        refused: Requests refused as announced.
+        refused_alone: Requests refused without contact to a coordinator.
+        reports_sent: Reports sent.
+        announcements_sent: Announcements sent or passed on.
+    """
+
+    __slots__ = (
+        '_bounds',
+        '_contact',
+        '_hosts',
+        '_limits',
+        '_log',
+        '_me',
+        '_measured_s',
+        '_read_hosts',
+        '_reported_s',
+        '_reports',
+        '_rng',
+        '_send',
+        '_shards',
+        '_ticks',
+        '_uses',
+        'admitted',
+        'announcements_sent',
+        'refused',
+        'refused_alone',
+        'reports_sent',
+    )
+
+    def __init__(
+        self,
+        me: model.HostEntry,
+        bounds: quota_limits.Bounds,
+        send: SendCallback,
+        hosts: abc.Callable[[float], Hosts],
+        log: eventlog.EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._me = me
+        self._bounds = bounds
+        self._send = send
+        self._read_hosts = hosts
+        self._hosts = Hosts()
+        self._log = log
+        self._rng = rng
+        self._limits: dict[int, quota_limits.Limit] = {}
+        self._uses: dict[str, quota_use.Use] = {}
+        self._shards = [self._make_shard(0)]
+        self._contact: dict[int, bool] = {}
+        self._reports = 0
+        self._reported_s: dict[int, float] = {}
+        self._ticks = rng.randrange(TICKS_PER_REPORT)
+        self._measured_s: float | None = None
+        self.admitted = 0
+        self.refused = 0
+        self.refused_alone = 0
+        self.reports_sent = 0
+        self.announcements_sent = 0
+
+    def admit(self, organisation: model.Organisation, now_s: float) -> float:
+        """See base class.
+
+        The time differs between callers, so that those who wait return spread
+        over the time in which there is credit for all of them.
+        """
+        if organisation.rate_per_s <= 0:
+            return 0.0
+        use = self._uses.get(organisation.name)
+        if use is None or use.organisation is not organisation:
+            use = self._use(organisation)
+        shard = self._shards[use.limit.key % len(self._shards)]
+        hosts = len(self._hosts.names)
+        if shard.has_contact(now_s, throttled=use.throttled):
+            wait_s = use.admit(now_s, shard.announced_s, hosts)
+            self.refused += wait_s > 0
+        else:
+            wait_s = use.admit_alone(now_s, hosts)
+            self.refused_alone += wait_s > 0
+        self.admitted += wait_s == 0
+        return wait_s
+
+    def give_back(self, organisation: model.Organisation, now_s: float) -> None:
+        """See base class."""
+        use = self._uses.get(organisation.name)
+        if use is not None and organisation.rate_per_s > 0:
+            use.give_back(now_s)
+
+    def set_organisations(
+        self, organisations_: abc.Mapping[str, model.Organisation]
+    ) -> None:
+        """Sets the organisations of the configuration in force.
+
+        Args:
+            organisations_: The organisations by name.
+        """
+        self._limits = {
+            limit.key: limit
+            for limit in (
+                quota_limits.make_limit(organisation, self._bounds)
+                for organisation in organisations_.values()
+                if organisation.rate_per_s > 0
+            )
+        }
+        for name in [name for name in self._uses if name not in organisations_]:
+            del self._uses[name]
+
+    async def run(self) -> None:
+        """Reports, coordinates and announces until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self.tick(loop.time())
+            await asyncio.sleep(TICK_S)
+
+    def tick(self, now_s: float) -> None:
+        """Does what is due; called every `TICK_S`.
+
+        Args:
+            now_s: Loop time in seconds.
+        """
+        if not self._limits:
+            return
+        self._ticks += 1
+        if self._ticks % TICKS_PER_REPORT == 0:
+            self._set_hosts(self._read_hosts(now_s))
+            self._report(now_s)
+        for shard in self._shards:
+            coordinated = shard.accounts is not None
+            announcement = shard.step(
+                self._hosts.names, self._hosts.settled, self._limits, now_s
+            )
+            if (shard.accounts is not None) != coordinated:
+                self._log.event('quota-coordinator', shard=shard.index)
+                self._report_again(shard, now_s)
+            if announcement is not None:
+                if not announcement.provisional:
+                    self._apply(shard)
+                self._announce(announcement)
+            self._log_contact(shard, now_s)
+
+    def handle(self, sender: str, payload: bytes, now_s: float) -> None:
+        """Handles a message of another host.
+
+        Args:
+            sender: Name of the host.
+            payload: The message.
+            now_s: Loop time in seconds.
+        """
+        try:
+            message = quota_messages.decode(payload)
+        except errors.DecodeFailed as exc:
+            self._log.event('peer-malformed', error=str(exc))
+            return
+        if isinstance(message, quota_messages.Announcement):
+            self._handle_announcement(message, now_s)
+            return
+        for shard in self._shards:
+            if shard.index == message.shard and shard.accounts is not None:
+                shard.accounts.record(sender, message, self._limits, now_s)
+
+    def used(self) -> dict[str, float]:
+        """Returns the used part of quotas, by organisation.
+
+        Only organisations near their quota are known, those with the least
+        credit left first.
+        """
+        states = [
+            (state.level / limit.depth, limit, state)
+            for shard in self._shards
+            for state in shard.states.values()
+            if (limit := self._limits.get(state.key)) is not None
+        ]
+        states.sort(key=lambda item: item[0])
+        return {
+            limit.name: state.demand_per_s
+            * state.admit_fraction
+            / limit.rate_per_s
+            for _, limit, state in states[:MAX_GAUGES]
+        }
+
+    def is_alone(self, now_s: float) -> bool:
+        """Returns whether this host has no contact to a coordinator."""
+        return not all(
+            shard.has_contact(now_s, throttled=False) for shard in self._shards
+        )
+
+    def _make_shard(self, index: int) -> quota_roles.Shard:
+        return quota_roles.Shard(index, self._me.name, self._me.incarnation)
+
+    def _use(self, organisation: model.Organisation) -> quota_use.Use:
+        """Returns the use of an organisation, with its limit up to date."""
+        limit = quota_limits.make_limit(organisation, self._bounds)
+        use = self._uses.get(organisation.name)
+        if use is None:
+            use = quota_use.Use(limit, self._rng)
+            shard = self._shards[limit.key % len(self._shards)]
+            use.note_announcement(shard.states.get(limit.key))
+            self._uses[organisation.name] = use
+        use.organisation = organisation
+        use.limit = limit
+        return use
+
+    def _set_hosts(self, hosts: Hosts) -> None:
+        self._hosts = hosts
+        count = quota_roles.shard_count(len(hosts.names))
+        del self._shards[count:]
+        while len(self._shards) < count:
+            self._shards.append(self._make_shard(len(self._shards)))
+
+    def _report(self, now_s: float) -> None:
+        """Reports counts that have changed to the coordinators."""
+        changed: list[list[quota_use.Use]] = [[] for _ in self._shards]
+        interval_s = TICK_S * TICKS_PER_REPORT
+        if self._measured_s is not None:
+            interval_s = max(TICK_S, now_s - self._measured_s)
+        self._measured_s = now_s
+        for name, use in list(self._uses.items()):
+            use.measure(interval_s, now_s)
+            if use.reports_left:
+                changed[use.limit.key % len(changed)].append(use)
+            elif now_s - use.changed_s > FORGET_S:
+                del self._uses[name]
+        for shard, uses in zip(self._shards, changed, strict=True):
+            reported_s = self._reported_s.get(shard.index, float('-inf'))
+            if shard.coordinator and (
+                uses or now_s - reported_s >= EMPTY_REPORT_S
+            ):
+                self._reported_s[shard.index] = now_s
+                self._report_to(
+                    shard, uses[: quota_messages.MAX_ENTRIES], now_s
+                )
+
+    def _report_to(
+        self,
+        shard: quota_roles.Shard,
+        uses: list[quota_use.Use],
+        now_s: float,
+    ) -> None:
+        self._reports += 1
+        report = quota_messages.Report(
+            shard.index,
+            self._me.incarnation,
+            self._reports,
+            quota_messages.pack_uses([use.report() for use in uses]),
+        )
+        if shard.accounts is not None:
+            shard.accounts.record(self._me.name, report, self._limits, now_s)
+            return
+        self.reports_sent += 1
+        self._send(
+            [shard.coordinator],
+            quota_messages.PART,
+            quota_messages.encode(report),
+        )
+
+    def _handle_announcement(
+        self, announcement: quota_messages.Announcement, now_s: float
+    ) -> None:
+        if announcement.shard >= len(self._shards):
+            return
+        shard = self._shards[announcement.shard]
+        coordinator = shard.coordinator
+        if not shard.accept(announcement, now_s):
+            return
+        if shard.coordinator != coordinator:
+            self._report_again(shard, now_s)
+        if not announcement.provisional:
+            self._apply(shard)
+        self._pass_on(announcement)
+
+    def _report_again(self, shard: quota_roles.Shard, now_s: float) -> None:
+        """Makes a new coordinator learn of recent requests."""
+        self._reported_s.pop(shard.index, None)
+        for use in self._uses.values():
+            if now_s - use.changed_s < quota_accounts.SILENT_S:
+                use.reports_left = max(1, use.reports_left)
+
+    def _apply(self, shard: quota_roles.Shard) -> None:
+        """Applies the states of a shard to the organisations in use."""
+        for use in self._uses.values():
+            key = use.limit.key
+            if key % len(self._shards) == shard.index:
+                use.note_announcement(shard.states.get(key))
+
+    def _announce(self, announcement: quota_messages.Announcement) -> None:
+        """Sends an announcement to all regions."""
+        self._pass_on(announcement)
+        names = [
+            name
+            for region in self._hosts.far
+            for name in self._rng.sample(region, min(REGION_SENDS, len(region)))
+        ]
+        self._send_announcement(names, announcement)
+
+    def _pass_on(self, announcement: quota_messages.Announcement) -> None:
+        """Sends an announcement to other hosts of the region."""
+        names = quota_roles.receivers(
+            self._hosts.near, self._me.name, announcement.number, FANOUT
+        )
+        self._send_announcement(names, announcement)
+
+    def _send_announcement(
+        self, names: list[str], announcement: quota_messages.Announcement
+    ) -> None:
+        if names:
+            self.announcements_sent += len(names)
+            self._send(
+                names,
+                quota_messages.PART,
+                quota_messages.encode(announcement),
+            )
+
+    def _log_contact(self, shard: quota_roles.Shard, now_s: float) -> None:
+        """Logs when this host falls back to its share, and back."""
+        contact = shard.has_contact(now_s, throttled=False)
+        if self._contact.get(shard.index, True) == contact:
+            return
+        self._contact[shard.index] = contact
+        kind = 'quota-contact' if contact else 'quota-alone'
+        self._log.event(kind, shard=shard.index, coordinator=shard.coordinator)
