--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -229,7 +229,7 @@
             return False
         measured_s = now_s - max(self._updated_s, self._started_s)
         self._updated_s = now_s
-        self.share = rate_share(self._heard(now_s), len(hosts))
+        lost = self._update_share(hosts, now_s)
         if now_s - self._dropped_s >= RETENTION_S:
             self._drop_old(hosts, now_s)
         alert = False
@@ -238,6 +238,7 @@
             if limit is None:
                 del self._accounts[key]
                 continue
+            account.level -= lost * limit.depth
             self._steer(account, limit, elapsed_s, measured_s)
             alert = alert or (
                 account.admit_fraction
@@ -283,12 +284,20 @@
             )
         return states, len(near) <= quota_messages.MAX_ENTRIES
 
-    def _heard(self, now_s: float) -> int:
-        """Returns the number of hosts heard of recently, with this one."""
+    def _update_share(self, hosts: abc.Collection[str], now_s: float) -> float:
+        """Updates the part of all rates that may be given out.
+
+        Returns:
+            By how much it has become smaller. Hosts that have fallen silent
+            may have used that part of the credit.
+        """
         oldest_s = now_s - SILENT_S
-        return sum(
+        heard = sum(
             reporter.heard_s > oldest_s for reporter in self._reporters.values()
         )
+        previous = self.share
+        self.share = rate_share(heard, len(hosts))
+        return max(0.0, previous - self.share)
 
     def _account(self, limit: quota_limits.Limit, now_s: float) -> _Account:
         account = self._accounts.get(limit.key)
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -15,7 +15,7 @@
 from ragwortchute.gateway.organisations import quota_messages
 
 # Hosts of a shard: the coordinator hears each of them several times a second.
-HOSTS_PER_SHARD = 250
+HOSTS_PER_SHARD = 400
 # A host has contact for this long after an announcement: with regard to
 # organisations of which a share is admitted, and to others, whose load may jump
 # while the host is cut off.
@@ -37,7 +37,7 @@
 MIN_SHARE = 0.02
 # Credit that a coordinator starts with, as a share of the largest: if it has
 # heard announcements, for organisations that were not listed, and otherwise.
-UNLISTED_LEVEL = quota_accounts.ANNOUNCE_FRACTION
+UNLISTED_LEVEL = 0.15
 UNKNOWN_LEVEL = 0.1
 
 
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -18,7 +18,7 @@
 LEVEL_FRACTION = 0.2
 # The same for organisations that are not announced, as a share of the largest
 # credit.
-UNLISTED_FRACTION = 0.5
+UNLISTED_FRACTION = 0.3
 # Number of hosts from which on that is reduced in proportion, as all of them
 # may be cut off.
 UNLISTED_HOSTS = 120
@@ -53,6 +53,7 @@
     """
 
     __slots__ = (
+        '_announced_share',
         '_between',
         '_bucket',
         '_carried',
@@ -85,6 +86,8 @@
         # that the sum over all hosts is exact.
         self._carried = rng.random()
         self._between = 0
+        # Demand of this host as a share of the rate at the last announcement.
+        self._announced_share = 0.0
         self._demand_per_s = 0.0
         self._measured = 0
         self._marks = (0, 0)
@@ -159,6 +162,9 @@
         """Takes over what the coordinator has announced."""
         self.state = state
         self._between = 0
+        self._announced_share = min(
+            1.0, self._demand_per_s / self.limit.rate_per_s
+        )
 
     def measure(self, interval_s: float, now_s: float) -> None:
         """Updates the demand of this host, periodically.
@@ -196,13 +202,12 @@
         limit = self.limit
         state = self.state
         if state is None:
-            own_share = min(1.0, self._demand_per_s / limit.rate_per_s)
             fraction = UNLISTED_FRACTION * min(
                 1.0, UNLISTED_HOSTS / shares.assumed_hosts(hosts)
             )
             return (
                 max(MIN_BETWEEN, fraction * limit.depth)
-                + own_share * limit.rate_per_s * elapsed_s
+                + self._announced_share * limit.rate_per_s * elapsed_s
             )
         own_share = min(1.0, self._demand_per_s / max(state.demand_per_s, 1e-3))
         level = max(0.0, state.level)
