Divide all limits that hold over the hosts in one place

Cold targets, limits of targets, retries and digests of crash checks each had their own copy of the owners, the lower bound on the number of hosts or the token bucket. They are in gateway/shares.py now, which the quotas use too. `pacing.Quota` is `pacing.ColdShare`, as it is no quota in the usual sense.

--- a/ragwortchute/gateway/crash_guard.py
+++ b/ragwortchute/gateway/crash_guard.py
@@ -14,7 +14,7 @@
 
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import pacing
+from ragwortchute.gateway import shares
 
 # A request is refused after it has crashed this many targets.
 BLOCK_AFTER_TARGETS = 2
@@ -176,7 +176,7 @@
     def _other_owners(self, key: int, now_s: float) -> list[str]:
         """Returns the other hosts that count the crashes of a request."""
         names = frozenset(self._hosts.alive_names(now_s))
-        owners = pacing.owners(f'{key:x}', names, OWNERS_PER_DIGEST)
+        owners = shares.owners(f'{key:x}', names, OWNERS_PER_DIGEST)
         return sorted(owners - {self._me})
 
     def _count_crash(self, notice: CrashNotice, now_s: float) -> bool:
--- a/ragwortchute/gateway/pacing.py
+++ b/ragwortchute/gateway/pacing.py
@@ -9,12 +9,11 @@
 
 import collections
 from collections import abc
-import functools
 
 import msgspec
-import xxhash
 
 from ragwortchute.gateway import limit_shares
+from ragwortchute.gateway import shares
 
 # Share of the limit that is used. The rest covers hosts that disagree on the
 # owners, and requests that arrive closer together than they were sent.
@@ -22,12 +21,9 @@
 # Window in which sends are counted; a little longer than the second that the
 # limit refers to.
 WINDOW_S = 1.05
-# Lower bound on the assumed number of hosts: a host that knows only itself may
-# not have learnt of the others yet.
-MIN_HOSTS = 4
 
 
-class Quota(msgspec.Struct, frozen=True):
+class ColdShare(msgspec.Struct, frozen=True):
     """How the rate limit of a cold target is divided.
 
     Attributes:
@@ -39,7 +35,7 @@
     sends_per_window: int
 
 
-def quota(limit_per_s: float, hosts: int) -> Quota:
+def cold_share(limit_per_s: float, hosts: int) -> ColdShare:
     """Divides a rate limit among the hosts.
 
     Args:
@@ -48,27 +44,9 @@
     """
     usable = int(limit_per_s * USABLE_FRACTION)
     if usable < 1:
-        return Quota(0, 0)
-    owners = min(max(MIN_HOSTS, hosts), usable)
-    return Quota(owners, usable // owners)
-
-
-@functools.lru_cache(maxsize=4096)
-def owners(target: str, hosts: frozenset[str], count: int) -> frozenset[str]:
-    """Returns the owners of a target, chosen by rendezvous hashing.
-
-    Hosts with the same list of hosts compute the same owners.
-
-    Args:
-        target: Name of the target.
-        hosts: Names of the hosts that may be alive.
-        count: Number of owners.
-    """
-    ranked = sorted(
-        hosts,
-        key=lambda host: xxhash.xxh64_intdigest(f'{target}/{host}'.encode()),
-    )
-    return frozenset(ranked[:count])
+        return ColdShare(0, 0)
+    owners = shares.owner_count(usable, hosts)
+    return ColdShare(owners, usable // owners)
 
 
 class ColdPacer:
@@ -122,8 +100,8 @@
         """
         if not self.discovered:
             return 0
-        share = quota(limit_per_s, len(self.names))
-        owner_names = owners(target, self.names, share.owners)
+        share = cold_share(limit_per_s, len(self.names))
+        owner_names = shares.owners(target, self.names, share.owners)
         return share.sends_per_window if self.own_name in owner_names else 0
 
     def share_of_limit(
@@ -146,7 +124,7 @@
             return None
         names = self.names_by_region.get(region) or self.names
         share = limit_shares.divide(limit_per_s, len(names))
-        if self.own_name not in owners(target, names, share.owners):
+        if self.own_name not in shares.owners(target, names, share.owners):
             return None
         return share
 
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -8,10 +8,10 @@
 import random
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import pacing
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import retry_loans
 from ragwortchute.gateway import send_limits
+from ragwortchute.gateway import shares
 from ragwortchute.gateway import stats as stats_
 
 # Number of hosts that is assumed until this host has learnt of the others.
@@ -101,7 +101,7 @@
         fleet = self._limits.fleet
         if not fleet.discovered:
             return ASSUMED_HOSTS
-        return max(pacing.MIN_HOSTS, len(fleet.names))
+        return shares.assumed_hosts(len(fleet.names))
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
--- a/ragwortchute/gateway/send_limits.py
+++ b/ragwortchute/gateway/send_limits.py
@@ -155,4 +155,4 @@
         )
         if share is None:
             return 1 / max(limit_shares.MIN_LIMIT_PER_S, limit_per_s)
-        return target.limit_pacer.wait_s(now_s, share)
+        return target.limit_pacer.wait_s(now_s, share.rate_per_s, share.burst)
--- a/ragwortchute/gateway/shares.py
+++ b/ragwortchute/gateway/shares.py
@@ -93,7 +93,3 @@
     def spend(self) -> None:
         """Counts a request that is sent."""
         self._tokens -= 1.0
-
-    def give_back(self) -> None:
-        """Returns the token of a request that was not sent."""
-        self._tokens += 1.0
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -7,10 +7,10 @@
 from ragwortchute import errors
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import http_client
-from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import pools
+from ragwortchute.gateway import shares
 from ragwortchute.gateway import target_statements
 
 CONNECT_TIMEOUT_S = 0.5
@@ -100,7 +100,7 @@
         self._reported_failure_rate = 0.0
         self._reported_s = 0.0
         self.pacer = pacing.ColdPacer()
-        self.limit_pacer = limit_shares.SharePacer()
+        self.limit_pacer = shares.TokenBucket()
         self.key = target_statements.target_key(entry)
         self.misdirected = False
         self.cold_until_s = 0.0
--- a/tests/test_gateway/test_crash_guard.py
+++ b/tests/test_gateway/test_crash_guard.py
@@ -7,7 +7,7 @@
 
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import pacing
+from ragwortchute.gateway import shares
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
@@ -148,7 +148,7 @@
         key = crash_guard.digest(request())
         names = frozenset(net.guards)
         owners = sorted(
-            pacing.owners(f'{key:x}', names, crash_guard.OWNERS_PER_DIGEST)
+            shares.owners(f'{key:x}', names, crash_guard.OWNERS_PER_DIGEST)
         )
         net.cut = {owners[lost]}
         others = [name for name in sorted(names) if name not in owners]
--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -14,6 +14,7 @@
 from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import routing
+from ragwortchute.gateway import shares
 from ragwortchute.gateway import sources
 from tests.test_gateway import rig as rigs
 
@@ -148,7 +149,7 @@
 
     def test_targets_have_different_owners(self):
         names = frozenset(f'h{number}' for number in range(100))
-        assert pacing.owners('t1', names, 5) != pacing.owners('t2', names, 5)
+        assert shares.owners('t1', names, 5) != shares.owners('t2', names, 5)
 
 
 class TestEstimates:
--- a/tests/test_gateway/test_limit_shares.py
+++ b/tests/test_gateway/test_limit_shares.py
@@ -7,6 +7,7 @@
 from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
+from ragwortchute.gateway import shares
 from ragwortchute.gateway import target_statements
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_target_limits
@@ -40,11 +41,11 @@
         share = fleet.share_of_limit('t', 'a', limit_per_s)
         if share is None:
             continue
-        pacer = limit_shares.SharePacer()
+        pacer = shares.TokenBucket()
         step_s = min(STEP_S, 0.2 / share.rate_per_s)
         now_s = rng.random() * STEP_S
         while now_s < DURATION_S:
-            if not pacer.wait_s(now_s, share):
+            if not pacer.wait_s(now_s, share.rate_per_s, share.burst):
                 pacer.spend()
                 sent_s.append(now_s)
             now_s += rng.expovariate(1 / step_s)
@@ -61,7 +62,7 @@
         sent_s = send_all(names, limit_per_s, hosts)
         most = test_target_limits.most_in_window(sent_s)
         assert most <= allowed(limit_per_s)
-        if hosts >= limit_shares.MIN_HOSTS:
+        if hosts >= shares.MIN_HOSTS:
             assert len(sent_s) >= 0.6 * limit_per_s * DURATION_S
 
     @pytest.mark.parametrize('limit_per_s', [1.0, 3.0, 30.0])
@@ -87,10 +88,10 @@
 
     def test_share_that_was_not_used_does_not_pile_up(self):
         share = limit_shares.divide(3.0, 8)
-        pacer = limit_shares.SharePacer()
-        pacer.wait_s(0.0, share)
+        pacer = shares.TokenBucket()
+        pacer.wait_s(0.0, share.rate_per_s, share.burst)
         sent = 0
-        while not pacer.wait_s(1000.0, share):
+        while not pacer.wait_s(1000.0, share.rate_per_s, share.burst):
             pacer.spend()
             sent += 1
         assert sent <= share.burst
