Connect the quotas to a host

The part is created only if the contract `quota` is present, and sends nothing while no organisation has a limit. Credits that are given back are kept for a second for the next request, since an upload asks before and after its body is read. Metrics and log lines name what a host does.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -43,6 +43,7 @@
 from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.organisations import quota_part
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -118,6 +119,7 @@
         statements: What targets have said to all hosts.
         pauses: Pauses that targets have asked this host for.
         target_report: What targets have said, by their names.
+        quotas: Quotas of organisations, None if none are enforced.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         bodies: Memory for long bodies of requests.
@@ -180,6 +182,15 @@
         )
         self.membership.on_failure_reports = self._failure_reports.handle_batch
         self._grace_period = grace.GracePeriod()
+        self.quotas = quota_part.create(
+            settings.contracts,
+            settings.bounds,
+            self.membership,
+            self.state,
+            lambda: self._send_limits.fleet.discovered,
+            log,
+            self.rng,
+        )
         self.dispatcher = self._create_dispatcher(dialect, reader)
         self._followers: dict[str, store_follower.Follower] = {}
         self._replicas: dict[str, replica.Replica] = {}
@@ -315,6 +326,8 @@
         self.spawn('membership', self.membership.run)
         self.spawn('maintenance', self._maintain)
         self.spawn('failure-reports', self._report_failures)
+        if self.quotas is not None:
+            self.spawn('quotas', self.quotas.run)
         ip, _, port = me.caller_address.rpartition(':')
         await self.callers.start(ip, int(port))
         self._log.event('start', caller_address=me.caller_address)
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -20,6 +20,7 @@
         scraping.add_process(self._metrics)
         self._add_request_metrics()
         self._add_state_metrics()
+        self._add_quota_metrics()
 
     async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Returns the metrics for the path `PATH`, else 404."""
@@ -165,6 +166,45 @@
             'target',
         )
 
+    def _add_quota_metrics(self) -> None:
+        quotas = self._gateway.quotas
+        if quotas is None:
+            return
+        for name, help_text, read_value in (
+            (
+                'ragwortchute_gateway_quota_admitted_total',
+                'Requests admitted under a quota.',
+                lambda: quotas.admitted,
+            ),
+            (
+                'ragwortchute_gateway_quota_refused_total',
+                'Requests refused over a quota.',
+                lambda: quotas.refused,
+            ),
+            (
+                'ragwortchute_gateway_quota_refused_alone_total',
+                'Requests refused while the host used its share of a quota.',
+                lambda: quotas.refused_alone,
+            ),
+        ):
+            self._metrics.add_counter(
+                name,
+                help_text,
+                lambda read_value=read_value: {'': read_value()},
+            )
+        self._metrics.add_gauge(
+            'ragwortchute_gateway_quota_used',
+            'Used share of the rate of an organisation over all hosts, of '
+            'those with the least credit.',
+            quotas.used,
+            'organisation',
+        )
+        self._metrics.add_gauge(
+            'ragwortchute_gateway_quota_alone',
+            'Whether this host uses only its own share of quotas.',
+            lambda: {'': int(quotas.is_alone())},
+        )
+
     def _latency_counts(self) -> dict[str, float]:
         """Returns cumulative counts by route and upper bound in ms."""
         return {
--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -22,6 +22,8 @@
 DEMAND_S = 0.3
 DEMAND_REQUESTS = 3.0
 MAX_DEMAND_S = 2.0
+# Accounts with full credit and less demand are dropped.
+IDLE_PER_S = 0.01
 # Largest debt, in seconds of the rate.
 DEBT_S = 5.0
 # Organisations below this share of their largest credit are announced.
@@ -102,10 +104,12 @@
         self._new[use.key] = use
         if known is None:
             return use.recent, use.recent
-        return (
-            quota_messages.difference(use.admitted, known.admitted),
-            quota_messages.difference(use.demanded, known.demanded),
-        )
+        demanded = quota_messages.difference(use.demanded, known.demanded)
+        if demanded < 0:
+            # The host has forgotten its counts.
+            return use.recent, use.recent
+        admitted = quota_messages.difference(use.admitted, known.admitted)
+        return admitted, demanded
 
     def forget(self) -> None:
         """Drops all counts."""
@@ -202,7 +206,7 @@
             admitted, demanded = reporter.replace(use)
             account = self._account(limit, now_s)
             account.level -= admitted
-            account.demanded += max(0, demanded)
+            account.demanded += demanded
 
     def is_provisional(self, now_s: float) -> bool:
         """Returns whether it is not known yet which hosts report."""
@@ -240,6 +244,12 @@
                 continue
             account.level -= lost * limit.depth
             self._steer(account, limit, elapsed_s, measured_s)
+            if (
+                account.level >= limit.depth * self.share
+                and account.demand_per_s < IDLE_PER_S
+            ):
+                del self._accounts[key]
+                continue
             alert = alert or (
                 account.admit_fraction
                 < account.announced_fraction * ALERT_FACTOR
--- a/ragwortchute/gateway/organisations/quota_limits.py
+++ b/ragwortchute/gateway/organisations/quota_limits.py
@@ -19,7 +19,7 @@
 MIN_BURST_S = 0.25
 # Largest share of what the bound allows at once that is planned as a burst. The
 # rest covers requests that the coordinator has not heard of.
-MAX_BURST_FRACTION = 0.6
+MAX_BURST_FRACTION = 0.55
 # Level of the credit, as a share of its largest, towards which it is steered
 # while more is demanded than the quota allows.
 TARGET_FRACTION = 0.25
@@ -65,6 +65,7 @@
         name: Name of the organisation.
         key: Hash of the name.
         rate_per_s: Requests per second over all hosts.
+        burst: Requests that all hosts serve at once beyond that.
         depth: Largest credit.
         target: Credit that is kept while more is demanded than allowed.
         alone_tokens: Tokens of all hosts together at the start of a host.
@@ -73,6 +74,7 @@
     name: str
     key: int
     rate_per_s: float
+    burst: float
     depth: float
     target: float
     alone_tokens: float
@@ -101,6 +103,7 @@
         organisation.name,
         key_of(organisation.name),
         rate_per_s,
+        organisation.burst,
         depth,
         depth * TARGET_FRACTION,
         excess * ALONE_START_FRACTION,
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -28,6 +28,9 @@
 DEMAND_WEIGHT = 0.3
 # Reports that name a count after it has changed.
 REPORTS_PER_CHANGE = 3
+# A credit that was given back is kept for this long for the next request, in
+# seconds: the body of an upload is read meanwhile.
+RETURNED_S = 1.0
 # Interval of the marks from which recent requests are counted, in seconds.
 MARK_S = 0.5
 # Longest time that is named to callers, in seconds.
@@ -49,7 +52,8 @@
         reports_left: Reports that should still name the counts.
         changed_s: Loop time of the last request, in seconds.
         state: Last announced state, None if the organisation is not listed.
-        alone: Whether the last request met the share without contact.
+        is_idle: Whether the host does not follow the organisation, as it got no
+            request for a while.
     """
 
     __slots__ = (
@@ -61,11 +65,13 @@
         '_mark_s',
         '_marks',
         '_measured',
+        '_returned',
+        '_returned_s',
         '_rng',
         'admitted',
-        'alone',
         'changed_s',
         'demanded',
+        'is_idle',
         'limit',
         'organisation',
         'reports_left',
@@ -80,7 +86,7 @@
         self.reports_left = 0
         self.changed_s = 0.0
         self.state: quota_messages.State | None = None
-        self.alone = False
+        self.is_idle = True
         self._rng = rng
         # Fractions of requests that add up; hosts begin at random places, so
         # that the sum over all hosts is exact.
@@ -92,6 +98,8 @@
         self._measured = 0
         self._marks = (0, 0)
         self._mark_s = float('-inf')
+        self._returned = 0
+        self._returned_s = 0.0
         self._bucket: shares.TokenBucket | None = None
 
     def admit(self, now_s: float, announced_s: float, hosts: int) -> float:
@@ -105,7 +113,6 @@
         Returns:
             0.0 if it is admitted, else the time until credit is expected.
         """
-        self.alone = False
         self._note_request(now_s)
         state = self.state
         if self.throttled:
@@ -129,7 +136,6 @@
         Returns:
             0.0 if it is admitted, else the time until credit is expected.
         """
-        self.alone = True
         self._note_request(now_s)
         hosts = shares.assumed_hosts(hosts)
         tokens = self.limit.alone_tokens / hosts
@@ -152,11 +158,20 @@
         return self.state is not None and self.state.admit_fraction < 1
 
     def give_back(self, now_s: float) -> None:
-        """Counts an admitted request as not admitted."""
-        self.admitted -= 1
-        self._between = max(0, self._between - 1)
-        self.reports_left = REPORTS_PER_CHANGE
-        self.changed_s = now_s
+        """Keeps the credit of an admitted request for the next one."""
+        self._returned += 1
+        self._returned_s = now_s
+
+    def take_returned(self) -> bool:
+        """Uses a credit that was given back; returns False if there is none.
+
+        The request is not counted: its credit was, and its demand was if it is
+        the same request, which asks again once its body has been read.
+        """
+        if not self._returned:
+            return False
+        self._returned -= 1
+        return True
 
     def note_announcement(self, state: quota_messages.State | None) -> None:
         """Takes over what the coordinator has announced."""
@@ -178,6 +193,10 @@
         self._demand_per_s += DEMAND_WEIGHT * (
             received / interval_s - self._demand_per_s
         )
+        if self._returned and now_s - self._returned_s > RETURNED_S:
+            self.admitted -= self._returned
+            self._returned = 0
+            self.reports_left = REPORTS_PER_CHANGE
         if now_s - self._mark_s >= MARK_S:
             self._marks = (self._marks[1], self.admitted)
             self._mark_s = now_s
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -28,8 +28,10 @@
 TICKS_PER_REPORT = 2
 # A host that has nothing to report shows that it is there after this time.
 EMPTY_REPORT_S = 0.5
-# Organisations without a request for this long are forgotten. The coordinator
-# drops their counts earlier.
+# Organisations without a request for this long are not followed until the next
+# one, and after the longer time forgotten. The coordinator drops their counts
+# earlier.
+IDLE_S = 5.0
 FORGET_S = 4 * quota_accounts.RETENTION_S
 # Hosts that an announcement is passed on to, and hosts of each other region
 # that the coordinator sends it to.
@@ -55,6 +57,8 @@
     settled: bool = False
 
 
+# Organisations by name.
+Organisations = abc.Mapping[str, model.Organisation]
 # Sends a payload to hosts, without a guarantee of delivery.
 SendCallback = abc.Callable[[list[str], str, bytes], None]
 
@@ -67,6 +71,8 @@
         bounds: Bound on the requests of an organisation.
         send: Sends a message to other hosts.
         hosts: Returns the hosts of the deployment at a loop time in seconds.
+        organisations_: Returns the organisations in force by name, None if
+            there are none.
         log: Event log.
         rng: Source of randomness.
 
@@ -81,17 +87,23 @@
     __slots__ = (
         '_bounds',
         '_contact',
+        '_coordinates',
+        '_followed',
         '_hosts',
         '_limits',
+        '_limits_by_name',
         '_log',
         '_me',
         '_measured_s',
+        '_organisations',
+        '_read_organisations',
         '_read_hosts',
         '_reported_s',
         '_reports',
         '_rng',
         '_send',
         '_shards',
+        '_swept_s',
         '_ticks',
         '_uses',
         'admitted',
@@ -107,6 +119,7 @@
         bounds: quota_limits.Bounds,
         send: SendCallback,
         hosts: abc.Callable[[float], Hosts],
+        organisations_: abc.Callable[[], Organisations | None],
         log: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -117,10 +130,16 @@
         self._hosts = Hosts()
         self._log = log
         self._rng = rng
+        self._read_organisations = organisations_
+        self._organisations: Organisations | None = None
         self._limits: dict[int, quota_limits.Limit] = {}
+        self._limits_by_name: dict[str, quota_limits.Limit] = {}
         self._uses: dict[str, quota_use.Use] = {}
+        self._followed: dict[str, quota_use.Use] = {}
+        self._swept_s = float('-inf')
         self._shards = [self._make_shard(0)]
         self._contact: dict[int, bool] = {}
+        self._coordinates: dict[int, bool] = {}
         self._reports = 0
         self._reported_s: dict[int, float] = {}
         self._ticks = rng.randrange(TICKS_PER_REPORT)
@@ -142,6 +161,11 @@
         use = self._uses.get(organisation.name)
         if use is None or use.organisation is not organisation:
             use = self._use(organisation)
+        if use.is_idle:
+            self._follow(use)
+        if use.take_returned():
+            self.admitted += 1
+            return 0.0
         shard = self._shards[use.limit.key % len(self._shards)]
         hosts = len(self._hosts.names)
         if shard.has_contact(now_s, throttled=use.throttled):
@@ -158,25 +182,34 @@
         use = self._uses.get(organisation.name)
         if use is not None and organisation.rate_per_s > 0:
             use.give_back(now_s)
-
-    def set_organisations(
-        self, organisations_: abc.Mapping[str, model.Organisation]
-    ) -> None:
-        """Sets the organisations of the configuration in force.
-
-        Args:
-            organisations_: The organisations by name.
-        """
-        self._limits = {
-            limit.key: limit
-            for limit in (
-                quota_limits.make_limit(organisation, self._bounds)
-                for organisation in organisations_.values()
-                if organisation.rate_per_s > 0
-            )
-        }
-        for name in [name for name in self._uses if name not in organisations_]:
-            del self._uses[name]
+            self.admitted -= 1
+
+    def _set_organisations(self, organisations_: Organisations | None) -> None:
+        """Sets the organisations of the configuration in force."""
+        self._organisations = organisations_
+        organisations_ = organisations_ or {}
+        limits = [
+            self._limit(organisation)
+            for organisation in organisations_.values()
+            if organisation.rate_per_s > 0
+        ]
+        self._limits_by_name = {limit.name: limit for limit in limits}
+        self._limits = {limit.key: limit for limit in limits}
+        for name in [*self._uses]:
+            if name not in organisations_:
+                del self._uses[name]
+                self._followed.pop(name, None)
+
+    def _limit(self, organisation: model.Organisation) -> quota_limits.Limit:
+        """Returns the limit of an organisation, the known one if it holds."""
+        limit = self._limits_by_name.get(organisation.name)
+        if (
+            limit is not None
+            and limit.rate_per_s == organisation.rate_per_s
+            and limit.burst == organisation.burst
+        ):
+            return limit
+        return quota_limits.make_limit(organisation, self._bounds)
 
     async def run(self) -> None:
         """Reports, coordinates and announces until cancelled."""
@@ -191,6 +224,9 @@
         Args:
             now_s: Loop time in seconds.
         """
+        organisations_ = self._read_organisations()
+        if organisations_ is not self._organisations:
+            self._set_organisations(organisations_)
         if not self._limits:
             return
         self._ticks += 1
@@ -198,18 +234,16 @@
             self._set_hosts(self._read_hosts(now_s))
             self._report(now_s)
         for shard in self._shards:
-            coordinated = shard.accounts is not None
             announcement = shard.step(
                 self._hosts.names, self._hosts.settled, self._limits, now_s
             )
-            if (shard.accounts is not None) != coordinated:
-                self._log.event('quota-coordinator', shard=shard.index)
-                self._report_again(shard, now_s)
             if announcement is not None:
-                if not announcement.provisional:
+                if announcement.provisional:
+                    self._report_again(shard, now_s)
+                else:
                     self._apply(shard)
                 self._announce(announcement)
-            self._log_contact(shard, now_s)
+            self._log_changes(shard, now_s)
 
     def handle(self, sender: str, payload: bytes, now_s: float) -> None:
         """Handles a message of another host.
@@ -251,28 +285,31 @@
             for _, limit, state in states[:MAX_GAUGES]
         }
 
-    def is_alone(self, now_s: float) -> bool:
-        """Returns whether this host has no contact to a coordinator."""
-        return not all(
-            shard.has_contact(now_s, throttled=False) for shard in self._shards
-        )
+    def is_alone(self) -> bool:
+        """Returns whether this host had no contact to a coordinator lately."""
+        return not all(self._contact.values())
 
     def _make_shard(self, index: int) -> quota_roles.Shard:
         return quota_roles.Shard(index, self._me.name, self._me.incarnation)
 
     def _use(self, organisation: model.Organisation) -> quota_use.Use:
         """Returns the use of an organisation, with its limit up to date."""
-        limit = quota_limits.make_limit(organisation, self._bounds)
+        limit = self._limit(organisation)
         use = self._uses.get(organisation.name)
         if use is None:
             use = quota_use.Use(limit, self._rng)
-            shard = self._shards[limit.key % len(self._shards)]
-            use.note_announcement(shard.states.get(limit.key))
             self._uses[organisation.name] = use
         use.organisation = organisation
         use.limit = limit
         return use
 
+    def _follow(self, use: quota_use.Use) -> None:
+        """Follows what is announced about an organisation from now on."""
+        use.is_idle = False
+        self._followed[use.limit.name] = use
+        shard = self._shards[use.limit.key % len(self._shards)]
+        use.note_announcement(shard.states.get(use.limit.key))
+
     def _set_hosts(self, hosts: Hosts) -> None:
         self._hosts = hosts
         count = quota_roles.shard_count(len(hosts.names))
@@ -287,12 +324,18 @@
         if self._measured_s is not None:
             interval_s = max(TICK_S, now_s - self._measured_s)
         self._measured_s = now_s
-        for name, use in list(self._uses.items()):
+        for name, use in [*self._followed.items()]:
             use.measure(interval_s, now_s)
             if use.reports_left:
                 changed[use.limit.key % len(changed)].append(use)
-            elif now_s - use.changed_s > FORGET_S:
-                del self._uses[name]
+            elif now_s - use.changed_s > IDLE_S:
+                use.is_idle = True
+                del self._followed[name]
+        if now_s - self._swept_s > FORGET_S:
+            self._swept_s = now_s
+            for name, use in [*self._uses.items()]:
+                if now_s - use.changed_s > FORGET_S:
+                    del self._uses[name]
         for shard, uses in zip(self._shards, changed, strict=True):
             reported_s = self._reported_s.get(shard.index, float('-inf'))
             if shard.coordinator and (
@@ -344,13 +387,13 @@
     def _report_again(self, shard: quota_roles.Shard, now_s: float) -> None:
         """Makes a new coordinator learn of recent requests."""
         self._reported_s.pop(shard.index, None)
-        for use in self._uses.values():
+        for use in self._followed.values():
             if now_s - use.changed_s < quota_accounts.SILENT_S:
                 use.reports_left = max(1, use.reports_left)
 
     def _apply(self, shard: quota_roles.Shard) -> None:
         """Applies the states of a shard to the organisations in use."""
-        for use in self._uses.values():
+        for use in self._followed.values():
             key = use.limit.key
             if key % len(self._shards) == shard.index:
                 use.note_announcement(shard.states.get(key))
@@ -383,11 +426,19 @@
                 quota_messages.encode(announcement),
             )
 
-    def _log_contact(self, shard: quota_roles.Shard, now_s: float) -> None:
-        """Logs when this host falls back to its share, and back."""
+    def _log_changes(self, shard: quota_roles.Shard, now_s: float) -> None:
+        """Logs when this host falls back to its share, or coordinates."""
+        coordinates = shard.accounts is not None
+        if self._coordinates.get(shard.index, False) != coordinates:
+            self._coordinates[shard.index] = coordinates
+            self._log.event(
+                'quota-coordinator', shard=shard.index, active=coordinates
+            )
         contact = shard.has_contact(now_s, throttled=False)
-        if self._contact.get(shard.index, True) == contact:
-            return
-        self._contact[shard.index] = contact
-        kind = 'quota-contact' if contact else 'quota-alone'
-        self._log.event(kind, shard=shard.index, coordinator=shard.coordinator)
+        if self._contact.get(shard.index, True) != contact:
+            self._contact[shard.index] = contact
+            self._log.event(
+                'quota-contact' if contact else 'quota-alone',
+                shard=shard.index,
+                coordinator=shard.coordinator,
+            )
--- a/tests/test_gateway/quota_model.py
+++ b/tests/test_gateway/quota_model.py
@@ -130,7 +130,7 @@
         self.organisation = model.Organisation(
             'hot', frozenset(), None, rate_per_s, burst
         )
-        for name, host in self.hosts.items():
+        for host in self.hosts.values():
             self.at(
                 self.rng.random() * 3,
                 lambda host=host, org=self.organisation: self.configure(
@@ -139,8 +139,8 @@
             )
 
     def configure(self, host, organisation):
-        host.set_organisations({'hot': organisation})
         host.in_force = organisation
+        host.configuration = {organisation.name: organisation}
 
     def at(self, after_s, action):
         self.events += 1
@@ -156,12 +156,15 @@
             BOUNDS,
             lambda names, part, payload: self.send(name, names, payload),
             lambda now_s: self.view(name, now_s),
+            lambda: host.configuration,
             rig.MemoryLog(),
             random.Random(self.rng.random()),
         )
         self.hosts[name] = host
         self.configure(host, self.organisation)
-        self.at(self.rng.random() * quotas.TICK_S, lambda: self.tick(name, host))
+        self.at(
+            self.rng.random() * quotas.TICK_S, lambda: self.tick(name, host)
+        )
 
     def tick(self, name, host):
         if self.hosts.get(name) is host:
@@ -180,9 +183,7 @@
             if now_s - self.last_sign_s(name, other) < RETAINED_S
         )
         region = self.domain[name][0]
-        far = tuple(
-            other for other in alive if self.domain[other][0] != region
-        )
+        far = tuple(other for other in alive if self.domain[other][0] != region)
         return quotas.Hosts(
             retained,
             tuple(other for other in alive if self.domain[other][0] == region),
