--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -14,6 +14,7 @@
 from ragwortchute.gateway import routing
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.organisations import key_index
+from ragwortchute.gateway.resources import upstream as upstream_
 
 # Names of organisations with unusable names or keys in one line of the log.
 MAX_LOGGED_NAMES = 10
@@ -38,6 +39,7 @@
         limits: Limits of the configuration in force.
         targets: Targets by name.
         domains_out: Failure domains whose targets get no requests.
+        upstream: Bounds the connections to targets; None for no bound.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.limits = model.Limits()
         self.targets: dict[str, targets_.Target] = {}
         self.domains_out: set[str] = set()
+        self.upstream: upstream_.Upstream | None = None
         self._completed = asyncio.Event()
         self._targets_read = False
         self._domains_out_read = False
@@ -283,6 +286,7 @@
             region,
             same_domain=entry.failure_domain == self._failure_domain,
             same_region=region == self.region,
+            upstream=self.upstream,
         )
         if self.cfg is not None:
             target.service = self.cfg.services.get(entry.service)
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -19,7 +19,9 @@
         self._metrics = scraping.Metrics()
         scraping.add_process(self._metrics)
         self._add_request_metrics()
+        self._add_limit_metrics()
         self._add_state_metrics()
+        self._add_quota_metrics()
 
     async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Returns the metrics for the path `PATH`, else 404."""
@@ -116,6 +118,37 @@
             'route',
         )
 
+    def _add_limit_metrics(self) -> None:
+        account = self._gateway.account
+        self._metrics.add_counter(
+            'ragwortchute_gateway_limited_total',
+            'Requests refused and connections closed at a limit, by limit.',
+            lambda: dict(account.shed),
+            'limit',
+        )
+        for name, help_text, read_value in (
+            (
+                'ragwortchute_gateway_request_bytes',
+                'Memory of requests and of responses that are not taken.',
+                lambda: account.held_bytes,
+            ),
+            (
+                'ragwortchute_gateway_accepted_connections',
+                'Connections accepted from callers and other hosts.',
+                lambda: len(account.connections),
+            ),
+            (
+                'ragwortchute_gateway_target_connections',
+                'Connections to targets and other hosts.',
+                lambda: account.upstream.used,
+            ),
+        ):
+            self._metrics.add_gauge(
+                name,
+                help_text,
+                lambda read_value=read_value: {'': read_value()},
+            )
+
     def _add_state_metrics(self) -> None:
         gateway = self._gateway
         metrics = self._metrics
@@ -177,6 +210,45 @@
             'target',
         )
 
+    def _add_quota_metrics(self) -> None:
+        quotas = self._gateway.quotas
+        if quotas is None:
+            return
+        for name, help_text, read_value in (
+            (
+                'ragwortchute_gateway_quota_admitted_total',
+                'Requests admitted under a quota.',
+                lambda: quotas.admitted,
+            ),
+            (
+                'ragwortchute_gateway_quota_refused_total',
+                'Requests refused over a quota.',
+                lambda: quotas.refused,
+            ),
+            (
+                'ragwortchute_gateway_quota_refused_alone_total',
+                'Requests refused while the host used its share of a quota.',
+                lambda: quotas.refused_alone,
+            ),
+        ):
+            self._metrics.add_counter(
+                name,
+                help_text,
+                lambda read_value=read_value: {'': read_value()},
+            )
+        self._metrics.add_gauge(
+            'ragwortchute_gateway_quota_used',
+            'Used share of the rate of an organisation over all hosts, of '
+            'those with the least credit.',
+            quotas.used,
+            'organisation',
+        )
+        self._metrics.add_gauge(
+            'ragwortchute_gateway_quota_alone',
+            'Whether this host uses only its own share of quotas.',
+            lambda: {'': int(quotas.is_alone())},
+        )
+
     def _latency_counts(self) -> dict[str, float]:
         """Returns cumulative counts by route and upper bound in ms."""
         return {
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -10,6 +10,7 @@
 from ragwortchute.gateway import body_reader
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.resources import account
 
 # How long the rest of a long body waits for memory. Callers give up on a host
 # that does not read their request for a second.
@@ -21,6 +22,10 @@
 MIN_EARLY_BYTES = 16 << 10
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Bytes read at once: of a body in long parts, and of anything else. Parsing
+# 16 KiB of the shortest headers or chunks takes a few milliseconds.
+LONG_READ_BYTES = 64 << 10
+READ_BYTES = 16 << 10
 
 
 EarlyRefusal = abc.Callable[
@@ -68,6 +73,7 @@
         ended: Whether all further data is ignored.
         started_s: Loop time at which the incomplete request began, 0 if there
             is none.
+        head_held_bytes: Memory of the head of the last request that began.
     """
 
     __slots__ = (
@@ -87,6 +93,7 @@
         '_requests_begun',
         '_url',
         'ended',
+        'head_held_bytes',
         'started_s',
     )
 
@@ -116,6 +123,28 @@
         """Whether the rest of a body must wait for memory."""
         return self._body.waiting
 
+    @property
+    def has_reservation(self) -> bool:
+        """Whether memory is reserved for the body of the request."""
+        return self._body.reserved_bytes > 0
+
+    @property
+    def read_bytes(self) -> int:
+        """Number of bytes to read at once."""
+        return LONG_READ_BYTES if self._body.has_long_parts else READ_BYTES
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the incomplete request without a reservation."""
+        if not self.started_s:
+            return 0
+        # The parser keeps an incomplete header.
+        unparsed_bytes = min(self._received_bytes, READ_BYTES)
+        return (
+            max(self.head_held_bytes, unparsed_bytes)
+            + self._body.unreserved_bytes
+        )
+
     @property
     def should_keep_alive(self) -> bool:
         """Whether the caller lets the connection carry another request."""
@@ -125,10 +154,11 @@
         """Ignores all further data and drops an incomplete request."""
         self.ended = True
         self.started_s = 0.0
+        self._headers = []
         self._stop_body_wait()
         self._body.clear()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses received bytes."""
         if self.ended:
             return
@@ -151,7 +181,7 @@
             allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
             self._check_head(framing_bytes - allowed)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
         """Parses received bytes.
 
         A request to change the protocol is served as any other, which HTTP
@@ -177,7 +207,7 @@
                     self._parser.get_http_version(),
                     [item for item in self._headers if item[0] != b'upgrade'],
                 )
-                data = head + data[exc.args[0] :]
+                data = head + bytes(data[exc.args[0] :])
                 self._parser = httptools.HttpRequestParser(self)
                 self._requests_begun -= 1
 
@@ -196,6 +226,7 @@
         if self.ended:
             return
         self._url += url
+        self.head_held_bytes += len(url)
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -203,7 +234,9 @@
         if self.ended:
             return
         self._headers.append((name.lower(), value))
-        self._count_head(len(name) + len(value) + 4)
+        size = len(name) + len(value)
+        self.head_held_bytes += size + account.HEADER_BYTES
+        self._count_head(size + 4)
 
     def on_headers_complete(self) -> None:
         """Reserves memory for the body and lets the caller send it."""
@@ -253,6 +286,8 @@
         except ValueError:
             self._receiver.reject(400)
             return
+        # An idle connection would keep them until its next request.
+        self._headers = []
         self._stop_body_wait()
         req.accepts_chunks = self._parser.get_http_version() != '1.0'
         trailers = self._headers[self._first_trailer :]
@@ -331,6 +366,7 @@
         self._body.clear()
         self._first_trailer = 0
         self._head_bytes = 0
+        self.head_held_bytes = 0
         self._received_bytes = 0
 
     def _count_head(self, size: int) -> None:
