Keep crash checks, handlers and the stop table true beside the account

Cause: a crash check that got no descriptor would have reported its target as crashed. A pipeline kept the handler that its listener had when the connection was accepted. A state of the stop table set a private limit of the budget. Change: crash checks may take a reserved descriptor, pipelines ask the listener for its handler, and the state sets the limits of the account. A body now gives way after 0.4 s without growth instead of 0.2, so that short pauses of callers on slow links don't count.

--- a/ragwortchute/gateway/body_budget.py
+++ b/ragwortchute/gateway/body_budget.py
@@ -41,6 +41,7 @@
     Attributes:
         limit_bytes: Bytes that may be reserved beside a body that exceeds the
             limit.
+        short_limit_bytes: Bytes that only short bodies may take in addition.
         most_bytes: Bytes that may be reserved while no body exceeds this.
         used_bytes: Reserved bytes of all bodies.
     """
@@ -49,7 +50,7 @@
         '_exempt',
         '_on_wait',
         '_short_bytes',
-        '_short_limit_bytes',
+        'short_limit_bytes',
         '_waiting',
         'limit_bytes',
         'most_bytes',
@@ -64,7 +65,7 @@
     ) -> None:
         self.limit_bytes = limit_bytes
         self.most_bytes = limit_bytes
-        self._short_limit_bytes = short_limit_bytes
+        self.short_limit_bytes = short_limit_bytes
         self._on_wait = on_wait
         self._exempt: Reservation | None = None
         self._waiting: dict[Reservation, tuple[int, asyncio.Future[None]]] = {}
@@ -124,7 +125,7 @@
         is_short = (
             reservation.size_bytes + size_bytes <= limits.SHORT_BODY_BYTES
         )
-        is_left = self._short_bytes + size_bytes <= self._short_limit_bytes
+        is_left = self._short_bytes + size_bytes <= self.short_limit_bytes
         if not (is_short and is_left):
             return False
         self._short_bytes += size_bytes
--- a/ragwortchute/gateway/crash_checks.py
+++ b/ragwortchute/gateway/crash_checks.py
@@ -59,7 +59,8 @@
         name = target.entry.name
         try:
             await asyncio.sleep(CHECK_DELAY_S)
-            target.pool.release(await target.pool.acquire())
+            # Without a descriptor, this host would take it for crashed.
+            target.pool.release(await target.pool.acquire(essential=True))
         except errors.ConnectFailed:
             now_s = self._loop.time()
             for lost in self._pending[name]:
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -22,7 +22,7 @@
 _HIGH_PRESSURE_AT_WORK = 4
 _FULL_PRESSURE = 0.75
 # A body that has not grown for this long gives way to others.
-STALLED_S = 0.2
+STALLED_S = 0.4
 # Shortest time between two responses that are ended for their connections to
 # targets: a burst of health requests alone takes many connections for a moment.
 STREAMS_SHED_INTERVAL_S = 0.05
@@ -184,6 +184,7 @@
         """
         self.bodies.limit_bytes = self.limits.long_body_bytes(max_body_bytes)
         self.bodies.most_bytes = self.limits.body_bytes
+        self.bodies.short_limit_bytes = self.limits.short_body_bytes
         self.upstream.prune()
         self._on_body_wait()
         self._log_shed()
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -74,7 +74,7 @@
         self._account = listener.account
         self._held_bytes = 0
         self._pipeline = pipeline_.Pipeline(
-            listener.handler,
+            lambda req: listener.handler(req),
             listener.account,
             listener.bodies,
             listener.log,
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -1,13 +1,16 @@
 """Tests of the limits, and of who is refused or closed when one is reached."""
 
 import asyncio
+import types
 
 import pytest
 
 from ragwortchute.gateway import body_budget
+from ragwortchute.gateway import crash_checks
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
+from ragwortchute.gateway import pools
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.resources import upstream as upstream_
@@ -235,6 +238,32 @@
         assert upstream.take() is None
 
 
+class TestCrashChecks:
+    """A host without descriptors must not take a target for crashed."""
+
+    async def test_target_that_lives_is_not_reported(self, serve):
+        server = await serve()
+        reported = []
+        guard = types.SimpleNamespace(
+            report_crash=lambda *args: reported.append(args)
+        )
+        port = server.listener.port
+        upstream = upstream_.Upstream(lambda: 0)
+        pool = pools.Pool('127.0.0.1', port, upstream=upstream)
+        entry = types.SimpleNamespace(name='t0')
+        target = types.SimpleNamespace(pool=pool, entry=entry)
+        checks = crash_checks.CrashChecks(guard)
+        checks.check(
+            types.SimpleNamespace(req=None),
+            types.SimpleNamespace(target=target, sent_s=0.0),
+        )
+        await asyncio.sleep(2 * crash_checks.CHECK_DELAY_S)
+        assert upstream.used == 1
+        await checks.close()
+        pool.close()
+        assert not reported
+
+
 class Server:
     """Listener with small limits whose handler waits until it is told."""
 
