Evaluate probes that end together in the order of probing

The order of a set of tasks depends on their addresses, so that two runs of a simulation with one seed differed.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -335,7 +335,8 @@
                     pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
                 )
                 accepted = False
-                for task in done:
+                # In the order of probing: that of a set is not repeatable.
+                for task in [item for item in tasks if item in done]:
                     result = self._probe_result(task, tasks[task])
                     if result is not None:
                         results.append(result)
