Add a model of load on targets that the real decisions are run on

Admission control has criteria that no test could check: the stand-in targets need real time and processes. Real dispatchers and selections now run on an event loop whose clock jumps, with simulated connections, targets (slots, queue, knee, changing speed) and callers.

--- /dev/null
+++ b/tests/test_gateway/load_model.py
@@ -0,0 +1,615 @@
+"""Model of load on targets, driven by the decisions of real hosts.
+
+All hosts and targets run on one event loop whose clock jumps to the next timer.
+The hosts are real dispatchers with real selections; only connections, targets
+and callers are simulated, so that the tests measure the decisions and not the
+machine.
+"""
+
+import asyncio
+import collections
+import itertools
+import random
+import selectors
+
+import msgspec
+
+from ragwortchute.gateway import http_client
+from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import model
+from ragwortchute.gateway import pacing
+from tests.test_gateway import rig as rigs
+
+DOMAINS = ('a1', 'a2')
+SAME_DOMAIN_DELAY_S = 0.0005
+OTHER_DOMAIN_DELAY_S = 0.0035
+# A target is slow for this share of the time, by this factor.
+SLOW_SHARE = 0.25
+SLOW_FACTOR = 5.0
+SPEED_PERIOD_S = 0.15
+# Above this share of its slots a target works slower by this factor.
+KNEE = 0.8
+KNEE_FACTOR = 1.7
+WORK_SIGMA = 0.35
+# This share of the requests takes this many times the mean work.
+LONG_SHARE = 0.01
+LONG_FACTOR = 7.0
+# A caller waits for up to this share of the time that it has left.
+MAX_WAIT_SHARE = 1 / 3
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """A kind of request; times in seconds."""
+
+    name: str
+    work_s: float
+    objective_s: float
+    deadline_s: float
+    priority: int
+    share: float
+    idempotent: bool = True
+
+    def route(self) -> model.Route:
+        """Returns the route of the kind."""
+        return rigs.route(
+            name=self.name,
+            path_prefix=f'/{self.name}/',
+            idempotent=self.idempotent,
+            timeout_s=self.deadline_s,
+            objective_s=self.objective_s,
+            priority=self.priority,
+        )
+
+
+KINDS = (
+    Kind('lookup', 0.113, 0.333, 1.924, 0, 0.45),
+    Kind('read', 0.292, 0.881, 2.736, 1, 0.25),
+    Kind('command', 0.372, 1.084, 3.229, 1, 0.15, idempotent=False),
+    Kind('upload', 0.349, 3.247, 4.287, 2, 0.15, idempotent=False),
+)
+
+
+class JumpingLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock jumps to the next timer."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        super().__init__(_JumpingSelector(self))
+
+    def time(self) -> float:
+        """Returns the simulated time in seconds."""
+        return self.now_s
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    def __init__(self, loop: JumpingLoop) -> None:
+        super().__init__()
+        self._jumping_loop = loop
+
+    def select(self, timeout=None):
+        """Advances the clock instead of waiting."""
+        if timeout is None:
+            raise RuntimeError('nothing will ever happen')
+        self._jumping_loop.now_s += max(0.0, timeout)
+        return []
+
+
+class _Job:
+    """Work that a target has been sent."""
+
+    __slots__ = ('fut', 'kind', 'left_s', 'request_id', 'work_s')
+
+    def __init__(self, kind, request_id, work_s, fut):
+        self.kind = kind
+        self.request_id = request_id
+        self.work_s = self.left_s = work_s
+        self.fut = fut
+
+
+class SimTarget:
+    """Target with slots, a queue of twice that, a knee and changing speed."""
+
+    def __init__(self, name, slots, rng, base_slowness=1.0):
+        self.name = name
+        self.slots = slots
+        self.rng = rng
+        self._base_slowness = base_slowness
+        self.running = []
+        self.waiting = collections.deque()
+        self.shed = 0
+        self.aborted = 0
+        self.done_work_s = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._updated_s = self._loop.time()
+        self._timer = None
+        self.slowness = base_slowness
+        self._change_speed()
+
+    @property
+    def capacity(self):
+        """Seconds of work per second at the best number of running jobs."""
+        speed = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_FACTOR
+        speed /= self._base_slowness
+        return speed * max(
+            count / self._knee_factor(count)
+            for count in range(1, self.slots + 1)
+        )
+
+    def load(self):
+        """Returns the header that states the load."""
+        text = (
+            f'{len(self.running)},{len(self.waiting)},{self.slots},'
+            f'{self.slowness * 100:.0f}'
+        )
+        return (b'x-server-load', text.encode())
+
+    def submit(self, kind, request_id, work_s, fut):
+        """Runs or queues a request; returns None if the target is full."""
+        job = _Job(kind, request_id, work_s, fut)
+        self._advance()
+        if len(self.running) < self.slots:
+            self.running.append(job)
+        elif len(self.waiting) < 2 * self.slots:
+            self.waiting.append(job)
+        else:
+            self.shed += 1
+            return None
+        self._schedule()
+        return job
+
+    def abort(self, job):
+        """Ends a request whose host has closed its connection."""
+        self._advance()
+        if job in self.running:
+            self.aborted += 1
+            self.running.remove(job)
+        elif job in self.waiting:
+            self.waiting.remove(job)
+        self._fill()
+
+    def _knee_factor(self, count):
+        return KNEE_FACTOR if count > KNEE * self.slots else 1.0
+
+    def _rate(self):
+        return 1 / (self.slowness * self._knee_factor(len(self.running)))
+
+    def _change_speed(self):
+        self._advance()
+        self.slowness = self._base_slowness
+        if self.rng.random() < SLOW_SHARE:
+            self.slowness *= SLOW_FACTOR
+        delay_s = self.rng.expovariate(1 / SPEED_PERIOD_S)
+        self._loop.call_later(delay_s, self._change_speed)
+        self._schedule()
+
+    def _advance(self):
+        now_s = self._loop.time()
+        done_s = (now_s - self._updated_s) * self._rate()
+        self._updated_s = now_s
+        for job in self.running:
+            job.left_s -= done_s
+
+    def _schedule(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self.running:
+            left_s = max(0.0, min(job.left_s for job in self.running))
+            self._timer = self._loop.call_later(
+                left_s / self._rate() + 1e-9, self._finish
+            )
+
+    def _finish(self):
+        self._advance()
+        for job in [job for job in self.running if job.left_s <= 1e-6]:
+            self.running.remove(job)
+            self.done_work_s += job.work_s
+            self._loop.call_soon(_answer, job, self)
+        self._fill()
+
+    def _fill(self):
+        while self.waiting and len(self.running) < self.slots:
+            self.running.append(self.waiting.popleft())
+        self._schedule()
+
+
+def _answer(job, target):
+    job.fut(
+        http_client.Reply(
+            200,
+            [
+                (b'x-request-id', job.request_id),
+                (b'x-server-stamp', b's'),
+                target.load(),
+            ],
+        )
+    )
+
+
+class SimConnection:
+    """Connection of a host to a target."""
+
+    __slots__ = ('_delay_s', '_fut', '_job', '_loop', '_target', 'lost')
+
+    def __init__(self, target, delay_s):
+        self._target = target
+        self._delay_s = delay_s
+        self._loop = asyncio.get_running_loop()
+        self._fut = None
+        self._job = None
+        self.lost = False
+
+    @property
+    def usable(self):
+        return not self.lost and (self._fut is None or self._fut.done())
+
+    def send(self, head, accept, body_parts=(), memory=None):
+        """Sends a health request or a request."""
+        self._fut = fut = self._loop.create_future()
+        path = head.split(b' ', 2)[1]
+        arrive = self._probe if path == b'/health' else self._submit
+        self._loop.call_later(self._delay_s, arrive, path, fut)
+        return fut
+
+    def abort(self):
+        """Closes the connection, which ends its request."""
+        if not self.lost:
+            self.lost = True
+            if self._job is not None and not self._fut.done():
+                self._loop.call_later(
+                    self._delay_s, self._target.abort, self._job
+                )
+
+    def _probe(self, path, fut):
+        reply = http_client.Reply(
+            200,
+            [
+                (b'x-instance-id', self._target.name.encode()),
+                self._target.load(),
+            ],
+        )
+        self._reply(fut, reply)
+
+    def _submit(self, path, fut):
+        if self.lost:
+            return
+        _, kind, work, request_id = path.split(b'/')
+        job = self._target.submit(
+            kind,
+            request_id,
+            float(work),
+            lambda reply: self._reply(fut, reply),
+        )
+        self._job = job
+        if job is None:
+            headers = [
+                (b'x-request-id', request_id),
+                (b'x-not-executed', b'1'),
+                self._target.load(),
+            ]
+            self._reply(fut, http_client.Reply(503, headers))
+
+    def _reply(self, fut, reply):
+        self._loop.call_later(self._delay_s, self._deliver, fut, reply)
+
+    def _deliver(self, fut, reply):
+        self._job = None
+        if not fut.done():
+            fut.set_result(reply)
+
+
+class SimPool:
+    """Connections of a host to a target."""
+
+    def __init__(self, target, delay_s):
+        self._target = target
+        self._delay_s = delay_s
+        self._idle = []
+
+    @property
+    def has_idle(self):
+        return bool(self._idle)
+
+    async def acquire(self):
+        """Returns a connection; a new one takes a round trip."""
+        if self._idle:
+            return self._idle.pop()
+        await asyncio.sleep(2 * self._delay_s)
+        return SimConnection(self._target, self._delay_s)
+
+    def release(self, conn):
+        """Keeps a connection that may carry another request."""
+        if conn.usable:
+            self._idle.append(conn)
+        else:
+            conn.abort()
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """Load and environment of a run.
+
+    Attributes:
+        load: Work that arrives, as a multiple of the capacity.
+        hosts: Number of hosts.
+        targets: Number of targets, half of them with 6 slots and half with 4.
+        seconds: Time for which requests arrive.
+        warm_up_s: Requests of this time at the start are not measured.
+        surge: Kind of which 5 times as many arrive as usual; empty for none.
+        organisations: Number of organisations; 0 for none.
+        large_share: Times that the first organisation sends the usual load.
+        slow_targets: Every how many-th target has a fifth of its speed; 0 for
+            none.
+        impatient: Whether callers retry at once, up to three times.
+        equal: Whether all kinds have the same priority.
+    """
+
+    load: float
+    hosts: int = 8
+    targets: int = 16
+    seconds: float = 6.0
+    warm_up_s: float = 2.0
+    surge: str = ''
+    organisations: int = 0
+    large_share: float = 7.5
+    slow_targets: int = 0
+    impatient: bool = False
+    equal: bool = False
+
+
+class Outcome(msgspec.Struct):
+    """Final answer to a caller.
+
+    Attributes:
+        kind: Kind of the request.
+        organisation: Name of its organisation, empty for none.
+        work_s: Its work in seconds.
+        status: Status of the last answer.
+        elapsed_s: Time from the first send to the final answer.
+        held: Shares of its time that a host took before each refusal.
+        at_s: Time of the first send.
+    """
+
+    kind: Kind
+    organisation: str
+    work_s: float
+    status: int
+    elapsed_s: float
+    held: list[float]
+    at_s: float
+
+    @property
+    def good(self) -> bool:
+        """Whether it was answered within its deadline."""
+        return self.status == 200 and self.elapsed_s <= self.kind.deadline_s
+
+    @property
+    def in_objective(self) -> bool:
+        """Whether it was answered within its objective."""
+        return self.status == 200 and self.elapsed_s <= self.kind.objective_s
+
+
+class Figures(msgspec.Struct):
+    """Figures of a group of requests; shares of `requests`."""
+
+    requests: int
+    in_objective: float
+    late: float
+    refused: float
+    failed: float
+    left_at_refusal: float
+
+    @property
+    def served(self) -> float:
+        """Share that was answered."""
+        return self.in_objective + self.late
+
+
+def figures(outcomes) -> Figures:
+    """Returns the figures of requests."""
+    count = max(1, len(outcomes))
+    held = [share for item in outcomes for share in item.held]
+    in_objective = sum(item.in_objective for item in outcomes) / count
+    good = sum(item.status == 200 for item in outcomes) / count
+    refused = sum(item.status == 503 for item in outcomes) / count
+    return Figures(
+        len(outcomes),
+        in_objective,
+        good - in_objective,
+        refused,
+        1 - good - refused,
+        1 - max(held, default=0.0),
+    )
+
+
+class Simulation:
+    """Runs one scenario."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.rng = random.Random(seed)
+        self._loop = asyncio.get_running_loop()
+        self._start_s = self._loop.time()
+        self._numbers = itertools.count()
+        self.targets = [
+            SimTarget(
+                f't{number}',
+                6 if number % 2 else 4,
+                random.Random(f'{seed}/{number}'),
+                SLOW_FACTOR if self._is_slow(number) else 1.0,
+            )
+            for number in range(scenario.targets)
+        ]
+        self.kinds = KINDS
+        if scenario.equal:
+            self.kinds = tuple(
+                msgspec.structs.replace(kind, priority=0) for kind in KINDS
+            )
+        self.hosts = [self._host(number) for number in range(scenario.hosts)]
+        self.outcomes: list[Outcome] = []
+
+    @property
+    def capacity(self) -> float:
+        """Seconds of work per second that all targets can do."""
+        return sum(target.capacity for target in self.targets)
+
+    def _is_slow(self, number: int) -> bool:
+        step = self.scenario.slow_targets
+        return bool(step) and number % step == 0
+
+    def _host(self, number: int) -> rigs.Rig:
+        rig = rigs.Rig()
+        rig.rng.seed(f'{number}')
+        rig.log.event = lambda kind, **fields: None
+        rig.state.set_configuration(
+            1, rigs.configuration(*(kind.route() for kind in self.kinds))
+        )
+        domain = DOMAINS[number % len(DOMAINS)]
+        entries = [
+            model.TargetEntry(
+                target.name,
+                'svc',
+                '127.0.0.1',
+                1,
+                # Two thirds of the targets are in the first domain.
+                DOMAINS[int(index % 3 == 2)],
+                target.slots,
+                True,
+                0.0,
+                1,
+            )
+            for index, target in enumerate(self.targets)
+        ]
+        rig.state.set_targets(entries, 1)
+        rig.state.set_domains_out((), 1)
+        names = [f'h{index}' for index in range(self.scenario.hosts)]
+        rig.send_limits.fleet = pacing.make_fleet(f'h{number}', names, True)
+        rig.selector.targets = len(entries)
+        for target, entry in zip(self.targets, entries, strict=True):
+            known = rig.state.targets[target.name]
+            known.same_domain = entry.failure_domain == domain
+            known.pool = SimPool(
+                target,
+                SAME_DOMAIN_DELAY_S
+                if known.same_domain
+                else OTHER_DOMAIN_DELAY_S,
+            )
+        return rig
+
+    async def run(self) -> None:
+        """Sends requests and waits until all have been answered."""
+        scenario = self.scenario
+        weights = [
+            kind.share * (5 if kind.name == scenario.surge else 1)
+            for kind in self.kinds
+        ]
+        mean_work_s = sum(
+            weight * kind.work_s
+            for weight, kind in zip(weights, self.kinds, strict=True)
+        ) / sum(weights)
+        rate = scenario.load * self.capacity / mean_work_s
+        organisation_weights = [
+            scenario.large_share if number == 0 else 1.0
+            for number in range(scenario.organisations)
+        ]
+        tasks = []
+        end_s = self._start_s + scenario.seconds
+        while self._loop.time() < end_s:
+            kind = self.rng.choices(self.kinds, weights)[0]
+            organisation = None
+            if organisation_weights:
+                number = self.rng.choices(
+                    range(scenario.organisations), organisation_weights
+                )[0]
+                organisation = model.Organisation(f'o{number}', frozenset())
+            tasks.append(self._loop.create_task(self._call(kind, organisation)))
+            await asyncio.sleep(self.rng.expovariate(rate))
+        await asyncio.gather(*tasks)
+        self._done_s = self._loop.time()
+
+    async def _call(self, kind, organisation) -> None:
+        start_s = self._loop.time()
+        work_s = kind.work_s * self.rng.lognormvariate(
+            -(WORK_SIGMA**2) / 2, WORK_SIGMA
+        )
+        if self.rng.random() < LONG_SHARE:
+            work_s = kind.work_s * LONG_FACTOR
+        retries = 3 if self.scenario.impatient else 1
+        held = []
+        for attempt in range(retries + 1):
+            sent_s = self._loop.time()
+            left_s = start_s + kind.deadline_s - sent_s
+            resp = await self._send(kind, organisation, work_s, left_s)
+            if resp.status != 503:
+                break
+            held.append((self._loop.time() - sent_s) / left_s)
+            wait_s = float(dict(resp.headers)[b'retry-after'])
+            left_s = start_s + kind.deadline_s - self._loop.time()
+            if self.scenario.impatient:
+                wait_s = 0.001
+            if attempt == retries or wait_s > left_s * MAX_WAIT_SHARE:
+                break
+            await asyncio.sleep(wait_s)
+        if start_s - self._start_s >= self.scenario.warm_up_s:
+            self.outcomes.append(
+                Outcome(
+                    kind,
+                    organisation.name if organisation else '',
+                    work_s,
+                    resp.status,
+                    self._loop.time() - start_s,
+                    held,
+                    start_s - self._start_s,
+                )
+            )
+
+    async def _send(self, kind, organisation, work_s, left_s):
+        host = self.rng.choice(self.hosts)
+        headers = [
+            (b'x-request-id', b'%d' % next(self._numbers)),
+            (b'x-request-deadline-ms', b'%d' % (left_s * 1000)),
+        ]
+        req = http_messages.Request(
+            'GET',
+            f'/{kind.name}/{work_s}/{headers[0][1].decode()}',
+            'example',
+            headers,
+            [],
+            self._loop.time(),
+            self._loop.create_future(),
+        )
+        host.organisation = organisation
+        return await host.dispatcher.serve(req)
+
+    def kind(self, name: str) -> Figures:
+        """Returns the figures of a kind."""
+        return figures([o for o in self.outcomes if o.kind.name == name])
+
+    def organisation(self, name: str) -> Figures:
+        """Returns the figures of an organisation."""
+        return figures([o for o in self.outcomes if o.organisation == name])
+
+    def all(self) -> Figures:
+        """Returns the figures of all requests."""
+        return figures(self.outcomes)
+
+    @property
+    def useful_work(self) -> float:
+        """Work of served requests per time, as a share of the capacity."""
+        seconds = self.scenario.seconds - self.scenario.warm_up_s
+        done_s = sum(item.work_s for item in self.outcomes if item.good)
+        return done_s / seconds / self.capacity
+
+
+def simulate(scenario: Scenario, seed: int = 1) -> Simulation:
+    """Runs a scenario and returns its end."""
+
+    async def run():
+        simulation = Simulation(scenario, seed)
+        await simulation.run()
+        return simulation
+
+    loop = JumpingLoop()
+    try:
+        return loop.run_until_complete(run())
+    finally:
+        loop.close()
