Keep room on targets for more urgent requests, and wait for it at the host

Route.priority was not read anywhere.

Where a service has requests of several priorities, those that are not of the most urgent one only take slots below the knee, and leave more of them free the more of the probed targets have none. If no probed target has room, they wait at the host for up to 0.16 of their time, in order of urgency, and one of them at a time probes again: when a request of this host has ended, and at most six times.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -20,6 +20,7 @@
 from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.admission import room
 
 FIRST_ROUND_TARGETS = 3
 LATER_ROUND_TARGETS = 4
@@ -40,6 +41,10 @@
 HELD_UP_S = 0.005
 # Refusal reason: no probed target answered and can take the request.
 NO_ANSWER = 'no-answer'
+# Refusal reason: the targets have no room for a request of this urgency.
+NO_ROOM = 'no-room'
+# A target without room is selected last, only to learn that none has any.
+NO_ROOM_COST_S = 1000.0
 _SLOWNESS_SMOOTHING = 0.02
 INITIAL_MEAN_SLOWNESS = 1.8
 
@@ -86,12 +91,14 @@
         work_s: Expected processing time at slowness 1, in seconds.
         objective_s: Latency objective in seconds.
         remaining_s: Time until the answer is due, in seconds.
+        limit: Which targets have room for it, None if all have.
     """
 
     targets: list[targets_.Target]
     work_s: float
     objective_s: float
     remaining_s: float
+    limit: room.Limit | None = None
 
 
 class _ProbeResult(msgspec.Struct, eq=False):
@@ -125,6 +132,7 @@
     ) -> None:
         self._rng = rng
         self._mean_slowness: dict[str, float] = {}
+        self._fullness: dict[str, room.Fullness] = {}
         self._loop = asyncio.get_running_loop()
         self._probe_budget = probe_budget.ProbeBudget(
             probes_per_s, self._loop.time()
@@ -238,6 +246,11 @@
         """Returns the mean slowness of the targets of a service."""
         return self._mean_slowness.get(service, INITIAL_MEAN_SLOWNESS)
 
+    def full_share(self, service: str) -> float:
+        """Returns the share of targets without a slot below the knee."""
+        fullness = self._fullness.get(service)
+        return 0.0 if fullness is None else fullness.share()
+
     def _place(
         self, best: _ProbeResult | None, required: Requirements, probed: int
     ) -> Placement | NoPlacement:
@@ -245,6 +258,9 @@
         if best is None or not best.conn.usable:
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         target = best.target
+        if not self._has_room(best, required):
+            target.pool.release(best.conn)
+            return NoPlacement(NO_ROOM, required.objective_s / 4, probed)
         expected_s = self._expected_s(best, required)
         if expected_s > required.remaining_s:
             target.pool.release(best.conn)
@@ -382,6 +398,10 @@
             mean_slowness
             + (reading.slowness - mean_slowness) * _SLOWNESS_SMOOTHING
         )
+        fullness = self._fullness.get(service)
+        if fullness is None:
+            fullness = self._fullness[service] = room.Fullness()
+        fullness.note(reading)
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
@@ -410,13 +430,26 @@
             target.failure_rate(self._loop.time()),
         )
 
+    def _has_room(self, result: _ProbeResult, required: Requirements) -> bool:
+        if required.limit is None:
+            return True
+        reading = result.reading
+        occupied = reading.running + reading.waiting
+        occupied += result.target.sent_since(reading)
+        slots = reading.slots or result.target.entry.slots
+        full_share = self.full_share(result.target.entry.service)
+        return required.limit.allows(occupied, slots, full_share)
+
     def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
-        return estimates.cost_s(
+        cost_s = estimates.cost_s(
             self._candidate(result),
             required.work_s,
             self.mean_slowness(result.target.entry.service),
             required.objective_s,
         )
+        if not self._has_room(result, required):
+            cost_s += NO_ROOM_COST_S
+        return cost_s
 
 
 def _pop_round(
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -33,6 +33,7 @@
 from ragwortchute.gateway import streamed_answers
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
+from ragwortchute.gateway.admission import gate
 
 # A hedge is sent once an answer takes longer than this share of the latency
 # objective and longer than this many times the expected time.
@@ -136,6 +137,7 @@
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self._gate = gate.Gate(state, selector, rng)
         self.work_times = work_times.WorkTimes()
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
@@ -262,7 +264,7 @@
         blocked_s = self._blocked_s(call.req)
         if blocked_s > 0:
             return self._answers.give_up(call, 'crashes-targets', blocked_s)
-        placed = await self._selector.select(self._requirements(call))
+        placed = await self._gate.place(call, self._requirements)
         if isinstance(placed, candidates.NoPlacement):
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
@@ -405,6 +407,7 @@
         """
         target = attempt.target
         now_s = self._loop.time()
+        self._gate.note_end(call)
         try:
             reply = attempt.fut.result()
         except errors.TargetError as exc:
