Give probes to urgent requests first, and probe targets that were just freed

Under overload every selection of a less urgent request spent probes of the budget, and the most urgent ones chose among one or two targets. Less urgent requests now leave a second of the budget to the urgent ones; a waiting request probes the one target at which a request of this host has just ended. Urgent requests probe a second time if no target has room below the knee. The slots that are kept free are the same at all hosts (by the key of the target).

--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -7,6 +7,7 @@
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import host_state
+from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import levels
 from ragwortchute.gateway.admission import room
 from ragwortchute.gateway.admission import waiting
@@ -49,8 +50,10 @@
         """
         self._levels.update(self._state.cfg)
         rank = self._levels.rank(call.service, call.priority)
-        if not rank:
+        if self._levels.count(call.service) == 1:
             return await self._selector.select(require(call))
+        if not rank:
+            return await self._select(call, require, 0)
         line = self._line(call.service)
         placed = None
         if not line.is_behind(rank):
@@ -89,21 +92,26 @@
         placed = None
         for left in range(waiting.MAX_SELECTIONS, 0, -1):
             left_s = turn.deadline_s - self._loop.time()
+            freed = None
             if placed is not None or turn.enqueued_s == self._loop.time():
-                await line.wait_for_end(left_s / left)
-            placed = await self._select(call, require, rank)
+                freed = await line.wait_for_end(left_s / left)
+                if freed is None and not self._selector.has_spare_probes():
+                    continue
+            placed = await self._select(call, require, rank, freed)
             if not _lacks_room(placed) or self._loop.time() >= turn.deadline_s:
                 break
-        return placed
+        return placed or self._refusal(call, require, 0)
 
     async def _select(
         self,
         call: attempts.Call,
         require: abc.Callable[[attempts.Call], candidates.Requirements],
         rank: int,
+        only: targets_.Target | None = None,
     ) -> candidates.Placement | candidates.NoPlacement:
         required = require(call)
-        required.limit = room.Limit(rank, self._rng.random())
+        required.limit = room.Limit(rank)
+        required.only = only
         return await self._selector.select(required)
 
     def _refusal(
@@ -122,11 +130,11 @@
             line = self._lines[service] = waiting.Line()
         return line
 
-    def note_end(self, call: attempts.Call) -> None:
+    def note_end(self, call: attempts.Call, target: targets_.Target) -> None:
         """Notes that a request of this host has ended at a target."""
         line = self._lines.get(call.service)
         if line is not None:
-            line.note_end()
+            line.note_end(target)
 
 
 def _lacks_room(placed: object) -> bool:
--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -63,27 +63,36 @@
     """Which targets have room for a request.
 
     Args:
-        rank: How many priorities of the service are more urgent, at least 1.
-        draw: Random number from 0 to 1, by which parts of slots are rounded.
+        rank: How many priorities of the service are more urgent.
+
+    Attributes:
+        urgent: Whether none is. Such a request prefers targets with room and
+            is also sent to others.
     """
 
-    __slots__ = ('_draw', '_rank')
+    __slots__ = ('_rank', 'urgent')
 
-    def __init__(self, rank: int, draw: float) -> None:
+    def __init__(self, rank: int) -> None:
         self._rank = rank
-        self._draw = draw
+        self.urgent = not rank
 
-    def allows(self, occupied: int, slots: int, full_share: float) -> bool:
+    def allows(
+        self, occupied: int, slots: int, full_share: float, draw: float
+    ) -> bool:
         """Returns whether a target has room.
 
         Args:
             occupied: Requests that it runs, that wait there or are on the way.
             slots: Requests that it processes concurrently.
             full_share: Share of targets without a slot below the knee.
+            draw: Number from 0 to 1, by which parts of slots are rounded. It is
+                the same at all hosts, so that they keep the same slots free.
         """
         most = knee_slots(max(1, slots))
+        if self.urgent:
+            return occupied < most
         start = KEEP_FROM[min(self._rank, len(KEEP_FROM)) - 1]
         kept = (full_share - start) / (KEEP_ALL_FROM - start)
         kept = min(1.0, max(0.0, kept))
-        usable = most - int(kept * (most - 1) + self._draw)
+        usable = most - int(kept * (most - 1) + draw)
         return occupied < max(1, usable)
--- a/ragwortchute/gateway/admission/waiting.py
+++ b/ragwortchute/gateway/admission/waiting.py
@@ -11,6 +11,7 @@
 
 from ragwortchute import admission
 from ragwortchute.admission import deadline_queue
+from ragwortchute.gateway import targets as targets_
 
 # A caller that is refused after its wait has at least four fifths of its time
 # left; the rest is for the last probes.
@@ -44,7 +45,7 @@
         self._queue = deadline_queue.DeadlineQueue(MAX_WAITING)
         self._loop = asyncio.get_running_loop()
         self.first: Turn | None = None
-        self.freed: asyncio.Future[None] | None = None
+        self.freed: asyncio.Future[targets_.Target] | None = None
 
     def __len__(self) -> int:
         return len(self._queue) + (self.first is not None)
@@ -76,12 +77,17 @@
         if following is not None and not following.ready.done():
             following.ready.set_result(None)
 
-    def note_end(self) -> None:
+    def note_end(self, target: targets_.Target) -> None:
         """Notes that a target has one request of this host less."""
         if self.freed is not None and not self.freed.done():
-            self.freed.set_result(None)
+            self.freed.set_result(target)
 
-    async def wait_for_end(self, timeout_s: float) -> None:
-        """Waits until a request of this host ends, or for a time."""
+    async def wait_for_end(self, timeout_s: float) -> targets_.Target | None:
+        """Waits until a request of this host ends, or for a time.
+
+        Returns:
+            The target at which it ended, None if none has.
+        """
         self.freed = self._loop.create_future()
         await asyncio.wait((self.freed,), timeout=timeout_s)
+        return self.freed.result() if self.freed.done() else None
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -92,6 +92,7 @@
         objective_s: Latency objective in seconds.
         remaining_s: Time until the answer is due, in seconds.
         limit: Which targets have room for it, None if all have.
+        only: The target to probe, None to probe several.
     """
 
     targets: list[targets_.Target]
@@ -99,6 +100,7 @@
     objective_s: float
     remaining_s: float
     limit: room.Limit | None = None
+    only: targets_.Target | None = None
 
 
 class _ProbeResult(msgspec.Struct, eq=False):
@@ -161,6 +163,8 @@
         self, required: Requirements
     ) -> Placement | NoPlacement:
         order = self._probe_order(required.targets)
+        if required.only is not None and required.only in order:
+            order = [required.only]
         if not order:
             return self._no_target(required)
         best: _ProbeResult | None = None
@@ -182,6 +186,7 @@
                 remote if self._needs_remote(best, required) else [],
                 round_,
                 budget,
+                required.limit is None or required.limit.urgent,
             )
             if not group:
                 break
@@ -202,7 +207,11 @@
                 else:
                     result.target.pool.release(result.conn)
             if best is not None and (
-                best_cost_s <= acceptable_s or not best.conn.usable
+                not best.conn.usable
+                or (
+                    best_cost_s <= acceptable_s
+                    and self._has_room(best, required)
+                )
             ):
                 break
         return self._place(best, required, probed)
@@ -246,6 +255,10 @@
         """Returns the mean slowness of the targets of a service."""
         return self._mean_slowness.get(service, INITIAL_MEAN_SLOWNESS)
 
+    def has_spare_probes(self) -> bool:
+        """Returns whether probes are left beyond those of urgent requests."""
+        return self._probe_budget.has_spare()
+
     def full_share(self, service: str) -> float:
         """Returns the share of targets without a slot below the knee."""
         fullness = self._fullness.get(service)
@@ -258,7 +271,7 @@
         if best is None or not best.conn.usable:
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         target = best.target
-        if not self._has_room(best, required):
+        if not (self._has_room(best, required) or required.limit.urgent):
             target.pool.release(best.conn)
             return NoPlacement(NO_ROOM, required.objective_s / 4, probed)
         expected_s = self._expected_s(best, required)
@@ -438,7 +451,9 @@
         occupied += result.target.sent_since(reading)
         slots = reading.slots or result.target.entry.slots
         full_share = self.full_share(result.target.entry.service)
-        return required.limit.allows(occupied, slots, full_share)
+        return required.limit.allows(
+            occupied, slots, full_share, result.target.draw
+        )
 
     def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
         cost_s = estimates.cost_s(
@@ -448,6 +463,8 @@
             required.objective_s,
         )
         if not self._has_room(result, required):
+            if required.limit.urgent:
+                return cost_s
             cost_s += NO_ROOM_COST_S
         return cost_s
 
@@ -457,6 +474,7 @@
     remote: list[targets_.Target],
     round_: int,
     budget: probe_budget.ProbeBudget,
+    urgent: bool,
 ) -> list[targets_.Target]:
     """Removes and returns the targets to probe in a round.
 
@@ -464,10 +482,14 @@
     rounds run when the region is busy and include targets of other regions.
     """
     if round_ == 0:
-        count = budget.targets_to_probe(FIRST_ROUND_TARGETS, first_round=True)
+        count = budget.targets_to_probe(
+            FIRST_ROUND_TARGETS, first_round=True, urgent=urgent
+        )
         group = local[:count] or remote[:count]
     else:
-        count = budget.targets_to_probe(LATER_ROUND_TARGETS, first_round=False)
+        count = budget.targets_to_probe(
+            LATER_ROUND_TARGETS, first_round=False, urgent=urgent
+        )
         others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
         group = local[: count - len(others)] + others
     for target in group:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -407,7 +407,6 @@
         """
         target = attempt.target
         now_s = self._loop.time()
-        self._gate.note_end(call)
         try:
             reply = attempt.fut.result()
         except errors.TargetError as exc:
@@ -423,6 +422,7 @@
         load = self._dialect.decode_load(reply, target.entry, now_s)
         if load is not None:
             target.note_reading(load)
+        self._gate.note_end(call, target)
         if self._dialect.is_misdirected(reply):
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
--- a/ragwortchute/gateway/probe_budget.py
+++ b/ragwortchute/gateway/probe_budget.py
@@ -17,6 +17,9 @@
 # With less than this, it probes fewer targets at a time.
 FEWER_TARGETS_S = 0.2
 FEWER_TARGETS = 2
+# Less urgent requests leave this much saved to more urgent ones: they probe one
+# target with less, and do not probe again while they wait.
+KEPT_FOR_URGENT_S = 1.0
 
 
 class ProbeBudget:
@@ -50,7 +53,13 @@
         self._saved = min(self._rate_per_s * SAVINGS_S, self._saved + added)
         self._updated_s = now_s
 
-    def targets_to_probe(self, wanted: int, *, first_round: bool) -> int:
+    def has_spare(self) -> bool:
+        """Returns whether more is saved than is kept for urgent requests."""
+        return self._saved >= self._rate_per_s * KEPT_FOR_URGENT_S
+
+    def targets_to_probe(
+        self, wanted: int, *, first_round: bool, urgent: bool = True
+    ) -> int:
         """Returns how many targets a request may probe now.
 
         Each request may probe at least one, since its target must be known to
@@ -59,7 +68,10 @@
         Args:
             wanted: Number of targets that would be probed without a limit.
             first_round: Whether the request has not probed any target yet.
+            urgent: Whether no request is more urgent.
         """
+        if not urgent and not self.has_spare():
+            return min(wanted, int(first_round))
         if not first_round:
             enough = self._saved >= self._rate_per_s * LATER_ROUNDS_S
             return wanted if enough else 0
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -52,6 +52,7 @@
         pacer: Rate limit of this host while the target is cold.
         limit_pacer: Pace of this host while the target names a limit.
         key: Hash of its name and incarnation.
+        draw: Number from 0 to 1, the same at all hosts.
         misdirected: True once another incarnation answered at its address.
         cold_until_s: Loop time until which it is cold, in seconds.
         rtt_s: Smoothed round-trip time of health requests, in seconds.
@@ -67,6 +68,7 @@
         '_reported_s',
         '_sent_s',
         'cold_until_s',
+        'draw',
         'entry',
         'key',
         'limit_pacer',
@@ -102,6 +104,7 @@
         self.pacer = pacing.ColdPacer()
         self.limit_pacer = limit_shares.SharePacer()
         self.key = target_statements.target_key(entry)
+        self.draw = self.key * 0.6180339887 % 1
         self.misdirected = False
         self.cold_until_s = 0.0
         self.rtt_s = OTHER_REGION_S
