Share scarce room between kinds and organisations, refuse early

A host now counts what it admits of each kind and organisation of a service. A kind that gets less than 0.35 of what all get comes first; an organisation that uses more than an equal share comes after others that are as urgent. A refusal names when room is expected from the share that is admitted, without the cap of 1 s, so that callers who can't come back in time learn it at once. A hedge takes only slots below the knee. While the share of admitted requests is above 0.85, one request in 20 goes where it fits, as before.

--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -1,8 +1,12 @@
-"""Decides when a request goes to a target, waits, or is refused."""
+"""Decides whether a request goes to a target, waits, or is refused.
+
+Load: a service that is nearly full, so that what one request takes another one
+lacks. While there is room, the first selection finds a target as it would
+without this module.
+"""
 
 import asyncio
 from collections import abc
-import random
 
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
@@ -10,8 +14,61 @@
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import levels
 from ragwortchute.gateway.admission import room
+from ragwortchute.gateway.admission import shares
 from ragwortchute.gateway.admission import waiting
 
+Require = abc.Callable[[attempts.Call], candidates.Requirements]
+Placed = candidates.Placement | candidates.NoPlacement
+CALLER_GONE = 'caller-gone'
+
+
+class _Service:
+    """What this host knows of the requests to a service.
+
+    Attributes:
+        line: Requests that wait.
+        shares: What was admitted lately.
+    """
+
+    __slots__ = ('line', 'shares')
+
+    def __init__(self) -> None:
+        self.line = waiting.Line()
+        self.shares = shares.Shares()
+
+
+class _Entrant:
+    """A request that asks for room.
+
+    Attributes:
+        call: The request.
+        require: Returns what it requires of a target now.
+        service: What this host knows of its service.
+        rank: How many priorities are more urgent.
+        limit: Which targets have room for it.
+    """
+
+    __slots__ = ('call', 'limit', 'rank', 'require', 'service')
+
+    def __init__(
+        self,
+        call: attempts.Call,
+        require: Require,
+        service: _Service,
+        rank: int,
+        limit: room.Limit,
+    ) -> None:
+        self.call = call
+        self.require = require
+        self.service = service
+        self.rank = rank
+        self.limit = limit
+
+    @property
+    def organisation(self) -> str:
+        """Name of its organisation, empty if it has none."""
+        return self.call.organisation.name if self.call.organisation else ''
+
 
 class Gate:
     """Admission of the requests of this host.
@@ -19,125 +76,198 @@
     Args:
         state: Configuration, for the priorities in use.
         selector: Selects targets.
-        rng: Source of randomness.
     """
 
-    __slots__ = ('_levels', '_lines', '_loop', '_rng', '_selector', '_state')
+    __slots__ = ('_levels', '_loop', '_selector', '_services', '_state')
 
     def __init__(
         self,
         state: host_state.HostState,
         selector: candidates.TargetSelector,
-        rng: random.Random,
     ) -> None:
         self._state = state
         self._selector = selector
-        self._rng = rng
         self._levels = levels.Levels()
-        self._lines: dict[str, waiting.Line] = {}
+        self._services: dict[str, _Service] = {}
         self._loop = asyncio.get_running_loop()
 
-    async def place(
-        self,
-        call: attempts.Call,
-        require: abc.Callable[[attempts.Call], candidates.Requirements],
-    ) -> candidates.Placement | candidates.NoPlacement:
+    @property
+    def waiting_requests(self) -> int:
+        """Number of requests that wait for room."""
+        return sum(len(item.line) for item in self._services.values())
+
+    async def place(self, call: attempts.Call, require: Require) -> Placed:
         """Selects a target, waiting for room if the request may wait.
 
         Args:
             call: The request.
             require: Returns what it requires of a target now.
         """
+        entrant = self._enter(call, require)
+        if entrant is None:
+            return await self._selector.select(require(call))
+        placed = await self._admit(entrant)
+        if isinstance(placed, candidates.Placement):
+            entrant.service.shares.note_admitted(
+                entrant.rank, entrant.organisation, require(call).work_s
+            )
+        return placed
+
+    async def place_hedge(
+        self, call: attempts.Call, require: Require
+    ) -> Placed:
+        """Selects a target for a hedge, which only takes room that is free."""
+        entrant = self._enter(call, require, is_hedge=True)
+        if entrant is None:
+            return await self._selector.select(require(call))
+        return await self._select(entrant)
+
+    def note_end(self, call: attempts.Call, target: targets_.Target) -> None:
+        """Notes that a request of this host has ended at a target."""
+        service = self._services.get(call.service)
+        if service is not None:
+            service.line.note_end(target)
+
+    def _enter(
+        self, call: attempts.Call, require: Require, *, is_hedge: bool = False
+    ) -> _Entrant | None:
+        """Returns a request that asks for room; None if all are equal."""
         self._levels.update(self._state.cfg)
+        if self._levels.count(call.service) == 1 and call.organisation is None:
+            return None
+        service = self._services.get(call.service)
+        if service is None:
+            service = self._services[call.service] = _Service()
         rank = self._levels.rank(call.service, call.priority)
-        if self._levels.count(call.service) == 1:
-            return await self._selector.select(require(call))
-        if not rank:
-            return await self._select(call, require, 0)
-        line = self._line(call.service)
+        limit = room.Limit(rank, is_hedge=is_hedge)
+        entrant = _Entrant(call, require, service, rank, limit)
+        if is_hedge:
+            return entrant
+        limit.short_of_probes = not self._selector.has_spare_probes(
+            is_scarce=True
+        )
+        known = service.shares
+        known.note_offered(rank, entrant.organisation, self._loop.time())
+        full_share = self._selector.full_share(call.service)
+        if rank and known.is_lagging(rank):
+            limit.precede()
+        elif room.is_scarce(rank, full_share) and known.is_over_share(
+            entrant.organisation
+        ):
+            limit.recede()
+        return entrant
+
+    async def _admit(self, entrant: _Entrant) -> Placed:
+        if entrant.limit.urgent:
+            return await self._select(entrant)
+        call, line = entrant.call, entrant.service.line
         placed = None
-        if not line.is_behind(rank):
-            placed = await self._select(call, require, rank)
+        if not line.is_behind(entrant.limit.steps) and self._may_probe(entrant):
+            placed = await self._select(entrant)
             if not _lacks_room(placed):
                 return placed
         now_s = self._loop.time()
         until_s = call.req.arrived_s + (
             (call.deadline_s - call.req.arrived_s) * waiting.MAX_WAIT_SHARE
         )
-        turn = waiting.Turn(rank, until_s, now_s)
+        turn = waiting.Turn(entrant.limit.steps, until_s, now_s)
         if until_s <= now_s or not line.join(turn):
-            return placed or self._refusal(call, require, 0)
+            return await self._end_wait(entrant)
         try:
-            return await self._wait(call, require, rank, line, turn)
+            return await self._wait(entrant, turn)
         finally:
             line.leave(turn)
+            call.waited_s += self._loop.time() - now_s
 
-    async def _wait(
-        self,
-        call: attempts.Call,
-        require: abc.Callable[[attempts.Call], candidates.Requirements],
-        rank: int,
-        line: waiting.Line,
-        turn: waiting.Turn,
-    ) -> candidates.Placement | candidates.NoPlacement:
+    async def _wait(self, entrant: _Entrant, turn: waiting.Turn) -> Placed:
         """Waits for the turn of a request and for room."""
-        futs = (turn.ready, call.req.disconnected)
+        gone = entrant.call.req.disconnected
+        is_first = turn.ready.done()
         await asyncio.wait(
-            futs,
+            (turn.ready, gone),
             timeout=turn.deadline_s - self._loop.time(),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if not turn.ready.done() or call.req.disconnected.done():
-            return self._refusal(call, require, 0)
-        placed = None
+        if not turn.ready.done() and not gone.done():
+            return await self._end_wait(entrant)
+        if not is_first and self._may_probe(entrant):
+            placed = await self._select(entrant)
+            if not _lacks_room(placed):
+                return placed
         for left in range(waiting.MAX_SELECTIONS, 0, -1):
-            left_s = turn.deadline_s - self._loop.time()
-            freed = None
-            if placed is not None or turn.enqueued_s == self._loop.time():
-                freed = await line.wait_for_end(left_s / left)
-                if freed is None and not self._selector.has_spare_probes():
-                    continue
-            placed = await self._select(call, require, rank, freed)
-            if not _lacks_room(placed) or self._loop.time() >= turn.deadline_s:
+            freed = await self._wait_for_room(entrant, turn, left)
+            if gone.done() or (freed is None and not self._may_probe(entrant)):
+                continue
+            placed = await self._select(entrant, freed)
+            if not _lacks_room(placed):
+                return placed
+        return await self._end_wait(entrant)
+
+    async def _end_wait(self, entrant: _Entrant) -> Placed:
+        """Refuses a request unless this is a short peak."""
+        gone = entrant.call.req.disconnected.done()
+        if gone or not entrant.service.shares.spend_exception():
+            return self._refusal(entrant)
+        entrant.limit.urgent = True
+        return await self._select(entrant)
+
+    async def _wait_for_room(
+        self, entrant: _Entrant, turn: waiting.Turn, selections: int
+    ) -> targets_.Target | None:
+        """Waits until a target is expected to have room.
+
+        Args:
+            entrant: The request.
+            turn: Its turn.
+            selections: Over how many selections the rest of its wait is spread.
+
+        Returns:
+            A target that has just got room, None if none is known to.
+        """
+        gone = entrant.call.req.disconnected
+        left_s = turn.deadline_s - self._loop.time()
+        end_s = self._loop.time() + left_s / selections
+        while not gone.done():
+            left_s = end_s - self._loop.time()
+            if left_s <= 0:
                 break
-        return placed or self._refusal(call, require, 0)
+            freed = await entrant.service.line.wait_for_end(left_s, gone)
+            if (
+                freed is not None
+                and freed.reading is not None
+                and self._selector.has_room(freed, freed.reading, entrant.limit)
+            ):
+                return freed
+        return None
 
-    async def _select(
-        self,
-        call: attempts.Call,
-        require: abc.Callable[[attempts.Call], candidates.Requirements],
-        rank: int,
-        only: targets_.Target | None = None,
-    ) -> candidates.Placement | candidates.NoPlacement:
-        required = require(call)
-        required.limit = room.Limit(rank)
-        required.only = only
-        return await self._selector.select(required)
+    def _full_share(self, entrant: _Entrant) -> float:
+        return self._selector.full_share(entrant.call.service)
 
-    def _refusal(
-        self,
-        call: attempts.Call,
-        require: abc.Callable[[attempts.Call], candidates.Requirements],
-        probed: int,
-    ) -> candidates.NoPlacement:
-        return candidates.NoPlacement(
-            candidates.NO_ROOM, call.route.objective_s / 4, probed
+    def _may_probe(self, entrant: _Entrant) -> bool:
+        """Returns whether probes are not better left to urgent requests."""
+        return self._selector.has_spare_probes(
+            is_scarce=entrant.limit.kept(self._full_share(entrant)) > 0
         )
 
-    def _line(self, service: str) -> waiting.Line:
-        line = self._lines.get(service)
-        if line is None:
-            line = self._lines[service] = waiting.Line()
-        return line
+    async def _select(
+        self, entrant: _Entrant, only: targets_.Target | None = None
+    ) -> Placed:
+        required = entrant.require(entrant.call)
+        required.limit = entrant.limit
+        if only in required.targets:
+            required.targets = [only]
+        return await self._selector.select(required)
 
-    def note_end(self, call: attempts.Call, target: targets_.Target) -> None:
-        """Notes that a request of this host has ended at a target."""
-        line = self._lines.get(call.service)
-        if line is not None:
-            line.note_end(target)
+    def _refusal(self, entrant: _Entrant) -> candidates.NoPlacement:
+        """Returns that there is no room, and when some is expected."""
+        if entrant.call.req.disconnected.done():
+            return candidates.NoPlacement(CALLER_GONE, 0.0, 0)
+        service = entrant.service
+        wait_s = service.shares.expected_room_s(entrant.rank, len(service.line))
+        return candidates.NoPlacement(candidates.NO_ROOM, wait_s, 0)
 
 
-def _lacks_room(placed: object) -> bool:
+def _lacks_room(placed: Placed) -> bool:
     return (
         isinstance(placed, candidates.NoPlacement)
         and placed.reason == candidates.NO_ROOM
--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -16,11 +16,19 @@
 # constant at which older ones lose weight at a host that gets few.
 MEMORY_READINGS = 40
 MEMORY_S = 3.0
-# Share of targets without a slot below the knee from which a request of rank 1
-# leaves slots free, and one of a higher rank.
-KEEP_FROM = (0.55, 0.45)
-# From this share on it leaves all slots but one.
-KEEP_ALL_FROM = 0.9
+# Share of targets without a slot below the knee from which requests of rank 1
+# leave slots free: with seven probes in two rounds, 19 of 20 urgent requests
+# find a slot then (0.05 ** (1 / 7)).
+KEEP_FROM = 0.65
+# The same where the probes of this host don't suffice for a second round.
+KEEP_FROM_SHORT_OF_PROBES = 0.5
+# With each further rank slots are left free from a share less by this.
+KEEP_STEP = 0.1
+MAX_STEPS = 4
+# All slots but one are left free from this much above the share of rank 1.
+KEEP_ALL_AFTER = 0.25
+# Urgent requests compete with each other once almost no target has such a slot.
+URGENT_SCARCE_FROM = 0.95
 
 
 def knee_slots(slots: int) -> int:
@@ -59,22 +67,64 @@
         return self._full / self._weight if self._weight else 0.0
 
 
+def is_scarce(rank: int, full_share: float) -> bool:
+    """Returns whether requests of a rank compete for room.
+
+    Args:
+        rank: How many priorities are more urgent.
+        full_share: Share of targets without a slot below the knee.
+    """
+    return full_share >= (
+        KEEP_FROM_SHORT_OF_PROBES if rank else URGENT_SCARCE_FROM
+    )
+
+
 class Limit:
     """Which targets have room for a request.
 
     Args:
         rank: How many priorities of the service are more urgent.
+        is_hedge: Whether the request runs elsewhere already.
 
     Attributes:
-        urgent: Whether none is. Such a request prefers targets with room and
-            is also sent to others.
+        short_of_probes: Whether urgent requests can't probe twice.
+        steps: Requests with fewer steps come first.
+        urgent: Whether no request is more urgent. Such a request prefers
+            targets with room and is also sent to others.
     """
 
-    __slots__ = ('_rank', 'urgent')
+    __slots__ = ('_keeps', 'short_of_probes', 'steps', 'urgent')
+
+    def __init__(self, rank: int, *, is_hedge: bool = False) -> None:
+        self.steps = min(rank, MAX_STEPS)
+        self.urgent = not rank and not is_hedge
+        self.short_of_probes = False
+        self._keeps = rank > 0
 
-    def __init__(self, rank: int) -> None:
-        self._rank = rank
-        self.urgent = not rank
+    def precede(self) -> None:
+        """Lets a kind that gets too little come before other kinds."""
+        self.steps = 0
+
+    def recede(self) -> None:
+        """Puts a request behind those that are as urgent."""
+        self.steps = min(self.steps + 1, MAX_STEPS)
+        self.urgent = False
+        self._keeps = True
+
+    def kept(self, full_share: float) -> float:
+        """Returns the share of the slots below the knee that it leaves free.
+
+        Args:
+            full_share: Share of targets without a slot below the knee.
+        """
+        if not self._keeps:
+            return 0.0
+        top = KEEP_FROM
+        if self.short_of_probes:
+            top = KEEP_FROM_SHORT_OF_PROBES
+        start = top - KEEP_STEP * max(-1, self.steps - 1)
+        kept = (full_share - start) / (top + KEEP_ALL_AFTER - start)
+        return min(1.0, max(0.0, kept))
 
     def allows(
         self, occupied: int, slots: int, full_share: float, draw: float
@@ -89,10 +139,5 @@
                 the same at all hosts, so that they keep the same slots free.
         """
         most = knee_slots(max(1, slots))
-        if self.urgent:
-            return occupied < most
-        start = KEEP_FROM[min(self._rank, len(KEEP_FROM)) - 1]
-        kept = (full_share - start) / (KEEP_ALL_FROM - start)
-        kept = min(1.0, max(0.0, kept))
-        usable = most - int(kept * (most - 1) + draw)
+        usable = most - int(self.kept(full_share) * (most - 1) + draw)
         return occupied < max(1, usable)
--- a/ragwortchute/gateway/admission/waiting.py
+++ b/ragwortchute/gateway/admission/waiting.py
@@ -82,12 +82,22 @@
         if self.freed is not None and not self.freed.done():
             self.freed.set_result(target)
 
-    async def wait_for_end(self, timeout_s: float) -> targets_.Target | None:
+    async def wait_for_end(
+        self, timeout_s: float, gone: asyncio.Future[None]
+    ) -> targets_.Target | None:
         """Waits until a request of this host ends, or for a time.
 
+        Args:
+            timeout_s: Longest wait in seconds.
+            gone: Done once the caller has left, which ends the wait.
+
         Returns:
             The target at which it ended, None if none has.
         """
         self.freed = self._loop.create_future()
-        await asyncio.wait((self.freed,), timeout=timeout_s)
+        await asyncio.wait(
+            (self.freed, gone),
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
         return self.freed.result() if self.freed.done() else None
--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -161,4 +161,7 @@
     """
     if refused.stated:
         return refused.wait_s / MIN_SPREAD
+    if refused.reason == candidates.NO_ROOM:
+        # A caller that can't come back in time must learn it now.
+        return refused.wait_s
     return min(MAX_RETRY_AFTER_S, refused.wait_s)
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -30,6 +30,7 @@
         sends: Number of targets or hosts that it was sent to.
         last_failure: Last answer of a target with a server error.
         tried_targets: Names of the targets that it was sent to.
+        waited_s: Time for which it waited for room, in seconds.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         'sends',
         'service',
         'tried_targets',
+        'waited_s',
     )
 
     def __init__(
@@ -72,6 +74,7 @@
         self.sends = 0
         self.last_failure: http_client.Reply | None = None
         self.tried_targets: set[str] = set()
+        self.waited_s = 0.0
 
 
 class Attempt:
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -92,7 +92,6 @@
         objective_s: Latency objective in seconds.
         remaining_s: Time until the answer is due, in seconds.
         limit: Which targets have room for it, None if all have.
-        only: The target to probe, None to probe several.
     """
 
     targets: list[targets_.Target]
@@ -100,7 +99,6 @@
     objective_s: float
     remaining_s: float
     limit: room.Limit | None = None
-    only: targets_.Target | None = None
 
 
 class _ProbeResult(msgspec.Struct, eq=False):
@@ -163,8 +161,6 @@
         self, required: Requirements
     ) -> Placement | NoPlacement:
         order = self._probe_order(required.targets)
-        if required.only is not None and required.only in order:
-            order = [required.only]
         if not order:
             return self._no_target(required)
         best: _ProbeResult | None = None
@@ -176,9 +172,7 @@
             early_accept_s, required.objective_s * ACCEPTABLE_OBJECTIVES
         )
         budget = self._probe_budget
-        budget.update(
-            self._loop.time(), self.targets, len(self.limits.fleet.names)
-        )
+        self._update_probe_budget()
         probed = 0
         for round_ in range(MAX_ROUNDS):
             group = _pop_round(
@@ -255,9 +249,41 @@
         """Returns the mean slowness of the targets of a service."""
         return self._mean_slowness.get(service, INITIAL_MEAN_SLOWNESS)
 
-    def has_spare_probes(self) -> bool:
-        """Returns whether probes are left beyond those of urgent requests."""
-        return self._probe_budget.has_spare()
+    def _update_probe_budget(self) -> None:
+        self._probe_budget.update(
+            self._loop.time(), self.targets, len(self.limits.fleet.names)
+        )
+
+    def has_spare_probes(self, *, is_scarce: bool) -> bool:
+        """Returns whether probes are left beyond those of urgent requests.
+
+        Args:
+            is_scarce: Whether more of them are left to urgent requests.
+        """
+        self._update_probe_budget()
+        return self._probe_budget.has_spare(is_scarce=is_scarce)
+
+    def has_room(
+        self,
+        target: targets_.Target,
+        reading: dialects.Reading,
+        limit: room.Limit,
+    ) -> bool:
+        """Returns whether a target has room for a request.
+
+        Args:
+            target: The target.
+            reading: Its state.
+            limit: Limit of the request.
+        """
+        occupied = reading.running + reading.waiting
+        occupied += target.sent_since(reading)
+        return limit.allows(
+            occupied,
+            reading.slots or target.entry.slots,
+            self.full_share(target.entry.service),
+            target.draw,
+        )
 
     def full_share(self, service: str) -> float:
         """Returns the share of targets without a slot below the knee."""
@@ -444,15 +470,8 @@
         )
 
     def _has_room(self, result: _ProbeResult, required: Requirements) -> bool:
-        if required.limit is None:
-            return True
-        reading = result.reading
-        occupied = reading.running + reading.waiting
-        occupied += result.target.sent_since(reading)
-        slots = reading.slots or result.target.entry.slots
-        full_share = self.full_share(result.target.entry.service)
-        return required.limit.allows(
-            occupied, slots, full_share, result.target.draw
+        return required.limit is None or self.has_room(
+            result.target, result.reading, required.limit
         )
 
     def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -137,7 +137,7 @@
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._gate = gate.Gate(state, selector, rng)
+        self._gate = gate.Gate(state, selector)
         self.work_times = work_times.WorkTimes()
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
@@ -253,28 +253,42 @@
         Returns:
             The final answer if it can't be sent, else None.
         """
-        if not self._grace_period.can_end(call, self._loop.time()):
-            return self._answers.give_up(call, 'stopping')
+        refusal = self._refuse_if_blocked(call)
+        if refusal is not None:
+            return refusal
         if call.sends:
             if not self.retries.may_repeat(call):
                 return self._answers.give_up(call, 'no-more-attempts')
             await self.retries.borrow(call, self._loop.time())
             if not self._may_retry(call):
                 return self._answers.give_up(call, 'retry-budget')
-        blocked_s = self._blocked_s(call.req)
-        if blocked_s > 0:
-            return self._answers.give_up(call, 'crashes-targets', blocked_s)
         placed = await self._gate.place(call, self._requirements)
         if isinstance(placed, candidates.NoPlacement):
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
             )
+        # It may have waited.
+        refusal = self._refuse_if_blocked(call)
+        if refusal is not None:
+            placed.target.pool.release(placed.conn)
+            return refusal
         if call.sends and not self._spend_retry(call):
             placed.target.pool.release(placed.conn)
             return self._answers.give_up(call, 'retry-budget')
         self._send(call, placed, outstanding)
         return None
 
+    def _refuse_if_blocked(
+        self, call: attempts.Call
+    ) -> http_messages.Response | None:
+        """Returns the refusal of a request that must not be sent now."""
+        if not self._grace_period.can_end(call, self._loop.time()):
+            return self._answers.give_up(call, 'stopping')
+        blocked_s = self._blocked_s(call.req)
+        if blocked_s > 0:
+            return self._answers.give_up(call, 'crashes-targets', blocked_s)
+        return None
+
     def _send(
         self,
         call: attempts.Call,
@@ -359,7 +373,7 @@
             return
         if not self._grace_period.can_end(call, self._loop.time()):
             return
-        placed = await self._selector.select(self._requirements(call))
+        placed = await self._gate.place_hedge(call, self._requirements)
         if not isinstance(placed, candidates.Placement):
             return
         if self._hedge_is_useful(
--- a/tests/test_gateway/load_model.py
+++ b/tests/test_gateway/load_model.py
@@ -36,6 +36,7 @@
 LONG_FACTOR = 7.0
 # A caller waits for up to this share of the time that it has left.
 MAX_WAIT_SHARE = 1 / 3
+ORGANISATION = b'x-organisation'
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -325,6 +326,22 @@
             conn.abort()
 
 
+class _Intake:
+    """Intake that reads the organisation from a header, without keys."""
+
+    def __init__(self, inner):
+        self._inner = inner
+        self.is_outside_homes = inner.is_outside_homes
+
+    async def accept(self, req, *, relayed):
+        """Returns the call for a request."""
+        call = await self._inner.accept(req, relayed=relayed)
+        name = req.get(ORGANISATION)
+        if name is not None:
+            call.organisation = model.Organisation(name.decode(), frozenset())
+        return call
+
+
 class Scenario(msgspec.Struct, frozen=True):
     """Load and environment of a run.
 
@@ -460,6 +477,7 @@
         rig = rigs.Rig()
         rig.rng.seed(f'{number}')
         rig.log.event = lambda kind, **fields: None
+        rig.dispatcher._intake = _Intake(rig.dispatcher._intake)
         rig.state.set_configuration(
             1, rigs.configuration(*(kind.route() for kind in self.kinds))
         )
@@ -568,6 +586,8 @@
             (b'x-request-id', b'%d' % next(self._numbers)),
             (b'x-request-deadline-ms', b'%d' % (left_s * 1000)),
         ]
+        if organisation is not None:
+            headers.append((ORGANISATION, organisation.name.encode()))
         req = http_messages.Request(
             'GET',
             f'/{kind.name}/{work_s}/{headers[0][1].decode()}',
@@ -577,7 +597,6 @@
             self._loop.time(),
             self._loop.create_future(),
         )
-        host.organisation = organisation
         return await host.dispatcher.serve(req)
 
     def kind(self, name: str) -> Figures:
