Probe two targets at a time while probes are short

Urgent requests probed three targets at once under overload, also if the first of them had room, and had none of the budget left for a second round. While less than a second of the budget is saved, they probe two at a time, in up to four rounds, until one has room.

--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -122,7 +122,7 @@
         top = KEEP_FROM
         if self.short_of_probes:
             top = KEEP_FROM_SHORT_OF_PROBES
-        start = top - KEEP_STEP * max(-1, self.steps - 1)
+        start = top - KEEP_STEP * (self.steps - 1)
         kept = (full_share - start) / (top + KEEP_ALL_AFTER - start)
         return min(1.0, max(0.0, kept))
 
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -25,6 +25,10 @@
 FIRST_ROUND_TARGETS = 3
 LATER_ROUND_TARGETS = 4
 MAX_ROUNDS = 2
+# Where probes are short, an urgent request probes fewer targets at a time and
+# stops at the first one that has room.
+SMALL_ROUND_TARGETS = 2
+MAX_SMALL_ROUNDS = 4
 # Of the targets of a later round, this many are in other regions, if any are.
 LATER_ROUND_REMOTE_TARGETS = 2
 # Another round follows only if the lowest cost found exceeds this share of the
@@ -174,13 +178,17 @@
         budget = self._probe_budget
         self._update_probe_budget()
         probed = 0
-        for round_ in range(MAX_ROUNDS):
+        limit = required.limit
+        urgent = limit is None or limit.urgent
+        small = limit is not None and urgent and not budget.has_spare()
+        for round_ in range(MAX_SMALL_ROUNDS if small else MAX_ROUNDS):
             group = _pop_round(
                 local,
                 remote if self._needs_remote(best, required) else [],
                 round_,
                 budget,
-                required.limit is None or required.limit.urgent,
+                urgent=urgent,
+                small=small,
             )
             if not group:
                 break
@@ -493,7 +501,9 @@
     remote: list[targets_.Target],
     round_: int,
     budget: probe_budget.ProbeBudget,
+    *,
     urgent: bool,
+    small: bool,
 ) -> list[targets_.Target]:
     """Removes and returns the targets to probe in a round.
 
@@ -501,13 +511,14 @@
     rounds run when the region is busy and include targets of other regions.
     """
     if round_ == 0:
-        count = budget.targets_to_probe(
-            FIRST_ROUND_TARGETS, first_round=True, urgent=urgent
-        )
+        wanted = SMALL_ROUND_TARGETS if small else FIRST_ROUND_TARGETS
+        count = budget.targets_to_probe(wanted, first_round=True, urgent=urgent)
         group = local[:count] or remote[:count]
     else:
         count = budget.targets_to_probe(
-            LATER_ROUND_TARGETS, first_round=False, urgent=urgent
+            SMALL_ROUND_TARGETS if small else LATER_ROUND_TARGETS,
+            first_round=small,
+            urgent=urgent,
         )
         others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
         group = local[: count - len(others)] + others
