Count targets that let requests run into the deadline, judge queues by long work

A target that answers health requests but not the requests themselves was never counted as failing: an attempt that ended at the deadline left no trace, and once it was given up the target looked free again. An attempt that ends at the deadline after three times its expected duration now counts as a failure of its target, and is reported to the other hosts.

A request is sent to a target whose slots are all taken only if work that one in ten requests exceeds would end in time.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -17,20 +17,13 @@
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import probe_budget
+from ragwortchute.gateway import probe_rounds
 from ragwortchute.gateway import send_limits
+from ragwortchute.gateway import service_load
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import room
 
-FIRST_ROUND_TARGETS = 3
-LATER_ROUND_TARGETS = 4
-MAX_ROUNDS = 2
-# Where probes are short, an urgent request probes fewer targets at a time and
-# stops at the first one that has room.
-SMALL_ROUND_TARGETS = 2
-MAX_SMALL_ROUNDS = 4
-# Of the targets of a later round, this many are in other regions, if any are.
-LATER_ROUND_REMOTE_TARGETS = 2
 # Another round follows only if the lowest cost found exceeds this share of the
 # latency objective.
 ACCEPTABLE_OBJECTIVES = 0.7
@@ -49,8 +42,6 @@
 NO_ROOM = 'no-room'
 # A target without room is selected last, only to learn that none has any.
 NO_ROOM_COST_S = 1000.0
-_SLOWNESS_SMOOTHING = 0.02
-INITIAL_MEAN_SLOWNESS = 1.8
 
 
 class Placement(msgspec.Struct, eq=False):
@@ -95,6 +86,8 @@
         work_s: Expected processing time at slowness 1, in seconds.
         objective_s: Latency objective in seconds.
         remaining_s: Time until the answer is due, in seconds.
+        long_work_s: Processing time that few requests exceed, in seconds; 0 if
+            it is not known.
         limit: Which targets have room for it, None if all have.
     """
 
@@ -102,6 +95,7 @@
     work_s: float
     objective_s: float
     remaining_s: float
+    long_work_s: float = 0.0
     limit: room.Limit | None = None
 
 
@@ -135,8 +129,7 @@
         probes_per_s: float,
     ) -> None:
         self._rng = rng
-        self._mean_slowness: dict[str, float] = {}
-        self._fullness: dict[str, room.Fullness] = {}
+        self._loads: dict[str, service_load.ServiceLoad] = {}
         self._loop = asyncio.get_running_loop()
         self._probe_budget = probe_budget.ProbeBudget(
             probes_per_s, self._loop.time()
@@ -169,31 +162,26 @@
             return self._no_target(required)
         best: _ProbeResult | None = None
         best_cost_s = float('inf')
-        local = [target for target in order if target.same_region]
-        remote = [target for target in order if not target.same_region]
         early_accept_s = self._early_accept_s(required)
         acceptable_s = max(
             early_accept_s, required.objective_s * ACCEPTABLE_OBJECTIVES
         )
-        budget = self._probe_budget
         self._update_probe_budget()
-        probed = 0
         limit = required.limit
         urgent = limit is None or limit.urgent
-        small = limit is not None and urgent and not budget.has_spare()
-        for round_ in range(MAX_SMALL_ROUNDS if small else MAX_ROUNDS):
-            group = _pop_round(
-                local,
-                remote if self._needs_remote(best, required) else [],
-                round_,
-                budget,
-                urgent=urgent,
-                small=small,
-            )
-            if not group:
-                break
+        rounds = probe_rounds.ProbeRounds(
+            order,
+            self._probe_budget,
+            urgent=urgent,
+            small=limit is not None
+            and urgent
+            and not self._probe_budget.has_spare(),
+        )
+        probed = 0
+        while group := rounds.pop(
+            may_be_remote=self._needs_remote(best, required)
+        ):
             probed += len(group)
-            budget.spend(len(group))
             try:
                 results = await self._probe(group, required, early_accept_s)
             except asyncio.CancelledError:
@@ -255,7 +243,7 @@
 
     def mean_slowness(self, service: str) -> float:
         """Returns the mean slowness of the targets of a service."""
-        return self._mean_slowness.get(service, INITIAL_MEAN_SLOWNESS)
+        return self._load(service).mean_slowness
 
     def _update_probe_budget(self) -> None:
         self._probe_budget.update(
@@ -295,8 +283,13 @@
 
     def full_share(self, service: str) -> float:
         """Returns the share of targets without a slot below the knee."""
-        fullness = self._fullness.get(service)
-        return 0.0 if fullness is None else fullness.share()
+        return self._load(service).fullness.share()
+
+    def _load(self, service: str) -> service_load.ServiceLoad:
+        load = self._loads.get(service)
+        if load is None:
+            load = self._loads[service] = service_load.ServiceLoad()
+        return load
 
     def _place(
         self, best: _ProbeResult | None, required: Requirements, probed: int
@@ -309,11 +302,13 @@
             target.pool.release(best.conn)
             return NoPlacement(NO_ROOM, required.objective_s / 4, probed)
         expected_s = self._expected_s(best, required)
-        if expected_s > required.remaining_s:
+        late_s = expected_s - required.remaining_s
+        if self._must_queue(best):
+            # It would wait for others and then run beyond its time.
+            late_s += max(0.0, required.long_work_s - required.work_s)
+        if late_s > 0:
             target.pool.release(best.conn)
-            return NoPlacement(
-                'overload', expected_s - required.remaining_s, probed
-            )
+            return NoPlacement('overload', late_s, probed)
         now_s = self._loop.time()
         if not self.limits.is_accepting(target, now_s):
             # It has said so, or used up its limit, since the probe began.
@@ -322,6 +317,13 @@
         self.limits.record_send(target, now_s, is_cold=best.reading.cold_s > 0)
         return Placement(target, best.conn, best.reading, expected_s, probed)
 
+    def _must_queue(self, result: _ProbeResult) -> bool:
+        """Returns whether all slots of a target are taken."""
+        candidate = self._candidate(result)
+        reading = candidate.reading
+        occupied = reading.running + reading.waiting + candidate.sent_since
+        return occupied >= max(1, reading.slots or candidate.slots)
+
     def _early_accept_s(self, required: Requirements) -> float:
         """Returns the cost up to which a target is accepted at once."""
         return required.work_s * EARLY_ACCEPT_FACTOR + targets_.SAME_REGION_S
@@ -439,16 +441,7 @@
             return None
         except asyncio.CancelledError:
             return None
-        service = target.entry.service
-        mean_slowness = self.mean_slowness(service)
-        self._mean_slowness[service] = (
-            mean_slowness
-            + (reading.slowness - mean_slowness) * _SLOWNESS_SMOOTHING
-        )
-        fullness = self._fullness.get(service)
-        if fullness is None:
-            fullness = self._fullness[service] = room.Fullness()
-        fullness.note(reading)
+        self._load(target.entry.service).note(reading)
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
@@ -494,34 +487,3 @@
                 return cost_s
             cost_s += NO_ROOM_COST_S
         return cost_s
-
-
-def _pop_round(
-    local: list[targets_.Target],
-    remote: list[targets_.Target],
-    round_: int,
-    budget: probe_budget.ProbeBudget,
-    *,
-    urgent: bool,
-    small: bool,
-) -> list[targets_.Target]:
-    """Removes and returns the targets to probe in a round.
-
-    The first round stays in the region of this host if it has targets. Later
-    rounds run when the region is busy and include targets of other regions.
-    """
-    if round_ == 0:
-        wanted = SMALL_ROUND_TARGETS if small else FIRST_ROUND_TARGETS
-        count = budget.targets_to_probe(wanted, first_round=True, urgent=urgent)
-        group = local[:count] or remote[:count]
-    else:
-        count = budget.targets_to_probe(
-            SMALL_ROUND_TARGETS if small else LATER_ROUND_TARGETS,
-            first_round=small,
-            urgent=urgent,
-        )
-        others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
-        group = local[: count - len(others)] + others
-    for target in group:
-        (local if target.same_region else remote).remove(target)
-    return group
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -39,6 +39,9 @@
 # objective and longer than this many times the expected time.
 HEDGE_AFTER_OBJECTIVES = 0.4
 HEDGE_AFTER_EXPECTED = 1.4
+# An attempt without an answer at the deadline is a failure of its target if it
+# took this many times the expected time. Less may be due to long work.
+OVERDUE_EXPECTED = 3.0
 # Share of a failure that the rejection of a request counts as.
 SHED_WEIGHT = 0.5
 
@@ -177,7 +180,7 @@
         finally:
             for attempt in outstanding:
                 attempt.conn.abort()
-                self._measurements.note_abort(call, attempt, self._loop.time())
+                self._note_abort(call, attempt)
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
@@ -339,6 +342,7 @@
             self.work_times.expected_s(route),
             route.objective_s,
             call.deadline_s - self._loop.time(),
+            self.work_times.long_s(route),
         )
 
     # Hedging.
@@ -470,6 +474,20 @@
         self._streamed.follow(call, attempt, reply)
         return self._answers.deliver(call, reply, now_s)
 
+    def _note_abort(
+        self, call: attempts.Call, attempt: attempts.Attempt
+    ) -> None:
+        """Evaluates an attempt without an answer that was given up.
+
+        A target that answers health requests and nothing else looks free again
+        whenever its requests have been given up.
+        """
+        now_s = self._loop.time()
+        self._measurements.note_abort(call, attempt, now_s)
+        overdue_s = OVERDUE_EXPECTED * attempt.placement.expected_s
+        if now_s >= max(call.deadline_s, attempt.sent_s + overdue_s):
+            self._note_failure(attempt.target, 1.0)
+
     def _note_failure(self, target: targets_.Target, weight: float) -> None:
         target.note_failure(self._loop.time(), weight)
         self._failures.note_failure(target.entry.name, weight)
