Let short peaks at moderate load refuse almost nobody

One in ten requests may go where it fits if 0.85 of all are admitted, and a host may save up five of these.

--- a/ragwortchute/gateway/admission/shares.py
+++ b/ragwortchute/gateway/admission/shares.py
@@ -17,9 +17,11 @@
 # One in this many requests may go to a target that answers in time, although
 # there is no room, if this share of all requests is admitted. Short peaks at
 # moderate load then refuse almost nobody.
-EXCEPTION_ONE_IN = 20
+EXCEPTION_ONE_IN = 10
 EXCEPTION_ADMITTED_SHARE = 0.85
-MAX_EXCEPTIONS = 1.0
+# A share of few requests may be this many less by chance.
+CHANCE_REQUESTS = 1.0
+MAX_EXCEPTIONS = 5.0
 
 
 class _Count:
@@ -51,7 +53,7 @@
     def __init__(self) -> None:
         self._updated_s = 0.0
         self._all = _Count()
-        self._exceptions = MAX_EXCEPTIONS
+        self._exceptions = 0.0
         self._ranks: dict[int, _Count] = {}
         self._organisations: dict[str, _Count] = {}
 
@@ -88,7 +90,7 @@
         """Returns whether a request may go where it fits, without room."""
         admitted, offered = self._all.admitted, self._all.offered
         if self._exceptions < 1 or (
-            admitted < EXCEPTION_ADMITTED_SHARE * offered
+            admitted + CHANCE_REQUESTS < EXCEPTION_ADMITTED_SHARE * offered
         ):
             return False
         self._exceptions -= 1
