--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -72,6 +72,7 @@
             'answer',
             call.sends,
             call.req.arrived_s,
+            call,
         )
         return self._pass_on(reply)
 
@@ -86,7 +87,7 @@
         """
         self._stats.count_refusal('relay')
         self._request_log.log_answer(
-            call.request_id, reply.status, 'relay', 1, call.req.arrived_s
+            call.request_id, reply.status, 'relay', 1, call.req.arrived_s, call
         )
         return self._pass_on(reply)
 
@@ -115,7 +116,8 @@
         elif call.maybe_executed or (call.sends and reason == 'caller-gone'):
             status = 502
         else:
-            return self.refuse(call.req, reason, wait_s, call.sends)
+            self._stats.count_refused_priority(reason, call.priority)
+            return self.refuse(call.req, reason, wait_s, call.sends, call)
         return self._fail(call, status, reason)
 
     def _fail(
@@ -123,7 +125,12 @@
     ) -> http_messages.Response:
         """Returns an answer that does not tell whether a request has run."""
         self._request_log.log_answer(
-            call.request_id, status, reason, call.sends, call.req.arrived_s
+            call.request_id,
+            status,
+            reason,
+            call.sends,
+            call.req.arrived_s,
+            call,
         )
         self._stats.count_refusal(reason)
         return http_messages.Response(status)
@@ -134,6 +141,7 @@
         reason: str,
         wait_s: float,
         sends: int = 0,
+        call: attempts.Call | None = None,
     ) -> http_messages.Response:
         """Returns an answer stating that a request has not been executed.
 
@@ -143,11 +151,17 @@
             wait_s: Time in seconds after which the caller may retry. It is
                 randomised so that callers don't retry at the same time.
             sends: Number of targets that it was sent to and that rejected it.
+            call: The same request, None if it has no route yet.
         """
         wait_s = max(MIN_RETRY_AFTER_S, wait_s)
         wait_s *= self._rng.uniform(MIN_SPREAD, MAX_SPREAD)
         self._request_log.log_answer(
-            self._dialect.request_id(req), 503, reason, sends, req.arrived_s
+            self._dialect.request_id(req),
+            503,
+            reason,
+            sends,
+            req.arrived_s,
+            call,
         )
         self._stats.count_refusal(reason)
         return http_messages.Response(503, [http_messages.retry_after(wait_s)])
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -258,6 +258,11 @@
         """Number of health requests sent to targets."""
         return self._selector.probes_sent
 
+    @property
+    def full_shares(self) -> dict[str, float]:
+        """Share of targets without a slot below the knee, by service."""
+        return self._selector.full_shares()
+
     def revisions(self) -> dict[str, float]:
         """Returns the revision up to which changes are known, by prefix."""
         return {
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -285,6 +285,13 @@
         """Returns the share of targets without a slot below the knee."""
         return self._load(service).fullness.share()
 
+    def full_shares(self) -> dict[str, float]:
+        """Returns the share of targets without such a slot, by service."""
+        return {
+            service: load.fullness.share()
+            for service, load in self._loads.items()
+        }
+
     def _load(self, service: str) -> service_load.ServiceLoad:
         load = self._loads.get(service)
         if load is None:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -87,7 +87,8 @@
 
     Attributes:
         retries: Retry budgets.
-        work_times: Mean processing times by route.
+        work_times: Processing times by route.
+        gate: Admission of requests.
     """
 
     def __init__(
@@ -140,7 +141,7 @@
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._gate = gate.Gate(state, selector)
+        self.gate = gate.Gate(state, selector)
         self.work_times = work_times.WorkTimes()
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
@@ -265,7 +266,7 @@
             await self.retries.borrow(call, self._loop.time())
             if not self._may_retry(call):
                 return self._answers.give_up(call, 'retry-budget')
-        placed = await self._gate.place(call, self._requirements)
+        placed = await self.gate.place(call, self._requirements)
         if isinstance(placed, candidates.NoPlacement):
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
@@ -377,7 +378,7 @@
             return
         if not self._grace_period.can_end(call, self._loop.time()):
             return
-        placed = await self._gate.place_hedge(call, self._requirements)
+        placed = await self.gate.place_hedge(call, self._requirements)
         if not isinstance(placed, candidates.Placement):
             return
         if self._hedge_is_useful(
@@ -440,7 +441,7 @@
         load = self._dialect.decode_load(reply, target.entry, now_s)
         if load is not None:
             target.note_reading(load)
-        self._gate.note_end(call, target)
+        self.gate.note_end(call, target)
         if self._dialect.is_misdirected(reply):
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -76,6 +76,12 @@
             lambda: dict(stats.refusals),
             'reason',
         )
+        metrics.add_counter(
+            'ragwortchute_gateway_refused_priorities_total',
+            'Requests refused without a run, by reason and priority.',
+            lambda: dict(stats.refused_priorities),
+            'reason_priority',
+        )
         metrics.add_counter(
             'ragwortchute_gateway_attempts_total',
             'Attempts without an answer to pass on, by outcome.',
@@ -112,6 +118,17 @@
             'Requests of callers that run at this moment.',
             lambda: {'': gateway.callers.running},
         )
+        metrics.add_gauge(
+            'ragwortchute_gateway_requests_waiting',
+            'Requests of callers that wait for room on a target.',
+            lambda: {'': gateway.dispatcher.gate.waiting_requests},
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_full_targets_share',
+            'Share of probed targets that have no slot below the knee.',
+            lambda: gateway.full_shares,
+            'service',
+        )
         metrics.add_gauge(
             'ragwortchute_gateway_body_bytes',
             'Memory reserved for long bodies of requests.',
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -63,6 +63,7 @@
         outcome: str,
         sends: int,
         arrived_s: float,
+        call: attempts.Call | None = None,
     ) -> None:
         """Logs the final answer to a request.
 
@@ -72,7 +73,12 @@
             outcome: Reason of a refusal or failure, else `answer`.
             sends: Number of targets or hosts that it was sent to.
             arrived_s: Loop time of the arrival of the request, in seconds.
+            call: The request; None if it was refused before it had a route.
         """
+        fields: dict[str, object] = {}
+        if call is not None:
+            fields['priority'] = call.priority
+            fields['waited_ms'] = round(call.waited_s * 1000)
         self._log.event(
             'request',
             id=request_id.decode('latin-1'),
@@ -82,6 +88,7 @@
             ms=round((self._loop.time() - arrived_s) * 1000, 1),
             revision=self._state.cfg_revision,
             revision_age_ms=self._configuration_age_ms(),
+            **fields,
         )
 
     def _configuration_age_ms(self) -> int | None:
--- a/tests/test_gateway/load_model.py
+++ b/tests/test_gateway/load_model.py
@@ -363,7 +363,7 @@
     load: float
     hosts: int = 8
     targets: int = 16
-    seconds: float = 6.0
+    seconds: float = 10.0
     warm_up_s: float = 2.0
     surge: str = ''
     organisations: int = 0
