--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -97,6 +97,7 @@
             call.sends,
             call.req.arrived_s,
             call.organisation,
+            call,
         )
         return self._pass_on(reply)
 
@@ -117,6 +118,7 @@
             1,
             call.req.arrived_s,
             call.organisation,
+            call,
         )
         if reply.status == _UNAUTHORISED or self._dialect.states_not_run(
             reply.status
@@ -150,8 +152,9 @@
             status = 502
         else:
             self.on_not_run(call)
+            self._stats.count_refused_priority(reason, call.priority)
             return self.refuse(
-                call.req, reason, wait_s, call.sends, call.organisation
+                call.req, reason, wait_s, call.sends, call.organisation, call
             )
         return self._fail(call, status, reason)
 
@@ -166,6 +169,7 @@
             call.sends,
             call.req.arrived_s,
             call.organisation,
+            call,
         )
         self._count_refusal(reason, call.req, call.organisation)
         return http_messages.Response(status)
@@ -177,6 +181,7 @@
         wait_s: float,
         sends: int = 0,
         organisation: model.Organisation | None = None,
+        call: attempts.Call | None = None,
     ) -> http_messages.Response:
         """Returns an answer stating that a request has not been executed.
 
@@ -187,6 +192,7 @@
                 randomised so that callers don't retry at the same time.
             sends: Number of targets that it was sent to and that rejected it.
             organisation: Organisation of the caller, None if none is known.
+            call: The same request, None if it has no route yet.
         """
         status = _STATUSES.get(reason, 503)
         wait_s = max(MIN_RETRY_AFTER_S, wait_s)
@@ -198,6 +204,7 @@
             sends,
             req.arrived_s,
             organisation,
+            call,
         )
         self._count_refusal(reason, req, organisation)
         if status == _UNAUTHORISED:
@@ -226,4 +233,7 @@
     """
     if refused.stated:
         return refused.wait_s / MIN_SPREAD
+    if refused.reason == candidates.NO_ROOM:
+        # A caller that can't come back in time must learn it now.
+        return refused.wait_s
     return min(MAX_RETRY_AFTER_S, refused.wait_s)
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -17,15 +17,13 @@
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import probe_budget
+from ragwortchute.gateway import probe_rounds
 from ragwortchute.gateway import send_limits
+from ragwortchute.gateway import service_load
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.admission import room
 
-FIRST_ROUND_TARGETS = 3
-LATER_ROUND_TARGETS = 4
-MAX_ROUNDS = 2
-# Of the targets of a later round, this many are in other regions, if any are.
-LATER_ROUND_REMOTE_TARGETS = 2
 # Another round follows only if the lowest cost found exceeds this share of the
 # latency objective.
 ACCEPTABLE_OBJECTIVES = 0.7
@@ -40,8 +38,10 @@
 HELD_UP_S = 0.005
 # Refusal reason: no probed target answered and can take the request.
 NO_ANSWER = 'no-answer'
-_SLOWNESS_SMOOTHING = 0.02
-INITIAL_MEAN_SLOWNESS = 1.8
+# Refusal reason: the targets have no room for a request of this urgency.
+NO_ROOM = 'no-room'
+# A target without room is selected last, only to learn that none has any.
+NO_ROOM_COST_S = 1000.0
 
 
 class Placement(msgspec.Struct, eq=False):
@@ -86,12 +86,17 @@
         work_s: Expected processing time at slowness 1, in seconds.
         objective_s: Latency objective in seconds.
         remaining_s: Time until the answer is due, in seconds.
+        long_work_s: Processing time that few requests exceed, in seconds; 0 if
+            it is not known.
+        limit: Which targets have room for it, None if all have.
     """
 
     targets: list[targets_.Target]
     work_s: float
     objective_s: float
     remaining_s: float
+    long_work_s: float = 0.0
+    limit: room.Limit | None = None
 
 
 class _ProbeResult(msgspec.Struct, eq=False):
@@ -124,7 +129,7 @@
         probes_per_s: float,
     ) -> None:
         self._rng = rng
-        self._mean_slowness: dict[str, float] = {}
+        self._loads: dict[str, service_load.ServiceLoad] = {}
         self._loop = asyncio.get_running_loop()
         self._probe_budget = probe_budget.ProbeBudget(
             probes_per_s, self._loop.time()
@@ -157,28 +162,26 @@
             return self._no_target(required)
         best: _ProbeResult | None = None
         best_cost_s = float('inf')
-        local = [target for target in order if target.same_region]
-        remote = [target for target in order if not target.same_region]
         early_accept_s = self._early_accept_s(required)
         acceptable_s = max(
             early_accept_s, required.objective_s * ACCEPTABLE_OBJECTIVES
         )
-        budget = self._probe_budget
-        budget.update(
-            self._loop.time(), self.targets, len(self.limits.fleet.names)
+        self._update_probe_budget()
+        limit = required.limit
+        urgent = limit is None or limit.urgent
+        rounds = probe_rounds.ProbeRounds(
+            order,
+            self._probe_budget,
+            urgent=urgent,
+            small=limit is not None
+            and urgent
+            and not self._probe_budget.has_spare(),
         )
         probed = 0
-        for round_ in range(MAX_ROUNDS):
-            group = _pop_round(
-                local,
-                remote if self._needs_remote(best, required) else [],
-                round_,
-                budget,
-            )
-            if not group:
-                break
+        while group := rounds.pop(
+            may_be_remote=self._needs_remote(best, required)
+        ):
             probed += len(group)
-            budget.spend(len(group))
             try:
                 results = await self._probe(group, required, early_accept_s)
             except asyncio.CancelledError:
@@ -194,7 +197,11 @@
                 else:
                     result.target.pool.release(result.conn)
             if best is not None and (
-                best_cost_s <= acceptable_s or not best.conn.usable
+                not best.conn.usable
+                or (
+                    best_cost_s <= acceptable_s
+                    and self._has_room(best, required)
+                )
             ):
                 break
         return self._place(best, required, probed)
@@ -236,7 +243,60 @@
 
     def mean_slowness(self, service: str) -> float:
         """Returns the mean slowness of the targets of a service."""
-        return self._mean_slowness.get(service, INITIAL_MEAN_SLOWNESS)
+        return self._load(service).mean_slowness
+
+    def _update_probe_budget(self) -> None:
+        self._probe_budget.update(
+            self._loop.time(), self.targets, len(self.limits.fleet.names)
+        )
+
+    def has_spare_probes(self, *, is_scarce: bool) -> bool:
+        """Returns whether probes are left beyond those of urgent requests.
+
+        Args:
+            is_scarce: Whether more of them are left to urgent requests.
+        """
+        self._update_probe_budget()
+        return self._probe_budget.has_spare(is_scarce=is_scarce)
+
+    def has_room(
+        self,
+        target: targets_.Target,
+        reading: dialects.Reading,
+        limit: room.Limit,
+    ) -> bool:
+        """Returns whether a target has room for a request.
+
+        Args:
+            target: The target.
+            reading: Its state.
+            limit: Limit of the request.
+        """
+        occupied = reading.running + reading.waiting
+        occupied += target.sent_since(reading)
+        return limit.allows(
+            occupied,
+            reading.slots or target.entry.slots,
+            self.full_share(target.entry.service),
+            target.draw,
+        )
+
+    def full_share(self, service: str) -> float:
+        """Returns the share of targets without a slot below the knee."""
+        return self._load(service).fullness.share()
+
+    def full_shares(self) -> dict[str, float]:
+        """Returns the share of targets without such a slot, by service."""
+        return {
+            service: load.fullness.share()
+            for service, load in self._loads.items()
+        }
+
+    def _load(self, service: str) -> service_load.ServiceLoad:
+        load = self._loads.get(service)
+        if load is None:
+            load = self._loads[service] = service_load.ServiceLoad()
+        return load
 
     def _place(
         self, best: _ProbeResult | None, required: Requirements, probed: int
@@ -245,12 +305,17 @@
         if best is None or not best.conn.usable:
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         target = best.target
+        if not (self._has_room(best, required) or required.limit.urgent):
+            target.pool.release(best.conn)
+            return NoPlacement(NO_ROOM, required.objective_s / 4, probed)
         expected_s = self._expected_s(best, required)
-        if expected_s > required.remaining_s:
+        late_s = expected_s - required.remaining_s
+        if self._must_queue(best):
+            # It would wait for others and then run beyond its time.
+            late_s += max(0.0, required.long_work_s - required.work_s)
+        if late_s > 0:
             target.pool.release(best.conn)
-            return NoPlacement(
-                'overload', expected_s - required.remaining_s, probed
-            )
+            return NoPlacement('overload', late_s, probed)
         now_s = self._loop.time()
         if not self.limits.is_accepting(target, now_s):
             # It has said so, or used up its limit, since the probe began.
@@ -259,6 +324,13 @@
         self.limits.record_send(target, now_s, is_cold=best.reading.cold_s > 0)
         return Placement(target, best.conn, best.reading, expected_s, probed)
 
+    def _must_queue(self, result: _ProbeResult) -> bool:
+        """Returns whether all slots of a target are taken."""
+        candidate = self._candidate(result)
+        reading = candidate.reading
+        occupied = reading.running + reading.waiting + candidate.sent_since
+        return occupied >= max(1, reading.slots or candidate.slots)
+
     def _early_accept_s(self, required: Requirements) -> float:
         """Returns the cost up to which a target is accepted at once."""
         return required.work_s * EARLY_ACCEPT_FACTOR + targets_.SAME_REGION_S
@@ -335,7 +407,8 @@
                     pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
                 )
                 accepted = False
-                for task in done:
+                # In the order of probing: that of a set is not repeatable.
+                for task in [item for item in tasks if item in done]:
                     result = self._probe_result(task, tasks[task])
                     if result is not None:
                         results.append(result)
@@ -378,12 +451,7 @@
             return None
         except asyncio.CancelledError:
             return None
-        service = target.entry.service
-        mean_slowness = self.mean_slowness(service)
-        self._mean_slowness[service] = (
-            mean_slowness
-            + (reading.slowness - mean_slowness) * _SLOWNESS_SMOOTHING
-        )
+        self._load(target.entry.service).note(reading)
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
@@ -412,33 +480,20 @@
             target.failure_rate(self._loop.time()),
         )
 
+    def _has_room(self, result: _ProbeResult, required: Requirements) -> bool:
+        return required.limit is None or self.has_room(
+            result.target, result.reading, required.limit
+        )
+
     def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
-        return estimates.cost_s(
+        cost_s = estimates.cost_s(
             self._candidate(result),
             required.work_s,
             self.mean_slowness(result.target.entry.service),
             required.objective_s,
         )
-
-
-def _pop_round(
-    local: list[targets_.Target],
-    remote: list[targets_.Target],
-    round_: int,
-    budget: probe_budget.ProbeBudget,
-) -> list[targets_.Target]:
-    """Removes and returns the targets to probe in a round.
-
-    The first round stays in the region of this host if it has targets. Later
-    rounds run when the region is busy and include targets of other regions.
-    """
-    if round_ == 0:
-        count = budget.targets_to_probe(FIRST_ROUND_TARGETS, first_round=True)
-        group = local[:count] or remote[:count]
-    else:
-        count = budget.targets_to_probe(LATER_ROUND_TARGETS, first_round=False)
-        others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
-        group = local[: count - len(others)] + others
-    for target in group:
-        (local if target.same_region else remote).remove(target)
-    return group
+        if not self._has_room(result, required):
+            if required.limit.urgent:
+                return cost_s
+            cost_s += NO_ROOM_COST_S
+        return cost_s
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -34,12 +34,16 @@
 from ragwortchute.gateway import streamed_answers
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
+from ragwortchute.gateway.admission import gate
 from ragwortchute.gateway.organisations import identity
 
 # A hedge is sent once an answer takes longer than this share of the latency
 # objective and longer than this many times the expected time.
 HEDGE_AFTER_OBJECTIVES = 0.4
 HEDGE_AFTER_EXPECTED = 1.4
+# An attempt without an answer at the deadline is a failure of its target if it
+# took this many times the expected time. Less may be due to long work.
+OVERDUE_EXPECTED = 3.0
 # Share of a failure that the rejection of a request counts as.
 SHED_WEIGHT = 0.5
 
@@ -90,7 +94,8 @@
         refuse_early: Returns the refusal of a request whose body has not been
             read, None if its head gives no reason for one.
         retries: Retry budgets.
-        work_times: Mean processing times by route.
+        work_times: Processing times by route.
+        gate: Admission of requests.
     """
 
     def __init__(
@@ -150,6 +155,7 @@
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self.gate = gate.Gate(state, selector)
         self.work_times = work_times.WorkTimes()
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
@@ -189,7 +195,7 @@
         finally:
             for attempt in outstanding:
                 attempt.conn.abort()
-                self._measurements.note_abort(call, attempt, self._loop.time())
+                self._note_abort(call, attempt)
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
@@ -265,22 +271,25 @@
         Returns:
             The final answer if it can't be sent, else None.
         """
-        if not self._grace_period.can_end(call, self._loop.time()):
-            return self._answers.give_up(call, 'stopping')
+        refusal = self._refuse_if_blocked(call)
+        if refusal is not None:
+            return refusal
         if call.sends:
             if not self.retries.may_repeat(call):
                 return self._answers.give_up(call, 'no-more-attempts')
             await self.retries.borrow(call, self._loop.time())
             if not self._may_retry(call):
                 return self._answers.give_up(call, 'retry-budget')
-        blocked_s = self._blocked_s(call.req)
-        if blocked_s > 0:
-            return self._answers.give_up(call, 'crashes-targets', blocked_s)
-        placed = await self._selector.select(self._requirements(call))
+        placed = await self.gate.place(call, self._requirements)
         if isinstance(placed, candidates.NoPlacement):
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
             )
+        # It may have waited.
+        refusal = self._refuse_if_blocked(call)
+        if refusal is not None:
+            placed.target.pool.release(placed.conn)
+            return refusal
         reason = self._intake.recheck(call)
         if not reason and call.sends and not self._spend_retry(call):
             reason = 'retry-budget'
@@ -290,6 +299,17 @@
         self._send(call, placed, outstanding)
         return None
 
+    def _refuse_if_blocked(
+        self, call: attempts.Call
+    ) -> http_messages.Response | None:
+        """Returns the refusal of a request that must not be sent now."""
+        if not self._grace_period.can_end(call, self._loop.time()):
+            return self._answers.give_up(call, 'stopping')
+        blocked_s = self._blocked_s(call.req)
+        if blocked_s > 0:
+            return self._answers.give_up(call, 'crashes-targets', blocked_s)
+        return None
+
     def _send(
         self,
         call: attempts.Call,
@@ -343,6 +363,7 @@
             self.work_times.expected_s(route),
             route.objective_s,
             call.deadline_s - self._loop.time(),
+            self.work_times.long_s(route),
         )
 
     # Hedging.
@@ -377,7 +398,7 @@
             return
         if not self._grace_period.can_end(call, self._loop.time()):
             return
-        placed = await self._selector.select(self._requirements(call))
+        placed = await self.gate.place_hedge(call, self._requirements)
         if not isinstance(placed, candidates.Placement):
             return
         if self._hedge_is_useful(
@@ -441,6 +462,7 @@
         load = self._dialect.decode_load(reply, target.entry, now_s)
         if load is not None:
             target.note_reading(load)
+        self.gate.note_end(call, target)
         if self._dialect.is_misdirected(reply):
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
@@ -474,6 +496,20 @@
         self._streamed.follow(call, attempt, reply)
         return self._answers.deliver(call, reply, now_s)
 
+    def _note_abort(
+        self, call: attempts.Call, attempt: attempts.Attempt
+    ) -> None:
+        """Evaluates an attempt without an answer that was given up.
+
+        A target that answers health requests and nothing else looks free again
+        whenever its requests have been given up.
+        """
+        now_s = self._loop.time()
+        self._measurements.note_abort(call, attempt, now_s)
+        overdue_s = OVERDUE_EXPECTED * attempt.placement.expected_s
+        if now_s >= max(call.deadline_s, attempt.sent_s + overdue_s):
+            self._note_failure(attempt.target, 1.0)
+
     def _note_failure(self, target: targets_.Target, weight: float) -> None:
         target.note_failure(self._loop.time(), weight)
         self._failures.note_failure(target.entry.name, weight)
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -65,6 +65,7 @@
         sends: int,
         arrived_s: float,
         organisation: model.Organisation | None = None,
+        call: attempts.Call | None = None,
     ) -> None:
         """Logs the final answer to a request.
 
@@ -75,7 +76,12 @@
             sends: Number of targets or hosts that it was sent to.
             arrived_s: Loop time of the arrival of the request, in seconds.
             organisation: Organisation of the caller, None if there is none.
+            call: The request; None if it was refused before it had a route.
         """
+        fields: dict[str, object] = {}
+        if call is not None:
+            fields['priority'] = call.priority
+            fields['waited_ms'] = round(call.waited_s * 1000)
         self._log.event(
             'request',
             id=request_id.decode('latin-1'),
@@ -85,6 +91,7 @@
             ms=round((self._loop.time() - arrived_s) * 1000, 1),
             revision=self._state.cfg_revision,
             revision_age_ms=self._configuration_age_ms(),
+            **fields,
             **_organisation_field(organisation),
         )
 
