--- /dev/null
+++ b/ragwortchute/gateway/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts: moves services to new software versions and judges these."""
--- /dev/null
+++ b/ragwortchute/gateway/rollouts/exposure.py
@@ -0,0 +1,54 @@
+"""Limits the requests that a host sends to a version under observation."""
+
+import math
+import random
+
+# Shares of `expose_share` that are used. The rest covers requests that two
+# hosts count, such as one whose relay failed after it was sent.
+OBSERVE_FRACTION = 0.85
+WIDEN_FRACTION = 0.95
+
+
+class Exposure:
+    """Sends to the canary version that are allowed to this host.
+
+    Each host may send `floor(u + share * requests)` of its requests to the
+    canary version, with `u` uniform in [0, 1). The expectation over all hosts
+    is exact without a message, even if a host sees less than a request per
+    second. A restarted host draws `u` anew and counts from 0, which does not
+    change the expectation.
+
+    Args:
+        rng: Source of randomness.
+
+    Attributes:
+        requests: Requests of the service that this host has sent to targets
+            since it first handled the order; retries and hedges not counted.
+        canary_sends: Sends to the canary version, retries and hedges included.
+    """
+
+    __slots__ = ('_offset', 'canary_sends', 'requests')
+
+    def __init__(self, rng: random.Random) -> None:
+        self._offset = rng.random()
+        self.requests = 0
+        self.canary_sends = 0
+
+    def allows(self, share: float) -> bool:
+        """Returns whether the next request may go to the canary version.
+
+        Args:
+            share: Share of the requests that may.
+        """
+        allowed = math.floor(self._offset + share * (self.requests + 1))
+        return self.canary_sends < allowed
+
+    def note_send(self, *, first: bool, canary: bool) -> None:
+        """Counts a send.
+
+        Args:
+            first: Whether it is the first send of its request.
+            canary: Whether the target runs the canary version.
+        """
+        self.requests += first
+        self.canary_sends += canary
--- /dev/null
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -0,0 +1,285 @@
+"""Judges the canary version by its responses and those of the old version.
+
+The versions are compared by period, route and failure domain. Faults that
+affect both, such as slow targets, lost responses or the loss of a failure
+domain, then raise what is expected of the canary version, too.
+
+The test is a likelihood ratio: that the canary version fails (or is slow) as
+often as the old one, against that it does so more often by a given share of
+its responses.
+"""
+
+from collections import abc
+import math
+
+import msgspec
+
+from ragwortchute.gateway.rollouts import evidence
+
+# Shares of the responses of a bad version that fail or are slow beyond those of
+# the old version. The smallest one bounds what can be detected.
+_FAILED_SHARES = (0.04, 0.15, 0.4)
+_SLOW_SHARES = (0.15, 0.4)
+# Lowest share of failed and slow responses that is expected of any version.
+# Lower ones would let two failures outweigh hundreds of responses.
+_MIN_FAILED = 0.005
+_MIN_SLOW = 0.03
+_MAX_SHARE = 0.95
+# After the move there are hardly any responses of the old version to compare
+# with. Then this share is expected, as faults that affect both versions can't
+# be told from those of the new one.
+_MIN_WITHOUT_OLD = 0.1
+# Responses of the old version, per response of the canary version, that are
+# enough to compare with.
+_MIN_OLD_RATIO = 0.25
+# Responses of the old version in all failure domains weigh as this many of the
+# same failure domain.
+_PRIOR_RESPONSES = 8.0
+# Log likelihood ratio from which on a version is bad: a good version reaches it
+# with a probability of about e^-7 per alternative.
+BAD_LOG_RATIO = 7.0
+# Of that, this must remain without the worst target: a single broken target
+# does not make a version bad.
+OTHERS_LOG_RATIO = 1.0
+# At the end of the observation, a version is doubtful above these log ratios for
+# the smallest alternative, in total and for a route.
+_DOUBTFUL_LOG_RATIO = 1.5
+_DOUBTFUL_ROUTE_LOG_RATIO = 3.5
+# At or below these, a version is good for all responses and for those after
+# half of the time.
+GOOD_LOG_RATIO = -4.0
+GOOD_LATE_LOG_RATIO = -2.5
+MIN_LATE_RESPONSES = 35
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What the evidence says about the canary version.
+
+    Attributes:
+        bad: What is bad about it, empty if nothing is.
+        good: Whether it is clearly not bad.
+        doubtful: Whether it is more likely bad than not, though not clearly.
+        responses: Responses and failures of the canary version.
+        failed: Its failures.
+        slow: Its slow responses.
+        late_responses: Its responses since half of the time.
+        old_responses: Responses and failures of the old version.
+        old_failed: Its failures.
+        log_ratio: Highest log likelihood ratio of a bad version.
+    """
+
+    bad: str = ''
+    good: bool = False
+    doubtful: bool = False
+    responses: int = 0
+    failed: int = 0
+    slow: int = 0
+    late_responses: int = 0
+    old_responses: int = 0
+    old_failed: int = 0
+    log_ratio: float = 0.0
+
+
+class _Sample(msgspec.Struct, frozen=True):
+    """Responses of one canary target in one period on one route.
+
+    Attributes:
+        route: Key of the route.
+        target: Key of the target.
+        late: Whether the period lies in the second half of the time.
+        total: Number of responses.
+        hits: Those that failed or were slow.
+        expected: Share that is expected to be.
+    """
+
+    route: int
+    target: int
+    late: bool
+    total: int
+    hits: int
+    expected: float
+
+
+def judge(buckets: abc.Sequence[evidence.Bucket], half_s: float) -> Verdict:
+    """Judges the canary version.
+
+    Args:
+        buckets: The evidence.
+        half_s: Age of the order from which on responses are late ones.
+    """
+    failures: list[_Sample] = []
+    slow: list[_Sample] = []
+    old = evidence.Counts()
+    for bucket in buckets:
+        for key, counts in bucket.cells.items():
+            if not key.canary:
+                old.add(counts)
+    for bucket in buckets:
+        late = bucket.start_s >= half_s
+        failures += _samples(bucket.cells, late, _failed, _MIN_FAILED, old)
+        slow += _samples(bucket.cells, late, _slow, _MIN_SLOW, old)
+    bad, ratio = _find_fault(failures, slow)
+    smallest = _log_ratio(failures, _FAILED_SHARES[0])
+    late_failures = [sample for sample in failures if sample.late]
+    late_responses = sum(sample.total for sample in late_failures)
+    good = (
+        not bad
+        and smallest <= GOOD_LOG_RATIO
+        and _log_ratio(slow, _SLOW_SHARES[0]) <= GOOD_LATE_LOG_RATIO
+        and _log_ratio(late_failures, _FAILED_SHARES[1]) <= GOOD_LATE_LOG_RATIO
+        and late_responses >= MIN_LATE_RESPONSES
+    )
+    return Verdict(
+        bad,
+        good,
+        bool(bad) or _is_doubtful(failures, slow),
+        sum(sample.total for sample in failures),
+        sum(sample.hits for sample in failures),
+        sum(sample.hits for sample in slow),
+        late_responses,
+        old.ended,
+        old.failed,
+        ratio,
+    )
+
+
+def _failed(counts: evidence.Counts) -> tuple[int, int]:
+    return counts.ended, counts.failed
+
+
+def _slow(counts: evidence.Counts) -> tuple[int, int]:
+    return counts.timed, counts.slow
+
+
+def _samples(
+    cells: evidence.Cells,
+    late: bool,
+    read: abc.Callable[[evidence.Counts], tuple[int, int]],
+    minimum: float,
+    old: evidence.Counts,
+) -> list[_Sample]:
+    """Returns the samples of a period, with what is expected of each.
+
+    Args:
+        cells: Counters of the period.
+        late: Whether it lies in the second half of the time.
+        read: Returns the number of responses and hits of a counter.
+        minimum: Lowest share of hits that is expected.
+        old: Counters of the old version of all periods.
+    """
+    by_domain: dict[tuple[int, int], tuple[int, int]] = {}
+    by_route: dict[int, tuple[int, int]] = {}
+    for key, counts in cells.items():
+        if not key.canary:
+            total, hits = read(counts)
+            for table, index in (
+                (by_domain, (key.route, key.domain)),
+                (by_route, key.route),
+            ):
+                known_total, known_hits = table.get(index, (0, 0))
+                table[index] = (known_total + total, known_hits + hits)
+    old_total = sum(item[0] for item in by_route.values())
+    old_hits = sum(item[1] for item in by_route.values())
+    all_total, all_hits = read(old)
+    overall = _shrink((old_total, old_hits), all_hits / max(1, all_total))
+    canary_total = sum(
+        read(counts)[0] for key, counts in cells.items() if key.canary
+    )
+    if old_total < canary_total * _MIN_OLD_RATIO:
+        minimum = _MIN_WITHOUT_OLD
+    samples = []
+    for key, counts in cells.items():
+        total, hits = read(counts)
+        if not key.canary or not total:
+            continue
+        route_share = _shrink(by_route.get(key.route, (0, 0)), overall)
+        share = _shrink(
+            by_domain.get((key.route, key.domain), (0, 0)), route_share
+        )
+        expected = min(_MAX_SHARE, max(minimum, share))
+        samples.append(
+            _Sample(key.route, key.target, late, total, hits, expected)
+        )
+    return samples
+
+
+def _shrink(counts: tuple[int, int], prior: float) -> float:
+    """Returns a share of hits, drawn towards a prior if there are few."""
+    total, hits = counts
+    return (hits + prior * _PRIOR_RESPONSES) / (total + _PRIOR_RESPONSES)
+
+
+def _log_ratio(samples: abc.Iterable[_Sample], share: float) -> float:
+    """Returns the log likelihood ratio for a share of additional hits."""
+    ratio = 0.0
+    for sample in samples:
+        worse = sample.expected + share * (1 - sample.expected)
+        ratio += sample.hits * math.log(worse / sample.expected)
+        ratio += (sample.total - sample.hits) * math.log(
+            (1 - worse) / (1 - sample.expected)
+        )
+    return ratio
+
+
+def _highest(samples: list[_Sample], shares: tuple[float, ...]) -> float:
+    return max(_log_ratio(samples, share) for share in shares)
+
+
+def _find_fault(
+    failures: list[_Sample], slow: list[_Sample]
+) -> tuple[str, float]:
+    """Returns what is bad, if anything, and the highest log ratio."""
+    highest = float('-inf')
+    for name, samples, shares in (
+        ('failures', failures, _FAILED_SHARES),
+        ('slow', slow, _SLOW_SHARES),
+    ):
+        routes = {sample.route for sample in samples}
+        views = {'': samples}
+        for route in routes if len(routes) > 1 else ():
+            views[f'-on-route-{route}'] = [
+                sample for sample in samples if sample.route == route
+            ]
+        for view, selected in views.items():
+            threshold = BAD_LOG_RATIO + (math.log(len(routes)) if view else 0)
+            ratio = _highest(selected, shares)
+            highest = max(highest, ratio)
+            if ratio >= threshold and _holds_without_worst(selected, shares):
+                return name + view, ratio
+    return '', highest
+
+
+def _holds_without_worst(
+    samples: list[_Sample], shares: tuple[float, ...]
+) -> bool:
+    """Returns whether more than one target is bad, or there is only one."""
+    targets = {sample.target for sample in samples}
+    if len(targets) < 2:
+        return True
+    by_target = {
+        target: _highest(
+            [sample for sample in samples if sample.target == target], shares
+        )
+        for target in targets
+    }
+    worst = max(by_target, key=by_target.__getitem__)
+    others = [sample for sample in samples if sample.target != worst]
+    return _highest(others, shares) >= OTHERS_LOG_RATIO
+
+
+def _is_doubtful(failures: list[_Sample], slow: list[_Sample]) -> bool:
+    """Returns whether the evidence points to a bad version at all.
+
+    That is decided by the smallest alternative, in total and by route.
+    """
+    for samples, share in (
+        (failures, _FAILED_SHARES[0]),
+        (slow, _SLOW_SHARES[0]),
+    ):
+        for route in {sample.route for sample in samples}:
+            on_route = [item for item in samples if item.route == route]
+            if _log_ratio(on_route, share) > _DOUBTFUL_ROUTE_LOG_RATIO:
+                return True
+        if _log_ratio(samples, share) > _DOUBTFUL_LOG_RATIO:
+            return True
+    return False
--- /dev/null
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -0,0 +1,508 @@
+"""Part of a host in the rollouts of all services, without I/O.
+
+Every host reports what it sees to the first two live hosts by name. These
+coordinate: they merge the reports, decide the next phase and have it written
+to the store, whose record all hosts follow.
+"""
+
+from collections import abc
+import random
+
+import msgspec
+
+from ragwortchute import errors
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import model
+from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import evidence
+from ragwortchute.gateway.rollouts import messages
+from ragwortchute.gateway.rollouts import phases
+from ragwortchute.gateway.rollouts import records
+from ragwortchute.gateway.rollouts import service_state
+
+COORDINATORS = 2
+REPORT_INTERVAL_S = 0.5
+# With more hosts than this, each reports less often, so that a coordinator gets
+# no more reports per second.
+MAX_HOSTS_AT_INTERVAL = 200
+# The second coordinator takes over from one that it has not heard for this long
+# or that can't write.
+TAKEOVER_S = 0.9
+# After a failed write, a coordinator does not count as able to write for this
+# long.
+_WRITE_FAILURE_S = 2.0
+# Hosts that are told at once that a version is bad, and those that are told in
+# each interval for a while after that. The news doubles several times per
+# interval, and the repetitions reach hosts whose messages were lost.
+_STOP_FANOUT = 4
+_STOP_REPEATS = 2
+_STOP_REPEAT_S = 3.0
+
+_NEIGHBOURS_INTERVAL_S = 0.5
+
+# Sends a payload to hosts by name, without a guarantee of delivery.
+SendCallback = abc.Callable[[list[str], bytes], None]
+
+
+class Write(msgspec.Struct, frozen=True):
+    """A status that is to be written.
+
+    Attributes:
+        record: The record that it replaces.
+        step: The step that it records.
+        status: The status.
+    """
+
+    record: records.Record
+    step: phases.Step
+    status: records.Status
+
+
+class Surroundings:
+    """What a participant asks of its host; tests replace it with a fake."""
+
+    def neighbours(self, now_s: float) -> list[coordinator.Neighbour]:
+        """Returns the other hosts that may be alive."""
+        raise NotImplementedError
+
+    def longest_s(self, service: str) -> float:
+        """Returns the longest time of a request of a service in seconds."""
+        raise NotImplementedError
+
+    def obstacle(self, service: str, version: str) -> str:
+        """Returns why a version can't be judged, empty if it can."""
+        raise NotImplementedError
+
+    def is_warm(self, service: str, version: str, now_s: float) -> bool:
+        """Returns whether no target of a version is cold."""
+        raise NotImplementedError
+
+
+class Participant:
+    """Part of a host in the rollouts of all services.
+
+    Args:
+        me: Entry of this host.
+        share: Share of the requests that a version under observation may get.
+        surroundings: What is known of the other hosts and the configuration.
+        send: Sends a payload to hosts.
+        rng: Source of randomness.
+        log: Event log.
+
+    Attributes:
+        services: Rollouts by service.
+        confirmed_s: Loop time at which the copies of the records are known to
+            have been the newest.
+        reaches_most: Whether this host hears most of the hosts it knows.
+        hosts: Number of hosts that may be alive.
+    """
+
+    def __init__(
+        self,
+        me: model.HostEntry,
+        share: float,
+        surroundings: Surroundings,
+        send: SendCallback,
+        rng: random.Random,
+        log: eventlog.EventLog,
+    ) -> None:
+        self._me = me
+        self._share = share
+        self._surroundings = surroundings
+        self._send = send
+        self._rng = rng
+        self._log = log
+        self._ranked: list[str] = [me.name]
+        self._neighbours: list[coordinator.Neighbour] = []
+        self._neighbours_s = float('-inf')
+        self._hears_any = True
+        self._coordinators: dict[str, coordinator.Coordinator] = {}
+        # Loop time of the last reply of an able coordinator, by service and
+        # host.
+        self._replied_s: dict[tuple[str, str], float] = {}
+        self._sequence = 0
+        self._reported_s: dict[str, float] = {}
+        self._stop_until_s: dict[str, float] = {}
+        self._stop_repeated_s: dict[str, float] = {}
+        self._write_failed_s = float('-inf')
+        # Services whose status is being written.
+        self._writing: set[str] = set()
+        self._ranked_since_s = float('-inf')
+        self.services: dict[str, service_state.ServiceState] = {}
+        self.confirmed_s = float('-inf')
+        self.reaches_most = True
+        self.hosts = 1
+
+    @property
+    def interval_s(self) -> float:
+        """Time between two reports in seconds."""
+        return REPORT_INTERVAL_S * max(1.0, self.hosts / MAX_HOSTS_AT_INTERVAL)
+
+    def service(self, name: str) -> service_state.ServiceState:
+        """Returns the rollout of a service."""
+        state = self.services.get(name)
+        if state is None:
+            state = self.services[name] = service_state.ServiceState(
+                name, self._share, self._rng, self._log
+            )
+        return state
+
+    def trust(self, now_s: float) -> service_state.Trust:
+        """Returns what this host may rely on now."""
+        return service_state.Trust(
+            now_s,
+            self.confirmed_s,
+            self.reaches_most,
+            not self._hears_any
+            and now_s - self.confirmed_s > coordinator.ISOLATION_S,
+        )
+
+    def set_record(self, record: records.Record, now_s: float) -> None:
+        """Follows a record that was read from the store or told of."""
+        state = self.service(record.service)
+        old = state.record
+        state.set_record(
+            record, now_s, self._surroundings.longest_s(record.service)
+        )
+        if state.record is old:
+            return
+        if old is None or old.phase != state.record.phase:
+            self._log_phase(state, now_s)
+        if record.problem and (old is None or old.problem != record.problem):
+            self._log.event(
+                'rollout-refused',
+                service=record.service,
+                version=record.version,
+                problem=record.problem,
+                revision=record.revision,
+            )
+
+    def remove_record(self, service: str, revision: int) -> None:
+        """Notes that an order was withdrawn."""
+        if service in self.services:
+            self.services[service].remove_record(revision)
+
+    def note_written(
+        self, write: Write, record: records.Record | None, now_s: float
+    ) -> None:
+        """Notes the end of a write.
+
+        Args:
+            write: The write.
+            record: The record as read back or as returned by the store, None
+                if the store did not answer.
+            now_s: Loop time in seconds.
+        """
+        self._writing.discard(write.record.service)
+        if record is None:
+            self._write_failed_s = now_s
+            return
+        self.set_record(record, now_s)
+
+    def note_write_failed(self, now_s: float) -> None:
+        """Notes that the store has not answered a write."""
+        self._write_failed_s = now_s
+
+    def handle(self, sender: str, payload: bytes, now_s: float) -> None:
+        """Handles a message of another host.
+
+        Args:
+            sender: Name of the host.
+            payload: The message.
+            now_s: Loop time in seconds.
+        """
+        try:
+            message = messages.decode(payload)
+        except errors.DecodeFailed as exc:
+            self._log.event('rollout-malformed', sender=sender, error=str(exc))
+            return
+        if isinstance(message, messages.Report):
+            self._handle_report(sender, message, now_s)
+        elif isinstance(message, messages.Reply):
+            self._handle_reply(sender, message, now_s)
+        else:
+            state = self.services.get(message.service)
+            if state is not None and _is_current(state, message.order_id):
+                self._stop(state, now_s)
+
+    def tick(self, now_s: float) -> list[Write]:
+        """Sends the reports that are due and decides.
+
+        Args:
+            now_s: Loop time in seconds.
+
+        Returns:
+            Statuses to be written. Until `note_written` is called for one, no
+            other one of its service is returned.
+        """
+        active = [
+            state
+            for state in self.services.values()
+            if state.record is not None and not state.record.ended
+        ]
+        self._update_neighbours(now_s)
+        writes = []
+        for state in active:
+            if state.running:
+                self._report_if_due(state, now_s)
+                self._repeat_stop(state, now_s)
+            write = self._coordinate(state, now_s)
+            if write is not None:
+                self._writing.add(state.service)
+                writes.append(write)
+        return writes
+
+    def coordinator(
+        self, state: service_state.ServiceState
+    ) -> coordinator.Coordinator:
+        """Returns the evidence for the current order of a service."""
+        known = self._coordinators.get(state.service)
+        if known is None or known.order_id != state.record.order_id:
+            known = coordinator.Coordinator(state.record.order_id)
+            self._coordinators[state.service] = known
+        return known
+
+    # Messages.
+
+    def _report_if_due(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> None:
+        reported_s = self._reported_s.get(state.service, float('-inf'))
+        drained = state.has_drained(now_s)
+        if now_s - reported_s < self.interval_s and not state.urgent:
+            return
+        state.urgent = False
+        self._reported_s[state.service] = now_s
+        self._sequence += 1
+        report = messages.Report(
+            state.service,
+            state.record.order_id,
+            self._me.incarnation,
+            self._sequence,
+            int(now_s * 1000),
+            int(state.age_s(now_s) * 1000),
+            state.record.revision,
+            drained,
+            state.exposure.requests,
+            state.exposure.canary_sends,
+            evidence.pack(state.counters.cells),
+        )
+        leaders = self._ranked[:COORDINATORS]
+        if self._me.name in leaders:
+            self._handle_report(self._me.name, report, now_s)
+        names = [name for name in leaders if name != self._me.name]
+        if names:
+            self._send(names, messages.encode(report))
+
+    def _handle_report(
+        self, sender: str, report: messages.Report, now_s: float
+    ) -> None:
+        state = self.services.get(report.service)
+        if state is None or not _is_current(state, report.order_id):
+            return
+        state.note_age(report.age_ms / 1000, now_s)
+        self.coordinator(state).note_report(
+            sender, report, state.age_s(now_s), now_s
+        )
+        if self._rank() >= COORDINATORS:
+            return
+        reply = messages.Reply(
+            state.service,
+            report.order_id,
+            report.sent_ms,
+            int(state.age_s(now_s) * 1000),
+            state.record.revision,
+            state.record.phase,
+            self.reaches_most,
+            self._is_able(now_s),
+        )
+        if sender == self._me.name:
+            self._handle_reply(sender, reply, now_s)
+        else:
+            self._send([sender], messages.encode(reply))
+
+    def _handle_reply(
+        self, sender: str, reply: messages.Reply, now_s: float
+    ) -> None:
+        state = self.services.get(reply.service)
+        if state is None or not _is_current(state, reply.order_id):
+            return
+        state.note_age(reply.age_ms / 1000, now_s)
+        if reply.able:
+            self._replied_s[state.service, sender] = now_s
+        phase = messages.phase_of(reply)
+        record = state.record
+        if reply.revision > record.revision and phase > record.phase:
+            self.set_record(
+                msgspec.structs.replace(
+                    record, revision=reply.revision, phase=phase
+                ),
+                now_s,
+            )
+        if reply.reaches_most and reply.revision >= state.record.revision:
+            state.contact_s = max(state.contact_s, reply.sent_ms / 1000)
+
+    def _stop(self, state: service_state.ServiceState, now_s: float) -> None:
+        """Stops sending to a bad version and tells other hosts."""
+        if state.stopped:
+            return
+        state.stopped = True
+        self._stop_until_s[state.service] = now_s + _STOP_REPEAT_S
+        self._stop_repeated_s[state.service] = now_s
+        self._log.event(
+            'rollout-stopped',
+            service=state.service,
+            version=state.record.version,
+            phase=state.record.phase.name.lower(),
+        )
+        self._tell_stop(state, _STOP_FANOUT)
+
+    def _repeat_stop(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> None:
+        if not state.stopped or now_s > self._stop_until_s[state.service]:
+            return
+        if now_s - self._stop_repeated_s[state.service] >= REPORT_INTERVAL_S:
+            self._stop_repeated_s[state.service] = now_s
+            self._tell_stop(state, _STOP_REPEATS)
+
+    def _tell_stop(
+        self, state: service_state.ServiceState, receivers: int
+    ) -> None:
+        names = [item.name for item in self._neighbours]
+        chosen = self._rng.sample(names, min(receivers, len(names)))
+        if chosen:
+            stop = messages.Stop(state.service, state.record.order_id)
+            self._send(chosen, messages.encode(stop))
+
+    # Coordination.
+
+    def _update_neighbours(self, now_s: float) -> None:
+        if now_s - self._neighbours_s < _NEIGHBOURS_INTERVAL_S:
+            return
+        self._neighbours_s = now_s
+        self._neighbours = self._surroundings.neighbours(now_s)
+        heard = [
+            item.name
+            for item in self._neighbours
+            if now_s - item.heard_s < coordinator.SILENT_S
+        ]
+        self.hosts = 1 + len(self._neighbours)
+        self.reaches_most = 2 * (len(heard) + 1) > self.hosts
+        self._hears_any = bool(heard) or not self._neighbours
+        rank = self._rank()
+        self._ranked = sorted([*heard, self._me.name])
+        if self._rank() != rank or self._ranked_since_s == float('-inf'):
+            self._ranked_since_s = now_s
+
+    def _rank(self) -> int:
+        return self._ranked.index(self._me.name)
+
+    def _is_able(self, now_s: float) -> bool:
+        """Returns whether this host can read and write the store."""
+        return (
+            now_s - self.confirmed_s <= service_state.LEASE_S
+            and now_s - self._write_failed_s > _WRITE_FAILURE_S
+        )
+
+    def _leads(self, state: service_state.ServiceState, now_s: float) -> bool:
+        """Returns whether this host decides on an order now."""
+        rank = self._rank()
+        if rank >= COORDINATORS:
+            return False
+        quiet_since_s = max(
+            (
+                self._replied_s.get((state.service, name), float('-inf'))
+                for name in self._ranked[:rank]
+            ),
+            default=float('-inf'),
+        )
+        if rank:
+            quiet_since_s = max(
+                quiet_since_s,
+                self._ranked_since_s,
+                now_s - state.age_s(now_s),
+            )
+        return now_s - quiet_since_s > TAKEOVER_S * rank
+
+    def _coordinate(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> Write | None:
+        """Returns the write of the next step, None if none is due."""
+        if self._rank() >= COORDINATORS:
+            return None
+        situation = self.coordinator(state).situation(
+            state,
+            self._neighbours,
+            longest_s=self._surroundings.longest_s(state.service),
+            interval_s=self.interval_s,
+            reaches_most=self.reaches_most,
+            obstacle=self._surroundings.obstacle(
+                state.service, state.record.version
+            ),
+            warm=self._surroundings.is_warm(
+                state.service, state.record.version, now_s
+            ),
+            now_s=now_s,
+        )
+        if state.running and situation.verdict.bad:
+            self._stop(state, now_s)
+        if state.service in self._writing or not self._leads(state, now_s):
+            return None
+        step = phases.next_step(situation)
+        if step is None:
+            return None
+        self._log_step(state, step, situation, now_s)
+        status = records.make_status(state.record, step.phase, step.reason)
+        return Write(state.record, step, status)
+
+    # Log.
+
+    def _log_step(
+        self,
+        state: service_state.ServiceState,
+        step: phases.Step,
+        situation: phases.Situation,
+        now_s: float,
+    ) -> None:
+        """Logs a decision and the evidence for it."""
+        verdict = situation.verdict
+        known = self.coordinator(state)
+        self._log.event(
+            'rollout-decision',
+            service=state.service,
+            version=state.record.version,
+            phase=step.phase.name.lower(),
+            reason=step.reason,
+            age_s=round(state.age_s(now_s), 2),
+            responses=verdict.responses,
+            failed=verdict.failed,
+            slow=verdict.slow,
+            late_responses=verdict.late_responses,
+            old_responses=verdict.old_responses,
+            old_failed=verdict.old_failed,
+            log_ratio=round(verdict.log_ratio, 1),
+            share=round(known.canary_share(), 4),
+            evidence_age_s=round(min(known.evidence_age_s(now_s), 1e3), 2),
+        )
+
+    def _log_phase(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> None:
+        """Logs the phase that this host follows from now on."""
+        record = state.record
+        self._log.event(
+            'rollout',
+            service=record.service,
+            version=record.version,
+            phase=record.phase.name.lower(),
+            revision=record.revision,
+            age_s=round(state.age_s(now_s), 2),
+            requests=state.exposure.requests,
+            canary_sends=state.exposure.canary_sends,
+            confirmed_age_s=round(min(now_s - self.confirmed_s, 1e3), 2),
+        )
+
+
+def _is_current(state: service_state.ServiceState, order_id: int) -> bool:
+    return state.running and state.record.order_id == order_id
--- /dev/null
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -0,0 +1,107 @@
+"""State machine of a rollout, without I/O.
+
+Times are shares of the time that the order gives. For 15 s: the version is
+observed for 7.2 s, with more requests up to 9 s, all requests move by 9.5 s,
+and the last of them end at old targets by 13.5 s.
+"""
+
+import msgspec
+
+from ragwortchute.gateway.rollouts import judgement
+from ragwortchute.gateway.rollouts import records
+
+HALF = 0.5
+WIDEN_AT = 0.48
+# A version that is clearly good is moved to from the first of these on, any
+# other one that is not doubtful from the second. Until the last one, more
+# evidence is awaited on a doubtful one.
+MOVE_FROM = 0.55
+MOVE_BY = 0.6
+DECIDE_BY = 0.65
+# Responses without which a version is not moved to.
+MIN_RESPONSES = 5
+# Requests that still go to old targets, as new ones are cold, are waited for
+# until then.
+DRAIN_BY = 0.68
+
+
+class Situation(msgspec.Struct, frozen=True):
+    """What the next step depends on.
+
+    Attributes:
+        record: The record.
+        fraction: Age of the order as a share of its time.
+        verdict: What the evidence says.
+        fresh: Whether the evidence includes recent reports of most hosts.
+        stopped: Whether another host has found the version to be bad.
+        moved: Whether hardly any request needs old targets.
+        drained: Whether no request can be running at an old target.
+        obstacle: Why there is nothing to judge, empty if there is.
+    """
+
+    record: records.Record
+    fraction: float
+    verdict: judgement.Verdict
+    fresh: bool
+    stopped: bool
+    moved: bool
+    drained: bool
+    obstacle: str = ''
+
+
+class Step(msgspec.Struct, frozen=True):
+    """A step to another phase.
+
+    Attributes:
+        phase: The phase.
+        reason: Why the order is rolled back, else empty.
+    """
+
+    phase: records.Phase
+    reason: str = ''
+
+
+def next_step(now: Situation) -> Step | None:
+    """Returns the next step of a rollout, None if none is due."""
+    record = now.record
+    if record.ended:
+        return None
+    if record.problem:
+        return Step(records.Phase.ROLLED_BACK, record.problem)
+    if record.phase == records.Phase.NONE:
+        return Step(records.Phase.OBSERVE)
+    if now.stopped or now.verdict.bad:
+        return Step(
+            records.Phase.ROLLED_BACK, now.verdict.bad or 'found-elsewhere'
+        )
+    if record.phase == records.Phase.DRAIN:
+        return Step(records.Phase.SUCCEEDED) if now.drained else None
+    if record.phase == records.Phase.MOVE:
+        return _drain(now)
+    if now.verdict.responses < MIN_RESPONSES:
+        if now.fraction >= 1:
+            reason = now.obstacle or 'too-little-evidence'
+            return Step(records.Phase.ROLLED_BACK, reason)
+        return None
+    if record.phase == records.Phase.OBSERVE:
+        return Step(records.Phase.WIDEN) if now.fraction >= WIDEN_AT else None
+    return _decide(now)
+
+
+def _decide(now: Situation) -> Step | None:
+    """Returns the decision on a version at the end of its observation."""
+    if not now.fresh:
+        return None
+    if now.fraction >= MOVE_FROM and now.verdict.good:
+        return Step(records.Phase.MOVE)
+    if now.fraction >= MOVE_BY and not now.verdict.doubtful:
+        return Step(records.Phase.MOVE)
+    if now.fraction >= DECIDE_BY:
+        return Step(records.Phase.ROLLED_BACK, 'doubtful')
+    return None
+
+
+def _drain(now: Situation) -> Step | None:
+    if now.moved or now.fraction >= DRAIN_BY:
+        return Step(records.Phase.DRAIN)
+    return None
--- /dev/null
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -0,0 +1,444 @@
+"""Rollout of one service as a host follows it.
+
+Decides which targets may get a request, and counts what it sends and what
+comes back.
+"""
+
+from collections import abc
+import collections
+import math
+import random
+import zlib
+
+import msgspec
+
+from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.rollouts import evidence
+from ragwortchute.gateway.rollouts import exposure
+from ragwortchute.gateway.rollouts import records
+from ragwortchute.gateway.rollouts import sends
+from ragwortchute.gateway.rollouts import versions
+
+# How long a host acts on a copy of the record that is not confirmed.
+LEASE_S = 1.2
+# The canary traffic of all hosts goes to as many targets as it fills to this
+# share of their slots, so that these show how they behave under load. Others
+# take their turn after a while, so that no single target decides.
+FILL_FRACTION = 0.75
+TURN_S = 1.5
+# A host stops on its own once so many of its last responses of the canary
+# version were bad, unless as many of the old version are.
+_RECENT_RESPONSES = 6
+_BAD_RESPONSES = 4
+_SUSPENSION_S = 2.0
+
+
+class Trust(msgspec.Struct, frozen=True):
+    """What a host may rely on at a moment.
+
+    Attributes:
+        now_s: Loop time in seconds.
+        confirmed_s: Loop time at which the copy of the record is known to have
+            been the newest.
+        reaches_most: Whether this host hears most of the hosts it knows.
+        isolated: Whether it reaches neither the store nor any other host.
+    """
+
+    now_s: float
+    confirmed_s: float
+    reaches_most: bool
+    isolated: bool
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether the copy of the record was confirmed recently."""
+        return self.now_s - self.confirmed_s <= LEASE_S
+
+
+class Load(msgspec.Struct, frozen=True):
+    """What the concentration of canary traffic depends on.
+
+    Attributes:
+        hosts: Number of hosts that share the requests.
+        work_s: Expected processing time of a request in seconds.
+    """
+
+    hosts: int
+    work_s: float
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """Targets that may get a request.
+
+    Attributes:
+        first: Targets to select from.
+        second: Targets to select from if none of the first takes it.
+    """
+
+    first: list[targets_.Target]
+    second: list[targets_.Target] = []
+
+
+class ServiceState:
+    """Rollout of one service as this host follows it.
+
+    Args:
+        service: Name of the service.
+        share: Share of the requests that a version under observation may get.
+        rng: Source of randomness.
+        log: Event log.
+
+    Attributes:
+        service: Name of the service.
+        record: The order and its progress, None if there is no order.
+        versions: Versions of the service.
+        exposure: Limit on sends to the canary version.
+        counters: Responses for the current order.
+        old_sends: Requests that may be running at old targets.
+        stopped: Whether some host has found the canary version to be bad.
+        contact_s: Loop time at which a report was sent that a coordinator has
+            replied to.
+        phase_since_s: Loop time at which the current phase was learnt.
+        urgent: Whether a report is to be sent at once.
+        old_ready: Whether an old target is ready.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        share: float,
+        rng: random.Random,
+        log: eventlog.EventLog,
+    ) -> None:
+        self.service = service
+        self.record: records.Record | None = None
+        self.versions = versions.Versions()
+        self._share = share
+        self._rng = rng
+        self._log = log
+        self._removed_revision = 0
+        self._seen_s = 0.0
+        self._clear(0.0)
+        self.old_sends = sends.OldSends()
+        self.old_ready = True
+
+    @property
+    def running(self) -> bool:
+        """Whether an order has been taken up and has no outcome yet."""
+        return self.record is not None and self.record.running
+
+    @property
+    def ordered(self) -> str:
+        """Version that an order without an outcome names, or empty."""
+        if self.record is None or self.record.ended:
+            return ''
+        return self.record.version
+
+    def age_s(self, now_s: float) -> float:
+        """Returns the age of the order in seconds."""
+        return now_s - self._seen_s
+
+    def note_age(self, age_s: float, now_s: float) -> None:
+        """Notes that the order is at least as old as another host says."""
+        self._seen_s = min(self._seen_s, now_s - age_s)
+
+    def set_record(
+        self, record: records.Record, now_s: float, longest_s: float
+    ) -> None:
+        """Follows a record unless a later one is known.
+
+        Args:
+            record: The record.
+            now_s: Loop time in seconds.
+            longest_s: Longest time that a request may take, in seconds.
+        """
+        old = self.record
+        known_revision = old.revision if old else self._removed_revision
+        if record.revision <= known_revision:
+            return
+        if record.settled_version:
+            self.versions.settle(
+                record.settled_version,
+                succeeded=record.settled_phase == records.Phase.SUCCEEDED,
+            )
+        if old is None or _is_other_order(old, record):
+            self._begin(old, record, now_s, longest_s)
+        elif record.duration_s != old.duration_s:
+            self._log.event(
+                'rollout-changed',
+                service=self.service,
+                version=record.version,
+                duration_s=record.duration_s,
+            )
+        if old is None or record.phase != old.phase:
+            self.phase_since_s = now_s
+            self.urgent = True
+        self.record = record
+        if record.ended:
+            self.versions.settle(
+                record.version,
+                succeeded=record.phase == records.Phase.SUCCEEDED,
+            )
+
+    def remove_record(self, revision: int) -> None:
+        """Notes that the order was withdrawn.
+
+        Args:
+            revision: Revision of the removal.
+        """
+        if self.record is None or revision < self.record.revision:
+            return
+        if not self.record.ended:
+            self._log.event(
+                'rollout-withdrawn',
+                service=self.service,
+                version=self.record.version,
+                phase=self.record.phase.name.lower(),
+                revision=revision,
+            )
+            self.versions.withdraw_order(self.record.version)
+        self._removed_revision = revision
+        self.record = None
+
+    def choose(
+        self,
+        targets: list[targets_.Target],
+        trust: Trust,
+        load: Load,
+        *,
+        first_send: bool,
+    ) -> Choice:
+        """Returns the targets that may get a request.
+
+        Args:
+            targets: Targets that may get it otherwise.
+            trust: What this host may rely on.
+            load: What the concentration of canary traffic depends on.
+            first_send: Whether the request has not been sent before.
+        """
+        old = []
+        if self._may_send_old(trust):
+            old = [
+                target
+                for target in targets
+                if target.entry.software_version in self.versions.used
+                and not self._is_canary(target)
+            ]
+        if not self.running or not self._may_send_canary(trust, first_send):
+            return Choice(old)
+        canary = [target for target in targets if self._is_canary(target)]
+        if self.record.phase < records.Phase.MOVE and self.old_ready:
+            canary = self._concentrate(canary, trust.now_s, load)
+        return Choice(canary, old) if canary else Choice(old)
+
+    def admits(
+        self, target: targets_.Target, trust: Trust, *, first_send: bool
+    ) -> bool:
+        """Returns whether a request may still be sent to a chosen target.
+
+        The phase and the sends of this host may have changed since the choice.
+        """
+        if self._is_canary(target):
+            return self._may_send_canary(trust, first_send)
+        return (
+            self._may_send_old(trust)
+            and target.entry.software_version in self.versions.used
+        )
+
+    def note_send(
+        self,
+        key: int,
+        target: targets_.Target,
+        latest_end_s: float,
+        *,
+        first_send: bool,
+    ) -> None:
+        """Counts a send.
+
+        Args:
+            key: Identity of the send.
+            target: The target.
+            latest_end_s: Loop time at which it has ended in any case.
+            first_send: Whether the request had not been sent before.
+        """
+        if not self.running:
+            return
+        canary = self._is_canary(target)
+        self.exposure.note_send(first=first_send, canary=canary)
+        if not canary:
+            self.old_sends.note_send(key, latest_end_s)
+
+    def note_response(
+        self,
+        target: targets_.Target,
+        route: str,
+        now_s: float,
+        *,
+        failed: bool,
+        timed: bool,
+        slow: bool,
+    ) -> None:
+        """Counts a response or failure.
+
+        Args:
+            target: The target.
+            route: Name of the route.
+            now_s: Loop time in seconds.
+            failed: Whether it failed.
+            timed: Whether its duration can be compared.
+            slow: Whether it took several times as long as expected.
+        """
+        if not self.running:
+            return
+        canary = self._is_canary(target)
+        if not canary and target.entry.software_version not in (
+            self.versions.used
+        ):
+            return
+        entry = target.entry
+        key = evidence.CellKey(
+            canary,
+            evidence.key_of(route),
+            evidence.key_of(entry.failure_domain),
+            evidence.key_of(entry.name) if canary else 0,
+        )
+        self.counters.note(key, failed=failed, timed=timed, slow=slow)
+        self._recent[canary].append(failed or (timed and slow))
+        if canary and self._recent_is_bad(True) > self._recent_is_bad(False):
+            self._recent[True].clear()
+            self._suspended_until_s = now_s + _SUSPENSION_S
+            self.urgent = True
+            self._log.event('rollout-suspended', service=self.service)
+
+    def has_drained(self, now_s: float) -> bool:
+        """Returns whether nothing of this host can run at an old target."""
+        return (
+            self.record is not None
+            and self.record.phase == records.Phase.DRAIN
+            and not self.old_sends.may_run(now_s)
+        )
+
+    def _begin(
+        self,
+        old: records.Record | None,
+        record: records.Record,
+        now_s: float,
+        longest_s: float,
+    ) -> None:
+        """Starts to follow another order."""
+        if old is not None and not old.ended:
+            self._log.event(
+                'rollout-replaced',
+                service=self.service,
+                version=old.version,
+                by=record.version,
+            )
+            if old.version != record.version:
+                self.versions.withdraw_order(old.version)
+        self._clear(now_s)
+        # Sends before the order was known are not in the list.
+        self.old_sends.note_send(0, now_s + longest_s)
+        if record.version and not record.ended:
+            self.versions.begin_order(record.version, now_s)
+
+    def _clear(self, now_s: float) -> None:
+        """Forgets all that belongs to one order."""
+        self._seen_s = now_s
+        self.phase_since_s = now_s
+        self.exposure = exposure.Exposure(self._rng)
+        self.counters = evidence.Counters()
+        self.stopped = False
+        self.contact_s = float('-inf')
+        self.urgent = False
+        self._suspended_until_s = float('-inf')
+        self._recent = {
+            canary: collections.deque[bool](maxlen=_RECENT_RESPONSES)
+            for canary in (False, True)
+        }
+
+    def _is_canary(self, target: targets_.Target) -> bool:
+        return (
+            self.running
+            and target.entry.software_version == self.record.version
+        )
+
+    def _may_send_old(self, trust: Trust) -> bool:
+        """Returns whether targets of the versions in use get requests."""
+        if not self.running:
+            return not trust.isolated
+        if self.record.phase >= records.Phase.DRAIN:
+            return False
+        return trust.confirmed or self._has_contact(trust)
+
+    def _may_send_canary(self, trust: Trust, first_send: bool) -> bool:
+        """Returns whether targets of the canary version get requests."""
+        now_s = trust.now_s
+        if self.stopped or now_s < self._suspended_until_s:
+            return False
+        phase = self.record.phase
+        if not trust.confirmed and not (
+            phase >= records.Phase.DRAIN and self._has_contact(trust)
+        ):
+            return False
+        if phase >= records.Phase.MOVE or not self.old_ready:
+            return True
+        fraction = (
+            exposure.WIDEN_FRACTION
+            if phase == records.Phase.WIDEN
+            else exposure.OBSERVE_FRACTION
+        )
+        # Repeated sends go to the old version, which is known to work.
+        return first_send and self.exposure.allows(fraction * self._share)
+
+    def _has_contact(self, trust: Trust) -> bool:
+        """Returns whether a coordinator hears this host.
+
+        It then does not write an outcome before this host agrees, so that the
+        host may act on a copy that the store does not confirm.
+        """
+        return trust.reaches_most and trust.now_s - self.contact_s <= LEASE_S
+
+    def _recent_is_bad(self, canary: bool) -> bool:
+        recent = self._recent[canary]
+        return sum(recent) >= _BAD_RESPONSES
+
+    def _concentrate(
+        self, canary: list[targets_.Target], now_s: float, load: Load
+    ) -> list[targets_.Target]:
+        """Returns the targets that get the canary traffic at the moment.
+
+        All hosts of a region choose the same ones, as their order is a hash of
+        their names.
+        """
+        local = [target for target in canary if target.same_region] or canary
+        if not local:
+            return []
+        local.sort(key=lambda target: zlib.crc32(target.entry.name.encode()))
+        age_s = max(1.0, self.age_s(now_s))
+        per_s = self.exposure.requests / age_s * load.hosts * self._share
+        slots = max(1, local[0].entry.slots)
+        count = math.ceil(per_s * load.work_s / (FILL_FRACTION * slots))
+        count = min(len(local), max(1, count))
+        start = int(age_s / TURN_S) * count
+        return [local[(start + index) % len(local)] for index in range(count)]
+
+
+def _is_other_order(old: records.Record, new: records.Record) -> bool:
+    if old.version != new.version:
+        return True
+    return old.order_id != 0 and new.order_id != old.order_id
+
+
+def seen_targets(
+    targets: abc.Iterable[targets_.Target],
+) -> list[versions.SeenTarget]:
+    """Returns what matters of targets for their versions."""
+    return [
+        versions.SeenTarget(
+            target.entry.software_version,
+            target.entry.born_ms,
+            target.entry.ready,
+        )
+        for target in targets
+    ]
--- /dev/null
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -0,0 +1,472 @@
+"""Simulated hosts, targets and store of one rollout.
+
+The hosts run the real `participant.Participant`. Time, messages, the store and
+targets are simulated, with faults that a seed determines.
+"""
+
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from ragwortchute.gateway import model
+from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import participant
+from ragwortchute.gateway.rollouts import records
+from ragwortchute.gateway.rollouts import service_state
+
+SERVICE = 's'
+OLD, NEW = 'v1', 'v2'
+DURATION_S = 15.0
+LONGEST_S = 4.0
+SHARE, SLACK, ROLLBACK_S = 0.1, 50, 5.0
+SLOTS = 6
+DOMAINS = ('a1', 'a2', 'b1', 'b2')
+ROUTES = {'quick': 0.08, 'slow': 0.16}
+TICK_S = 0.1
+
+
+class Log:
+    """Event log that keeps the lines of decisions."""
+
+    def __init__(self) -> None:
+        self.lines = []
+
+    def event(self, kind, **fields):
+        if kind == 'rollout-decision':
+            self.lines.append(fields)
+
+
+class Target:
+    """Simulated target."""
+
+    same_region = True
+
+    def __init__(self, name, version, domain, slowness):
+        self.entry = model.TargetEntry(
+            name, SERVICE, '', 0, domain, SLOTS, True, 0.0, 0, version
+        )
+        self.running = 0
+        self.slowness = slowness
+
+
+class Host(participant.Surroundings):
+    """Simulated host."""
+
+    def __init__(self, world, name, incarnation=1):
+        self.world = world
+        self.name = name
+        self.alive = True
+        self.cut_off = False
+        self.incarnation = incarnation
+        self.started_s = world.now_s
+        self.part = participant.Participant(
+            model.HostEntry(name, incarnation, 'a1', 'a', '', '', 0),
+            SHARE,
+            self,
+            self.send,
+            random.Random(world.rng.random()),
+            world.log,
+        )
+
+    def send(self, names, payload):
+        for name in names:
+            self.world.send(self, name, payload)
+
+    def neighbours(self, now_s):
+        return [
+            item
+            for item in self.world.neighbours(self.cut_off)
+            if item.name != self.name
+        ]
+
+    def longest_s(self, service):
+        return LONGEST_S
+
+    def obstacle(self, service, version):
+        return ''
+
+    def is_warm(self, service, version, now_s):
+        return True
+
+
+class World:
+    """One simulated rollout.
+
+    Args:
+        seed: Determines all faults.
+        hosts: Number of hosts.
+        kind: Behaviour of the new version.
+        per_s: Requests per second over all hosts.
+    """
+
+    def __init__(self, seed, hosts, kind, per_s=300.0):
+        self.rng = random.Random(f'{seed}/{hosts}/{kind}')
+        self.seed, self.kind, self.per_s = seed, kind, per_s
+        self.now_s = 0.0
+        self.log = Log()
+        self._queue, self._order = [], itertools.count()
+        self.requests = self.canary = self.bad_responses = 0
+        self.fiftieth_s = float('inf')
+        self.outcomes, self.broken = [], []
+        self.record = None
+        self.outcome_s = float('inf')
+        self.old_running = 0
+        self._list_s, self._lists = -1.0, {}
+        rng = self.rng
+        count = rng.choice((40, 60, 114))
+        self.targets = [
+            Target(f'o{n}', OLD, DOMAINS[n % 4], rng.uniform(1, 1.3))
+            for n in range(114)
+        ] + [
+            Target(f'n{n}', NEW, DOMAINS[n % 4], rng.uniform(1, 1.3))
+            for n in range(count)
+        ]
+        self.hosts = {}
+        for n in range(hosts):
+            self.add_host(f'h{n:03}', 1)
+        self.loss = rng.choice((0.0, 0.02, 0.1))
+        self.late = rng.choice((0.0, 0.05))
+        self.lost_responses = rng.choice((0.0, 0.0, 0.02))
+        self._plan_faults()
+        self.at(rng.uniform(0.0, 0.3), self._place_order)
+        self.at(0.0, self._arrive)
+
+    def _plan_faults(self):
+        rng = self.rng
+        # The deciding host dies as it takes this step, or at no step.
+        self.dies_at = rng.choice((None, *range(1, 7)))
+        self.dies_before_write = rng.random() < 0.5
+        # The response to the write of this step is lost, or it is late.
+        self.write_fault_at = rng.choice((None, *range(1, 7)))
+        self.write_fault = rng.choice(('no-response', 'late', 'lost'))
+        self.store_down_s = (0.0, 0.0)
+        if rng.random() < 0.4:
+            start_s = rng.uniform(0, 14)
+            self.store_down_s = (start_s, start_s + rng.uniform(0.5, 2.0))
+        self.store_slow = rng.random() < 0.2
+        for _ in range(rng.choice((0, 1, 2))):
+            self.at(rng.uniform(0, 14), self._kill_any, rng.random() < 0.7)
+        if rng.random() < 0.3 and len(self.hosts) > 8:
+            start_s = rng.uniform(0, 12)
+            self.at(start_s, self._cut_off, True)
+            self.at(start_s + rng.uniform(1, 6), self._cut_off, False)
+        self.domain_out, self.domain_out_s = None, (99.0, 99.0)
+        if rng.random() < 0.2:
+            start_s = rng.uniform(1, 12)
+            self.domain_out = rng.choice(DOMAINS)
+            self.domain_out_s = (start_s, start_s + 3)
+
+    # Events.
+
+    def at(self, time_s, call, *args):
+        heapq.heappush(self._queue, (time_s, next(self._order), call, args))
+
+    def after(self, delay_s, call, *args):
+        self.at(self.now_s + delay_s, call, *args)
+
+    def run(self, until_s=30.0):
+        """Runs until the outcome has been in force for a while."""
+        while self._queue and self.now_s < min(until_s, self.outcome_s + 3):
+            self.now_s, _, call, args = heapq.heappop(self._queue)
+            call(*args)
+        return self
+
+    # Hosts.
+
+    def add_host(self, name, incarnation):
+        host = Host(self, name, incarnation)
+        self.hosts[name] = host
+        self.at(self.now_s + self.rng.random() * TICK_S, self._tick, host)
+        self.at(self.now_s + self.rng.random() * 0.3, self._confirm, host)
+
+    def neighbours(self, cut_off):
+        if self.now_s - self._list_s >= 0.5:
+            self._list_s, self._lists = self.now_s, {}
+        known = self._lists.get(cut_off)
+        if known is None:
+            known = self._lists[cut_off] = [
+                coordinator.Neighbour(
+                    host.name,
+                    host.incarnation,
+                    self._heard_s(host, cut_off),
+                    host.started_s,
+                )
+                for host in self.hosts.values()
+            ]
+        return known
+
+    def _heard_s(self, host, cut_off):
+        if not host.alive:
+            return host.died_s
+        if host.cut_off or cut_off:
+            return self.cut_s
+        return self.now_s - 0.5
+
+    def _tick(self, host):
+        if not host.alive:
+            return
+        for write in host.part.tick(self.now_s):
+            self._write(host, write)
+        self.after(TICK_S, self._tick, host)
+
+    def _confirm(self, host):
+        """Confirms the copy of a host, as the watch of a replica does."""
+        if not host.alive:
+            return
+        if self.store_up() and not host.cut_off:
+            read_s = self.now_s
+            self.after(
+                self.rng.uniform(0.05, 0.5),
+                self._give_record,
+                host,
+                self.record,
+                read_s,
+            )
+        self.after(0.4, self._confirm, host)
+
+    def _give_record(self, host, record, read_s):
+        if not host.alive or host.cut_off:
+            return
+        if record is not None:
+            host.part.set_record(record, self.now_s)
+        host.part.confirmed_s = max(host.part.confirmed_s, read_s)
+
+    def _kill_any(self, restarts):
+        alive = [host for host in self.hosts.values() if host.alive]
+        if len(alive) > 4:
+            self.kill(self.rng.choice(alive), restarts)
+
+    def kill(self, host, restarts):
+        host.alive, host.died_s = False, self.now_s
+        if restarts:
+            self.after(
+                self.rng.uniform(0.5, 3),
+                self.add_host,
+                host.name,
+                host.incarnation + 1,
+            )
+
+    def _cut_off(self, value):
+        if value:
+            self.cut_s = self.now_s
+            names = self.rng.sample(sorted(self.hosts), 3)
+            self._cut_names = names
+        for name in self._cut_names:
+            self.hosts[name].cut_off = value
+
+    def send(self, sender, name, payload):
+        rng = self.rng
+        receiver = self.hosts[name]
+        if sender.cut_off != receiver.cut_off or rng.random() < self.loss:
+            return
+        delay_s = rng.uniform(0.001, 0.03)
+        if rng.random() < self.late:
+            delay_s = rng.uniform(0.5, 2)
+        for _ in range(1 + (rng.random() < 0.03)):
+            self.after(delay_s, self._receive, sender.name, name, payload)
+
+    def _receive(self, sender, name, payload):
+        if self.hosts[name].alive:
+            self.hosts[name].part.handle(sender, payload, self.now_s)
+
+    # Store.
+
+    def store_up(self):
+        return not self.store_down_s[0] <= self.now_s < self.store_down_s[1]
+
+    def _place_order(self):
+        self.record = records.Record(SERVICE, NEW, DURATION_S, 10)
+        self.order_s = self.now_s
+        self.requests = 0
+
+    def _write(self, host, write):
+        phase = int(write.step.phase)
+        if self.dies_at == phase:
+            self.dies_at = None
+            if not self.dies_before_write:
+                self._apply(write)
+            self.kill(host, False)
+            return
+        delay_s = self.rng.uniform(0.004, 0.34 if self.store_slow else 0.01)
+        fault = ''
+        if self.write_fault_at == phase:
+            self.write_fault_at, fault = None, self.write_fault
+        if not self.store_up() or host.cut_off:
+            self.after(1.0, self._read_back, host, write)
+            return
+        if fault == 'late':
+            self.after(self.rng.uniform(1, 3), self._apply, write)
+        elif fault != 'lost':
+            self.after(delay_s, self._apply, write)
+        if fault:
+            self.after(1.0, self._read_back, host, write)
+        else:
+            self.after(2 * delay_s, self._read_back, host, write)
+
+    def _apply(self, write):
+        if self.record is None or self.record.revision != (
+            write.record.revision
+        ):
+            return
+        phase = write.step.phase
+        self.record = msgspec.structs.replace(
+            self.record,
+            revision=self.record.revision + 1,
+            phase=phase,
+            order_id=write.status.order_id,
+        )
+        if self.record.ended:
+            self.outcomes.append(write.status.state)
+            self.outcome_s = self.now_s
+        if phase == records.Phase.SUCCEEDED and self.old_running:
+            self.broken.append(f'{self.old_running} requests at old targets')
+
+    def _read_back(self, host, write):
+        if not host.alive:
+            return
+        if not self.store_up() or host.cut_off:
+            host.part.note_write_failed(self.now_s)
+            self.after(0.3, self._read_back, host, write)
+            return
+        host.part.confirmed_s = self.now_s
+        host.part.note_written(write, self.record, self.now_s)
+
+    # Requests.
+
+    def _arrive(self):
+        self.after(self.rng.expovariate(self.per_s), self._arrive)
+        alive = [host for host in self.hosts.values() if host.alive]
+        self._send_request(self.rng.choice(alive))
+
+    def _send_request(self, host):
+        rng, part = self.rng, host.part
+        state = part.service(SERVICE)
+        if not state.versions.used:
+            state.versions.used.add(OLD)
+        route = 'slow' if rng.random() < 0.3 else 'quick'
+        trust = part.trust(self.now_s)
+        choice = state.choose(
+            self.targets,
+            trust,
+            service_state.Load(part.hosts, ROUTES[route]),
+            first_send=True,
+        )
+        for targets in (choice.first, choice.second):
+            probed = rng.sample(targets, min(3, len(targets)))
+            free = [
+                target
+                for target in probed
+                if target.running <= SLOTS and not self._is_out(target)
+            ]
+            if not free:
+                continue
+            target = min(free, key=lambda item: item.running)
+            if state.admits(target, trust, first_send=True):
+                self._start(host, state, target, route)
+                return
+
+    def _is_out(self, target):
+        start_s, end_s = self.domain_out_s
+        return (
+            target.entry.failure_domain == self.domain_out
+            and start_s + 0.05 <= self.now_s < end_s
+        )
+
+    def _start(self, host, state, target, route):
+        rng = self.rng
+        canary = target.entry.software_version == NEW
+        self._count(canary)
+        key = next(self._order)
+        waiting = target.running >= SLOTS
+        target.running += 1
+        load = target.running / SLOTS
+        work_s = ROUTES[route] * rng.lognormvariate(0, 0.4)
+        elapsed_s = work_s * target.slowness * (1.5 if load > 0.8 else 1.0)
+        failed = canary and self._is_bad(route, load)
+        if canary and self.kind == 'slow':
+            elapsed_s *= 4
+        elapsed_s = min(elapsed_s, LONGEST_S - 0.1)
+        if rng.random() < 0.002:
+            elapsed_s = LONGEST_S - 0.1
+        end_s = self.now_s + elapsed_s
+        if (
+            target.entry.failure_domain == self.domain_out
+            and self.now_s <= self.domain_out_s[0] <= end_s
+        ):
+            failed = True
+        lost = rng.random() < self.lost_responses
+        state.note_send(key, target, self.now_s + LONGEST_S, first_send=True)
+        self.old_running += not canary
+        self.at(
+            end_s,
+            self._end,
+            host,
+            state,
+            target,
+            route,
+            key,
+            failed,
+            lost,
+            waiting,
+            self.now_s,
+        )
+
+    def _count(self, canary):
+        if self.record is None:
+            if canary:
+                self.broken.append('sent before the order')
+            return
+        if not canary:
+            self.requests += 1
+            if self.record.phase == records.Phase.SUCCEEDED:
+                self.broken.append('sent to an old target after the end')
+            return
+        self.requests += 1
+        self.canary += 1
+        if self.kind == 'good':
+            return
+        if (
+            self.now_s < self.order_s + DURATION_S
+            and self.canary > SHARE * self.requests + SLACK
+        ):
+            self.broken.append(f'exposure {self.canary} of {self.requests}')
+        if self.now_s > self.fiftieth_s + ROLLBACK_S:
+            self.broken.append('sent after the bound')
+
+    def _is_bad(self, route, load):
+        rng = self.rng
+        shares = {
+            'fails-0.3': 0.3,
+            'fails-0.05': 0.05,
+            'late': 0.3 if self.now_s > self.order_s + DURATION_S / 2 else 0,
+            'route': 0.4 if route == 'slow' else 0,
+            'load': 0.4 if load > 0.5 else 0,
+        }
+        return rng.random() < shares.get(self.kind, 0.001)
+
+    def _end(
+        self, host, state, target, route, key, failed, lost, waiting, sent_s
+    ):
+        target.running -= 1
+        canary = target.entry.software_version == NEW
+        self.old_running -= not canary
+        elapsed_s = self.now_s - sent_s
+        slow = elapsed_s > 3 * ROUTES[route] * target.slowness
+        if canary and (failed or slow) and self.kind != 'good':
+            self.bad_responses += 1
+            if self.bad_responses == 50:
+                self.fiftieth_s = self.now_s
+        if not host.alive:
+            return
+        if not (failed or lost):
+            state.old_sends.note_end(key)
+        state.note_response(
+            target,
+            route,
+            self.now_s,
+            failed=failed or lost,
+            timed=not (failed or lost or waiting),
+            slow=slow,
+        )
