Follow rollout orders on running hosts

Where the deployment has the contract `rollout`, a feed decodes orders and their status, the dispatcher asks which versions may get a request, and hosts exchange reports. The status of an object is read for this kind only and written with the revision that is replaced. Elsewhere there is no feed, no message and no state.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -43,6 +43,7 @@
 from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.rollouts import runtime as rollouts_
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -120,6 +121,7 @@
         target_report: What targets have said, by their names.
         dispatcher: Serves requests of callers.
         rng: Random number generator.
+        rollouts: Rollouts, None where none occur.
         bodies: Memory for long bodies of requests.
         answers: Memory for long answers.
         callers: Listener for callers.
@@ -191,6 +193,7 @@
         self.peers = self._create_listener(api.serve, 'peers')
         self.membership.local_revisions = self._last_change_revisions
         self.membership.on_peer_revision = self._on_peer_revision
+        self.rollouts: rollouts_.Rollouts | None = None
         self.leaving = False
         self.peers_searched = False
         self.registered = asyncio.Event()
@@ -319,6 +322,30 @@
         await self.callers.start(ip, int(port))
         self._log.event('start', caller_address=me.caller_address)
 
+    def enable_rollouts(
+        self, decode: rollouts_.DecodeCallback
+    ) -> rollouts_.Rollouts:
+        """Follows rollout orders, from `start` on.
+
+        Args:
+            decode: Decodes the object of an order.
+        """
+        self.rollouts = rollouts_.Rollouts(
+            state=self.state,
+            membership=self.membership,
+            store=self._store,
+            decode=decode,
+            selector=self._selector,
+            dispatcher=self.dispatcher,
+            share=self._settings.bounds.get(
+                rollouts_.SHARE_BOUND, rollouts_.DEFAULT_SHARE
+            ),
+            rng=self.rng,
+            log=self._log,
+        )
+        self.spawn('rollouts', self.rollouts.run)
+        return self.rollouts
+
     def spawn(
         self, name: str, run: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -28,6 +28,7 @@
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
+from ragwortchute.gateway import rollouts
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import streamed_answers
@@ -83,7 +84,9 @@
 
     Attributes:
         retries: Retry budgets.
+        dialect: Protocol of callers and targets.
         work_times: Mean processing times by route.
+        versions: Which targets may get a request, by their versions.
     """
 
     def __init__(
@@ -105,7 +108,7 @@
         memory: answer_memory.AnswerMemory,
     ) -> None:
         self._state = state
-        self._dialect = dialect
+        self.dialect = dialect
         self._selector = selector
         self._relays = relays
         self._crash_guard = crash_guard
@@ -137,6 +140,7 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self.work_times = work_times.WorkTimes()
+        self.versions = rollouts.VersionChoice()
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
         )
@@ -176,6 +180,7 @@
             for attempt in outstanding:
                 attempt.conn.abort()
                 self._measurements.note_abort(call, attempt, self._loop.time())
+                self.versions.note_abort(call, attempt)
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
@@ -201,7 +206,7 @@
             return self._answers.give_up(call, result.reason)
         if result.reply is None:
             return None
-        if self._dialect.is_authentic(result.reply):
+        if self.dialect.is_authentic(result.reply):
             self._statements.note_relayed(result.reply, now_s)
             return self._answers.deliver(call, result.reply, now_s)
         return self._answers.pass_on_refusal(call, result.reply)
@@ -232,6 +237,7 @@
             await attempts.wait_any(call, outstanding, min(left_s, hedge_s))
             for attempt in [item for item in outstanding if item.fut.done()]:
                 outstanding.remove(attempt)
+                self.versions.note_end(call, attempt)
                 resp = self._finish_attempt(call, attempt)
                 if resp is not None:
                     return resp
@@ -262,11 +268,14 @@
         blocked_s = self._blocked_s(call.req)
         if blocked_s > 0:
             return self._answers.give_up(call, 'crashes-targets', blocked_s)
-        placed = await self._selector.select(self._requirements(call))
+        placed = await self._select(call)
         if isinstance(placed, candidates.NoPlacement):
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
             )
+        if not self.versions.admits(call, placed.target):
+            placed.target.pool.release(placed.conn)
+            return None
         if call.sends and not self._spend_retry(call):
             placed.target.pool.release(placed.conn)
             return self._answers.give_up(call, 'retry-budget')
@@ -281,7 +290,7 @@
     ) -> None:
         now_s = self._loop.time()
         target = placed.target
-        head = self._dialect.encode_head(
+        head = self.dialect.encode_head(
             call.req, max(0.001, call.deadline_s - now_s), target.entry
         )
         call.sends += 1
@@ -295,13 +304,14 @@
         )
         outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
+        self.versions.note_send(call, outstanding[-1])
         self._request_log.log_send(call, outstanding[-1])
 
     def _accept(
         self, call: attempts.Call, target: targets_.Target
     ) -> http_client.Accept:
         """Returns a predicate that logs the answers of others that it skips."""
-        belongs = self._dialect.accept(call.req)
+        belongs = self.dialect.accept(call.req)
 
         def accept(reply: http_client.Reply) -> bool:
             accepted = belongs(reply)
@@ -311,13 +321,25 @@
 
         return accept
 
-    def _requirements(self, call: attempts.Call) -> candidates.Requirements:
-        route = call.route
+    async def _select(
+        self, call: attempts.Call
+    ) -> candidates.Placement | candidates.NoPlacement:
+        """Selects a target that may get a request."""
         targets = [
             target
             for target in self._state.eligible(call.service, call.homes)
             if target.entry.name not in call.tried_targets
         ]
+        first, second = self.versions.choose(call, targets)
+        placed = await self._selector.select(self._requirements(call, first))
+        if second and isinstance(placed, candidates.NoPlacement):
+            return await self._selector.select(self._requirements(call, second))
+        return placed
+
+    def _requirements(
+        self, call: attempts.Call, targets: list[targets_.Target]
+    ) -> candidates.Requirements:
+        route = call.route
         return candidates.Requirements(
             targets,
             self.work_times.expected_s(route),
@@ -357,12 +379,14 @@
             return
         if not self._grace_period.can_end(call, self._loop.time()):
             return
-        placed = await self._selector.select(self._requirements(call))
+        placed = await self._select(call)
         if not isinstance(placed, candidates.Placement):
             return
-        if self._hedge_is_useful(
-            call, outstanding[0], placed
-        ) and self._spend_retry(call):
+        if (
+            self._hedge_is_useful(call, outstanding[0], placed)
+            and self.versions.admits(call, placed.target)
+            and self._spend_retry(call)
+        ):
             self._stats.hedges += 1
             self._send(call, placed, outstanding)
         else:
@@ -417,15 +441,15 @@
             return None
         if reply.reusable:
             target.pool.release(attempt.conn)
-        load = self._dialect.decode_load(reply, target.entry, now_s)
+        load = self.dialect.decode_load(reply, target.entry, now_s)
         if load is not None:
             target.note_reading(load)
-        if self._dialect.is_misdirected(reply):
+        if self.dialect.is_misdirected(reply):
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
             return None
         self._statements.note(target, reply, now_s)
-        if self._dialect.is_not_run(reply):
+        if self.dialect.is_not_run(reply):
             self._note_failure(target, SHED_WEIGHT)
             self._request_log.log_failed_attempt(call, attempt, 'shed')
             return None
@@ -433,12 +457,12 @@
         if reply.rest is None:
             self._measurements.note_end(call, attempt, now_s)
         self._crash_guard.note_answer(call.req, now_s)
-        if not self._dialect.is_authentic(reply):
+        if not self.dialect.is_authentic(reply):
             self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(call, attempt, 'spoiled')
             return None
         call.answered_by = target.entry.name
-        if reply.status >= 500 or self._dialect.states_not_run(reply.status):
+        if reply.status >= 500 or self.dialect.states_not_run(reply.status):
             self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(
                 call, attempt, f'status-{reply.status}'
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -33,6 +33,7 @@
         limits: Limits of the configuration in force.
         targets: Targets by name.
         domains_out: Failure domains whose targets get no requests.
+        target_changes: Number of changes of the list of targets.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.limits = model.Limits()
         self.targets: dict[str, targets_.Target] = {}
         self.domains_out: set[str] = set()
+        self.target_changes = 0
         self._completed = asyncio.Event()
         self._targets_read = False
         self._domains_out_read = False
@@ -209,6 +211,10 @@
             and (not homes or target.region in homes)
         ]
 
+    def targets_by_service(self) -> abc.Mapping[str, list[targets_.Target]]:
+        """Returns all targets by service."""
+        return self._targets_by_service
+
     def _is_newer_target(self, name: str, revision: int) -> bool:
         """Returns whether an update of a target is newer than its last one.
 
@@ -275,6 +281,7 @@
                 target
             )
         self._targets_by_service = targets_by_service
+        self.target_changes += 1
         self._targets_by_key = {
             failure_reports.target_key(name): target
             for name, target in self.targets.items()
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -3,6 +3,7 @@
 from ragwortchute import scraping
 from ragwortchute.gateway import application
 from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.rollouts import runtime
 
 PATH = '/metrics'
 
@@ -20,6 +21,8 @@
         scraping.add_process(self._metrics)
         self._add_request_metrics()
         self._add_state_metrics()
+        if gateway.rollouts is not None:
+            self._add_rollout_metrics(gateway.rollouts)
 
     async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Returns the metrics for the path `PATH`, else 404."""
@@ -165,6 +168,34 @@
             'target',
         )
 
+    def _add_rollout_metrics(self, rollouts: runtime.Rollouts) -> None:
+        metrics = self._metrics
+        metrics.add_counter(
+            'ragwortchute_gateway_rollout_sends_total',
+            'Sends during rollouts, by service and version.',
+            lambda: dict(rollouts.sends),
+            'version',
+        )
+        metrics.add_counter(
+            'ragwortchute_gateway_rollout_failures_total',
+            'Failed and slow responses in rollouts, by service and version.',
+            lambda: dict(rollouts.failures),
+            'version',
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_rollout_phase',
+            'Phase of a rollout: 1 observe, 2 widen, 3 move, 4 drain, '
+            '5 succeeded, 6 rolled back.',
+            rollouts.phases,
+            'version',
+        )
+        metrics.add_gauge(
+            'ragwortchute_gateway_rollout_share',
+            'Sends of this host to the new version per request.',
+            rollouts.shares,
+            'version',
+        )
+
     def _latency_counts(self) -> dict[str, float]:
         """Returns cumulative counts by route and upper bound in ms."""
         return {
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -45,6 +45,7 @@
             'send',
             id=call.request_id.decode('latin-1'),
             target=placed.target.entry.name,
+            version=placed.target.entry.software_version,
             n=call.sends,
             asked=placed.probed,
             running=reading.running,
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -16,7 +16,9 @@
 from ragwortchute.gateway.rollouts import service_state
 
 # A host whose heartbeats and reports are older than this is not heard.
-SILENT_S = 3.0
+SILENT_S = 4.0
+# So are those of a host that is not waited for at the end of a rollout.
+_SILENT_AT_END_S = 2.0
 # A host that reaches neither the store nor any other host, and has not learnt
 # of an order, refuses requests after this time.
 ISOLATION_S = 6.0
@@ -216,7 +218,7 @@
         heard_s = neighbour.heard_s
         if known is not None:
             heard_s = max(heard_s, known.received_s)
-        if now_s - heard_s < SILENT_S:
+        if now_s - heard_s < _SILENT_AT_END_S:
             return False
         if known is None and now_s < heard_s + ISOLATION_S + ends_s:
             return False
--- a/ragwortchute/gateway/rollouts/exposure.py
+++ b/ragwortchute/gateway/rollouts/exposure.py
@@ -7,6 +7,9 @@
 # hosts count, such as one whose relay failed after it was sent.
 OBSERVE_FRACTION = 0.85
 WIDEN_FRACTION = 0.95
+# Sends of all hosts beyond that in the phase WIDEN, so that enough responses of
+# the second half of the time arrive soon; a fifth of `expose_slack`.
+WIDEN_SENDS = 10.0
 
 
 class Exposure:
@@ -34,13 +37,14 @@
         self.requests = 0
         self.canary_sends = 0
 
-    def allows(self, share: float) -> bool:
+    def allows(self, share: float, sends: float = 0.0) -> bool:
         """Returns whether the next request may go to the canary version.
 
         Args:
             share: Share of the requests that may.
+            sends: Expected number of sends beyond that.
         """
-        allowed = math.floor(self._offset + share * (self.requests + 1))
+        allowed = math.floor(self._offset + share * (self.requests + 1) + sends)
         return self.canary_sends < allowed
 
     def note_send(self, *, first: bool, canary: bool) -> None:
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -19,6 +19,7 @@
 from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
+from ragwortchute.gateway.rollouts import surroundings as surroundings_
 
 COORDINATORS = 2
 REPORT_INTERVAL_S = 0.5
@@ -27,7 +28,7 @@
 MAX_HOSTS_AT_INTERVAL = 200
 # The second coordinator takes over from one that it has not heard for this long
 # or that can't write.
-TAKEOVER_S = 0.9
+TAKEOVER_S = 0.8
 # After a failed write, a coordinator does not count as able to write for this
 # long.
 _WRITE_FAILURE_S = 2.0
@@ -58,26 +59,6 @@
     status: records.Status
 
 
-class Surroundings:
-    """What a participant asks of its host; tests replace it with a fake."""
-
-    def neighbours(self, now_s: float) -> list[coordinator.Neighbour]:
-        """Returns the other hosts that may be alive."""
-        raise NotImplementedError
-
-    def longest_s(self, service: str) -> float:
-        """Returns the longest time of a request of a service in seconds."""
-        raise NotImplementedError
-
-    def obstacle(self, service: str, version: str) -> str:
-        """Returns why a version can't be judged, empty if it can."""
-        raise NotImplementedError
-
-    def is_warm(self, service: str, version: str, now_s: float) -> bool:
-        """Returns whether no target of a version is cold."""
-        raise NotImplementedError
-
-
 class Participant:
     """Part of a host in the rollouts of all services.
 
@@ -101,7 +82,7 @@
         self,
         me: model.HostEntry,
         share: float,
-        surroundings: Surroundings,
+        surroundings: surroundings_.Surroundings,
         send: SendCallback,
         rng: random.Random,
         log: eventlog.EventLog,
@@ -155,6 +136,7 @@
             self.reaches_most,
             not self._hears_any
             and now_s - self.confirmed_s > coordinator.ISOLATION_S,
+            self.hosts,
         )
 
     def set_record(self, record: records.Record, now_s: float) -> None:
@@ -203,6 +185,10 @@
         """Notes that the store has not answered a write."""
         self._write_failed_s = now_s
 
+    def forget_writes(self) -> None:
+        """Forgets writes that are under way, whose ends are not awaited."""
+        self._writing.clear()
+
     def handle(self, sender: str, payload: bytes, now_s: float) -> None:
         """Handles a message of another host.
 
--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -16,8 +16,8 @@
 # other one that is not doubtful from the second. Until the last one, more
 # evidence is awaited on a doubtful one.
 MOVE_FROM = 0.55
-MOVE_BY = 0.6
-DECIDE_BY = 0.65
+MOVE_BY = 0.58
+DECIDE_BY = 0.63
 # Responses without which a version is not moved to.
 MIN_RESPONSES = 5
 # Requests that still go to old targets, as new ones are cold, are waited for
@@ -67,6 +67,9 @@
     if record.ended:
         return None
     if record.problem:
+        # The outcome must name the version, which may be what can't be read.
+        if not record.version:
+            return None
         return Step(records.Phase.ROLLED_BACK, record.problem)
     if record.phase == records.Phase.NONE:
         return Step(records.Phase.OBSERVE)
--- a/ragwortchute/gateway/rollouts/sends.py
+++ b/ragwortchute/gateway/rollouts/sends.py
@@ -1,5 +1,7 @@
 """Requests of this host that may be running at targets of an old version."""
 
+from collections import abc
+
 
 class OldSends:
     """Sends to old targets whose end is not known.
@@ -12,9 +14,9 @@
     __slots__ = ('_latest_ends_s',)
 
     def __init__(self) -> None:
-        self._latest_ends_s: dict[int, float] = {}
+        self._latest_ends_s: dict[abc.Hashable, float] = {}
 
-    def note_send(self, key: int, latest_end_s: float) -> None:
+    def note_send(self, key: abc.Hashable, latest_end_s: float) -> None:
         """Notes a send.
 
         Args:
@@ -23,7 +25,7 @@
         """
         self._latest_ends_s[key] = latest_end_s
 
-    def note_end(self, key: int) -> None:
+    def note_end(self, key: abc.Hashable) -> None:
         """Notes that a target has given its complete response."""
         self._latest_ends_s.pop(key, None)
 
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -4,8 +4,8 @@
 comes back.
 """
 
-from collections import abc
 import collections
+from collections import abc
 import math
 import random
 import zlib
@@ -32,6 +32,8 @@
 _RECENT_RESPONSES = 6
 _BAD_RESPONSES = 4
 _SUSPENSION_S = 2.0
+# A host that has followed an order for this long knows the other hosts.
+_KNOWS_HOSTS_S = 4.0
 
 
 class Trust(msgspec.Struct, frozen=True):
@@ -43,12 +45,19 @@
             been the newest.
         reaches_most: Whether this host hears most of the hosts it knows.
         isolated: Whether it reaches neither the store nor any other host.
+        hosts: Number of hosts that may be alive.
     """
 
     now_s: float
     confirmed_s: float
     reaches_most: bool
     isolated: bool
+    hosts: int
+
+    @property
+    def has_read(self) -> bool:
+        """Whether the records have been read since the start of this host."""
+        return self.confirmed_s > float('-inf')
 
     @property
     def confirmed(self) -> bool:
@@ -56,18 +65,6 @@
         return self.now_s - self.confirmed_s <= LEASE_S
 
 
-class Load(msgspec.Struct, frozen=True):
-    """What the concentration of canary traffic depends on.
-
-    Attributes:
-        hosts: Number of hosts that share the requests.
-        work_s: Expected processing time of a request in seconds.
-    """
-
-    hosts: int
-    work_s: float
-
-
 class Choice(msgspec.Struct, frozen=True):
     """Targets that may get a request.
 
@@ -102,6 +99,7 @@
         phase_since_s: Loop time at which the current phase was learnt.
         urgent: Whether a report is to be sent at once.
         old_ready: Whether an old target is ready.
+        unrestricted: Whether all targets may get requests.
     """
 
     def __init__(
@@ -122,6 +120,7 @@
         self._clear(0.0)
         self.old_sends = sends.OldSends()
         self.old_ready = True
+        self.unrestricted = False
 
     @property
     def running(self) -> bool:
@@ -129,10 +128,10 @@
         return self.record is not None and self.record.running
 
     @property
-    def ordered(self) -> str:
-        """Version that an order without an outcome names, or empty."""
+    def ordered(self) -> str | None:
+        """Version that an order without an outcome names, None without one."""
         if self.record is None or self.record.ended:
-            return ''
+            return None
         return self.record.version
 
     def age_s(self, now_s: float) -> float:
@@ -171,6 +170,7 @@
                 version=record.version,
                 duration_s=record.duration_s,
             )
+        self.unrestricted = False
         if old is None or record.phase != old.phase:
             self.phase_since_s = now_s
             self.urgent = True
@@ -201,11 +201,40 @@
         self._removed_revision = revision
         self.record = None
 
+    def update_targets(
+        self,
+        targets: abc.Collection[versions.SeenTarget],
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        """Notes which targets are registered.
+
+        Args:
+            targets: All targets of the service.
+            now_s: Loop time in seconds.
+            now_ms: Unix time in milliseconds.
+        """
+        adopted = self.versions.update(targets, self.ordered, now_s, now_ms)
+        for version in adopted:
+            self._log.event(
+                'rollout-version-used', service=self.service, version=version
+            )
+        canary = self.record.version if self.running else None
+        self.old_ready = any(
+            target.ready
+            and target.version in self.versions.used
+            and target.version != canary
+            for target in targets
+        )
+        self.unrestricted = not self.running and all(
+            target.version in self.versions.used for target in targets
+        )
+
     def choose(
         self,
         targets: list[targets_.Target],
         trust: Trust,
-        load: Load,
+        work_s: float,
         *,
         first_send: bool,
     ) -> Choice:
@@ -214,9 +243,11 @@
         Args:
             targets: Targets that may get it otherwise.
             trust: What this host may rely on.
-            load: What the concentration of canary traffic depends on.
+            work_s: Expected processing time of the request in seconds.
             first_send: Whether the request has not been sent before.
         """
+        if self.unrestricted and not trust.isolated:
+            return Choice(targets)
         old = []
         if self._may_send_old(trust):
             old = [
@@ -229,7 +260,7 @@
             return Choice(old)
         canary = [target for target in targets if self._is_canary(target)]
         if self.record.phase < records.Phase.MOVE and self.old_ready:
-            canary = self._concentrate(canary, trust.now_s, load)
+            canary = self._concentrate(canary, trust, work_s)
         return Choice(canary, old) if canary else Choice(old)
 
     def admits(
@@ -248,7 +279,7 @@
 
     def note_send(
         self,
-        key: int,
+        key: abc.Hashable,
         target: targets_.Target,
         latest_end_s: float,
         *,
@@ -345,6 +376,7 @@
     def _clear(self, now_s: float) -> None:
         """Forgets all that belongs to one order."""
         self._seen_s = now_s
+        self._begun_s = now_s
         self.phase_since_s = now_s
         self.exposure = exposure.Exposure(self._rng)
         self.counters = evidence.Counters()
@@ -366,7 +398,10 @@
     def _may_send_old(self, trust: Trust) -> bool:
         """Returns whether targets of the versions in use get requests."""
         if not self.running:
-            return not trust.isolated
+            # A host that has just started can't tell which version is in use.
+            return not trust.isolated and (
+                trust.has_read or self.versions.single
+            )
         if self.record.phase >= records.Phase.DRAIN:
             return False
         return trust.confirmed or self._has_contact(trust)
@@ -383,13 +418,17 @@
             return False
         if phase >= records.Phase.MOVE or not self.old_ready:
             return True
-        fraction = (
-            exposure.WIDEN_FRACTION
-            if phase == records.Phase.WIDEN
-            else exposure.OBSERVE_FRACTION
+        if not first_send:
+            # Repeated sends go to the old version, which is known to work.
+            return False
+        if phase == records.Phase.OBSERVE:
+            return self.exposure.allows(exposure.OBSERVE_FRACTION * self._share)
+        # A host that has just started may know few of the others.
+        knows_hosts = now_s - self._begun_s >= _KNOWS_HOSTS_S
+        return self.exposure.allows(
+            exposure.WIDEN_FRACTION * self._share,
+            exposure.WIDEN_SENDS / trust.hosts if knows_hosts else 0.0,
         )
-        # Repeated sends go to the old version, which is known to work.
-        return first_send and self.exposure.allows(fraction * self._share)
 
     def _has_contact(self, trust: Trust) -> bool:
         """Returns whether a coordinator hears this host.
@@ -404,7 +443,7 @@
         return sum(recent) >= _BAD_RESPONSES
 
     def _concentrate(
-        self, canary: list[targets_.Target], now_s: float, load: Load
+        self, canary: list[targets_.Target], trust: Trust, work_s: float
     ) -> list[targets_.Target]:
         """Returns the targets that get the canary traffic at the moment.
 
@@ -415,10 +454,10 @@
         if not local:
             return []
         local.sort(key=lambda target: zlib.crc32(target.entry.name.encode()))
-        age_s = max(1.0, self.age_s(now_s))
-        per_s = self.exposure.requests / age_s * load.hosts * self._share
+        age_s = max(1.0, self.age_s(trust.now_s))
+        per_s = self.exposure.requests / age_s * trust.hosts * self._share
         slots = max(1, local[0].entry.slots)
-        count = math.ceil(per_s * load.work_s / (FILL_FRACTION * slots))
+        count = math.ceil(per_s * work_s / (FILL_FRACTION * slots))
         count = min(len(local), max(1, count))
         start = int(age_s / TURN_S) * count
         return [local[(start + index) % len(local)] for index in range(count)]
--- /dev/null
+++ b/ragwortchute/gateway/rollouts/surroundings.py
@@ -0,0 +1,23 @@
+"""What the rollouts of a host depend on beside its own requests."""
+
+from ragwortchute.gateway.rollouts import coordinator
+
+
+class Surroundings:
+    """What a participant asks of its host; tests replace it with a fake."""
+
+    def neighbours(self, now_s: float) -> list[coordinator.Neighbour]:
+        """Returns the other hosts that may be alive."""
+        raise NotImplementedError
+
+    def longest_s(self, service: str) -> float:
+        """Returns the longest time of a request of a service in seconds."""
+        raise NotImplementedError
+
+    def obstacle(self, service: str, version: str) -> str:
+        """Returns why a version can't be judged, empty if it can."""
+        raise NotImplementedError
+
+    def is_warm(self, service: str, version: str, now_s: float) -> bool:
+        """Returns whether no target of a version is cold."""
+        raise NotImplementedError
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -43,6 +43,11 @@
         self.refused: set[str] = set()
         self.waiting: dict[str, float] = {}
 
+    @property
+    def single(self) -> bool:
+        """Whether the service has no more than one version."""
+        return len(self.used) < 2 and not self.waiting and not self.refused
+
     def knows(self, version: str) -> bool:
         """Returns whether a version has been classified."""
         return (
@@ -54,7 +59,7 @@
     def update(
         self,
         targets: abc.Collection[SeenTarget],
-        ordered: str,
+        ordered: str | None,
         now_s: float,
         now_ms: int,
     ) -> list[str]:
@@ -62,7 +67,8 @@
 
         Args:
             targets: All targets of the service.
-            ordered: Version that an order without an outcome names, or empty.
+            ordered: Version that an order without an outcome names, empty if
+                it can't be read, None without an order.
             now_s: Loop time in seconds.
             now_ms: Unix time in milliseconds.
 
@@ -121,7 +127,7 @@
         self,
         targets: abc.Collection[SeenTarget],
         candidates: set[str],
-        ordered: str,
+        ordered: str | None,
         now_ms: int,
     ) -> None:
         """Chooses the versions in use on a host that has just started."""
@@ -144,7 +150,10 @@
         } or {min(others, key=lambda version: (born_ms[version], version))}
 
     def _adopt(
-        self, targets: abc.Collection[SeenTarget], ordered: str, now_s: float
+        self,
+        targets: abc.Collection[SeenTarget],
+        ordered: str | None,
+        now_s: float,
     ) -> list[str]:
         """Takes versions into use that no order names.
 
@@ -157,7 +166,7 @@
             for version, first_s in self.waiting.items()
             if version != ordered
             and (
-                now_s - first_s >= SETTLE_S
+                (ordered is None and now_s - first_s >= SETTLE_S)
                 or (version in ready and not ready & self.used and not ordered)
             )
         ]
--- a/ragwortchute/platform/daemon.py
+++ b/ragwortchute/platform/daemon.py
@@ -15,6 +15,7 @@
 from ragwortchute.platform import endpoints
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
+from ragwortchute.platform import rollout_feed
 from ragwortchute.platform import settings
 from ragwortchute.platform import wire
 
@@ -36,6 +37,7 @@
     gateway = application.Gateway(
         node.gateway, store, wire.PlatformDialect(), log
     )
+    rollout_feeds = rollout_feed.enable(gateway, node.gateway.contracts, log)
     endpoints_ = endpoints.Endpoints(gateway)
     listeners = []
     metrics_endpoint = metrics.MetricsEndpoint(gateway)
@@ -56,6 +58,7 @@
             feeds.ConfigFeed(gateway.state, log, node.gateway.config_s),
             feeds.TargetFeed(gateway.state, log),
             feeds.EvacuationFeed(gateway.state),
+            *rollout_feeds,
         ]
     )
     registration_ = registration.Registration(gateway, store, HOSTS_KIND, log)
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import abc
+import functools
 from typing import TypeVar
 from urllib import parse
 
@@ -26,6 +27,9 @@
 # How long an answer with changes is assumed to have been under way at most.
 MAX_TRANSIT_S = 0.3
 
+# Kinds of objects whose status is read; that of others is of no use here.
+_KINDS_WITH_STATUS = frozenset({'rollouts'})
+
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -85,6 +89,27 @@
             )
         return self._decode_stored(reply, name, write=True)
 
+    async def put_status(
+        self, name: str, status: bytes, *, expected_version: int
+    ) -> stores.StoredObject:
+        """See base class."""
+        body = msgspec.json.encode(
+            {
+                'metadata': {
+                    'name': name.partition('/')[2],
+                    'rev': expected_version,
+                },
+                'status': msgspec.Raw(status),
+            }
+        )
+        path = f'/objects/{parse.quote(name)}/status'
+        reply = await self._send('PUT', path, body)
+        if reply.status in (_CONFLICT, _NOT_FOUND):
+            raise errors.VersionConflict(
+                f'{name!r} has a different version', current_version=0
+            )
+        return self._decode_stored(reply, name, write=True)
+
     async def watch(
         self,
         prefix: str,
@@ -121,7 +146,12 @@
                 peer=self._peer,
             )
         self._expect_ok(reply, write=False)
-        answer = self._decode(reply, store_answers.decode_changes)
+        answer = self._decode(
+            reply,
+            functools.partial(
+                store_answers.decode_changes, with_status=_has_status(kind)
+            ),
+        )
         objects: dict[str, stores.StoredObject] = {}
         removed: set[str] = set()
         for change in answer.changes:
@@ -161,7 +191,12 @@
             path = f'/objects/{kind}?{parse.urlencode(query)}'
             reply = await self._send('GET', path.rstrip('?'), progress=progress)
             self._expect_ok(reply, write=False)
-            page = self._decode(reply, store_answers.decode_page)
+            page = self._decode(
+                reply,
+                functools.partial(
+                    store_answers.decode_page, with_status=_has_status(kind)
+                ),
+            )
             revision = revision or page.revision
             objects += page.objects
             if not page.more or not page.objects:
@@ -217,8 +252,14 @@
         self, reply: http_client.Reply, name: str, *, write: bool
     ) -> stores.StoredObject:
         self._expect_ok(reply, write=write)
-        obj = self._decode(reply, store_answers.decode_object)
-        return stores.StoredObject(name, obj.version, obj.value)
+        obj = self._decode(
+            reply,
+            functools.partial(
+                store_answers.decode_object,
+                with_status=_has_status(name.partition('/')[0]),
+            ),
+        )
+        return stores.StoredObject(name, obj.version, obj.value, obj.status)
 
     def _decode(
         self, reply: http_client.Reply, decode: abc.Callable[[bytes], T]
@@ -241,6 +282,11 @@
         )
 
 
+def _has_status(kind: str) -> bool:
+    """Returns whether the status of objects of a kind is read."""
+    return kind in _KINDS_WITH_STATUS
+
+
 def _confirmed_after_s(elapsed_s: float, timeout_s: float) -> float:
     """Returns when the store knew of no later change, after the request.
 
--- a/ragwortchute/platform/store_answers.py
+++ b/ragwortchute/platform/store_answers.py
@@ -64,6 +64,7 @@
 class _Object(msgspec.Struct):
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(b'null')
+    status: msgspec.Raw = msgspec.Raw(b'null')
 
 
 class _Page(msgspec.Struct):
@@ -82,23 +83,31 @@
     events: list[_Event] = []
 
 
-def decode_page(body: bytes) -> Page:
+def decode_page(body: bytes, *, with_status: bool = False) -> Page:
     """Decodes a list of objects.
 
+    Args:
+        body: The list.
+        with_status: Whether the status of the objects is kept.
+
     Raises:
         DecodeFailed: It is malformed.
     """
     page = _decode(body, _Page, _split_page)
     return Page(
         page.current_rev,
-        [decode_object(item) for item in page.items],
+        [decode_object(item, with_status=with_status) for item in page.items],
         page.more,
     )
 
 
-def decode_changes(body: bytes) -> Changes:
+def decode_changes(body: bytes, *, with_status: bool = False) -> Changes:
     """Decodes the answer to a watch.
 
+    Args:
+        body: The answer.
+        with_status: Whether the status of the objects is kept.
+
     Raises:
         DecodeFailed: It is malformed.
     """
@@ -106,21 +115,33 @@
     return Changes(
         events.current_rev,
         [
-            Change(decode_object(event.object), event.deleted)
+            Change(
+                decode_object(event.object, with_status=with_status),
+                event.deleted,
+            )
             for event in events.events
         ],
     )
 
 
-def decode_object(data: bytes | msgspec.Raw) -> stores.StoredObject:
-    """Decodes an object; its value stays encoded.
+def decode_object(
+    data: bytes | msgspec.Raw, *, with_status: bool = False
+) -> stores.StoredObject:
+    """Decodes an object; its value and status stay encoded.
+
+    Args:
+        data: The object.
+        with_status: Whether its status is kept.
 
     Raises:
         DecodeFailed: It is malformed, beyond its value.
     """
     obj = _decode(data, _Object, _split_object)
     return stores.StoredObject(
-        obj.metadata.name, obj.metadata.rev, bytes(obj.spec)
+        obj.metadata.name,
+        obj.metadata.rev,
+        bytes(obj.spec),
+        bytes(obj.status) if with_status else b'',
     )
 
 
@@ -185,4 +206,5 @@
             decoding.decode_json(metadata.get(b'rev', b'0'), int),
         ),
         msgspec.Raw(fields.get(b'spec', b'null')),
+        msgspec.Raw(fields.get(b'status', b'null')),
     )
--- a/ragwortchute/stores/__init__.py
+++ b/ragwortchute/stores/__init__.py
@@ -13,18 +13,21 @@
 REGISTRY: registry.Registry[type['Store']] = registry.Registry('store')
 
 
-class StoredObject(msgspec.Struct, frozen=True):
+class StoredObject(msgspec.Struct, frozen=True, omit_defaults=True):
     """One version of an object.
 
     Attributes:
         name: Name, such as `documents/dispatch`.
         version: Version assigned by the store; a higher one is newer.
         value: Content.
+        status: What this system has recorded on it, empty if the client does
+            not read that.
     """
 
     name: str
     version: int
     value: bytes
+    status: bytes = b''
 
 
 class Store(abc.ABC):
@@ -67,6 +70,29 @@
                 whether the write may have been applied.
         """
 
+    async def put_status(
+        self, name: str, status: bytes, *, expected_version: int
+    ) -> StoredObject:
+        """Writes the status of an object if its version is the expected one.
+
+        Not all stores support it.
+
+        Args:
+            name: Name of the object.
+            status: Status to write.
+            expected_version: Version of the object.
+
+        Returns:
+            The object with its new version and status.
+
+        Raises:
+            VersionConflict: The current version is another one, or the object
+                does not exist.
+            StoreUnavailable: The store did not answer; `maybe_applied` states
+                whether the write may have been applied.
+        """
+        raise NotImplementedError('the store has no status')
+
     @abc.abstractmethod
     async def watch(
         self,
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -16,6 +16,8 @@
 
 MAX_BODY_BYTES = 1 << 20
 PAGE_SIZE = 50
+# Answers that are lost come after all clients have given up.
+LOST_ANSWER_S = 2.0
 
 
 class ObjectServer:
@@ -28,6 +30,9 @@
         mode: `up` (normal), `busy` (answers 503), `reset` (resets all
             connections) or `silent` (does not answer).
         suppress_events: While true, changes do not wake pending watches.
+        lose_status_answers: Number of status writes that take effect and whose
+            answer comes too late.
+        lose_status_writes: Number of status writes that take effect late.
         port: Listening port; 0 before `start`.
     """
 
@@ -37,6 +42,8 @@
         self.stale_calls: collections.Counter[str] = collections.Counter()
         self.mode = 'up'
         self.suppress_events = False
+        self.lose_status_answers = 0
+        self.lose_status_writes = 0
         self._objects: dict[tuple[str, str], dict[str, object]] = {}
         self._history: list[tuple[int, str, str, dict[str, object], bool]] = []
         self._oldest_revision = 1
@@ -76,7 +83,7 @@
                 'deletion': False,
             },
             'spec': spec,
-            'status': None,
+            'status': old['status'] if old else None,
         }
         self._objects[key] = obj
         await self._record_change(kind, name, obj, False)
@@ -139,6 +146,8 @@
         if req.method == 'GET':
             return self._get(kind, name)
         body = json.loads(req.body)
+        if parts[3:] == ['status']:
+            return await self._put_status(kind, name, body)
         if req.method == 'POST':
             name = body['metadata']['name']
             if (kind, name) in self._objects:
@@ -148,6 +157,36 @@
         await self.put(kind, name, body['spec'])
         return self._json_response(200, self._objects[kind, name])
 
+    async def _put_status(
+        self, kind: str, name: str, body: dict[str, object]
+    ) -> http_messages.Response:
+        """Writes the status of an object if the revision is the current one."""
+        if self.lose_status_writes:
+            self.lose_status_writes -= 1
+            await asyncio.sleep(LOST_ANSWER_S)
+        old = self._objects.get((kind, name))
+        if old is None:
+            return self._json_response(404, {})
+        if old['metadata']['rev'] != body['metadata']['rev']:
+            return self._json_response(409, old)
+        self.revision += 1
+        obj = {
+            **old,
+            'metadata': {**old['metadata'], 'rev': self.revision},
+            'status': body['status'],
+        }
+        self._objects[kind, name] = obj
+        await self._record_change(kind, name, obj, False)
+        if self.lose_status_answers:
+            self.lose_status_answers -= 1
+            await asyncio.sleep(LOST_ANSWER_S)
+        return self._json_response(200, obj)
+
+    def status(self, kind: str, name: str) -> dict[str, object]:
+        """Returns the status of an object, empty if it has none."""
+        obj = self._objects.get((kind, name))
+        return (obj and obj['status']) or {}
+
     def _get(self, kind: str, name: str) -> http_messages.Response:
         obj = self._objects.get((kind, name))
         return self._json_response(404 if obj is None else 200, obj or {})
