Test rollouts on complete hosts in one process

Guards against a wrong outcome with a good, a failing and a slow version, and while the coordinator dies, answers to status writes are lost or late, or the store is down for 3 s.

--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -153,7 +153,10 @@
         async with asyncio.TaskGroup() as group:
             while True:
                 now_s = self._loop.time()
-                if now_s - self._refreshed_s >= _REFRESH_S:
+                if (
+                    self._seen_changes != self._state.target_changes
+                    or now_s - self._refreshed_s >= _REFRESH_S
+                ):
                     self._refresh_all(now_s)
                 for write in self.participant.tick(now_s):
                     group.create_task(self._write(write))
--- a/standins/platform_targets.py
+++ b/standins/platform_targets.py
@@ -111,6 +111,10 @@
         rejects_probes: Whether health requests are turned away like others
             while `fault` is `shed`.
         cold_s: Remaining warm-up time that the target reports, in seconds.
+        version: Version of the software that it reports.
+        born_ms: Start of its process in Unix milliseconds.
+        error_every: Number of requests of which the last one is answered with
+            an error; 0 for none.
         limit_per_s: Limit that the target names in its answers; None for none.
         limit_in_rejections: Whether it names the limit also when it turns a
             request away.
@@ -154,6 +158,9 @@
         self.states_in_health = False
         self.rejects_probes = False
         self.cold_s = 0.0
+        self.version = 'v1'
+        self.born_ms = 1
+        self.error_every = 0
         self.limit_per_s: float | None = None
         self.limit_in_rejections = True
         self.leaving = False
@@ -185,7 +192,7 @@
             'address': f'127.0.0.1:{self.port}',
             'info': {
                 'service': self.service,
-                'config_version': 'v1',
+                'config_version': self.version,
                 'zone': self.failure_domain,
                 'slots': self.slots,
             },
@@ -194,7 +201,7 @@
                 'seq': 1,
                 'warmup_left_s': self.cold_s,
             },
-            'born': 1,
+            'born': self.born_ms,
         }
 
     async def start(self, ip: str = '127.0.0.1', port: int = 0) -> None:
@@ -347,7 +354,9 @@
         if self.fault == 'lose':
             writer.transport.abort()
             return False
-        if self.fault == 'error':
+        if self.fault == 'error' or (
+            self.error_every and len(self.runs) % self.error_every == 0
+        ):
             self._write(writer, self.error_status, headers, b'failed')
             return True
         if self.fault == 'encoded':
