--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -17,8 +17,9 @@
 
 # A host whose heartbeats and reports are older than this is not heard.
 SILENT_S = 4.0
-# So are those of a host that is not waited for at the end of a rollout.
-_SILENT_AT_END_S = 2.0
+# A host is not waited for at the end of a rollout if it was not heard for this
+# long beyond the time for which it acts on the contact with a coordinator.
+_SILENT_MARGIN_S = 0.8
 # A host that reaches neither the store nor any other host, and has not learnt
 # of an order, refuses requests after this time.
 ISOLATION_S = 6.0
@@ -172,6 +173,7 @@
         state: service_state.ServiceState,
         neighbours: abc.Iterable[Neighbour],
         longest_s: float,
+        contact_lease_s: float,
         now_s: float,
     ) -> bool:
         """Returns whether no request of any host can run at an old target.
@@ -183,6 +185,7 @@
             state: The rollout as this host follows it.
             neighbours: The other hosts that may be alive.
             longest_s: Longest time that a request may take, in seconds.
+            contact_lease_s: See `service_state.Trust`.
             now_s: Loop time in seconds.
         """
         if now_s < state.phase_since_s + _MIN_DRAIN_S:
@@ -190,7 +193,9 @@
         if not state.has_drained(now_s):
             return False
         return all(
-            self._neighbour_has_drained(item, state, longest_s, now_s)
+            self._neighbour_has_drained(
+                item, state, longest_s, contact_lease_s, now_s
+            )
             for item in neighbours
         )
 
@@ -199,6 +204,7 @@
         neighbour: Neighbour,
         state: service_state.ServiceState,
         longest_s: float,
+        contact_lease_s: float,
         now_s: float,
     ) -> bool:
         known = self._hosts.get(neighbour.name)
@@ -218,7 +224,7 @@
         heard_s = neighbour.heard_s
         if known is not None:
             heard_s = max(heard_s, known.received_s)
-        if now_s - heard_s < _SILENT_AT_END_S:
+        if now_s - heard_s < contact_lease_s + _SILENT_MARGIN_S:
             return False
         if known is None and now_s < heard_s + ISOLATION_S + ends_s:
             return False
@@ -231,6 +237,7 @@
         *,
         longest_s: float,
         interval_s: float,
+        contact_lease_s: float,
         reaches_most: bool,
         obstacle: str,
         warm: bool,
@@ -243,6 +250,7 @@
             neighbours: The other hosts that may be alive.
             longest_s: Longest time that a request may take, in seconds.
             interval_s: Time between two reports of a host in seconds.
+            contact_lease_s: See `service_state.Trust`.
             reaches_most: Whether this host hears most of the others.
             obstacle: Why there is nothing to judge, empty if there is.
             warm: Whether no target of the new version is cold.
@@ -257,7 +265,9 @@
         drained = (
             record.phase == records.Phase.DRAIN
             and reaches_most
-            and self.has_drained(state, neighbours, longest_s, now_s)
+            and self.has_drained(
+                state, neighbours, longest_s, contact_lease_s, now_s
+            )
         )
         return phases.Situation(
             record,
--- a/ragwortchute/gateway/rollouts/judgement.py
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ragwortchute.gateway.rollouts import baseline
 from ragwortchute.gateway.rollouts import evidence
 
 # Shares of the responses of a bad version that fail or are slow beyond those of
@@ -24,17 +25,6 @@
 # Lower ones would let two failures outweigh hundreds of responses.
 _MIN_FAILED = 0.005
 _MIN_SLOW = 0.03
-_MAX_SHARE = 0.95
-# After the move there are hardly any responses of the old version to compare
-# with. Then this share is expected, as faults that affect both versions can't
-# be told from those of the new one.
-_MIN_WITHOUT_OLD = 0.1
-# Responses of the old version, per response of the canary version, that are
-# enough to compare with.
-_MIN_OLD_RATIO = 0.25
-# Responses of the old version in all failure domains weigh as this many of the
-# same failure domain.
-_PRIOR_RESPONSES = 40.0
 # Log likelihood ratio from which on a version is bad: a good version reaches it
 # with a probability of about e^-7 per alternative.
 BAD_LOG_RATIO = 7.0
@@ -107,17 +97,13 @@
         buckets: The evidence.
         half_s: Age of the order from which on responses are late ones.
     """
-    failures: list[_Sample] = []
-    slow: list[_Sample] = []
     old = evidence.Counts()
     for bucket in buckets:
         for key, counts in bucket.cells.items():
             if not key.canary:
                 old.add(counts)
-    for bucket in buckets:
-        late = bucket.start_s >= half_s
-        failures += _samples(bucket.cells, late, _failed, _MIN_FAILED, old)
-        slow += _samples(bucket.cells, late, _slow, _MIN_SLOW, old)
+    failures = _samples(buckets, half_s, _failed, _MIN_FAILED)
+    slow = _samples(buckets, half_s, _slow, _MIN_SLOW)
     bad, ratio = _find_fault(failures, slow)
     smallest = _log_ratio(failures, _FAILED_SHARES[0])
     late_failures = [sample for sample in failures if sample.late]
@@ -152,61 +138,32 @@
 
 
 def _samples(
-    cells: evidence.Cells,
-    late: bool,
-    read: abc.Callable[[evidence.Counts], tuple[int, int]],
+    buckets: abc.Sequence[evidence.Bucket],
+    half_s: float,
+    read: baseline.Read,
     minimum: float,
-    old: evidence.Counts,
 ) -> list[_Sample]:
-    """Returns the samples of a period, with what is expected of each.
+    """Returns the samples of all periods, with what is expected of each.
 
     Args:
-        cells: Counters of the period.
-        late: Whether it lies in the second half of the time.
+        buckets: The evidence.
+        half_s: Age of the order from which on responses are late ones.
         read: Returns the number of responses and hits of a counter.
         minimum: Lowest share of hits that is expected.
-        old: Counters of the old version of all periods.
     """
-    by_domain: dict[tuple[int, int], tuple[int, int]] = {}
-    by_route: dict[int, tuple[int, int]] = {}
-    for key, counts in cells.items():
-        if not key.canary:
-            total, hits = read(counts)
-            for table, index in (
-                (by_domain, (key.route, key.domain)),
-                (by_route, key.route),
-            ):
-                known_total, known_hits = table.get(index, (0, 0))
-                table[index] = (known_total + total, known_hits + hits)
-    old_total = sum(item[0] for item in by_route.values())
-    old_hits = sum(item[1] for item in by_route.values())
-    all_total, all_hits = read(old)
-    overall = _shrink((old_total, old_hits), all_hits / max(1, all_total))
-    canary_total = sum(
-        read(counts)[0] for key, counts in cells.items() if key.canary
-    )
-    if old_total < canary_total * _MIN_OLD_RATIO:
-        minimum = _MIN_WITHOUT_OLD
-    samples = []
-    for key, counts in cells.items():
-        total, hits = read(counts)
-        if not key.canary or not total:
-            continue
-        route_share = _shrink(by_route.get(key.route, (0, 0)), overall)
-        share = _shrink(
-            by_domain.get((key.route, key.domain), (0, 0)), route_share
+    expected = baseline.Baseline(buckets, read, minimum).expected
+    return [
+        _Sample(
+            key.route,
+            key.target,
+            bucket.start_s >= half_s,
+            *read(counts),
+            expected(index, key),
         )
-        expected = min(_MAX_SHARE, max(minimum, share))
-        samples.append(
-            _Sample(key.route, key.target, late, total, hits, expected)
-        )
-    return samples
-
-
-def _shrink(counts: tuple[int, int], prior: float) -> float:
-    """Returns a share of hits, drawn towards a prior if there are few."""
-    total, hits = counts
-    return (hits + prior * _PRIOR_RESPONSES) / (total + _PRIOR_RESPONSES)
+        for index, bucket in enumerate(buckets)
+        for key, counts in bucket.cells.items()
+        if key.canary and read(counts)[0]
+    ]
 
 
 def _log_ratio(samples: abc.Iterable[_Sample], share: float) -> float:
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -29,6 +29,9 @@
 # The second coordinator takes over from one that it has not heard for this long
 # or that can't write.
 TAKEOVER_S = 0.8
+# A coordinator that replied to a report counts as in contact for this many
+# times the interval.
+_CONTACT_INTERVALS = 1.5
 # After a failed write, a coordinator does not count as able to write for this
 # long.
 _WRITE_FAILURE_S = 2.0
@@ -119,6 +122,9 @@
         """Time between two reports in seconds."""
         return REPORT_INTERVAL_S * max(1.0, self.hosts / MAX_HOSTS_AT_INTERVAL)
 
+    def _contact_lease_s(self) -> float:
+        return max(service_state.LEASE_S, self.interval_s * _CONTACT_INTERVALS)
+
     def service(self, name: str) -> service_state.ServiceState:
         """Returns the rollout of a service."""
         state = self.services.get(name)
@@ -137,6 +143,7 @@
             not self._hears_any
             and now_s - self.confirmed_s > coordinator.ISOLATION_S,
             self.hosts,
+            self._contact_lease_s(),
         )
 
     def set_record(self, record: records.Record, now_s: float) -> None:
@@ -255,8 +262,13 @@
     ) -> None:
         reported_s = self._reported_s.get(state.service, float('-inf'))
         drained = state.has_drained(now_s)
-        if now_s - reported_s < self.interval_s and not state.urgent:
+        urgent = state.urgent or (drained and not state.reported_drained)
+        # The coordinators must hear each other in time for a takeover.
+        leads = self._rank() < COORDINATORS
+        interval_s = REPORT_INTERVAL_S if leads else self.interval_s
+        if now_s - reported_s < interval_s and not urgent:
             return
+        state.reported_drained = drained
         state.urgent = False
         self._reported_s[state.service] = now_s
         self._sequence += 1
@@ -422,6 +434,7 @@
             self._neighbours,
             longest_s=self._surroundings.longest_s(state.service),
             interval_s=self.interval_s,
+            contact_lease_s=self._contact_lease_s(),
             reaches_most=self.reaches_most,
             obstacle=self._surroundings.obstacle(
                 state.service, state.record.version
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -46,6 +46,8 @@
         reaches_most: Whether this host hears most of the hosts it knows.
         isolated: Whether it reaches neither the store nor any other host.
         hosts: Number of hosts that may be alive.
+        contact_lease_s: How long after a report that a coordinator has replied
+            to a host may act on an unconfirmed copy, in seconds.
     """
 
     now_s: float
@@ -53,6 +55,7 @@
     reaches_most: bool
     isolated: bool
     hosts: int
+    contact_lease_s: float
 
     @property
     def has_read(self) -> bool:
@@ -98,6 +101,8 @@
             replied to.
         phase_since_s: Loop time at which the current phase was learnt.
         urgent: Whether a report is to be sent at once.
+        reported_drained: Whether the last report said that nothing can run at
+            old targets.
         old_ready: Whether an old target is ready.
         unrestricted: Whether all targets may get requests.
     """
@@ -383,6 +388,7 @@
         self.stopped = False
         self.contact_s = float('-inf')
         self.urgent = False
+        self.reported_drained = False
         self._suspended_until_s = float('-inf')
         self._recent = {
             canary: collections.deque[bool](maxlen=_RECENT_RESPONSES)
@@ -436,7 +442,10 @@
         It then does not write an outcome before this host agrees, so that the
         host may act on a copy that the store does not confirm.
         """
-        return trust.reaches_most and trust.now_s - self.contact_s <= LEASE_S
+        return (
+            trust.reaches_most
+            and trust.now_s - self.contact_s <= trust.contact_lease_s
+        )
 
     def _recent_is_bad(self, canary: bool) -> bool:
         recent = self._recent[canary]
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -243,6 +243,11 @@
             )
         self.after(0.4, self._confirm, host)
 
+    def _push(self, host, record, read_s):
+        """Gives a host a change that its watch returns."""
+        if self.store_up() and not host.cut_off:
+            self._give_record(host, record, read_s)
+
     def _give_record(self, host, record, read_s):
         if not host.alive or host.cut_off:
             return
@@ -334,6 +339,14 @@
             phase=phase,
             order_id=write.status.order_id,
         )
+        for host in self.hosts.values():
+            self.after(
+                self.rng.uniform(0.02, 0.3),
+                self._push,
+                host,
+                self.record,
+                self.now_s,
+            )
         if self.record.ended:
             self.outcomes.append(write.status.state)
             self.outcome_s = self.now_s
