--- /dev/null
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -0,0 +1,314 @@
+"""Tests of the parts of rollouts."""
+
+import json
+import random
+
+import pytest
+
+from ragwortchute import errors
+from ragwortchute import stores
+from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import evidence
+from ragwortchute.gateway.rollouts import exposure
+from ragwortchute.gateway.rollouts import judgement
+from ragwortchute.gateway.rollouts import messages
+from ragwortchute.gateway.rollouts import phases
+from ragwortchute.gateway.rollouts import records
+from ragwortchute.gateway.rollouts import service_state
+from ragwortchute.gateway.rollouts import versions
+from ragwortchute.platform import objects
+from ragwortchute.platform import rollout_feed
+from standins import platform_store
+from tests.test_gateway import rig as rigs
+
+Phase = records.Phase
+ORDER = {'service': 's', 'target_version': 'v2', 'duration_s': 15}
+
+
+def decode(spec, status=None):
+    obj = stores.StoredObject(
+        's', 7, json.dumps(spec).encode(), json.dumps(status).encode()
+    )
+    return rollout_feed.decode_record(obj, rigs.MemoryLog())
+
+
+class TestOrders:
+    """An order that can't be carried out must not start a rollout."""
+
+    @pytest.mark.parametrize(
+        ('fields', 'problem'),
+        [
+            ({}, ''),
+            ({'duration_s': 0}, 'no-time'),
+            ({'duration_s': -1}, 'no-time'),
+            ({'duration_s': None}, 'unlimited-time'),
+            ({'duration_s': True}, 'unlimited-time'),
+            ({'duration_s': 1e300}, 'unlimited-time'),
+            ({'target_version': ''}, 'unreadable'),
+            ({'target_version': 2}, 'unreadable'),
+            ({'service': 'other'}, 'other-service'),
+        ],
+    )
+    def test_problem_is_told(self, fields, problem):
+        assert decode({**ORDER, **fields}).problem == problem
+
+    @pytest.mark.parametrize(
+        ('status', 'phase'),
+        [
+            (None, Phase.NONE),
+            ('x', Phase.NONE),
+            ({'state': 'running', 'phase': 'drain'}, Phase.DRAIN),
+            ({'state': 'running'}, Phase.OBSERVE),
+            ({'state': 'running', 'phase': 'succeeded'}, Phase.OBSERVE),
+            ({'state': 'rolled_back'}, Phase.ROLLED_BACK),
+        ],
+    )
+    def test_status_is_read(self, status, phase):
+        if isinstance(status, dict):
+            status['target_version'] = 'v2'
+        assert decode(ORDER, status).phase == phase
+
+    def test_status_of_an_earlier_version_does_not_end_the_order(self):
+        status = {'state': 'succeeded', 'target_version': 'v1'}
+        record = decode(ORDER, status)
+        assert record.phase == Phase.NONE
+        assert record.settled_version == 'v1'
+
+    def test_status_names_state_and_version(self):
+        status = records.make_status(decode(ORDER), Phase.MOVE)
+        assert (status.state, status.target_version) == ('running', 'v2')
+        assert status.order_id == 7
+
+
+class TestStatusWrites:
+    """A status must not be written over a change that was not seen."""
+
+    async def test_revision_decides(self):
+        server = platform_store.ObjectServer()
+        await server.start()
+        store = objects.ObjectStore('127.0.0.1', server.port)
+        revision = await server.put('rollouts', 's', ORDER)
+        written = await store.put_status(
+            'rollouts/s', b'{"state":"running"}', expected_version=revision
+        )
+        assert (await store.get('rollouts/s')).status == written.status
+        assert (await store.list('rollouts/'))[0].status == written.status
+        for name in ('rollouts/s', 'rollouts/none'):
+            with pytest.raises(errors.VersionConflict):
+                await store.put_status(name, b'{}', expected_version=revision)
+        await store.close()
+        await server.stop()
+
+
+def seen(version, born_ms=0, ready=True):
+    return versions.SeenTarget(version, born_ms, ready)
+
+
+class TestVersions:
+    """A new version must not be used before an order settles it."""
+
+    def test_new_version_waits(self):
+        known = versions.Versions()
+        known.update([seen('v1')], None, 0.0, 10**6)
+        known.update([seen('v1'), seen('v2', 10**6)], None, 1.0, 10**6)
+        assert known.used == {'v1'}
+
+    def test_new_version_is_used_if_no_order_comes(self):
+        known = versions.Versions()
+        known.update([seen('v1')], None, 0.0, 0)
+        both = [seen('v1'), seen('v2')]
+        known.update(both, None, 1.0, 0)
+        assert known.update(both, 'v2', 99.0, 0) == []
+        assert known.update(both, None, 99.0, 0) == ['v2']
+
+    def test_only_ready_version_is_used(self):
+        known = versions.Versions()
+        known.update([seen('v1')], None, 0.0, 0)
+        known.update([seen('v1', ready=False), seen('v2')], None, 1.0, 0)
+        assert 'v2' in known.used
+
+    def test_restarted_host_uses_the_older_version(self):
+        known = versions.Versions()
+        known.update([seen('v2', 90_000), seen('v1', 5)], None, 0.0, 100_000)
+        assert known.used == {'v1'}
+
+    def test_outcome_settles(self):
+        for succeeded, used in ((True, {'v2'}), (False, {'v1'})):
+            known = versions.Versions()
+            known.update([seen('v1')], None, 0.0, 0)
+            known.begin_order('v2', 0.0)
+            known.settle('v2', succeeded=succeeded)
+            known.update([seen('v1'), seen('v2')], None, 99.0, 0)
+            assert known.used == used
+
+
+class TestExposure:
+    """The shares of hosts with few requests must add up to the whole."""
+
+    @pytest.mark.parametrize('hosts', [8, 102, 784])
+    def test_bound_holds_at_any_time(self, hosts):
+        rng = random.Random(hosts)
+        limits = [exposure.Exposure(rng) for _ in range(hosts)]
+        sent = 0
+        for number in range(1, 6000):
+            limit = rng.choice(limits)
+            canary = limit.allows(0.085)
+            limit.note_send(first=True, canary=canary)
+            sent += canary
+            assert sent <= 0.1 * number + 50
+        assert sent >= 0.06 * 6000
+
+
+class TestEvidence:
+    """Lost, late and repeated reports must not change the sum."""
+
+    def test_reports_are_counted_once(self):
+        rng = random.Random(1)
+        key = evidence.CellKey(True, 1, 1, 1)
+        reports = []
+        for incarnation in (1, 2):
+            counters = evidence.Counters()
+            for sequence in range(20):
+                counters.note(key, failed=sequence % 2, timed=True, slow=False)
+                data = evidence.pack(counters.cells)
+                reports.append((incarnation, sequence, data))
+        kept = [item for item in reports if item[1] == 19 or rng.random() < 0.5]
+        kept += rng.sample(kept, 5)
+        rng.shuffle(kept)
+        merged = evidence.Evidence()
+        for incarnation, sequence, data in kept:
+            merged.merge('h', incarnation, sequence, data, sequence * 0.3)
+        total = merged.total(canary=True)
+        assert (total.ended, total.failed) == (40, 20)
+
+    def test_report_fits_a_datagram(self):
+        counters = evidence.Counters()
+        for number in range(500):
+            key = evidence.CellKey(True, 1, 1, number + 1)
+            counters.note(key, failed=False, timed=True, slow=False)
+        assert len(evidence.pack(counters.cells)) < 1100
+        assert sum(item.ended for item in counters.cells.values()) == 500
+
+
+def buckets(old, new, periods=10, *, domain=1):
+    """Returns periods with responses and failures, new ones by target."""
+    cells = {
+        evidence.CellKey(False, 1, domain, 0): evidence.Counts(
+            old[0], old[1], old[0], 0
+        )
+    }
+    for target, counts in enumerate(new, 1):
+        key = evidence.CellKey(True, 1, domain, target)
+        cells[key] = evidence.Counts(*counts, counts[0], 0)
+    return [evidence.Bucket(index * 0.5, cells) for index in range(periods)]
+
+
+class TestJudgement:
+    """What both versions suffer from must not count against the new one."""
+
+    @pytest.mark.parametrize(
+        ('old', 'new', 'bad'),
+        [
+            ((100, 0), [(10, 0), (10, 0)], False),
+            ((100, 0), [(10, 1), (10, 1)], True),
+            ((100, 20), [(10, 2), (10, 2)], False),
+            ((100, 20), [(10, 6), (10, 6)], True),
+            # A single broken target does not make a version bad.
+            ((100, 0), [(10, 3), (10, 0)], False),
+            # After the move there is no old version to compare with.
+            ((0, 0), [(50, 1), (50, 1)], False),
+            ((0, 0), [(50, 15), (50, 15)], True),
+        ],
+    )
+    def test_verdict(self, old, new, bad):
+        assert bool(judgement.judge(buckets(old, new), 2.0).bad) == bad
+
+    def test_lost_domain_is_no_fault_of_the_version(self):
+        periods = buckets((100, 1), [(10, 0), (10, 0)], 8)
+        lost = buckets((100, 1), [(10, 0)], 1)[0]
+        lost.cells[evidence.CellKey(False, 1, 2, 0)] = evidence.Counts(30, 20)
+        lost.cells[evidence.CellKey(True, 1, 2, 9)] = evidence.Counts(6, 4)
+        assert not judgement.judge([*periods, lost], 2.0).bad
+
+    def test_nothing_is_good_before_late_responses(self):
+        assert not judgement.judge(buckets((90, 0), [(20, 0)]), 9.0).good
+        assert judgement.judge(buckets((90, 0), [(20, 0)]), 2.0).good
+
+
+def situation(phase, fraction=0.0, **fields):
+    record = records.Record(
+        's', 'v2', 15.0, 1, phase, problem=fields.pop('problem', '')
+    )
+    verdict = judgement.Verdict(**fields.pop('verdict', {'responses': 99}))
+    values = {'fresh': True, 'stopped': False, 'moved': False, 'drained': False}
+    return phases.Situation(record, fraction, verdict, **{**values, **fields})
+
+
+class TestPhases:
+    """Each phase must be left only for a reason that the evidence gives."""
+
+    @pytest.mark.parametrize(
+        ('now', 'phase'),
+        [
+            (situation(Phase.NONE), Phase.OBSERVE),
+            (situation(Phase.NONE, problem='no-time'), Phase.ROLLED_BACK),
+            (situation(Phase.OBSERVE, 0.4), None),
+            (situation(Phase.OBSERVE, 0.5), Phase.WIDEN),
+            (situation(Phase.OBSERVE, 0.9, verdict={}), None),
+            (situation(Phase.OBSERVE, 1.0, verdict={}), Phase.ROLLED_BACK),
+            (situation(Phase.WIDEN, 0.57), None),
+            (situation(Phase.WIDEN, 0.6), Phase.MOVE),
+            (situation(Phase.WIDEN, 0.6, fresh=False), None),
+            (situation(Phase.MOVE, 0.6), None),
+            (situation(Phase.MOVE, 0.6, moved=True), Phase.DRAIN),
+            (situation(Phase.MOVE, 0.7), Phase.DRAIN),
+            (situation(Phase.DRAIN, 2.0), None),
+            (situation(Phase.DRAIN, 2.0, drained=True), Phase.SUCCEEDED),
+            (
+                situation(Phase.DRAIN, drained=True, stopped=True),
+                Phase.ROLLED_BACK,
+            ),
+            (situation(Phase.SUCCEEDED, stopped=True), None),
+        ],
+    )
+    def test_next_step(self, now, phase):
+        step = phases.next_step(now)
+        assert (step and step.phase) == phase
+
+
+class TestDrain:
+    """Old targets must not be stopped while a host may send to them."""
+
+    def drained(self, now_s, *, heard_s, report=True, incarnation=1):
+        state = service_state.ServiceState(
+            's', 0.1, random.Random(1), rigs.MemoryLog()
+        )
+        record = records.Record('s', 'v2', 15.0, 1, Phase.DRAIN, 1)
+        state.set_record(record, 0.0, 4.0)
+        known = coordinator.Coordinator(1)
+        if report is not None:
+            message = messages.Report('s', 1, 1, 1, 0, 0, 1, report, 9, 9, b'')
+            known.note_report('h2', message, 0.0, 0.0)
+        neighbour = coordinator.Neighbour('h2', incarnation, heard_s, -9.0)
+        return known.has_drained(state, [neighbour], 4.0, 1.2, now_s)
+
+    def test_agreed_host_is_not_waited_for(self):
+        assert self.drained(4.1, heard_s=0.0)
+
+    def test_own_requests_are_waited_for(self):
+        assert not self.drained(3.9, heard_s=0.0)
+
+    def test_host_that_is_heard_must_agree(self):
+        assert not self.drained(20.0, heard_s=19.0, report=False)
+        assert not self.drained(20.0, heard_s=19.0, report=None)
+
+    def test_restarted_host_must_agree_again(self):
+        assert not self.drained(20.0, heard_s=19.0, incarnation=2)
+
+    def test_silent_host_is_waited_for_until_its_copy_is_too_old(self):
+        assert not self.drained(5.4, heard_s=0.0, report=False)
+        assert self.drained(5.5, heard_s=0.0, report=False)
+
+    def test_host_without_the_order_is_waited_for_longer(self):
+        assert not self.drained(10.2, heard_s=0.0, report=None)
+        assert self.drained(10.3, heard_s=0.0, report=None)
