--- a/ragwortchute/gateway/rollouts/judgement.py
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -31,6 +31,9 @@
 # Of that, this must remain without the worst target: a single broken target
 # does not make a version bad.
 OTHERS_LOG_RATIO = 1.0
+# With so many bad responses the version is bad even if all are of one target:
+# that is half of those after which it must get no more requests.
+MAX_BAD_OF_ONE = 25
 # At the end of the observation, a version is doubtful above these log ratios
 # for the smallest alternative, in total and for a route.
 _DOUBTFUL_LOG_RATIO = 1.5
@@ -220,6 +223,8 @@
         for target in targets
     }
     worst = max(by_target, key=by_target.__getitem__)
+    if sum(sample.hits for sample in samples) >= MAX_BAD_OF_ONE:
+        return True
     others = [sample for sample in samples if sample.target != worst]
     return _highest(others, shares) >= OTHERS_LOG_RATIO
 
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -18,6 +18,7 @@
 from ragwortchute.gateway.rollouts import messages
 from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
+from ragwortchute.gateway.rollouts import rollout_log
 from ragwortchute.gateway.rollouts import service_state
 from ragwortchute.gateway.rollouts import surroundings as surroundings_
 
@@ -150,13 +151,11 @@
         """Follows a record that was read from the store or told of."""
         state = self.service(record.service)
         old = state.record
-        state.set_record(
-            record, now_s, self._surroundings.longest_s(record.service)
-        )
+        state.set_record(record, now_s)
         if state.record is old:
             return
         if old is None or old.phase != state.record.phase:
-            self._log_phase(state, now_s)
+            rollout_log.log_phase(self._log, state, self.confirmed_s, now_s)
         if record.problem and (old is None or old.problem != record.problem):
             self._log.event(
                 'rollout-refused',
@@ -451,57 +450,12 @@
         step = phases.next_step(situation)
         if step is None:
             return None
-        self._log_step(state, step, situation, now_s)
+        rollout_log.log_decision(
+            self._log, state, step, situation, self.coordinator(state), now_s
+        )
         status = records.make_status(state.record, step.phase, step.reason)
         return Write(state.record, step, status)
 
-    # Log.
-
-    def _log_step(
-        self,
-        state: service_state.ServiceState,
-        step: phases.Step,
-        situation: phases.Situation,
-        now_s: float,
-    ) -> None:
-        """Logs a decision and the evidence for it."""
-        verdict = situation.verdict
-        known = self.coordinator(state)
-        self._log.event(
-            'rollout-decision',
-            service=state.service,
-            version=state.record.version,
-            phase=step.phase.name.lower(),
-            reason=step.reason,
-            age_s=round(state.age_s(now_s), 2),
-            responses=verdict.responses,
-            failed=verdict.failed,
-            slow=verdict.slow,
-            late_responses=verdict.late_responses,
-            old_responses=verdict.old_responses,
-            old_failed=verdict.old_failed,
-            log_ratio=round(verdict.log_ratio, 1),
-            share=round(known.canary_share(), 4),
-            evidence_age_s=round(min(known.evidence_age_s(now_s), 1e3), 2),
-        )
-
-    def _log_phase(
-        self, state: service_state.ServiceState, now_s: float
-    ) -> None:
-        """Logs the phase that this host follows from now on."""
-        record = state.record
-        self._log.event(
-            'rollout',
-            service=record.service,
-            version=record.version,
-            phase=record.phase.name.lower(),
-            revision=record.revision,
-            age_s=round(state.age_s(now_s), 2),
-            requests=state.exposure.requests,
-            canary_sends=state.exposure.canary_sends,
-            confirmed_age_s=round(min(now_s - self.confirmed_s, 1e3), 2),
-        )
-
 
 def _is_current(state: service_state.ServiceState, order_id: int) -> bool:
     return state.running and state.record.order_id == order_id
--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -18,6 +18,10 @@
 MOVE_FROM = 0.55
 MOVE_BY = 0.58
 DECIDE_BY = 0.63
+# With fewer responses than this, as the targets have started late or the
+# service has few requests, the decision waits until the second of these times.
+ENOUGH_RESPONSES = 60
+DECIDE_FEW_BY = 0.75
 # Responses without which a version is not moved to.
 MIN_RESPONSES = 5
 # Requests that still go to old targets, as new ones are cold, are waited for
@@ -97,6 +101,9 @@
         return None
     if now.fraction >= MOVE_FROM and now.verdict.good:
         return Step(records.Phase.MOVE)
+    enough = now.verdict.responses >= ENOUGH_RESPONSES
+    if not enough and now.fraction < DECIDE_FEW_BY:
+        return None
     if now.fraction >= MOVE_BY and not now.verdict.doubtful:
         return Step(records.Phase.MOVE)
     if now.fraction >= DECIDE_BY:
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -17,6 +17,7 @@
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import membership as membership_
+from ragwortchute.gateway import model
 from ragwortchute.gateway import peer_table
 from ragwortchute.gateway import rollouts
 from ragwortchute.gateway import targets as targets_
@@ -74,6 +75,8 @@
         '_decode',
         '_dialect',
         '_log',
+        '_longest_revision',
+        '_longest_s',
         '_loop',
         '_membership',
         '_obstacles',
@@ -112,6 +115,8 @@
         self._loop = asyncio.get_running_loop()
         self._seen_changes = -1
         self._refreshed_s = float('-inf')
+        self._longest_revision = -1
+        self._longest_s: dict[str, float] = {}
         self._obstacles: dict[str, str] = {}
         self.sends: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
@@ -230,15 +235,14 @@
     def note_send(self, call: attempts.Call, attempt: attempts.Attempt) -> None:
         """See base class."""
         state = self.participant.service(call.service)
-        if not state.running:
-            return
         latest_end_s = max(
             attempt.sent_s + self.longest_s(call.service), call.deadline_s
         )
         state.note_send(
             attempt, attempt.target, latest_end_s, first_send=call.sends == 1
         )
-        self.sends[_label(attempt.target)] += 1
+        if state.running:
+            self.sends[_label(attempt.target)] += 1
 
     def note_end(self, call: attempts.Call, attempt: attempts.Attempt) -> None:
         """See base class."""
@@ -329,12 +333,12 @@
     def longest_s(self, service: str) -> float:
         """See base class."""
         cfg = self._state.cfg
-        timeouts_s = [
-            route.timeout_s
-            for route in (cfg.routes if cfg else ())
-            if any(part.service == service for part in route.services)
-        ]
-        return min(MAX_REQUEST_S, max(timeouts_s, default=MAX_REQUEST_S))
+        if cfg is None:
+            return MAX_REQUEST_S
+        if self._longest_revision != self._state.cfg_revision:
+            self._longest_revision = self._state.cfg_revision
+            self._longest_s = _longest_s(cfg)
+        return self._longest_s.get(service, MAX_REQUEST_S)
 
     def obstacle(self, service: str, version: str) -> str:
         """See base class."""
@@ -421,5 +425,17 @@
         }
 
 
+def _longest_s(cfg: model.Configuration) -> dict[str, float]:
+    """Returns the longest time of a request in seconds, by service."""
+    longest_s: dict[str, float] = {}
+    for route in cfg.routes:
+        for part in route.services:
+            longest_s[part.service] = min(
+                MAX_REQUEST_S,
+                max(route.timeout_s, longest_s.get(part.service, 0.0)),
+            )
+    return longest_s
+
+
 def _label(target: targets_.Target) -> str:
     return f'{target.entry.service}/{target.entry.software_version}'
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -124,6 +124,8 @@
         self._seen_s = 0.0
         self._clear(0.0)
         self.old_sends = sends.OldSends()
+        # When the last send without an order has ended in any case.
+        self._untracked_end_s = 0.0
         self.old_ready = True
         self.unrestricted = False
 
@@ -147,15 +149,12 @@
         """Notes that the order is at least as old as another host says."""
         self._seen_s = min(self._seen_s, now_s - age_s)
 
-    def set_record(
-        self, record: records.Record, now_s: float, longest_s: float
-    ) -> None:
+    def set_record(self, record: records.Record, now_s: float) -> None:
         """Follows a record unless a later one is known.
 
         Args:
             record: The record.
             now_s: Loop time in seconds.
-            longest_s: Longest time that a request may take, in seconds.
         """
         old = self.record
         known_revision = old.revision if old else self._removed_revision
@@ -167,7 +166,7 @@
                 succeeded=record.settled_phase == records.Phase.SUCCEEDED,
             )
         if old is None or _is_other_order(old, record):
-            self._begin(old, record, now_s, longest_s)
+            self._begin(old, record, now_s)
         elif record.duration_s != old.duration_s:
             self._log.event(
                 'rollout-changed',
@@ -299,6 +298,7 @@
             first_send: Whether the request had not been sent before.
         """
         if not self.running:
+            self._untracked_end_s = latest_end_s
             return
         canary = self._is_canary(target)
         self.exposure.note_send(first=first_send, canary=canary)
@@ -343,16 +343,18 @@
         self._recent[canary].append(failed or (timed and slow))
         if canary and self._recent_is_bad(True) > self._recent_is_bad(False):
             self._recent[True].clear()
-            self._suspended_until_s = now_s + _SUSPENSION_S
             self.urgent = True
-            self._log.event('rollout-suspended', service=self.service)
+            if self.record.phase < records.Phase.DRAIN:
+                # Later, there is no other version to use.
+                self._suspended_until_s = now_s + _SUSPENSION_S
+                self._log.event('rollout-suspended', service=self.service)
 
     def has_drained(self, now_s: float) -> bool:
         """Returns whether nothing of this host can run at an old target."""
         return (
-            self.record is not None
+            not self.old_sends.may_run(now_s)
+            and self.record is not None
             and self.record.phase == records.Phase.DRAIN
-            and not self.old_sends.may_run(now_s)
         )
 
     def _begin(
@@ -360,7 +362,6 @@
         old: records.Record | None,
         record: records.Record,
         now_s: float,
-        longest_s: float,
     ) -> None:
         """Starts to follow another order."""
         if old is not None and not old.ended:
@@ -374,7 +375,7 @@
                 self.versions.withdraw_order(old.version)
         self._clear(now_s)
         # Sends before the order was known are not in the list.
-        self.old_sends.note_send(0, now_s + longest_s)
+        self.old_sends.note_send(0, self._untracked_end_s)
         if record.version and not record.ended:
             self.versions.begin_order(record.version, now_s)
 
@@ -415,6 +416,9 @@
     def _may_send_canary(self, trust: Trust, first_send: bool) -> bool:
         """Returns whether targets of the canary version get requests."""
         now_s = trust.now_s
+        if self.record.version in self.versions.used:
+            # The order names the only version, so there is no other to use.
+            return True
         if self.stopped or now_s < self._suspended_until_s:
             return False
         phase = self.record.phase
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -214,7 +214,8 @@
             ((100, 20), [(10, 2), (10, 2)], False),
             ((100, 20), [(10, 6), (10, 6)], True),
             # A single broken target does not make a version bad.
-            ((100, 0), [(10, 3), (10, 0)], False),
+            ((100, 0), [(10, 2), (10, 0)], False),
+            ((100, 0), [(10, 5), (10, 0)], True),
             # After the move there is no old version to compare with.
             ((0, 0), [(50, 1), (50, 1)], False),
             ((0, 0), [(50, 15), (50, 15)], True),
@@ -259,6 +260,8 @@
             (situation(Phase.WIDEN, 0.57), None),
             (situation(Phase.WIDEN, 0.6), Phase.MOVE),
             (situation(Phase.WIDEN, 0.6, fresh=False), None),
+            (situation(Phase.WIDEN, 0.7, verdict={'responses': 9}), None),
+            (situation(Phase.WIDEN, 0.8, verdict={'responses': 9}), Phase.MOVE),
             (situation(Phase.MOVE, 0.6), None),
             (situation(Phase.MOVE, 0.6, moved=True), Phase.DRAIN),
             (situation(Phase.MOVE, 0.7), Phase.DRAIN),
@@ -284,7 +287,8 @@
             's', 0.1, random.Random(1), rigs.MemoryLog()
         )
         record = records.Record('s', 'v2', 15.0, 1, Phase.DRAIN, 1)
-        state.set_record(record, 0.0, 4.0)
+        state.set_record(record, 0.0)
+        state.old_sends.note_send(0, 4.0)
         known = coordinator.Coordinator(1)
         if report is not None:
             message = messages.Report('s', 1, 1, 1, 0, 0, 1, report, 9, 9, b'')
