Spread requests to cold targets, count targets in groups

A single cold target takes a few requests per second, so that the evidence within its warm-up would stay small; all cold ones are used until one is warm. Counters by group instead of by target bound a report and a judgement after the move.

--- a/ragwortchute/gateway/rollouts/evidence.py
+++ b/ragwortchute/gateway/rollouts/evidence.py
@@ -13,6 +13,9 @@
 # Version flag, keys of route, failure domain and target, then four counters.
 _CELL_FORMAT = struct.Struct('<BHHHHHHH')
 _MAX_COUNT = 0xFFFF
+# Targets of the canary version are counted in as many groups, by a hash of
+# their names: a report on a hundred targets would be too long.
+_TARGET_GROUPS = 8
 # Cells that fit a datagram beside the other fields of a report.
 MAX_CELLS = 70
 # Period within which the versions are compared with each other.
@@ -26,7 +29,7 @@
         canary: Whether the target runs the canary version.
         route: Key of the route.
         domain: Key of the failure domain of the target.
-        target: Key of the target, 0 for targets of the old version.
+        target: Group of the target, 0 for targets of the old version.
     """
 
     canary: bool
@@ -62,8 +65,13 @@
 
 
 def key_of(name: str) -> int:
-    """Returns the key of a route, failure domain or target; never 0."""
-    return (zlib.crc32(name.encode()) & _MAX_COUNT) or 1
+    """Returns the key of a route or failure domain."""
+    return zlib.crc32(name.encode()) & _MAX_COUNT
+
+
+def group_of(name: str) -> int:
+    """Returns the group of a target of the canary version; never 0."""
+    return 1 + zlib.crc32(name.encode()) % _TARGET_GROUPS
 
 
 class Counters:
--- a/ragwortchute/gateway/rollouts/judgement.py
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -78,7 +78,7 @@
 
     Attributes:
         route: Key of the route.
-        target: Key of the target.
+        target: Group of the target.
         late: Whether the period lies in the second half of the time.
         total: Number of responses.
         hits: Those that failed or were slow.
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -6,14 +6,13 @@
 
 import collections
 from collections import abc
-import math
 import random
-import zlib
 
 import msgspec
 
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.rollouts import concentration
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import exposure
 from ragwortchute.gateway.rollouts import records
@@ -22,11 +21,6 @@
 
 # How long a host acts on a copy of the record that is not confirmed.
 LEASE_S = 1.2
-# The canary traffic of all hosts goes to as many targets as it fills to this
-# share of their slots, so that these show how they behave under load. Others
-# take their turn after a while, so that no single target decides.
-FILL_FRACTION = 0.75
-TURN_S = 1.5
 # A host stops on its own once so many of its last responses of the canary
 # version were bad, unless as many of the old version are.
 _RECENT_RESPONSES = 6
@@ -252,19 +246,27 @@
         """
         if self.unrestricted and not trust.isolated:
             return Choice(targets)
+        version = self.record.version if self.running else None
+        used = self.versions.used - {version}
         old = []
         if self._may_send_old(trust):
             old = [
                 target
                 for target in targets
-                if target.entry.software_version in self.versions.used
-                and not self._is_canary(target)
+                if target.entry.software_version in used
             ]
-        if not self.running or not self._may_send_canary(trust, first_send):
+        if version is None or not self._may_send_canary(trust, first_send):
             return Choice(old)
-        canary = [target for target in targets if self._is_canary(target)]
+        canary = [
+            target
+            for target in targets
+            if target.entry.software_version == version
+        ]
         if self.record.phase < records.Phase.MOVE and self.old_ready:
-            canary = self._concentrate(canary, trust, work_s)
+            age_s = self.age_s(trust.now_s)
+            sent = self.exposure.requests * trust.hosts * self._share
+            running = sent / max(1.0, age_s) * work_s
+            canary = concentration.choose(canary, running, age_s, trust.now_s)
         return Choice(canary, old) if canary else Choice(old)
 
     def admits(
@@ -337,7 +339,7 @@
             canary,
             evidence.key_of(route),
             evidence.key_of(entry.failure_domain),
-            evidence.key_of(entry.name) if canary else 0,
+            evidence.group_of(entry.name) if canary else 0,
         )
         self.counters.note(key, failed=failed, timed=timed, slow=slow)
         self._recent[canary].append(failed or (timed and slow))
@@ -455,26 +457,6 @@
         recent = self._recent[canary]
         return sum(recent) >= _BAD_RESPONSES
 
-    def _concentrate(
-        self, canary: list[targets_.Target], trust: Trust, work_s: float
-    ) -> list[targets_.Target]:
-        """Returns the targets that get the canary traffic at the moment.
-
-        All hosts of a region choose the same ones, as their order is a hash of
-        their names.
-        """
-        local = [target for target in canary if target.same_region] or canary
-        if not local:
-            return []
-        local.sort(key=lambda target: zlib.crc32(target.entry.name.encode()))
-        age_s = max(1.0, self.age_s(trust.now_s))
-        per_s = self.exposure.requests / age_s * trust.hosts * self._share
-        slots = max(1, local[0].entry.slots)
-        count = math.ceil(per_s * work_s / (FILL_FRACTION * slots))
-        count = min(len(local), max(1, count))
-        start = int(age_s / TURN_S) * count
-        return [local[(start + index) % len(local)] for index in range(count)]
-
 
 def _is_other_order(old: records.Record, new: records.Record) -> bool:
     if old.version != new.version:
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -61,6 +61,9 @@
         self.running = 0
         self.slowness = slowness
 
+    def is_cold(self, now_s):
+        return False
+
 
 class Host(surroundings.Surroundings):
     """Simulated host."""
