--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -19,6 +19,8 @@
 
 Require = abc.Callable[[attempts.Call], candidates.Requirements]
 Placed = candidates.Placement | candidates.NoPlacement
+# Selects a target for a request.
+Place = abc.Callable[[attempts.Call, Require], abc.Awaitable[Placed]]
 CALLER_GONE = 'caller-gone'
 
 
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -18,6 +18,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership as membership_
@@ -48,6 +49,7 @@
 from ragwortchute.gateway.organisations import recency
 from ragwortchute.gateway.resources import account
 from ragwortchute.gateway.resources import limits as limits_
+from ragwortchute.gateway.rollouts import runtime as rollouts_
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -64,41 +66,6 @@
 # which a change must be in force that there is one. The news may take the rest
 # of the time to arrive.
 OUTDATED_AFTER_FRACTION = 0.5
-# Used where the settings name no memory.
-DEFAULT_MEMORY_BYTES = 200e6
-
-
-class Settings(msgspec.Struct, frozen=True):
-    """Settings of a gateway host.
-
-    Attributes:
-        me: Entry of this host.
-        domains: Region of each failure domain.
-        peer_ip: Address of the listeners for other hosts.
-        grace_s: Seconds from the stop signal until the platform kills the
-            process.
-        dead_s: Age in seconds of the last heartbeat from which on a host is
-            no longer named to callers.
-        limits: Limits of resends and of load on cold targets, over all hosts.
-        config_s: Seconds within which a change of the configuration must be
-            in force.
-        memory_bytes: Memory beyond which the platform kills the process.
-        max_descriptors: Descriptors that the process may hold; 0 if unknown.
-        contracts: Names of the optional parts that the deployment uses.
-        bounds: Bounds of the deployment by name.
-    """
-
-    me: model.HostEntry
-    domains: dict[str, str]
-    peer_ip: str
-    grace_s: float
-    dead_s: float
-    limits: dispatcher.Limits
-    config_s: float = 2.0
-    memory_bytes: float = DEFAULT_MEMORY_BYTES
-    max_descriptors: int = 0
-    contracts: frozenset[str] = frozenset()
-    bounds: dict[str, float] = {}
 
 
 class Gateway:
@@ -122,6 +89,7 @@
         dispatcher: Serves requests of callers.
         rng: Random number generator.
         account: Account of memory, connections and descriptors.
+        rollouts: Rollouts, None where none occur.
         bodies: Memory for long bodies of requests.
         answers: Memory for long answers.
         callers: Listener for callers.
@@ -134,7 +102,7 @@
 
     def __init__(
         self,
-        settings: Settings,
+        settings: host_settings.Settings,
         store: stores.Store,
         dialect: dialects.Dialect,
         log: eventlog.EventLog,
@@ -210,6 +178,7 @@
         self.peers.essential = True
         self.membership.local_revisions = self._last_change_revisions
         self.membership.on_peer_revision = self._on_peer_revision
+        self.rollouts: rollouts_.Rollouts | None = None
         self.leaving = False
         self.peers_searched = False
         self.registered = asyncio.Event()
@@ -353,6 +322,30 @@
         await self.callers.start(ip, int(port))
         self._log.event('start', caller_address=me.caller_address)
 
+    def enable_rollouts(
+        self, decode: rollouts_.DecodeCallback
+    ) -> rollouts_.Rollouts:
+        """Follows rollout orders, from `start` on.
+
+        Args:
+            decode: Decodes the object of an order.
+        """
+        self.rollouts = rollouts_.Rollouts(
+            state=self.state,
+            membership=self.membership,
+            store=self._store,
+            decode=decode,
+            selector=self._selector,
+            dispatcher=self.dispatcher,
+            share=self._settings.bounds.get(
+                rollouts_.SHARE_BOUND, rollouts_.DEFAULT_SHARE
+            ),
+            rng=self.rng,
+            log=self._log,
+        )
+        self.spawn('rollouts', self.rollouts.run)
+        return self.rollouts
+
     def spawn(
         self, name: str, run: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -20,6 +20,7 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
+from ragwortchute.gateway import hedging
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
@@ -32,15 +33,12 @@
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import streamed_answers
+from ragwortchute.gateway import target_choice
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times
 from ragwortchute.gateway.admission import gate
 from ragwortchute.gateway.organisations import identity
 
-# A hedge is sent once an answer takes longer than this share of the latency
-# objective and longer than this many times the expected time.
-HEDGE_AFTER_OBJECTIVES = 0.4
-HEDGE_AFTER_EXPECTED = 1.4
 # An attempt without an answer at the deadline is a failure of its target if it
 # took this many times the expected time. Less may be due to long work.
 OVERDUE_EXPECTED = 3.0
@@ -94,8 +92,10 @@
         refuse_early: Returns the refusal of a request whose body has not been
             read, None if its head gives no reason for one.
         retries: Retry budgets.
+        dialect: Protocol of callers and targets.
         work_times: Processing times by route.
         gate: Admission of requests.
+        choice: Chooses targets.
     """
 
     def __init__(
@@ -119,7 +119,7 @@
         quotas: organisations.Quotas | None = None,
     ) -> None:
         self._state = state
-        self._dialect = dialect
+        self.dialect = dialect
         self._selector = selector
         self._relays = relays
         self._crash_guard = crash_guard
@@ -157,6 +157,9 @@
         self._loop = asyncio.get_running_loop()
         self.gate = gate.Gate(state, selector)
         self.work_times = work_times.WorkTimes()
+        self.choice = target_choice.TargetChoice(
+            state, self.gate, self.work_times
+        )
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
         )
@@ -196,6 +199,7 @@
             for attempt in outstanding:
                 attempt.conn.abort()
                 self._note_abort(call, attempt)
+                self.choice.versions.note_abort(call, attempt)
         if relayed and call.answered_by:
             name = call.answered_by.encode('latin-1')
             resp.headers = [*resp.headers, (dialects.TARGET_NAME, name)]
@@ -221,7 +225,7 @@
             return self._answers.give_up(call, result.reason)
         if result.reply is None:
             return None
-        if self._dialect.is_authentic(result.reply):
+        if self.dialect.is_authentic(result.reply):
             self._statements.note_relayed(result.reply, now_s)
             return self._answers.deliver(call, result.reply, now_s)
         return self._answers.pass_on_refusal(call, result.reply)
@@ -248,17 +252,21 @@
                 if refusal is not None:
                     return refusal
                 continue
-            hedge_s = self._hedge_delay_s(call, outstanding)
+            hedge_s = hedging.delay_s(call, outstanding, self._loop.time())
             await attempts.wait_any(call, outstanding, min(left_s, hedge_s))
             for attempt in [item for item in outstanding if item.fut.done()]:
                 outstanding.remove(attempt)
+                self.choice.versions.note_end(call, attempt)
                 resp = self._finish_attempt(call, attempt)
                 if resp is not None:
                     return resp
                 if not attempt.conn.usable:
                     # The rest of its answer may still be arriving.
                     attempt.conn.abort()
-            if outstanding and self._hedge_delay_s(call, outstanding) <= 0:
+            if (
+                outstanding
+                and hedging.delay_s(call, outstanding, self._loop.time()) <= 0
+            ):
                 await self._try_hedge(call, outstanding)
 
     # Sending.
@@ -280,7 +288,7 @@
             await self.retries.borrow(call, self._loop.time())
             if not self._may_retry(call):
                 return self._answers.give_up(call, 'retry-budget')
-        placed = await self.gate.place(call, self._requirements)
+        placed = await self.choice.select(call)
         if isinstance(placed, candidates.NoPlacement):
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
@@ -291,6 +299,9 @@
             placed.target.pool.release(placed.conn)
             return refusal
         reason = self._intake.recheck(call)
+        if not reason and not self.choice.versions.admits(call, placed.target):
+            placed.target.pool.release(placed.conn)
+            return None
         if not reason and call.sends and not self._spend_retry(call):
             reason = 'retry-budget'
         if reason:
@@ -318,7 +329,7 @@
     ) -> None:
         now_s = self._loop.time()
         target = placed.target
-        head = self._dialect.encode_head(
+        head = self.dialect.encode_head(
             call.req,
             max(0.001, call.deadline_s - now_s),
             target.entry,
@@ -335,13 +346,14 @@
         )
         outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
+        self.choice.versions.note_send(call, outstanding[-1])
         self._request_log.log_send(call, outstanding[-1])
 
     def _accept(
         self, call: attempts.Call, target: targets_.Target
     ) -> http_client.Accept:
         """Returns a predicate that logs the answers of others that it skips."""
-        belongs = self._dialect.accept(call.req)
+        belongs = self.dialect.accept(call.req)
 
         def accept(reply: http_client.Reply) -> bool:
             accepted = belongs(reply)
@@ -351,41 +363,8 @@
 
         return accept
 
-    def _requirements(self, call: attempts.Call) -> candidates.Requirements:
-        route = call.route
-        targets = [
-            target
-            for target in self._state.eligible(call.service, call.homes)
-            if target.entry.name not in call.tried_targets
-        ]
-        return candidates.Requirements(
-            targets,
-            self.work_times.expected_s(route),
-            route.objective_s,
-            call.deadline_s - self._loop.time(),
-            self.work_times.long_s(route),
-        )
-
     # Hedging.
 
-    def _hedge_delay_s(
-        self, call: attempts.Call, outstanding: list[attempts.Attempt]
-    ) -> float:
-        """Returns the time until a hedge is due; infinite if none may be."""
-        if (
-            call.hedge_decided
-            or not call.route.idempotent
-            or len(outstanding) != 1
-            or call.sends >= call.route.attempts
-        ):
-            return float('inf')
-        attempt = outstanding[0]
-        delay_s = max(
-            call.route.objective_s * HEDGE_AFTER_OBJECTIVES,
-            attempt.placement.expected_s * HEDGE_AFTER_EXPECTED,
-        )
-        return attempt.sent_s + delay_s - self._loop.time()
-
     async def _try_hedge(
         self, call: attempts.Call, outstanding: list[attempts.Attempt]
     ) -> None:
@@ -398,7 +377,7 @@
             return
         if not self._grace_period.can_end(call, self._loop.time()):
             return
-        placed = await self.gate.place_hedge(call, self._requirements)
+        placed = await self.choice.select_hedge(call)
         if not isinstance(placed, candidates.Placement):
             return
         if self._hedge_is_useful(
@@ -416,11 +395,9 @@
         placed: candidates.Placement,
     ) -> bool:
         """Tells whether a hedge may answer in time and does no harm."""
-        remaining_s = call.deadline_s - self._loop.time()
         return (
-            not first.fut.done()
-            and not call.req.disconnected.done()
-            and placed.expected_s < min(remaining_s, call.route.objective_s)
+            hedging.may_help(call, first, placed, self._loop.time())
+            and self.choice.versions.admits(call, placed.target)
             and not self._blocked_s(call.req)
             and not self._intake.recheck(call)
         )
@@ -459,16 +436,16 @@
             return None
         if reply.reusable:
             target.pool.release(attempt.conn)
-        load = self._dialect.decode_load(reply, target.entry, now_s)
+        load = self.dialect.decode_load(reply, target.entry, now_s)
         if load is not None:
             target.note_reading(load)
         self.gate.note_end(call, target)
-        if self._dialect.is_misdirected(reply):
+        if self.dialect.is_misdirected(reply):
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
             return None
         self._statements.note(target, reply, now_s)
-        if self._dialect.is_not_run(reply):
+        if self.dialect.is_not_run(reply):
             self._note_failure(target, SHED_WEIGHT)
             self._request_log.log_failed_attempt(call, attempt, 'shed')
             return None
@@ -476,12 +453,12 @@
         if reply.rest is None:
             self._measurements.note_end(call, attempt, now_s)
         self._crash_guard.note_answer(call.req, now_s)
-        if not self._dialect.is_authentic(reply):
+        if not self.dialect.is_authentic(reply):
             self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(call, attempt, 'spoiled')
             return None
         call.answered_by = target.entry.name
-        if reply.status >= 500 or self._dialect.states_not_run(reply.status):
+        if reply.status >= 500 or self.dialect.states_not_run(reply.status):
             self._note_failure(target, 1.0)
             self._request_log.log_failed_attempt(
                 call, attempt, f'status-{reply.status}'
--- /dev/null
+++ b/ragwortchute/gateway/target_choice.py
@@ -0,0 +1,91 @@
+"""Choice of a target for a request among those that may get it."""
+
+import asyncio
+import functools
+
+from ragwortchute.gateway import attempts
+from ragwortchute.gateway import candidates
+from ragwortchute.gateway import host_state
+from ragwortchute.gateway import rollouts
+from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway import work_times as work_times_
+from ragwortchute.gateway.admission import gate as gate_
+
+Placed = candidates.Placement | candidates.NoPlacement
+
+
+class TargetChoice:
+    """Chooses targets by rollouts, admission and the state of the targets.
+
+    Args:
+        state: Configuration and targets.
+        gate: Admission of requests.
+        work_times: Processing times by route.
+
+    Attributes:
+        versions: Which targets may get a request, by their versions.
+    """
+
+    __slots__ = ('_gate', '_loop', '_state', '_work_times', 'versions')
+
+    def __init__(
+        self,
+        state: host_state.HostState,
+        gate: gate_.Gate,
+        work_times: work_times_.WorkTimes,
+    ) -> None:
+        self._state = state
+        self._gate = gate
+        self._work_times = work_times
+        self._loop = asyncio.get_running_loop()
+        self.versions = rollouts.VersionChoice()
+
+    async def select(self, call: attempts.Call) -> Placed:
+        """Selects a target for a request."""
+        return await self._select(call, self._gate.place)
+
+    async def select_hedge(self, call: attempts.Call) -> Placed:
+        """Selects a target for a hedge of a request."""
+        return await self._select(call, self._gate.place_hedge)
+
+    async def _select(self, call: attempts.Call, place: gate_.Place) -> Placed:
+        targets = self._untried_targets(call)
+        first, second = self.versions.choose(call, targets)
+        chosen = None if first is targets else frozenset(first)
+        require = functools.partial(self._requirements, chosen=chosen)
+        placed = await place(call, require)
+        if second and isinstance(placed, candidates.NoPlacement):
+            chosen = frozenset(second)
+            require = functools.partial(self._requirements, chosen=chosen)
+            return await place(call, require)
+        return placed
+
+    def _untried_targets(self, call: attempts.Call) -> list[targets_.Target]:
+        return [
+            target
+            for target in self._state.eligible(call.service, call.homes)
+            if target.entry.name not in call.tried_targets
+        ]
+
+    def _requirements(
+        self,
+        call: attempts.Call,
+        chosen: frozenset[targets_.Target] | None,
+    ) -> candidates.Requirements:
+        """Returns what a request requires of a target now.
+
+        Args:
+            call: The request.
+            chosen: Targets that it may be sent to, None for all.
+        """
+        route = call.route
+        targets = self._untried_targets(call)
+        if chosen is not None:
+            targets = [target for target in targets if target in chosen]
+        return candidates.Requirements(
+            targets,
+            self._work_times.expected_s(route),
+            route.objective_s,
+            call.deadline_s - self._loop.time(),
+            self._work_times.long_s(route),
+        )
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from ragwortchute import errors
-from ragwortchute.gateway import application
 from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
 
 FILE_VARIABLE = 'RAGWORTCHUTE_NODE_FILE'
@@ -29,7 +29,7 @@
         readiness: IP address and port of the listener for readiness checks.
     """
 
-    gateway: application.Settings
+    gateway: host_settings.Settings
     store_ip: str
     store_port: int
     directory: tuple[str, int]
@@ -91,7 +91,7 @@
         weight=values.number('limits.cpu_share', 1.0)
         * values.number('limits.cores', DEFAULT_CORES),
     )
-    gateway = application.Settings(
+    gateway = host_settings.Settings(
         me=me,
         domains=domains,
         peer_ip=ip,
@@ -124,7 +124,7 @@
     """Returns the memory of this host in bytes."""
     memory_mb = values.number('limits.memory_mb', 0.0)
     if memory_mb <= 0:
-        return application.DEFAULT_MEMORY_BYTES
+        return host_settings.DEFAULT_MEMORY_BYTES
     return memory_mb * 1e6
 
 
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -8,6 +8,7 @@
 
 from ragwortchute.gateway import application
 from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import registration
 from ragwortchute.platform import feeds
@@ -69,7 +70,7 @@
         return host
 
     def build(self, me):
-        settings = application.Settings(
+        settings = host_settings.Settings(
             me,
             rigs.DOMAINS,
             me.ip,
