Take the names of trailers before the headers are released

Found by the fuzz test of the headers: lines 'Transfer-Encoding: chunked', trailer 'X-Credential: KEY'.

--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -286,13 +286,13 @@
         except ValueError:
             self._receiver.reject(400)
             return
+        trailers = self._headers[self._first_trailer :]
+        if trailers:
+            req.trailer_names = frozenset(name for name, _ in trailers)
         # An idle connection would keep them until its next request.
         self._headers = []
         self._stop_body_wait()
         req.accepts_chunks = self._parser.get_http_version() != '1.0'
-        trailers = self._headers[self._first_trailer :]
-        if trailers:
-            req.trailer_names = frozenset(name for name, _ in trailers)
         req.body_parts, reservation = self._body.take()
         self._receiver.handle_request(req, reservation)
 
