Test that a relay carries no key, and a key in a trailer as an example

A trailer taken for a header was found by the fuzz test alone, so the case is an explicit example now.

--- a/tests/test_gateway/test_identity_headers.py
+++ b/tests/test_gateway/test_identity_headers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from hypothesis import HealthCheck
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
 import pytest
 
 from ragwortchute.gateway import dialect
+from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.platform import feeds
 from standins import platform_targets
@@ -254,6 +256,28 @@
         (head,) = heads(regions)
         assert scenes.named(head) == ['acme']
 
+    async def test_other_host_gets_no_key(self, regions):
+        home_host, remote_host = regions.hosts
+        received = []
+
+        async def keep(req):
+            received.append(req)
+            return http_messages.Response(503)
+
+        home_host.peers.handler = keep
+        lines = [CREDENTIAL, b'X-Tenant: globex', b'X_Credential: ' + OTHER]
+        for path in ('/a/x', '/public/x'):
+            await scenes.send(
+                scenes.address(remote_host.membership.me), lines, path=path
+            )
+        relayed = [req for req in received if req.path.endswith('/x')]
+        assert len(relayed) == 2
+        for req in relayed:
+            assert not scenes.KEYS.search(repr(req.headers))
+            assert req.get(b'x-tenant') is None
+        names = [req.get(dialect.RELAYED_ORGANISATION) for req in relayed]
+        assert names == [b'acme', None]
+
     async def test_home_of_an_organisation_binds_relays(self, regions):
         host = regions.hosts[0]
         cfg = host.state.cfg
@@ -295,6 +319,7 @@
         suppress_health_check=[HealthCheck.function_scoped_fixture],
     )
     @given(lines=LINES, trailers=LINES)
+    @example(lines=[b'Transfer-Encoding: chunked'], trailers=[CREDENTIAL])
     def test_target_gets_only_the_name(self, lines, trailers):
         asyncio.run(self.check(lines, trailers))
 
