--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/accounted_connection.py
@@ -99,10 +99,13 @@
         """Tells the account what this connection holds."""
         held_bytes = 0
         if self._transport is not None:
-            held_bytes = self._pipeline.held_bytes + self._reader.held_bytes
+            held_bytes = self._pipeline.held_bytes
+            if self._reader.started_s:
+                held_bytes += self._reader.held_bytes
             if self._writer is None:
                 held_bytes += self._transport.get_write_buffer_size()
-        self._set_held(held_bytes)
+        if held_bytes != self._held_bytes:
+            self._set_held(held_bytes)
 
     def _set_held(self, held_bytes: int) -> None:
         change_bytes = held_bytes - self._held_bytes
--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/pipeline.py
@@ -189,7 +189,9 @@
 
     def _start_waiting(self) -> None:
         """Starts the handlers of requests that wait, as many as may run."""
-        while self._waiting and self._at_work < self._account.max_at_work():
+        while self._waiting and (
+            not self._at_work or self._at_work < self._account.max_at_work()
+        ):
             exchange = self._waiting.popleft()
             req, reservation = exchange.waiting
             exchange.waiting = None
@@ -220,7 +222,9 @@
             self._at_work -= 1
             self._bodies.shrink(reservation, 0)
         if exchange in self.exchanges:
-            self._hold(exchange, exchanges_.response_bytes(resp))
+            if exchange is not self.exchanges[0]:
+                # It has to wait; the first one is written at once.
+                self._hold(exchange, exchanges_.response_bytes(resp))
             exchange.response = resp
             self._on_response()
         else:
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -149,8 +149,11 @@
         request that this connection sends.
         """
         self.held_bytes += change_bytes
-        if change_bytes <= 0 or not self.is_full:
-            return
+        if change_bytes > 0 and self.held_bytes > self.limits.request_bytes:
+            self._shed_memory(holder)
+
+    def _shed_memory(self, holder: victims.Holder) -> None:
+        """Refuses requests, in the end that of the given connection."""
         now_s = self._loop.time()
         while self.is_full:
             victim = self._memory_victims.take(now_s, spared=holder)
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -230,7 +230,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """See base class."""
         read_bytes = self._reader.read_bytes
-        if self._pipeline and not self._reader.started_s:
+        if self._pipeline.exchanges and not self._reader.started_s:
             read_bytes = _PIPELINE_READ_BYTES
         return _READ_BUFFER[:read_bytes]
 
@@ -289,7 +289,7 @@
         self, req: http_messages.Request, reservation: body_budget.Reservation
     ) -> None:
         """Starts the handler of a request."""
-        if self._pipeline or self._transport.get_write_buffer_size():
+        if self._pipeline.exchanges or self._transport.get_write_buffer_size():
             self._sends_ahead = True
         self._pipeline.add(req, reservation, self._reader.head_held_bytes)
         if self._listener.draining or not self._reader.should_keep_alive:
@@ -308,11 +308,14 @@
         that has not run can be sent again. One that has begun is read to its
         end, as its caller may read nothing before it has sent all of it.
         """
-        full = (
-            self._writing_paused
-            or len(self._pipeline) >= MAX_PIPELINED
-            or self._pipeline.held_bytes >= account_.CONNECTION_BYTES
-            or (self._account.is_full and bool(self._pipeline))
+        pending = len(self._pipeline.exchanges)
+        full = self._writing_paused or (
+            pending > 0
+            and (
+                pending >= MAX_PIPELINED
+                or self._pipeline.held_bytes >= account_.CONNECTION_BYTES
+                or self._account.is_full
+            )
         )
         pause = not self._reader.ended and (
             self._reader.waiting or (full and not self._reader.started_s)
