Keep the bound of a quota while hosts are cut off, and test it

A model of hosts without a network plays steady load, jumps, lost and late messages, cuts, kills, restarts and changed limits at 8 and 117 hosts.

--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -37,6 +37,11 @@
 # A new coordinator announces what it has taken over for this long, until it has
 # heard which hosts report to it.
 HOLD_S = 0.6
+# A host that was not heard of for less than this was not cut off: its reports
+# were lost.
+REGAIN_S = 2.0
+# Counts that a new coordinator hears of first are those of this time at least.
+RECENT_S = 0.5
 # Counts of a host that have not changed for this long or twice as long are
 # dropped.
 RETENTION_S = 20.0
@@ -138,6 +143,8 @@
         '_accounts',
         '_default_fraction',
         '_dropped_s',
+        '_lost',
+        '_lost_s',
         '_reporters',
         '_started_s',
         '_updated_s',
@@ -152,11 +159,12 @@
         now_s: float,
     ) -> None:
         self.share = 0.0
+        self._lost = 0.0
+        self._lost_s = float('-inf')
         self._default_fraction = default_fraction
         self._started_s = self._dropped_s = now_s
-        # Credit for the time since the announcement is added, as requests since
-        # then are taken from it.
-        self._updated_s = announced_s
+        # Credit is added for the time in which recent requests are counted.
+        self._updated_s = max(announced_s, now_s - RECENT_S)
         self._accounts = {
             key: _Account(
                 state.level,
@@ -298,16 +306,24 @@
         """Updates the part of all rates that may be given out.
 
         Returns:
-            By how much it has become smaller. Hosts that have fallen silent
-            may have used that part of the credit.
+            The part of the credit that hosts which have fallen silent may have
+            used; negative if they were silent for a short time only.
         """
         oldest_s = now_s - SILENT_S
         heard = sum(
             reporter.heard_s > oldest_s for reporter in self._reporters.values()
         )
-        previous = self.share
-        self.share = rate_share(heard, len(hosts))
-        return max(0.0, previous - self.share)
+        lost = self.share - rate_share(heard, len(hosts))
+        self.share -= lost
+        if lost > 0:
+            self._lost += lost
+            self._lost_s = now_s
+            return lost
+        if now_s - self._lost_s > REGAIN_S:
+            self._lost = 0.0
+        regained = min(-lost, self._lost)
+        self._lost -= regained
+        return -regained
 
     def _account(self, limit: quota_limits.Limit, now_s: float) -> _Account:
         account = self._accounts.get(limit.key)
--- a/ragwortchute/gateway/organisations/quota_limits.py
+++ b/ragwortchute/gateway/organisations/quota_limits.py
@@ -13,16 +13,21 @@
 
 from ragwortchute.gateway import model
 
-# Smallest burst, and the same in seconds of the rate. Requests that arrive at
-# random exceed their rate for a while.
-MIN_BURST = 10.0
+# Credit beyond the burst, which is at least this many seconds of the rate.
+# Requests that arrive at random exceed their rate for a while.
+EXTRA_BURST = 14.0
 MIN_BURST_S = 0.25
-# Largest share of what the bound allows at once that is planned as a burst. The
-# rest covers requests that the coordinator has not heard of.
-MAX_BURST_FRACTION = 0.55
-# Level of the credit, as a share of its largest, towards which it is steered
-# while more is demanded than the quota allows.
-TARGET_FRACTION = 0.25
+# What the bound allows at once and is not given as credit: requests, and
+# seconds of the rate. It covers requests that the coordinator has not heard of.
+RESERVE_REQUESTS = 5.0
+RESERVE_S = 0.85
+# The reserve is at most this share of what the bound allows at once.
+MAX_RESERVE_FRACTION = 0.7
+# Level of the credit towards which it is steered while more is demanded than
+# the quota allows: at most this share of the largest, and seconds of the rate.
+# With more, an organisation with a low rate would be refused after each start.
+TARGET_FRACTION = 0.2
+TARGET_S = 1.0
 # Part of its share that a host uses without contact, and the tokens that all
 # hosts together start with, as a share of what the bound allows at once.
 ALONE_RATE_FRACTION = 0.5
@@ -97,14 +102,18 @@
         bounds.largest(rate_per_s, organisation.burst)
         - rate_per_s * bounds.window_s
     )
-    burst = max(organisation.burst, MIN_BURST_S * rate_per_s) + MIN_BURST
-    depth = min(burst, excess * MAX_BURST_FRACTION)
+    burst = max(organisation.burst, MIN_BURST_S * rate_per_s) + EXTRA_BURST
+    reserve = min(
+        RESERVE_REQUESTS + RESERVE_S * rate_per_s,
+        excess * MAX_RESERVE_FRACTION,
+    )
+    depth = min(burst, excess - reserve)
     return Limit(
         organisation.name,
         key_of(organisation.name),
         rate_per_s,
         organisation.burst,
         depth,
-        depth * TARGET_FRACTION,
+        min(depth * TARGET_FRACTION, rate_per_s * TARGET_S),
         excess * ALONE_START_FRACTION,
     )
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -23,18 +23,23 @@
 CONTACT_S = 0.95
 # A host takes over after this time without an announcement, and this time more
 # for each host that precedes it, up to a number of hosts.
-TAKEOVER_S = 0.7
+TAKEOVER_S = 0.95
 TAKEOVER_STEP_S = 0.2
 # The same time at a host that has never heard an announcement.
 FIRST_TAKEOVER_S = 0.3
 MAX_STEPS = 8
-# Interval of announcements. Changes are announced at once as long as there are
-# tokens.
-ANNOUNCE_S = 0.4
+# Interval of announcements, a little below a number of steps. Changes are
+# announced at once as long as there are tokens.
+ANNOUNCE_S = 0.38
 ALERT_TOKENS = 6.0
 ALERT_TOKENS_PER_S = 1.0
 # A host that may give out less than this part of all rates does not coordinate.
 MIN_SHARE = 0.02
+# Hosts that an announcement is passed on to. In a small graph, some of them are
+# the same or the host itself.
+FANOUT = 2
+FEW_HOSTS = 12
+FEW_HOSTS_FANOUT = 3
 # Credit that a coordinator starts with, as a share of the largest: if it has
 # heard announcements, for organisations that were not listed, and otherwise.
 UNLISTED_LEVEL = 0.15
@@ -258,9 +263,7 @@
         return self._ranks.get(name, len(self._ranks))
 
 
-def receivers(
-    near: abc.Sequence[str], own_name: str, number: int, fanout: int
-) -> list[str]:
+def receivers(near: abc.Sequence[str], own_name: str, number: int) -> list[str]:
     """Returns the hosts that this host passes an announcement on to.
 
     The hosts of the region form a De Bruijn graph over an order that differs
@@ -272,8 +275,8 @@
         near: Names of the live hosts of the region, this one included.
         own_name: Name of this host.
         number: Number of the announcement.
-        fanout: Number of receivers.
     """
+    fanout = FANOUT if len(near) > FEW_HOSTS else FEW_HOSTS_FANOUT
     rng = random.Random(number)
     order = sorted(near)
     rng.shuffle(order)
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -9,6 +9,7 @@
 
 from ragwortchute.gateway import model
 from ragwortchute.gateway import shares
+from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
 
@@ -31,8 +32,6 @@
 # A credit that was given back is kept for this long for the next request, in
 # seconds: the body of an upload is read meanwhile.
 RETURNED_S = 1.0
-# Interval of the marks from which recent requests are counted, in seconds.
-MARK_S = 0.5
 # Longest time that is named to callers, in seconds.
 MAX_WAIT_S = 30.0
 
@@ -197,7 +196,7 @@
             self.admitted -= self._returned
             self._returned = 0
             self.reports_left = REPORTS_PER_CHANGE
-        if now_s - self._mark_s >= MARK_S:
+        if now_s - self._mark_s >= quota_accounts.RECENT_S:
             self._marks = (self._marks[1], self.admitted)
             self._mark_s = now_s
 
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -33,9 +33,7 @@
 # earlier.
 IDLE_S = 5.0
 FORGET_S = 4 * quota_accounts.RETENTION_S
-# Hosts that an announcement is passed on to, and hosts of each other region
-# that the coordinator sends it to.
-FANOUT = 2
+# Hosts of each other region that the coordinator sends announcements to.
 REGION_SENDS = 2
 # Organisations whose use is shown in metrics.
 MAX_GAUGES = 100
@@ -411,7 +409,7 @@
     def _pass_on(self, announcement: quota_messages.Announcement) -> None:
         """Sends an announcement to other hosts of the region."""
         names = quota_roles.receivers(
-            self._hosts.near, self._me.name, announcement.number, FANOUT
+            self._hosts.near, self._me.name, announcement.number
         )
         self._send_announcement(names, announcement)
 
--- a/tests/test_gateway/quota_model.py
+++ b/tests/test_gateway/quota_model.py
@@ -76,6 +76,7 @@
         worst_s: Start of the window of the former.
         refused: Share of the requests that were refused.
         used: Share of the quota that was admitted.
+        offered: Requests received, as a share of the quota.
         bytes_per_s: Mean bytes per second and host.
         most_bytes_per_s: The same of the host that sent most.
         far_bytes_per_s: Bytes per second between regions.
@@ -86,6 +87,7 @@
     worst_s: float
     refused: float
     used: float
+    offered: float
     bytes_per_s: float
     most_bytes_per_s: float
     far_bytes_per_s: float
@@ -330,6 +332,7 @@
             worst_s,
             1 - admitted / max(1, received),
             admitted / ((end_s - start_s) * self.scenario.rate_per_s),
+            received / ((end_s - start_s) * self.scenario.rate_per_s),
             sum(self.sent_bytes.values()) / len(self.names) / end_s,
             max(self.sent_bytes.values(), default=0) / end_s,
             self.far_bytes / end_s,
--- /dev/null
+++ b/tests/test_gateway/test_quotas.py
@@ -0,0 +1,341 @@
+"""Tests of the quotas of organisations.
+
+The whole model is run by `python -m benchmarks.quotas model`.
+"""
+
+import itertools
+import random
+import struct
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from ragwortchute.gateway import model
+from ragwortchute.gateway.organisations import quota_accounts
+from ragwortchute.gateway.organisations import quota_limits
+from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.organisations import quota_part
+from ragwortchute.gateway.organisations import quota_roles
+from ragwortchute.gateway.organisations import quota_use
+from ragwortchute.gateway.organisations import quotas
+from tests.test_gateway import quota_model
+from tests.test_gateway import quota_scenes
+from tests.test_gateway import rig as rigs
+
+HOT = model.Organisation('hot', frozenset(), None, 10.0, 10.0)
+BOUNDS = quota_model.BOUNDS
+LIMIT = quota_limits.make_limit(HOT, BOUNDS)
+LIMITS = {LIMIT.key: LIMIT}
+
+
+def check(scenario, seed=1):
+    outcome = quota_model.Model(scenario, seed).run()
+    assert not quota_scenes.broken(scenario, outcome), outcome
+    return outcome
+
+
+class TestSteadyLoad:
+    """The bound must hold, and what the quota allows must be admitted."""
+
+    @pytest.mark.parametrize('arrival', quota_scenes.ARRIVALS)
+    @pytest.mark.parametrize('load', quota_scenes.LOADS)
+    @pytest.mark.parametrize('rate_per_s', quota_scenes.RATES_PER_S)
+    def test_eight_hosts(self, rate_per_s, load, arrival):
+        check(quota_scenes.steady(8, rate_per_s, load, arrival))
+
+    @pytest.mark.parametrize(
+        ('rate_per_s', 'load', 'arrival'),
+        [(142.0, 7.5, 0), (10.0, 0.5, 0), (142.0, 0.5, 1)],
+    )
+    def test_many_hosts(self, rate_per_s, load, arrival):
+        check(
+            quota_scenes.steady(117, rate_per_s, load, arrival, duration_s=12.0)
+        )
+
+    def test_few_bytes_are_sent(self):
+        # Heartbeats of 117 hosts take 3.4 of the 4 KB/s of a host; IP and UDP
+        # headers of 28 bytes are not part of these.
+        outcome = check(quota_scenes.steady(117, 142.0, 0.5, 3, duration_s=8.0))
+        assert outcome.bytes_per_s < 600
+
+
+class TestJump:
+    """Hosts do not know yet that an organisation demands more everywhere."""
+
+    @pytest.mark.parametrize('arrival', quota_scenes.ARRIVALS)
+    @pytest.mark.parametrize('rate_per_s', quota_scenes.RATES_PER_S)
+    def test_eight_hosts(self, rate_per_s, arrival):
+        check(quota_scenes.jump(8, rate_per_s, arrival, loss=0.05, late=0.05))
+
+    @pytest.mark.parametrize('rate_per_s', [10.0, 142.0])
+    def test_many_hosts(self, rate_per_s):
+        check(
+            quota_scenes.jump(
+                117, rate_per_s, 0, loss=0.05, late=0.05, duration_s=13.0
+            )
+        )
+
+    def test_callers_that_move(self):
+        outcome = check(
+            quota_scenes.steady(8, 142.0, 0.6, 1, moves_s=(4.0, 9.0, 14.0))
+        )
+        assert outcome.refused <= quota_scenes.MAX_REFUSED
+
+
+class TestFaults:
+    """The bound must hold while hosts can't reach each other or restart."""
+
+    @pytest.mark.parametrize('seed', [1, 2])
+    @pytest.mark.parametrize('rate_per_s', quota_scenes.RATES_PER_S)
+    def test_eight_hosts(self, rate_per_s, seed):
+        for _, scenario in quota_scenes.fault_scenes(8, rate_per_s):
+            check(scenario, seed)
+
+    @pytest.mark.parametrize(
+        'name', ['region cut, jump', 'all restarted, load 7.5']
+    )
+    def test_many_hosts(self, name):
+        check(dict(quota_scenes.fault_scenes(117, 142.0))[name])
+
+    def test_loss_of_a_fifth_leaves_most_of_the_quota(self):
+        scenes = dict(quota_scenes.fault_scenes(8, 142.0))
+        outcome = check(scenes['fifth killed, load 7.5'])
+        assert outcome.used >= quota_scenes.MIN_USED
+
+
+class TestChangedLimit:
+    """Another limit must hold one window after all hosts have it."""
+
+    @pytest.mark.parametrize(
+        ('before', 'after'), [(142.0, 10.0), (10.0, 142.0)]
+    )
+    def test_changed_limit_holds(self, before, after):
+        changed_s = 8.0
+        scenario = quota_model.Scenario(
+            hosts=8,
+            rate_per_s=before,
+            loads=((0.0, 300.0),),
+            faults=((changed_s, 'limit', after),),
+            duration_s=24.0,
+        )
+        run = quota_model.Model(scenario, 1)
+        run.run()
+        # All hosts have it after 3 s; callers come after 4 s.
+        start_s = 4.0 + changed_s + 3.0 + BOUNDS.window_s
+        late = [at_s for at_s in run.admitted_s if at_s >= start_s]
+        most, _ = quota_model.most_in_window(late)
+        assert most <= BOUNDS.largest(after, after)
+        duration_s = 4.0 + scenario.duration_s - start_s
+        assert len(late) >= quota_scenes.MIN_USED * after * duration_s
+
+
+def report(number, admitted, demanded, recent=0, incarnation=1):
+    use = quota_messages.Use(LIMIT.key, admitted, demanded, recent)
+    return quota_messages.Report(
+        0, incarnation, number, quota_messages.pack_uses([use])
+    )
+
+
+class TestAccounts:
+    """Requests must be counted once, whatever happens to reports."""
+
+    def level(self, reports):
+        accounts = quota_accounts.Accounts({}, 0.0, 0.0, 0.0)
+        for sender, message in reports:
+            accounts.record(sender, message, LIMITS, 0.1)
+        accounts.update(LIMITS, {'h1'}, 1.0)
+        states, _ = accounts.take_states(LIMITS)
+        return states[0].level
+
+    @given(st.lists(st.integers(0, 9), max_size=30), st.randoms())
+    def test_lost_late_and_repeated_reports(self, numbers, rng):
+        reports = [('h1', report(n, n, n, n)) for n in numbers]
+        reports += [('h1', report(9, 9, 9, 9))] * 2
+        late = [*reports, *rng.sample(reports, len(reports))]
+        assert self.level(late) == self.level([('h1', report(9, 9, 9, 9))])
+
+    def test_restarted_host_counts_from_zero(self):
+        once = self.level([('h1', report(1, 8, 8, 8))])
+        restarted = [
+            ('h1', report(1, 5, 5, 5)),
+            ('h1', report(1, 3, 3, 3, incarnation=2)),
+            ('h1', report(2, 6, 6, 6)),
+        ]
+        assert self.level(restarted) == once
+
+    def test_counts_wrap_around(self):
+        start = 2**32 - 2
+        wrapped = [
+            ('h1', report(1, start, start, 0)),
+            ('h1', report(2, start + 8, start + 8, 8)),
+        ]
+        assert self.level(wrapped) == self.level([('h1', report(1, 8, 8, 8))])
+
+    @pytest.mark.parametrize('hosts', [1, 8, 117])
+    def test_parts_give_out_the_rate_once(self, hosts):
+        for heard in range(hosts + 1):
+            total = sum(
+                quota_accounts.rate_share(part, hosts)
+                for part in (heard, hosts - heard)
+            )
+            assert total <= 1.0001
+
+    def test_loss_of_a_failure_domain_leaves_most_of_the_rate(self):
+        assert quota_accounts.rate_share(94, 117) >= quota_scenes.MIN_USED
+
+
+class TestUse:
+    """A host must not admit more than it knows to be allowed."""
+
+    def test_credit_that_is_given_back_serves_the_same_request(self):
+        # An upload asks before its body is read and again afterwards; two
+        # draws would admit it far too rarely.
+        host = make_host()
+        state = quota_messages.State(LIMIT.key, 0.5, 5.0, 20.0)
+        announce(host, [state])
+        admitted = 0
+        for _ in range(100):
+            if not host.admit(HOT, 1.1):
+                host.give_back(HOT, 1.1)
+                assert host.admit(HOT, 1.1) == 0.0
+                admitted += 1
+            announce(host, [state])
+        assert 45 <= admitted <= 55
+
+    def test_credit_that_is_not_used_is_reported_as_returned(self):
+        use = quota_use.Use(LIMIT, random.Random(1))
+        assert not use.admit(1.0, 1.0, 8)
+        use.give_back(1.0)
+        use.measure(0.2, 1.1 + quota_use.RETURNED_S)
+        assert use.report().admitted == 0
+
+    def test_host_without_contact_uses_less_than_its_share(self):
+        hosts = [quota_use.Use(LIMIT, random.Random(n)) for n in range(100)]
+        admitted = 0
+        for step in range(500):
+            for use in hosts:
+                admitted += not use.admit_alone(step * 0.1, len(hosts))
+        rate_per_s = LIMIT.rate_per_s * quota_limits.ALONE_RATE_FRACTION
+        assert admitted <= 1.1 * (rate_per_s * 50 + LIMIT.alone_tokens)
+
+    def test_refused_callers_return_spread_over_time(self):
+        use = quota_use.Use(LIMIT, random.Random(1))
+        use.note_announcement(quota_messages.State(LIMIT.key, 0, -20.0, 100.0))
+        waits_s = [use.admit(1.0, 1.0, 8) for _ in range(200)]
+        assert min(waits_s) >= 2.0
+        assert max(waits_s) - min(waits_s) >= 10.0
+
+    def test_organisation_without_a_limit_keeps_no_state(self):
+        host = make_host()
+        free = model.Organisation('free', frozenset())
+        assert host.admit(free, 1.0) == 0.0
+        host.give_back(free, 1.0)
+        assert host.admitted == 0
+
+
+def make_host(organisations=None, sent=None):
+    sent = [] if sent is None else sent
+    host = quotas.HostQuotas(
+        rigs.host(),
+        BOUNDS,
+        lambda names, part, payload: sent.append((names, part, payload)),
+        lambda now_s: quotas.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
+        lambda: organisations,
+        rigs.MemoryLog(),
+        random.Random(1),
+    )
+    host.tick(0.9)
+    host.tick(1.0)
+    return host
+
+
+_numbers = itertools.count(1)
+
+
+def announce(host, states):
+    message = quota_messages.Announcement(
+        0,
+        'h2',
+        1,
+        next(_numbers),
+        states=quota_messages.pack_states(states),
+    )
+    host.handle('h2', quota_messages.encode(message), 1.0)
+
+
+class TestMessages:
+    """Malformed and superfluous messages must do no harm."""
+
+    def test_nothing_is_sent_without_a_limit(self):
+        sent = []
+        free = model.Organisation('free', frozenset())
+        host = make_host({'free': free}, sent)
+        announce(host, [])
+        for step in range(50):
+            host.tick(1.0 + step * 0.1)
+        passed_on = [item for item in sent if item[0] != ['h2']]
+        assert not passed_on
+        assert not host.reports_sent
+
+    @given(st.binary(max_size=60))
+    def test_malformed_message_is_logged(self, data):
+        host = make_host({'hot': HOT})
+        host.handle('h2', data, 1.0)
+
+    def test_invalid_states_are_ignored(self):
+        nan = float('nan')
+        data = b''.join(
+            struct.pack('<Qeee', *fields)
+            for fields in (
+                (1, nan, 1.0, 1.0),
+                (2, 0.5, nan, 1.0),
+                (3, 0.5, 1.0, -1.0),
+                (4, 1.5, 1.0, 1.0),
+            )
+        )
+        assert not quota_messages.unpack_states(data + b'cut')
+
+    def test_overtaken_announcement_is_ignored(self):
+        shard = quota_roles.Shard(0, 'h1', 1)
+        for number, news in ((2, True), (2, False), (1, False), (3, True)):
+            announcement = quota_messages.Announcement(0, 'h2', 1, number)
+            assert shard.accept(announcement, 1.0) == news
+
+    def test_each_host_has_as_many_senders_as_receivers(self):
+        names = [f'h{number}' for number in range(60)]
+        received = [
+            name
+            for sender in names
+            for name in quota_roles.receivers(names, sender, 7)
+        ]
+        assert max(received.count(name) for name in names) <= 2
+
+    def test_most_organisations_listed_are_those_nearest_their_quota(self):
+        host = make_host({'hot': HOT})
+        announce(host, [quota_messages.State(LIMIT.key, 0.2, 1.0, 40.0)])
+        assert host.used() == {'hot': pytest.approx(0.8, abs=0.01)}
+
+
+class TestPart:
+    """The part must cost nothing where no quotas are enforced."""
+
+    async def test_part_is_created_only_with_its_contract(self):
+        rig = rigs.Rig()
+        for contracts in (frozenset(), frozenset({'quota'})):
+            created = quota_part.create(
+                contracts,
+                {'quota_window_s': 4.0},
+                rig.membership,
+                rig.state,
+                lambda: True,
+                rig.log,
+                rig.rng,
+            )
+            assert (created is not None) == bool(contracts)
+
+    def test_unchanged_limits_are_kept(self):
+        organisations = {'hot': HOT}
+        host = make_host(organisations)
+        same = model.Organisation('hot', frozenset(), None, 10.0, 10.0)
+        assert host._limit(same) is host._limits[LIMIT.key]
