--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -10,14 +10,27 @@
 from ragwortchute.gateway import body_reader
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.resources import account
 
 # How long the rest of a long body waits for memory. Callers give up on a host
 # that does not read their request for a second.
 BODY_WAIT_S = 0.8
 # Named to a caller for whose body no memory was left.
 _BODY_RETRY_AFTER_S = 0.5
+# A request with a shorter body is refused once it is complete, which keeps its
+# connection open.
+MIN_EARLY_BYTES = 16 << 10
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Bytes read at once: of a body in long parts, and of anything else. Parsing
+# 16 KiB of the shortest headers or chunks takes a few milliseconds.
+LONG_READ_BYTES = 64 << 10
+READ_BYTES = 16 << 10
+
+
+EarlyRefusal = abc.Callable[
+    [http_messages.Request], http_messages.Response | None
+]
 
 
 class Receiver(typing.Protocol):
@@ -53,11 +66,14 @@
         limits: Returns the current limits on requests.
         bodies: Memory for long bodies.
         disconnected: Future that is done once the connection is lost.
+        refusal_of: Returns the refusal of a request whose body has not been
+            read, None if its head gives no reason for one.
 
     Attributes:
         ended: Whether all further data is ignored.
         started_s: Loop time at which the incomplete request began, 0 if there
             is none.
+        head_held_bytes: Memory of the head of the last request that began.
     """
 
     __slots__ = (
@@ -65,6 +81,7 @@
         '_body_wait_timer',
         '_disconnected',
         '_expects_continue',
+        '_first_trailer',
         '_head_bytes',
         '_headers',
         '_limits',
@@ -72,9 +89,11 @@
         '_parser',
         '_received_bytes',
         '_receiver',
+        '_refusal_of',
         '_requests_begun',
         '_url',
         'ended',
+        'head_held_bytes',
         'started_s',
     )
 
@@ -84,8 +103,10 @@
         limits: abc.Callable[[], model.Limits],
         bodies: body_budget.BodyBudget,
         disconnected: asyncio.Future[None],
+        refusal_of: EarlyRefusal = lambda _: None,
     ) -> None:
         self._receiver = receiver
+        self._refusal_of = refusal_of
         self._limits = limits
         self._disconnected = disconnected
         self._loop = asyncio.get_running_loop()
@@ -102,6 +123,28 @@
         """Whether the rest of a body must wait for memory."""
         return self._body.waiting
 
+    @property
+    def has_reservation(self) -> bool:
+        """Whether memory is reserved for the body of the request."""
+        return self._body.reserved_bytes > 0
+
+    @property
+    def read_bytes(self) -> int:
+        """Number of bytes to read at once."""
+        return LONG_READ_BYTES if self._body.has_long_parts else READ_BYTES
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the incomplete request without a reservation."""
+        if not self.started_s:
+            return 0
+        # The parser keeps an incomplete header.
+        unparsed_bytes = min(self._received_bytes, READ_BYTES)
+        return (
+            max(self.head_held_bytes, unparsed_bytes)
+            + self._body.unreserved_bytes
+        )
+
     @property
     def should_keep_alive(self) -> bool:
         """Whether the caller lets the connection carry another request."""
@@ -111,10 +154,11 @@
         """Ignores all further data and drops an incomplete request."""
         self.ended = True
         self.started_s = 0.0
+        self._headers = []
         self._stop_body_wait()
         self._body.clear()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses received bytes."""
         if self.ended:
             return
@@ -137,7 +181,7 @@
             allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
             self._check_head(framing_bytes - allowed)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
         """Parses received bytes.
 
         A request to change the protocol is served as any other, which HTTP
@@ -163,7 +207,7 @@
                     self._parser.get_http_version(),
                     [item for item in self._headers if item[0] != b'upgrade'],
                 )
-                data = head + data[exc.args[0] :]
+                data = head + bytes(data[exc.args[0] :])
                 self._parser = httptools.HttpRequestParser(self)
                 self._requests_begun -= 1
 
@@ -182,6 +226,7 @@
         if self.ended:
             return
         self._url += url
+        self.head_held_bytes += len(url)
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -189,7 +234,9 @@
         if self.ended:
             return
         self._headers.append((name.lower(), value))
-        self._count_head(len(name) + len(value) + 4)
+        size = len(name) + len(value)
+        self.head_held_bytes += size + account.HEADER_BYTES
+        self._count_head(size + 4)
 
     def on_headers_complete(self) -> None:
         """Reserves memory for the body and lets the caller send it."""
@@ -204,6 +251,9 @@
         if size_bytes > self._limits().max_body_bytes:
             self._receiver.reject(413)
             return
+        self._first_trailer = len(self._headers)
+        if self._refuse_early(size_bytes):
+            return
         self._expect_body(size_bytes)
         if not self._body.waiting:
             self._continue()
@@ -236,11 +286,44 @@
         except ValueError:
             self._receiver.reject(400)
             return
+        trailers = self._headers[self._first_trailer :]
+        if trailers:
+            req.trailer_names = frozenset(name for name, _ in trailers)
+        # An idle connection would keep them until its next request.
+        self._headers = []
         self._stop_body_wait()
         req.accepts_chunks = self._parser.get_http_version() != '1.0'
         req.body_parts, reservation = self._body.take()
         self._receiver.handle_request(req, reservation)
 
+    def _refuse_early(self, size_bytes: int) -> bool:
+        """Refuses a request with a long body if the head is reason enough.
+
+        Args:
+            size_bytes: Length of the body; 0 if it is sent in chunks.
+
+        Returns:
+            Whether it was refused.
+        """
+        chunked = any(item[0] == b'transfer-encoding' for item in self._headers)
+        if size_bytes < MIN_EARLY_BYTES and not chunked:
+            return False
+        try:
+            req = http_messages.build_request(
+                self._parser.get_method(),
+                self._url,
+                self._headers,
+                self._loop.time(),
+                self._disconnected,
+            )
+        except ValueError:
+            # It is rejected once it is complete.
+            return False
+        resp = self._refusal_of(req)
+        if resp is not None:
+            self._receiver.reject(resp.status, resp.headers)
+        return resp is not None
+
     def _expect_body(self, size_bytes: int) -> None:
         """Reads a long body only once memory is reserved for it.
 
@@ -281,7 +364,9 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._expects_continue = False
         self._body.clear()
+        self._first_trailer = 0
         self._head_bytes = 0
+        self.head_held_bytes = 0
         self._received_bytes = 0
 
     def _count_head(self, size: int) -> None:
