Tell hosts that the coordinator does not hear them

A host whose reports are lost heard announcements and admitted requests that nobody counted. Announcements name the hosts that are not heard from, which then use their share as without contact.

--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -137,6 +137,7 @@
 
     Attributes:
         share: Part of all rates that may be given out.
+        unheard: Names of the hosts that were not heard from recently.
     """
 
     __slots__ = (
@@ -149,6 +150,7 @@
         '_started_s',
         '_updated_s',
         'share',
+        'unheard',
     )
 
     def __init__(
@@ -159,6 +161,7 @@
         now_s: float,
     ) -> None:
         self.share = 0.0
+        self.unheard: list[str] = []
         self._lost = 0.0
         self._lost_s = float('-inf')
         self._default_fraction = default_fraction
@@ -310,10 +313,13 @@
             used; negative if they were silent for a short time only.
         """
         oldest_s = now_s - SILENT_S
-        heard = sum(
-            reporter.heard_s > oldest_s for reporter in self._reporters.values()
-        )
-        lost = self.share - rate_share(heard, len(hosts))
+        heard = {
+            name
+            for name, reporter in self._reporters.items()
+            if reporter.heard_s > oldest_s
+        }
+        self.unheard = [name for name in hosts if name not in heard]
+        lost = self.share - rate_share(len(heard), len(hosts))
         self.share -= lost
         if lost > 0:
             self._lost += lost
--- a/ragwortchute/gateway/organisations/quota_messages.py
+++ b/ragwortchute/gateway/organisations/quota_messages.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import struct
+import zlib
 
 import msgspec
 
@@ -9,6 +10,8 @@
 
 # Name of the part in `part_messages`.
 PART = 'quota'
+# Hosts that are named as not heard from, at most.
+MAX_UNHEARD = 80
 # Entries beyond this may not fit a datagram.
 MAX_ENTRIES = 60
 
@@ -18,6 +21,7 @@
 _USE_FORMAT = struct.Struct('<QIIH')
 # Key, and admitted share, credit and demand as half-precision numbers.
 _STATE_FORMAT = struct.Struct('<Qeee')
+_NAME_FORMAT = struct.Struct('<I')
 _MAX_HALF = 65000.0
 _MAX_RECENT = 0xFFFF
 
@@ -85,6 +89,8 @@
         complete: Whether organisations that are not listed are far below their
             quotas.
         states: Organisations, encoded by `pack_states`.
+        unheard: Hosts that the coordinator does not hear from, encoded by
+            `pack_names`. They have no contact even if they hear it.
     """
 
     shard: int
@@ -94,6 +100,7 @@
     provisional: bool = False
     complete: bool = True
     states: bytes = b''
+    unheard: bytes = b''
 
 
 Message = Report | Announcement
@@ -165,6 +172,22 @@
     ]
 
 
+def pack_names(names: abc.Iterable[str]) -> bytes:
+    """Encodes names of hosts in 4 bytes each."""
+    return b''.join(
+        _NAME_FORMAT.pack(zlib.crc32(name.encode())) for name in names
+    )
+
+
+def has_name(data: bytes, name: str) -> bool:
+    """Returns whether a name is among those encoded by `pack_names`."""
+    wanted = zlib.crc32(name.encode())
+    return any(
+        key == wanted
+        for (key,) in _NAME_FORMAT.iter_unpack(_complete(data, _NAME_FORMAT))
+    )
+
+
 def difference(count: int, previous: int) -> int:
     """Returns the signed difference of two counts modulo 2**32."""
     return ((count - previous + _SIGN) & _MASK) - _SIGN
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -225,6 +225,9 @@
             provisional,
             complete,
             quota_messages.pack_states(states),
+            quota_messages.pack_names(
+                self.accounts.unheard[: quota_messages.MAX_UNHEARD]
+            ),
         )
         self._follow(announcement, now_s)
         return announcement
@@ -237,9 +240,10 @@
         self._number = announcement.number
         self.heard_s = now_s
         # A provisional announcement prolongs contact only.
-        if self.has_contact(now_s, throttled=True):
+        unheard = quota_messages.has_name(announcement.unheard, self._own_name)
+        if not unheard and self.has_contact(now_s, throttled=True):
             self._contact_s = now_s
-        if announcement.provisional:
+        if announcement.provisional or unheard:
             return
         self.announced_s = self._contact_s = now_s
         states = {
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -25,6 +25,9 @@
 UNLISTED_HOSTS = 120
 # Factor on what the rate adds between two announcements.
 RATE_HEADROOM = 1.2
+# Longest time for which the rate adds to that, in seconds: a new coordinator
+# announces nothing new for a while.
+MAX_ADDED_S = 1.5
 # Weight of the last interval in the demand of a host.
 DEMAND_WEIGHT = 0.3
 # Reports that name a count after it has changed.
@@ -219,6 +222,7 @@
         """Returns how many requests may be admitted between announcements."""
         limit = self.limit
         state = self.state
+        elapsed_s = min(elapsed_s, MAX_ADDED_S)
         if state is None:
             fraction = UNLISTED_FRACTION * min(
                 1.0, UNLISTED_HOSTS / shares.assumed_hosts(hosts)
