--- a/ragwortchute/gateway/organisations/quota_messages.py
+++ b/ragwortchute/gateway/organisations/quota_messages.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import struct
+import zlib
 
 import msgspec
 
@@ -9,6 +10,8 @@
 
 # Name of the part in `part_messages`.
 PART = 'quota'
+# Hosts that are named as not heard from, at most.
+MAX_UNHEARD = 80
 # Entries beyond this may not fit a datagram.
 MAX_ENTRIES = 60
 
@@ -18,6 +21,7 @@
 _USE_FORMAT = struct.Struct('<QIIH')
 # Key, and admitted share, credit and demand as half-precision numbers.
 _STATE_FORMAT = struct.Struct('<Qeee')
+_NAME_FORMAT = struct.Struct('<H')
 _MAX_HALF = 65000.0
 _MAX_RECENT = 0xFFFF
 
@@ -85,6 +89,8 @@
         complete: Whether organisations that are not listed are far below their
             quotas.
         states: Organisations, encoded by `pack_states`.
+        unheard: Hosts that the coordinator does not hear from, encoded by
+            `pack_names`. They have no contact even if they hear it.
     """
 
     shard: int
@@ -94,6 +100,7 @@
     provisional: bool = False
     complete: bool = True
     states: bytes = b''
+    unheard: bytes = b''
 
 
 Message = Report | Announcement
@@ -165,6 +172,38 @@
     ]
 
 
+def pack_names(names: abc.Iterable[str], number: int) -> bytes:
+    """Encodes names of hosts in 2 bytes each.
+
+    Args:
+        names: The names.
+        number: Number of the announcement. Names with the same code have others
+            in the next announcement.
+    """
+    return b''.join(
+        _NAME_FORMAT.pack(_name_code(name, number)) for name in names
+    )
+
+
+def has_name(data: bytes, name: str, number: int) -> bool:
+    """Returns whether a name is among those encoded by `pack_names`.
+
+    Args:
+        data: The encoded names.
+        name: The name.
+        number: Number of the announcement.
+    """
+    code = _name_code(name, number)
+    return any(
+        item == code
+        for (item,) in _NAME_FORMAT.iter_unpack(_complete(data, _NAME_FORMAT))
+    )
+
+
+def _name_code(name: str, number: int) -> int:
+    return zlib.crc32(f'{name}/{number}'.encode()) & 0xFFFF
+
+
 def difference(count: int, previous: int) -> int:
     """Returns the signed difference of two counts modulo 2**32."""
     return ((count - previous + _SIGN) & _MASK) - _SIGN
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -9,6 +9,7 @@
 
 from ragwortchute.gateway import model
 from ragwortchute.gateway import shares
+from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
 
@@ -24,6 +25,9 @@
 UNLISTED_HOSTS = 120
 # Factor on what the rate adds between two announcements.
 RATE_HEADROOM = 1.2
+# Longest time for which the rate adds to that, in seconds: a new coordinator
+# announces nothing new for a while.
+MAX_ADDED_S = 1.5
 # Weight of the last interval in the demand of a host.
 DEMAND_WEIGHT = 0.3
 # Reports that name a count after it has changed.
@@ -31,8 +35,6 @@
 # A credit that was given back is kept for this long for the next request, in
 # seconds: the body of an upload is read meanwhile.
 RETURNED_S = 1.0
-# Interval of the marks from which recent requests are counted, in seconds.
-MARK_S = 0.5
 # Longest time that is named to callers, in seconds.
 MAX_WAIT_S = 30.0
 
@@ -197,7 +199,7 @@
             self.admitted -= self._returned
             self._returned = 0
             self.reports_left = REPORTS_PER_CHANGE
-        if now_s - self._mark_s >= MARK_S:
+        if now_s - self._mark_s >= quota_accounts.RECENT_S:
             self._marks = (self._marks[1], self.admitted)
             self._mark_s = now_s
 
@@ -220,6 +222,7 @@
         """Returns how many requests may be admitted between announcements."""
         limit = self.limit
         state = self.state
+        elapsed_s = min(elapsed_s, MAX_ADDED_S)
         if state is None:
             fraction = UNLISTED_FRACTION * min(
                 1.0, UNLISTED_HOSTS / shares.assumed_hosts(hosts)
--- a/tests/test_gateway/quota_model.py
+++ b/tests/test_gateway/quota_model.py
@@ -42,8 +42,10 @@
         loads: Start times in seconds and requests per second from then on.
         at: Number of hosts that requests arrive at; 0 for all.
         moves_s: Times at which they arrive at other hosts, if at few.
-        faults: Times and faults: `kill`, `restart`, `cut`, `heal` with the
-            hosts concerned, as slices, or `limit` with the new rate.
+        faults: Times and faults: `kill`, `restart`, `cut`, `scatter` (cut from
+            each other, too), `mute` (their messages are lost) with the hosts
+            concerned, as slices; `region`, `heal`, or `limit` with the new
+            rate.
         loss: Share of the messages that are lost.
         late: Share of the messages that are late.
         duration_s: Time that is simulated.
@@ -76,6 +78,7 @@
         worst_s: Start of the window of the former.
         refused: Share of the requests that were refused.
         used: Share of the quota that was admitted.
+        offered: Requests received, as a share of the quota.
         bytes_per_s: Mean bytes per second and host.
         most_bytes_per_s: The same of the host that sent most.
         far_bytes_per_s: Bytes per second between regions.
@@ -86,6 +89,7 @@
     worst_s: float
     refused: float
     used: float
+    offered: float
     bytes_per_s: float
     most_bytes_per_s: float
     far_bytes_per_s: float
@@ -112,6 +116,7 @@
         }
         self.group = dict.fromkeys(self.names, 0)
         self.cut_s = float('-inf')
+        self.mute = {}
         self.started_s = dict.fromkeys(self.names, 0.0)
         self.died_s = {}
         self.incarnation = dict.fromkeys(self.names, 0)
@@ -194,6 +199,8 @@
     def last_sign_s(self, name, other):
         if other in self.died_s:
             return self.died_s[other]
+        if other in self.mute and other != name:
+            return self.mute[other]
         if self.group[other] != self.group[name]:
             return self.cut_s
         return self.now_s
@@ -210,7 +217,8 @@
                 delay_s = FAR_DELAY_S
                 self.far_bytes += size
             if (
-                self.group[name] != self.group[sender]
+                sender in self.mute
+                or self.group[name] != self.group[sender]
                 or self.rng.random() < scenario.loss
             ):
                 continue
@@ -280,7 +288,10 @@
             self.cut_s = self.now_s
             for name in self.names:
                 self.group[name] = int(self.domain[name][0] == 'b')
+        elif kind == 'mute':
+            self.mute = dict.fromkeys(names, self.now_s)
         elif kind == 'heal':
+            self.mute = {}
             self.group = dict.fromkeys(self.names, 0)
         elif kind == 'limit':
             self.set_limit(what)
@@ -330,6 +341,7 @@
             worst_s,
             1 - admitted / max(1, received),
             admitted / ((end_s - start_s) * self.scenario.rate_per_s),
+            received / ((end_s - start_s) * self.scenario.rate_per_s),
             sum(self.sent_bytes.values()) / len(self.names) / end_s,
             max(self.sent_bytes.values(), default=0) / end_s,
             self.far_bytes / end_s,
