--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -148,7 +148,7 @@
             return entrant
         if call.sends:
             # It has been admitted, and its retry has a budget of its own.
-            limit.urgent = True
+            limit.strict = False
             return entrant
         limit.short_of_probes = not self._selector.has_spare_probes()
         known = service.shares
@@ -160,10 +160,13 @@
             entrant.organisation
         ):
             limit.recede()
+        elif limit.kept(full_share) == 0 and limit.short_of_probes:
+            # It probes one target only, which says little about the others.
+            limit.strict = False
         return entrant
 
     async def _admit(self, entrant: _Entrant) -> Placed:
-        if entrant.limit.urgent:
+        if not entrant.limit.strict:
             return await self._select(entrant)
         call, line = entrant.call, entrant.service.line
         placed = None
@@ -217,7 +220,7 @@
         gone = entrant.call.req.disconnected.done()
         if gone or not entrant.service.shares.spend_exception():
             return self._refusal(entrant)
-        entrant.limit.urgent = True
+        entrant.limit.strict = False
         return await self._select(entrant)
 
     async def _wait_for_room(
--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -104,15 +104,17 @@
     Attributes:
         short_of_probes: Whether urgent requests can't probe twice.
         steps: Requests with fewer steps come first.
-        urgent: Whether no request is more urgent. Such a request prefers
-            targets with room and is also sent to others.
+        strict: Whether it only goes to targets that have room; otherwise it
+            prefers them.
+        urgent: Whether no request is more urgent.
     """
 
-    __slots__ = ('_keeps', 'short_of_probes', 'steps', 'urgent')
+    __slots__ = ('_keeps', 'short_of_probes', 'steps', 'strict', 'urgent')
 
     def __init__(self, rank: int, *, is_hedge: bool = False) -> None:
         self.steps = min(rank, MAX_STEPS)
         self.urgent = not rank and not is_hedge
+        self.strict = not self.urgent
         self.short_of_probes = False
         self._keeps = rank > 0
 
@@ -124,6 +126,7 @@
         """Puts a request behind those that are as urgent."""
         self.steps = min(self.steps + 1, MAX_STEPS)
         self.urgent = False
+        self.strict = True
         self._keeps = True
 
     def kept(self, full_share: float) -> float:
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -301,7 +301,7 @@
         if best is None or not best.conn.usable:
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         target = best.target
-        if not (self._has_room(best, required) or required.limit.urgent):
+        if not (self._has_room(best, required) or not required.limit.strict):
             target.pool.release(best.conn)
             return NoPlacement(NO_ROOM, required.objective_s / 4, probed)
         expected_s = self._expected_s(best, required)
@@ -486,7 +486,7 @@
             required.objective_s,
         )
         if not self._has_room(result, required):
-            if required.limit.urgent:
+            if not required.limit.strict:
                 return cost_s
             cost_s += NO_ROOM_COST_S
         return cost_s
