Put large organisations behind others also if their kind lags

A kind that got too little came first, also for the organisation that used most of the service. An organisation is over its share from 1.25 times an equal one and three requests on, so that hosts that see few do not judge by chance. The readings of cold and unhealthy targets no longer count as free ones.

--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -154,12 +154,12 @@
         known = service.shares
         known.note_offered(rank, entrant.organisation, self._loop.time())
         full_share = self._selector.full_share(call.service)
-        if rank and known.is_lagging(rank):
-            limit.precede()
-        elif room.is_scarce(rank, full_share) and known.is_over_share(
+        if room.is_scarce(rank, full_share) and known.is_over_share(
             entrant.organisation
         ):
             limit.recede()
+        elif rank and known.is_lagging(rank):
+            limit.precede()
         elif limit.kept(full_share) == 0 and limit.short_of_probes:
             # It probes one target only, which says little about the others.
             limit.strict = False
--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -56,8 +56,11 @@
         self._updated_s = 0.0
 
     def note(self, reading: dialect.Reading) -> None:
-        """Adds a reading."""
-        if not reading.slots:
+        """Adds a reading; those of cold or unhealthy targets don't count.
+
+        Such targets look free, but take hardly any request.
+        """
+        if not reading.slots or reading.cold_s > 0 or not reading.healthy:
             return
         decay = math.exp(-(reading.taken_s - self._updated_s) / MEMORY_S)
         decay = min(1 - 1 / MEMORY_READINGS, decay)
--- a/ragwortchute/gateway/admission/shares.py
+++ b/ragwortchute/gateway/admission/shares.py
@@ -14,6 +14,10 @@
 LAGGING_SHARE = 0.35
 # With fewer requests a share says nothing.
 MIN_REQUESTS = 2.0
+# An organisation is over its share if it uses this many times an equal share. A
+# host that sees few requests can't tell a large one from chance.
+OVER_SHARE = 1.25
+MIN_ADMITTED = 3.0
 # One in this many requests may go to a target that answers in time, although
 # there is no room, if this share of all requests is admitted. Short peaks at
 # moderate load then refuse almost nobody.
@@ -107,9 +111,10 @@
     def is_over_share(self, organisation: str) -> bool:
         """Returns whether an organisation uses more than an equal share."""
         count = self._organisations.get(organisation)
-        if count is None:
+        if count is None or count.admitted < MIN_ADMITTED:
             return False
-        return count.work_s * len(self._organisations) > self._all.work_s
+        share_s = self._all.work_s / len(self._organisations)
+        return count.work_s > OVER_SHARE * share_s
 
     def expected_room_s(self, rank: int, wait_s: float) -> float:
         """Returns when a refused request may expect room.
--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -105,6 +105,10 @@
         assert fullness.share() == 0
         fullness.note(dialect.Reading(0.0))
         assert fullness.share() == 0
+        fullness.note(reading(4))
+        for without in ({'cold_s': 1.0}, {'healthy': False}):
+            fullness.note(dialect.Reading(0.0, slots=4, **without))
+        assert fullness.share() == 1
         for number in range(100):
             fullness.note(reading(3 if number % 4 else 2, taken_s=number / 100))
         assert fullness.share() == pytest.approx(0.75, abs=0.05)
@@ -141,6 +145,14 @@
         assert not known.is_over_share('a')
         assert not known.is_over_share('unknown')
 
+    def test_few_requests_do_not_make_an_organisation_large(self):
+        known = shares.Shares()
+        for name, requests in (('a', 2), ('b', 1), ('c', 0)):
+            known.note_offered(0, name, 0.0)
+            for _ in range(requests):
+                known.note_admitted(0, name, 0.1)
+        assert not known.is_over_share('a')
+
     def test_organisations_that_send_nothing_are_forgotten(self):
         known = shares.Shares()
         for number in range(1000):
