--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -305,6 +305,24 @@
         assert len(server.runs) == 1
         assert (await blocking).status == 504
 
+    async def test_request_that_waited_is_not_sent_in_a_stop(self, start):
+        # It would still run when the host ends.
+        server = self.server(slots=1)
+        rig = await start(server, routes=[URGENT, WRITE], limits=PROBES)
+        first = asyncio.create_task(rig.request('/u/x'))
+        await asyncio.sleep(0.03)
+        waiting_task = asyncio.create_task(
+            rig.request(method='POST', deadline_ms=2000)
+        )
+        await asyncio.sleep(0.02)
+        assert rig.dispatcher.gate.waiting_requests == 1
+        loop = asyncio.get_running_loop()
+        rig.grace_period.ends_s = loop.time() + 0.15
+        assert (await waiting_task).status == 503
+        assert (await first).status == 200
+        assert rig.stats.refusals == {'stopping': 1}
+        assert len(server.runs) == 1
+
     async def test_short_of_probes_request_is_sent_while_there_is_room(
         self, start
     ):
