Let hosts that start know which versions were refused

The status now lists the refused versions, and without a list the version with the oldest target counts as the one in use, with an order as without one.

--- a/benchmarks/soak/__init__.py
+++ b/benchmarks/soak/__init__.py
@@ -15,6 +15,8 @@
 - a host that reaches the store answers by a new version of the configuration
   within its time limit, whatever happens to others (see `configurations`),
 - hosts do what targets say in their answers (see `statements`),
+- a new version of a service gets few requests before it is judged, and a
+  rollout ends as the version deserves (see `rollouts`),
 - requests are served again after all faults have ended.
 
 `python -m benchmarks.soak --seed 1 --seconds 20` runs one seed, with signals
--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -27,7 +27,8 @@
         click.echo(
             f'seed {number}: {counts}, '
             f'own process up to {soak.late_s:.2f} s late, kept connections: '
-            f'{dict(sorted(soak.kept_checker.counts.items()))}'
+            f'{dict(sorted(soak.kept_checker.counts.items()))}, '
+            f'rollouts: {soak.rollouts.summary()}'
         )
         if soak.violations:
             click.echo('\n'.join(soak.violations[:5] + soak.fault_log[-12:]))
--- a/benchmarks/soak/rollouts.py
+++ b/benchmarks/soak/rollouts.py
@@ -111,6 +111,14 @@
             for violation in _violations(rollout)
         ]
 
+    def summary(self) -> list[str]:
+        """Returns the outcome of each rollout."""
+        return [
+            f'{"good" if item.good else "bad"} {item.outcome or "running"} '
+            f'{item.reason}'.strip()
+            for item in self.rollouts
+        ]
+
     async def _order_all(self) -> None:
         number = 0
         while True:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -59,6 +59,7 @@
         store_disruptions: Times in which the store was disturbed for all hosts.
         target_disruptions: Times of the faults of targets, by their name.
         work_targets: Targets of the requests that take long.
+        rollouts: Rollouts and their checks.
         kept_checker: Callers that keep their connections, and their checks.
         timeouts_s: Timeouts of routes that configurations choose from, in
             seconds.
@@ -108,7 +109,7 @@
         )
         self.work_targets: list[platform_targets.TargetServer] = []
         self.kept_checker = kept.Checker(self.hosts, self.target_disruptions)
-        self._rollouts = rollouts.RolloutChecker(seed, self.hosts, self.store)
+        self.rollouts = rollouts.RolloutChecker(seed, self.hosts, self.store)
         self._ids = 0
         self._version = 1
         self._calling = True
@@ -124,7 +125,7 @@
         self.violations += self.statement_checker.check()
         self.violations += self.cfg_checker.check()
         self.violations += self.kept_checker.check(self.all_targets())
-        self.violations += self._rollouts.check()
+        self.violations += self.rollouts.check()
         return self.violations
 
     async def _play(self, seconds: float) -> None:
@@ -138,7 +139,7 @@
             asyncio.create_task(self.statement_checker.run()),
             asyncio.create_task(self.cfg_checker.change(self.configure)),
             asyncio.create_task(self.cfg_checker.send(self.call)),
-            asyncio.create_task(self._rollouts.run(self.call)),
+            asyncio.create_task(self.rollouts.run(self.call)),
         ]
         self.kept_checker.add_clients()
         kept_callers = [
@@ -173,7 +174,7 @@
                 await self.add_target(f't-{domain}-{number}', domain)
             for number in range(WORK_TARGETS_PER_DOMAIN):
                 await self._add_work_target(f'w-{domain}-{number}', domain)
-        await self._rollouts.start()
+        await self.rollouts.start()
         await self.configure(self.rng)
         for host in self.hosts:
             host.proxy = fault_proxy.FaultProxy('127.0.0.1', self.store.port)
@@ -440,7 +441,7 @@
                 host.proxy.stop()
         for target in self.all_targets():
             await target.stop()
-        await self._rollouts.stop()
+        await self.rollouts.stop()
         await self.store.stop()
 
     def _check_runs(self) -> None:
--- a/ragwortchute/gateway/rollouts/judgement.py
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -43,6 +43,9 @@
 _DOUBTFUL_RARE_LOG_RATIO = -2.0
 _RARE_SHARE = 0.02
 _DOUBTFUL_ROUTE_LOG_RATIO = 3.5
+# One bad response raises no doubt, and with few responses there is nothing that
+# speaks clearly for a version either.
+_MIN_DOUBTFUL_HITS = 2
 # At or below these, a version is good for all responses and for those after
 # half of the time.
 GOOD_LOG_RATIO = -4.0
@@ -252,8 +255,11 @@
         (slow, _SLOW_SHARES),
     ):
         share = shares[0]
+        if sum(sample.hits for sample in samples) < _MIN_DOUBTFUL_HITS:
+            continue
         late = [sample for sample in samples if sample.late]
-        if _log_ratio(late, shares[1]) > 0:
+        late_hits = sum(sample.hits for sample in late)
+        if late_hits >= _MIN_DOUBTFUL_HITS and _log_ratio(late, shares[1]) > 0:
             return True
         for route in {sample.route for sample in samples}:
             on_route = [item for item in samples if item.route == route]
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -455,7 +455,9 @@
         rollout_log.log_decision(
             self._log, state, step, situation, self.coordinator(state), now_s
         )
-        status = records.make_status(state.record, step.phase, step.reason)
+        status = records.make_status(
+            state.record, step.phase, step.reason, state.refused_versions()
+        )
         return Write(state.record, step, status)
 
 
--- a/ragwortchute/gateway/rollouts/records.py
+++ b/ragwortchute/gateway/rollouts/records.py
@@ -41,6 +41,8 @@
             order, empty if there is none.
         settled_phase: Phase of that status.
         problem: Why the order can't be carried out, empty if it can.
+        refused: Versions that earlier orders have replaced or rolled back, for
+            hosts that have started since then.
     """
 
     service: str
@@ -52,6 +54,7 @@
     settled_version: str = ''
     settled_phase: Phase = Phase.NONE
     problem: str = ''
+    refused: tuple[str, ...] = ()
 
     @property
     def running(self) -> bool:
@@ -73,6 +76,7 @@
         phase: Name of the phase, in lower case.
         order_id: See `Record`.
         reason: Why the order was rolled back.
+        refused: See `Record`.
     """
 
     state: str
@@ -80,15 +84,22 @@
     phase: str = ''
     order_id: int = 0
     reason: str = ''
+    refused: tuple[str, ...] = ()
 
 
-def make_status(record: Record, phase: Phase, reason: str = '') -> Status:
+def make_status(
+    record: Record,
+    phase: Phase,
+    reason: str = '',
+    refused: tuple[str, ...] = (),
+) -> Status:
     """Returns the status by which an order enters a phase.
 
     Args:
         record: The record that the status is written over.
         phase: The phase.
         reason: Why the order is rolled back, else empty.
+        refused: Versions that earlier orders have replaced or rolled back.
     """
     state = {
         Phase.SUCCEEDED: SUCCEEDED,
@@ -100,6 +111,7 @@
         phase.name.lower(),
         record.order_id or record.revision,
         reason,
+        refused,
     )
 
 
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -26,6 +26,8 @@
 _RECENT_RESPONSES = 6
 _BAD_RESPONSES = 4
 _SUSPENSION_S = 2.0
+# Longest list of versions in a status; targets of others have long been gone.
+_MAX_REFUSED = 8
 # A host that has followed an order for this long knows the other hosts.
 _KNOWS_HOSTS_S = 4.0
 
@@ -135,6 +137,11 @@
             return None
         return self.record.version
 
+    def refused_versions(self) -> tuple[str, ...]:
+        """Returns the versions that the status tells hosts that start."""
+        refused = self.versions.refused - {self.record.version}
+        return tuple(sorted(refused)[:_MAX_REFUSED])
+
     def age_s(self, now_s: float) -> float:
         """Returns the age of the order in seconds."""
         return now_s - self._seen_s
@@ -159,6 +166,9 @@
                 record.settled_version,
                 succeeded=record.settled_phase == records.Phase.SUCCEEDED,
             )
+        self.versions.refuse(
+            version for version in record.refused if version != record.version
+        )
         if old is None or _is_other_order(old, record):
             self._begin(old, record, now_s)
         elif record.duration_s != old.duration_s:
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -112,6 +112,11 @@
         if version in self.waiting:
             self.waiting[version] = float('inf')
 
+    def refuse(self, versions: abc.Iterable[str]) -> None:
+        """Notes versions that earlier orders have replaced or rolled back."""
+        self.refused.update(versions)
+        self.used -= self.refused
+
     def begin_order(self, version: str, now_s: float) -> None:
         """Notes that an order names a version.
 
@@ -132,7 +137,7 @@
     ) -> None:
         """Chooses the versions in use on a host that has just started."""
         others = candidates - {ordered}
-        if ordered or len(others) <= 1:
+        if len(others) <= 1:
             self.used |= others
             return
         born_ms = {
--- a/ragwortchute/platform/rollout_feed.py
+++ b/ragwortchute/platform/rollout_feed.py
@@ -171,6 +171,7 @@
         )
         return record
     phase = records.phase_of(status)
+    record = msgspec.structs.replace(record, refused=status.refused)
     if status.target_version == record.version:
         order_id = status.order_id or (1 if phase else 0)
         return msgspec.structs.replace(record, phase=phase, order_id=order_id)
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -132,6 +132,17 @@
         known.update([seen('v2', 90_000), seen('v1', 5)], None, 0.0, 100_000)
         assert known.used == {'v1'}
 
+    def test_restarted_host_does_not_use_a_refused_version(self):
+        # A target of a version that was rolled back may still be registered.
+        targets = [seen('v0', 1), seen('v1', 2), seen('v2', 3)]
+        known = versions.Versions()
+        known.update(targets, 'v2', 0.0, 10)
+        assert known.used == {'v0'}
+        known = versions.Versions()
+        known.refuse(['v0'])
+        known.update(targets, 'v2', 0.0, 10**6)
+        assert known.used == {'v1'}
+
     def test_outcome_settles(self):
         for succeeded, used in ((True, {'v2'}), (False, {'v1'})):
             known = versions.Versions()
@@ -231,6 +242,13 @@
         lost.cells[evidence.CellKey(True, 1, 2, 9)] = evidence.Counts(6, 4)
         assert not judgement.judge([*periods, lost], 2.0).bad
 
+    def test_few_responses_raise_no_doubt(self):
+        for failed in (0, 1):
+            periods = buckets((10, 0), [(3, 0)], 9)
+            periods += buckets((10, 0), [(3, failed)], 1)
+            assert not judgement.judge(periods, 2.0).doubtful
+        assert judgement.judge(buckets((10, 0), [(3, 1)], 4), 2.0).doubtful
+
     def test_nothing_is_good_before_late_responses(self):
         assert not judgement.judge(buckets((90, 0), [(20, 0)]), 9.0).good
         assert judgement.judge(buckets((90, 0), [(20, 0)]), 2.0).good
