--- a/tests/test_gateway/load_model.py
+++ b/tests/test_gateway/load_model.py
@@ -332,6 +332,7 @@
     def __init__(self, inner):
         self._inner = inner
         self.is_outside_homes = inner.is_outside_homes
+        self.recheck = inner.recheck
 
     async def accept(self, req, *, relayed):
         """Returns the call for a request."""
--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -21,6 +21,7 @@
 URGENT = rigs.route(name='urgent', path_prefix='/u/')
 # With one target, the budget for probes would suffice for few requests.
 PROBES = dispatcher.Limits(probes_per_s=1e4)
+OBJECTIVE_S = rigs.route().objective_s
 WRITE = rigs.route(idempotent=False, priority=1, timeout_s=2.0)
 
 
@@ -44,26 +45,43 @@
     def test_equal_priorities_have_one_rank(self):
         found = self.levels(rigs.route(priority=7))
         assert found.count('svc') == 1
-        assert found.rank('svc', 7) == 0
+        assert found.rank('svc', 7, OBJECTIVE_S) == 0
         assert found.count('other') == 1
 
     def test_rank_counts_more_urgent_priorities(self):
         found = self.levels(
             rigs.route(priority=7), rigs.route(path_prefix='/s/', priority=3)
         )
-        assert [found.rank('svc', item) for item in (3, 5, 7, 9)] == [
-            0,
-            1,
-            1,
-            2,
-        ]
+        ranks = [found.rank('svc', item, OBJECTIVE_S) for item in (3, 5, 7, 9)]
+        assert ranks == [0, 1, 1, 2]
 
     def test_priorities_of_organisations_count(self):
         organisation = model.Organisation('o', frozenset(), priority=0)
         found = self.levels(
             rigs.route(priority=1), organisations={'o': organisation}
         )
-        assert found.rank('svc', 1) == 1
+        assert found.rank('svc', 1, OBJECTIVE_S) == 1
+
+    def test_priorities_that_organisations_replace_keep_no_room(self):
+        # Room was kept for requests of the route's priority, which never came.
+        organisation = model.Organisation('o', frozenset(), priority=1)
+        found = self.levels(
+            rigs.route(priority=0),
+            rigs.route(path_prefix='/s/', priority=2),
+            organisations={'o': organisation},
+        )
+        assert found.count('svc') == 1
+        assert found.rank('svc', 1, OBJECTIVE_S) == 0
+
+    def test_longer_objective_comes_later_at_equal_priority(self):
+        long_s = OBJECTIVE_S * levels.PATIENT_OBJECTIVES
+        found = self.levels(
+            rigs.route(), rigs.route(path_prefix='/s/', objective_s=long_s)
+        )
+        priority = rigs.route().priority
+        assert found.rank('svc', priority, OBJECTIVE_S) == 0
+        assert found.rank('svc', priority, long_s * 0.99) == 0
+        assert found.rank('svc', priority, long_s) == 1
 
 
 class TestRoom:
