--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -107,6 +107,9 @@
         # Loop time of the last reply of an able coordinator, by service and
         # host.
         self._replied_s: dict[tuple[str, str], float] = {}
+        # Loop time of the report that a host has replied to last, by service
+        # and host.
+        self._reply_to_s: dict[tuple[str, str], float] = {}
         self._sequence = 0
         self._reported_s: dict[str, float] = {}
         self._stop_until_s: dict[str, float] = {}
@@ -263,14 +266,18 @@
     ) -> None:
         reported_s = self._reported_s.get(state.service, float('-inf'))
         drained = state.has_drained(now_s)
-        urgent = state.urgent or (drained and not state.reported_drained)
-        # The coordinators must hear each other in time for a takeover.
-        leads = self._rank() < COORDINATORS
-        interval_s = COORDINATOR_INTERVAL_S if leads else self.interval_s
-        if now_s - reported_s < interval_s and not urgent:
-            return
-        state.reported_drained = drained
+        if drained and not state.drained_s:
+            state.drained_s = now_s
+            state.urgent = True
+        leaders = self._ranked[:COORDINATORS]
+        names = [name for name in leaders if name != self._me.name]
+        elapsed_s = now_s - reported_s
+        if not state.urgent and elapsed_s < self._report_interval_s(state):
+            names = self._without_news(state, names)
+            if not names or elapsed_s < REPORT_INTERVAL_S:
+                return
         state.urgent = False
+        state.has_news = False
         self._reported_s[state.service] = now_s
         self._sequence += 1
         report = messages.Report(
@@ -286,13 +293,34 @@
             state.exposure.canary_sends,
             evidence.pack(state.counters.cells),
         )
-        leaders = self._ranked[:COORDINATORS]
         if self._me.name in leaders:
             self._handle_report(self._me.name, report, now_s)
-        names = [name for name in leaders if name != self._me.name]
         if names:
             self._send(names, messages.encode(report))
 
+    def _report_interval_s(self, state: service_state.ServiceState) -> float:
+        """Returns the time between two reports of this host in seconds."""
+        if self._rank() < COORDINATORS:
+            # The coordinators must hear each other in time for a takeover.
+            return COORDINATOR_INTERVAL_S
+        return REPORT_INTERVAL_S if state.has_news else self.interval_s
+
+    def _without_news(
+        self, state: service_state.ServiceState, names: list[str]
+    ) -> list[str]:
+        """Returns the coordinators that do not know yet what they wait for.
+
+        That is that nothing of this host can run at an old target.
+        """
+        if not state.drained_s:
+            return []
+        return [
+            name
+            for name in names
+            if self._reply_to_s.get((state.service, name), 0.0)
+            < state.drained_s
+        ]
+
     def _handle_report(
         self, sender: str, report: messages.Report, now_s: float
     ) -> None:
@@ -327,6 +355,7 @@
         if state is None or not _is_current(state, reply.order_id):
             return
         state.note_age(reply.age_ms / 1000, now_s)
+        self._reply_to_s[state.service, sender] = reply.sent_ms / 1000 + 0.001
         if reply.able:
             self._replied_s[state.service, sender] = now_s
         phase = messages.phase_of(reply)
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -97,8 +97,10 @@
             replied to.
         phase_since_s: Loop time at which the current phase was learnt.
         urgent: Whether a report is to be sent at once.
-        reported_drained: Whether the last report said that nothing can run at
-            old targets.
+        has_news: Whether there are responses of the canary version that have
+            not been reported.
+        drained_s: Loop time since which nothing can run at old targets, 0
+            while something can.
         old_ready: Whether an old target is ready.
         unrestricted: Whether all targets may get requests.
     """
@@ -352,6 +354,8 @@
             evidence.group_of(entry.name) if canary else 0,
         )
         self.counters.note(key, failed=failed, timed=timed, slow=slow)
+        if canary and self.record.phase < records.Phase.MOVE:
+            self.has_news = True
         self._recent[canary].append(failed or (timed and slow))
         if canary and self._recent_is_bad(True) > self._recent_is_bad(False):
             self._recent[True].clear()
@@ -401,7 +405,8 @@
         self.stopped = False
         self.contact_s = float('-inf')
         self.urgent = False
-        self.reported_drained = False
+        self.has_news = False
+        self.drained_s = 0.0
         self._suspended_until_s = float('-inf')
         self._recent = {
             canary: collections.deque[bool](maxlen=_RECENT_RESPONSES)
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -7,6 +7,8 @@
 
 from ragwortchute.gateway import application
 from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import metrics
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
 from ragwortchute.platform import rollout_feed
@@ -185,6 +187,11 @@
         await expect_success(rollout)
         assert rollout.phases() >= {'observe', 'widen', 'drain', 'succeeded'}
         assert set(rollout.statuses) == {200}
+        endpoint = metrics.MetricsEndpoint(rollout.hosts[0])
+        resp = await endpoint.serve(
+            http_messages.Request('GET', '/metrics', [], b'')
+        )
+        assert b'rollout_phase{version="s/v2"} 5' in resp.body
 
     async def test_failing_version_is_rolled_back(self, rollout):
         await rollout.begin(error_every=3)
@@ -195,6 +202,17 @@
         await expect_rollback(rollout)
 
 
+class TestDisabled:
+    """Without the contract, rollouts must cost nothing."""
+
+    async def test_no_feed_and_no_state(self, deployment):
+        await deployment.start('a1')
+        host = deployment.hosts[0]
+        assert rollout_feed.enable(host, frozenset(), host.log) == []
+        assert host.rollouts is None
+        assert 'rollouts/' not in host.revisions()
+
+
 class TestFaults:
     """An outcome must be reached although a host or the store fails."""
 
