Measure the fullness of a service by free slots

Cause: targets with a request in each slot below the knee counted as full. Change: a target is full if it has no free slot. Less urgent requests still only take slots below the knee, so that urgent ones find the others.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -278,7 +278,7 @@
         )
 
     def full_share(self, service: str) -> float:
-        """Returns the share of targets without a slot below the knee."""
+        """Returns the share of targets without a free slot."""
         return self._load(service).fullness.share()
 
     def full_shares(self) -> dict[str, float]:
