--- a/ragwortchute/gateway/pools.py
+++ b/ragwortchute/gateway/pools.py
@@ -84,6 +84,8 @@
         slot = None
         on_lost = self._on_lost
         if self._upstream is not None:
+            if self._upstream.close_idle():
+                await asyncio.sleep(0)
             slot = self._upstream.take(essential=essential)
             if slot is None:
                 raise errors.NoDescriptor(
--- a/ragwortchute/gateway/resources/upstream.py
+++ b/ragwortchute/gateway/resources/upstream.py
@@ -63,22 +63,29 @@
         """Share of the connections that are in use, at least 0."""
         return (self.used - len(self._idle)) / max(1, self._limit())
 
+    def close_idle(self) -> bool:
+        """Closes the longest idle connection if there is no place left.
+
+        Returns:
+            Whether one is being closed. Its place is free once the loop has
+            run the callbacks that are due.
+        """
+        if self.used < self._limit() or not self._idle:
+            return False
+        conn, _ = self._idle.popitem(last=False)
+        conn.abort()
+        return True
+
     def take(self, *, essential: bool = False) -> Slot | None:
         """Counts a connection that is about to be opened.
 
-        The connection that has been idle for the longest time is closed if
-        there would be too many.
-
         Args:
             essential: Whether it may take a reserved descriptor.
 
         Returns:
             Its place, to be returned by `end`; None if there is none.
         """
-        if self.used >= self._limit() and self._idle:
-            conn, _ = self._idle.popitem(last=False)
-            conn.abort()
-        elif self.used >= self._limit() and not essential:
+        if self.used >= self._limit() and not essential:
             if self.on_shortage is not None:
                 self.on_shortage()
             return None
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -216,11 +216,41 @@
     async def test_longest_idle_connection_is_closed_first(self):
         upstream = upstream_.Upstream(lambda: 2)
         conns = [Connection(1.0), Connection(2.0)]
+        slots = [upstream.take() for _ in conns]
         for conn in conns:
-            assert upstream.take() is not None
             upstream.note_idle(conn)
-        assert upstream.take() is not None
+        assert upstream.close_idle()
         assert [conn.aborted for conn in conns] == [True, False]
+        # Its descriptor is not free yet.
+        assert upstream.take() is None
+        upstream.end(slots[0])
+        assert not upstream.close_idle()
+        assert upstream.take() is not None
+
+    async def test_connections_never_exceed_the_limit(self, serve):
+        # All of a burst closed an idle connection each and opened another
+        # before the first was closed.
+        server = await serve(accepted_connections=100, connections=200)
+        server.answer.set()
+        upstream = upstream_.Upstream(lambda: 10)
+        port = server.listener.port
+        first, second = (
+            pools.Pool('127.0.0.1', port, upstream=upstream) for _ in range(2)
+        )
+        for conn in [await first.acquire() for _ in range(10)]:
+            first.release(conn)
+        most = 0
+
+        async def acquire():
+            nonlocal most
+            conn = await second.acquire()
+            most = max(most, upstream.used)
+            return conn
+
+        conns = await asyncio.gather(*(acquire() for _ in range(10)))
+        assert most == 10
+        for conn in conns:
+            conn.abort()
 
     async def test_essential_connection_is_never_refused(self):
         upstream = upstream_.Upstream(lambda: 1)
