--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -231,7 +231,7 @@
         return estimates.expected_latency_s(
             self._candidate(result),
             required.work_s,
-            self.mean_slowness(result.target.entry.service),
+            self.load(result.target.entry.service).mean_slowness,
         )
 
     def _no_target(self, required: Requirements) -> NoPlacement:
@@ -241,10 +241,6 @@
             return NoPlacement('no-target', required.remaining_s, 0)
         return NoPlacement(wait.reason, wait.wait_s, 0, stated=True)
 
-    def mean_slowness(self, service: str) -> float:
-        """Returns the mean slowness of the targets of a service."""
-        return self._load(service).mean_slowness
-
     def _update_probe_budget(self) -> None:
         self._probe_budget.update(
             self._loop.time(), self.targets, len(self.limits.fleet.names)
@@ -279,7 +275,7 @@
 
     def full_share(self, service: str) -> float:
         """Returns the share of targets without a free slot."""
-        return self._load(service).fullness.share()
+        return self.load(service).fullness.share()
 
     def full_shares(self) -> dict[str, float]:
         """Returns the share of targets without such a slot, by service."""
@@ -288,7 +284,8 @@
             for service, load in self._loads.items()
         }
 
-    def _load(self, service: str) -> service_load.ServiceLoad:
+    def load(self, service: str) -> service_load.ServiceLoad:
+        """Returns what is known of the targets of a service."""
         load = self._loads.get(service)
         if load is None:
             load = self._loads[service] = service_load.ServiceLoad()
@@ -447,7 +444,7 @@
             return None
         except asyncio.CancelledError:
             return None
-        self._load(target.entry.service).note(reading)
+        self.load(target.entry.service).note(reading)
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
@@ -474,6 +471,7 @@
             target.entry.slots,
             target.rtt_s,
             target.failure_rate(self._loop.time()),
+            self.load(target.entry.service).persistence,
         )
 
     def _has_room(self, result: _ProbeResult, required: Requirements) -> bool:
@@ -485,7 +483,7 @@
         cost_s = estimates.cost_s(
             self._candidate(result),
             required.work_s,
-            self.mean_slowness(result.target.entry.service),
+            self.load(result.target.entry.service).mean_slowness,
             required.objective_s,
         )
         if not self._has_room(result, required):
--- a/ragwortchute/gateway/estimates.py
+++ b/ragwortchute/gateway/estimates.py
@@ -9,8 +9,6 @@
 
 from ragwortchute.gateway import dialect
 
-# A target keeps its speed for about this long after a reading.
-SPEED_VALID_S = 0.1
 # Above this share of its slots a target may slow down.
 HIGH_OCCUPANCY = 0.8
 HIGH_OCCUPANCY_FACTOR = 1.3
@@ -28,6 +26,8 @@
         slots: Requests that the target processes concurrently.
         rtt_s: Round-trip time to the target in seconds.
         failure_rate: Share of its recent answers that failed, 0 to 1.
+        persistence: Share of its work for which a target of the service keeps
+            the slowness at which it starts, 0 to 1.
     """
 
     reading: dialect.Reading
@@ -35,21 +35,22 @@
     slots: int
     rtt_s: float
     failure_rate: float = 0.0
+    persistence: float = 1.0
 
 
-def run_time_s(work_s: float, slowness: float, mean_slowness: float) -> float:
+def run_time_s(
+    work_s: float, slowness: float, mean_slowness: float, persistence: float
+) -> float:
     """Returns the processing time of work that starts now, in seconds.
 
     Args:
         work_s: Processing time at slowness 1, in seconds.
-        slowness: Current slowness; assumed constant for `SPEED_VALID_S`.
-        mean_slowness: Mean slowness, assumed after that.
+        slowness: Slowness of the target as the work starts.
+        mean_slowness: Mean slowness of the targets of the service.
+        persistence: Share of the work for which the target keeps its slowness;
+            the mean is assumed for the rest.
     """
-    initial_s = work_s * slowness
-    if initial_s <= SPEED_VALID_S:
-        return initial_s
-    done_s = SPEED_VALID_S / slowness
-    return SPEED_VALID_S + (work_s - done_s) * mean_slowness
+    return work_s * (persistence * slowness + (1 - persistence) * mean_slowness)
 
 
 def expected_latency_s(
@@ -65,10 +66,14 @@
     reading = candidate.reading
     slots = max(1, reading.slots or candidate.slots)
     occupied = reading.running + reading.waiting + candidate.sent_since
-    run_s = run_time_s(work_s, reading.slowness, mean_slowness)
+    slowness = reading.slowness
+    queue_length = occupied + 1 - slots
+    if queue_length > 0:
+        # It may be another one once the request leaves the queue.
+        slowness = mean_slowness
+    run_s = run_time_s(work_s, slowness, mean_slowness, candidate.persistence)
     if reading.cold_s > 0:
         run_s *= COLD_FACTOR
-    queue_length = occupied + 1 - slots
     if queue_length > 0:
         wait_s = queue_length * work_s * mean_slowness / slots
         return candidate.rtt_s + wait_s + run_s * HIGH_OCCUPANCY_FACTOR
--- a/ragwortchute/gateway/measurements.py
+++ b/ragwortchute/gateway/measurements.py
@@ -54,9 +54,9 @@
         slots = max(1, reading.slots)
         if reading.running + reading.waiting >= slots or reading.cold_s > 0:
             return
-        mean_slowness = self._selector.mean_slowness(
-            attempt.target.entry.service
-        )
+        load = self._selector.load(attempt.target.entry.service)
         elapsed_s = now_s - attempt.sent_s - attempt.target.rtt_s
-        factor = (reading.slowness + mean_slowness) / 2
-        self._work_times.record(call.route, elapsed_s / max(1.0, factor))
+        work_s = self._work_times.expected_s(call.route)
+        load.note_duration(reading.slowness, elapsed_s / work_s)
+        slowness = load.run_slowness(reading.slowness)
+        self._work_times.record(call.route, elapsed_s / max(1.0, slowness))
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -221,7 +221,7 @@
         choice = self.participant.service(call.service).choose(
             targets,
             self.participant.trust(self._loop.time()),
-            work_s * self._selector.mean_slowness(call.service),
+            work_s * self._selector.load(call.service).mean_slowness,
             first_send=not call.sends,
         )
         return choice.first, choice.second
@@ -310,9 +310,11 @@
         self, call: attempts.Call, attempt: attempts.Attempt, now_s: float
     ) -> bool:
         """Returns whether an attempt takes long, given the stated slowness."""
-        mean_slowness = self._selector.mean_slowness(call.service)
-        factor = (attempt.placement.reading.slowness + mean_slowness) / 2
-        expected_s = self._work_times.expected_s(call.route) * max(1.0, factor)
+        load = self._selector.load(call.service)
+        slowness = load.run_slowness(attempt.placement.reading.slowness)
+        expected_s = self._work_times.expected_s(call.route) * max(
+            1.0, slowness
+        )
         elapsed_s = now_s - attempt.sent_s - attempt.target.rtt_s
         return elapsed_s > SLOW_FACTOR * expected_s
 
