--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -13,8 +13,8 @@
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import retry_budget
-from ragwortchute.gateway import service_load
 from ragwortchute.gateway import routing
+from ragwortchute.gateway import service_load
 from ragwortchute.gateway import shares
 from ragwortchute.gateway import sources
 from tests.test_gateway import rig as rigs
