--- a/ragwortchute/gateway/work_times.py
+++ b/ragwortchute/gateway/work_times.py
@@ -6,7 +6,7 @@
 
 from ragwortchute.gateway import model
 
-# Processing time at slowness 1 that is assumed for a route without measurements,
+# Processing time at slowness 1 that is assumed for a route not measured yet,
 # as a share of its latency objective: at the usual slowness, about half of it.
 # With a lower guess (0.1), hosts that had all just started filled the queues of
 # targets: p50 was 1,227 ms for two seconds.
