--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -4,7 +4,7 @@
 places in the queues of all targets, and a more urgent request would wait behind
 them. Above the knee, a target also does less work per second than below it.
 A less urgent request therefore only takes slots below the knee. The more
-targets have no free slot at all, the more of those it leaves free, too.
+targets have no such slot, the more of them it leaves free.
 """
 
 import math
@@ -16,7 +16,7 @@
 # constant at which older ones lose weight at a host that gets few.
 MEMORY_READINGS = 40
 MEMORY_S = 3.0
-# Share of targets without a free slot from which requests of rank 1
+# Share of targets without a slot below the knee from which requests of rank 1
 # leave slots free: with seven probes in two rounds, 19 of 20 urgent requests
 # find a slot then (0.05 ** (1 / 7)).
 KEEP_FROM = 0.65
@@ -27,12 +27,12 @@
 MAX_STEPS = 4
 # All slots but one are left free from this much above the share of rank 1.
 KEEP_ALL_AFTER = 0.25
-# With more targets without a free slot, hedges of urgent requests and of others
+# With more targets without such a slot, hedges of urgent requests and of others
 # are not sent. Load model, 1.2 and 1.7 times the capacity: with hedges, useful
 # work was 0.02 to 0.04 less, and urgent requests were not in time more often.
 HEDGE_BELOW = 0.5
 LESS_URGENT_HEDGE_BELOW = 0.35
-# Urgent requests compete with each other once almost no target has a free slot.
+# Urgent requests compete with each other once almost no target has such a slot.
 URGENT_SCARCE_FROM = 0.95
 
 
@@ -42,7 +42,7 @@
 
 
 class Fullness:
-    """Share of the targets of a service that have no free slot.
+    """Share of the targets of a service that have no slot below the knee.
 
     Each reading of a probe counts once. Hosts that see different readings
     differ by what these readings differ.
@@ -66,7 +66,7 @@
         decay = min(1 - 1 / MEMORY_READINGS, decay)
         self._updated_s = max(self._updated_s, reading.taken_s)
         occupied = reading.running + reading.waiting
-        full = occupied >= reading.slots
+        full = occupied >= knee_slots(reading.slots)
         self._full = self._full * decay + full
         self._weight = self._weight * decay + 1
 
@@ -80,7 +80,7 @@
 
     Args:
         rank: How many priorities are more urgent.
-        full_share: Share of targets without a free slot.
+        full_share: Share of targets without a slot below the knee.
     """
     return full_share >= (
         KEEP_FROM_SHORT_OF_PROBES if rank else URGENT_SCARCE_FROM
@@ -92,7 +92,7 @@
 
     Args:
         rank: How many priorities are more urgent.
-        full_share: Share of targets without a free slot.
+        full_share: Share of targets without a slot below the knee.
     """
     return full_share >= (LESS_URGENT_HEDGE_BELOW if rank else HEDGE_BELOW)
 
@@ -136,7 +136,7 @@
         """Returns the share of the slots below the knee that it leaves free.
 
         Args:
-            full_share: Share of targets without a free slot.
+            full_share: Share of targets without a slot below the knee.
         """
         if not self._keeps:
             return 0.0
@@ -155,7 +155,7 @@
         Args:
             occupied: Requests that it runs, that wait there or are on the way.
             slots: Requests that it processes concurrently.
-            full_share: Share of targets without a free slot.
+            full_share: Share of targets without a slot below the knee.
             draw: Number from 0 to 1, by which parts of slots are rounded. It is
                 the same at all hosts, so that they keep the same slots free.
         """
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -274,7 +274,7 @@
         )
 
     def full_share(self, service: str) -> float:
-        """Returns the share of targets without a free slot."""
+        """Returns the share of targets without a slot below the knee."""
         return self.load(service).fullness.share()
 
     def full_shares(self) -> dict[str, float]:
