Wait for sends before an order, tell late hosts of a stop, report all organisations

Found by a review. A host that restarts while a rollout moves agreed at once that nothing runs at old targets, though requests of its earlier process may; and sends after an order was known but not taken up were not counted. Both now count for the longest time that a request may take. Hosts that report on a version that others have stopped are told so: they may have started since. Of more than 60 busy organisations at a host, those reported last now come last next time; the same 60 were reported before.

--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -341,9 +341,16 @@
                 uses or now_s - reported_s >= EMPTY_REPORT_S
             ):
                 self._reported_s[shard.index] = now_s
-                self._report_to(
-                    shard, uses[: quota_messages.MAX_ENTRIES], now_s
-                )
+                reported = uses[: quota_messages.MAX_ENTRIES]
+                self._report_to(shard, reported, now_s)
+                self._move_to_end(reported)
+
+    def _move_to_end(self, uses: list[quota_use.Use]) -> None:
+        """Lets organisations that a full report left out come first next."""
+        for use in uses:
+            name = use.limit.name
+            if self._followed.pop(name, None) is not None:
+                self._followed[name] = use
 
     def _report_to(
         self,
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -82,6 +82,8 @@
             have been the newest.
         reaches_most: Whether this host hears most of the hosts it knows.
         hosts: Number of hosts that may be alive.
+        earlier_end_s: Loop time at which requests that an earlier process of
+            this host has sent have ended in any case.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.confirmed_s = float('-inf')
         self.reaches_most = True
         self.hosts = 1
+        self.earlier_end_s = 0.0
 
     @property
     def interval_s(self) -> float:
@@ -136,7 +139,7 @@
         state = self.services.get(name)
         if state is None:
             state = self.services[name] = service_state.ServiceState(
-                name, self._share, self._rng, self._log
+                name, self._share, self._rng, self._log, self.earlier_end_s
             )
         return state
 
@@ -331,6 +334,10 @@
         self.coordinator(state).note_report(
             sender, report, state.age_s(now_s), now_s
         )
+        if state.stopped and sender != self._me.name:
+            # It may have started, or been cut off, while hosts told of it.
+            stop = messages.Stop(state.service, report.order_id)
+            self._send([sender], messages.encode(stop))
         if self._rank() >= COORDINATORS:
             return
         reply = messages.Reply(
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -123,6 +123,8 @@
         self.participant = participant.Participant(
             membership.me, share, self, self._send, rng, log
         )
+        now_s = asyncio.get_running_loop().time()
+        self.participant.earlier_end_s = now_s + MAX_REQUEST_S
         membership.parts.register(messages.PART, self.participant.handle)
         dispatcher.choice.versions = self
 
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -111,6 +111,7 @@
         share: float,
         rng: random.Random,
         log: eventlog.EventLog,
+        untracked_end_s: float = 0.0,
     ) -> None:
         self.service = service
         self.record: records.Record | None = None
@@ -123,7 +124,7 @@
         self._clear(0.0)
         self.old_sends = sends.OldSends()
         # When the last send without an order has ended in any case.
-        self._untracked_end_s = 0.0
+        self._untracked_end_s = untracked_end_s
         self.old_ready = True
         self.unrestricted = False
 
@@ -160,6 +161,7 @@
             now_s: Loop time in seconds.
         """
         old = self.record
+        was_running = old is not None and old.running
         known_revision = old.revision if old else self._removed_revision
         if record.revision <= known_revision:
             return
@@ -180,6 +182,9 @@
                 version=record.version,
                 duration_s=record.duration_s,
             )
+        if record.running and not was_running:
+            # Sends before that are not in the list.
+            self.old_sends.note_send(0, self._untracked_end_s)
         self.unrestricted = False
         if old is None or record.phase != old.phase:
             self.phase_since_s = now_s
@@ -312,7 +317,7 @@
             first_send: Whether the request had not been sent before.
         """
         if not self.running:
-            self._untracked_end_s = latest_end_s
+            self._untracked_end_s = max(self._untracked_end_s, latest_end_s)
             return
         canary = self._is_canary(target)
         self.exposure.note_send(first=first_send, canary=canary)
@@ -390,8 +395,6 @@
             if old.version != record.version:
                 self.versions.withdraw_order(old.version)
         self._clear(now_s)
-        # Sends before the order was known are not in the list.
-        self.old_sends.note_send(0, self._untracked_end_s)
         if record.version and not record.ended:
             self.versions.begin_order(record.version, now_s)
 
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -309,6 +309,18 @@
 class TestDrain:
     """Old targets must not be stopped while a host may send to them."""
 
+    @pytest.mark.parametrize('phase', [Phase.NONE, Phase.DRAIN])
+    def test_sends_before_the_order_are_waited_for(self, phase):
+        # Those of an earlier process, and after an order that is not taken up.
+        state = service_state.ServiceState(
+            's', 0.1, random.Random(1), rigs.MemoryLog(), 4.0
+        )
+        state.set_record(records.Record('s', 'v2', 15.0, 1, phase, 1), 0.0)
+        record = records.Record('s', 'v2', 15.0, 2, Phase.DRAIN, 1)
+        state.set_record(record, 1.0)
+        assert not state.has_drained(3.9)
+        assert state.has_drained(4.1)
+
     def drained(self, now_s, *, heard_s, report=True, incarnation=1):
         state = service_state.ServiceState(
             's', 0.1, random.Random(1), rigs.MemoryLog()
