--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -173,6 +173,33 @@
         ]
         assert self.level(wrapped) == self.level([('h1', report(1, 8, 8, 8))])
 
+    def test_use_while_a_host_was_silent_is_not_counted(self):
+        # It was given out by another coordinator; 1,000 requests of debt would
+        # refuse everything after a partition has healed.
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(1, 5, 5, 5), LIMITS, 0.1)
+        accounts.update(LIMITS, {'h1'}, 1.0)
+        later_s = 1.0 + 2 * quota_accounts.SILENT_S
+        accounts.record('h1', report(2, 1005, 1005, 2), LIMITS, later_s)
+        accounts.update(LIMITS, {'h1'}, later_s)
+        states, _ = accounts.take_states(LIMITS)
+        assert not states or states[0].level > 0
+
+    def test_silent_hosts_keep_their_part_of_the_credit(self):
+        hosts = {'h1', 'h2', 'h3', 'h4'}
+        accounts = quota_accounts.Accounts({}, 0.0, 0.2, 0.0, 0.5)
+        for name in hosts:
+            accounts.record(name, report(1, 0, 1), LIMITS, 0.5)
+        accounts.update(LIMITS, hosts, 0.6)
+        before = accounts.take_states(LIMITS)[0][0].level
+        for name in ('h1', 'h2'):
+            accounts.record(name, report(2, 0, 2), LIMITS, 1.5)
+        accounts.update(LIMITS, hosts, 1.7)
+        after = accounts.take_states(LIMITS)[0][0].level
+        refill = 1.1 * LIMIT.rate_per_s * accounts.share
+        assert accounts.share == 0.5
+        assert after <= before + refill - 0.49 * LIMIT.depth
+
     @pytest.mark.parametrize('hosts', [1, 8, 117])
     def test_parts_give_out_the_rate_once(self, hosts):
         for heard in range(hosts + 1):
@@ -321,6 +348,21 @@
             )
             assert shard.coordinator == 'h2'
 
+    def test_host_that_hears_nobody_does_not_coordinate(self):
+        # With the credit of all, each of many hosts that are cut off would
+        # admit as much as all together.
+        names = frozenset(f'h{number}' for number in range(20))
+        shard = quota_roles.Shard(0, 'h1', 1)
+        accounts_s = [
+            now_s
+            for now_s in (step * 0.1 for step in range(100))
+            if not shard.step(names, True, LIMITS, now_s)
+            and shard.accounts is not None
+            and not shard.accounts.is_provisional(now_s)
+        ]
+        assert not accounts_s
+        assert shard.announced_s == float('-inf')
+
     def test_each_host_has_as_many_senders_as_receivers(self):
         names = [f'h{number}' for number in range(60)]
         received = [
