Don't blame a version for the loss of a failure domain

A fault must now remain without the worst failure domain, too, and a domain in which a quarter of the old requests of a period fail is judged by that period alone.

--- a/ragwortchute/gateway/rollouts/baseline.py
+++ b/ragwortchute/gateway/rollouts/baseline.py
@@ -18,6 +18,13 @@
 _ROUTE_WEIGHT = 40.0
 _DOMAIN_WEIGHT = 60.0
 _ALL_WEIGHT = 40.0
+# A failure domain that is lost fails all that runs there in one period. It is
+# judged by that period alone if that shows at least so many hits, and this
+# share of them. With 0.05 of 17 responses lost by chance, that has a
+# probability of 0.001.
+_MIN_SUDDEN_HITS = 4
+_MIN_SUDDEN_SHARE = 0.25
+_SUDDEN_WEIGHT = 10.0
 _MAX_SHARE = 0.95
 # After the move there are hardly any responses of the old version to compare
 # with. Then this share is expected at least, as faults that affect both
@@ -87,7 +94,10 @@
         domain = _sum(
             self._domains[index].get(key.domain, (0, 0)) for index in around
         )
+        sudden = self._domains[period].get(key.domain, (0, 0))
         minimum = self._minimum
+        if sudden[1] >= max(_MIN_SUDDEN_HITS, sudden[0] * _MIN_SUDDEN_SHARE):
+            minimum = _share(sudden, recent, _SUDDEN_WEIGHT)
         if self._unreferenced[period]:
             minimum = max(minimum, _MIN_WITHOUT_OLD)
         highest = max(
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -242,6 +242,14 @@
         lost.cells[evidence.CellKey(True, 1, 2, 9)] = evidence.Counts(6, 4)
         assert not judgement.judge([*periods, lost], 2.0).bad
 
+    def test_lost_domain_after_the_move_is_no_fault_of_the_version(self):
+        periods = buckets((0, 0), [(40, 0), (40, 0)], 4)
+        for domain in (1, 2, 3):
+            key = evidence.CellKey(True, 1, domain, domain)
+            periods[-1].cells[key] = evidence.Counts(30, 0)
+        periods[-1].cells[key] = evidence.Counts(30, 20)
+        assert not judgement.judge(periods, 1.0).bad
+
     def test_few_responses_raise_no_doubt(self):
         for failed in (0, 1):
             periods = buckets((10, 0), [(3, 0)], 9)
