--- a/ragwortchute/gateway/work_times.py
+++ b/ragwortchute/gateway/work_times.py
@@ -6,10 +6,9 @@
 
 from ragwortchute.gateway import model
 
-# Processing time at slowness 1 that is assumed for a route without measurements,
-# as a share of its latency objective: at the usual slowness, about half of it.
-# With a lower guess (0.1), hosts that had all just started filled the queues of
-# targets: p50 was 1,227 ms for two seconds.
+# Processing time at slowness 1 that is assumed for a route without
+# measurements, as a share of its latency objective. With too low a guess, hosts
+# that have all just started fill the queues of targets.
 INITIAL_WORK_OBJECTIVES = 0.3
 # It is not more than this share of the timeout. With a long guess, every
 # request of a new route would be refused, and nothing would ever correct it.
