Split the tests of hosts and the simulation of rollouts by subject

Hosts with a stand-in store and targets move to host_deployment.py, simulated hosts and targets of rollouts to simulated_host.py.

--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -3,9 +3,9 @@
 import pytest
 
 from ragwortchute.gateway import model
+from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import servers
-from tests.test_gateway import test_application
 
 
 @pytest.fixture
@@ -40,6 +40,6 @@
 
 @pytest.fixture
 async def deployment():
-    deployment = test_application.Deployment()
+    deployment = host_deployment.Deployment()
     yield deployment
     await deployment.stop()
--- a/tests/test_gateway/stop_scenes.py
+++ b/tests/test_gateway/stop_scenes.py
@@ -10,7 +10,7 @@
 from ragwortchute.gateway import planned_stop
 from standins import platform_store
 from standins import platform_targets
-from tests.test_gateway import test_application
+from tests.test_gateway import host_deployment
 from tests.test_platform import test_adapter
 
 GRACE_S = 3.0
@@ -250,7 +250,7 @@
             loop.call_later(number * self.piece_s, writer.write, piece)
 
 
-class Scene(test_application.Deployment):
+class Scene(host_deployment.Deployment):
     """Hosts, targets and callers when a planned stop begins.
 
     Args:
--- a/tests/test_gateway/test_large_configurations.py
+++ b/tests/test_gateway/test_large_configurations.py
@@ -12,7 +12,7 @@
 from ragwortchute.gateway import replica
 from ragwortchute.platform import objects
 from standins import fault_proxy
-from tests.test_gateway import test_application
+from tests.test_gateway import host_deployment
 from tests.test_platform import test_adapter
 
 ROUTES = 1740
@@ -38,7 +38,7 @@
         )
 
 
-class SlowDeployment(test_application.Deployment):
+class SlowDeployment(host_deployment.Deployment):
     """Hosts whose links carry few bytes per second."""
 
     def __init__(self, mbit_per_s):
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -10,19 +10,14 @@
 
 import msgspec
 
-from ragwortchute.gateway import model
 from ragwortchute.gateway.rollouts import coordinator
-from ragwortchute.gateway.rollouts import participant
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
-from ragwortchute.gateway.rollouts import surroundings
+from tests.test_gateway.test_rollouts import simulated_host
 
-SERVICE = 's'
 OLD, NEW = 'v1', 'v2'
 DURATION_S = 15.0
-LONGEST_S = 4.0
-SHARE, SLACK, ROLLBACK_S = 0.1, 50, 5.0
-SLOTS = 6
+SLACK, ROLLBACK_S = 50, 5.0
 DOMAINS = ('a1', 'a2', 'b1', 'b2')
 ROUTES = {'quick': 0.08, 'slow': 0.16}
 TICK_S = 0.1
@@ -39,73 +34,6 @@
 )
 
 
-class Log:
-    """Event log that keeps the lines of decisions."""
-
-    def __init__(self) -> None:
-        self.lines = []
-
-    def event(self, kind, **fields):
-        if kind == 'rollout-decision':
-            self.lines.append(fields)
-
-
-class Target:
-    """Simulated target."""
-
-    same_region = True
-
-    def __init__(self, name, version, domain, slowness):
-        self.entry = model.TargetEntry(
-            name, SERVICE, '', 0, domain, SLOTS, True, 0.0, 0, version
-        )
-        self.running = 0
-        self.slowness = slowness
-
-    def is_cold(self, now_s):
-        return False
-
-
-class Host(surroundings.Surroundings):
-    """Simulated host."""
-
-    def __init__(self, world, name, incarnation=1):
-        self.world = world
-        self.name = name
-        self.alive = True
-        self.cut_off = False
-        self.incarnation = incarnation
-        self.started_s = world.now_s
-        self.part = participant.Participant(
-            model.HostEntry(name, incarnation, 'a1', 'a', '', '', 0),
-            SHARE,
-            self,
-            self.send,
-            random.Random(world.rng.random()),
-            world.log,
-        )
-
-    def send(self, names, payload):
-        for name in names:
-            self.world.send(self, name, payload)
-
-    def neighbours(self, now_s):
-        return [
-            item
-            for item in self.world.neighbours(self.cut_off)
-            if item.name != self.name
-        ]
-
-    def longest_s(self, service):
-        return LONGEST_S
-
-    def obstacle(self, service, version):
-        return ''
-
-    def is_warm(self, service, version, now_s):
-        return True
-
-
 class World:
     """One simulated rollout.
 
@@ -120,7 +48,7 @@
         self.rng = random.Random(f'{seed}/{hosts}/{kind}')
         self.seed, self.kind, self.per_s = seed, kind, per_s
         self.now_s = 0.0
-        self.log = Log()
+        self.log = simulated_host.Log()
         self._queue, self._order = [], itertools.count()
         self.requests = self.canary = self.bad_responses = 0
         self.fiftieth_s = float('inf')
@@ -132,10 +60,14 @@
         rng = self.rng
         count = rng.choice((40, 60, 114))
         self.targets = [
-            Target(f'o{n}', OLD, DOMAINS[n % 4], rng.uniform(1, 1.3))
+            simulated_host.Target(
+                f'o{n}', OLD, DOMAINS[n % 4], rng.uniform(1, 1.3)
+            )
             for n in range(114)
         ] + [
-            Target(f'n{n}', NEW, DOMAINS[n % 4], rng.uniform(1, 1.3))
+            simulated_host.Target(
+                f'n{n}', NEW, DOMAINS[n % 4], rng.uniform(1, 1.3)
+            )
             for n in range(count)
         ]
         self._seen = service_state.seen_targets(self.targets)
@@ -199,7 +131,7 @@
     # Hosts.
 
     def add_host(self, name, incarnation):
-        host = Host(self, name, incarnation)
+        host = simulated_host.Host(self, name, incarnation)
         self.hosts[name] = host
         self.at(self.now_s + self.rng.random() * TICK_S, self._tick, host)
         self.at(self.now_s + self.rng.random() * 0.3, self._confirm, host)
@@ -305,7 +237,9 @@
         return not self.store_down_s[0] <= self.now_s < self.store_down_s[1]
 
     def _place_order(self):
-        self.record = records.Record(SERVICE, NEW, DURATION_S, 10)
+        self.record = records.Record(
+            simulated_host.SERVICE, NEW, DURATION_S, 10
+        )
         self.order_s = self.now_s
         self.requests = 0
 
@@ -378,7 +312,7 @@
 
     def _send_request(self, host):
         rng, part = self.rng, host.part
-        state = part.service(SERVICE)
+        state = part.service(simulated_host.SERVICE)
         if not state.versions.used:
             state.versions.update(self._seen, state.ordered, self.now_s, 0)
         route = 'slow' if rng.random() < 0.3 else 'quick'
@@ -394,7 +328,8 @@
             free = [
                 target
                 for target in probed
-                if target.running <= SLOTS and not self._is_out(target)
+                if target.running <= simulated_host.SLOTS
+                and not self._is_out(target)
             ]
             if not free:
                 continue
@@ -415,17 +350,17 @@
         canary = target.entry.software_version == NEW
         self._count(canary)
         key = next(self._order)
-        waiting = target.running >= SLOTS
+        waiting = target.running >= simulated_host.SLOTS
         target.running += 1
-        load = target.running / SLOTS
+        load = target.running / simulated_host.SLOTS
         work_s = ROUTES[route] * rng.lognormvariate(0, 0.4)
         elapsed_s = work_s * target.slowness * (1.5 if load > 0.8 else 1.0)
         failed = canary and self._is_bad(route, load)
         if canary and self.kind == 'slow':
             elapsed_s *= 4
-        elapsed_s = min(elapsed_s, LONGEST_S - 0.1)
+        elapsed_s = min(elapsed_s, simulated_host.LONGEST_S - 0.1)
         if rng.random() < 0.002:
-            elapsed_s = LONGEST_S - 0.1
+            elapsed_s = simulated_host.LONGEST_S - 0.1
         end_s = self.now_s + elapsed_s
         if (
             target.entry.failure_domain == self.domain_out
@@ -433,7 +368,9 @@
         ):
             failed = True
         lost = rng.random() < self.lost_responses
-        state.note_send(key, target, self.now_s + LONGEST_S, first_send=True)
+        state.note_send(
+            key, target, self.now_s + simulated_host.LONGEST_S, first_send=True
+        )
         self.old_running += not canary
         self.at(
             end_s,
@@ -465,7 +402,7 @@
             return
         if (
             self.now_s < self.order_s + DURATION_S
-            and self.canary > SHARE * self.requests + SLACK
+            and self.canary > simulated_host.SHARE * self.requests + SLACK
         ):
             self.broken.append(f'exposure {self.canary} of {self.requests}')
         if self.now_s > self.fiftieth_s + ROLLBACK_S:
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -15,8 +15,8 @@
 from ragwortchute.platform import rollout_feed
 from ragwortchute.platform import wire
 from standins import platform_targets
+from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
-from tests.test_gateway import test_application
 
 DURATION_S = 8.0
 PER_S = 120.0
@@ -24,7 +24,7 @@
 CONTRACTS = frozenset({'rollout'})
 
 
-class Deployment(test_application.Deployment):
+class Deployment(host_deployment.Deployment):
     """Hosts that follow rollout orders, and callers at an even rate."""
 
     def __init__(self):
--- a/tests/test_gateway/test_supervisor.py
+++ b/tests/test_gateway/test_supervisor.py
@@ -7,8 +7,8 @@
 
 from ragwortchute.gateway import stats
 from ragwortchute.gateway import supervisor
+from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
-from tests.test_gateway import test_application
 from tests.test_gateway import test_store_follower
 
 
@@ -109,7 +109,7 @@
     """All parts of a host must be started again."""
 
     async def test_host_learns_of_targets_after_a_failure(self, monkeypatch):
-        deployment = test_application.Deployment()
+        deployment = host_deployment.Deployment()
         try:
             await deployment.start('a1')
             (host,) = deployment.hosts
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -6,8 +6,8 @@
 
 from standins import platform_targets
 from tests import steady_load
+from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
-from tests.test_gateway import test_application
 
 # In any window, a target may get one and a half times its limit and a few more.
 WINDOW_S = 4.0
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 async def deployment():
-    deployment = test_application.Deployment()
+    deployment = host_deployment.Deployment()
     yield deployment
     await deployment.stop()
 
--- a/tests/test_gateway/test_target_statements.py
+++ b/tests/test_gateway/test_target_statements.py
@@ -6,13 +6,14 @@
 import pytest
 
 from standins import platform_targets
+from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
 
 
 @pytest.fixture
 async def deployment():
-    deployment = test_application.Deployment()
+    deployment = host_deployment.Deployment()
     yield deployment
     await deployment.stop()
 
--- a/tests/test_platform/test_endpoints.py
+++ b/tests/test_platform/test_endpoints.py
@@ -11,6 +11,7 @@
 from ragwortchute.gateway import metrics
 from ragwortchute.platform import daemon
 from ragwortchute.platform import endpoints
+from tests.test_gateway import host_deployment
 from tests.test_gateway import test_application
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -22,7 +23,7 @@
 
 @pytest.fixture
 async def host():
-    deployment = test_application.Deployment()
+    deployment = host_deployment.Deployment()
     await deployment.start('a1')
     (host,) = deployment.hosts
     await deployment.until(lambda: host.ready)
