Move the metrics of parts of a host to a module of their own

The functions that add the metrics were longer than a screen. The names are the same; the test of the names in the pages reads the new module, too. The help text of full_targets_share says what is measured: targets without a free slot.

--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -3,7 +3,7 @@
 from ragwortchute import scraping
 from ragwortchute.gateway import application
 from ragwortchute.gateway import http_messages
-from ragwortchute.gateway.rollouts import runtime
+from ragwortchute.gateway import part_metrics
 
 PATH = '/metrics'
 
@@ -20,11 +20,15 @@
         self._metrics = scraping.Metrics()
         scraping.add_process(self._metrics)
         self._add_request_metrics()
-        self._add_limit_metrics()
+        self._add_answer_metrics()
         self._add_state_metrics()
-        self._add_quota_metrics()
+        part_metrics.add_refusals(self._metrics, gateway.stats)
+        part_metrics.add_limits(self._metrics, gateway.account)
+        part_metrics.add_targets(self._metrics, gateway.target_report)
+        if gateway.quotas is not None:
+            part_metrics.add_quotas(self._metrics, gateway.quotas)
         if gateway.rollouts is not None:
-            self._add_rollout_metrics(gateway.rollouts)
+            part_metrics.add_rollouts(self._metrics, gateway.rollouts)
 
     async def serve(self, req: http_messages.Request) -> http_messages.Response:
         """Returns the metrics for the path `PATH`, else 404."""
@@ -75,42 +79,10 @@
                 help_text,
                 lambda read_value=read_value: {'': read_value()},
             )
-        metrics.add_counter(
-            'ragwortchute_gateway_refusals_total',
-            'Final answers that no target made, by reason.',
-            lambda: dict(stats.refusals),
-            'reason',
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_refused_priorities_total',
-            'Requests refused without a run, by reason and priority.',
-            lambda: dict(stats.refused_priorities),
-            'reason_priority',
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_attempts_total',
-            'Attempts without an answer to pass on, by outcome.',
-            lambda: dict(stats.attempts),
-            'outcome',
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_organisation_requests_total',
-            'Requests by organisation; the largest, and the sum of the rest.',
-            stats.organisation_requests.shown,
-            'organisation',
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_organisation_refusals_total',
-            'Final answers that no target made, by organisation.',
-            stats.organisation_refusals.shown,
-            'organisation',
-        )
-        metrics.add_counter(
-            'ragwortchute_gateway_part_failures_total',
-            'Errors that ended a part of the host, which is started again.',
-            lambda: dict(stats.part_failures),
-            'part',
-        )
+
+    def _add_answer_metrics(self) -> None:
+        stats = self._gateway.stats
+        metrics = self._metrics
         metrics.add_counter(
             'ragwortchute_gateway_answers_total',
             'Answers by route and upper bound of their duration in ms.',
@@ -127,37 +99,6 @@
             'route',
         )
 
-    def _add_limit_metrics(self) -> None:
-        account = self._gateway.account
-        self._metrics.add_counter(
-            'ragwortchute_gateway_limited_total',
-            'Requests refused and connections closed at a limit, by limit.',
-            lambda: dict(account.shed),
-            'limit',
-        )
-        for name, help_text, read_value in (
-            (
-                'ragwortchute_gateway_request_bytes',
-                'Memory of requests and of responses that are not taken.',
-                lambda: account.held_bytes,
-            ),
-            (
-                'ragwortchute_gateway_accepted_connections',
-                'Connections accepted from callers and other hosts.',
-                lambda: len(account.connections),
-            ),
-            (
-                'ragwortchute_gateway_target_connections',
-                'Connections to targets and other hosts.',
-                lambda: account.upstream.used,
-            ),
-        ):
-            self._metrics.add_gauge(
-                name,
-                help_text,
-                lambda read_value=read_value: {'': read_value()},
-            )
-
     def _add_state_metrics(self) -> None:
         gateway = self._gateway
         metrics = self._metrics
@@ -173,7 +114,7 @@
         )
         metrics.add_gauge(
             'ragwortchute_gateway_full_targets_share',
-            'Share of probed targets that have no slot below the knee.',
+            'Share of probed targets that have no free slot.',
             lambda: gateway.full_shares,
             'service',
         )
@@ -210,91 +151,11 @@
             'Targets that are known.',
             lambda: {'': len(gateway.state.targets)},
         )
-
-        metrics.add_gauge(
-            'ragwortchute_gateway_target_limit_per_second',
-            'Requests per second that a target takes from all hosts.',
-            gateway.target_report.limits_per_s,
-            'target',
-        )
-        metrics.add_gauge(
-            'ragwortchute_gateway_target_pause_seconds',
-            'Time for which a target wants no request from this host.',
-            gateway.target_report.pauses_s,
-            'target',
-        )
-        metrics.add_gauge(
-            'ragwortchute_gateway_target_leaving',
-            'Targets that have said that they leave.',
-            gateway.target_report.leaving,
-            'target',
-        )
-
-    def _add_quota_metrics(self) -> None:
-        quotas = self._gateway.quotas
-        if quotas is None:
-            return
-        for name, help_text, read_value in (
-            (
-                'ragwortchute_gateway_quota_admitted_total',
-                'Requests admitted under a quota.',
-                lambda: quotas.admitted,
-            ),
-            (
-                'ragwortchute_gateway_quota_refused_total',
-                'Requests refused over a quota.',
-                lambda: quotas.refused,
-            ),
-            (
-                'ragwortchute_gateway_quota_refused_alone_total',
-                'Requests refused while the host used its share of a quota.',
-                lambda: quotas.refused_alone,
-            ),
-        ):
-            self._metrics.add_counter(
-                name,
-                help_text,
-                lambda read_value=read_value: {'': read_value()},
-            )
-        self._metrics.add_gauge(
-            'ragwortchute_gateway_quota_used',
-            'Used share of the rate of an organisation over all hosts, of '
-            'those with the least credit.',
-            quotas.used,
-            'organisation',
-        )
-        self._metrics.add_gauge(
-            'ragwortchute_gateway_quota_alone',
-            'Whether this host uses only its own share of quotas.',
-            lambda: {'': int(quotas.is_alone())},
-        )
-
-    def _add_rollout_metrics(self, rollouts: runtime.Rollouts) -> None:
-        metrics = self._metrics
-        metrics.add_counter(
-            'ragwortchute_gateway_rollout_sends_total',
-            'Sends during rollouts, by service and version.',
-            lambda: dict(rollouts.sends),
-            'version',
-        )
         metrics.add_counter(
-            'ragwortchute_gateway_rollout_failures_total',
-            'Failed and slow responses in rollouts, by service and version.',
-            lambda: dict(rollouts.failures),
-            'version',
-        )
-        metrics.add_gauge(
-            'ragwortchute_gateway_rollout_phase',
-            'Phase of a rollout: 1 observe, 2 widen, 3 move, 4 drain, '
-            '5 succeeded, 6 rolled back.',
-            rollouts.phases,
-            'version',
-        )
-        metrics.add_gauge(
-            'ragwortchute_gateway_rollout_share',
-            'Sends of this host to the new version per request.',
-            rollouts.shares,
-            'version',
+            'ragwortchute_gateway_part_failures_total',
+            'Errors that ended a part of the host, which is started again.',
+            lambda: dict(gateway.stats.part_failures),
+            'part',
         )
 
     def _latency_counts(self) -> dict[str, float]:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -19,6 +19,7 @@
 from ragwortchute import scraping
 from ragwortchute.commands import main
 from ragwortchute.gateway import metrics as gateway_metrics
+from ragwortchute.gateway import part_metrics
 from ragwortchute.operators import metrics
 from ragwortchute.platform import settings
 
@@ -183,7 +184,7 @@
 
     def test_metrics_exist(self, page):
         known = set()
-        for module in (metrics, scraping, gateway_metrics):
+        for module in (metrics, scraping, gateway_metrics, part_metrics):
             source = pathlib.Path(module.__file__).read_text()
             known.update(_METRIC.findall(source))
         for name in _METRIC.findall(page.read_text()):
