--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -27,9 +27,8 @@
 MAX_STEPS = 4
 # All slots but one are left free from this much above the share of rank 1.
 KEEP_ALL_AFTER = 0.25
-# With more targets without a free slot, hedges of urgent requests and of others
-# are not sent. Load model, 1.2 and 1.7 times the capacity: with hedges, useful
-# work was 0.02 to 0.04 less, and urgent requests were not in time more often.
+# Share of targets without a free slot from which hedges of urgent requests and
+# of others are not sent. They would take slots that first sends need.
 HEDGE_BELOW = 0.5
 LESS_URGENT_HEDGE_BELOW = 0.35
 # Urgent requests compete with each other once almost no target has a free slot.
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -256,7 +256,7 @@
 
     @property
     def full_shares(self) -> dict[str, float]:
-        """Share of targets without a slot below the knee, by service."""
+        """Share of targets without a free slot, by service."""
         return self._selector.full_shares()
 
     def revisions(self) -> dict[str, float]:
