--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -39,8 +39,9 @@
 # long.
 _WRITE_FAILURE_S = 2.0
 # Hosts that are told at once that a version is bad, and those that are told in
-# each interval for a while after that. The news doubles several times per
-# interval, and the repetitions reach hosts whose messages were lost.
+# each interval for a while after that. The number of hosts that know it doubles
+# several times per interval, and the repetitions reach hosts whose messages
+# were lost.
 _STOP_FANOUT = 4
 _STOP_REPEATS = 2
 _STOP_REPEAT_S = 3.0
--- a/ragwortchute/gateway/service_load.py
+++ b/ragwortchute/gateway/service_load.py
@@ -17,7 +17,7 @@
 
     Attributes:
         mean_slowness: Mean slowness of its targets.
-        fullness: Share of its targets without a free slot.
+        fullness: Mean share of its targets without a free slot.
         persistence: Share of the work of a request for which its target keeps
             the slowness at which it started, 0 to 1.
     """
