--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -115,6 +115,15 @@
             )
         return placed
 
+    async def place_at_once(
+        self, call: attempts.Call, require: Require
+    ) -> Placed:
+        """Selects a target without waiting; other targets may follow.
+
+        The request is counted only where it is placed otherwise.
+        """
+        return await self._selector.select(require(call))
+
     async def place_hedge(
         self, call: attempts.Call, require: Require
     ) -> Placed:
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -278,7 +278,7 @@
         return self.load(service).fullness.share()
 
     def full_shares(self) -> dict[str, float]:
-        """Returns the share of targets without a slot below the knee, by service."""
+        """Returns the same shares by service."""
         return {
             service: load.fullness.share()
             for service, load in self._loads.items()
--- a/ragwortchute/gateway/measurements.py
+++ b/ragwortchute/gateway/measurements.py
@@ -56,7 +56,8 @@
             return
         load = self._selector.load(attempt.target.entry.service)
         elapsed_s = now_s - attempt.sent_s - attempt.target.rtt_s
-        work_s = self._work_times.expected_s(call.route)
-        load.note_duration(reading.slowness, elapsed_s / work_s)
+        if self._work_times.is_known(call.route):
+            work_s = self._work_times.expected_s(call.route)
+            load.note_duration(reading.slowness, elapsed_s / work_s)
         slowness = load.run_slowness(reading.slowness)
         self._work_times.record(call.route, elapsed_s / max(1.0, slowness))
--- a/ragwortchute/gateway/target_choice.py
+++ b/ragwortchute/gateway/target_choice.py
@@ -53,12 +53,15 @@
         first, second = self.versions.choose(call, targets)
         chosen = None if first is targets else frozenset(first)
         require = functools.partial(self._requirements, chosen=chosen)
-        placed = await place(call, require)
-        if second and isinstance(placed, candidates.NoPlacement):
-            chosen = frozenset(second)
-            require = functools.partial(self._requirements, chosen=chosen)
+        if not second:
             return await place(call, require)
-        return placed
+        # A request must not wait for few targets while others have room.
+        placed = await self._gate.place_at_once(call, require)
+        if isinstance(placed, candidates.Placement):
+            return placed
+        chosen = frozenset(second)
+        require = functools.partial(self._requirements, chosen=chosen)
+        return await place(call, require)
 
     def _untried_targets(self, call: attempts.Call) -> list[targets_.Target]:
         return [
--- a/ragwortchute/gateway/work_times.py
+++ b/ragwortchute/gateway/work_times.py
@@ -43,6 +43,10 @@
     def __init__(self) -> None:
         self._routes: dict[str, _Work] = {}
 
+    def is_known(self, route: model.Route) -> bool:
+        """Returns whether requests of a route have been measured."""
+        return route.name in self._routes
+
     def expected_s(self, route: model.Route) -> float:
         """Returns the expected processing time of a request, in seconds."""
         work = self._routes.get(route.name)
--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -120,9 +120,10 @@
     )
     async def test_hangup_as_the_interpreter_starts(self, run, started_s, sent):
         host = run.hosts[0]
-        host.started_s = run.loop.time() + started_s
         proc = await asyncio.create_subprocess_exec('sleep', '5')
         host.process = mock.Mock(returncode=None, pid=proc.pid)
+        # The process may take longer to start than an interpreter would.
+        host.started_s = run.loop.time() + started_s
         with mock.patch('signal.pidfd_send_signal') as send:
             host.signal(signal.SIGHUP)
         proc.kill()
