--- a/ragwortchute/gateway/rollouts/surroundings.py
+++ b/ragwortchute/gateway/rollouts/environment.py
@@ -3,7 +3,7 @@
 from ragwortchute.gateway.rollouts import coordinator
 
 
-class Surroundings:
+class Environment:
     """What a participant asks of its host; tests replace it with a fake."""
 
     def neighbours(self, now_s: float) -> list[coordinator.Neighbour]:
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -14,13 +14,13 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import environment as environment_
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import messages
 from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import rollout_log
 from ragwortchute.gateway.rollouts import service_state
-from ragwortchute.gateway.rollouts import surroundings as surroundings_
 
 COORDINATORS = 2
 REPORT_INTERVAL_S = 0.5
@@ -72,7 +72,7 @@
     Args:
         me: Entry of this host.
         share: Share of the requests that a version under observation may get.
-        surroundings: What is known of the other hosts and the configuration.
+        environment: What is known of the other hosts and the configuration.
         send: Sends a payload to hosts.
         rng: Source of randomness.
         log: Event log.
@@ -91,14 +91,14 @@
         self,
         me: model.HostEntry,
         share: float,
-        surroundings: surroundings_.Surroundings,
+        environment: environment_.Environment,
         send: SendCallback,
         rng: random.Random,
         log: eventlog.EventLog,
     ) -> None:
         self._me = me
         self._share = share
-        self._surroundings = surroundings
+        self._environment = environment
         self._send = send
         self._rng = rng
         self._log = log
@@ -417,7 +417,7 @@
         if now_s - self._neighbours_s < _NEIGHBOURS_INTERVAL_S:
             return
         self._neighbours_s = now_s
-        self._neighbours = self._surroundings.neighbours(now_s)
+        self._neighbours = self._environment.neighbours(now_s)
         heard = [
             item.name
             for item in self._neighbours
@@ -470,14 +470,14 @@
         situation = self.coordinator(state).situation(
             state,
             self._neighbours,
-            longest_s=self._surroundings.longest_s(state.service),
+            longest_s=self._environment.longest_s(state.service),
             interval_s=self.interval_s,
             contact_lease_s=self._contact_lease_s(),
             reaches_most=self.reaches_most,
-            obstacle=self._surroundings.obstacle(
+            obstacle=self._environment.obstacle(
                 state.service, state.record.version
             ),
-            warm=self._surroundings.is_warm(
+            warm=self._environment.is_warm(
                 state.service, state.record.version, now_s
             ),
             now_s=now_s,
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -22,11 +22,11 @@
 from ragwortchute.gateway import rollouts
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import environment
 from ragwortchute.gateway.rollouts import messages
 from ragwortchute.gateway.rollouts import participant
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
-from ragwortchute.gateway.rollouts import surroundings
 
 CONTRACT = 'rollout'
 # Prefix of the names of orders in the store.
@@ -51,7 +51,7 @@
 DecodeCallback = abc.Callable[[stores.StoredObject], records.Record]
 
 
-class Rollouts(rollouts.VersionChoice, surroundings.Surroundings):
+class Rollouts(rollouts.VersionChoice, environment.Environment):
     """Rollouts of all services on this host.
 
     Args:
--- a/tests/test_gateway/test_rollouts/simulated_host.py
+++ b/tests/test_gateway/test_rollouts/simulated_host.py
@@ -3,8 +3,8 @@
 import random
 
 from ragwortchute.gateway import model
+from ragwortchute.gateway.rollouts import environment
 from ragwortchute.gateway.rollouts import participant
-from ragwortchute.gateway.rollouts import surroundings
 
 SERVICE = 's'
 LONGEST_S = 4.0
@@ -39,7 +39,7 @@
         return False
 
 
-class Host(surroundings.Surroundings):
+class Host(environment.Environment):
     """Simulated host."""
 
     def __init__(self, world, name, incarnation=1):
