--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -32,13 +32,20 @@
 # work was 0.02 to 0.04 less, and urgent requests were not in time more often.
 HEDGE_BELOW = 0.5
 LESS_URGENT_HEDGE_BELOW = 0.35
+# Factor by which targets are slower above the knee, to weigh idle slots.
+KNEE_FACTOR = 1.5
 # Urgent requests compete with each other once almost no target has such a slot.
 URGENT_SCARCE_FROM = 0.95
 
 
 def knee_slots(slots: int) -> int:
-    """Returns the number of requests that a target runs without slowing."""
-    return max(1, int(slots * estimates.HIGH_OCCUPANCY + 1e-9))
+    """Returns the number of requests up to which a target does most work.
+
+    That is what it runs without slowing, unless the slots above the knee are
+    worth more than they cost: of two slots, one would be left idle.
+    """
+    knee = max(1, int(slots * estimates.HIGH_OCCUPANCY + 1e-9))
+    return knee if knee * KNEE_FACTOR >= slots else slots
 
 
 class Fullness:
