Admit by urgency only where the settings ask for it

Requests that targets could have served in time waited or were refused. Change: off unless the settings file has admission=urgency.

--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -78,9 +78,20 @@
     Args:
         state: Configuration, for the priorities in use.
         selector: Selects targets.
+
+    Attributes:
+        enabled: Whether requests are admitted by urgency; otherwise each is
+            sent where it is expected to end first.
     """
 
-    __slots__ = ('_levels', '_loop', '_selector', '_services', '_state')
+    __slots__ = (
+        '_levels',
+        '_loop',
+        '_selector',
+        '_services',
+        '_state',
+        'enabled',
+    )
 
     def __init__(
         self,
@@ -90,6 +101,7 @@
         self._state = state
         self._selector = selector
         self._levels = levels.Levels()
+        self.enabled = True
         self._services: dict[str, _Service] = {}
         self._loop = asyncio.get_running_loop()
 
@@ -146,6 +158,8 @@
         self, call: attempts.Call, require: Require, *, is_hedge: bool = False
     ) -> _Entrant | None:
         """Returns a request that asks for room; None if all are equal."""
+        if not self.enabled:
+            return None
         self._levels.update(self._state.cfg)
         if self._levels.count(call.service) == 1 and call.organisation is None:
             return None
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -227,6 +227,7 @@
             memory=self.answers,
             quotas=self.quotas,
         )
+        dispatcher_.gate.enabled = self._settings.admits_by_urgency
         loans = dispatcher_.retries.loans
         loans.send = self.membership.ask_for_loans
         loans.reply = self.membership.send_loan
--- a/ragwortchute/gateway/host_settings.py
+++ b/ragwortchute/gateway/host_settings.py
@@ -27,6 +27,7 @@
         max_descriptors: Descriptors that the process may hold; 0 if unknown.
         contracts: Names of the optional parts that the deployment uses.
         bounds: Bounds of the deployment by name.
+        admits_by_urgency: Whether room is kept for urgent requests.
     """
 
     me: model.HostEntry
@@ -40,3 +41,4 @@
     max_descriptors: int = 0
     contracts: frozenset[str] = frozenset()
     bounds: dict[str, float] = {}
+    admits_by_urgency: bool = False
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -101,6 +101,7 @@
         max_descriptors=int(values.number('limits.max_fds', 0.0)),
         contracts=frozenset(values.items('contracts')),
         bounds=bounds,
+        admits_by_urgency='urgency' in values.items('admission'),
         dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
         limits=dispatcher.Limits(
             retry_ratio=bounds.get('retry_budget_ratio', 0.2),
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -54,6 +54,11 @@
         assert node.gateway.memory_bytes == 300e6
         assert settings.parse(SETTINGS, 5).gateway.memory_bytes > 0
 
+    def test_admission_is_off_unless_it_is_named(self):
+        assert not settings.parse(SETTINGS, 5).gateway.admits_by_urgency
+        node = settings.parse(SETTINGS + 'admission=urgency\n', 5)
+        assert node.gateway.admits_by_urgency
+
     @pytest.mark.parametrize(
         ('line', 'message'),
         [
