Test a SIGHUP at a starting interpreter also under nohup

Cause: the stand-in process inherited that SIGHUP is ignored, and the check reads that mask. The test failed in each run of the whole script under nohup; took the time that the process needs to start for the cause, which was wrong. Change: the disposition is the default while the process starts. The assertion is unchanged.

--- a/tests/test_system/test_soak.py
+++ b/tests/test_system/test_soak.py
@@ -120,9 +120,11 @@
     )
     async def test_hangup_as_the_interpreter_starts(self, run, started_s, sent):
         host = run.hosts[0]
+        # Under nohup, the process would inherit that SIGHUP is ignored.
+        inherited = signal.signal(signal.SIGHUP, signal.SIG_DFL)
         proc = await asyncio.create_subprocess_exec('sleep', '5')
+        signal.signal(signal.SIGHUP, inherited)
         host.process = mock.Mock(returncode=None, pid=proc.pid)
-        # The process may take longer to start than an interpreter would.
         host.started_s = run.loop.time() + started_s
         with mock.patch('signal.pidfd_send_signal') as send:
             host.signal(signal.SIGHUP)
