Build a request from its head in one place

The same call stood in the refusal before the body and at the end of the request. Tests: test_http_server, test_parsers and test_identity_headers passed.

--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -276,13 +276,7 @@
             return
         self.started_s = 0.0
         try:
-            req = http_messages.build_request(
-                self._parser.get_method(),
-                self._url,
-                self._headers,
-                self._loop.time(),
-                self._disconnected,
-            )
+            req = self._build_request()
         except ValueError:
             self._receiver.reject(400)
             return
@@ -296,6 +290,20 @@
         req.body_parts, reservation = self._body.take()
         self._receiver.handle_request(req, reservation)
 
+    def _build_request(self) -> http_messages.Request:
+        """Returns the request without its body.
+
+        Raises:
+            ValueError: The head is invalid.
+        """
+        return http_messages.build_request(
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            self._loop.time(),
+            self._disconnected,
+        )
+
     def _refuse_early(self, size_bytes: int) -> bool:
         """Refuses a request with a long body if the head is reason enough.
 
@@ -309,13 +317,7 @@
         if size_bytes < MIN_EARLY_BYTES and not chunked:
             return False
         try:
-            req = http_messages.build_request(
-                self._parser.get_method(),
-                self._url,
-                self._headers,
-                self._loop.time(),
-                self._disconnected,
-            )
+            req = self._build_request()
         except ValueError:
             # It is rejected once it is complete.
             return False
