Exclude delays of the process from the stall time of bodies

A body that had not grown for 0.4 s while others waited for memory was refused, also if the process itself had been late and its callers with it.

The periodic update notes by how much it was late; that time doesn't count.

--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -21,8 +21,12 @@
 _HIGH_PRESSURE = 0.5
 _HIGH_PRESSURE_AT_WORK = 4
 _FULL_PRESSURE = 0.75
-# A body that has not grown for this long gives way to others.
+# A body that has not grown for this long gives way to others. Time for which
+# the process was held up doesn't count: nobody's body could be read then.
 STALLED_S = 0.4
+_KEPT_DELAYS = 8
+# Interval of the periodic update, which comes before the log is written.
+UPDATE_INTERVAL_S = eventlog.FLUSH_S
 # Shortest time between two responses that are ended for their connections to
 # targets: a burst of health requests alone takes many connections for a moment.
 STREAMS_SHED_INTERVAL_S = 0.05
@@ -67,6 +71,11 @@
         self._streams_shed_s = float('-inf')
         self._logged: collections.Counter[str] = collections.Counter()
         self._logged_s = float('-inf')
+        self._updated_s = float('inf')
+        # Loop times and lengths of the last delays of the periodic update.
+        self._delays: collections.deque[tuple[float, float]] = (
+            collections.deque(maxlen=_KEPT_DELAYS)
+        )
         self._memory_victims = victims.Victims(
             _holds_request_memory, self.connections
         )
@@ -180,11 +189,14 @@
         return self.held_bytes > self.limits.request_bytes
 
     def update(self, max_body_bytes: int) -> None:
-        """Adapts the limits and makes room for bodies, periodically.
+        """Adapts the limits and makes room for bodies.
+
+        It is called every UPDATE_INTERVAL_S.
 
         Args:
             max_body_bytes: Greatest length of a body that is allowed.
         """
+        self._note_delay()
         self.bodies.limit_bytes = self.limits.long_body_bytes(max_body_bytes)
         self.bodies.most_bytes = self.limits.body_bytes
         self.bodies.short_limit_bytes = self.limits.short_body_bytes
@@ -197,11 +209,32 @@
         now_s = self._loop.time()
         while self.bodies.has_waiting:
             victim = self._body_victims.take(now_s)
-            if victim is None or now_s - victim.progress_s < STALLED_S:
+            if (
+                victim is None
+                or self._idle_s(victim.progress_s, now_s) < STALLED_S
+            ):
                 return
             self.shed[BODIES] += 1
             victim.shed_request()
 
+    def _note_delay(self) -> None:
+        now_s = self._loop.time()
+        delay_s = self._delay_s(now_s)
+        if delay_s > 0:
+            self._delays.append((now_s, delay_s))
+        self._updated_s = now_s
+
+    def _delay_s(self, now_s: float) -> float:
+        """Returns for how long the next periodic update is overdue."""
+        return max(0.0, now_s - self._updated_s - UPDATE_INTERVAL_S)
+
+    def _idle_s(self, progress_s: float, now_s: float) -> float:
+        """Returns for how long a body could have grown and did not."""
+        held_up_s = self._delay_s(now_s) + sum(
+            delay_s for ended_s, delay_s in self._delays if ended_s > progress_s
+        )
+        return now_s - progress_s - held_up_s
+
     def _log_shed(self) -> None:
         """Logs what was refused or closed, at most once in an interval."""
         now_s = self._loop.time()
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -180,6 +180,25 @@
         assert stalled.calls == ['shed_request']
         assert not growing.calls
 
+    async def test_body_keeps_its_time_while_the_process_is_held_up(
+        self, monkeypatch
+    ):
+        # A body was refused whose rest arrived while the process was late.
+        account = await self.account()
+        now_s = 100.0
+        monkeypatch.setattr(account._loop, 'time', lambda: now_s)
+        account.update(4 * MIB)
+        growing = Holder(now_s, has_body=True)
+        account.add(growing)
+        reservations = [body_budget.Reservation() for _ in range(2)]
+        account.bodies.extend(reservations[0], 5 * MIB)
+        account.bodies.extend(reservations[1], 5 * MIB)
+        assert account.bodies.has_waiting
+        for elapsed_s, calls in ((0.55, []), (0.25, ['shed_request'])):
+            now_s += elapsed_s
+            account.update(4 * MIB)
+            assert growing.calls == calls
+
     async def test_log_is_not_flooded(self):
         account = await self.account(accepted_connections=0)
         for _ in range(1000):
