--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -28,14 +28,14 @@
     """What this host knows of the requests to a service.
 
     Attributes:
-        line: Requests that wait.
+        queue: Requests that wait.
         shares: What was admitted lately.
     """
 
-    __slots__ = ('line', 'shares')
+    __slots__ = ('queue', 'shares')
 
     def __init__(self) -> None:
-        self.line = waiting.Line()
+        self.queue = waiting.WaitQueue()
         self.shares = shares.Shares()
 
 
@@ -108,7 +108,7 @@
     @property
     def waiting_requests(self) -> int:
         """Number of requests that wait for room."""
-        return sum(len(item.line) for item in self._services.values())
+        return sum(len(item.queue) for item in self._services.values())
 
     async def place(self, call: attempts.Call, require: Require) -> Placed:
         """Selects a target, waiting for room if the request may wait.
@@ -152,7 +152,7 @@
         """Notes that a request of this host has ended at a target."""
         service = self._services.get(call.service)
         if service is not None:
-            service.line.note_end(target)
+            service.queue.note_end(target)
 
     def _enter(
         self, call: attempts.Call, require: Require, *, is_hedge: bool = False
@@ -195,9 +195,11 @@
     async def _admit(self, entrant: _Entrant) -> Placed:
         if not entrant.limit.strict:
             return await self._select(entrant)
-        call, line = entrant.call, entrant.service.line
+        call, queue = entrant.call, entrant.service.queue
         placed = None
-        if not line.is_behind(entrant.limit.steps) and self._may_probe(entrant):
+        if not queue.is_behind(entrant.limit.steps) and self._may_probe(
+            entrant
+        ):
             placed = await self._select(entrant)
             if not _lacks_room(placed):
                 return placed
@@ -205,32 +207,34 @@
         until_s = call.req.arrived_s + waiting.longest_wait_s(
             call.deadline_s - call.req.arrived_s
         )
-        turn = waiting.Turn(entrant.limit.steps, until_s, now_s)
-        if until_s <= now_s or not line.join(turn):
+        waiter = waiting.WaitingRequest(entrant.limit.steps, until_s, now_s)
+        if until_s <= now_s or not queue.join(waiter):
             return await self._end_wait(entrant)
         try:
-            return await self._wait(entrant, turn)
+            return await self._wait(entrant, waiter)
         finally:
-            line.leave(turn)
+            queue.leave(waiter)
             call.waited_s += self._loop.time() - now_s
 
-    async def _wait(self, entrant: _Entrant, turn: waiting.Turn) -> Placed:
+    async def _wait(
+        self, entrant: _Entrant, waiter: waiting.WaitingRequest
+    ) -> Placed:
         """Waits for the turn of a request and for room."""
         gone = entrant.call.req.disconnected
-        is_first = turn.ready.done()
+        is_first = waiter.ready.done()
         await asyncio.wait(
-            (turn.ready, gone),
-            timeout=turn.deadline_s - self._loop.time(),
+            (waiter.ready, gone),
+            timeout=waiter.deadline_s - self._loop.time(),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if gone.done() or not turn.ready.done():
+        if gone.done() or not waiter.ready.done():
             return await self._end_wait(entrant)
         if not is_first and self._may_probe(entrant):
             placed = await self._select(entrant)
             if not _lacks_room(placed):
                 return placed
         for left in range(waiting.MAX_SELECTIONS, 0, -1):
-            freed = await self._wait_for_room(entrant, turn, left)
+            freed = await self._wait_for_room(entrant, waiter, left)
             if gone.done():
                 break
             if freed is None and not self._may_probe(entrant):
@@ -238,7 +242,7 @@
             placed = await self._select(entrant, freed)
             if not _lacks_room(placed):
                 return placed
-            if self._loop.time() >= turn.deadline_s:
+            if self._loop.time() >= waiter.deadline_s:
                 break
         return await self._end_wait(entrant)
 
@@ -251,26 +255,26 @@
         return await self._select(entrant)
 
     async def _wait_for_room(
-        self, entrant: _Entrant, turn: waiting.Turn, selections: int
+        self, entrant: _Entrant, waiter: waiting.WaitingRequest, selections: int
     ) -> targets_.Target | None:
         """Waits until a target is expected to have room.
 
         Args:
             entrant: The request.
-            turn: Its turn.
+            waiter: Its entry in the queue.
             selections: Over how many selections the rest of its wait is spread.
 
         Returns:
             A target that has just got room, None if none is known to.
         """
         gone = entrant.call.req.disconnected
-        left_s = turn.deadline_s - self._loop.time()
+        left_s = waiter.deadline_s - self._loop.time()
         end_s = self._loop.time() + left_s / selections
         while not gone.done():
             left_s = end_s - self._loop.time()
             if left_s <= 0:
                 break
-            freed = await entrant.service.line.wait_for_end(left_s, gone)
+            freed = await entrant.service.queue.wait_for_end(left_s, gone)
             if (
                 freed is not None
                 and freed.reading is not None
--- a/ragwortchute/gateway/admission/waiting.py
+++ b/ragwortchute/gateway/admission/waiting.py
@@ -37,7 +37,7 @@
     )
 
 
-class Turn(admission.Waiter, eq=False):
+class WaitingRequest(admission.Waiter, eq=False):
     """A request that waits; its deadline is the end of its wait.
 
     Attributes:
@@ -47,7 +47,7 @@
     ready: asyncio.Future[None] | None = None
 
 
-class Line:
+class WaitQueue:
     """Requests that wait for room on the targets of a service.
 
     Attributes:
@@ -60,7 +60,7 @@
     def __init__(self) -> None:
         self._queue = deadline_queue.DeadlineQueue(MAX_WAITING)
         self._loop = asyncio.get_running_loop()
-        self.first: Turn | None = None
+        self.first: WaitingRequest | None = None
         self.freed: asyncio.Future[targets_.Target] | None = None
 
     def __len__(self) -> int:
@@ -71,20 +71,20 @@
         first = self.first
         return first is not None and first.priority <= rank
 
-    def join(self, turn: Turn) -> bool:
+    def join(self, request: WaitingRequest) -> bool:
         """Adds a request; returns False if its turn would come too late."""
         if self.first is None:
-            self.first = turn
-            turn.ready = self._loop.create_future()
-            turn.ready.set_result(None)
+            self.first = request
+            request.ready = self._loop.create_future()
+            request.ready.set_result(None)
             return True
-        turn.ready = self._loop.create_future()
-        return not self._queue.offer(turn, 0.0)
+        request.ready = self._loop.create_future()
+        return not self._queue.offer(request, 0.0)
 
-    def leave(self, turn: Turn) -> None:
+    def leave(self, request: WaitingRequest) -> None:
         """Removes a request, which is placed or refused."""
-        if turn is not self.first:
-            self._queue.remove(turn)
+        if request is not self.first:
+            self._queue.remove(request)
             return
         now_s = self._loop.time()
         self._queue.expire(now_s, 0.0)
--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -202,45 +202,45 @@
         assert known.expected_room_s(2, 0.5) == shares.MEMORY_S
 
 
-class TestLine:
+class TestWaitQueue:
     """The most urgent request must be the first one to get room."""
 
-    def turn(self, steps, until_s=0.5):
+    def waiter(self, steps, until_s=0.5):
         now_s = asyncio.get_running_loop().time()
-        return waiting.Turn(steps, now_s + until_s, now_s)
+        return waiting.WaitingRequest(steps, now_s + until_s, now_s)
 
     async def test_order_is_urgency_then_end_of_the_wait(self):
-        line = waiting.Line()
-        turns = [
-            self.turn(steps, until_s)
+        queue = waiting.WaitQueue()
+        requests = [
+            self.waiter(steps, until_s)
             for steps, until_s in ((2, 0.5), (2, 0.4), (1, 0.5), (2, 0.3))
         ]
-        for turn in turns:
-            assert line.join(turn)
+        for waiter in requests:
+            assert queue.join(waiter)
         order = []
-        while line.first is not None:
-            order.append(turns.index(line.first))
-            assert line.first.ready.done()
-            line.leave(line.first)
+        while queue.first is not None:
+            order.append(requests.index(queue.first))
+            assert queue.first.ready.done()
+            queue.leave(queue.first)
         assert order == [0, 2, 3, 1]
 
     async def test_requests_that_leave_the_queue_do_not_get_a_turn(self):
-        line = waiting.Line()
-        turns = [self.turn(1) for _ in range(3)]
-        for turn in turns:
-            line.join(turn)
-        line.leave(turns[1])
-        line.leave(turns[0])
-        assert line.first is turns[2]
-        line.leave(turns[2])
-        assert len(line) == 0
+        queue = waiting.WaitQueue()
+        requests = [self.waiter(1) for _ in range(3)]
+        for waiter in requests:
+            queue.join(waiter)
+        queue.leave(requests[1])
+        queue.leave(requests[0])
+        assert queue.first is requests[2]
+        queue.leave(requests[2])
+        assert len(queue) == 0
 
     async def test_freed_target_is_told(self):
-        line = waiting.Line()
+        queue = waiting.WaitQueue()
         gone = asyncio.get_running_loop().create_future()
-        asyncio.get_running_loop().call_soon(line.note_end, 'target')
-        assert await line.wait_for_end(1.0, gone) == 'target'
-        assert await line.wait_for_end(0.001, gone) is None
+        asyncio.get_running_loop().call_soon(queue.note_end, 'target')
+        assert await queue.wait_for_end(1.0, gone) == 'target'
+        assert await queue.wait_for_end(0.001, gone) is None
 
     @pytest.mark.parametrize('time_s', [0.0, 0.1, 1.0, 60.0])
     def test_wait_leaves_four_fifths(self, time_s):
