Move the limits over all hosts to the settings

The settings imported the dispatcher for this one class. The constructor of the dispatcher was longer than a screen; its intake is built in a method now.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -8,8 +8,6 @@
 from collections import abc
 import random
 
-import msgspec
-
 from ragwortchute import errors
 from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import answers
@@ -21,6 +19,7 @@
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
 from ragwortchute.gateway import hedging
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
@@ -46,26 +45,6 @@
 SHED_WEIGHT = 0.5
 
 
-class Limits(msgspec.Struct, frozen=True):
-    """Limits on retries, requests to cold targets and probes of all hosts.
-
-    Attributes:
-        retry_ratio: Retries allowed per request.
-        retry_slack: Retries allowed in a window beyond that.
-        retry_window_s: Length of the window in seconds.
-        warmup_overage: Factor on the request rate of a cold target.
-        warmup_slack: Requests per second allowed beyond that.
-        probes_per_s: Health requests per target and second.
-    """
-
-    retry_ratio: float = 0.2
-    retry_slack: float = 50.0
-    retry_window_s: float = 10.0
-    warmup_overage: float = 1.5
-    warmup_slack: float = 5.0
-    probes_per_s: float = 60.0
-
-
 class Dispatcher:
     """Answers requests of callers.
 
@@ -111,7 +90,7 @@
         grace_period: grace.GracePeriod,
         is_outdated: abc.Callable[[], bool],
         is_confirmed: abc.Callable[[], bool],
-        limits: Limits,
+        limits: host_settings.FleetLimits,
         request_log: request_log_.RequestLog,
         stats: stats_.Stats,
         rng: random.Random,
@@ -138,23 +117,12 @@
         )
         self._request_log = request_log
         self._answers = answers.Answers(dialect, self._request_log, stats, rng)
-        self._intake = intake.Intake(
-            state,
-            dialect,
-            crash_guard,
-            is_outdated,
-            identity.Identity(state, dialect, is_confirmed),
-            quotas,
-            self._answers,
-            request_log,
-            stats,
-            rng,
-        )
-        self.refuse_early = self._intake.refuse_early
-        relays.recheck = self._intake.recheck
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self._intake = self._create_intake(is_outdated, is_confirmed, quotas)
+        self.refuse_early = self._intake.refuse_early
+        relays.recheck = self._intake.recheck
         self.gate = gate.Gate(state, selector)
         self.work_times = work_times.WorkTimes()
         self.choice = target_choice.TargetChoice(
@@ -170,6 +138,26 @@
             self._measurements,
         )
 
+    def _create_intake(
+        self,
+        is_outdated: abc.Callable[[], bool],
+        is_confirmed: abc.Callable[[], bool],
+        quotas: organisations.Quotas | None,
+    ) -> intake.Intake:
+        """Returns what turns requests of callers into calls or refusals."""
+        return intake.Intake(
+            self._state,
+            self.dialect,
+            self._crash_guard,
+            is_outdated,
+            identity.Identity(self._state, self.dialect, is_confirmed),
+            quotas,
+            self._answers,
+            self._request_log,
+            self._stats,
+            self._rng,
+        )
+
     async def close(self) -> None:
         """Cancels background checks."""
         await self._crash_checks.close()
--- a/ragwortchute/gateway/host_settings.py
+++ b/ragwortchute/gateway/host_settings.py
@@ -2,13 +2,32 @@
 
 import msgspec
 
-from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import model
 
 # Used where the settings name no memory.
 DEFAULT_MEMORY_BYTES = 200e6
 
 
+class FleetLimits(msgspec.Struct, frozen=True):
+    """Limits on retries, requests to cold targets and probes of all hosts.
+
+    Attributes:
+        retry_ratio: Retries allowed per request.
+        retry_slack: Retries allowed in a window beyond that.
+        retry_window_s: Length of the window in seconds.
+        warmup_overage: Factor on the request rate of a cold target.
+        warmup_slack: Requests per second allowed beyond that.
+        probes_per_s: Health requests per target and second.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
+    probes_per_s: float = 60.0
+
+
 class Settings(msgspec.Struct, frozen=True):
     """Settings of a gateway host.
 
@@ -35,7 +54,7 @@
     peer_ip: str
     grace_s: float
     dead_s: float
-    limits: dispatcher.Limits
+    limits: FleetLimits
     config_s: float = 2.0
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     max_descriptors: int = 0
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from ragwortchute import errors
-from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
 
@@ -103,14 +102,7 @@
         bounds=bounds,
         admits_by_urgency='urgency' in values.items('admission'),
         dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
-        limits=dispatcher.Limits(
-            retry_ratio=bounds.get('retry_budget_ratio', 0.2),
-            retry_slack=bounds.get('retry_slack', 0.0),
-            retry_window_s=bounds.get('budget_window_s', 10.0),
-            warmup_overage=bounds.get('warmup_overage', 1.0),
-            warmup_slack=bounds.get('warmup_slack', 0.0),
-            probes_per_s=bounds.get('probes_per_s', 60.0),
-        ),
+        limits=_fleet_limits(bounds),
     )
     return NodeSettings(
         gateway,
@@ -121,6 +113,18 @@
     )
 
 
+def _fleet_limits(bounds: dict[str, float]) -> host_settings.FleetLimits:
+    """Returns the limits that hold for all hosts together."""
+    return host_settings.FleetLimits(
+        retry_ratio=bounds.get('retry_budget_ratio', 0.2),
+        retry_slack=bounds.get('retry_slack', 0.0),
+        retry_window_s=bounds.get('budget_window_s', 10.0),
+        warmup_overage=bounds.get('warmup_overage', 1.0),
+        warmup_slack=bounds.get('warmup_slack', 0.0),
+        probes_per_s=bounds.get('probes_per_s', 60.0),
+    )
+
+
 def _memory_bytes(values: '_Values') -> float:
     """Returns the memory of this host in bytes."""
     memory_mb = values.number('limits.memory_mb', 0.0)
--- a/tests/test_gateway/host_deployment.py
+++ b/tests/test_gateway/host_deployment.py
@@ -4,7 +4,6 @@
 import os
 
 from ragwortchute.gateway import application
-from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import registration
 from ragwortchute.platform import feeds
@@ -68,7 +67,7 @@
             me.ip,
             self.grace_s,
             5.4,
-            dispatcher.Limits(),
+            host_settings.FleetLimits(),
             contracts=self.contracts,
         )
         store = objects.ObjectStore('127.0.0.1', self.server.port)
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -10,6 +10,7 @@
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership
@@ -141,14 +142,14 @@
     def __init__(
         self,
         *targets: platform_targets.TargetServer,
-        limits: dispatcher.Limits | None = None,
+        limits: host_settings.FleetLimits | None = None,
     ) -> None:
         self.targets = targets
         self.log = MemoryLog()
         rng = self.rng = random.Random(1)
         dialect = wire.PlatformDialect()
         self.state = host_state.HostState(dialect, DOMAINS, 'a1', self.log)
-        limits = limits or dispatcher.Limits()
+        limits = limits or host_settings.FleetLimits()
         self.membership = membership.Membership(
             host(), NullTransport(), self.log, rng, 5.4
         )
--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ragwortchute.gateway import dialect
-from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
 from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import work_times
@@ -20,7 +20,7 @@
 SLOTS = (1, 2, 4, 6, 40)
 URGENT = rigs.route(name='urgent', path_prefix='/u/', timeout_s=9.0)
 # With one target, the budget for probes would suffice for few requests.
-PROBES = dispatcher.Limits(probes_per_s=1e4)
+PROBES = host_settings.FleetLimits(probes_per_s=1e4)
 OBJECTIVE_S = rigs.route().objective_s
 WRITE = rigs.route(idempotent=False, priority=1, timeout_s=9.0)
 
@@ -381,7 +381,7 @@
         rig = await start(
             self.server(slots=1),
             routes=[URGENT, WRITE],
-            limits=dispatcher.Limits(probes_per_s=0.01),
+            limits=host_settings.FleetLimits(probes_per_s=0.01),
         )
         for _ in range(3):
             assert (await rig.request(method='POST')).status == 200
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragwortchute.gateway import candidates
-from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import intake
 from ragwortchute.gateway import model
@@ -167,7 +167,7 @@
         targets = servers(4)
         for target in targets:
             target.fault = 'shed'
-        limits = dispatcher.Limits(retry_ratio=0.2, retry_slack=5.0)
+        limits = host_settings.FleetLimits(retry_ratio=0.2, retry_slack=5.0)
         rig = await start(*targets, limits=limits)
         for _ in range(40):
             await rig.request()
--- a/tests/test_gateway/test_endless_answers.py
+++ b/tests/test_gateway/test_endless_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ragwortchute import errors
-from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import http_client
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
@@ -173,7 +173,8 @@
         # With an answer before it, the endless one is on a kept connection.
         target.healthy_answers = healthy_answers
         rig = rigs.Rig(
-            target, limits=dispatcher.Limits(retry_ratio=0, retry_slack=0)
+            target,
+            limits=host_settings.FleetLimits(retry_ratio=0, retry_slack=0),
         )
         await rig.start(rigs.route(idempotent=False))
         for _ in range(healthy_answers):
--- a/tests/test_gateway/test_failure_reports.py
+++ b/tests/test_gateway/test_failure_reports.py
@@ -4,8 +4,8 @@
 import collections
 import random
 
-from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import failure_reports
+from ragwortchute.gateway import host_settings
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
@@ -105,7 +105,7 @@
         ]
         for target in targets[:6]:
             target.fault = 'shed'
-        limits = dispatcher.Limits(retry_ratio=0.0, retry_slack=5.0)
+        limits = host_settings.FleetLimits(retry_ratio=0.0, retry_slack=5.0)
         hosts = [rigs.Rig(*targets, limits=limits) for _ in range(self.HOSTS)]
         for number, host in enumerate(hosts):
             host.rng.seed(number)
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -6,7 +6,6 @@
 import pytest
 
 from ragwortchute.gateway import application
-from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import metrics
@@ -39,7 +38,7 @@
             me.ip,
             self.grace_s,
             5.4,
-            dispatcher.Limits(),
+            host_settings.FleetLimits(),
             contracts=CONTRACTS,
         )
         store = objects.ObjectStore('127.0.0.1', self.server.port)
--- a/tests/test_gateway/test_streamed_answers.py
+++ b/tests/test_gateway/test_streamed_answers.py
@@ -8,7 +8,7 @@
 import pytest
 
 from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import dispatcher
+from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
@@ -22,7 +22,7 @@
 }
 # Closing a socket with this option sends a reset.
 RESET = struct.pack('ii', 1, 0)
-NO_RETRIES = dispatcher.Limits(retry_ratio=0, retry_slack=0)
+NO_RETRIES = host_settings.FleetLimits(retry_ratio=0, retry_slack=0)
 
 
 class LongTarget(platform_targets.TargetServer):
