Check a configuration before it is written

A mistake in a configuration was only seen in the log of a host or by its callers: the gateway takes the last of several equal entries, ignores unknown fields, and rejects a file at its first error.

What the gateway accepts is unchanged.

Exit code 8 is new: warnings, but no errors.

--- a/ragwortchute/commands/exits.py
+++ b/ragwortchute/commands/exits.py
@@ -21,17 +21,21 @@
     UNKNOWN = 5
     TIMEOUT = 6
     REFUSED = 7
+    WARNINGS = 8
 
 
 DESCRIPTIONS = {
     ExitCode.OK: 'done',
-    ExitCode.NEGATIVE: 'document invalid, documents differ, call not run',
-    ExitCode.USAGE: 'wrong use of the command line',
+    ExitCode.NEGATIVE: (
+        'document or configuration invalid, documents differ, call not run'
+    ),
+    ExitCode.USAGE: 'wrong use of the command line, or unreadable file',
     ExitCode.CONFLICT: 'somebody else changed the document; nothing written',
     ExitCode.UNAVAILABLE: 'store or host not reachable; nothing changed',
     ExitCode.UNKNOWN: 'no answer; the change or call may have taken effect',
     ExitCode.TIMEOUT: '--wait ended before the version was in force',
     ExitCode.REFUSED: 'the host or store refused the request',
+    ExitCode.WARNINGS: 'the configuration has warnings, but no errors',
 }
 
 
--- a/ragwortchute/commands/main.py
+++ b/ragwortchute/commands/main.py
@@ -6,6 +6,7 @@
 
 import ragwortchute
 from ragwortchute.commands import call_commands
+from ragwortchute.commands import config_commands
 from ragwortchute.commands import document_commands
 from ragwortchute.commands import exits
 from ragwortchute.commands import host_commands
@@ -21,6 +22,7 @@
 app.add_typer(host_commands.domain_app, name='domain')
 app.add_typer(call_commands.app, name='calls')
 app.add_typer(node_commands.app, name='node')
+app.add_typer(config_commands.app, name='config')
 app.command()(node_commands.trace)
 app.command()(host_commands.status)
 app.command()(host_commands.targets)
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -77,6 +77,11 @@
     tenants: list[_Tenant] | None = None
 
 
+# The check of a configuration names the fields of these types.
+CONFIGURATION_TYPE = _Config
+TENANT_TYPE = _Tenant
+
+
 class _Info(msgspec.Struct):
     service: str
     zone: str
