--- a/tests/test_resources/conftest.py
+++ b/tests/test_resources/conftest.py
@@ -17,8 +17,8 @@
 async def gather():
     started = []
 
-    def run(host):
-        crowd = crowds.Crowd(host)
+    def run(host, port=0):
+        crowd = crowds.Crowd(host, port)
         started.append(crowd)
         return crowd
 
--- a/tests/test_resources/processes.py
+++ b/tests/test_resources/processes.py
@@ -71,9 +71,11 @@
         self.ip = f'127.{high + 100}.{low}.{index}'
         self.port = deployment.free_port(self.ip)
         self.ready_port = deployment.free_port(self.ip)
+        self.directory_port = deployment.free_port(self.ip)
         self.process: asyncio.subprocess.Process | None = None
-        # Largest number of descriptors seen so far.
+        # Largest number of descriptors and largest memory seen so far.
         self.most_descriptors = 0
+        self.most_memory_bytes = 0
         # Its entry in the list of hosts; a host that is listed starts at once.
         self.entry = {
             'name': name,
@@ -92,7 +94,7 @@
             f'node={name}\nip={self.ip}\nzone={domain}\n{zones}'
             f'listen.front={self.ip}:{self.port}\n'
             f'listen.readiness={self.ip}:{self.ready_port}\n'
-            f'listen.directory={self.ip}:{deployment.free_port(self.ip)}\n'
+            f'listen.directory={self.ip}:{self.directory_port}\n'
             f'port_range={peer_port},{peer_port}\n'
             'bounds=grace_s=6,contact_s=3,retry_slack=50\n'
             f'limits.memory_mb={machine.memory_mb}\n'
@@ -130,16 +132,22 @@
         """Whether the process runs."""
         return self.process.returncode is None
 
-    def peak_memory_bytes(self) -> int:
-        """Returns the largest resident memory since the start."""
-        text = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
-        return int(re.search(r'VmHWM:\s+(\d+) kB', text)[1]) * 1024
-
-    def note_descriptors(self) -> None:
-        """Counts the open descriptors."""
-        if self.running:
-            count = len(os.listdir(f'/proc/{self.process.pid}/fd'))
-            self.most_descriptors = max(self.most_descriptors, count)
+    def note_usage(self) -> None:
+        """Notes the open descriptors and the peak of the resident memory."""
+        if not self.running:
+            return
+        folder = pathlib.Path(f'/proc/{self.process.pid}')
+        try:
+            count = len(os.listdir(folder / 'fd'))
+            text = (folder / 'status').read_text()
+        except OSError:
+            # It has just ended.
+            return
+        self.most_descriptors = max(self.most_descriptors, count)
+        peak = re.search(r'VmHWM:\s+(\d+) kB', text)
+        if peak is not None:
+            peak_bytes = int(peak[1]) * 1024
+            self.most_memory_bytes = max(self.most_memory_bytes, peak_bytes)
 
     def log_text(self) -> str:
         """Returns what the process has logged."""
@@ -148,7 +156,7 @@
     def usage(self) -> str:
         """Describes the peaks of memory and descriptors."""
         return (
-            f'{self.name}: peak {self.peak_memory_bytes() / 1e6:.1f} MB of '
+            f'{self.name}: peak {self.most_memory_bytes / 1e6:.1f} MB of '
             f'{self.machine.memory_mb}, {self.most_descriptors} descriptors '
             f'of {self.machine.max_descriptors}'
         )
@@ -156,10 +164,15 @@
     def check(self) -> None:
         """Checks that the process lives inside the limits of its machine."""
         assert self.running, self.log_text()[-2000:]
+        self.note_usage()
+        self.check_usage()
+
+    def check_usage(self) -> None:
+        """Checks that the process was inside the limits when last seen."""
         usage = self.usage()
         print(usage)
         allowed_bytes = self.machine.memory_mb * 1e6 * MAX_SHARE
-        assert self.peak_memory_bytes() <= allowed_bytes, usage
+        assert 0 < self.most_memory_bytes <= allowed_bytes, usage
         allowed = self.machine.max_descriptors * MAX_SHARE
         assert self.most_descriptors <= allowed, usage
 
@@ -234,10 +247,10 @@
         await self._store.stop()
 
     async def _watch(self) -> None:
-        """Counts the descriptors of the hosts, periodically."""
+        """Notes the usage of the hosts, periodically."""
         while True:
             for host in self.hosts:
-                host.note_descriptors()
+                host.note_usage()
             await asyncio.sleep(0.05)
 
 
@@ -280,6 +293,15 @@
             await asyncio.sleep(0.05)
 
 
+async def look_up(host: Host) -> None:
+    """Asks a host for addresses until it answers."""
+    path = '/resolve?name=example'
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while await get(host.ip, host.directory_port, path) != 200:
+            assert host.running, host.log_text()[-2000:]
+            await asyncio.sleep(RETRY_S)
+
+
 async def get(ip: str, port: int, path: str) -> int:
     """Sends a request without a body; returns its status, or 0."""
     head = f'GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
