--- a/tests/test_resources/conftest.py
+++ b/tests/test_resources/conftest.py
@@ -4,6 +4,7 @@
 
 from tests.test_resources import crowds
 from tests.test_resources import processes
+from tests.test_resources import servers
 
 
 @pytest.fixture
@@ -25,3 +26,19 @@
     yield run
     for crowd in started:
         await crowd.close()
+
+
+@pytest.fixture
+async def serve():
+    started = []
+
+    async def run(**fields):
+        server = servers.Server(**fields)
+        started.append(server)
+        await server.listener.start('127.0.0.1', 0)
+        return server
+
+    yield run
+    for server in started:
+        server.answer.set()
+        await server.listener.stop()
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -7,8 +7,6 @@
 
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import crash_checks
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pools
 from ragwortchute.gateway.resources import account as account_
@@ -16,6 +14,7 @@
 from ragwortchute.gateway.resources import upstream as upstream_
 from ragwortchute.gateway.resources import victims
 from tests.test_gateway import rig as rigs
+from tests.test_resources import servers
 
 MIB = 1 << 20
 # The smallest and the largest machine of a host.
@@ -24,19 +23,6 @@
 TARGETS = 950
 
 
-def limits(**fields):
-    """Returns small limits."""
-    values = {
-        'body_bytes': 4 * MIB,
-        'short_body_bytes': 0,
-        'request_bytes': MIB,
-        'answer_bytes': MIB,
-        'accepted_connections': 4,
-        'connections': 8,
-    }
-    return limits_.Limits(**(values | fields))
-
-
 class Holder:
     """A connection with a given state."""
 
@@ -127,7 +113,7 @@
     """A request at work at a target must never be given up."""
 
     async def account(self, **fields):
-        return account_.Account(limits(**fields), rigs.MemoryLog())
+        return account_.Account(servers.limits(**fields), rigs.MemoryLog())
 
     async def test_connection_at_work_stays(self):
         account = await self.account()
@@ -313,48 +299,6 @@
         assert not reported
 
 
-class Server:
-    """Listener with small limits whose handler waits until it is told."""
-
-    def __init__(self, **fields):
-        self.log = rigs.MemoryLog()
-        self.account = account_.Account(limits(**fields), self.log)
-        self.answer = asyncio.Event()
-        self.handled = []
-        self.configured = model.Limits(idle_timeout_s=1.0)
-        self.listener = http_server.Listener(
-            self.handle,
-            lambda: self.configured,
-            self.log,
-            'test',
-            account=self.account,
-        )
-
-    async def handle(self, req):
-        self.handled.append(req.target)
-        await self.answer.wait()
-        return http_messages.Response(200, (), req.target.encode())
-
-    async def connect(self):
-        return await asyncio.open_connection('127.0.0.1', self.listener.port)
-
-
-@pytest.fixture
-async def serve():
-    started = []
-
-    async def run(**fields):
-        server = Server(**fields)
-        started.append(server)
-        await server.listener.start('127.0.0.1', 0)
-        return server
-
-    yield run
-    for server in started:
-        server.answer.set()
-        await server.listener.stop()
-
-
 GET = b'GET /%d HTTP/1.1\r\nHost: example\r\n\r\n'
 
 
