Bound the look-ups of a route by its longest prefix

A path of 16,000 slashes took a look-up for each of them, each of which copies and hashes the path up to there: 31 ms in which no other caller was served (trial on this machine, one request of 16 KB). Only slashes up to the length of the longest prefix of the host name are tried now.

--- a/ragwortchute/gateway/routing.py
+++ b/ragwortchute/gateway/routing.py
@@ -12,13 +12,18 @@
         routes: All routes of the configuration.
     """
 
-    __slots__ = ('_by_host',)
+    __slots__ = ('_by_host', '_longest')
 
     def __init__(self, routes: tuple[model.Route, ...]) -> None:
         self._by_host: dict[str, dict[str, model.Route]] = {}
+        # Length of the longest prefix of each host name.
+        self._longest: dict[str, int] = {}
         for route in routes:
             prefixes = self._by_host.setdefault(route.host, {})
             prefixes[route.path_prefix] = route
+            self._longest[route.host] = max(
+                len(route.path_prefix), self._longest.get(route.host, 0)
+            )
 
     def match(self, host: str, path: str) -> model.Route | None:
         """Returns the route with the longest matching prefix.
@@ -35,7 +40,9 @@
         prefixes = self._by_host.get(host)
         if prefixes is None:
             return None
-        end = path.rfind('/')
+        # A look-up for each slash of a path would take time that grows with the
+        # square of its length: 31 ms for 16,000 slashes.
+        end = path.rfind('/', 0, self._longest[host])
         while end >= 0:
             route = prefixes.get(path[: end + 1])
             if route is not None:
