Bound trailers and chunk extensions behind a body of any length

What is not body was allowed to be eight times as long as the body, so a body of 512 KB could have a trailer of 4 MB. The parser keeps an incomplete one, joins it anew at each read, and the account counted 16 KB of it at most.

Bytes without any part of the body are now bounded by max_header_bytes, and an incomplete trailer is counted. test_trailers: 408 after the timeout before, 431 now; trailers of 16,000 bytes in pieces are served.

Tests: test_resources/test_trailers, test_account, test_http_server and test_parsers passed.

--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -82,10 +82,12 @@
         '_disconnected',
         '_expects_continue',
         '_first_trailer',
+        '_framing_bytes',
         '_head_bytes',
         '_headers',
         '_limits',
         '_loop',
+        '_mixed_bytes',
         '_parser',
         '_received_bytes',
         '_receiver',
@@ -138,8 +140,8 @@
         """Memory of the incomplete request without a reservation."""
         if not self.started_s:
             return 0
-        # The parser keeps an incomplete header.
-        unparsed_bytes = min(self._received_bytes, READ_BYTES)
+        # The parser keeps an incomplete header or trailer.
+        unparsed_bytes = self._framing_bytes + self._mixed_bytes
         return (
             max(self.head_held_bytes, unparsed_bytes)
             + self._body.unreserved_bytes
@@ -163,6 +165,7 @@
         if self.ended:
             return
         begun_before = self._requests_begun
+        body_bytes_before = self._body.size_bytes
         was_between_requests = not self.started_s
         try:
             self._parse(data)
@@ -176,10 +179,28 @@
         if self.started_s and (
             begun == 0 or (begun == 1 and was_between_requests)
         ):
-            self._received_bytes += len(data)
-            framing_bytes = self._received_bytes - self._body.size_bytes
-            allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
-            self._check_head(framing_bytes - allowed)
+            self._count_framing(
+                len(data), self._body.size_bytes - body_bytes_before
+            )
+
+    def _count_framing(self, size: int, body_size: int) -> None:
+        """Counts received bytes that are not part of the body.
+
+        Args:
+            size: Length of what was received.
+            body_size: Length of the parts of the body in it.
+        """
+        self._received_bytes += size
+        if body_size:
+            self._framing_bytes = 0
+            self._mixed_bytes = size - body_size
+        else:
+            # A trailer or chunk extension may follow a body of any length.
+            self._framing_bytes += size
+            self._check_head(self._framing_bytes)
+        framing_bytes = self._received_bytes - self._body.size_bytes
+        allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
+        self._check_head(framing_bytes - allowed)
 
     def _parse(self, data: bytes | memoryview) -> None:
         """Parses received bytes.
@@ -370,6 +391,10 @@
         self._head_bytes = 0
         self.head_held_bytes = 0
         self._received_bytes = 0
+        # Bytes without a part of the body since the last read that had one,
+        # and the rest of that read.
+        self._framing_bytes = 0
+        self._mixed_bytes = 0
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
