Count unread responses as long as callers leave them unread

A response that the kernel had not taken at once stayed counted after its caller had read it, until the next request of the connection. One that was too short to pause the transport (64 KB) was counted, but its connection was never chosen to be closed. 375 such callers kept the account of a host of 200 MB full (by calculation), and everybody else was refused.

--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/accounted_connection.py
@@ -29,7 +29,6 @@
     _received_s: float
     _transport: asyncio.Transport | None
     _writer: response_writer.ResponseWriter | None
-    _writing_paused: bool
 
     @property
     def progress_s(self) -> float:
@@ -52,7 +51,11 @@
 
     def has_unread(self) -> bool:
         """See `victims.Holder`."""
-        return self._writer is None and self._writing_paused
+        return (
+            self._writer is None
+            and self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
 
     def has_streams(self) -> bool:
         """See `victims.Holder`."""
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -169,6 +169,8 @@
             self.update_delivery(now_s)
         else:
             self._delivery.update_unsent(now_s)
+        # The caller may have read without an event of the transport.
+        self._update_held()
         if self._is_stalled(now_s, limits):
             self.abort()
         elif self._close_started_s:
