Bound the requests of a connection behind a slow one

Reading paused at 64 pending requests only between two of them, and a read hardly ever ends there: 20,000 short requests behind a slow one were all read. Once they were refused, each answer kept the target of its request, up to 16 KB, which was not counted.

The rest of a head now waits, too; its time begins anew when it is read. An exchange keeps 256 characters of the target, and counts 1 KB beside its response.

--- a/ragwortchute/gateway/exchanges.py
+++ b/ragwortchute/gateway/exchanges.py
@@ -9,6 +9,11 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway.resources import account
 
+# Longest part of a request target that is kept for the log.
+MAX_TARGET_CHARS = 256
+# Memory of an exchange and its response beside the bytes of the latter.
+EXCHANGE_BYTES = 1 << 10
+
 
 class Exchange:
     """A pending request on a connection.
@@ -17,8 +22,8 @@
     response may have to wait for those of earlier requests.
 
     Attributes:
-        target: Target of the request; empty if it was rejected before it was
-            complete.
+        target: Beginning of the target of the request; empty if it was
+            rejected before it was complete.
         arrived_s: Loop time at which the request was complete.
         accepts_chunks: Whether the caller understands a response in chunks.
         response: The response, None until the handler returns it.
@@ -41,7 +46,7 @@
     def __init__(
         self, req: http_messages.Request | None = None, held_bytes: int = 0
     ) -> None:
-        self.target = '' if req is None else req.target
+        self.target = '' if req is None else req.target[:MAX_TARGET_CHARS]
         self.arrived_s = 0.0 if req is None else req.arrived_s
         self.accepts_chunks = req is not None and req.accepts_chunks
         self.response: http_messages.Response | None = None
@@ -53,10 +58,17 @@
 
 
 def response_bytes(resp: http_messages.Response) -> int:
-    """Returns the memory of a response, without a body that is arriving."""
-    return len(resp.body) + sum(
-        len(name) + len(value) + account.HEADER_BYTES
-        for name, value in resp.headers
+    """Returns the memory of an exchange with a response.
+
+    A body that is arriving is not part of it.
+    """
+    return (
+        EXCHANGE_BYTES
+        + len(resp.body)
+        + sum(
+            len(name) + len(value) + account.HEADER_BYTES
+            for name, value in resp.headers
+        )
     )
 
 
--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/pipeline.py
@@ -220,6 +220,7 @@
             resp = http_messages.Response(502)
         finally:
             self._at_work -= 1
+            exchange.task = None
             self._bodies.shrink(reservation, 0)
         if exchange in self.exchanges:
             if exchange is not self.exchanges[0]:
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -85,6 +85,7 @@
         '_framing_bytes',
         '_head_bytes',
         '_headers',
+        '_in_body',
         '_limits',
         '_loop',
         '_mixed_bytes',
@@ -125,6 +126,11 @@
         """Whether the rest of a body must wait for memory."""
         return self._body.waiting
 
+    @property
+    def in_head(self) -> bool:
+        """Whether the head of a request has been read in part."""
+        return bool(self.started_s) and not self._in_body
+
     @property
     def has_reservation(self) -> bool:
         """Whether memory is reserved for the body of the request."""
@@ -152,6 +158,11 @@
         """Whether the caller lets the connection carry another request."""
         return self._parser.should_keep_alive()
 
+    def restart_time(self) -> None:
+        """Lets the time of an incomplete request begin now."""
+        if self.started_s:
+            self.started_s = self._loop.time()
+
     def end(self) -> None:
         """Ignores all further data and drops an incomplete request."""
         self.ended = True
@@ -264,6 +275,7 @@
         size_bytes = 0
         if self.ended or self._parser.should_upgrade():
             return
+        self._in_body = True
         for name, value in self._headers:
             if name == b'content-length':
                 size_bytes = int(value)
@@ -386,6 +398,7 @@
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._expects_continue = False
+        self._in_body = False
         self._body.clear()
         self._first_trailer = 0
         self._head_bytes = 0
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -177,7 +177,7 @@
             self._expire_close(now_s, limits)
         elif self._reader.waiting:
             return
-        elif self._reader.started_s:
+        elif self._reader.started_s and not self._reading_paused:
             if now_s - self._reader.started_s > limits.header_timeout_s:
                 self.reject(408)
         elif (
@@ -311,8 +311,10 @@
         """Pauses reading, or goes on, as the pending requests demand.
 
         A caller that leaves its responses unread gets no further one: a request
-        that has not run can be sent again. One that has begun is read to its
-        end, as its caller may read nothing before it has sent all of it.
+        that has not run can be sent again. A body is read to its end, as its
+        caller may read nothing before it has sent all of it. The rest of a head
+        waits: reads hardly ever end between two requests, so that many short
+        ones would be read without an end.
         """
         pending = len(self._pipeline.exchanges)
         full = self._writing_paused or (
@@ -324,7 +326,8 @@
             )
         )
         pause = not self._reader.ended and (
-            self._reader.waiting or (full and not self._reader.started_s)
+            self._reader.waiting
+            or (full and (not self._reader.started_s or self._reader.in_head))
         )
         if pause == self._reading_paused or self._transport is None:
             return
@@ -332,6 +335,9 @@
         if pause:
             self._transport.pause_reading()
         else:
+            if self._reader.in_head:
+                # This host has not read it, so the time does not count.
+                self._reader.restart_time()
             self._transport.resume_reading()
 
     def _end_reading(self) -> None:
--- /dev/null
+++ b/tests/test_resources/test_pipelines.py
@@ -0,0 +1,100 @@
+"""Tests of requests that wait behind others on their connection."""
+
+import asyncio
+import sys
+
+import pytest
+
+from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import model
+from ragwortchute.gateway import server_connection
+from tests.test_gateway import rig as rigs
+from tests.test_resources import servers
+
+GET = b'GET %b HTTP/1.1\r\nHost: x\r\n\r\n'
+# The shortest request that is served.
+TINY = b'GET / HTTP/1.1\r\nHost:x\r\n\r\n'
+# Its length divides no power of two, so that reads end within a request.
+MANY = 20_000
+# Requests that a single read may bring beyond the limit.
+ONE_READ = (4 << 10) // len(TINY) + 1
+
+
+@pytest.fixture
+async def slow(serve):
+    """A server with much memory, and a caller whose first request is slow."""
+    server = await serve(
+        request_bytes=64 * servers.MIB,
+        connections=4_000,
+        accepted_connections=2_000,
+    )
+    reader, writer = await server.connect()
+    writer.write(GET % b'/slow')
+    await server.wait_handled(1)
+    yield server, reader, writer
+    writer.close()
+
+
+async def read_statuses(reader, count):
+    """Returns the statuses of the next responses."""
+    async with asyncio.timeout(30):
+        return [(await rigs.read_response(reader)).status for _ in range(count)]
+
+
+class TestManyRequests:
+    """A caller must not be read on without an end behind a slow request.
+
+    Reading paused only between two requests, and reads hardly ever end there.
+    """
+
+    async def test_number_is_bounded(self, slow):
+        server, reader, writer = slow
+        writer.write(GET % b'/behind' * MANY)
+        await asyncio.sleep(1.0)
+        assert server.connection.running <= (
+            server_connection.MAX_PIPELINED + ONE_READ
+        )
+        server.answer.set()
+        assert await read_statuses(reader, 1 + MANY) == [200] * (1 + MANY)
+
+    async def test_time_spent_waiting_is_not_that_of_the_caller(self, slow):
+        # The host itself does not read the rest of the last head.
+        server, reader, writer = slow
+        server.configured = model.Limits(header_timeout_s=0.5)
+        writer.write(GET % b'/behind' * 1000)
+        await asyncio.sleep(1.2)
+        server.answer.set()
+        assert await read_statuses(reader, 1001) == [200] * 1001
+
+    async def test_body_is_read_to_its_end(self, slow):
+        # Its caller may read nothing before it has sent all of it.
+        server, reader, writer = slow
+        body = bytes(3 * servers.MIB)
+        head = b'POST /body HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+        writer.write(GET % b'/behind' * server_connection.MAX_PIPELINED)
+        writer.write(head % len(body) + body)
+        async with asyncio.timeout(10):
+            await writer.drain()
+        server.answer.set()
+        count = server_connection.MAX_PIPELINED + 2
+        assert await read_statuses(reader, count) == [200] * count
+
+
+class TestReadyAnswers:
+    """Answers that wait behind a slow one are delivered, and are counted."""
+
+    async def test_all_that_is_kept_is_counted(self, slow):
+        # A request target of 16 KB was kept with an answer of no bytes.
+        server, _, writer = slow
+        target = '/' + 'x' * 15_000
+        server.at_once[target] = http_messages.Response(404)
+        for _ in range(50):
+            writer.write(GET % target.encode())
+        await server.wait_handled(51)
+        kept_bytes = sum(
+            sys.getsizeof(exchange)
+            + sys.getsizeof(exchange.target)
+            + sys.getsizeof(exchange.response)
+            for exchange in server.connection._pipeline.exchanges
+        )
+        assert server.account.held_bytes >= kept_bytes
