Deliver all answers that wait behind a slow one

In the last resort, ready answers were dropped, and a long answer that was ended for its connections took the answers behind it along, also those of requests that ran at a target. One further request behind a long answer, even one that had not been started, kept that answer from being ended.

A long answer that is ended gets a 502 instead of the end of the connection, and only requests that run spare a connection. At most 4 requests behind others are started before other connections get their turn.

test_pipelines: the connection ended without an answer before; now each request that ran gets its answer while further callers need the memory.

--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/accounted_connection.py
@@ -39,7 +39,7 @@
 
     def is_at_work(self) -> bool:
         """See `victims.Holder`."""
-        return self._pipeline.has_work()
+        return self._pipeline.has_running()
 
     def is_incomplete(self) -> bool:
         """See `victims.Holder`."""
@@ -60,7 +60,7 @@
     def has_streams(self) -> bool:
         """See `victims.Holder`."""
         if self._writer is not None:
-            return not self._pipeline.has_work()
+            return not self._pipeline.has_running()
         return self._pipeline.has_streams()
 
     def has_queue(self) -> bool:
@@ -74,8 +74,7 @@
 
     def shed_queue(self) -> None:
         """See `victims.Holder`."""
-        if self._pipeline.shed_queue():
-            self._end_reading()
+        self._pipeline.shed_queue()
         self._flush()
 
     def shed_streams(self) -> None:
@@ -84,8 +83,7 @@
             self.shed()
             return
         self._pipeline.drop_streams()
-        self._end_reading()
-        self._update_held()
+        self._flush()
 
     def shed(self) -> None:
         """See `victims.Holder`."""
--- a/ragwortchute/gateway/exchanges.py
+++ b/ragwortchute/gateway/exchanges.py
@@ -31,11 +31,14 @@
         waiting: The request and the memory of its body while its handler waits
             for those of earlier requests, else None.
         held_bytes: Memory that the request or its response takes.
+        has_answer_memory: Whether memory is reserved for a response that has to
+            wait for others.
     """
 
     __slots__ = (
         'accepts_chunks',
         'arrived_s',
+        'has_answer_memory',
         'held_bytes',
         'response',
         'target',
@@ -55,6 +58,7 @@
             tuple[http_messages.Request, body_budget.Reservation] | None
         ) = None
         self.held_bytes = held_bytes
+        self.has_answer_memory = False
 
 
 def response_bytes(resp: http_messages.Response) -> int:
--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/pipeline.py
@@ -16,6 +16,9 @@
 
 # Named to a caller whose request waited behind others and was refused.
 RETRY_AFTER_S = 0.5
+# Requests behind others that a connection starts before other connections get
+# their turn. A handler takes up to a millisecond before it first waits.
+STARTS_PER_TURN = 4
 
 Handler = abc.Callable[
     [http_messages.Request], abc.Awaitable[http_messages.Response]
@@ -39,12 +42,12 @@
 
     __slots__ = (
         '_account',
-        '_at_work',
         '_bodies',
         '_handler',
         '_log',
         '_loop',
         '_on_response',
+        '_starts_left',
         '_waiting',
         'exchanges',
         'held_bytes',
@@ -64,7 +67,7 @@
         self._log = log
         self._on_response = on_response
         self._loop = asyncio.get_running_loop()
-        self._at_work = 0
+        self._starts_left = STARTS_PER_TURN
         self._waiting: collections.deque[exchanges_.Exchange] = (
             collections.deque()
         )
@@ -81,6 +84,13 @@
         """Returns whether a request has no response yet."""
         return any(exchange.response is None for exchange in self.exchanges)
 
+    def has_running(self) -> bool:
+        """Returns whether a handler runs whose request has no response yet."""
+        return any(
+            exchange.response is None and exchange.waiting is None
+            for exchange in self.exchanges
+        )
+
     def has_streams(self) -> bool:
         """Returns whether a response has a body that is still arriving."""
         return any(_is_streamed(exchange) for exchange in self.exchanges)
@@ -116,7 +126,10 @@
 
     def pop(self) -> None:
         """Removes the oldest request, whose response has been written."""
-        self.held_bytes -= self.exchanges.popleft().held_bytes
+        exchange = self.exchanges.popleft()
+        self.held_bytes -= exchange.held_bytes
+        self._release_answer(exchange)
+        self._start_waiting()
 
     def fail_work(self) -> bool:
         """Gives requests without a response one, as the host ends.
@@ -135,71 +148,87 @@
         self._drop_waiting()
         return had_work
 
-    def drop(self, start: int = 0) -> None:
-        """Drops pending requests and their responses.
+    def drop(self) -> None:
+        """Drops all pending requests and their responses.
 
         Handlers that run are not ended.
-
-        Args:
-            start: Number of the oldest ones that are kept.
         """
-        while len(self.exchanges) > start:
+        while self.exchanges:
             exchange = self.exchanges.pop()
             self.held_bytes -= exchange.held_bytes
+            self._release_answer(exchange)
             if exchange.response is not None:
                 exchange.response.drop_rest()
-        if not start:
-            self._drop_waiting()
+        self._drop_waiting()
 
     def has_queue(self) -> bool:
-        """Returns whether requests or responses wait behind one at work."""
-        return bool(self._waiting) or (
-            len(self.exchanges) > 1
-            and self.exchanges[0].response is None
-            and self.exchanges[-1].response is not None
-        )
+        """Returns whether requests wait behind others."""
+        return bool(self._waiting)
 
-    def shed_queue(self) -> bool:
-        """Refuses requests that wait, or else drops responses that wait.
-
-        Returns:
-            Whether responses were dropped, so that the connection must end.
-        """
-        if not self._waiting:
-            start = len(self.exchanges)
-            while start and self.exchanges[start - 1].response is not None:
-                start -= 1
-            self.drop(start)
-            return True
+    def shed_queue(self) -> None:
+        """Refuses the requests that wait."""
         headers = [http_messages.retry_after(RETRY_AFTER_S)]
         for exchange in self._waiting:
-            exchange.response = http_messages.Response(503, headers)
-            resp_bytes = exchanges_.response_bytes(exchange.response)
-            self._hold(exchange, resp_bytes)
+            self._set_response(exchange, http_messages.Response(503, headers))
         self._drop_waiting()
-        return False
 
     def drop_streams(self) -> None:
-        """Drops the first response that arrives in parts, and all behind it."""
-        for number, exchange in enumerate(self.exchanges):
+        """Gives up responses that arrive in parts.
+
+        Their requests have run, and those behind them are answered as usual.
+        """
+        for exchange in self.exchanges:
             if _is_streamed(exchange):
-                self._drop_waiting()
-                self.drop(number)
-                return
+                exchange.response.drop_rest()
+                self._set_response(exchange, http_messages.Response(502))
 
     def _start_waiting(self) -> None:
         """Starts the handlers of requests that wait, as many as may run."""
-        while self._waiting and (
-            not self._at_work or self._at_work < self._account.max_at_work()
-        ):
+        while self._waiting and self._may_start(self._waiting[0]):
             exchange = self._waiting.popleft()
             req, reservation = exchange.waiting
             exchange.waiting = None
-            self._at_work += 1
             exchange.task = self._loop.create_task(
                 self._serve(req, exchange, reservation)
             )
 
+    def _may_start(self, exchange: exchanges_.Exchange) -> bool:
+        """Returns whether a request may run now.
+
+        The oldest one always may: its response is written at once. Those behind
+        it need memory for responses that have to wait, which is why none of
+        these is ever dropped.
+        """
+        if exchange is self.exchanges[0]:
+            return True
+        begun = len(self.exchanges) - len(self._waiting)
+        if (
+            not self._starts_left
+            or begun >= self._account.max_at_work()
+            or not self._account.reserve_answer()
+        ):
+            return False
+        exchange.has_answer_memory = True
+        if self._starts_left == STARTS_PER_TURN:
+            self._loop.call_soon(self._begin_turn)
+        self._starts_left -= 1
+        return True
+
+    def _begin_turn(self) -> None:
+        self._starts_left = STARTS_PER_TURN
+        self._start_waiting()
+
+    def _release_answer(self, exchange: exchanges_.Exchange) -> None:
+        if exchange.has_answer_memory:
+            exchange.has_answer_memory = False
+            self._account.release_answer()
+
+    def _set_response(
+        self, exchange: exchanges_.Exchange, resp: http_messages.Response
+    ) -> None:
+        exchange.response = resp
+        self._hold(exchange, exchanges_.response_bytes(resp))
+
     def _drop_waiting(self) -> None:
         waiting, self._waiting = self._waiting, collections.deque()
         for exchange in waiting:
@@ -219,7 +248,6 @@
             self._log.failure('handler', req.target)
             resp = http_messages.Response(502)
         finally:
-            self._at_work -= 1
             exchange.task = None
             self._bodies.shrink(reservation, 0)
         if exchange in self.exchanges:
@@ -230,7 +258,6 @@
             self._on_response()
         else:
             resp.drop_rest()
-        self._start_waiting()
 
     def _hold(self, exchange: exchanges_.Exchange, held_bytes: int) -> None:
         self.held_bytes += held_bytes - exchange.held_bytes
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 
+from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import http_client
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.resources import upstream as upstream_
 from ragwortchute.gateway.resources import victims
@@ -15,8 +17,14 @@
 HEADER_BYTES = 150
 # A connection is not read on while its own requests hold this much.
 CONNECTION_BYTES = 256 << 10
-# Requests of a connection that are at work at the same time, by the share of
-# the memory or of the connections that is in use.
+# Longest answer that is kept as a whole until those before it are written.
+KEPT_ANSWER_BYTES = (
+    http_client.MAX_COLLECTED_BYTES + answer_memory.MAX_READ_BYTES
+)
+# Share of the memory for requests that such answers may take.
+KEPT_ANSWERS_FRACTION = 0.5
+# Requests of a connection that are begun before the first of them is answered,
+# by the share of the memory or of the connections that is in use.
 MAX_AT_WORK = 64
 _HIGH_PRESSURE = 0.5
 _HIGH_PRESSURE_AT_WORK = 4
@@ -52,6 +60,7 @@
         upstream: Connections to targets and other hosts.
         connections: Connections accepted from callers and other hosts.
         held_bytes: Memory held for requests and unread responses.
+        kept_answers: Requests with memory for an answer that has to wait.
         shed: Connections and requests that were refused or closed, by the name
             of the limit.
     """
@@ -67,6 +76,7 @@
         self.upstream.on_shortage = self._on_upstream_shortage
         self.connections: set[victims.Holder] = set()
         self.held_bytes = 0
+        self.kept_answers = 0
         self.shed: collections.Counter[str] = collections.Counter()
         self._streams_shed_s = float('-inf')
         self._logged: collections.Counter[str] = collections.Counter()
@@ -93,7 +103,7 @@
         )
 
     def max_at_work(self) -> int:
-        """Returns how many requests of a connection may be at work."""
+        """Returns how many requests of a connection may be begun."""
         pressure = max(
             self.held_bytes / max(1, self.limits.request_bytes),
             self.upstream.pressure,
@@ -154,13 +164,29 @@
         """Changes what a connection holds for requests and responses.
 
         If that is too much, requests that have been read in part are refused,
-        then requests and responses that wait behind others, and in the end the
-        request that this connection sends.
+        then requests that wait behind others, and in the end the request that
+        this connection sends.
         """
         self.held_bytes += change_bytes
         if change_bytes > 0 and self.held_bytes > self.limits.request_bytes:
             self._shed_memory(holder)
 
+    def reserve_answer(self) -> bool:
+        """Reserves memory for an answer that has to wait for others.
+
+        Returns:
+            Whether there was enough; `release_answer` returns it.
+        """
+        limit_bytes = self.limits.request_bytes * KEPT_ANSWERS_FRACTION
+        if (self.kept_answers + 1) * KEPT_ANSWER_BYTES > limit_bytes:
+            return False
+        self.kept_answers += 1
+        return True
+
+    def release_answer(self) -> None:
+        """Returns the memory for an answer that had to wait."""
+        self.kept_answers -= 1
+
     def _shed_memory(self, holder: victims.Holder) -> None:
         """Refuses requests, in the end that of the given connection."""
         now_s = self._loop.time()
--- a/ragwortchute/gateway/resources/victims.py
+++ b/ragwortchute/gateway/resources/victims.py
@@ -22,7 +22,7 @@
     progress_s: float
 
     def is_at_work(self) -> bool:
-        """Whether a request has no response yet."""
+        """Whether a request runs that has no response yet."""
 
     def is_incomplete(self) -> bool:
         """Whether a request has been read in part, and may be read on."""
@@ -37,10 +37,10 @@
         """Whether responses hold connections to targets or other hosts."""
 
     def has_queue(self) -> bool:
-        """Whether requests or responses wait behind a request at work."""
+        """Whether requests that have not been started wait behind others."""
 
     def shed_queue(self) -> None:
-        """Refuses the requests that wait, or else drops the responses."""
+        """Refuses the requests that wait."""
 
     def shed_request(self) -> None:
         """Refuses the request that has been read in part."""
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -53,6 +53,10 @@
         assert derived.connections - derived.accepted_connections > (
             2 * account_.MAX_AT_WORK
         )
+        kept_bytes = account_.KEPT_ANSWER_BYTES * account_.MAX_AT_WORK
+        assert kept_bytes <= (
+            derived.request_bytes * account_.KEPT_ANSWERS_FRACTION
+        )
 
     @pytest.mark.parametrize(('memory_bytes', 'descriptors'), MACHINES)
     def test_parts_leave_room(self, memory_bytes, descriptors, monkeypatch):
--- a/tests/test_resources/test_pipelines.py
+++ b/tests/test_resources/test_pipelines.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from ragwortchute.gateway import answer_memory
+from ragwortchute.gateway import body_stream
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.gateway import server_connection
@@ -20,6 +22,15 @@
 ONE_READ = (4 << 10) // len(TINY) + 1
 
 
+def stream(memory):
+    """Returns a response whose body is arriving."""
+    share = answer_memory.Share(memory)
+    rest = body_stream.BodyStream(
+        servers.Transport(), 'target', share, [b'x'], None
+    )
+    return http_messages.Response(200, rest=rest)
+
+
 @pytest.fixture
 async def slow(serve):
     """A server with much memory, and a caller whose first request is slow."""
@@ -98,3 +109,75 @@
             for exchange in server.connection._pipeline.exchanges
         )
         assert server.account.held_bytes >= kept_bytes
+
+    async def test_each_request_that_ran_gets_its_answer(self, serve):
+        server = await serve(accepted_connections=40, connections=4_000)
+        body = bytes(60_000)
+        paths = [b'/quick/%d' % number for number in range(60)]
+        for path in paths:
+            resp = http_messages.Response(200, (), body)
+            server.at_once[path.decode()] = resp
+        callers = [await server.connect() for _ in range(10)]
+        for number, (_, writer) in enumerate(callers):
+            behind = b''.join(GET % path for path in paths[number::10])
+            writer.write(GET % b'/slow' + behind)
+        await asyncio.sleep(0.5)
+        # Further callers need memory while these wait.
+        others = [await server.connect() for _ in range(20)]
+        for _, writer in others:
+            writer.write(GET[:-2] % b'/head' + b'a:b\r\n' * 1_000)
+        await asyncio.sleep(0.5)
+        assert server.account.held_bytes <= server.account.limits.request_bytes
+        server.answer.set()
+        answered = []
+        for number, (reader, _) in enumerate(callers):
+            statuses = await read_statuses(reader, 7)
+            assert statuses[0] == 200
+            answered += [
+                path.decode()
+                for path, status in zip(
+                    paths[number::10], statuses[1:], strict=True
+                )
+                if status == 200
+            ]
+        ran = [path for path in server.handled if path in server.at_once]
+        assert sorted(answered) == sorted(ran)
+        for _, writer in callers + others:
+            writer.close()
+
+
+class TestStreamedAnswers:
+    """Long answers that hold connections must give way, requests must not."""
+
+    async def test_requests_behind_keep_their_answers(self, slow):
+        server, reader, writer = slow
+        memory = answer_memory.AnswerMemory(servers.MIB)
+        server.at_once['/stream'] = stream(memory)
+        writer.write(GET % b'/stream' + GET % b'/behind')
+        await server.wait_handled(3)
+        conn = server.connection
+        assert conn.has_streams()
+        conn.shed_streams()
+        assert memory.shares == 0
+        assert not conn.has_streams()
+        server.answer.set()
+        # The one whose answer was given up has run.
+        assert await read_statuses(reader, 3) == [200, 502, 200]
+
+    async def test_request_that_waits_does_not_spare_a_stream(self, serve):
+        # One further request behind each kept long answers from being ended.
+        server = await serve()
+        assert server.account.max_at_work() == 1
+        memory = answer_memory.AnswerMemory(servers.MIB)
+        server.at_once['/stream'] = stream(memory)
+        _, writer = await server.connect()
+        writer.write(GET % b'/stream' + GET % b'/behind')
+        await asyncio.sleep(0.2)
+        assert server.handled == ['/stream']
+        conn = server.connection
+        assert conn.has_streams()
+        conn.shed_streams()
+        await asyncio.sleep(0.1)
+        assert server.handled == ['/stream']
+        assert memory.shares == 0
+        writer.close()
