Count connections to targets when callers connect

Connections to targets were bounded by what callers had left when these were opened, and callers that came later were still accepted: together they could take 1.75 times the limit of 0.9 of the descriptors less 32. A crowd that connects again and again brought two hosts to 239 and 231 of 256 descriptors.

At the limit, a new caller closes the longest idle connection to a target, else another caller. Connections to targets take at most three quarters, as accepted ones do.

test_idle_callers_stay_connected had limits that never occur, more accepted connections (20) than connections (8); it has 40 of these now.

Tests: test_account, test_unread, test_answers, test_connections and test_http_client passed.

--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -127,7 +127,11 @@
         Returns:
             Whether it may stay open.
         """
-        excess = len(self.connections) - self.limits.accepted_connections
+        accepted = len(self.connections)
+        excess = accepted - self.limits.accepted_connections
+        shared_excess = accepted + self.upstream.used - self.limits.connections
+        if shared_excess >= 0 and not self.upstream.close_longest_idle():
+            excess = max(excess, shared_excess)
         if excess >= 0:
             victim = self._accepted_victims.take(self._loop.time())
             self.shed[ACCEPTED] += 1
@@ -145,7 +149,8 @@
 
     def _upstream_limit(self) -> int:
         accepted = min(len(self.connections), self.limits.accepted_connections)
-        return self.limits.connections - accepted
+        most = int(self.limits.connections * limits_.UPSTREAM_FRACTION)
+        return min(most, self.limits.connections - accepted)
 
     def _on_upstream_shortage(self) -> None:
         """Ends a response that holds connections and is taken slowly."""
--- a/ragwortchute/gateway/resources/limits.py
+++ b/ragwortchute/gateway/resources/limits.py
@@ -28,6 +28,9 @@
 # Share of the other descriptors that accepted connections may take. Connections
 # to targets and other hosts may take what these leave.
 ACCEPTED_FRACTION = 0.75
+# The same for connections to targets and other hosts, so that callers can
+# connect in any case.
+UPSTREAM_FRACTION = 0.75
 # Requests of one connection that are at work at the same time may take this
 # share of the connections to targets.
 PIPELINE_FRACTION = 1 / 16
--- a/ragwortchute/gateway/resources/upstream.py
+++ b/ragwortchute/gateway/resources/upstream.py
@@ -64,13 +64,21 @@
         return (self.used - len(self._idle)) / max(1, self._limit())
 
     def close_idle(self) -> bool:
-        """Closes the longest idle connection if there is no place left.
+        """Closes the longest idle connection if no place is left.
 
         Returns:
             Whether one is being closed. Its place is free once the loop has
             run the callbacks that are due.
         """
-        if self.used < self._limit() or not self._idle:
+        return self.used >= self._limit() and self.close_longest_idle()
+
+    def close_longest_idle(self) -> bool:
+        """Closes the longest idle connection, as `close_idle` does.
+
+        Returns:
+            Whether there was one.
+        """
+        if not self._idle:
             return False
         conn, _ = self._idle.popitem(last=False)
         conn.abort()
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -1,6 +1,7 @@
 """Tests of the limits, and of who is refused or closed when one is reached."""
 
 import asyncio
+import functools
 import types
 
 import pytest
@@ -131,6 +132,31 @@
         assert not any(holder.calls for holder in busy)
         assert account.shed[account_.ACCEPTED] == 2
 
+    async def test_connections_to_targets_count_when_callers_connect(self):
+        # Those were bounded by what callers had left, and callers came later.
+        account = await self.account(accepted_connections=6)
+        account.add(Holder(1.0, is_at_work=True))
+        while account.upstream.take() is not None:
+            pass
+        for number in range(5):
+            account.add(Holder(2.0 + number, is_at_work=True))
+        assert len(account.connections) + account.upstream.used <= 8
+        # Callers can connect also while all that may go to targets do.
+        assert len(account.connections) >= 2
+
+    async def test_idle_connection_to_a_target_gives_way_to_a_caller(self):
+        account = await self.account(accepted_connections=6)
+        conns = []
+        while (slot := account.upstream.take()) is not None:
+            conns.append(Connection(1.0))
+            account.upstream.note_idle(conns[-1])
+            conns[-1].abort = functools.partial(account.upstream.end, slot)
+        for number in range(6):
+            holder = Holder(2.0 + number, is_at_work=True)
+            assert account.add(holder)
+        assert len(account.connections) + account.upstream.used <= 8
+        assert not account.shed
+
     async def test_other_hosts_may_take_reserved_descriptors(self):
         account = await self.account()
         for number in range(4):
@@ -348,7 +374,7 @@
         assert server.account.held_bytes == 0
 
     async def test_idle_callers_stay_connected(self, serve):
-        server = await serve(accepted_connections=20)
+        server = await serve(accepted_connections=20, connections=40)
         server.answer.set()
         callers = [await server.connect() for _ in range(20)]
         for round_ in range(3):
--- a/tests/test_resources/test_unread.py
+++ b/tests/test_resources/test_unread.py
@@ -35,7 +35,9 @@
 
     async def test_responses_too_short_to_pause_writing_give_way(self, serve):
         # Many of them filled the account, and no caller could be closed.
-        server = await serve(accepted_connections=40, request_bytes=200_000)
+        server = await serve(
+            accepted_connections=40, connections=80, request_bytes=200_000
+        )
         server.at_once['/short'] = http_messages.Response(
             200, (), bytes(30_000)
         )
