Count growth of a body as progress only from 1 KB on

A body that grew by a byte now and then was never chosen while others waited for memory. Besides, a body that had waited for memory itself was taken for stalled from before its wait, until the next read.

test_progress: a request got 503 while two bodies of 4 MB trickled, 200 now.

--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/accounted_connection.py
@@ -34,7 +34,10 @@
     def progress_s(self) -> float:
         """See `victims.Holder`."""
         return max(
-            self._received_s, self._idle_since_s, self._delivery.progress_s
+            self._received_s,
+            self._reader.started_s,
+            self._idle_since_s,
+            self._delivery.progress_s,
         )
 
     def is_at_work(self) -> bool:
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -20,6 +20,9 @@
 # A request with a shorter body is refused once it is complete, which keeps its
 # connection open.
 MIN_EARLY_BYTES = 16 << 10
+# A body that grows by less has made no progress. The shortest one that needs
+# memory of its own must grow by 20 KB a second to be complete in 3 s.
+MIN_PROGRESS_BYTES = 1 << 10
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # Bytes read at once: of a body whose length is known, of one in long chunks,
@@ -92,6 +95,7 @@
         '_limits',
         '_loop',
         '_mixed_bytes',
+        '_noted_bytes',
         '_parser',
         '_received_bytes',
         '_receiver',
@@ -165,6 +169,15 @@
         """Whether the caller lets the connection carry another request."""
         return self._parser.should_keep_alive()
 
+    def note_progress(self) -> bool:
+        """Returns whether the caller has sent something that counts."""
+        if not self._in_body:
+            return True
+        if self._body.size_bytes - self._noted_bytes < MIN_PROGRESS_BYTES:
+            return False
+        self._noted_bytes = self._body.size_bytes
+        return True
+
     def restart_time(self) -> None:
         """Lets the time of an incomplete request begin now."""
         if self.started_s:
@@ -410,6 +423,8 @@
         self._in_body = False
         # Length that the head states for the body.
         self._length = 0
+        # Length of the body when it last made progress.
+        self._noted_bytes = 0
         self._body.clear()
         self._first_trailer = 0
         self._head_bytes = 0
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -241,8 +241,9 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parses received bytes."""
-        self._received_s = self._loop.time()
         self._reader.feed(data)
+        if self._reader.note_progress():
+            self._received_s = self._loop.time()
         self.update_reading()
         self._update_held()
 
