--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/accounted_connection.py
@@ -29,18 +29,20 @@
     _received_s: float
     _transport: asyncio.Transport | None
     _writer: response_writer.ResponseWriter | None
-    _writing_paused: bool
 
     @property
     def progress_s(self) -> float:
         """See `victims.Holder`."""
         return max(
-            self._received_s, self._idle_since_s, self._delivery.progress_s
+            self._received_s,
+            self._reader.started_s,
+            self._idle_since_s,
+            self._delivery.progress_s,
         )
 
     def is_at_work(self) -> bool:
         """See `victims.Holder`."""
-        return self._pipeline.has_work()
+        return self._pipeline.has_running()
 
     def is_incomplete(self) -> bool:
         """See `victims.Holder`."""
@@ -52,12 +54,16 @@
 
     def has_unread(self) -> bool:
         """See `victims.Holder`."""
-        return self._writer is None and self._writing_paused
+        return (
+            self._writer is None
+            and self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
 
     def has_streams(self) -> bool:
         """See `victims.Holder`."""
         if self._writer is not None:
-            return not self._pipeline.has_work()
+            return not self._pipeline.has_running()
         return self._pipeline.has_streams()
 
     def has_queue(self) -> bool:
@@ -71,8 +77,7 @@
 
     def shed_queue(self) -> None:
         """See `victims.Holder`."""
-        if self._pipeline.shed_queue():
-            self._end_reading()
+        self._pipeline.shed_queue()
         self._flush()
 
     def shed_streams(self) -> None:
@@ -81,8 +86,7 @@
             self.shed()
             return
         self._pipeline.drop_streams()
-        self._end_reading()
-        self._update_held()
+        self._flush()
 
     def shed(self) -> None:
         """See `victims.Holder`."""
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -20,12 +20,17 @@
 # A request with a shorter body is refused once it is complete, which keeps its
 # connection open.
 MIN_EARLY_BYTES = 16 << 10
+# A body that grows by less has made no progress. The shortest one that needs
+# memory of its own must grow by 20 KB a second to be complete in 3 s.
+MIN_PROGRESS_BYTES = 1 << 10
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
-# Bytes read at once: of a body in long parts, and of anything else. Parsing
-# 16 KiB of the shortest headers or chunks takes a few milliseconds.
+# Bytes read at once: of a body whose length is known, of one in long chunks,
+# and of anything else. The shortest requests, 26 bytes each, take 7
+# microseconds to parse, so that 8 KiB of them take 2 ms.
 LONG_READ_BYTES = 64 << 10
-READ_BYTES = 16 << 10
+CHUNK_READ_BYTES = 8 << 10
+READ_BYTES = 4 << 10
 
 
 EarlyRefusal = abc.Callable[
@@ -82,10 +87,15 @@
         '_disconnected',
         '_expects_continue',
         '_first_trailer',
+        '_framing_bytes',
         '_head_bytes',
         '_headers',
+        '_in_body',
+        '_length',
         '_limits',
         '_loop',
+        '_mixed_bytes',
+        '_noted_bytes',
         '_parser',
         '_received_bytes',
         '_receiver',
@@ -123,6 +133,11 @@
         """Whether the rest of a body must wait for memory."""
         return self._body.waiting
 
+    @property
+    def in_head(self) -> bool:
+        """Whether the head of a request has been read in part."""
+        return bool(self.started_s) and not self._in_body
+
     @property
     def has_reservation(self) -> bool:
         """Whether memory is reserved for the body of the request."""
@@ -131,15 +146,19 @@
     @property
     def read_bytes(self) -> int:
         """Number of bytes to read at once."""
-        return LONG_READ_BYTES if self._body.has_long_parts else READ_BYTES
+        if self._in_body and self._length:
+            # Not beyond its end: short requests may follow.
+            left = self._length - self._body.size_bytes
+            return max(READ_BYTES, min(LONG_READ_BYTES, left))
+        return CHUNK_READ_BYTES if self._body.has_long_parts else READ_BYTES
 
     @property
     def held_bytes(self) -> int:
         """Memory of the incomplete request without a reservation."""
         if not self.started_s:
             return 0
-        # The parser keeps an incomplete header.
-        unparsed_bytes = min(self._received_bytes, READ_BYTES)
+        # The parser keeps an incomplete header or trailer.
+        unparsed_bytes = self._framing_bytes + self._mixed_bytes
         return (
             max(self.head_held_bytes, unparsed_bytes)
             + self._body.unreserved_bytes
@@ -150,6 +169,20 @@
         """Whether the caller lets the connection carry another request."""
         return self._parser.should_keep_alive()
 
+    def note_progress(self) -> bool:
+        """Returns whether the caller has sent something that counts."""
+        if not self._in_body:
+            return True
+        if self._body.size_bytes - self._noted_bytes < MIN_PROGRESS_BYTES:
+            return False
+        self._noted_bytes = self._body.size_bytes
+        return True
+
+    def restart_time(self) -> None:
+        """Lets the time of an incomplete request begin now."""
+        if self.started_s:
+            self.started_s = self._loop.time()
+
     def end(self) -> None:
         """Ignores all further data and drops an incomplete request."""
         self.ended = True
@@ -163,6 +196,7 @@
         if self.ended:
             return
         begun_before = self._requests_begun
+        body_bytes_before = self._body.size_bytes
         was_between_requests = not self.started_s
         try:
             self._parse(data)
@@ -176,10 +210,28 @@
         if self.started_s and (
             begun == 0 or (begun == 1 and was_between_requests)
         ):
-            self._received_bytes += len(data)
-            framing_bytes = self._received_bytes - self._body.size_bytes
-            allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
-            self._check_head(framing_bytes - allowed)
+            self._count_framing(
+                len(data), self._body.size_bytes - body_bytes_before
+            )
+
+    def _count_framing(self, size: int, body_size: int) -> None:
+        """Counts received bytes that are not part of the body.
+
+        Args:
+            size: Length of what was received.
+            body_size: Length of the parts of the body in it.
+        """
+        self._received_bytes += size
+        if body_size:
+            self._framing_bytes = 0
+            self._mixed_bytes = size - body_size
+        else:
+            # A trailer or chunk extension may follow a body of any length.
+            self._framing_bytes += size
+            self._check_head(self._framing_bytes)
+        framing_bytes = self._received_bytes - self._body.size_bytes
+        allowed = self._body.size_bytes * FRAMING_BYTES_PER_BODY_BYTE
+        self._check_head(framing_bytes - allowed)
 
     def _parse(self, data: bytes | memoryview) -> None:
         """Parses received bytes.
@@ -243,6 +295,7 @@
         size_bytes = 0
         if self.ended or self._parser.should_upgrade():
             return
+        self._in_body = True
         for name, value in self._headers:
             if name == b'content-length':
                 size_bytes = int(value)
@@ -251,6 +304,7 @@
         if size_bytes > self._limits().max_body_bytes:
             self._receiver.reject(413)
             return
+        self._length = size_bytes
         self._first_trailer = len(self._headers)
         if self._refuse_early(size_bytes):
             return
@@ -285,6 +339,7 @@
             req.trailer_names = frozenset(name for name, _ in trailers)
         # An idle connection would keep them until its next request.
         self._headers = []
+        self._in_body = False
         self._stop_body_wait()
         req.accepts_chunks = self._parser.get_http_version() != '1.0'
         req.body_parts, reservation = self._body.take()
@@ -365,11 +420,20 @@
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._expects_continue = False
+        self._in_body = False
+        # Length that the head states for the body.
+        self._length = 0
+        # Length of the body when it last made progress.
+        self._noted_bytes = 0
         self._body.clear()
         self._first_trailer = 0
         self._head_bytes = 0
         self.head_held_bytes = 0
         self._received_bytes = 0
+        # Bytes without a part of the body since the last read that had one,
+        # and the rest of that read.
+        self._framing_bytes = 0
+        self._mixed_bytes = 0
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -34,8 +34,6 @@
 # All connections read into it, one after another. What a read brings is parsed
 # before any other connection is served, so it bounds the time that takes.
 _READ_BUFFER = memoryview(bytearray(request_reader.LONG_READ_BYTES))
-# Read while requests are pending: each may be as short as 40 bytes.
-_PIPELINE_READ_BYTES = 4 << 10
 
 
 class ServerConnection(
@@ -169,13 +167,15 @@
             self.update_delivery(now_s)
         else:
             self._delivery.update_unsent(now_s)
+        # The caller may have read without an event of the transport.
+        self._update_held()
         if self._is_stalled(now_s, limits):
             self.abort()
         elif self._close_started_s:
             self._expire_close(now_s, limits)
         elif self._reader.waiting:
             return
-        elif self._reader.started_s:
+        elif self._reader.started_s and not self._reading_paused:
             if now_s - self._reader.started_s > limits.header_timeout_s:
                 self.reject(408)
         elif (
@@ -233,10 +233,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """See base class."""
-        read_bytes = self._reader.read_bytes
-        if self._pipeline.exchanges and not self._reader.started_s:
-            read_bytes = _PIPELINE_READ_BYTES
-        return _READ_BUFFER[:read_bytes]
+        return _READ_BUFFER[: self._reader.read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """See base class."""
@@ -244,8 +241,9 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parses received bytes."""
-        self._received_s = self._loop.time()
         self._reader.feed(data)
+        if self._reader.note_progress():
+            self._received_s = self._loop.time()
         self.update_reading()
         self._update_held()
 
@@ -309,8 +307,10 @@
         """Pauses reading, or goes on, as the pending requests demand.
 
         A caller that leaves its responses unread gets no further one: a request
-        that has not run can be sent again. One that has begun is read to its
-        end, as its caller may read nothing before it has sent all of it.
+        that has not run can be sent again. A body is read to its end, as its
+        caller may read nothing before it has sent all of it. The rest of a head
+        waits: reads hardly ever end between two requests, so that many short
+        ones would be read without an end.
         """
         pending = len(self._pipeline.exchanges)
         full = self._writing_paused or (
@@ -322,7 +322,8 @@
             )
         )
         pause = not self._reader.ended and (
-            self._reader.waiting or (full and not self._reader.started_s)
+            self._reader.waiting
+            or (full and (not self._reader.started_s or self._reader.in_head))
         )
         if pause == self._reading_paused or self._transport is None:
             return
@@ -330,6 +331,9 @@
         if pause:
             self._transport.pause_reading()
         else:
+            if self._reader.in_head:
+                # This host has not read it, so the time does not count.
+                self._reader.restart_time()
             self._transport.resume_reading()
 
     def _end_reading(self) -> None:
