Bound reports of rollouts with many routes

Cause: the counters of the old version were all in each report.

Change: a report holds at most 68 counters: those that have changed since they were last reported, those of the canary version first, then others by turns. They remain cumulative. A coordinator keeps the highest value of each counter and adds what exceeds it, so a counter that is missing, late or repeated is never counted twice.

Measured: at 54 routes and 5 failure domains with 2,000 responses, the longest report has at most 1,110 bytes, and all responses are counted once with a fifth of the reports lost and others late and repeated (test_counters_of_many_routes_fit_datagrams).

--- a/ragwortchute/gateway/rollouts/evidence.py
+++ b/ragwortchute/gateway/rollouts/evidence.py
@@ -1,8 +1,9 @@
 """Evidence on two versions: counters by host, version, route and target.
 
-Hosts send cumulative counters. The difference to the last report of the same
-incarnation of a host is added to the evidence, so lost reports are made up for
-by later ones, and late or repeated ones change nothing.
+Hosts send cumulative counters. What a counter is above the highest that the
+same incarnation of a host has reported is added to the evidence, so lost
+reports are made up for by later ones, and late or repeated ones add nothing
+twice. A report holds the counters that have changed, and others by turns.
 """
 
 import struct
@@ -16,8 +17,9 @@
 # Targets of the canary version are counted in as many groups, by a hash of
 # their names: a report on a hundred targets would be too long.
 _TARGET_GROUPS = 8
-# Cells that fit a datagram beside the other fields of a report.
-MAX_CELLS = 70
+# Cells that fit a datagram beside the other fields of a report. Targets of the
+# canary version are counted without groups beyond so many cells of it.
+MAX_CELLS = 68
 # Period within which the versions are compared with each other.
 BUCKET_S = 0.5
 
@@ -60,6 +62,21 @@
         self.timed += other.timed
         self.slow += other.slow
 
+    def raise_to(self, other: 'Counts') -> 'Counts':
+        """Raises each counter to another one if that is higher.
+
+        Returns:
+            By how much each was raised.
+        """
+        added = Counts(
+            max(0, other.ended - self.ended),
+            max(0, other.failed - self.failed),
+            max(0, other.timed - self.timed),
+            max(0, other.slow - self.slow),
+        )
+        self.add(added)
+        return added
+
 
 Cells = dict[CellKey, Counts]
 
@@ -78,13 +95,16 @@
     """Cumulative counters of this host for one order.
 
     Attributes:
-        cells: The counters.
+        cells: The counters, least recently reported ones first.
     """
 
-    __slots__ = ('cells',)
+    __slots__ = ('_canary_cells', '_changed', 'cells')
 
     def __init__(self) -> None:
         self.cells: Cells = {}
+        self._canary_cells = 0
+        # Counters that have changed since their last report, in this order.
+        self._changed: dict[CellKey, None] = {}
 
     def note(
         self, key: CellKey, *, failed: bool, timed: bool, slow: bool
@@ -92,15 +112,34 @@
         """Counts a response or failure."""
         counts = self.cells.get(key)
         if counts is None:
-            if len(self.cells) >= MAX_CELLS and key.target:
-                # The report must fit a datagram.
+            if self._canary_cells >= MAX_CELLS and key.target:
                 key = CellKey(key.canary, key.route, key.domain, 0)
+            if key not in self.cells:
+                self._canary_cells += key.canary
             counts = self.cells.setdefault(key, Counts())
+        self._changed[key] = None
         counts.ended += 1
         counts.failed += failed
         counts.timed += timed
         counts.slow += timed and slow
 
+    def next_cells(self) -> Cells:
+        """Returns the counters of the next report, at most `MAX_CELLS`.
+
+        Those of the canary version come first.
+        """
+        canary = [key for key in self._changed if key.canary]
+        others = [key for key in self._changed if not key.canary]
+        chosen = dict.fromkeys([*canary, *others][:MAX_CELLS])
+        for key in self.cells:
+            if len(chosen) >= MAX_CELLS:
+                break
+            chosen[key] = None
+        for key in chosen:
+            self._changed.pop(key, None)
+            self.cells[key] = self.cells.pop(key)
+        return {key: self.cells[key] for key in chosen}
+
 
 def pack(cells: Cells) -> bytes:
     """Encodes counters."""
@@ -149,10 +188,12 @@
         buckets: Responses in periods of `BUCKET_S`, in order of time.
     """
 
-    __slots__ = ('_latest', 'buckets')
+    __slots__ = ('_known', '_sequences', 'buckets')
 
     def __init__(self) -> None:
-        self._latest: dict[tuple[str, int], tuple[int, Cells]] = {}
+        self._sequences: dict[tuple[str, int], int] = {}
+        # The highest counters that were reported.
+        self._known: dict[tuple[str, int], Cells] = {}
         self.buckets: list[Bucket] = []
 
     def merge(
@@ -163,37 +204,28 @@
         data: bytes,
         age_s: float,
     ) -> bool:
-        """Adds what a report says beyond earlier ones of the same host.
+        """Adds what a report says beyond others of the same host.
 
         Args:
             host: Name of the host.
             incarnation: Its incarnation, which began with counters of 0.
             sequence: Number of the report.
-            data: Cumulative counters as encoded by `pack`.
+            data: Cumulative counters as encoded by `pack`, not always all.
             age_s: Age of the order in seconds.
 
         Returns:
             False if a later report is known already.
         """
-        known_sequence, known = self._latest.get((host, incarnation), (-1, {}))
-        if sequence <= known_sequence:
-            return False
-        cells = unpack(data)
-        self._latest[host, incarnation] = (sequence, cells)
+        known = self._known.setdefault((host, incarnation), {})
         bucket = self._bucket(age_s).cells
-        for key, counts in cells.items():
-            old = known.get(key)
-            if old == counts:
-                continue
-            old = old or Counts()
-            bucket.setdefault(key, Counts()).add(
-                Counts(
-                    max(0, counts.ended - old.ended),
-                    max(0, counts.failed - old.failed),
-                    max(0, counts.timed - old.timed),
-                    max(0, counts.slow - old.slow),
-                )
-            )
+        for key, counts in unpack(data).items():
+            highest = known.setdefault(key, Counts())
+            added = highest.raise_to(counts)
+            if added != Counts():
+                bucket.setdefault(key, Counts()).add(added)
+        if sequence <= self._sequences.get((host, incarnation), -1):
+            return False
+        self._sequences[host, incarnation] = sequence
         return True
 
     def total(self, *, canary: bool) -> Counts:
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -295,7 +295,7 @@
             drained,
             state.exposure.requests,
             state.exposure.canary_sends,
-            evidence.pack(state.counters.cells),
+            evidence.pack(state.counters.next_cells()),
         )
         if self._me.name in leaders:
             self._handle_report(self._me.name, report, now_s)
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -200,6 +200,48 @@
         assert len(evidence.pack(counters.cells)) < 1100
         assert sum(item.ended for item in counters.cells.values()) == 500
 
+    def test_counters_of_many_routes_fit_datagrams(self):
+        # The counters of 54 routes and 5 failure domains do not fit into one.
+        rng = random.Random(1)
+        counters, merged = evidence.Counters(), evidence.Evidence()
+        late = []
+        for sequence in range(60):
+            for _ in range(40 if sequence < 50 else 0):
+                canary = rng.random() < 0.1
+                key = evidence.CellKey(
+                    canary,
+                    evidence.key_of(f'route-{rng.randrange(54)}'),
+                    evidence.key_of(f'zone-{rng.randrange(5)}'),
+                    rng.randrange(1, 9) if canary else 0,
+                )
+                counters.note(key, failed=canary, timed=True, slow=False)
+            data = evidence.pack(counters.next_cells())
+            report = messages.Report(
+                'service-with-a-long-name',
+                *(10**6, 10**13, sequence, 10**9, 15_000, 10**6, False),
+                *(10**5, 10**4, data),
+            )
+            assert len(messages.encode(report)) <= 1110
+            if rng.random() < 0.8:
+                late.append((sequence, data))
+            for item in rng.sample(late, min(2, len(late))):
+                merged.merge('h', 1, *item, sequence * 0.5)
+        for item in late:
+            merged.merge('h', 1, *item, 30.0)
+        assert len(counters.cells) > 270
+        canary = merged.total(canary=True)
+        assert canary.ended + merged.total(canary=False).ended == 2000
+        assert canary.failed == canary.ended
+
+    def test_report_without_counters_changes_nothing(self):
+        # Hosts that would coordinate next get such reports at first.
+        key = evidence.CellKey(True, 1, 1, 1)
+        full = evidence.pack({key: evidence.Counts(5, 1, 5, 0)})
+        merged = evidence.Evidence()
+        for sequence, data in enumerate((full, b'', full)):
+            merged.merge('h', 1, sequence, data, 1.0)
+        assert merged.total(canary=True).ended == 5
+
 
 def buckets(old, new, periods=10, *, domain=1):
     """Returns periods with responses and failures, new ones by target."""
