Keep rollouts safe in partitions of any length

Cause: hosts that were silent for 30 s were forgotten, so each side of a partition took itself for all hosts: the one wrote `succeeded` while the other sent to old targets by the contact with its own coordinator. Shorter partitions had the same effect on hosts that had not learnt of the order: they only stopped if they heard no other host at all.

Change: - Only hosts that have said that they stop are forgotten. - A host sends to old targets by its contact only until 0.6 of the time of the order. Later the record must have been confirmed within 1.2 s, by the store or by the reply of a coordinator, which now tells the age of its copy. - `succeeded` waits for silent hosts until their requests have ended by that rule, and no longer needs most hosts. A decision with silent hosts is due at 0.6 of the time. The hosts that most hosts know count, so that a coordinator that has started in a partition does not take its side for all. - A host that hears at most two thirds of the hosts and has not reached the store for 9 s refuses: it may not know of an order. `succeeded` needs a third of the hosts if some silent ones have never reported on the order. - Evidence is fresh if most hosts that are heard have reported; before, the death of more than half of the hosts stopped the decision for good. - The next host by name takes over after about 1 s from coordinators that don't reply; before, after 4 s if both had died. It has been told which hosts know the order. - With more than 200 hosts, reports after a change of the phase are spread.

The model shares the list of hosts among those of a side.

Tests of the drain give the order an age of 20 s, as the age matters now; their limits are unchanged.

--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -4,53 +4,38 @@
 second one does if it no longer hears the first, or if that can't write.
 """
 
-from collections import abc
-
 import msgspec
 
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import judgement
 from ragwortchute.gateway.rollouts import messages
+from ragwortchute.gateway.rollouts import neighbours as neighbours_
 from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
+from ragwortchute.gateway.rollouts import trust
 
-# A host whose heartbeats and reports are older than this is not heard.
-SILENT_S = 4.0
 # A host is not waited for at the end of a rollout if it was not heard for this
 # long beyond the time for which it acts on the contact with a coordinator.
 _SILENT_MARGIN_S = 0.8
-# A host that reaches neither the store nor any other host, and has not learnt
-# of an order, refuses requests after this time.
-ISOLATION_S = 6.0
 # Longest difference of the ages that hosts measure, and delay of a message.
 _MARGIN_S = 0.25
+# The age of an order may be this much lower at a host that has not heard of it
+# from others yet.
+_AGE_LAG_S = 0.75
 # After this time in the last phase, hosts that have just started are known.
 _MIN_DRAIN_S = 2.0
 # Reports are fresh for this many intervals.
 _FRESH_INTERVALS = 3.0
+# A host that has not reported for this many is silent. With a tenth of the
+# messages lost, one of 100,000 hosts is taken for silent wrongly.
+_SILENT_INTERVALS = 5.0
 # The evidence is judged anew at most this often.
 _JUDGE_INTERVAL_S = 0.25
 # Share of sends to old targets below which the requests have moved.
 _MOVED_SHARE = 0.05
 
 
-class Neighbour(msgspec.Struct, frozen=True):
-    """Another host that may be alive.
-
-    Attributes:
-        name: Name of the host.
-        incarnation: Its incarnation.
-        heard_s: Loop time at which its last heartbeat was sent.
-        discovered_s: Loop time at which this incarnation was learned of.
-    """
-
-    name: str
-    incarnation: int
-    heard_s: float
-    discovered_s: float
-
-
 class _HostReport(msgspec.Struct):
     """What a host has reported last.
 
@@ -127,19 +112,34 @@
         ages_s = [now_s - host.received_s for host in self._hosts.values()]
         return sum(ages_s) / len(ages_s)
 
-    def is_fresh(self, now_s: float, interval_s: float) -> bool:
-        """Returns whether most hosts have reported recently.
+    def is_fresh(
+        self, view: neighbours_.View, now_s: float, interval_s: float
+    ) -> bool:
+        """Returns whether most hosts that are heard have reported recently.
 
         Args:
+            view: The other hosts that may be alive.
             now_s: Loop time in seconds.
             interval_s: Time between two reports of a host in seconds.
         """
-        fresh = [
-            host
-            for host in self._hosts.values()
-            if now_s - host.received_s <= interval_s * _FRESH_INTERVALS
+        heard = view.names_heard()
+        received_s = [
+            host.received_s
+            for name, host in self._hosts.items()
+            if name in heard
         ]
-        return 2 * len(fresh) > len(self._hosts)
+        oldest_s = now_s - interval_s * _FRESH_INTERVALS
+        fresh = [time_s for time_s in received_s if time_s >= oldest_s]
+        return 2 * len(fresh) > len(received_s)
+
+    def _has_silent(
+        self, view: neighbours_.View, now_s: float, interval_s: float
+    ) -> bool:
+        """Returns whether some hosts seem to be dead or cut off."""
+        oldest_s = now_s - interval_s * _SILENT_INTERVALS
+        return view.heard < view.hosts or any(
+            host.received_s < oldest_s for host in self._hosts.values()
+        )
 
     def canary_share(self) -> float:
         """Returns the share of requests that the canary version has got."""
@@ -159,7 +159,7 @@
         recent = [
             host
             for host in self._hosts.values()
-            if now_s - host.received_s < SILENT_S
+            if now_s - host.received_s < neighbours_.SILENT_S
         ]
         hosts = [host for host in recent if host.report.revision >= revision]
         if 2 * len(hosts) <= len(recent):
@@ -171,7 +171,7 @@
     def has_drained(
         self,
         state: service_state.ServiceState,
-        neighbours: abc.Iterable[Neighbour],
+        view: neighbours_.View,
         longest_s: float,
         contact_lease_s: float,
         now_s: float,
@@ -179,66 +179,86 @@
         """Returns whether no request of any host can run at an old target.
 
         A host that is heard must have said so. One that is not heard has
-        stopped to act on an old copy of the record after `LEASE_S`.
+        stopped by itself: after `LEASE_S` without the store, and at a given age
+        of the order even if it is in contact with another coordinator.
 
         Args:
             state: The rollout as this host follows it.
-            neighbours: The other hosts that may be alive.
+            view: The other hosts that may be alive.
             longest_s: Longest time that a request may take, in seconds.
-            contact_lease_s: See `service_state.Trust`.
+            contact_lease_s: See `trust.Trust`.
             now_s: Loop time in seconds.
         """
         if now_s < state.phase_since_s + _MIN_DRAIN_S:
             return False
         if not state.has_drained(now_s):
             return False
-        return all(
-            self._neighbour_has_drained(
-                item, state, longest_s, contact_lease_s, now_s
-            )
-            for item in neighbours
+        ends_s = longest_s + _MARGIN_S
+        hosts = max(view.hosts, self._most_hosts())
+        unaware = 0
+        for item in view.others():
+            if self._has_agreed(item, state, ends_s, now_s):
+                continue
+            heard_s = self._heard_s(item)
+            if now_s - heard_s < contact_lease_s + _SILENT_MARGIN_S:
+                return False
+            if now_s < _silent_stop_s(state) + ends_s:
+                return False
+            if item.name not in self._hosts:
+                unaware += 1
+                if now_s < heard_s + neighbours_.ISOLATION_S + ends_s:
+                    return False
+        unaware += hosts - view.hosts
+        return not unaware or (
+            view.is_enough(hosts)
+            and now_s >= _unaware_stop_s(state, hosts - view.heard) + ends_s
         )
 
-    def _neighbour_has_drained(
+    def _has_agreed(
         self,
-        neighbour: Neighbour,
+        neighbour: neighbours_.Neighbour,
         state: service_state.ServiceState,
-        longest_s: float,
-        contact_lease_s: float,
+        ends_s: float,
         now_s: float,
     ) -> bool:
+        """Returns whether a host has said that it is done with old targets."""
         known = self._hosts.get(neighbour.name)
-        ends_s = longest_s + _MARGIN_S
-        # Nobody sends to an old target later without having contact.
-        last_end_s = state.phase_since_s + service_state.LEASE_S + ends_s
         if (
-            known is not None
-            and known.report.drained
-            and known.report.revision >= state.record.revision
-            and known.report.incarnation >= neighbour.incarnation
+            known is None
+            or not known.report.drained
+            or known.report.revision < state.record.revision
+            or known.report.incarnation < neighbour.incarnation
         ):
-            # Requests of an earlier incarnation may still be running.
-            return known.was_drained or now_s >= min(
-                neighbour.discovered_s + ends_s, last_end_s
-            )
-        heard_s = neighbour.heard_s
-        if known is not None:
-            heard_s = max(heard_s, known.received_s)
-        if now_s - heard_s < contact_lease_s + _SILENT_MARGIN_S:
-            return False
-        if known is None and now_s < heard_s + ISOLATION_S + ends_s:
             return False
-        return now_s >= last_end_s
+        # Requests of an earlier incarnation may still be running.
+        return known.was_drained or now_s >= min(
+            neighbour.discovered_s + ends_s, _silent_stop_s(state) + ends_s
+        )
+
+    def _heard_s(self, neighbour: neighbours_.Neighbour) -> float:
+        """Returns the loop time at which a host was last heard."""
+        known = self._hosts.get(neighbour.name)
+        if known is None:
+            return neighbour.heard_s
+        return max(neighbour.heard_s, known.received_s)
+
+    def _most_hosts(self) -> int:
+        """Returns the highest number of hosts that any host knows.
+
+        A host that has started in a partition does not know the other side.
+        """
+        return max(
+            (item.report.hosts for item in self._hosts.values()), default=0
+        )
 
     def situation(
         self,
         state: service_state.ServiceState,
-        neighbours: abc.Collection[Neighbour],
+        view: neighbours_.View,
         *,
         longest_s: float,
         interval_s: float,
         contact_lease_s: float,
-        reaches_most: bool,
         obstacle: str,
         warm: bool,
         now_s: float,
@@ -247,11 +267,10 @@
 
         Args:
             state: The rollout as this host follows it.
-            neighbours: The other hosts that may be alive.
+            view: The other hosts that may be alive.
             longest_s: Longest time that a request may take, in seconds.
             interval_s: Time between two reports of a host in seconds.
-            contact_lease_s: See `service_state.Trust`.
-            reaches_most: Whether this host hears most of the others.
+            contact_lease_s: See `trust.Trust`.
             obstacle: Why there is nothing to judge, empty if there is.
             warm: Whether no target of the new version is cold.
             now_s: Loop time in seconds.
@@ -262,21 +281,46 @@
             self._verdict = judgement.judge(
                 self.evidence.buckets, record.duration_s * phases.HALF
             )
-        drained = (
-            record.phase == records.Phase.DRAIN
-            and reaches_most
-            and self.has_drained(
-                state, neighbours, longest_s, contact_lease_s, now_s
-            )
+        drained = record.phase == records.Phase.DRAIN and self.has_drained(
+            state, view, longest_s, contact_lease_s, now_s
         )
         return phases.Situation(
             record,
             state.age_s(now_s) / record.duration_s,
             self._verdict,
-            self.is_fresh(now_s, interval_s),
+            self.is_fresh(view, now_s, interval_s),
             state.stopped,
             record.phase == records.Phase.MOVE
             and (warm or self.has_moved(record.revision, now_s)),
             drained,
             obstacle,
+            self._has_silent(view, now_s, interval_s),
         )
+
+
+def _silent_stop_s(state: service_state.ServiceState) -> float:
+    """Returns when a silent host that knows the order sends to none any more.
+
+    That is to none of the old targets; the result is a loop time.
+    """
+    contact_s = phases.OLD_BY_CONTACT_UNTIL * state.longest_duration_s
+    return max(
+        state.phase_since_s + trust.LEASE_S,
+        state.seen_s + contact_s + _AGE_LAG_S,
+    )
+
+
+def _unaware_stop_s(state: service_state.ServiceState, silent: int) -> float:
+    """Returns when silent hosts that don't know the order send to none.
+
+    They have not read the store since the order was written, and count as
+    isolated after some time.
+
+    Args:
+        state: The rollout as this host follows it.
+        silent: Number of hosts that are not heard.
+    """
+    alone_s = neighbours_.ISOLATION_S
+    return state.seen_s + (
+        alone_s if silent == 1 else neighbours_.GROUP_ISOLATION_S
+    )
--- a/ragwortchute/gateway/rollouts/environment.py
+++ b/ragwortchute/gateway/rollouts/environment.py
@@ -1,13 +1,13 @@
 """What the rollouts of a host depend on beside its own requests."""
 
-from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import neighbours
 
 
 class Environment:
     """What a participant asks of its host; tests replace it with a fake."""
 
-    def neighbours(self, now_s: float) -> list[coordinator.Neighbour]:
-        """Returns the other hosts that may be alive."""
+    def neighbours(self, now_s: float) -> neighbours.Neighbours:
+        """Returns the hosts that may be alive, silent ones included."""
         raise NotImplementedError
 
     def longest_s(self, service: str) -> float:
--- a/ragwortchute/gateway/rollouts/messages.py
+++ b/ragwortchute/gateway/rollouts/messages.py
@@ -7,6 +7,8 @@
 
 # Name of the part in messages between hosts.
 PART = 'rollout'
+# Age of a record that has never been confirmed, and highest one that is told.
+UNCONFIRMED_MS = 1_000_000_000
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -25,6 +27,7 @@
         requests: Requests of the service that it has sent to targets.
         canary_sends: Sends to the canary version.
         cells: Cumulative counters, see `evidence.pack`.
+        hosts: Number of hosts that the sender knows, 0 if it does not say.
     """
 
     service: str
@@ -38,6 +41,7 @@
     requests: int
     canary_sends: int
     cells: bytes
+    hosts: int = 0
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -52,6 +56,7 @@
         phase: Its phase.
         reaches_most: Whether the sender hears most hosts.
         able: Whether the sender can read and write the store.
+        confirmed_age_ms: How long ago its record was the newest for certain.
     """
 
     service: str
@@ -62,6 +67,7 @@
     phase: int
     reaches_most: bool
     able: bool
+    confirmed_age_ms: int = UNCONFIRMED_MS
 
 
 class Stop(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -17,10 +17,13 @@
 from ragwortchute.gateway.rollouts import environment as environment_
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import messages
+from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import rollout_log
 from ragwortchute.gateway.rollouts import service_state
+from ragwortchute.gateway.rollouts import stops
+from ragwortchute.gateway.rollouts import trust as trust_
 
 COORDINATORS = 2
 REPORT_INTERVAL_S = 0.5
@@ -32,40 +35,22 @@
 # The second coordinator takes over from one that it has not heard for this long
 # or that can't write.
 TAKEOVER_S = 0.55
+# Hosts that would coordinate next, and how often each host tells them that it
+# has the order.
+_DEPUTIES = 2
+_DEPUTY_INTERVAL_S = 2.0
 # A coordinator that replied to a report counts as in contact for this many
 # times the interval.
 _CONTACT_INTERVALS = 1.5
 # After a failed write, a coordinator does not count as able to write for this
 # long.
 _WRITE_FAILURE_S = 2.0
-# Hosts that are told at once that a version is bad, and those that are told in
-# each interval for a while after that. The number of hosts that know it doubles
-# several times per interval, and the repetitions reach hosts whose messages
-# were lost.
-_STOP_FANOUT = 4
-_STOP_REPEATS = 2
-_STOP_REPEAT_S = 3.0
-
 _NEIGHBOURS_INTERVAL_S = 0.5
 
 # Sends a payload to hosts by name, without a guarantee of delivery.
 SendCallback = abc.Callable[[list[str], bytes], None]
 
 
-class Write(msgspec.Struct, frozen=True):
-    """A status that is to be written.
-
-    Attributes:
-        record: The record that it replaces.
-        step: The step that it records.
-        status: The status.
-    """
-
-    record: records.Record
-    step: phases.Step
-    status: records.Status
-
-
 class Participant:
     """Part of a host in the rollouts of all services.
 
@@ -81,8 +66,6 @@
         services: Rollouts by service.
         confirmed_s: Loop time at which the copies of the records are known to
             have been the newest.
-        reaches_most: Whether this host hears most of the hosts it knows.
-        hosts: Number of hosts that may be alive.
         earlier_end_s: Loop time at which requests that an earlier process of
             this host has sent have ended in any case.
     """
@@ -100,12 +83,12 @@
         self._share = share
         self._environment = environment
         self._send = send
-        self._rng = rng
         self._log = log
-        self._ranked: list[str] = [me.name]
-        self._neighbours: list[coordinator.Neighbour] = []
-        self._neighbours_s = float('-inf')
-        self._hears_any = True
+        self._rng = rng
+        self._stops = stops.Stops(send, rng)
+        self._view = neighbours.View(me.name)
+        self._viewed_s = float('-inf')
+        self._unanswered = neighbours.Unanswered()
         self._coordinators: dict[str, coordinator.Coordinator] = {}
         # Loop time of the last reply of an able coordinator, by service and
         # host.
@@ -115,25 +98,22 @@
         self._reply_to_s: dict[tuple[str, str], float] = {}
         self._sequence = 0
         self._reported_s: dict[str, float] = {}
-        self._stop_until_s: dict[str, float] = {}
-        self._stop_repeated_s: dict[str, float] = {}
+        self._notified_s: dict[str, float] = {}
         self._write_failed_s = float('-inf')
         # Services whose status is being written.
         self._writing: set[str] = set()
-        self._ranked_since_s = float('-inf')
         self.services: dict[str, service_state.ServiceState] = {}
         self.confirmed_s = float('-inf')
-        self.reaches_most = True
-        self.hosts = 1
         self.earlier_end_s = 0.0
 
     @property
     def interval_s(self) -> float:
         """Time between two reports in seconds."""
-        return REPORT_INTERVAL_S * max(1.0, self.hosts / MAX_HOSTS_AT_INTERVAL)
+        hosts = self._view.hosts
+        return REPORT_INTERVAL_S * max(1.0, hosts / MAX_HOSTS_AT_INTERVAL)
 
     def _contact_lease_s(self) -> float:
-        return max(service_state.LEASE_S, self.interval_s * _CONTACT_INTERVALS)
+        return max(trust_.LEASE_S, self.interval_s * _CONTACT_INTERVALS)
 
     def service(self, name: str) -> service_state.ServiceState:
         """Returns the rollout of a service."""
@@ -144,15 +124,14 @@
             )
         return state
 
-    def trust(self, now_s: float) -> service_state.Trust:
+    def trust(self, now_s: float) -> trust_.Trust:
         """Returns what this host may rely on now."""
-        return service_state.Trust(
+        return trust_.Trust(
             now_s,
             self.confirmed_s,
-            self.reaches_most,
-            not self._hears_any
-            and now_s - self.confirmed_s > coordinator.ISOLATION_S,
-            self.hosts,
+            self._view.reaches_most,
+            self._view.is_isolated(now_s - self.confirmed_s),
+            self._view.hosts,
             self._contact_lease_s(),
         )
 
@@ -180,7 +159,7 @@
             self.services[service].remove_record(revision)
 
     def note_written(
-        self, write: Write, record: records.Record | None, now_s: float
+        self, write: phases.Write, record: records.Record | None, now_s: float
     ) -> None:
         """Notes the end of a write.
 
@@ -226,7 +205,7 @@
             if state is not None and _is_current(state, message.order_id):
                 self._stop(state, now_s)
 
-    def tick(self, now_s: float) -> list[Write]:
+    def tick(self, now_s: float) -> list[phases.Write]:
         """Sends the reports that are due and decides.
 
         Args:
@@ -246,7 +225,7 @@
         for state in active:
             if state.running:
                 self._report_if_due(state, now_s)
-                self._repeat_stop(state, now_s)
+                self._stops.repeat(state, self._view, now_s)
             write = self._coordinate(state, now_s)
             if write is not None:
                 self._writing.add(state.service)
@@ -273,18 +252,57 @@
         if drained and not state.drained_s:
             state.drained_s = now_s
             state.urgent = True
-        leaders = self._ranked[:COORDINATORS]
-        names = [name for name in leaders if name != self._me.name]
+        self._notify_deputies(state, now_s)
         elapsed_s = now_s - reported_s
-        if not state.urgent and elapsed_s < self._report_interval_s(state):
+        is_due = state.urgent or elapsed_s >= self._report_interval_s(state)
+        if not is_due and not (drained and elapsed_s >= REPORT_INTERVAL_S):
+            return
+        names = self._view.receivers(COORDINATORS)
+        if not is_due:
             names = self._without_news(state, names)
-            if not names or elapsed_s < REPORT_INTERVAL_S:
+            if not names:
                 return
+        early_s = 0.0
+        if state.urgent and self.interval_s > REPORT_INTERVAL_S:
+            # All hosts learn of a phase at the same time. Their next reports
+            # are spread, or the responses of the old version would arrive in
+            # other periods than those of the canary version.
+            early_s = self._rng.uniform(0.0, self.interval_s)
         state.urgent = False
         state.has_news = False
-        self._reported_s[state.service] = now_s
+        self._reported_s[state.service] = now_s - early_s
+        cells = evidence.pack(state.counters.next_cells())
+        report = self._report(state, cells, now_s)
+        if self._view.rank < COORDINATORS:
+            self._handle_report(self._me.name, report, now_s)
+        for name in names:
+            self._unanswered.note_sent(name, now_s)
+        if names:
+            self._send(names, messages.encode(report))
+
+    def _notify_deputies(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> None:
+        """Tells those that would coordinate next that this host has the order.
+
+        If both coordinators die, others need not take it for a host that does
+        not know the order, which they would have to wait for longer.
+        """
+        notified_s = self._notified_s.get(state.service, float('-inf'))
+        if now_s - notified_s < _DEPUTY_INTERVAL_S:
+            return
+        self._notified_s[state.service] = now_s
+        names = self._view.first(COORDINATORS + _DEPUTIES)[COORDINATORS:]
+        names = [name for name in names if name != self._me.name]
+        if names:
+            report = self._report(state, b'', now_s)
+            self._send(names, messages.encode(report))
+
+    def _report(
+        self, state: service_state.ServiceState, cells: bytes, now_s: float
+    ) -> messages.Report:
         self._sequence += 1
-        report = messages.Report(
+        return messages.Report(
             state.service,
             state.record.order_id,
             self._me.incarnation,
@@ -292,19 +310,16 @@
             int(now_s * 1000),
             int(state.age_s(now_s) * 1000),
             state.record.revision,
-            drained,
+            state.has_drained(now_s),
             state.exposure.requests,
             state.exposure.canary_sends,
-            evidence.pack(state.counters.next_cells()),
+            cells,
+            self._view.hosts,
         )
-        if self._me.name in leaders:
-            self._handle_report(self._me.name, report, now_s)
-        if names:
-            self._send(names, messages.encode(report))
 
     def _report_interval_s(self, state: service_state.ServiceState) -> float:
         """Returns the time between two reports of this host in seconds."""
-        if self._rank() < COORDINATORS:
+        if self._view.rank < COORDINATORS:
             # The coordinators must hear each other in time for a takeover.
             return COORDINATOR_INTERVAL_S
         return REPORT_INTERVAL_S if state.has_news else self.interval_s
@@ -339,7 +354,7 @@
             # It may have started, or been cut off, while hosts told of it.
             stop = messages.Stop(state.service, report.order_id)
             self._send([sender], messages.encode(stop))
-        if self._rank() >= COORDINATORS:
+        if self._view.rank >= COORDINATORS:
             return
         reply = messages.Reply(
             state.service,
@@ -348,8 +363,9 @@
             int(state.age_s(now_s) * 1000),
             state.record.revision,
             state.record.phase,
-            self.reaches_most,
+            self._view.reaches_most,
             self._is_able(now_s),
+            self._confirmed_age_ms(now_s),
         )
         if sender == self._me.name:
             self._handle_reply(sender, reply, now_s)
@@ -362,6 +378,7 @@
         state = self.services.get(reply.service)
         if state is None or not _is_current(state, reply.order_id):
             return
+        self._unanswered.note_reply(sender)
         state.note_age(reply.age_ms / 1000, now_s)
         self._reply_to_s[state.service, sender] = reply.sent_ms / 1000 + 0.001
         if reply.able:
@@ -375,6 +392,9 @@
                 ),
                 now_s,
             )
+        if reply.revision == state.record.revision:
+            relayed_ms = reply.sent_ms - reply.confirmed_age_ms
+            state.relayed_s = max(state.relayed_s, relayed_ms / 1000)
         if reply.reaches_most and reply.revision >= state.record.revision:
             state.contact_s = max(state.contact_s, reply.sent_ms / 1000)
 
@@ -383,97 +403,66 @@
         if state.stopped:
             return
         state.stopped = True
-        self._stop_until_s[state.service] = now_s + _STOP_REPEAT_S
-        self._stop_repeated_s[state.service] = now_s
         self._log.event(
             'rollout-stopped',
             service=state.service,
             version=state.record.version,
             phase=state.record.phase.name.lower(),
         )
-        self._tell_stop(state, _STOP_FANOUT)
-
-    def _repeat_stop(
-        self, state: service_state.ServiceState, now_s: float
-    ) -> None:
-        if not state.stopped or now_s > self._stop_until_s[state.service]:
-            return
-        if now_s - self._stop_repeated_s[state.service] >= REPORT_INTERVAL_S:
-            self._stop_repeated_s[state.service] = now_s
-            self._tell_stop(state, _STOP_REPEATS)
-
-    def _tell_stop(
-        self, state: service_state.ServiceState, receivers: int
-    ) -> None:
-        names = [item.name for item in self._neighbours]
-        chosen = self._rng.sample(names, min(receivers, len(names)))
-        if chosen:
-            stop = messages.Stop(state.service, state.record.order_id)
-            self._send(chosen, messages.encode(stop))
+        self._stops.begin(state, self._view, now_s)
 
     # Coordination.
 
     def _update_neighbours(self, now_s: float) -> None:
-        if now_s - self._neighbours_s < _NEIGHBOURS_INTERVAL_S:
-            return
-        self._neighbours_s = now_s
-        self._neighbours = self._environment.neighbours(now_s)
-        heard = [
-            item.name
-            for item in self._neighbours
-            if now_s - item.heard_s < coordinator.SILENT_S
-        ]
-        self.hosts = 1 + len(self._neighbours)
-        self.reaches_most = 2 * (len(heard) + 1) > self.hosts
-        self._hears_any = bool(heard) or not self._neighbours
-        rank = self._rank()
-        self._ranked = sorted([*heard, self._me.name])
-        if self._rank() != rank or self._ranked_since_s == float('-inf'):
-            self._ranked_since_s = now_s
+        if now_s - self._viewed_s >= _NEIGHBOURS_INTERVAL_S:
+            self._viewed_s = now_s
+            known = self._environment.neighbours(now_s)
+            self._view.update(known, self._unanswered.passed_over(now_s), now_s)
 
-    def _rank(self) -> int:
-        return self._ranked.index(self._me.name)
+    def _confirmed_age_ms(self, now_s: float) -> int:
+        """Returns how long ago the copies of the records were the newest."""
+        age_s = now_s - self.confirmed_s
+        return int(min(age_s * 1000 + 1, messages.UNCONFIRMED_MS))
 
     def _is_able(self, now_s: float) -> bool:
         """Returns whether this host can read and write the store."""
         return (
-            now_s - self.confirmed_s <= service_state.LEASE_S
+            now_s - self.confirmed_s <= trust_.LEASE_S
             and now_s - self._write_failed_s > _WRITE_FAILURE_S
         )
 
     def _leads(self, state: service_state.ServiceState, now_s: float) -> bool:
         """Returns whether this host decides on an order now."""
-        rank = self._rank()
+        rank = self._view.rank
         if rank >= COORDINATORS:
             return False
         quiet_since_s = max(
             (
                 self._replied_s.get((state.service, name), float('-inf'))
-                for name in self._ranked[:rank]
+                for name in self._view.first(rank)
             ),
             default=float('-inf'),
         )
         if rank:
             quiet_since_s = max(
                 quiet_since_s,
-                self._ranked_since_s,
+                self._view.ranked_since_s,
                 now_s - state.age_s(now_s),
             )
         return now_s - quiet_since_s > TAKEOVER_S * rank
 
     def _coordinate(
         self, state: service_state.ServiceState, now_s: float
-    ) -> Write | None:
+    ) -> phases.Write | None:
         """Returns the write of the next step, None if none is due."""
-        if self._rank() >= COORDINATORS:
+        if self._view.rank >= COORDINATORS:
             return None
         situation = self.coordinator(state).situation(
             state,
-            self._neighbours,
+            self._view,
             longest_s=self._environment.longest_s(state.service),
             interval_s=self.interval_s,
             contact_lease_s=self._contact_lease_s(),
-            reaches_most=self.reaches_most,
             obstacle=self._environment.obstacle(
                 state.service, state.record.version
             ),
@@ -495,7 +484,7 @@
         status = records.make_status(
             state.record, step.phase, step.reason, state.refused_versions()
         )
-        return Write(state.record, step, status)
+        return phases.Write(state.record, step, status)
 
 
 def _is_current(state: service_state.ServiceState, order_id: int) -> bool:
--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -16,6 +16,9 @@
 # is not clear, more evidence is awaited until the second.
 MOVE_FROM = 0.55
 DECIDE_BY = 0.63
+# The same if silent hosts have to be waited for at the end. Their requests have
+# ended 5.5 s after the last phase has begun, which is before 15 s are over.
+DECIDE_SILENT_BY = 0.6
 # With fewer responses than this, as the targets have started late or the
 # service has few requests, the decision waits until the second of these times.
 ENOUGH_RESPONSES = 60
@@ -25,6 +28,10 @@
 # Requests that still go to old targets, as new ones are cold, are waited for
 # until then.
 DRAIN_BY = 0.68
+# Until then, a host sends to old targets by its contact with a coordinator even
+# if nothing confirms the record. Requests of silent hosts must have ended
+# before the deadline: at 15 s, by 0.94 of the time.
+OLD_BY_CONTACT_UNTIL = 0.6
 
 
 class Situation(msgspec.Struct, frozen=True):
@@ -39,6 +46,7 @@
         moved: Whether hardly any request needs old targets.
         drained: Whether no request can be running at an old target.
         obstacle: Why there is nothing to judge, empty if there is.
+        silent: Whether some hosts are silent.
     """
 
     record: records.Record
@@ -49,6 +57,7 @@
     moved: bool
     drained: bool
     obstacle: str = ''
+    silent: bool = False
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -63,6 +72,20 @@
     reason: str = ''
 
 
+class Write(msgspec.Struct, frozen=True):
+    """A status that is to be written.
+
+    Attributes:
+        record: The record that it replaces.
+        step: The step that it records.
+        status: The status.
+    """
+
+    record: records.Record
+    step: Step
+    status: records.Status
+
+
 def next_step(now: Situation) -> Step | None:
     """Returns the next step of a rollout, None if none is due."""
     record = now.record
@@ -105,7 +128,8 @@
         now.verdict.responses >= ENOUGH_RESPONSES
         and now.verdict.late_responses >= judgement.MIN_LATE_RESPONSES
     )
-    if now.fraction < (DECIDE_BY if enough else DECIDE_FEW_BY):
+    decide_by = DECIDE_SILENT_BY if now.silent else DECIDE_BY
+    if now.fraction < (decide_by if enough else DECIDE_FEW_BY):
         return None
     if now.verdict.doubtful:
         return Step(records.Phase.ROLLED_BACK, 'doubtful')
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -21,12 +21,14 @@
 from ragwortchute.gateway import peer_table
 from ragwortchute.gateway import rollouts
 from ragwortchute.gateway import targets as targets_
-from ragwortchute.gateway.rollouts import coordinator
 from ragwortchute.gateway.rollouts import environment
 from ragwortchute.gateway.rollouts import messages
+from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import participant
+from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
+from ragwortchute.gateway.rollouts import versions
 
 CONTRACT = 'rollout'
 # Prefix of the names of orders in the store.
@@ -171,7 +173,7 @@
                     group.create_task(self._write(write))
                 await asyncio.sleep(TICK_S)
 
-    async def _write(self, write: participant.Write) -> None:
+    async def _write(self, write: phases.Write) -> None:
         """Writes a status and reads the object back if that is not certain."""
         record = write.record
         name = PREFIX + record.service
@@ -322,19 +324,23 @@
 
     # What the participant asks.
 
-    def neighbours(self, now_s: float) -> list[coordinator.Neighbour]:
-        """See base class."""
-        return [
-            coordinator.Neighbour(
+    def neighbours(self, now_s: float) -> neighbours.Neighbours:
+        """See base class.
+
+        Only hosts that have said that they stop are forgotten.
+        """
+        items = [
+            neighbours.Neighbour(
                 peer.entry.name,
                 peer.entry.incarnation,
                 peer.last_heartbeat_s,
                 peer.discovered_s,
             )
             for peer in self._membership.peers.all()
-            if now_s - max(peer.last_heartbeat_s, peer.discovered_s)
-            < peer_table.DEAD_RETENTION_S
+            if not peer.leaving
+            or now_s - peer.last_heartbeat_s < peer_table.DEAD_RETENTION_S
         ]
+        return neighbours.Neighbours(items, now_s)
 
     def longest_s(self, service: str) -> float:
         """See base class."""
@@ -390,7 +396,7 @@
         targets = self._state.targets_by_service().get(service, [])
         state = self.participant.service(service)
         state.update_targets(
-            service_state.seen_targets(targets),
+            versions.seen_targets(targets),
             self._loop.time(),
             int(time.time() * 1000),
         )
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -15,12 +15,12 @@
 from ragwortchute.gateway.rollouts import concentration
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import exposure
+from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import sends
+from ragwortchute.gateway.rollouts import trust as trust_
 from ragwortchute.gateway.rollouts import versions
 
-# How long a host acts on a copy of the record that is not confirmed.
-LEASE_S = 1.2
 # A host stops on its own once so many of its last responses of the canary
 # version were bad, unless as many of the old version are.
 _RECENT_RESPONSES = 6
@@ -32,38 +32,6 @@
 _KNOWS_HOSTS_S = 4.0
 
 
-class Trust(msgspec.Struct, frozen=True):
-    """What a host may rely on at a moment.
-
-    Attributes:
-        now_s: Loop time in seconds.
-        confirmed_s: Loop time at which the copy of the record is known to have
-            been the newest.
-        reaches_most: Whether this host hears most of the hosts it knows.
-        isolated: Whether it reaches neither the store nor any other host.
-        hosts: Number of hosts that may be alive.
-        contact_lease_s: How long after a report that a coordinator has replied
-            to a host may act on an unconfirmed copy, in seconds.
-    """
-
-    now_s: float
-    confirmed_s: float
-    reaches_most: bool
-    isolated: bool
-    hosts: int
-    contact_lease_s: float
-
-    @property
-    def has_read(self) -> bool:
-        """Whether the records have been read since the start of this host."""
-        return self.confirmed_s > float('-inf')
-
-    @property
-    def confirmed(self) -> bool:
-        """Whether the copy of the record was confirmed recently."""
-        return self.now_s - self.confirmed_s <= LEASE_S
-
-
 class Choice(msgspec.Struct, frozen=True):
     """Targets that may get a request.
 
@@ -95,6 +63,10 @@
         stopped: Whether some host has found the canary version to be bad.
         contact_s: Loop time at which a report was sent that a coordinator has
             replied to.
+        seen_s: Loop time at which the order was seen first by any host.
+        relayed_s: Loop time at which the record is known to have been the
+            newest, by what a coordinator has read.
+        longest_duration_s: Longest time of the order, which may be changed.
         phase_since_s: Loop time at which the current phase was learnt.
         urgent: Whether a report is to be sent at once.
         has_news: Whether there are responses of the canary version that have
@@ -120,7 +92,7 @@
         self._rng = rng
         self._log = log
         self._removed_revision = 0
-        self._seen_s = 0.0
+        self.seen_s = 0.0
         self._clear(0.0)
         self.old_sends = sends.OldSends()
         # When the last send without an order has ended in any case.
@@ -147,11 +119,11 @@
 
     def age_s(self, now_s: float) -> float:
         """Returns the age of the order in seconds."""
-        return now_s - self._seen_s
+        return now_s - self.seen_s
 
     def note_age(self, age_s: float, now_s: float) -> None:
         """Notes that the order is at least as old as another host says."""
-        self._seen_s = min(self._seen_s, now_s - age_s)
+        self.seen_s = min(self.seen_s, now_s - age_s)
 
     def set_record(self, record: records.Record, now_s: float) -> None:
         """Follows a record unless a later one is known.
@@ -182,6 +154,9 @@
                 version=record.version,
                 duration_s=record.duration_s,
             )
+        self.longest_duration_s = max(
+            self.longest_duration_s, record.duration_s
+        )
         if record.running and not was_running:
             # Sends before that are not in the list.
             self.old_sends.note_send(0, self._untracked_end_s)
@@ -248,7 +223,7 @@
     def choose(
         self,
         targets: list[targets_.Target],
-        trust: Trust,
+        trust: trust_.Trust,
         work_s: float,
         *,
         first_send: bool,
@@ -287,7 +262,7 @@
         return Choice(canary, old) if canary else Choice(old)
 
     def admits(
-        self, target: targets_.Target, trust: Trust, *, first_send: bool
+        self, target: targets_.Target, trust: trust_.Trust, *, first_send: bool
     ) -> bool:
         """Returns whether a request may still be sent to a chosen target.
 
@@ -400,13 +375,15 @@
 
     def _clear(self, now_s: float) -> None:
         """Forgets all that belongs to one order."""
-        self._seen_s = now_s
+        self.seen_s = now_s
         self._begun_s = now_s
         self.phase_since_s = now_s
         self.exposure = exposure.Exposure(self._rng)
         self.counters = evidence.Counters()
         self.stopped = False
         self.contact_s = float('-inf')
+        self.relayed_s = float('-inf')
+        self.longest_duration_s = 0.0
         self.urgent = False
         self.has_news = False
         self.drained_s = 0.0
@@ -422,7 +399,7 @@
             and target.entry.software_version == self.record.version
         )
 
-    def _may_send_old(self, trust: Trust) -> bool:
+    def _may_send_old(self, trust: trust_.Trust) -> bool:
         """Returns whether targets of the versions in use get requests."""
         if not self.running:
             # A host that has just started can't tell which version is in use.
@@ -431,9 +408,14 @@
             )
         if self.record.phase >= records.Phase.DRAIN:
             return False
-        return trust.confirmed or self._has_contact(trust)
+        if self._is_confirmed(trust):
+            return True
+        # Later, an outcome may be written that does not wait for this host.
+        age_s = self.age_s(trust.now_s)
+        in_time = age_s < phases.OLD_BY_CONTACT_UNTIL * self.record.duration_s
+        return in_time and self._has_contact(trust)
 
-    def _may_send_canary(self, trust: Trust, first_send: bool) -> bool:
+    def _may_send_canary(self, trust: trust_.Trust, first_send: bool) -> bool:
         """Returns whether targets of the canary version get requests."""
         now_s = trust.now_s
         if self.record.version in self.versions.used:
@@ -442,8 +424,8 @@
         if self.stopped or now_s < self._suspended_until_s:
             return False
         phase = self.record.phase
-        if not trust.confirmed and not (
-            phase >= records.Phase.DRAIN and self._has_contact(trust)
+        if not self._is_confirmed(trust) and not (
+            phase >= records.Phase.MOVE and self._has_contact(trust)
         ):
             return False
         if phase >= records.Phase.MOVE or not self.old_ready:
@@ -460,11 +442,14 @@
             exposure.WIDEN_SENDS / trust.hosts if knows_hosts else 0.0,
         )
 
-    def _has_contact(self, trust: Trust) -> bool:
-        """Returns whether a coordinator hears this host.
+    def _is_confirmed(self, trust: trust_.Trust) -> bool:
+        """Returns whether the record was the newest a short time ago."""
+        return trust.confirmed or trust.now_s - self.relayed_s <= trust_.LEASE_S
 
-        It then does not write an outcome before this host agrees, so that the
-        host may act on a copy that the store does not confirm.
+    def _has_contact(self, trust: trust_.Trust) -> bool:
+        """Returns whether a coordinator that hears most hosts hears this one.
+
+        While the store is down, the host then follows that coordinator.
         """
         return (
             trust.reaches_most
@@ -480,17 +465,3 @@
     if old.version != new.version:
         return True
     return old.order_id != 0 and new.order_id != old.order_id
-
-
-def seen_targets(
-    targets: abc.Iterable[targets_.Target],
-) -> list[versions.SeenTarget]:
-    """Returns what matters of targets for their versions."""
-    return [
-        versions.SeenTarget(
-            target.entry.software_version,
-            target.entry.born_ms,
-            target.entry.ready,
-        )
-        for target in targets
-    ]
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ragwortchute.gateway import targets as targets_
+
 # A version that appears beside others gets no request for this long if no order
 # names it. Targets of a rollout register at about the time of the order.
 SETTLE_S = 30.0
@@ -26,6 +28,20 @@
     ready: bool
 
 
+def seen_targets(
+    targets: abc.Iterable[targets_.Target],
+) -> list[SeenTarget]:
+    """Returns what matters of targets for their versions."""
+    return [
+        SeenTarget(
+            target.entry.software_version,
+            target.entry.born_ms,
+            target.entry.ready,
+        )
+        for target in targets
+    ]
+
+
 class Versions:
     """Versions of one service.
 
--- a/ragwortchute/platform/rollout_feed.py
+++ b/ragwortchute/platform/rollout_feed.py
@@ -17,7 +17,7 @@
 ROLLOUTS_KIND = 'rollouts/'
 # Orders of more time than this count as unlimited.
 _MAX_DURATION_S = 24 * 3600.0
-# A host acts on a copy of a record for `service_state.LEASE_S` after it was
+# A host acts on a copy of a record for `trust.LEASE_S` after it was
 # confirmed, so that copies are confirmed often while an order is running.
 # Otherwise each call is billed and of no use.
 _IDLE_WATCH_S = 4.0
--- a/tests/test_gateway/test_rollouts/simulated_host.py
+++ b/tests/test_gateway/test_rollouts/simulated_host.py
@@ -47,6 +47,7 @@
         self.name = name
         self.alive = True
         self.cut_off = False
+        self.reaches_store = True
         self.incarnation = incarnation
         self.started_s = world.now_s
         self.part = participant.Participant(
@@ -63,11 +64,7 @@
             self.world.send(self, name, payload)
 
     def neighbours(self, now_s):
-        return [
-            item
-            for item in self.world.neighbours(self.cut_off)
-            if item.name != self.name
-        ]
+        return self.world.neighbours(self.cut_off)
 
     def longest_s(self, service):
         return LONGEST_S
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from ragwortchute.gateway.rollouts import coordinator
+from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import records
-from ragwortchute.gateway.rollouts import service_state
+from ragwortchute.gateway.rollouts import versions
 from tests.test_gateway.test_rollouts import simulated_host
 
 OLD, NEW = 'v1', 'v2'
@@ -34,6 +34,27 @@
 )
 
 
+class Cut(msgspec.Struct, frozen=True):
+    """A partition between two groups of hosts, or the end of one of them.
+
+    Attributes:
+        share: Share of the hosts in the group that is cut off.
+        start_s: Its beginning; the order is written at about 0.
+        end_s: Its end.
+        reaches_store: Whether the group reaches the store.
+        first: Whether the group holds the first hosts by name, which
+            coordinate; otherwise it holds the last ones.
+        kills: Whether its hosts are killed for good instead.
+    """
+
+    share: float
+    start_s: float
+    end_s: float = 99.0
+    reaches_store: bool = False
+    first: bool = False
+    kills: bool = False
+
+
 class World:
     """One simulated rollout.
 
@@ -42,9 +63,13 @@
         hosts: Number of hosts.
         kind: Behaviour of the new version.
         per_s: Requests per second over all hosts.
+        cut: Partition that is added to the fault of the seed, None for none.
+        unready_s: Begin and end of a time in which no old target is ready.
     """
 
-    def __init__(self, seed, hosts, kind, per_s=300.0):
+    def __init__(
+        self, seed, hosts, kind, per_s=300.0, cut=None, unready_s=None
+    ):
         self.rng = random.Random(f'{seed}/{hosts}/{kind}')
         self.seed, self.kind, self.per_s = seed, kind, per_s
         self.now_s = 0.0
@@ -57,6 +82,7 @@
         self.outcome_s = float('inf')
         self.old_running = 0
         self._list_s, self._lists = -1.0, {}
+        self._alive = []
         rng = self.rng
         count = rng.choice((40, 60, 114))
         self.targets = [
@@ -70,13 +96,20 @@
             )
             for n in range(count)
         ]
-        self._seen = service_state.seen_targets(self.targets)
+        self._ready_targets = self.targets
+        self._seen = versions.seen_targets(self.targets)
         self.hosts = {}
         for n in range(hosts):
             self.add_host(f'h{n:03}', 1)
         self.loss = rng.choice((0.0, 0.02, 0.1))
         self.late = rng.choice((0.0, 0.05))
         self._plan_faults()
+        self.refused = 0
+        self.old_ready = True
+        for time_s, ready in zip(unready_s or (), (False, True), strict=False):
+            self.at(time_s, self._set_old_ready, ready)
+        if cut is not None:
+            self._plan_cut(cut)
         self.at(rng.uniform(0.0, 0.3), self._place_order)
         self.at(0.0, self._arrive)
 
@@ -113,6 +146,25 @@
             self.domain_out = rng.choice(DOMAINS)
             self.domain_out_s = (start_s, start_s + 3)
 
+    def _plan_cut(self, cut):
+        """Plans a partition; the fault of the seed must be another one."""
+        names = sorted(self.hosts)
+        count = max(1, round(cut.share * len(names)))
+        # The coordinators, or hosts that do not coordinate.
+        chosen = names[:count] if cut.first else names[-count:]
+        if cut.kills:
+            for name in chosen:
+                self.at(cut.start_s, self.kill, self.hosts[name], False)
+            return
+        if cut.start_s < 0:
+            self._set_cut(True, chosen, cut.reaches_store)
+            self.cut_s = cut.start_s
+            for name in chosen:
+                self.hosts[name].part.confirmed_s = cut.start_s
+        else:
+            self.at(cut.start_s, self._set_cut, True, chosen, cut.reaches_store)
+        self.at(cut.end_s, self._set_cut, False, chosen, True)
+
     # Events.
 
     def at(self, time_s, call, *args):
@@ -133,6 +185,7 @@
     def add_host(self, name, incarnation):
         host = simulated_host.Host(self, name, incarnation)
         self.hosts[name] = host
+        self._alive = []
         self.at(self.now_s + self.rng.random() * TICK_S, self._tick, host)
         self.at(self.now_s + self.rng.random() * 0.3, self._confirm, host)
 
@@ -141,8 +194,8 @@
             self._list_s, self._lists = self.now_s, {}
         known = self._lists.get(cut_off)
         if known is None:
-            known = self._lists[cut_off] = [
-                coordinator.Neighbour(
+            items = [
+                neighbours.Neighbour(
                     host.name,
                     host.incarnation,
                     self._heard_s(host, cut_off),
@@ -150,12 +203,15 @@
                 )
                 for host in self.hosts.values()
             ]
+            # All hosts of a side share this, so that a run takes less time.
+            known = neighbours.Neighbours(items, self.now_s)
+            self._lists[cut_off] = known
         return known
 
     def _heard_s(self, host, cut_off):
         if not host.alive:
             return host.died_s
-        if host.cut_off or cut_off:
+        if host.cut_off != cut_off:
             return self.cut_s
         return self.now_s - 0.5
 
@@ -170,7 +226,7 @@
         """Confirms the copy of a host, as the watch of a replica does."""
         if not host.alive:
             return
-        if self.store_up() and not host.cut_off:
+        if self.store_up() and host.reaches_store:
             read_s = self.now_s
             self.after(
                 self.rng.uniform(0.05, 0.5),
@@ -183,11 +239,11 @@
 
     def _push(self, host, record, read_s):
         """Gives a host a change that its watch returns."""
-        if self.store_up() and not host.cut_off:
+        if self.store_up() and host.reaches_store:
             self._give_record(host, record, read_s)
 
     def _give_record(self, host, record, read_s):
-        if not host.alive or host.cut_off:
+        if not host.alive or not host.reaches_store:
             return
         if record is not None:
             host.part.set_record(record, self.now_s)
@@ -200,6 +256,7 @@
 
     def kill(self, host, restarts):
         host.alive, host.died_s = False, self.now_s
+        self._alive = []
         if restarts:
             self.after(
                 self.rng.uniform(0.5, 3),
@@ -209,12 +266,35 @@
             )
 
     def _cut_off(self, value):
+        if value:
+            self._cut_names = self.rng.sample(sorted(self.hosts), 3)
+        self._set_cut(value, self._cut_names, not value)
+
+    def _set_old_ready(self, ready):
+        """Changes the state of all old targets, which hosts learn of later."""
+        self.old_ready = ready
+        for target in self.targets:
+            if target.entry.software_version == OLD:
+                target.entry = msgspec.structs.replace(
+                    target.entry, ready=ready
+                )
+        self._ready_targets = [
+            target for target in self.targets if target.entry.ready
+        ]
+        seen = versions.seen_targets(self.targets)
+        for host in self.hosts.values():
+            self.after(self.rng.uniform(0, 0.3), self._see_targets, host, seen)
+
+    def _see_targets(self, host, seen):
+        state = host.part.service(simulated_host.SERVICE)
+        state.update_targets(seen, self.now_s, 0)
+
+    def _set_cut(self, value, names, reaches_store):
         if value:
             self.cut_s = self.now_s
-            names = self.rng.sample(sorted(self.hosts), 3)
-            self._cut_names = names
-        for name in self._cut_names:
+        for name in names:
             self.hosts[name].cut_off = value
+            self.hosts[name].reaches_store = reaches_store
 
     def send(self, sender, name, payload):
         rng = self.rng
@@ -255,7 +335,7 @@
         fault = ''
         if self.write_fault_at == phase:
             self.write_fault_at, fault = None, self.write_fault
-        if not self.store_up() or host.cut_off:
+        if not self.store_up() or not host.reaches_store:
             self.after(0.5, self._read_back, host, write)
             return
         if fault == 'late':
@@ -296,7 +376,7 @@
     def _read_back(self, host, write):
         if not host.alive:
             return
-        if not self.store_up() or host.cut_off:
+        if not self.store_up() or not host.reaches_store:
             host.part.note_write_failed(self.now_s)
             self.after(0.3, self._read_back, host, write)
             return
@@ -307,8 +387,9 @@
 
     def _arrive(self):
         self.after(self.rng.expovariate(self.per_s), self._arrive)
-        alive = [host for host in self.hosts.values() if host.alive]
-        self._send_request(self.rng.choice(alive))
+        if not self._alive:
+            self._alive = [host for host in self.hosts.values() if host.alive]
+        self._send_request(self.rng.choice(self._alive))
 
     def _send_request(self, host):
         rng, part = self.rng, host.part
@@ -318,7 +399,7 @@
         route = 'slow' if rng.random() < 0.3 else 'quick'
         trust = part.trust(self.now_s)
         choice = state.choose(
-            self.targets,
+            self._ready_targets,
             trust,
             ROUTES[route],
             first_send=True,
@@ -337,6 +418,7 @@
             if state.admits(target, trust, first_send=True):
                 self._start(host, state, target, route)
                 return
+        self.refused += 1
 
     def _is_out(self, target):
         start_s, end_s = self.domain_out_s
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -214,6 +214,22 @@
         assert 'rollouts/' not in host.revisions()
 
 
+class TestSilentHosts:
+    """A host behind a long partition must not be forgotten."""
+
+    async def test_only_hosts_that_stop_are_forgotten(self, rollout):
+        await rollout.start('a1')
+        host = rollout.hosts[0]
+        now_s = asyncio.get_running_loop().time()
+        entries = [rigs.host(name, 'a1') for name in ('silent', 'stopped')]
+        host.membership.add_entries(entries, now_s - 1000)
+        peer = host.membership.peers.get('stopped')
+        peer.last_heartbeat_s, peer.leaving = now_s - 40, True
+        known = host.rollouts.neighbours(now_s)
+        assert set(known.items) == {'silent'}
+        assert known.heard == []
+
+
 class TestFaults:
     """An outcome must be reached although a host or the store fails."""
 
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -12,6 +12,7 @@
 from ragwortchute.gateway.rollouts import exposure
 from ragwortchute.gateway.rollouts import judgement
 from ragwortchute.gateway.rollouts import messages
+from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import phases
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
@@ -219,7 +220,7 @@
             report = messages.Report(
                 'service-with-a-long-name',
                 *(10**6, 10**13, sequence, 10**9, 15_000, 10**6, False),
-                *(10**5, 10**4, data),
+                *(10**5, 10**4, data, 784),
             )
             assert len(messages.encode(report)) <= 1110
             if rng.random() < 0.8:
@@ -371,19 +372,32 @@
         assert not state.has_drained(3.9)
         assert state.has_drained(4.1)
 
-    def drained(self, now_s, *, heard_s, report=True, incarnation=1):
+    def drained(
+        self,
+        now_s,
+        *,
+        heard_s,
+        report=True,
+        incarnation=1,
+        age_s=20.0,
+        others=(),
+    ):
         state = service_state.ServiceState(
             's', 0.1, random.Random(1), rigs.MemoryLog()
         )
         record = records.Record('s', 'v2', 15.0, 1, Phase.DRAIN, 1)
         state.set_record(record, 0.0)
+        state.note_age(age_s, 0.0)
         state.old_sends.note_send(0, 4.0)
         known = coordinator.Coordinator(1)
         if report is not None:
             message = messages.Report('s', 1, 1, 1, 0, 0, 1, report, 9, 9, b'')
             known.note_report('h2', message, 0.0, 0.0)
-        neighbour = coordinator.Neighbour('h2', incarnation, heard_s, -9.0)
-        return known.has_drained(state, [neighbour], 4.0, 1.2, now_s)
+        items = [neighbours.Neighbour('h2', incarnation, heard_s, -9.0)]
+        items += [neighbours.Neighbour(name, 1, -99.0, -9.0) for name in others]
+        view = neighbours.View('h1')
+        view.update(neighbours.Neighbours(items, now_s), set(), now_s)
+        return known.has_drained(state, view, 4.0, 1.2, now_s)
 
     def test_agreed_host_is_not_waited_for(self):
         assert self.drained(4.1, heard_s=0.0)
@@ -405,3 +419,32 @@
     def test_host_without_the_order_is_waited_for_longer(self):
         assert not self.drained(10.2, heard_s=0.0, report=None)
         assert self.drained(10.3, heard_s=0.0, report=None)
+
+    def test_silent_host_may_have_contact_with_another_coordinator(self):
+        # At an age of 9 s it stops; its requests end 4 s later.
+        assert not self.drained(13.9, heard_s=0.0, report=False, age_s=0.0)
+        assert self.drained(14.1, heard_s=0.0, report=False, age_s=0.0)
+
+    def test_silent_hosts_that_may_be_most_are_waited_for(self):
+        # They may have a coordinator, and not know of the order.
+        assert not self.drained(99.0, heard_s=0.0, others=['h3', 'h4'])
+        assert self.drained(99.0, heard_s=0.0, others=['h3'])
+
+    def test_hosts_that_only_others_know_count(self):
+        # A coordinator that has started in a partition knows only its side.
+        state = service_state.ServiceState(
+            's', 0.1, random.Random(1), rigs.MemoryLog()
+        )
+        record = records.Record('s', 'v2', 15.0, 1, Phase.DRAIN, 1)
+        state.set_record(record, 0.0)
+        state.note_age(20.0, 0.0)
+        view = neighbours.View('h1')
+        for hosts, drained in ((2, True), (6, True), (7, False)):
+            known = coordinator.Coordinator(1)
+            message = messages.Report(
+                's', 1, 1, 1, 0, 0, 1, True, 9, 9, b'', hosts
+            )
+            known.note_report('h2', message, 0.0, 90.0)
+            items = [neighbours.Neighbour('h2', 1, 98.9, -9.0)]
+            view.update(neighbours.Neighbours(items, 99.0), set(), 99.0)
+            assert known.has_drained(state, view, 4.0, 1.2, 99.0) == drained
