Keep the exposure limit while no old target is ready

Cause: while no target of a version in use was ready, a version that had not been judged got all requests.

Change: the limit holds then, too. Requests beyond it are refused at once with Retry-After.

Measured: exposure stays within its limit with no old target ready from 0.5, 2 or 6 s on at 8 and 102 hosts (TestOldTargetsUnready of the model, which failed before).

--- a/ragwortchute/gateway/rollouts/exposure.py
+++ b/ragwortchute/gateway/rollouts/exposure.py
@@ -38,14 +38,20 @@
         self.requests = 0
         self.canary_sends = 0
 
-    def allows(self, share: float, sends: float = 0.0) -> bool:
+    def allows(
+        self, share: float, sends: float = 0.0, *, counts_next: bool = True
+    ) -> bool:
         """Returns whether the next request may go to the canary version.
 
         Args:
             share: Share of the requests that may.
             sends: Expected number of sends beyond that.
+            counts_next: Whether the next request is sent in any case. If it is
+                refused otherwise, counting it would allow each host one send
+                too many on average, which is too much with many hosts.
         """
-        allowed = math.floor(self._offset + share * (self.requests + 1) + sends)
+        requests = self.requests + counts_next
+        allowed = math.floor(self._offset + share * requests + sends)
         return self.canary_sends < allowed
 
     def note_send(self, *, first: bool, canary: bool) -> None:
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -254,7 +254,7 @@
             for target in targets
             if target.entry.software_version == version
         ]
-        if self.record.phase < records.Phase.MOVE and self.old_ready:
+        if self.record.phase < records.Phase.MOVE:
             age_s = self.age_s(trust.now_s)
             sent = self.exposure.requests * trust.hosts * self._share
             running = sent / max(1.0, age_s) * work_s
@@ -428,18 +428,24 @@
             phase >= records.Phase.MOVE and self._has_contact(trust)
         ):
             return False
-        if phase >= records.Phase.MOVE or not self.old_ready:
+        if phase >= records.Phase.MOVE:
             return True
+        # The limit also holds while no old target is ready; requests beyond it
+        # are refused then.
         if not first_send:
             # Repeated sends go to the old version, which is known to work.
             return False
         if phase == records.Phase.OBSERVE:
-            return self.exposure.allows(exposure.OBSERVE_FRACTION * self._share)
+            return self.exposure.allows(
+                exposure.OBSERVE_FRACTION * self._share,
+                counts_next=self.old_ready,
+            )
         # A host that has just started may know few of the others.
         knows_hosts = now_s - self._begun_s >= _KNOWS_HOSTS_S
         return self.exposure.allows(
             exposure.WIDEN_FRACTION * self._share,
             exposure.WIDEN_SENDS / trust.hosts if knows_hosts else 0.0,
+            counts_next=self.old_ready,
         )
 
     def _is_confirmed(self, trust: trust_.Trust) -> bool:
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -1,6 +1,7 @@
 """Tests of rollouts on complete hosts with a stand-in store."""
 
 import asyncio
+import re
 import time
 
 import pytest
@@ -30,6 +31,8 @@
     def __init__(self):
         super().__init__()
         self.statuses = []
+        # Status, time in seconds and Retry-After of the requests that ended.
+        self.answers = []
         self.callers = None
 
     def build(self, me):
@@ -99,6 +102,7 @@
 
     async def request(self, host):
         number = self.addresses = self.addresses + 1
+        begin_s = time.monotonic()
         try:
             reader, writer = await asyncio.open_connection(
                 *host._settings.me.caller_address.split(':')
@@ -109,6 +113,14 @@
             )
             line = await reader.readline()
             self.statuses.append(int(line.split()[1]) if line else 0)
+            head = await reader.read()
+            retry = re.search(
+                rb'(?i)\r\nretry-after: *([0-9.]+)', b'\r\n' + head
+            )
+            elapsed_s = time.monotonic() - begin_s
+            self.answers.append(
+                (self.statuses[-1], elapsed_s, retry and float(retry[1]))
+            )
             writer.close()
         except ConnectionError:
             self.statuses.append(0)
@@ -203,6 +215,30 @@
         await expect_rollback(rollout)
 
 
+class TestOldTargetsUnready:
+    """A version that is not judged yet gets few requests in any case."""
+
+    async def test_other_requests_are_refused_at_once(self, rollout):
+        await rollout.begin()
+        await rollout.until(lambda: rollout.state == 'running')
+        await asyncio.sleep(0.5)
+        for target in rollout.targets[:OLD_TARGETS]:
+            entry = target.entry
+            entry['status'] = {**entry['status'], 'state': 'draining'}
+            await rollout.server.put('servers', target.name, entry)
+        await asyncio.sleep(1.0)
+        rollout.answers.clear()
+        new, old = len(rollout.new_arrivals), len(rollout.old_arrivals)
+        await asyncio.sleep(1.0)
+        assert len(rollout.old_arrivals) == old
+        assert len(rollout.new_arrivals) - new <= 0.1 * PER_S
+        refusals = [item for item in rollout.answers if item[0] != 200]
+        assert len(refusals) >= 0.8 * PER_S
+        assert {status for status, _, _ in refusals} == {503}
+        assert all(retry for _, _, retry in refusals)
+        assert max(elapsed_s for _, elapsed_s, _ in refusals) < 0.25
+
+
 class TestDisabled:
     """Without the contract, rollouts must cost nothing."""
 
--- a/tests/test_gateway/test_rollouts/test_partitions.py
+++ b/tests/test_gateway/test_rollouts/test_partitions.py
@@ -202,3 +202,16 @@
         assert not world.broken
         assert world.outcomes == ['succeeded']
         assert world.outcome_s <= world.order_s + simulation.DURATION_S
+
+
+@pytest.mark.parametrize('hosts', [8, 102])
+@pytest.mark.parametrize('unready_s', [(0.5, 99.0), (2.0, 6.0), (6.0, 10.0)])
+class TestOldTargetsUnready:
+    """The limit on a version that may be bad holds without an old target."""
+
+    @pytest.mark.parametrize('kind', ['fails-0.3', 'fails-0.05', 'slow'])
+    def test_exposure_is_bounded(self, hosts, unready_s, kind):
+        world = simulation.World(0, hosts, kind, unready_s=unready_s).run()
+        assert not world.broken
+        assert world.outcomes == ['rolled_back']
+        assert world.refused
