Check a chosen target and changed homes again before the send

Cause: a target was chosen by its state before its probe. If it became unready, left, or its failure domain was taken out during the probe, it got the request nevertheless. A request kept the homes of its route from its arrival on, so that after a change it went to a region that was no home any more, or was relayed to a host there.

Change: before each send and hedge, the target must still be one that may get the request; otherwise its connection is returned and another one is chosen. A change of the configuration gives a request the homes that its route has now, and a relay to a host outside of them is not sent.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -299,7 +299,7 @@
             placed.target.pool.release(placed.conn)
             return refusal
         reason = self._intake.recheck(call)
-        if not reason and not self.choice.versions.admits(call, placed.target):
+        if not reason and not self.choice.admits(call, placed.target):
             placed.target.pool.release(placed.conn)
             return None
         if not reason and call.sends and not self._spend_retry(call):
@@ -397,7 +397,7 @@
         """Tells whether a hedge may answer in time and does no harm."""
         return (
             hedging.may_help(call, first, placed, self._loop.time())
-            and self.choice.versions.admits(call, placed.target)
+            and self.choice.admits(call, placed.target)
             and not self._blocked_s(call.req)
             and not self._intake.recheck(call)
         )
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -227,12 +227,29 @@
         return [
             target
             for target in self._targets_by_service.get(service, ())
-            if target.entry.ready
+            if self._may_get(target, homes)
+        ]
+
+    def is_eligible(
+        self, target: targets_.Target, homes: tuple[str, ...]
+    ) -> bool:
+        """Returns whether a target that was chosen before may get a request.
+
+        Args:
+            target: The target.
+            homes: Regions that may serve the request; empty allows all.
+        """
+        is_current = self.targets.get(target.entry.name) is target
+        return is_current and self._may_get(target, homes)
+
+    def _may_get(self, target: targets_.Target, homes: tuple[str, ...]) -> bool:
+        return (
+            target.entry.ready
             and not target.misdirected
             and target.service is not None
             and target.entry.failure_domain not in self.domains_out
             and (not homes or target.region in homes)
-        ]
+        )
 
     def targets_by_service(self) -> abc.Mapping[str, list[targets_.Target]]:
         """Returns all targets by service."""
--- a/ragwortchute/gateway/organisations/identity.py
+++ b/ragwortchute/gateway/organisations/identity.py
@@ -149,6 +149,7 @@
         cfg = self._state.cfg
         if cfg is call.cfg:
             return ''
+        self._follow_homes(call)
         if cfg.organisations is None:
             call.cfg = cfg
             return ''
@@ -165,6 +166,16 @@
             return KEY_WITHDRAWN if self._is_confirmed() else UNCONFIRMED_KEY
         return self.assign(call, Caller(cfg, organisation, call.key))
 
+    def _follow_homes(self, call: attempts.Call) -> None:
+        """Gives a request the homes that its route has now.
+
+        If the route is gone, it keeps those that it was accepted with.
+        """
+        route = self._state.table.match(call.req.host, call.req.path)
+        if route is not None and route.homes != call.route.homes:
+            call.route = msgspec.structs.replace(call.route, homes=route.homes)
+            call.homes = route.homes
+
     def may_refuse_route(self) -> bool:
         """Returns whether a request without a route may be refused for good.
 
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -175,6 +175,9 @@
         reason = self.recheck(call)
         if reason:
             return RelayResult(reason=reason)
+        if host.region not in call.homes:
+            # They have changed since the host was chosen.
+            return RelayResult()
         head = self._dialect.encode_head(
             call.req,
             left_s,
--- a/ragwortchute/gateway/target_choice.py
+++ b/ragwortchute/gateway/target_choice.py
@@ -48,6 +48,16 @@
         """Selects a target for a hedge of a request."""
         return await self._select(call, self._gate.place_hedge)
 
+    def admits(self, call: attempts.Call, target: targets_.Target) -> bool:
+        """Returns whether a request may still be sent to a chosen target.
+
+        The state of the target, the homes of the request and the versions may
+        have changed during the probes.
+        """
+        return self._state.is_eligible(
+            target, call.homes
+        ) and self.versions.admits(call, target)
+
     async def _select(self, call: attempts.Call, place: gate_.Place) -> Placed:
         targets = self._untried_targets(call)
         first, second = self.versions.choose(call, targets)
