--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -1,6 +1,7 @@
 """Tests of rollouts on complete hosts with a stand-in store."""
 
 import asyncio
+import re
 import time
 
 import pytest
@@ -29,6 +30,8 @@
     def __init__(self):
         super().__init__()
         self.statuses = []
+        # Status, time in seconds and Retry-After of the requests that ended.
+        self.answers = []
         self.callers = None
 
     def build(self, me):
@@ -98,6 +101,7 @@
 
     async def request(self, host):
         number = self.addresses = self.addresses + 1
+        begin_s = time.monotonic()
         try:
             reader, writer = await asyncio.open_connection(
                 *host._settings.me.caller_address.split(':')
@@ -108,6 +112,14 @@
             )
             line = await reader.readline()
             self.statuses.append(int(line.split()[1]) if line else 0)
+            head = await reader.read()
+            retry = re.search(
+                rb'(?i)\r\nretry-after: *([0-9.]+)', b'\r\n' + head
+            )
+            elapsed_s = time.monotonic() - begin_s
+            self.answers.append(
+                (self.statuses[-1], elapsed_s, retry and float(retry[1]))
+            )
             writer.close()
         except ConnectionError:
             self.statuses.append(0)
@@ -202,6 +214,30 @@
         await expect_rollback(rollout)
 
 
+class TestOldTargetsUnready:
+    """A version that is not judged yet gets few requests in any case."""
+
+    async def test_other_requests_are_refused_at_once(self, rollout):
+        await rollout.begin()
+        await rollout.until(lambda: rollout.state == 'running')
+        await asyncio.sleep(0.5)
+        for target in rollout.targets[:OLD_TARGETS]:
+            entry = target.entry
+            entry['status'] = {**entry['status'], 'state': 'draining'}
+            await rollout.server.put('servers', target.name, entry)
+        await asyncio.sleep(1.0)
+        rollout.answers.clear()
+        new, old = len(rollout.new_arrivals), len(rollout.old_arrivals)
+        await asyncio.sleep(1.0)
+        assert len(rollout.old_arrivals) == old
+        assert len(rollout.new_arrivals) - new <= 0.1 * PER_S
+        refusals = [item for item in rollout.answers if item[0] != 200]
+        assert len(refusals) >= 0.8 * PER_S
+        assert {status for status, _, _ in refusals} == {503}
+        assert all(retry for _, _, retry in refusals)
+        assert max(elapsed_s for _, elapsed_s, _ in refusals) < 0.25
+
+
 class TestDisabled:
     """Without the contract, rollouts must cost nothing."""
 
@@ -213,6 +249,22 @@
         assert 'rollouts/' not in host.revisions()
 
 
+class TestSilentHosts:
+    """A host behind a long partition must not be forgotten."""
+
+    async def test_only_hosts_that_stop_are_forgotten(self, rollout):
+        await rollout.start('a1')
+        host = rollout.hosts[0]
+        now_s = asyncio.get_running_loop().time()
+        entries = [rigs.host(name, 'a1') for name in ('silent', 'stopped')]
+        host.membership.add_entries(entries, now_s - 1000)
+        peer = host.membership.peers.get('stopped')
+        peer.last_heartbeat_s, peer.leaving = now_s - 40, True
+        known = host.rollouts.neighbours(now_s)
+        assert set(known.items) == {'silent'}
+        assert known.heard == []
+
+
 class TestFaults:
     """An outcome must be reached although a host or the store fails."""
 
