Use locality in the choice of targets

Requests left their failure domain by a constant in the order of probing. The selector now orders its probes and compares costs by gateway/locality, unless the settings have crossing=off or one failure domain. The send line of the event log has the reason in the field left; metrics count sends, reasons and bytes.

Without locality the draws and decisions are the same as before.

--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -11,13 +11,14 @@
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import host_state
+from ragwortchute.gateway import requirements
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import levels
 from ragwortchute.gateway.admission import room
 from ragwortchute.gateway.admission import shares
 from ragwortchute.gateway.admission import waiting
 
-Require = abc.Callable[[attempts.Call], candidates.Requirements]
+Require = abc.Callable[[attempts.Call], requirements.Requirements]
 Placed = candidates.Placement | candidates.NoPlacement
 # Selects a target for a request.
 Place = abc.Callable[[attempts.Call, Require], abc.Awaitable[Placed]]
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -44,6 +44,7 @@
 from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.organisations import host_tokens
 from ragwortchute.gateway.organisations import quota_part
 from ragwortchute.gateway.organisations import recency
@@ -147,6 +148,9 @@
         self._selector = candidates.TargetSelector(
             self.rng, self._send_limits, reader, settings.limits.probes_per_s
         )
+        self.locality = self._selector.locality = locality_part.create(
+            settings.crossing, self.rng, log
+        )
         self.account = account.Account(
             limits_.derive(settings.memory_bytes, settings.max_descriptors), log
         )
@@ -228,6 +232,7 @@
             quotas=self.quotas,
         )
         dispatcher_.gate.enabled = self._settings.admits_by_urgency
+        dispatcher_.choice.locality = self.locality
         loans = dispatcher_.retries.loans
         loans.send = self.membership.ask_for_loans
         loans.reply = self.membership.send_loan
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -17,12 +17,15 @@
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import probe_budget
+from ragwortchute.gateway import probe_order
 from ragwortchute.gateway import probe_rounds
+from ragwortchute.gateway import requirements
 from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import service_load
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import room
+from ragwortchute.gateway.locality import locality_part
 
 # Another round follows only if the lowest cost found exceeds this share of the
 # latency objective.
@@ -53,6 +56,8 @@
         reading: State that the probe returned.
         expected_s: Expected time until the answer, in seconds.
         probed: Number of targets that were probed.
+        left: Why the request leaves its failure domain, empty if it does not
+            or locality is off.
     """
 
     target: targets_.Target
@@ -60,6 +65,7 @@
     reading: dialects.Reading
     expected_s: float
     probed: int
+    left: str = ''
 
 
 class NoPlacement(msgspec.Struct, frozen=True):
@@ -78,27 +84,6 @@
     stated: bool = False
 
 
-class Requirements(msgspec.Struct, eq=False):
-    """What a request requires of a target.
-
-    Attributes:
-        targets: Targets that may get the request.
-        work_s: Expected processing time at slowness 1, in seconds.
-        objective_s: Latency objective in seconds.
-        remaining_s: Time until the answer is due, in seconds.
-        long_work_s: Processing time that few requests exceed, in seconds; 0 if
-            it is not known.
-        limit: Which targets have room for it, None if all have.
-    """
-
-    targets: list[targets_.Target]
-    work_s: float
-    objective_s: float
-    remaining_s: float
-    long_work_s: float = 0.0
-    limit: room.Limit | None = None
-
-
 class _ProbeResult(msgspec.Struct, eq=False):
     target: targets_.Target
     conn: http_client.ClientConnection
@@ -117,6 +102,7 @@
 
     Attributes:
         limits: Limits on the requests that this host sends to each target.
+        locality: Which requests leave the failure domain; None if it is off.
         targets: Number of targets of all services.
         probes_sent: Number of health requests sent.
     """
@@ -135,11 +121,14 @@
             probes_per_s, self._loop.time()
         )
         self.limits = limits
+        self.locality: locality_part.Locality | None = None
         self._statements = statements
         self.targets = 0
         self.probes_sent = 0
 
-    async def select(self, required: Requirements) -> Placement | NoPlacement:
+    async def select(
+        self, required: requirements.Requirements
+    ) -> Placement | NoPlacement:
         """Selects a target that can take a request now.
 
         Args:
@@ -155,9 +144,10 @@
         return placed
 
     async def _select_once(
-        self, required: Requirements
+        self, required: requirements.Requirements
     ) -> Placement | NoPlacement:
-        order = self._probe_order(required.targets)
+        order = self._probe_order(required)
+        locality = required.locality
         if not order:
             return self._no_target(required)
         best: _ProbeResult | None = None
@@ -201,13 +191,17 @@
                 or (
                     best_cost_s <= acceptable_s
                     and self._has_room(best, required)
+                    and not (
+                        locality
+                        and locality.looks_further(best_cost_s, early_accept_s)
+                    )
                 )
             ):
                 break
         return self._place(best, required, probed)
 
     def _needs_remote(
-        self, best: _ProbeResult | None, required: Requirements
+        self, best: _ProbeResult | None, required: requirements.Requirements
     ) -> bool:
         """Returns whether targets of other regions may be probed.
 
@@ -226,7 +220,7 @@
         return expected_s > required.objective_s * ACCEPTABLE_OBJECTIVES
 
     def _expected_s(
-        self, result: _ProbeResult, required: Requirements
+        self, result: _ProbeResult, required: requirements.Requirements
     ) -> float:
         return estimates.expected_latency_s(
             self._candidate(result),
@@ -234,7 +228,7 @@
             self.load(result.target.entry.service).mean_slowness,
         )
 
-    def _no_target(self, required: Requirements) -> NoPlacement:
+    def _no_target(self, required: requirements.Requirements) -> NoPlacement:
         """Returns why no target may be probed, and for how long."""
         wait = self.limits.shortest_wait(required.targets, self._loop.time())
         if wait is None:
@@ -292,7 +286,10 @@
         return load
 
     def _place(
-        self, best: _ProbeResult | None, required: Requirements, probed: int
+        self,
+        best: _ProbeResult | None,
+        required: requirements.Requirements,
+        probed: int,
     ) -> Placement | NoPlacement:
         """Turns the best probe result, if any, into a decision."""
         if best is None or not best.conn.usable:
@@ -315,7 +312,10 @@
             target.pool.release(best.conn)
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         self.limits.record_send(target, now_s, is_cold=best.reading.cold_s > 0)
-        return Placement(target, best.conn, best.reading, expected_s, probed)
+        left = required.locality.reason(target) if required.locality else ''
+        return Placement(
+            target, best.conn, best.reading, expected_s, probed, left
+        )
 
     def _must_queue(self, result: _ProbeResult) -> bool:
         """Returns whether all slots of a target are taken."""
@@ -324,48 +324,38 @@
         occupied = reading.running + reading.waiting + candidate.sent_since
         return occupied >= max(1, reading.slots or candidate.slots)
 
-    def _early_accept_s(self, required: Requirements) -> float:
+    def _early_accept_s(self, required: requirements.Requirements) -> float:
         """Returns the cost up to which a target is accepted at once."""
         return required.work_s * EARLY_ACCEPT_FACTOR + targets_.SAME_REGION_S
 
     def _probe_order(
-        self, targets: list[targets_.Target]
+        self, required: requirements.Requirements
     ) -> list[targets_.Target]:
         """Returns targets in the order in which they are probed.
 
-        The order is random, with penalties for targets that are unlikely to
-        give a good result. Targets that leave are left out, and so are cold
-        and limited targets that have used up the share of this host.
+        Args:
+            required: What the request requires.
         """
         now_s = self._loop.time()
-        keyed = []
-        for target in targets:
-            if not self.limits.may_send(target, now_s):
-                continue
-            key = self._rng.random()
-            if target.same_region and not target.same_domain:
-                key += 0.3
-            if target.is_ejected(now_s):
-                key += 1000.0
-            if target.is_cold(now_s):
-                key += 3.0
-            key += 4.0 * target.failure_rate(now_s)
-            if not target.pool.has_idle:
-                key += 0.5
-            reading = target.reading
-            if reading is not None and now_s - reading.taken_s < 0.1:
-                occupied = reading.running + reading.waiting
-                occupied += target.sent_since(reading)
-                if occupied >= max(1, reading.slots) or reading.slowness > 2:
-                    key += 2.0
-            keyed.append((key, target))
-        keyed.sort(key=lambda item: item[0])
+        domain_key = probe_order.other_domain_key
+        if self.locality is not None and required.targets:
+            service = required.targets[0].entry.service
+            request_s = required.work_s * self.load(service).mean_slowness
+            required.locality = self.locality.begin(
+                service, request_s, required.body_bytes, now_s
+            )
+            domain_key = required.locality.key
+        keyed = probe_order.keyed(
+            required.targets, self.limits, self._rng, now_s, domain_key
+        )
+        if required.locality is not None:
+            return required.locality.arrange(keyed)
         return [target for _, target in keyed]
 
     async def _probe(
         self,
         group: list[targets_.Target],
-        required: Requirements,
+        required: requirements.Requirements,
         early_accept_s: float,
     ) -> list[_ProbeResult]:
         """Probes targets concurrently.
@@ -383,6 +373,8 @@
             required.remaining_s,
             REMOTE_PROBE_TIMEOUT_S if remote else LOCAL_PROBE_TIMEOUT_S,
         )
+        if required.locality is not None:
+            timeout_s = required.locality.begin_round(group, timeout_s)
         end_s = self._loop.time() + timeout_s
         extended = False
         results: list[_ProbeResult] = []
@@ -405,6 +397,10 @@
                     result = self._probe_result(task, tasks[task])
                     if result is not None:
                         results.append(result)
+                        if required.locality is not None:
+                            required.locality.note_answer(
+                                result.target, is_full=self._must_queue(result)
+                            )
                         accepted = (
                             accepted
                             or self._cost_s(result, required) <= early_accept_s
@@ -422,6 +418,8 @@
                         self._finish_late_probe, target=tasks[task]
                     )
                 )
+        if required.locality is not None and not results:
+            required.locality.note_no_answer(self._loop.time())
         return results
 
     def _probe_result(
@@ -445,6 +443,8 @@
         except asyncio.CancelledError:
             return None
         self.load(target.entry.service).note(reading)
+        if self.locality is not None:
+            self.locality.note_reading(target, reading)
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
@@ -474,18 +474,24 @@
             self.load(target.entry.service).persistence,
         )
 
-    def _has_room(self, result: _ProbeResult, required: Requirements) -> bool:
+    def _has_room(
+        self, result: _ProbeResult, required: requirements.Requirements
+    ) -> bool:
         return required.limit is None or self.has_room(
             result.target, result.reading, required.limit
         )
 
-    def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
+    def _cost_s(
+        self, result: _ProbeResult, required: requirements.Requirements
+    ) -> float:
         cost_s = estimates.cost_s(
             self._candidate(result),
             required.work_s,
             self.load(result.target.entry.service).mean_slowness,
             required.objective_s,
         )
+        if required.locality is not None:
+            cost_s += required.locality.crossing_s(result.target)
         if not self._has_room(result, required):
             if not required.limit.strict:
                 return cost_s
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -347,6 +347,10 @@
         outstanding.append(attempts.Attempt(placed, fut, now_s))
         self._stats.sends += 1
         self.choice.versions.note_send(call, outstanding[-1])
+        if self.choice.locality is not None:
+            self.choice.locality.note_send(
+                target, placed.left, call.req.body_bytes
+            )
         self._request_log.log_send(call, outstanding[-1])
 
     def _accept(
@@ -440,6 +444,8 @@
         if load is not None:
             target.note_reading(load)
         self.gate.note_end(call, target)
+        if self.choice.locality is not None:
+            self.choice.locality.note_answer(target, reply)
         if self.dialect.is_misdirected(reply):
             target.misdirected = True
             self._request_log.log_failed_attempt(call, attempt, 'misdirected')
--- a/ragwortchute/gateway/host_settings.py
+++ b/ragwortchute/gateway/host_settings.py
@@ -4,6 +4,7 @@
 
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import model
+from ragwortchute.gateway.locality import crossings
 
 # Used where the settings name no memory.
 DEFAULT_MEMORY_BYTES = 200e6
@@ -28,6 +29,8 @@
         contracts: Names of the optional parts that the deployment uses.
         bounds: Bounds of the deployment by name.
         admits_by_urgency: Whether room is kept for urgent requests.
+        crossing: Worth of a crossing between failure domains; None if requests
+            are not kept in the failure domain of the host.
     """
 
     me: model.HostEntry
@@ -42,3 +45,4 @@
     contracts: frozenset[str] = frozenset()
     bounds: dict[str, float] = {}
     admits_by_urgency: bool = False
+    crossing: crossings.Worth | None = None
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -27,6 +27,8 @@
         part_metrics.add_targets(self._metrics, gateway.target_report)
         if gateway.quotas is not None:
             part_metrics.add_quotas(self._metrics, gateway.quotas)
+        if gateway.locality is not None:
+            part_metrics.add_locality(self._metrics, gateway.locality)
         if gateway.rollouts is not None:
             part_metrics.add_rollouts(self._metrics, gateway.rollouts)
 
--- a/ragwortchute/gateway/part_metrics.py
+++ b/ragwortchute/gateway/part_metrics.py
@@ -3,6 +3,7 @@
 from ragwortchute import scraping
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import target_report
+from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.organisations import quotas as quotas_
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.rollouts import runtime
@@ -136,6 +137,42 @@
     )
 
 
+def add_locality(
+    metrics: scraping.Metrics, locality: locality_part.Locality
+) -> None:
+    """Adds metrics of requests by service and failure domain."""
+    metrics.add_gauge(
+        'ragwortchute_gateway_spillover_share',
+        'Share of requests that look outside their failure domain first.',
+        locality.shares,
+        'service',
+    )
+    for name, help_text, counts, label in (
+        (
+            'ragwortchute_gateway_domain_sends_total',
+            'Sends by service and failure domain of the target.',
+            locality.sends,
+            'domain',
+        ),
+        (
+            'ragwortchute_gateway_crossings_total',
+            'Sends to other failure domains, by service and reason.',
+            locality.reasons,
+            'reason',
+        ),
+        (
+            'ragwortchute_gateway_crossing_bytes_total',
+            'Bodies of requests and answers that crossed, in bytes, by '
+            'service and failure domain of the target.',
+            locality.moved_bytes,
+            'domain',
+        ),
+    ):
+        metrics.add_counter(
+            name, help_text, lambda counts=counts: dict(counts), label
+        )
+
+
 def add_rollouts(metrics: scraping.Metrics, rollouts: runtime.Rollouts) -> None:
     """Adds metrics of rollouts by service and version."""
     metrics.add_counter(
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -4,6 +4,7 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
+from ragwortchute.gateway import candidates
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
@@ -55,6 +56,7 @@
             age_ms=round((attempt.sent_s - reading.taken_s) * 1000, 1),
             expected_ms=round(placed.expected_s * 1000),
             revision=self._state.cfg_revision,
+            **_left_field(placed),
             **_organisation_field(call.organisation),
         )
 
@@ -198,3 +200,7 @@
     organisation: model.Organisation | None,
 ) -> dict[str, str]:
     return {} if organisation is None else {'organisation': organisation.name}
+
+
+def _left_field(placed: candidates.Placement) -> dict[str, str]:
+    return {'left': placed.left} if placed.left else {}
--- /dev/null
+++ b/ragwortchute/gateway/requirements.py
@@ -0,0 +1,32 @@
+"""What a request requires of a target."""
+
+import msgspec
+
+from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.admission import room
+from ragwortchute.gateway.locality import selection
+
+
+class Requirements(msgspec.Struct, eq=False):
+    """What a request requires of a target.
+
+    Attributes:
+        targets: Targets that may get the request.
+        work_s: Expected processing time at slowness 1, in seconds.
+        objective_s: Latency objective in seconds.
+        remaining_s: Time until the answer is due, in seconds.
+        long_work_s: Processing time that few requests exceed, in seconds; 0 if
+            it is not known.
+        limit: Which targets have room for it, None if all have.
+        body_bytes: Size of its body; used for locality only.
+        locality: How locality is used for it, None if it is off.
+    """
+
+    targets: list[targets_.Target]
+    work_s: float
+    objective_s: float
+    remaining_s: float
+    long_work_s: float = 0.0
+    limit: room.Limit | None = None
+    body_bytes: int = 0
+    locality: selection.Selection | None = None
--- a/ragwortchute/gateway/target_choice.py
+++ b/ragwortchute/gateway/target_choice.py
@@ -6,10 +6,12 @@
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import host_state
+from ragwortchute.gateway import requirements
 from ragwortchute.gateway import rollouts
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times as work_times_
 from ragwortchute.gateway.admission import gate as gate_
+from ragwortchute.gateway.locality import locality_part
 
 Placed = candidates.Placement | candidates.NoPlacement
 
@@ -23,10 +25,18 @@
         work_times: Processing times by route.
 
     Attributes:
+        locality: Which requests leave the failure domain; None if it is off.
         versions: Which targets may get a request, by their versions.
     """
 
-    __slots__ = ('_gate', '_loop', '_state', '_work_times', 'versions')
+    __slots__ = (
+        '_gate',
+        '_loop',
+        '_state',
+        '_work_times',
+        'locality',
+        'versions',
+    )
 
     def __init__(
         self,
@@ -38,6 +48,7 @@
         self._gate = gate
         self._work_times = work_times
         self._loop = asyncio.get_running_loop()
+        self.locality: locality_part.Locality | None = None
         self.versions = rollouts.VersionChoice()
 
     async def select(self, call: attempts.Call) -> Placed:
@@ -74,7 +85,7 @@
         self,
         call: attempts.Call,
         chosen: frozenset[targets_.Target] | None,
-    ) -> candidates.Requirements:
+    ) -> requirements.Requirements:
         """Returns what a request requires of a target now.
 
         Args:
@@ -85,10 +96,11 @@
         targets = self._untried_targets(call)
         if chosen is not None:
             targets = [target for target in targets if target in chosen]
-        return candidates.Requirements(
+        return requirements.Requirements(
             targets,
             self._work_times.expected_s(route),
             route.objective_s,
             call.deadline_s - self._loop.time(),
             self._work_times.long_s(route),
+            body_bytes=0 if self.locality is None else call.req.body_bytes,
         )
--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -9,6 +9,7 @@
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
+from ragwortchute.gateway.locality import crossings
 
 FILE_VARIABLE = 'RAGWORTCHUTE_NODE_FILE'
 # Callers may get the address of a dead host for up to 3 s after `contact_s` has
@@ -102,6 +103,7 @@
         contracts=frozenset(values.items('contracts')),
         bounds=bounds,
         admits_by_urgency='urgency' in values.items('admission'),
+        crossing=_crossing(values, domains),
         dead_s=bounds.get('contact_s', 3.0) + STALE_ADDRESS_S,
         limits=dispatcher.Limits(
             retry_ratio=bounds.get('retry_budget_ratio', 0.2),
@@ -129,6 +131,22 @@
     return memory_mb * 1e6
 
 
+def _crossing(
+    values: '_Values', domains: dict[str, str]
+) -> crossings.Worth | None:
+    """Returns the worth of a crossing between failure domains.
+
+    It is None if the setting is off or there is only one failure domain.
+    """
+    default = crossings.Worth()
+    worth = crossings.Worth(
+        values.duration_s('crossing_worth_ms', default.domain_s),
+        values.duration_s('region_crossing_worth_ms', default.region_s),
+    )
+    mode = values.choice('crossing', ('on', 'off'))
+    return worth if mode == 'on' and len(domains) > 1 else None
+
+
 class _Values:
     """Values by name, parsed from lines of the form `name=value`."""
 
@@ -158,6 +176,25 @@
                 f'{name}={value!r} is not a number', step='settings'
             ) from exc
 
+    def duration_s(self, name: str, default_s: float) -> float:
+        """Returns a duration that is set in milliseconds, in seconds."""
+        duration_s = self.number(name, default_s * 1000) / 1000
+        if not 0 <= duration_s < float('inf'):
+            raise errors.SettingError(
+                f'{name} needs 0 or more milliseconds', step='settings'
+            )
+        return duration_s
+
+    def choice(self, name: str, allowed: tuple[str, ...]) -> str:
+        """Returns one of the allowed values, the first if it is not set."""
+        value = self._values.get(name, '') or allowed[0]
+        if value not in allowed:
+            raise errors.SettingError(
+                f'{name}={value!r} is not among {", ".join(allowed)}',
+                step='settings',
+            )
+        return value
+
     def address(self, name: str) -> tuple[str, int]:
         """Returns a required `IP:port` value."""
         value = self.text(name)
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -9,6 +9,7 @@
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import intake
 from ragwortchute.gateway import model
+from ragwortchute.gateway import requirements
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
@@ -442,7 +443,7 @@
         for target in targets:
             target.write_health = target._write
             target._write = withhold
-        required = candidates.Requirements(
+        required = requirements.Requirements(
             list(rig.state.targets.values()), 0.1, 0.2, 1.0
         )
         task = asyncio.create_task(rig.selector.select(required))
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -59,6 +59,20 @@
         node = settings.parse(SETTINGS + 'admission=urgency\n', 5)
         assert node.gateway.admits_by_urgency
 
+    def test_crossings_are_weighed_unless_it_is_off(self):
+        assert settings.parse(SETTINGS, 5).gateway.crossing is not None
+        lines = 'crossing_worth_ms=5\nregion_crossing_worth_ms=250\n'
+        worth = settings.parse(SETTINGS + lines, 5).gateway.crossing
+        assert worth.domain_s == pytest.approx(0.005)
+        assert worth.region_s == pytest.approx(0.25)
+        node = settings.parse(SETTINGS + lines + 'crossing=off\n', 5)
+        assert node.gateway.crossing is None
+
+    def test_one_failure_domain_has_no_crossings(self):
+        text = SETTINGS.replace('zones.b-1=b', '')
+        assert 'zones.b' not in text
+        assert settings.parse(text, 5).gateway.crossing is None
+
     @pytest.mark.parametrize(
         ('line', 'message'),
         [
@@ -71,6 +85,13 @@
             ('listen.front=host:8144', 'listen.front needs an IPv4 address'),
             ('ip=10.1.0', "ip needs an IPv4 address, not '10.1.0'"),
             ('limits.cores=two', "limits.cores='two' is not a number"),
+            ('crossing=no', "crossing='no' is not among on, off"),
+            ('crossing_worth_ms=-1', 'crossing_worth_ms needs 0 or more'),
+            ('crossing_worth_ms=nan', 'crossing_worth_ms needs 0 or more'),
+            (
+                'region_crossing_worth_ms=inf',
+                'region_crossing_worth_ms needs 0 or more',
+            ),
         ],
     )
     def test_error_names_the_invalid_setting(self, line, message):
