Probe one target at a time where locality is on and probes are short

In a model of 100 hosts (60 probes per target and second, 399 requests a second on 15 targets) half of the requests could afford one probe, and 17 to 20 % of those went to a slow target, with locality as without it.

With locality, a request with few probes left now asks its own domain first and then one target at a time, as long as the budget has a probe and the best target found costs more than a good one plus the worth of a crossing. A target of another region comes last. Shares settle faster: readings count at most 1.25, and the share has less gain and a wider dead band.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -163,9 +163,10 @@
             order,
             self._probe_budget,
             urgent=urgent,
-            small=limit is not None
-            and urgent
-            and not self._probe_budget.has_spare(),
+            small=0
+            if self._probe_budget.has_spare()
+            else required.small_round(),
+            single=limit is None,
         )
         probed = 0
         while group := rounds.pop(
--- a/ragwortchute/gateway/locality/selection.py
+++ b/ragwortchute/gateway/locality/selection.py
@@ -8,14 +8,16 @@
 from ragwortchute.gateway.locality import spillover as spillover_
 
 # Added to the random key (0 to 1) of targets of other domains. Those of the own
-# domain that are known to be slow, full, cold or ejected have 2 or more.
-OWN_FIRST_KEY = 1.5
+# domain that are known to be slow, full, cold or ejected have 2 or more, and
+# come mixed with the others: a reading may be 0.1 s old, and speeds change
+# every 0.15 s.
+OWN_FIRST_KEY = 2.0
 # Targets with this key or more are unlikely to give a good result.
 UNFIT_KEY = 2.0
 # The key of a target rises with the occupancy of its domain.
 OCCUPANCY_KEY = 2.0
-# A reading of another domain is taken if the last one is older than this, by
-# the third probe of a round; by the second one after twice the time.
+# A reading of another domain is taken by the second probe of a request if the
+# last one is older than this.
 REFRESH_S = 4.0
 # Share of the requests that probe the own domain while it does not answer.
 LOST_PROBE_SHARE = 0.25
@@ -64,7 +66,7 @@
         '_own_full',
         '_own_probed',
         '_probes_lost',
-        '_refresh_place',
+        '_refreshes',
         '_spillover',
         '_worth',
         'mode',
@@ -87,10 +89,7 @@
         elif draw < spillover.share:
             self.mode = Mode.SPILL
         self._probes_lost = spillover.lost and draw < LOST_PROBE_SHARE
-        age_s = now_s - spillover.read_s()
-        self._refresh_place = 0
-        if age_s > REFRESH_S:
-            self._refresh_place = 1 if age_s > 2 * REFRESH_S else 2
+        self._refreshes = now_s - spillover.read_s() > REFRESH_S
         self._has_own = False
         self._has_others = False
         self._own_probed = 0
@@ -98,6 +97,11 @@
         self._own_full = 0
         self._others_probed = 0
 
+    @property
+    def small_round(self) -> int:
+        """Number of targets to probe at first if probes are short."""
+        return 1 if self.mode is Mode.OWN and not self._refreshes else 2
+
     def crossing_s(self, target: targets_.Target) -> float:
         """Returns what a crossing adds to the cost of a target, in seconds.
 
@@ -147,8 +151,11 @@
         if not own or not others or self.mode is Mode.UNRESTRICTED:
             return order
         if self.mode is Mode.OWN:
-            if self._refresh_place:
-                _move_up(order, others[0][1], self._refresh_place)
+            if own[0][0] >= UNFIT_KEY:
+                # All are known to be congested.
+                _move_up(order, others[0][1], 0)
+            elif self._refreshes:
+                _move_up(order, others[0][1], 1)
             return order
         if others[0][0] < UNFIT_KEY:
             _move_up(order, others[0][1], 0)
@@ -191,7 +198,7 @@
         """
         if self._own_answered or not self._own_probed:
             return
-        self._spillover.own.note(spillover_.UNANSWERED_OCCUPANCY, now_s)
+        self._spillover.own.note(spillover_.MAX_OCCUPANCY, now_s)
         if self._own_probed > 1 and self._has_others:
             self._spillover.note_lost()
 
@@ -202,11 +209,7 @@
             cost_s: Least cost found so far, in seconds.
             good_cost_s: Cost of a good target in seconds.
         """
-        return (
-            self._has_others
-            and not self._others_probed
-            and cost_s > good_cost_s + self._worth.domain_s
-        )
+        return self._has_others and cost_s > good_cost_s + self._worth.domain_s
 
     def reason(self, target: targets_.Target) -> str:
         """Returns why a request leaves, empty if it doesn't."""
--- a/ragwortchute/gateway/locality/spillover.py
+++ b/ragwortchute/gateway/locality/spillover.py
@@ -14,23 +14,25 @@
 import math
 
 # Time constant at which readings lose weight, in seconds.
-MEMORY_S = 2.0
+MEMORY_S = 1.0
 # A reading takes at most this part of the weight of those before it, so that a
 # few readings that are far apart do not replace each other.
 MAX_DECAY = 1 / 8
 # Below this occupancy, targets with free slots are found in the own domain.
 FREE_OCCUPANCY = 0.6
-# Occupancy counted for a target that does not answer: slots and queue full.
-UNANSWERED_OCCUPANCY = 2.0
+# Readings count at most this, and so does a target that does not answer. A
+# longer queue does not call for a greater share, and would hold the share up
+# after the queue has become shorter.
+MAX_OCCUPANCY = 1.25
 # Gain, as a part of the time of a mean request, at which all requests look
 # outside first.
-FULL_GAIN = 0.5
+FULL_GAIN = 0.6
 # Spillover starts at this share, and ends at a share of 0.
 START_SHARE = 0.1
 # Time constant of the changes of the share, in seconds.
-SHARE_LAG_S = 0.7
+SHARE_LAG_S = 0.25
 # A share that differs less from the wanted one is kept.
-DEAD_BAND = 0.05
+DEAD_BAND = 0.1
 _END_SHARE = 0.02
 # Readings of other domains that are older than this are not used, in seconds.
 MAX_AGE_S = 60.0
@@ -38,7 +40,7 @@
 
 
 class Occupancy:
-    """Mean occupancy of targets, 0 to about 3.
+    """Mean occupancy of targets, 0 to `MAX_OCCUPANCY`.
 
     Attributes:
         updated_s: Loop time of the last reading, in seconds.
@@ -55,6 +57,7 @@
         """Adds a reading."""
         decay = math.exp(min(0.0, self.updated_s - now_s) / MEMORY_S)
         decay = max(1 - MAX_DECAY, decay)
+        occupancy = min(MAX_OCCUPANCY, occupancy)
         self._sum = self._sum * decay + occupancy
         self._weight = self._weight * decay + 1
         self.updated_s = max(self.updated_s, now_s)
@@ -86,8 +89,11 @@
 
     def note_own(self, occupancy: float, now_s: float) -> None:
         """Adds a reading of a target of the own domain."""
+        if self.lost:
+            # What was counted for missing answers says nothing any more.
+            self.own = Occupancy()
+            self.lost = False
         self.own.note(occupancy, now_s)
-        self.lost = False
 
     def note_other(self, domain: str, occupancy: float, now_s: float) -> None:
         """Adds a reading of a target of another domain of the region."""
--- a/ragwortchute/gateway/probe_budget.py
+++ b/ragwortchute/gateway/probe_budget.py
@@ -57,6 +57,10 @@
         """Returns whether more is saved than is kept for urgent requests."""
         return self._saved >= self._rate_per_s * KEPT_FOR_URGENT_S
 
+    def has_one(self) -> bool:
+        """Returns whether a probe is left."""
+        return self._saved >= 1
+
     def targets_to_probe(
         self, wanted: int, *, first_round: bool, urgent: bool = True
     ) -> int:
--- a/ragwortchute/gateway/probe_rounds.py
+++ b/ragwortchute/gateway/probe_rounds.py
@@ -21,7 +21,10 @@
         order: The targets in the order of probing.
         budget: Limit on the probes of this host.
         urgent: Whether no request to the service is more urgent.
-        small: Whether to probe few targets at a time, in more rounds.
+        small: Number of targets to probe at a time, in more rounds than usual;
+            0 for the usual number.
+        single: Whether later small rounds probe one target, as long as the
+            budget has probes.
     """
 
     __slots__ = (
@@ -29,6 +32,7 @@
         '_local',
         '_remote',
         '_rounds_left',
+        '_single',
         '_small',
         '_started',
         '_urgent',
@@ -40,12 +44,14 @@
         budget: probe_budget.ProbeBudget,
         *,
         urgent: bool,
-        small: bool,
+        small: int,
+        single: bool = False,
     ) -> None:
         self._local = [target for target in order if target.same_region]
         self._remote = [target for target in order if not target.same_region]
         self._budget = budget
         self._urgent = urgent
+        self._single = single and small > 0
         self._small = small
         self._rounds_left = MAX_SMALL_ROUNDS if small else MAX_ROUNDS
         self._started = False
@@ -71,6 +77,9 @@
             group = local[:count] or remote[:count]
         else:
             count = self._count(LATER_ROUND_TARGETS, first_round=False)
+            # Where one is probed at a time, a remote one comes last.
+            if self._single and self._rounds_left and local:
+                remote = []
             others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
             group = local[: count - len(others)] + others
         for target in group:
@@ -81,7 +90,9 @@
     def _count(self, wanted: int, *, first_round: bool) -> int:
         if self._small:
             # Its rounds together are what others probe in their first one.
-            wanted, first_round = SMALL_ROUND_TARGETS, True
+            if self._single and not first_round:
+                return int(self._budget.has_one())
+            wanted, first_round = self._small, True
         return self._budget.targets_to_probe(
             wanted, first_round=first_round, urgent=self._urgent
         )
--- a/ragwortchute/gateway/requirements.py
+++ b/ragwortchute/gateway/requirements.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ragwortchute.gateway import probe_rounds
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import room
 from ragwortchute.gateway.locality import selection
@@ -30,3 +31,13 @@
     limit: room.Limit | None = None
     body_bytes: int = 0
     locality: selection.Selection | None = None
+
+    def small_round(self) -> int:
+        """Returns how many targets to probe at first if probes are short.
+
+        It is 0 if that makes no difference.
+        """
+        if self.limit is not None:
+            small = probe_rounds.SMALL_ROUND_TARGETS
+            return small if self.limit.urgent else 0
+        return 0 if self.locality is None else self.locality.small_round
