--- a/ragwortchute/gateway/probe_rounds.py
+++ b/ragwortchute/gateway/probe_rounds.py
@@ -77,8 +77,8 @@
             group = local[:count] or remote[:count]
         else:
             count = self._count(LATER_ROUND_TARGETS, first_round=False)
-            # Where one is probed at a time, a remote one comes last.
-            if self._single and self._rounds_left and local:
+            if self._single and local:
+                # Without locality there would be no later round.
                 remote = []
             others = remote[: min(count, LATER_ROUND_REMOTE_TARGETS)]
             group = local[: count - len(others)] + others
--- a/tests/test_gateway/locality_model.py
+++ b/tests/test_gateway/locality_model.py
@@ -29,6 +29,7 @@
 SAMPLE_S = 0.25
 # The store names a lost domain after this time.
 NOTICE_S = 1.5
+PROBES_PER_S = 60.0
 # What happens before is not measured.
 WARM_UP_S = 2.0
 
@@ -311,6 +312,24 @@
         """Bytes of probes, requests and answers that crossed, measured."""
         return sum(pool.moved_bytes for pool in self._pools)
 
+    @property
+    def link_bytes(self) -> int:
+        """Those of them that used the link between regions."""
+        pools = (pool for pool in self._pools if pool.link is not None)
+        return sum(pool.moved_bytes for pool in pools)
+
+    @property
+    def probes_per_target_s(self) -> float:
+        """Health requests per target and second."""
+        hosts = [rig for hosts in self._hosts.values() for rig in hosts]
+        probes = sum(rig.selector.probes_sent for rig in hosts)
+        return probes / len(self._targets) / self.scenario.seconds
+
+    @property
+    def served(self) -> int:
+        """Number of requests that were answered."""
+        return sum(item.status == 200 for item in self.outcomes)
+
     def crossing_share(self, start_s=WARM_UP_S, end_s=1e9, domain='') -> float:
         """Returns the share of the sends that left their domain."""
         sends = [
