--- a/tests/test_commands/test_node_commands.py
+++ b/tests/test_commands/test_node_commands.py
@@ -32,6 +32,15 @@
         assert ['"relay"' in lines[0], '"request"' in lines[1]] == [True, True]
         assert len(lines) == 2
 
+    def test_reason_for_leaving_the_failure_domain_is_shown(self, tmp_path):
+        file = tmp_path / 'host.log'
+        file.write_text(
+            '{"t":1.0,"host":"h1","event":"send","id":"abc","target":"t1",'
+            '"left":"local-full"}\n'
+        )
+        result = runner.invoke(main.app, ['trace', 'abc', str(file)])
+        assert '"left":"local-full"' in result.stdout
+
     def test_unknown_request(self, tmp_path):
         assert self.run(tmp_path, 'nobody').exit_code == 1
 
--- a/tests/test_gateway/test_locality.py
+++ b/tests/test_gateway/test_locality.py
@@ -8,8 +8,10 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import probe_order
 from ragwortchute.gateway.locality import crossings
+from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.locality import selection
 from ragwortchute.gateway.locality import spillover as spillover_
+from standins import platform_targets
 
 WORTH = crossings.Worth(0.02, 0.1)
 REQUEST_S = 0.2
@@ -261,3 +263,41 @@
         occupancy = max(0, domains[other].occupancy + noise)
         known.note_other(names[other], occupancy, now_s)
         known.update(now_s, REQUEST_S, WORTH.domain_s)
+
+
+class TestUse:
+    """Operators must see what leaves a domain and why, and only while on."""
+
+    async def start(self, start, failure_domain, *, is_on=True):
+        server = platform_targets.TargetServer('t0')
+        server.failure_domain = failure_domain
+        rig = await start(server)
+        if is_on:
+            part = locality_part.create(WORTH, rig.rng, rig.log)
+            rig.selector.locality = rig.dispatcher.choice.locality = part
+        answer = await rig.request(method='POST', body=b'hello')
+        assert answer.status == 200
+        (line,) = [fields for kind, fields in rig.log.lines if kind == 'send']
+        return rig, line, len(answer.body)
+
+    async def test_crossing_is_logged_and_counted(self, start):
+        rig, line, size = await self.start(start, 'a2')
+        assert line['left'] == 'no-local-target'
+        part = rig.dispatcher.choice.locality
+        assert part.sends == {'svc/a2': 1}
+        assert part.reasons == {'svc/no-local-target': 1}
+        assert part.moved_bytes == {'svc/a2': len(b'hello') + size}
+
+    async def test_own_domain_is_counted_without_a_reason(self, start):
+        rig, line, _ = await self.start(start, 'a1')
+        assert 'left' not in line
+        part = rig.dispatcher.choice.locality
+        assert part.sends == {'svc/a1': 1}
+        assert not part.reasons
+        assert not part.moved_bytes
+
+    async def test_nothing_is_kept_while_it_is_off(self, start):
+        rig, line, _ = await self.start(start, 'a2', is_on=False)
+        assert 'left' not in line
+        assert locality_part.create(None, rig.rng, rig.log) is None
+        assert rig.dispatcher.choice.locality is None
