--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -17,12 +17,17 @@
 from ragwortchute.gateway import estimates
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import probe_budget
+from ragwortchute.gateway import probe_order
 from ragwortchute.gateway import probe_rounds
+from ragwortchute.gateway import probe_wait
+from ragwortchute.gateway import requirements
 from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import service_load
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import room
+from ragwortchute.gateway.locality import locality_part
+from ragwortchute.gateway.locality import selection
 
 # Another round follows only if the lowest cost found exceeds this share of the
 # latency objective.
@@ -33,11 +38,6 @@
 # Probes that take longer than this are not waited for.
 LOCAL_PROBE_TIMEOUT_S = 0.02
 REMOTE_PROBE_TIMEOUT_S = 0.06
-# Time in which the process was held up does not count: targets may have
-# answered in it, or been probed late. Timers of this length are late by it.
-HELD_UP_CHECK_S = 0.005
-MIN_DELAY_S = 0.001
-MAX_DELAYS = 8
 # Refusal reason: no probed target answered and can take the request.
 NO_ANSWER = 'no-answer'
 # Refusal reason: the targets have no room for a request of this urgency.
@@ -55,6 +55,8 @@
         reading: State that the probe returned.
         expected_s: Expected time until the answer, in seconds.
         probed: Number of targets that were probed.
+        left: Why the request leaves its failure domain, empty if it does not
+            or locality is off.
     """
 
     target: targets_.Target
@@ -62,6 +64,7 @@
     reading: dialects.Reading
     expected_s: float
     probed: int
+    left: str = ''
 
 
 class NoPlacement(msgspec.Struct, frozen=True):
@@ -80,27 +83,6 @@
     stated: bool = False
 
 
-class Requirements(msgspec.Struct, eq=False):
-    """What a request requires of a target.
-
-    Attributes:
-        targets: Targets that may get the request.
-        work_s: Expected processing time at slowness 1, in seconds.
-        objective_s: Latency objective in seconds.
-        remaining_s: Time until the answer is due, in seconds.
-        long_work_s: Processing time that few requests exceed, in seconds; 0 if
-            it is not known.
-        limit: Which targets have room for it, None if all have.
-    """
-
-    targets: list[targets_.Target]
-    work_s: float
-    objective_s: float
-    remaining_s: float
-    long_work_s: float = 0.0
-    limit: room.Limit | None = None
-
-
 class _ProbeResult(msgspec.Struct, eq=False):
     target: targets_.Target
     conn: http_client.ClientConnection
@@ -119,6 +101,7 @@
 
     Attributes:
         limits: Limits on the requests that this host sends to each target.
+        locality: Which requests leave the failure domain; None if it is off.
         targets: Number of targets of all services.
         probes_sent: Number of health requests sent.
     """
@@ -137,11 +120,14 @@
             probes_per_s, self._loop.time()
         )
         self.limits = limits
+        self.locality: locality_part.Locality | None = None
         self._statements = statements
         self.targets = 0
         self.probes_sent = 0
 
-    async def select(self, required: Requirements) -> Placement | NoPlacement:
+    async def select(
+        self, required: requirements.Requirements
+    ) -> Placement | NoPlacement:
         """Selects a target that can take a request now.
 
         Args:
@@ -157,9 +143,10 @@
         return placed
 
     async def _select_once(
-        self, required: Requirements
+        self, required: requirements.Requirements
     ) -> Placement | NoPlacement:
-        order = self._probe_order(required.targets)
+        order = self._probe_order(required)
+        locality = required.locality
         if not order:
             return self._no_target(required)
         best: _ProbeResult | None = None
@@ -175,9 +162,10 @@
             order,
             self._probe_budget,
             urgent=urgent,
-            small=limit is not None
-            and urgent
-            and not self._probe_budget.has_spare(),
+            small=0
+            if self._probe_budget.has_spare()
+            else required.small_round(),
+            single=limit is None,
         )
         probed = 0
         while group := rounds.pop(
@@ -203,13 +191,17 @@
                 or (
                     best_cost_s <= acceptable_s
                     and self._has_room(best, required)
+                    and not (
+                        locality
+                        and locality.looks_further(best_cost_s, early_accept_s)
+                    )
                 )
             ):
                 break
         return self._place(best, required, probed)
 
     def _needs_remote(
-        self, best: _ProbeResult | None, required: Requirements
+        self, best: _ProbeResult | None, required: requirements.Requirements
     ) -> bool:
         """Returns whether targets of other regions may be probed.
 
@@ -228,7 +220,7 @@
         return expected_s > required.objective_s * ACCEPTABLE_OBJECTIVES
 
     def _expected_s(
-        self, result: _ProbeResult, required: Requirements
+        self, result: _ProbeResult, required: requirements.Requirements
     ) -> float:
         return estimates.expected_latency_s(
             self._candidate(result),
@@ -236,7 +228,7 @@
             self.load(result.target.entry.service).mean_slowness,
         )
 
-    def _no_target(self, required: Requirements) -> NoPlacement:
+    def _no_target(self, required: requirements.Requirements) -> NoPlacement:
         """Returns why no target may be probed, and for how long."""
         wait = self.limits.shortest_wait(required.targets, self._loop.time())
         if wait is None:
@@ -294,7 +286,10 @@
         return load
 
     def _place(
-        self, best: _ProbeResult | None, required: Requirements, probed: int
+        self,
+        best: _ProbeResult | None,
+        required: requirements.Requirements,
+        probed: int,
     ) -> Placement | NoPlacement:
         """Turns the best probe result, if any, into a decision."""
         if best is None or not best.conn.usable:
@@ -317,7 +312,10 @@
             target.pool.release(best.conn)
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         self.limits.record_send(target, now_s, is_cold=best.reading.cold_s > 0)
-        return Placement(target, best.conn, best.reading, expected_s, probed)
+        left = required.locality.reason(target) if required.locality else ''
+        return Placement(
+            target, best.conn, best.reading, expected_s, probed, left
+        )
 
     def _must_queue(self, result: _ProbeResult) -> bool:
         """Returns whether all slots of a target are taken."""
@@ -326,48 +324,38 @@
         occupied = reading.running + reading.waiting + candidate.sent_since
         return occupied >= max(1, reading.slots or candidate.slots)
 
-    def _early_accept_s(self, required: Requirements) -> float:
+    def _early_accept_s(self, required: requirements.Requirements) -> float:
         """Returns the cost up to which a target is accepted at once."""
         return required.work_s * EARLY_ACCEPT_FACTOR + targets_.SAME_REGION_S
 
     def _probe_order(
-        self, targets: list[targets_.Target]
+        self, required: requirements.Requirements
     ) -> list[targets_.Target]:
         """Returns targets in the order in which they are probed.
 
-        The order is random, with penalties for targets that are unlikely to
-        give a good result. Targets that leave are left out, and so are cold
-        and limited targets that have used up the share of this host.
+        Args:
+            required: What the request requires.
         """
         now_s = self._loop.time()
-        keyed = []
-        for target in targets:
-            if not self.limits.may_send(target, now_s):
-                continue
-            key = self._rng.random()
-            if target.same_region and not target.same_domain:
-                key += 0.3
-            if target.is_ejected(now_s):
-                key += 1000.0
-            if target.is_cold(now_s):
-                key += 3.0
-            key += 4.0 * target.failure_rate(now_s)
-            if not target.pool.has_idle:
-                key += 0.5
-            reading = target.reading
-            if reading is not None and now_s - reading.taken_s < 0.1:
-                occupied = reading.running + reading.waiting
-                occupied += target.sent_since(reading)
-                if occupied >= max(1, reading.slots) or reading.slowness > 2:
-                    key += 2.0
-            keyed.append((key, target))
-        keyed.sort(key=lambda item: item[0])
+        domain_key = probe_order.other_domain_key
+        if self.locality is not None and required.targets:
+            service = required.targets[0].entry.service
+            request_s = required.work_s * self.load(service).mean_slowness
+            required.locality = self.locality.begin(
+                service, request_s, required.body_bytes, now_s
+            )
+            domain_key = required.locality.key
+        keyed = probe_order.keyed(
+            required.targets, self.limits, self._rng, now_s, domain_key
+        )
+        if required.locality is not None:
+            return required.locality.arrange(keyed)
         return [target for _, target in keyed]
 
     async def _probe(
         self,
         group: list[targets_.Target],
-        required: Requirements,
+        required: requirements.Requirements,
         early_accept_s: float,
     ) -> list[_ProbeResult]:
         """Probes targets concurrently.
@@ -385,33 +373,23 @@
             required.remaining_s,
             REMOTE_PROBE_TIMEOUT_S if remote else LOCAL_PROBE_TIMEOUT_S,
         )
-        now_s = self._loop.time()
-        latest_s = now_s + required.remaining_s
-        end_s = now_s + timeout_s
-        delays = 0
+        if required.locality is not None:
+            timeout_s = required.locality.begin_round(group, timeout_s)
+        wait = probe_wait.ProbeWait(timeout_s, required.remaining_s)
         results: list[_ProbeResult] = []
         pending = set(tasks)
         try:
-            while pending and now_s < end_s:
-                wait_s = min(end_s - now_s, HELD_UP_CHECK_S)
-                done, pending = await asyncio.wait(
-                    pending, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                late_s = self._loop.time() - now_s - wait_s
-                now_s += wait_s + late_s
-                if late_s > MIN_DELAY_S and delays < MAX_DELAYS and not results:
-                    delays += 1
-                    end_s = min(end_s + late_s, latest_s)
-                accepted = False
+            while pending and not wait.ended:
+                done, pending = await wait.wait(pending, may_extend=not results)
                 # In the order of probing: that of a set is not repeatable.
-                for task in [item for item in tasks if item in done]:
+                ended = [task for task in tasks if task in done]
+                accepted = False
+                for task in ended:
                     result = self._probe_result(task, tasks[task])
                     if result is not None:
                         results.append(result)
-                        accepted = (
-                            accepted
-                            or self._cost_s(result, required) <= early_accept_s
-                        )
+                        cost_s = self._cost_s(result, required)
+                        accepted = accepted or cost_s <= early_accept_s
                 if accepted:
                     break
         except asyncio.CancelledError:
@@ -425,8 +403,21 @@
                         self._finish_late_probe, target=tasks[task]
                     )
                 )
+        if required.locality is not None:
+            self._note_locality(results, required.locality)
         return results
 
+    def _note_locality(
+        self, results: list[_ProbeResult], locality: selection.Selection
+    ) -> None:
+        """Tells the locality of a request which targets have answered."""
+        for result in results:
+            locality.note_answer(
+                result.target, is_full=self._must_queue(result)
+            )
+        if not results:
+            locality.note_no_answer(self._loop.time())
+
     def _probe_result(
         self, task: asyncio.Task, target: targets_.Target
     ) -> _ProbeResult | None:
@@ -448,6 +439,8 @@
         except asyncio.CancelledError:
             return None
         self.load(target.entry.service).note(reading)
+        if self.locality is not None:
+            self.locality.note_reading(target, reading)
         over_limit = reading.cold_s > 0 and not self.limits.may_send_cold(
             target, now_s
         )
@@ -477,18 +470,24 @@
             self.load(target.entry.service).persistence,
         )
 
-    def _has_room(self, result: _ProbeResult, required: Requirements) -> bool:
+    def _has_room(
+        self, result: _ProbeResult, required: requirements.Requirements
+    ) -> bool:
         return required.limit is None or self.has_room(
             result.target, result.reading, required.limit
         )
 
-    def _cost_s(self, result: _ProbeResult, required: Requirements) -> float:
+    def _cost_s(
+        self, result: _ProbeResult, required: requirements.Requirements
+    ) -> float:
         cost_s = estimates.cost_s(
             self._candidate(result),
             required.work_s,
             self.load(result.target.entry.service).mean_slowness,
             required.objective_s,
         )
+        if required.locality is not None:
+            cost_s += required.locality.crossing_s(result.target)
         if not self._has_room(result, required):
             if not required.limit.strict:
                 return cost_s
--- a/ragwortchute/gateway/host_settings.py
+++ b/ragwortchute/gateway/host_settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ragwortchute.gateway import model
+from ragwortchute.gateway.locality import crossings
 
 # Used where the settings name no memory.
 DEFAULT_MEMORY_BYTES = 200e6
@@ -47,6 +48,8 @@
         contracts: Names of the optional parts that the deployment uses.
         bounds: Bounds of the deployment by name.
         admits_by_urgency: Whether room is kept for urgent requests.
+        crossing: Worth of a crossing between failure domains; None if requests
+            are not kept in the failure domain of the host.
     """
 
     me: model.HostEntry
@@ -61,3 +64,4 @@
     contracts: frozenset[str] = frozenset()
     bounds: dict[str, float] = {}
     admits_by_urgency: bool = False
+    crossing: crossings.Worth | None = None
