Search again soon for a connection to close where there are few

The 12 connections for readiness checks and metrics were used up as connections to close within 50 ms, and new ones were refused until the next search. In a trial, 60 callers that connected to the readiness listener again and again had 25 of 40 checks refused.

test_account: the 25th of 200 connections was refused before, none now.

--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -86,21 +86,23 @@
         self._delays: collections.deque[tuple[float, float]] = (
             collections.deque(maxlen=_KEPT_DELAYS)
         )
-        self._memory_victims = victims.Victims(
-            _holds_request_memory, self.connections
+        self._memory_victims = self._victims(_holds_request_memory)
+        self._queue_victims = self._victims(lambda holder: holder.has_queue())
+        self._body_victims = self._victims(lambda holder: holder.has_body())
+        self._accepted_victims = self._victims(
+            lambda holder: not holder.is_at_work()
         )
-        self._queue_victims = victims.Victims(
-            lambda holder: holder.has_queue(), self.connections
+        self._stream_victims = self._victims(
+            lambda holder: holder.has_streams()
         )
-        self._body_victims = victims.Victims(
-            lambda holder: holder.has_body(), self.connections
-        )
-        self._accepted_victims = victims.Victims(
-            lambda holder: not holder.is_at_work(), self.connections
-        )
-        self._stream_victims = victims.Victims(
-            lambda holder: holder.has_streams(), self.connections
+
+    def _victims(self, eligible: victims.Eligible) -> victims.Victims:
+        most = self.limits.accepted_connections
+        interval_s = min(
+            victims.SEARCH_INTERVAL_S,
+            most * victims.SEARCH_INTERVAL_S_PER_HOLDER,
         )
+        return victims.Victims(eligible, self.connections, interval_s)
 
     def max_at_work(self) -> int:
         """Returns how many requests of a connection may be begun."""
--- a/ragwortchute/gateway/resources/victims.py
+++ b/ragwortchute/gateway/resources/victims.py
@@ -10,6 +10,8 @@
 
 # Shortest time between two searches for connections.
 SEARCH_INTERVAL_S = 0.05
+# The same where there are few: a search takes less than a microsecond for each.
+SEARCH_INTERVAL_S_PER_HOLDER = 2e-5
 
 
 class Holder(typing.Protocol):
@@ -61,12 +63,25 @@
     Args:
         eligible: Whether a connection may be refused or closed.
         holders: Open connections.
+        interval_s: Shortest time between two searches in seconds.
     """
 
-    __slots__ = ('_eligible', '_found', '_holders', '_searched_s')
-
-    def __init__(self, eligible: Eligible, holders: set[Holder]) -> None:
+    __slots__ = (
+        '_eligible',
+        '_found',
+        '_holders',
+        '_interval_s',
+        '_searched_s',
+    )
+
+    def __init__(
+        self,
+        eligible: Eligible,
+        holders: set[Holder],
+        interval_s: float = SEARCH_INTERVAL_S,
+    ) -> None:
         self._eligible = eligible
+        self._interval_s = interval_s
         self._holders = holders
         # Connections with the time of their progress, the next one last.
         self._found: list[tuple[float, Holder]] = []
@@ -83,7 +98,7 @@
         """
         while True:
             if not self._found:
-                if now_s - self._searched_s < SEARCH_INTERVAL_S:
+                if now_s - self._searched_s < self._interval_s:
                     return None
                 self._search(now_s)
                 if not self._found:
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -157,6 +157,17 @@
         assert len(account.connections) + account.upstream.used <= 8
         assert not account.shed
 
+    async def test_each_new_caller_of_few_finds_one_to_close(self, monkeypatch):
+        # 60 callers that connected again and again had 25 of 40 readiness
+        # checks refused: the 12 that could be closed were used up.
+        account = account_.Account(limits_.for_operators(), rigs.MemoryLog())
+        now_s = 100.0
+        monkeypatch.setattr(account._loop, 'time', lambda: now_s)
+        for _ in range(200):
+            now_s += 0.001
+            assert account.add(Holder(now_s))
+        assert len(account.connections) == limits_.OPERATOR_CONNECTIONS
+
     async def test_other_hosts_may_take_reserved_descriptors(self):
         account = await self.account()
         for number in range(4):
