Keep old targets while a version has no ready target, and mend a busy loop

Cause: a version without a ready target counted as warm, so that `move` was left at once, `drain` forbade the old targets, and nothing could serve the service. And at a host that had not read the orders, with several versions in use, targets were chosen that were not admitted, so that a request chose and probed targets until its deadline.

Change: `move` is not left while no new target is ready; at the deadline the order is rolled back. Such a host chooses nothing, and refuses at once.

Both tests failed before (test_next_step with an obstacle, test_nothing_is_chosen_that_is_not_admitted).

--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -137,6 +137,11 @@
 
 
 def _drain(now: Situation) -> Step | None:
+    if now.obstacle:
+        # Old targets are still needed while the version has no ready one.
+        if now.fraction >= 1:
+            return Step(records.Phase.ROLLED_BACK, now.obstacle)
+        return None
     if now.moved or now.fraction >= DRAIN_BY:
         return Step(records.Phase.DRAIN)
     return None
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -236,7 +236,7 @@
             work_s: Expected processing time of the request in seconds.
             first_send: Whether the request has not been sent before.
         """
-        if self.unrestricted and not trust.isolated:
+        if self.unrestricted and self._may_send_old(trust):
             return Choice(targets)
         version = self.record.version if self.running else None
         used = self.versions.used - {version}
--- a/tests/test_gateway/test_rollouts/test_partitions.py
+++ b/tests/test_gateway/test_rollouts/test_partitions.py
@@ -8,6 +8,7 @@
 from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import participant
 from ragwortchute.gateway.rollouts import records
+from ragwortchute.gateway.rollouts import versions
 from tests.test_gateway import rig as rigs
 from tests.test_gateway.test_rollouts import simulated_host
 from tests.test_gateway.test_rollouts import simulation
@@ -106,7 +107,7 @@
 class TestPermission:
     """A host must stop before an outcome that does not wait for it."""
 
-    def versions(self, world, now_s):
+    def chosen(self, world, now_s):
         targets = [
             simulated_host.Target(name, name, 'a1', 1.0)
             for name in ('v1', 'v2')
@@ -123,20 +124,20 @@
     def test_contact_allows_old_targets_for_a_time(self):
         world = World()
         world.follow(Phase.OBSERVE, 0.0)
-        for now_s, versions in ((8.9, {'v1'}), (9.1, set())):
+        for now_s, expected in ((8.9, {'v1'}), (9.1, set())):
             world.reply(now_s, confirmed_age_ms=messages.UNCONFIRMED_MS)
-            assert self.versions(world, now_s) == versions
+            assert self.chosen(world, now_s) == expected
 
     def test_contact_with_a_minority_allows_nothing(self):
         world = World()
         world.follow(Phase.OBSERVE, 0.0)
         world.reply(5.0, confirmed_age_ms=messages.UNCONFIRMED_MS, most=False)
-        assert self.versions(world, 5.0) == set()
+        assert self.chosen(world, 5.0) == set()
 
     def test_coordinator_confirms_the_record(self):
         world = World()
         world.follow(Phase.WIDEN, 0.0)
-        for revision, age_ms, versions in (
+        for revision, age_ms, expected in (
             (7, 1300, set()),
             (6, 0, set()),
             (7, 900, {'v1'}),
@@ -144,15 +145,42 @@
             world.reply(
                 10.0, revision=revision, confirmed_age_ms=age_ms, most=False
             )
-            assert self.versions(world, 10.0) >= versions
-            assert bool(self.versions(world, 10.0)) == bool(versions)
-        assert self.versions(world, 10.4) == set()
+            assert self.chosen(world, 10.0) >= expected
+            assert bool(self.chosen(world, 10.0)) == bool(expected)
+        assert self.chosen(world, 10.4) == set()
 
     def test_contact_allows_the_new_version_after_the_decision(self):
         world = World()
         world.follow(Phase.MOVE, 0.0)
         world.reply(10.0, confirmed_age_ms=messages.UNCONFIRMED_MS)
-        assert self.versions(world, 10.0) == {'v2'}
+        assert self.chosen(world, 10.0) == {'v2'}
+
+    def test_nothing_is_chosen_that_is_not_admitted(self):
+        # A request would choose targets over and over until its deadline.
+        world = World()
+        state = world.part.service('s')
+        old_ms = 1
+        targets = [
+            simulated_host.Target(name, name, 'a1', 1.0)
+            for name in ('v1', 'v2')
+        ]
+        state.update_targets(
+            [versions.SeenTarget(name, old_ms, True) for name in ('v1', 'v2')],
+            0.0,
+            10**6,
+        )
+        assert state.versions.used == {'v1', 'v2'}
+        for confirmed_s, count in ((float('-inf'), 0), (0.9, 2)):
+            world.part.confirmed_s = confirmed_s
+            trust = world.part.trust(1.0)
+            choice = state.choose(targets, trust, 0.1, first_send=True)
+            admitted = [
+                target
+                for target in targets
+                if state.admits(target, trust, first_send=True)
+            ]
+            assert choice.first == admitted
+            assert len(admitted) == count
 
 
 CUTS = {
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -343,6 +343,13 @@
             (situation(Phase.MOVE, 0.6), None),
             (situation(Phase.MOVE, 0.6, moved=True), Phase.DRAIN),
             (situation(Phase.MOVE, 0.7), Phase.DRAIN),
+            # Without a target of the new version, old ones are still needed.
+            (situation(Phase.MOVE, 0.7, obstacle='no-target'), None),
+            (situation(Phase.MOVE, moved=True, obstacle='no-target'), None),
+            (
+                situation(Phase.MOVE, 1.0, obstacle='no-target'),
+                Phase.ROLLED_BACK,
+            ),
             (situation(Phase.DRAIN, 2.0), None),
             (situation(Phase.DRAIN, 2.0, drained=True), Phase.SUCCEEDED),
             (
