Bound the processor time that a judgement takes

Cause: a coordinator judges all evidence four times a second.

Change: the log ratios of a counter and what is expected of it are computed once per judgement, and at most 8,000 counters are judged per second, so that much evidence is judged less often.

--- a/ragwortchute/gateway/rollouts/baseline.py
+++ b/ragwortchute/gateway/rollouts/baseline.py
@@ -52,8 +52,10 @@
     __slots__ = (
         '_all',
         '_domains',
+        '_known',
         '_minimum',
         '_periods',
+        '_recent',
         '_routes',
         '_unreferenced',
     )
@@ -70,6 +72,9 @@
         self._routes: list[dict[int, _Tally]] = []
         self._domains: list[dict[int, _Tally]] = []
         self._unreferenced: list[bool] = []
+        # Results by period, and by period, route and failure domain.
+        self._recent: dict[int, float] = {}
+        self._known: dict[tuple[int, int, int], float] = {}
         for bucket in buckets:
             self._add(bucket.cells, read)
 
@@ -80,21 +85,31 @@
             period: Index of the period.
             key: Counter of the canary version.
         """
-        overall = _share(self._all, self._minimum, _ALL_WEIGHT)
+        # Counters of a route and of a failure domain have some in common.
+        cell = (period, key.route, key.domain)
+        known = self._known.get(cell)
+        if known is None:
+            known = self._known[cell] = self._expected(*cell)
+        return known
+
+    def _expected(self, period: int, route_key: int, domain_key: int) -> float:
         around = range(
             max(0, period - _WINDOW),
             min(len(self._periods), period + _WINDOW + 1),
         )
-        recent = _share(
-            _sum(self._periods[index] for index in around), overall, _ALL_WEIGHT
-        )
+        recent = self._recent.get(period)
+        if recent is None:
+            overall = _share(self._all, self._minimum, _ALL_WEIGHT)
+            total = _sum(self._periods[index] for index in around)
+            recent = _share(total, overall, _ALL_WEIGHT)
+            self._recent[period] = recent
         route = _sum(
-            self._routes[index].get(key.route, (0, 0)) for index in around
+            self._routes[index].get(route_key, (0, 0)) for index in around
         )
         domain = _sum(
-            self._domains[index].get(key.domain, (0, 0)) for index in around
+            self._domains[index].get(domain_key, (0, 0)) for index in around
         )
-        sudden = self._domains[period].get(key.domain, (0, 0))
+        sudden = self._domains[period].get(domain_key, (0, 0))
         minimum = self._minimum
         if sudden[1] >= max(_MIN_SUDDEN_HITS, sudden[0] * _MIN_SUDDEN_SHARE):
             minimum = _share(sudden, recent, _SUDDEN_WEIGHT)
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -32,6 +32,9 @@
 _SILENT_INTERVALS = 5.0
 # The evidence is judged anew at most this often.
 _JUDGE_INTERVAL_S = 0.25
+# Counters that are judged per second. With many routes and much load there are
+# 10,000 after the move, which take 45 ms of a core.
+_JUDGED_CELLS_PER_S = 8000.0
 # Share of sends to old targets below which the requests have moved.
 _MOVED_SHARE = 0.05
 
@@ -144,6 +147,11 @@
             host.received_s < oldest_s for host in self._hosts.values()
         )
 
+    def _judge_interval_s(self) -> float:
+        """Returns the time between two judgements of the evidence."""
+        cells = sum(len(bucket.cells) for bucket in self.evidence.buckets)
+        return max(_JUDGE_INTERVAL_S, cells / _JUDGED_CELLS_PER_S)
+
     def canary_share(self) -> float:
         """Returns the share of requests that the canary version has got."""
         requests = sum(item.report.requests for item in self._hosts.values())
@@ -279,7 +287,7 @@
             now_s: Loop time in seconds.
         """
         record = state.record
-        if now_s - self._judged_s >= _JUDGE_INTERVAL_S:
+        if now_s - self._judged_s >= self._judge_interval_s():
             self._judged_s = now_s
             self._verdict = judgement.judge(
                 self.evidence.buckets, record.duration_s * phases.HALF
--- a/ragwortchute/gateway/rollouts/judgement.py
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -93,6 +93,7 @@
         total: Number of responses.
         hits: Those that failed or were slow.
         expected: Share that is expected to be.
+        ratios: Log likelihood ratio of each alternative.
     """
 
     route: int
@@ -102,6 +103,7 @@
     total: int
     hits: int
     expected: float
+    ratios: tuple[float, ...]
 
 
 def judge(buckets: abc.Sequence[evidence.Bucket], half_s: float) -> Verdict:
@@ -116,17 +118,17 @@
         for key, counts in bucket.cells.items():
             if not key.canary:
                 old.add(counts)
-    failures = _samples(buckets, half_s, _failed, _MIN_FAILED)
-    slow = _samples(buckets, half_s, _slow, _MIN_SLOW)
+    failures = _samples(buckets, half_s, _failed, _MIN_FAILED, _FAILED_SHARES)
+    slow = _samples(buckets, half_s, _slow, _MIN_SLOW, _SLOW_SHARES)
     bad, ratio = _find_fault(failures, slow)
-    smallest = _log_ratio(failures, _FAILED_SHARES[0])
+    smallest = _log_ratio(failures, 0)
     late_failures = [sample for sample in failures if sample.late]
     late_responses = sum(sample.total for sample in late_failures)
     good = (
         not bad
         and smallest <= GOOD_LOG_RATIO
-        and _log_ratio(slow, _SLOW_SHARES[0]) <= GOOD_LATE_LOG_RATIO
-        and _log_ratio(late_failures, _FAILED_SHARES[1]) <= GOOD_LATE_LOG_RATIO
+        and _log_ratio(slow, 0) <= GOOD_LATE_LOG_RATIO
+        and _log_ratio(late_failures, 1) <= GOOD_LATE_LOG_RATIO
         and late_responses >= MIN_LATE_RESPONSES
     )
     return Verdict(
@@ -156,6 +158,7 @@
     half_s: float,
     read: baseline.Read,
     minimum: float,
+    shares: tuple[float, ...],
 ) -> list[_Sample]:
     """Returns the samples of all periods, with what is expected of each.
 
@@ -164,37 +167,64 @@
         half_s: Age of the order from which on responses are late ones.
         read: Returns the number of responses and hits of a counter.
         minimum: Lowest share of hits that is expected.
+        shares: Shares of additional hits, one for each alternative.
     """
-    expected = baseline.Baseline(buckets, read, minimum).expected
-    return [
-        _Sample(
-            key.route,
-            key.domain,
-            key.target,
-            bucket.start_s >= half_s,
-            *read(counts),
-            expected(index, key),
-        )
-        for index, bucket in enumerate(buckets)
-        for key, counts in bucket.cells.items()
-        if key.canary and read(counts)[0]
-    ]
-
-
-def _log_ratio(samples: abc.Iterable[_Sample], share: float) -> float:
+    known = baseline.Baseline(buckets, read, minimum)
+    samples = []
+    for index, bucket in enumerate(buckets):
+        late = bucket.start_s >= half_s
+        for key, counts in bucket.cells.items():
+            if not key.canary:
+                continue
+            total, hits = read(counts)
+            if not total:
+                continue
+            expected = known.expected(index, key)
+            ratios = tuple(
+                [_ratio(total, hits, expected, share) for share in shares]
+            )
+            samples.append(
+                _Sample(
+                    key.route,
+                    key.domain,
+                    key.target,
+                    late,
+                    total,
+                    hits,
+                    expected,
+                    ratios,
+                )
+            )
+    return samples
+
+
+def _ratio(total: int, hits: int, expected: float, share: float) -> float:
     """Returns the log likelihood ratio for a share of additional hits."""
-    ratio = 0.0
-    for sample in samples:
-        worse = sample.expected + share * (1 - sample.expected)
-        ratio += sample.hits * math.log(worse / sample.expected)
-        ratio += (sample.total - sample.hits) * math.log(
-            (1 - worse) / (1 - sample.expected)
-        )
+    worse = expected + share * (1 - expected)
+    ratio = (total - hits) * math.log((1 - worse) / (1 - expected))
+    if hits:
+        ratio += hits * math.log(worse / expected)
     return ratio
 
 
-def _highest(samples: list[_Sample], shares: tuple[float, ...]) -> float:
-    return max(_log_ratio(samples, share) for share in shares)
+def _log_ratio(samples: abc.Iterable[_Sample], alternative: int) -> float:
+    """Returns the log likelihood ratio of an alternative, by its index."""
+    return sum([sample.ratios[alternative] for sample in samples])
+
+
+def _highest(samples: list[_Sample]) -> float:
+    """Returns the highest log likelihood ratio of all alternatives."""
+    if not samples:
+        return 0.0
+    columns = zip(*[sample.ratios for sample in samples], strict=True)
+    return max(map(sum, columns))
+
+
+def _by_route(samples: list[_Sample]) -> dict[int, list[_Sample]]:
+    routes: dict[int, list[_Sample]] = {}
+    for sample in samples:
+        routes.setdefault(sample.route, []).append(sample)
+    return routes
 
 
 def _find_fault(
@@ -202,25 +232,20 @@
 ) -> tuple[str, float]:
     """Returns what is bad, if anything, and the highest log ratio."""
     highest = float('-inf')
-    for name, samples, shares in (
-        ('failures', failures, _FAILED_SHARES),
-        ('slow', slow, _SLOW_SHARES),
-    ):
-        routes = {sample.route for sample in samples}
+    for name, samples in (('failures', failures), ('slow', slow)):
+        routes = _by_route(samples)
         views = {'': samples}
         for route in routes if len(routes) > 1 else ():
-            views[f'-on-route-{route}'] = [
-                sample for sample in samples if sample.route == route
-            ]
+            views[f'-on-route-{route}'] = routes[route]
         views['-late'] = [sample for sample in samples if sample.late]
         for view, selected in views.items():
             threshold = BAD_LOG_RATIO + (math.log(len(views)) if view else 0)
-            ratio = _highest(selected, shares)
+            ratio = _highest(selected)
             highest = max(highest, ratio)
             if (
                 ratio >= threshold
-                and _holds_without_worst_target(selected, shares, samples)
-                and _holds_without_worst_domain(selected, shares)
+                and _holds_without_worst_target(selected, samples)
+                and _holds_without_worst_domain(selected)
             ):
                 return name + view, ratio
     return '', highest
@@ -228,7 +253,6 @@
 
 def _holds_without_worst_target(
     samples: list[_Sample],
-    shares: tuple[float, ...],
     all_samples: list[_Sample],
 ) -> bool:
     """Returns whether more than one target is bad, or there is only one."""
@@ -237,7 +261,7 @@
         return True
     by_target = {
         target: _highest(
-            [sample for sample in samples if sample.target == target], shares
+            [sample for sample in samples if sample.target == target]
         )
         for target in targets
     }
@@ -247,12 +271,10 @@
     others = [sample for sample in samples if sample.target != worst]
     if not others:
         return False
-    return _highest(others, shares) >= OTHERS_LOG_RATIO
+    return _highest(others) >= OTHERS_LOG_RATIO
 
 
-def _holds_without_worst_domain(
-    samples: list[_Sample], shares: tuple[float, ...]
-) -> bool:
+def _holds_without_worst_domain(samples: list[_Sample]) -> bool:
     """Returns whether more than one failure domain is bad, if there are more.
 
     When a failure domain is lost after the move, no old target tells so.
@@ -263,13 +285,13 @@
         return True
     by_domain = {
         domain: _highest(
-            [sample for sample in samples if sample.domain == domain], shares
+            [sample for sample in samples if sample.domain == domain]
         )
         for domain in domains
     }
     worst = max(by_domain, key=by_domain.__getitem__)
     others = [sample for sample in samples if sample.domain != worst]
-    return _highest(others, shares) >= OTHERS_LOG_RATIO
+    return _highest(others) >= OTHERS_LOG_RATIO
 
 
 def _is_doubtful(failures: list[_Sample], slow: list[_Sample]) -> bool:
@@ -278,22 +300,17 @@
     That is decided by the smallest alternative, in total and by route, and by
     the next one for late responses, which are few.
     """
-    for samples, shares in (
-        (failures, _FAILED_SHARES),
-        (slow, _SLOW_SHARES),
-    ):
-        share = shares[0]
+    for samples in (failures, slow):
         if sum(sample.hits for sample in samples) < _MIN_DOUBTFUL_HITS:
             continue
         late = [sample for sample in samples if sample.late]
         late_hits = sum(sample.hits for sample in late)
-        if late_hits >= _MIN_DOUBTFUL_HITS and _log_ratio(late, shares[1]) > 0:
+        if late_hits >= _MIN_DOUBTFUL_HITS and _log_ratio(late, 1) > 0:
             return True
-        for route in {sample.route for sample in samples}:
-            on_route = [item for item in samples if item.route == route]
-            if _log_ratio(on_route, share) > _DOUBTFUL_ROUTE_LOG_RATIO:
+        for on_route in _by_route(samples).values():
+            if _log_ratio(on_route, 0) > _DOUBTFUL_ROUTE_LOG_RATIO:
                 return True
-        if _log_ratio(samples, share) > _doubtful_log_ratio(samples):
+        if _log_ratio(samples, 0) > _doubtful_log_ratio(samples):
             return True
     return False
 
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -13,6 +13,7 @@
 from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import versions
+from tests.test_gateway.test_rollouts import simulated_faults
 from tests.test_gateway.test_rollouts import simulated_host
 
 OLD, NEW = 'v1', 'v2'
@@ -34,27 +35,6 @@
 )
 
 
-class Cut(msgspec.Struct, frozen=True):
-    """A partition between two groups of hosts, or the end of one of them.
-
-    Attributes:
-        share: Share of the hosts in the group that is cut off.
-        start_s: Its beginning; the order is written at about 0.
-        end_s: Its end.
-        reaches_store: Whether the group reaches the store.
-        first: Whether the group holds the first hosts by name, which
-            coordinate; otherwise it holds the last ones.
-        kills: Whether its hosts are killed for good instead.
-    """
-
-    share: float
-    start_s: float
-    end_s: float = 99.0
-    reaches_store: bool = False
-    first: bool = False
-    kills: bool = False
-
-
 class World:
     """One simulated rollout.
 
@@ -109,7 +89,7 @@
         for time_s, ready in zip(unready_s or (), (False, True), strict=False):
             self.at(time_s, self._set_old_ready, ready)
         if cut is not None:
-            self._plan_cut(cut)
+            simulated_faults.plan_cut(self, cut)
         self.at(rng.uniform(0.0, 0.3), self._place_order)
         self.at(0.0, self._arrive)
 
@@ -146,25 +126,6 @@
             self.domain_out = rng.choice(DOMAINS)
             self.domain_out_s = (start_s, start_s + 3)
 
-    def _plan_cut(self, cut):
-        """Plans a partition; the fault of the seed must be another one."""
-        names = sorted(self.hosts)
-        count = max(1, round(cut.share * len(names)))
-        # The coordinators, or hosts that do not coordinate.
-        chosen = names[:count] if cut.first else names[-count:]
-        if cut.kills:
-            for name in chosen:
-                self.at(cut.start_s, self.kill, self.hosts[name], False)
-            return
-        if cut.start_s < 0:
-            self._set_cut(True, chosen, cut.reaches_store)
-            self.cut_s = cut.start_s
-            for name in chosen:
-                self.hosts[name].part.confirmed_s = cut.start_s
-        else:
-            self.at(cut.start_s, self._set_cut, True, chosen, cut.reaches_store)
-        self.at(cut.end_s, self._set_cut, False, chosen, True)
-
     # Events.
 
     def at(self, time_s, call, *args):
@@ -268,7 +229,7 @@
     def _cut_off(self, value):
         if value:
             self._cut_names = self.rng.sample(sorted(self.hosts), 3)
-        self._set_cut(value, self._cut_names, not value)
+        self.set_cut(value, self._cut_names, not value)
 
     def _set_old_ready(self, ready):
         """Changes the state of all old targets, which hosts learn of later."""
@@ -289,7 +250,7 @@
         state = host.part.service(simulated_host.SERVICE)
         state.update_targets(seen, self.now_s, 0)
 
-    def _set_cut(self, value, names, reaches_store):
+    def set_cut(self, value, names, reaches_store):
         if value:
             self.cut_s = self.now_s
         for name in names:
--- a/tests/test_gateway/test_rollouts/test_partitions.py
+++ b/tests/test_gateway/test_rollouts/test_partitions.py
@@ -10,6 +10,7 @@
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import versions
 from tests.test_gateway import rig as rigs
+from tests.test_gateway.test_rollouts import simulated_faults
 from tests.test_gateway.test_rollouts import simulated_host
 from tests.test_gateway.test_rollouts import simulation
 
@@ -203,7 +204,9 @@
     @pytest.mark.parametrize('first', [False, True], ids=['others', 'first'])
     @pytest.mark.parametrize('store', [False, True], ids=['alone', 'store'])
     def test_nothing_runs_at_old_targets(self, share, start_s, first, store):
-        cut = simulation.Cut(share, start_s, reaches_store=store, first=first)
+        cut = simulated_faults.Cut(
+            share, start_s, reaches_store=store, first=first
+        )
         world = simulation.World(0, 8, 'good', cut=cut).run(25.0)
         assert not world.broken
         assert len(world.outcomes) <= 1
@@ -215,7 +218,7 @@
     @pytest.mark.parametrize('share', [0.1, 0.6])
     @pytest.mark.parametrize('start_s', [0.5, 4.0, 7.5])
     def test_good_version_succeeds_before_the_deadline(self, share, start_s):
-        cut = simulation.Cut(share, start_s, kills=True)
+        cut = simulated_faults.Cut(share, start_s, kills=True)
         for hosts in (8, 24):
             world = simulation.World(0, hosts, 'good', cut=cut).run()
             assert not world.broken
@@ -225,7 +228,7 @@
     @pytest.mark.parametrize('start_s', [0.5, 4.0, 7.0])
     def test_first_hosts_are_killed(self, start_s):
         # The coordinators are among these.
-        cut = simulation.Cut(0.25, start_s, first=True, kills=True)
+        cut = simulated_faults.Cut(0.25, start_s, first=True, kills=True)
         world = simulation.World(0, 8, 'good', cut=cut).run()
         assert not world.broken
         assert world.outcomes == ['succeeded']
@@ -233,7 +236,7 @@
 
     def test_first_host_returns_without_its_evidence(self):
         # It does not know then which of the dead hosts have had the order.
-        cut = simulation.Cut(0.2, 7.0, kills=True)
+        cut = simulated_faults.Cut(0.2, 7.0, kills=True)
         world = simulation.World(0, 24, 'good', cut=cut)
         world.at(7.0, world.kill, world.hosts['h000'], True)
         world.run()
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -305,6 +305,48 @@
         assert judgement.judge(buckets((90, 0), [(20, 0)]), 2.0).good
 
 
+class TestJudgementTime:
+    """Judging must not take more processor time than control may."""
+
+    @pytest.mark.parametrize(('routes', 'judged'), [(2, 16), (400, 8)])
+    def test_much_evidence_is_judged_less_often(
+        self, monkeypatch, routes, judged
+    ):
+        calls = []
+
+        def judge(*args):
+            calls.append(args)
+            return judgement.Verdict()
+
+        monkeypatch.setattr(judgement, 'judge', judge)
+        state = service_state.ServiceState(
+            's', 0.1, random.Random(1), rigs.MemoryLog()
+        )
+        record = records.Record('s', 'v2', 15.0, 1, Phase.MOVE, 1)
+        state.set_record(record, 0.0)
+        known = coordinator.Coordinator(1)
+        cells = {
+            evidence.CellKey(True, route, 1, 1): evidence.Counts(1, 0, 1, 0)
+            for route in range(routes)
+        }
+        for period in range(10):
+            known.evidence.merge(
+                'h2', period, 1, evidence.pack(cells), period * 0.5
+            )
+        for number in range(80):
+            known.situation(
+                state,
+                neighbours.View('h1'),
+                longest_s=4.0,
+                interval_s=0.5,
+                contact_lease_s=1.2,
+                obstacle='',
+                warm=False,
+                now_s=number * 0.05 + 0.001,
+            )
+        assert len(calls) == judged
+
+
 GOOD = {'responses': 99, 'late_responses': 40}
 DOUBTFUL = {**GOOD, 'doubtful': True}
 CLEAR = {**GOOD, 'good': True}
