Don't move to a version by few responses while no old target is ready

Cause: a version with few responses was moved to if it was not doubtful, as these mean few requests otherwise.

Change: with fewer than 60 responses such a version is not moved to; at the deadline the order is rolled back.

--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -307,6 +307,7 @@
             drained,
             obstacle,
             self._has_silent(view, now_s, interval_s),
+            state.old_ready,
         )
 
 
--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -47,6 +47,7 @@
         drained: Whether no request can be running at an old target.
         obstacle: Why there is nothing to judge, empty if there is.
         silent: Whether some hosts are silent.
+        old_ready: Whether an old target is ready.
     """
 
     record: records.Record
@@ -58,6 +59,7 @@
     drained: bool
     obstacle: str = ''
     silent: bool = False
+    old_ready: bool = True
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -122,12 +124,18 @@
     """Returns the decision on a version at the end of its observation."""
     if not now.fresh:
         return None
-    if now.fraction >= MOVE_FROM and now.verdict.good:
-        return Step(records.Phase.MOVE)
     enough = (
         now.verdict.responses >= ENOUGH_RESPONSES
         and now.verdict.late_responses >= judgement.MIN_LATE_RESPONSES
     )
+    if not (enough or now.old_ready):
+        # Few responses usually mean few requests, which the bound on exposure
+        # allows for. Here most requests are refused, and all would be sent.
+        if now.fraction >= 1:
+            return Step(records.Phase.ROLLED_BACK, 'too-little-evidence')
+        return None
+    if now.fraction >= MOVE_FROM and now.verdict.good:
+        return Step(records.Phase.MOVE)
     decide_by = DECIDE_SILENT_BY if now.silent else DECIDE_BY
     if now.fraction < (decide_by if enough else DECIDE_FEW_BY):
         return None
