Keep hosts as members in partitions of any length

`possible_senders` forgets a host 30 s after its last heartbeat. It stays as it is for limits of targets and for connection pools.

Interface for parts whose limits must hold in partitions of any length:

- `membership.peers.keeps_silent = True`, set once when the part is created.
Without it nothing changes: no state, no further bytes.
- `membership.members(now_s)`: names of this host and all others that are not known to be gone.
- `membership.peers.silent_members(now_s)`: `Peer` of each host that is a member and is not heard of, with `entry.incarnation`, `last_heartbeat_s` and `discovered_s`.

A host is a member from its first heartbeat on, until - it announces that it stops, and 30 s have passed; - a later incarnation replaces it (which is a member then); - another live host has its address. Hosts of which only the entry is known count for 30 s: the host list of the store is not cleaned up.

A host that starts is told of silent members by the hosts that send it all heartbeats: 7 bytes each, and their entries if it does not know them. Otherwise restarts of the hosts on one side would let the side forget the other.

At most 2,000 other hosts are known (`MAX_PEERS`); the table grew without a bound before. The one that was silent for longest is dropped, never a live one.

--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -127,11 +127,15 @@
     def possible_senders(self, now_s: float) -> list[str]:
         """Returns the names of the hosts that may be sending to targets.
 
-        Hosts without recent heartbeats are included: they may be alive behind
-        a network partition.
+        These include hosts that fell silent a short time ago: they may be alive
+        behind a network partition. See `members` for longer ones.
         """
         return [self.me.name, *self.peers.retained_names(now_s)]
 
+    def members(self, now_s: float) -> list[str]:
+        """Returns the hosts that are not known to be gone, see `PeerTable`."""
+        return [self.me.name, *self.peers.member_names(now_s)]
+
     def regions(self) -> dict[str, str]:
         """Returns the regions of all known hosts by name."""
         regions = {
@@ -262,12 +266,14 @@
         if message.parts:
             self.parts.handle(sender.entry.name, message.parts, now_s)
         if message.requested_keys:
-            self._send_entries(sender, message.requested_keys)
+            self._send_entries(sender, message.requested_keys, now_s)
         if is_new:
             # A host that has just started looks for replicas of the store.
-            is_bootstrap_sender = self._is_bootstrap_sender(sender, now_s)
-            alive = self.peers.alive(now_s) if is_bootstrap_sender else ()
-            self._send(sender, self._encode(alive, now_s))
+            known = []
+            if self._is_bootstrap_sender(sender, now_s):
+                known = self.peers.alive(now_s)
+                known += self.peers.silent_members(now_s)
+            self._send(sender, self._encode(known, now_s))
 
     def alive_names(self, now_s: float) -> list[str]:
         """See base class."""
@@ -363,26 +369,35 @@
         return len(preceding) < BOOTSTRAP_SENDERS
 
     def _send_entries(
-        self, receiver: peer_table.Peer, requested_keys: tuple[int, ...]
+        self,
+        receiver: peer_table.Peer,
+        requested_keys: tuple[int, ...],
+        now_s: float,
     ) -> None:
         known = (self.peers.entry_of(key) for key in requested_keys)
         entries = [entry for entry in known if entry is not None]
         entries.append(self.me)
+        # No other host sends the heartbeats of those that are silent.
+        silent = self.peers.silent_members(now_s)
         for start in range(0, len(entries), ENTRIES_PER_DATAGRAM):
             part = tuple(entries[start : start + ENTRIES_PER_DATAGRAM])
-            message = heartbeats.Message(self.me.name, entries=part)
+            beats = heartbeats.pack(
+                peer.heartbeat(now_s) for peer in silent if peer.entry in part
+            )
+            message = heartbeats.Message(self.me.name, beats, entries=part)
             self._send(receiver, self._encoder.encode(message))
 
     def _log_membership_changes(self, alive: list[peer_table.Peer]) -> None:
         names = {peer.entry.name for peer in alive}
-        if names != self._logged_alive:
-            self._log.event(
-                'hosts',
-                joined=sorted(names - self._logged_alive),
-                lost=sorted(self._logged_alive - names),
-                alive=len(names) + 1,
-            )
-            self._logged_alive = names
+        if names == self._logged_alive:
+            return
+        self._log.event(
+            'hosts',
+            joined=sorted(names - self._logged_alive),
+            lost=sorted(self._logged_alive - names),
+            alive=len(names) + 1,
+        )
+        self._logged_alive = names
 
     def _other_domain_delegates(
         self, now_s: float, local_peers: list[peer_table.Peer]
@@ -456,15 +471,7 @@
         now_s: float,
         entries: tuple[model.HostEntry, ...] = (),
     ) -> bytes:
-        known = [
-            heartbeats.Heartbeat(
-                peer.key,
-                peer.count,
-                now_s - peer.last_heartbeat_s,
-                peer.leaving,
-            )
-            for peer in peers
-        ]
+        known = [peer.heartbeat(now_s) for peer in peers]
         known.append(
             heartbeats.Heartbeat(self._key, self._count, 0.0, self.leaving)
         )
--- a/ragwortchute/gateway/peer_table.py
+++ b/ragwortchute/gateway/peer_table.py
@@ -7,6 +7,9 @@
 
 # How long a dead host still counts in limits that hold over all hosts.
 DEAD_RETENTION_S = 30.0
+# Hosts that are known at most, dead ones included: two and a half times the
+# design size. Those that were silent for longest are dropped beyond that.
+MAX_PEERS = 2000
 # Wait before the entry of a host is requested again, from another sender.
 ENTRY_TIMEOUT_S = 0.4
 REQUEST_RETENTION_S = 2.0
@@ -41,6 +44,12 @@
         self.discovered_s = now_s
         self.leaving = False
 
+    def heartbeat(self, now_s: float) -> heartbeats.Heartbeat:
+        """Returns the latest heartbeat as it is sent to other hosts."""
+        return heartbeats.Heartbeat(
+            self.key, self.count, now_s - self.last_heartbeat_s, self.leaving
+        )
+
 
 class PeerTable:
     """The other hosts that this host knows.
@@ -52,6 +61,9 @@
 
     Attributes:
         last_discovery_s: Loop time at which the last host was discovered.
+        keeps_silent: Whether silent hosts are members until they leave; set by
+            parts whose limits must hold in partitions of any length. Hosts that
+            start are then told of them, too.
     """
 
     __slots__ = (
@@ -61,11 +73,13 @@
         '_key',
         '_me',
         '_requested_s',
+        'keeps_silent',
         'last_discovery_s',
     )
 
     def __init__(self, me: model.HostEntry, dead_s: float) -> None:
         self.last_discovery_s = float('-inf')
+        self.keeps_silent = False
         self._me = me
         self._key = heartbeats.key_of(me)
         self._dead_s = dead_s
@@ -130,6 +144,47 @@
             < DEAD_RETENTION_S
         ]
 
+    def member_names(self, now_s: float) -> list[str]:
+        """Returns the names of the hosts that are not known to be gone.
+
+        These are the live and the silent ones, and for `DEAD_RETENTION_S` also
+        hosts that leave and hosts of which only the entry is known: the host
+        list of the store also has hosts that were removed.
+        """
+        retained = dict.fromkeys(self.retained_names(now_s))
+        for peer in self.silent_members(now_s):
+            retained[peer.entry.name] = None
+        return list(retained)
+
+    def silent_members(self, now_s: float) -> list[Peer]:
+        """Returns the hosts that are not heard of any more and did not leave.
+
+        They may be dead or behind a partition, which may last for any time. A
+        host is gone for certain if another live host has its address.
+
+        Returns:
+            The hosts, none unless `keeps_silent` is set.
+        """
+        if not self.keeps_silent:
+            return []
+        silent = [
+            peer
+            for peer in self.all()
+            if peer.count >= 0
+            and not peer.leaving
+            and not self.is_alive(peer, now_s)
+        ]
+        if not silent:
+            return []
+        reused = {
+            (peer.entry.ip, peer.entry.peer_port) for peer in self.alive(now_s)
+        }
+        return [
+            peer
+            for peer in silent
+            if (peer.entry.ip, peer.entry.peer_port) not in reused
+        ]
+
     @property
     def has_requests(self) -> bool:
         """Whether entries of hosts have been requested and not received."""
@@ -148,6 +203,8 @@
             peer = Peer(entry, now_s)
             self._by_name[entry.name] = peer
             self._by_key[peer.key] = peer
+            if len(self._by_name) > MAX_PEERS:
+                self._drop_oldest(now_s)
         self._requested_s.pop(heartbeats.key_of(entry), None)
 
     def record_heartbeats(self, data: bytes, now_s: float) -> tuple[int, ...]:
@@ -172,6 +229,15 @@
             if now_s - requested_s > REQUEST_RETENTION_S:
                 del self._requested_s[key]
 
+    def _drop_oldest(self, now_s: float) -> None:
+        """Drops the host that was silent for longest."""
+        oldest = min(
+            (peer for peer in self.all() if not self.is_alive(peer, now_s)),
+            key=lambda peer: max(peer.last_heartbeat_s, peer.discovered_s),
+        )
+        del self._by_name[oldest.entry.name]
+        del self._by_key[oldest.key]
+
     def _record_heartbeat(
         self, heartbeat: heartbeats.Heartbeat, now_s: float
     ) -> bool:
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -1,11 +1,13 @@
 """Tests of the membership of hosts."""
 
+import msgspec
 import pytest
 
 from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import peer_table
 from tests.test_gateway import host_network
+from tests.test_gateway import rig as rigs
 
 
 @pytest.mark.parametrize('per_domain', [1, 3, 27])
@@ -123,6 +125,105 @@
         assert len(net.hosts[5].possible_senders(net.now_s)) == 10
 
 
+class TestMembers:
+    """A partition must not be forgotten, however long it lasts.
+
+    Each side would take itself for all hosts and give out the whole quota.
+    """
+
+    def partitioned(self, seconds):
+        """Returns a network in which all hosts but four are silent."""
+        net = host_network.network(3)
+        for host in net.hosts.values():
+            host.peers.keeps_silent = True
+        net.run(4)
+        net.dead.update(range(5, 13))
+        net.run(seconds)
+        return net
+
+    def members(self, net, port):
+        return sorted(net.hosts[port].members(net.now_s))
+
+    def test_silent_hosts_are_not_forgotten(self):
+        net = self.partitioned(4 * peer_table.DEAD_RETENTION_S)
+        assert len(self.members(net, 1)) == 12
+
+    def test_host_that_starts_learns_of_silent_hosts(self):
+        net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
+        net.dead.add(2)
+        restarted = net.add('a1-1', 'a1', incarnation=2)
+        restarted.peers.keeps_silent = True
+        restarted.add_entries([net.hosts[1].me], net.now_s)
+        restarted.announce_start(net.now_s)
+        net.run(2 * peer_table.DEAD_RETENTION_S)
+        names = sorted(host.me.name for host in net.hosts.values())
+        assert sorted(restarted.members(net.now_s)) == sorted(set(names))
+        assert self.members(net, 1) == sorted(set(names))
+
+    def test_host_that_starts_is_told_of_live_hosts_only_elsewhere(self):
+        net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
+        for host in net.hosts.values():
+            host.peers.keeps_silent = False
+        restarted = net.add('a1-1', 'a1', incarnation=2)
+        restarted.add_entries([net.hosts[1].me], net.now_s)
+        restarted.announce_start(net.now_s)
+        net.run(2)
+        assert len(list(restarted.peers.all())) == 3
+
+    def test_silent_host_that_is_heard_of_again_is_alive(self):
+        net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
+        net.dead.clear()
+        net.run(10)
+        assert len(self.members(net, 1)) == 12
+        assert len(net.names(net.hosts[1])) == 12
+
+    def test_host_that_left_is_forgotten(self):
+        net = self.partitioned(0)
+        net.dead.clear()
+        net.hosts[5].leaving = True
+        net.hosts[5].announce_stop(net.now_s)
+        net.run(0.5)
+        net.dead.add(5)
+        net.run(10)
+        assert net.hosts[5].me.name in self.members(net, 1)
+        net.run(peer_table.DEAD_RETENTION_S)
+        assert net.hosts[5].me.name not in self.members(net, 1)
+
+    def test_host_whose_address_another_has_is_forgotten(self):
+        net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
+        gone = net.hosts[5].me
+        replacement = net.add('a1-9', 'a1')
+        replacement.me = msgspec.structs.replace(
+            replacement.me, peer_port=gone.peer_port
+        )
+        net.hosts[5] = replacement
+        net.dead.remove(5)
+        replacement.add_entries([net.hosts[1].me], net.now_s)
+        replacement.announce_start(net.now_s)
+        net.run(4)
+        assert gone.name not in self.members(net, 1)
+        assert 'a1-9' in self.members(net, 1)
+
+    def test_entry_of_the_store_counts_for_a_while(self):
+        # The host list of the store has hosts that were removed for good.
+        net = self.partitioned(0)
+        net.hosts[1].add_entries([rigs.host('old', 'a1')], net.now_s)
+        assert 'old' in self.members(net, 1)
+        net.run(peer_table.DEAD_RETENTION_S)
+        assert 'old' not in self.members(net, 1)
+
+    def test_number_of_known_hosts_is_bounded(self, monkeypatch):
+        # Hosts of a deployment that gives each new host a new name.
+        monkeypatch.setattr(peer_table, 'MAX_PEERS', 20)
+        net = self.partitioned(10)
+        for number in range(50):
+            entry = rigs.host(f'n{number}', 'a1', peer_port=100 + number)
+            net.hosts[1].add_entries([entry], net.now_s)
+            net.now_s += 0.01
+        assert len(net.hosts[1].peers.all()) == 20
+        assert len(net.names(net.hosts[1])) == 4
+
+
 class TestCrashNotices:
     """All hosts must learn immediately of a request that crashes targets."""
 
