Name the listed hosts, and let early parts reply to unknown hosts

Quotas need to know while hosts start which hosts all others know: those in the host list of the store. `membership.listed` has their names as last read.

A message of a part was dropped as long as the entry of its sender was not known, for hosts of another region 0.5 s or more after their start.

The choice of delegates moves to `PeerTable`, without a change.

--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -78,6 +78,7 @@
             on and the loop time of their arrival.
         on_loan: Called with the name of a host, its message about a loan of
             retries and the loop time of its arrival.
+        listed: Names in the host list of the store, as last read.
         parts: Messages of optional parts.
         peers: The other hosts.
     """
@@ -102,6 +103,7 @@
         self.local_statements: abc.Callable[[float], bytes] = lambda _: b''
         self.on_statements: abc.Callable[[bytes, float], None] = lambda *_: None
         self.leaving = False
+        self.listed: frozenset[str] = frozenset()
         self.parts = part_messages.PartMessages(me.name, self._send_to_names)
         self.peers = peer_table.PeerTable(me, dead_s)
         self._transport = transport
@@ -172,6 +174,16 @@
         for entry in entries:
             self.peers.add_entry(entry, now_s)
 
+    def note_listed(self, entries: list[model.HostEntry], now_s: float) -> None:
+        """Adds the entries of the host list of the store.
+
+        Args:
+            entries: All entries of the list.
+            now_s: Loop time in seconds.
+        """
+        self.listed = frozenset(entry.name for entry in entries)
+        self.add_entries(entries, now_s)
+
     def announce_start(self, now_s: float) -> None:
         """Announces this host to all hosts of its region.
 
@@ -184,7 +196,7 @@
         receivers = [
             peer for peer in peers if peer.entry.region == self.me.region
         ]
-        for peer in receivers or self._domain_delegates(peers, now_s):
+        for peer in receivers or self.peers.delegates(peers, self._rng, now_s):
             self._send(peer, data)
 
     def announce_stop(self, now_s: float) -> None:
@@ -250,6 +262,9 @@
             self._transport.send(*sender_address, self._encoder.encode(request))
         sender = self.peers.get(message.sender)
         if sender is None:
+            self.parts.handle_early(
+                message.sender, message.parts, now_s, sender_address
+            )
             return
         for prefix, revision in message.revisions.items():
             self.on_peer_revision(sender.entry, prefix, revision)
@@ -415,7 +430,7 @@
             if peer.entry.region == self.me.region
             and peer.entry.failure_domain != self.me.failure_domain
         ]
-        return self._domain_delegates(others, now_s)
+        return self.peers.delegates(others, self._rng, now_s)
 
     def _send_to_delegate(
         self, local_peers: list[peer_table.Peer], now_s: float
@@ -444,27 +459,9 @@
             if peer.entry.region != self.me.region
         ]
         data = self._encode(region_peers, now_s)
-        for peer in self._domain_delegates(others, now_s):
+        for peer in self.peers.delegates(others, self._rng, now_s):
             self._send(peer, data)
 
-    def _domain_delegates(
-        self, peers: list[peer_table.Peer], now_s: float
-    ) -> list[peer_table.Peer]:
-        """Returns the delegate of each failure domain among some hosts."""
-        domains: dict[str, list[peer_table.Peer]] = {}
-        for peer in peers:
-            domains.setdefault(peer.entry.failure_domain, []).append(peer)
-        return [self._delegate(group, now_s) for group in domains.values()]
-
-    def _delegate(
-        self, peers: list[peer_table.Peer], now_s: float
-    ) -> peer_table.Peer:
-        """Returns the first live host by name, or any host if none is alive."""
-        alive = [peer for peer in peers if self.peers.is_alive(peer, now_s)]
-        if alive:
-            return min(alive, key=lambda peer: peer.entry.name)
-        return self._rng.choice(peers)
-
     def _encode(
         self,
         peers: abc.Iterable[peer_table.Peer],
@@ -492,6 +489,8 @@
             peer = self.peers.get(name)
             if peer is not None:
                 self._send(peer, data)
+            elif name in self.parts.addresses:
+                self._transport.send(*self.parts.addresses[name], data)
 
     def _send(self, peer: peer_table.Peer, data: bytes) -> None:
         self._transport.send(peer.entry.ip, peer.entry.peer_port, data)
--- a/ragwortchute/gateway/peer_table.py
+++ b/ragwortchute/gateway/peer_table.py
@@ -1,6 +1,7 @@
 """State of the other hosts: entries and latest heartbeats."""
 
 from collections import abc
+import random
 
 from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
@@ -118,6 +119,30 @@
             and self.is_alive(peer, now_s)
         ]
 
+    def delegates(
+        self, peers: abc.Iterable[Peer], rng: random.Random, now_s: float
+    ) -> list[Peer]:
+        """Returns the delegate of each failure domain among some hosts.
+
+        It is the first live host by name, or any host if none is alive.
+
+        Args:
+            peers: The hosts.
+            rng: Source of randomness.
+            now_s: Loop time in seconds.
+        """
+        domains: dict[str, list[Peer]] = {}
+        for peer in peers:
+            domains.setdefault(peer.entry.failure_domain, []).append(peer)
+        chosen = []
+        for group in domains.values():
+            alive = [peer for peer in group if self.is_alive(peer, now_s)]
+            if alive:
+                chosen.append(min(alive, key=lambda peer: peer.entry.name))
+            else:
+                chosen.append(rng.choice(group))
+        return chosen
+
     def heard(self, since_s: float) -> list[str]:
         """Returns the names of the hosts heard of since a loop time.
 
--- a/ragwortchute/gateway/registration.py
+++ b/ragwortchute/gateway/registration.py
@@ -237,7 +237,7 @@
         for obj in answer.objects:
             self._listed[obj.name] = self._decode(obj)
         self._revision = answer.revision
-        self._membership.add_entries(
+        self._membership.note_listed(
             [record.entry for record in self._listed.values() if record.entry],
             self._loop.time(),
         )
