Coordinate quotas from the start of hosts, and sooner after a death

- Listed hosts coordinate from the first moment; all hosts know these.
Others report to the first of them at once and get replies directly.
- A coordinator that has just taken over gives way to one that works.
- Hosts that start admit everything for the time in which the largest load uses up 0.6 of the excess of the bound, then their share of 0.4 of it once the number of hosts was announced.
An own share among the known hosts was far too much at first.
- Requests from before the takeover no longer count as demand of its first 0.2 s.
- Takeover after 0.65 s instead of 0.95 s, once the coordinator has not replied, and a hold of 0.25 s instead of 0.6 s.
- Ranks are those of live hosts, since members are no longer forgotten.

`quota_scenes.broken` also checks refusals in starts and with a fifth killed.

--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -21,6 +21,7 @@
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quotas
 from tests.test_gateway import quota_model
 from tests.test_gateway import quota_scenes
@@ -42,7 +43,7 @@
         rig.host(),
         quota_model.BOUNDS,
         lambda names, part, payload: None,
-        lambda now_s: quotas.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
+        lambda now_s: quota_roles.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
         lambda: organisations,
         rig.MemoryLog(),
         random.Random(1),
--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -39,6 +39,7 @@
 REGAIN_S = 2.0
 # Counts that a new coordinator hears of first are those of this time at least.
 RECENT_S = 0.5
+RECENT_MEAN_S = 0.75
 # Counts of a host that have not changed for this long or twice as long are
 # dropped.
 RETENTION_S = 20.0
@@ -73,7 +74,7 @@
 
     level: float
     demand_per_s: float = 0.0
-    demanded: int = 0
+    demanded: float = 0.0
     admit_fraction: float = 1.0
     announced_fraction: float = 1.0
     announced_level: float = 0.0
@@ -97,21 +98,25 @@
         self._new: dict[int, quota_messages.Use] = {}
         self._old: dict[int, quota_messages.Use] = {}
 
-    def replace(self, use: quota_messages.Use) -> tuple[int, int]:
+    def replace(self, use: quota_messages.Use) -> tuple[int, int, bool]:
         """Returns how many requests were admitted and received since then.
 
         Counts of which nothing is known are taken from the recent ones.
+
+        Returns:
+            The requests admitted and received, and whether they are recent ones
+            from before the report.
         """
         known = self._new.get(use.key) or self._old.get(use.key)
         self._new[use.key] = use
         if known is None:
-            return use.recent, use.recent
+            return use.recent, use.recent, True
         demanded = quota_messages.difference(use.demanded, known.demanded)
         if demanded < 0:
             # The host has forgotten its counts.
-            return use.recent, use.recent
+            return use.recent, use.recent, True
         admitted = quota_messages.difference(use.admitted, known.admitted)
-        return admitted, demanded
+        return admitted, demanded, False
 
     def forget(self) -> None:
         """Drops all counts."""
@@ -134,6 +139,8 @@
         hold_s: Time in seconds until it is known which hosts report.
 
     Attributes:
+        is_steered: Whether shares to be admitted were derived from reports.
+        known: Hosts that are known, those that report included.
         share: Part of all rates that may be given out.
         unheard: Names of the hosts that were not heard from recently.
     """
@@ -148,6 +155,8 @@
         '_reporters',
         '_started_s',
         '_updated_s',
+        'is_steered',
+        'known',
         'share',
         'unheard',
     )
@@ -160,6 +169,8 @@
         now_s: float,
         hold_s: float,
     ) -> None:
+        self.is_steered = False
+        self.known = 0
         self.share = 0.0
         self._hold_s = hold_s
         self.unheard: list[str] = []
@@ -215,9 +226,13 @@
             limit = limits.get(use.key)
             if limit is None:
                 continue
-            admitted, demanded = reporter.replace(use)
+            admitted, demanded, is_recent = reporter.replace(use)
             account = self._account(limit, now_s)
             account.level -= admitted
+            if is_recent:
+                # Only a part of them came since the accounts were started.
+                started_s = now_s - self._started_s
+                demanded *= min(1.0, started_s / RECENT_MEAN_S)
             account.demanded += demanded
 
     def is_provisional(self, now_s: float) -> bool:
@@ -229,6 +244,8 @@
         limits: abc.Mapping[int, quota_limits.Limit],
         hosts: abc.Collection[str],
         now_s: float,
+        unseen: abc.Sequence[frozenset[str]] = (),
+        seen: int = 1,
     ) -> bool:
         """Adds credit for the time since the last update, and steers it.
 
@@ -236,16 +253,30 @@
             limits: Limits by the key of the organisation.
             hosts: Names of the hosts that may be alive.
             now_s: Loop time in seconds.
+            unseen: Names of the listed hosts of each failure domain of which no
+                host was heard of. These have as many hosts as others.
+            seen: Number of the other failure domains.
 
         Returns:
             Whether hosts should learn of a change at once.
         """
         elapsed_s = now_s - self._updated_s
+        heard = self._heard(now_s)
+        # Hosts that report may not be known otherwise yet.
+        self.known = len(hosts) + sum(name not in hosts for name in heard)
+        silent = [listed for listed in unseen if listed.isdisjoint(heard)]
+        if silent:
+            listed = frozenset().union(*silent)
+            found = self.known - len(listed.intersection(hosts))
+            domains = seen + len(unseen) - len(silent)
+            self.known = found + round(len(silent) * found / domains)
         if elapsed_s <= 0 or self.is_provisional(now_s):
             return False
+        self.is_steered = True
         measured_s = now_s - max(self._updated_s, self._started_s)
         self._updated_s = now_s
-        lost = self._update_share(hosts, now_s)
+        self.unheard = [name for name in hosts if name not in heard]
+        lost = self._update_share(len(heard), now_s)
         if now_s - self._dropped_s >= RETENTION_S:
             self._drop_old(hosts, now_s)
         alert = False
@@ -271,12 +302,16 @@
         return alert
 
     def take_states(
-        self, limits: abc.Mapping[int, quota_limits.Limit]
+        self,
+        limits: abc.Mapping[int, quota_limits.Limit],
+        *,
+        to_all: bool = True,
     ) -> tuple[list[quota_messages.State], bool]:
         """Returns what should be announced.
 
         Args:
             limits: Limits by the key of the organisation.
+            to_all: Whether it is announced to all hosts.
 
         Returns:
             Organisations near their quota or beyond it, the furthest ones
@@ -287,8 +322,9 @@
             limit = limits.get(key)
             if limit is None:
                 continue
-            account.announced_fraction = account.admit_fraction
-            account.announced_level = account.level
+            if to_all:
+                account.announced_fraction = account.admit_fraction
+                account.announced_level = account.level
             fraction = account.level / limit.depth
             if account.admit_fraction < 1 or fraction < ANNOUNCE_FRACTION:
                 near.append((fraction, key))
@@ -306,21 +342,27 @@
             )
         return states, len(near) <= quota_messages.MAX_ENTRIES
 
-    def _update_share(self, hosts: abc.Collection[str], now_s: float) -> float:
+    def _heard(self, now_s: float) -> set[str]:
+        """Returns the names of the hosts that were heard from recently."""
+        oldest_s = now_s - SILENT_S
+        return {
+            name
+            for name, reporter in self._reporters.items()
+            if reporter.heard_s > oldest_s
+        }
+
+    def _update_share(self, heard: int, now_s: float) -> float:
         """Updates the part of all rates that may be given out.
 
+        Args:
+            heard: Hosts that were heard from recently.
+            now_s: Loop time in seconds.
+
         Returns:
             The part of the credit that hosts which have fallen silent may have
             used; negative if they were silent for a short time only.
         """
-        oldest_s = now_s - SILENT_S
-        heard = {
-            name
-            for name, reporter in self._reporters.items()
-            if reporter.heard_s > oldest_s
-        }
-        self.unheard = [name for name in hosts if name not in heard]
-        lost = self.share - rate_share(len(heard), len(hosts))
+        lost = self.share - rate_share(heard, self.known)
         self.share -= lost
         if lost > 0:
             self._lost += lost
@@ -366,7 +408,7 @@
         account.demand_per_s += weight * (
             account.demanded / measured_s - account.demand_per_s
         )
-        account.demanded = 0
+        account.demanded = 0.0
         spare_per_s = rate_per_s + (account.level - limit.target) / STEER_S
         if spare_per_s <= 0:
             account.admit_fraction = 0.0
--- a/ragwortchute/gateway/organisations/quota_limits.py
+++ b/ragwortchute/gateway/organisations/quota_limits.py
@@ -35,6 +35,11 @@
 # Factor on these tokens after the start of a host: others have not admitted
 # anything yet if all have started, and otherwise keep the rest.
 FRESH_FACTOR = 2.0
+# What all hosts together may admit before they know how many they are, as a
+# share of what the bound allows at once. A host admits everything for as long
+# as the largest load, as a multiple of the rate, needs for that.
+START_FRACTION = 0.6
+MAX_LOAD = 7.5
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -77,6 +82,8 @@
         depth: Largest credit.
         target: Credit that is kept while more is demanded than allowed.
         alone_tokens: Tokens of all hosts together at the start of a host.
+        start_s: Time in seconds for which a host admits everything after its
+            start.
     """
 
     name: str
@@ -86,6 +93,7 @@
     depth: float
     target: float
     alone_tokens: float
+    start_s: float
 
 
 def key_of(name: str) -> int:
@@ -119,4 +127,5 @@
         depth,
         min(depth * TARGET_FRACTION, rate_per_s * TARGET_S),
         excess * ALONE_START_FRACTION,
+        excess * START_FRACTION / (MAX_LOAD * rate_per_s),
     )
--- a/ragwortchute/gateway/organisations/quota_messages.py
+++ b/ragwortchute/gateway/organisations/quota_messages.py
@@ -66,12 +66,15 @@
         incarnation: Incarnation of the host.
         number: Number of the report.
         uses: Counts that have changed, encoded by `pack_uses`.
+        asks: Whether the host has not heard an announcement for a while, so
+            that the coordinator should reply.
     """
 
     shard: int
     incarnation: int
     number: int
     uses: bytes = b''
+    asks: bool = False
 
 
 class Announcement(
@@ -91,6 +94,8 @@
         states: Organisations, encoded by `pack_states`.
         unheard: Hosts that the coordinator does not hear from, encoded by
             `pack_names`. They have no contact even if they hear it.
+        hosts: Hosts that the coordinator knows.
+        is_reply: Whether it is sent to one host, which does not pass it on.
     """
 
     shard: int
@@ -101,6 +106,8 @@
     complete: bool = True
     states: bytes = b''
     unheard: bytes = b''
+    hosts: int = 0
+    is_reply: bool = False
 
 
 Message = Report | Announcement
--- a/ragwortchute/gateway/organisations/quota_part.py
+++ b/ragwortchute/gateway/organisations/quota_part.py
@@ -9,10 +9,13 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quotas
 
 # Name in `Settings.contracts` with which quotas are enforced.
 CONTRACT = 'quota'
+# Stands for a configuration without organisations.
+_NO_ORGANISATIONS: dict[str, model.Organisation] = {}
 
 
 def create(
@@ -40,8 +43,11 @@
         return None
 
     def organisations() -> abc.Mapping[str, model.Organisation] | None:
-        return state.cfg.organisations if state.cfg is not None else None
+        if state.cfg is None:
+            return None
+        return state.cfg.organisations or _NO_ORGANISATIONS
 
+    membership.peers.keeps_silent = True
     quotas_ = quotas.HostQuotas(
         membership.me,
         quota_limits.make_bounds(bounds),
@@ -51,13 +57,13 @@
         log,
         rng,
     )
-    membership.parts.register(quota_messages.PART, quotas_.handle)
+    membership.parts.register(quota_messages.PART, quotas_.handle, early=True)
     return quotas_
 
 
 def known_hosts(
     membership: membership_.Membership, settled: bool, now_s: float
-) -> quotas.Hosts:
+) -> quota_roles.Hosts:
     """Returns the hosts that a host knows.
 
     Args:
@@ -71,9 +77,23 @@
         names = by_region.setdefault(peer.entry.region, [])
         names.append(peer.entry.name)
     near = by_region.pop(own.region)
-    return quotas.Hosts(
-        frozenset(membership.possible_senders(now_s)),
+    seen = {own.failure_domain}
+    seen.update(
+        peer.entry.failure_domain
+        for peer in membership.peers.all()
+        if peer.count >= 0
+    )
+    unseen: dict[str, list[str]] = {}
+    for name in membership.listed:
+        peer = membership.peers.get(name)
+        if peer is not None and peer.entry.failure_domain not in seen:
+            unseen.setdefault(peer.entry.failure_domain, []).append(name)
+    return quota_roles.Hosts(
+        frozenset(membership.members(now_s)),
         tuple(near),
         tuple(tuple(names) for names in by_region.values()),
         settled,
+        membership.listed,
+        tuple(frozenset(names) for names in unseen.values()),
+        len(seen),
     )
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -7,8 +7,11 @@
 """
 
 from collections import abc
+import itertools
 import random
 
+import msgspec
+
 from ragwortchute.gateway import shares
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
@@ -21,17 +24,27 @@
 # while the host is cut off.
 THROTTLED_CONTACT_S = 1.2
 CONTACT_S = 0.95
+# A host that has heard no announcement for this long asks for one with each
+# report, up to the longer time. It is more than an interval of announcements
+# and leaves time for an answer before contact ends.
+ASK_S = 0.45
+MAX_ASK_S = 3.0
 # A host takes over after this time without an announcement, and this time more
-# for each host that precedes it, up to a number of hosts.
-TAKEOVER_S = 0.95
-TAKEOVER_STEP_S = 0.2
-# The same time at a host that has never heard an announcement.
+# for each host that precedes it, up to a number of hosts. It has asked for one
+# before.
+TAKEOVER_S = 0.65
+TAKEOVER_STEP_S = 0.1
+# A coordinator works for a host that has heard it in this time.
+WORKS_S = 0.6
+FIRST_STEP_S = 0.1
+# The same time at a host that has never heard an announcement. A listed host
+# needs not wait while a deployment starts: others reply if there is one.
 FIRST_TAKEOVER_S = 0.1
 MAX_STEPS = 8
 # A new coordinator announces nothing new for this long, until it has heard
 # which hosts report to it. The shorter time holds if there was none before it.
-HOLD_S = 0.6
-FIRST_HOLD_S = 0.4
+HOLD_S = 0.25
+FIRST_HOLD_S = 0.2
 # Interval of announcements, a little below a number of steps. Changes are
 # announced at once as long as there are tokens.
 ANNOUNCE_S = 0.38
@@ -47,7 +60,7 @@
 # Credit that a coordinator starts with, as a share of the largest: if it has
 # heard announcements, for organisations that were not listed, and otherwise.
 UNLISTED_LEVEL = 0.15
-UNKNOWN_LEVEL = 0.1
+UNKNOWN_LEVEL = 0.3
 
 
 def shard_count(hosts: int) -> int:
@@ -55,6 +68,29 @@
     return 1 + hosts // HOSTS_PER_SHARD
 
 
+class Hosts(msgspec.Struct, frozen=True):
+    """The hosts of the deployment as a host knows them.
+
+    Attributes:
+        names: Names of the hosts that may be alive, this one included.
+        near: Names of the live hosts of the own region, this one included.
+        far: Names of the live hosts of each other region.
+        settled: Whether this host has had time to learn of the others.
+        listed: Names of the hosts in the host list of the store.
+        unseen: Names of the listed hosts of each failure domain of which no
+            host was heard of.
+        seen: Number of the other failure domains.
+    """
+
+    names: frozenset[str] = frozenset()
+    near: tuple[str, ...] = ()
+    far: tuple[tuple[str, ...], ...] = ()
+    settled: bool = False
+    listed: frozenset[str] = frozenset()
+    unseen: tuple[frozenset[str], ...] = ()
+    seen: int = 1
+
+
 class Shard:
     """One shard of the organisations, as seen by one host.
 
@@ -68,14 +104,18 @@
         coordinator: Name of the coordinator, empty before the first one.
         heard_s: Loop time of its last announcement, in seconds.
         announced_s: The same of the last one that was not provisional.
+        hosts: Hosts that the coordinator knows, 0 if that was never heard.
+        last: Last announcement that was not provisional.
         states: States of the organisations that were announced, by key.
         accounts: The accounts if this host coordinates, else None.
     """
 
     __slots__ = (
         '_alert_tokens',
-        '_contact_s',
         '_announced_s',
+        '_contact_s',
+        '_created_s',
+        '_first',
         '_incarnation',
         '_number',
         '_own_incarnation',
@@ -89,13 +129,17 @@
         'announced_s',
         'coordinator',
         'heard_s',
+        'hosts',
         'index',
+        'last',
         'states',
     )
 
     def __init__(self, index: int, own_name: str, incarnation: int) -> None:
         self.index = index
         self.coordinator = ''
+        self.hosts = 0
+        self.last: quota_messages.Announcement | None = None
         self.heard_s = float('-inf')
         self.announced_s = float('-inf')
         self.states: dict[int, quota_messages.State] = {}
@@ -106,7 +150,9 @@
         self._incarnation = 0
         self._number = 0
         self._contact_s = float('-inf')
-        self._ranked_hosts: frozenset[str] = frozenset()
+        self._created_s = float('inf')
+        self._ranked_hosts = (frozenset(), frozenset())
+        self._first = ''
         self._ranks: dict[str, int] = {}
         self._waiting_since_s: float | None = None
         self._stepped_s = float('-inf')
@@ -124,6 +170,20 @@
             return now_s - self._contact_s < THROTTLED_CONTACT_S
         return now_s - self.announced_s < CONTACT_S
 
+    def asks(self, now_s: float) -> bool:
+        """Returns whether the coordinator should reply to reports."""
+        if self.announced_s == float('-inf'):
+            return now_s - self._created_s < MAX_ASK_S
+        return ASK_S <= now_s - self.announced_s < MAX_ASK_S
+
+    @property
+    def receiver(self) -> str:
+        """Name of the host that reports are sent to, empty if none is known.
+
+        Before the first announcement it is the host that is to coordinate.
+        """
+        return self.coordinator or self._first
+
     def accept(
         self, announcement: quota_messages.Announcement, now_s: float
     ) -> bool:
@@ -143,47 +203,94 @@
             last = (self._incarnation, self._number)
             if (announcement.incarnation, announcement.number) <= last:
                 return False
-        elif now_s - self.heard_s < TAKEOVER_S and self._rank(
-            self.coordinator
-        ) < self._rank(name):
+        elif self._prefers_own(announcement, now_s):
             return False
         self.accounts = None
         self._follow(announcement, now_s)
         return True
 
+    def forwarded(self, now_s: float) -> quota_messages.Announcement | None:
+        """Returns what another host should be told that knows no coordinator.
+
+        Args:
+            now_s: Loop time in seconds.
+
+        Returns:
+            The last announcement, None if no coordinator works.
+        """
+        if self.last is None or now_s - self.announced_s >= WORKS_S:
+            return None
+        return msgspec.structs.replace(self.last, is_reply=True)
+
+    def _prefers_own(
+        self, announcement: quota_messages.Announcement, now_s: float
+    ) -> bool:
+        """Returns whether the known coordinator goes on, not another one.
+
+        One that has just taken over gives way to one that works, so that its
+        credit is not lost when a host starts or did not hear it for a while.
+        """
+        if now_s - self.heard_s >= WORKS_S:
+            return False
+        works = now_s - self.announced_s < WORKS_S
+        if works == announcement.provisional:
+            return works
+        return self._rank(self.coordinator) < self._rank(
+            announcement.coordinator
+        )
+
+    def reply(
+        self, limits: abc.Mapping[int, quota_limits.Limit], now_s: float
+    ) -> quota_messages.Announcement | None:
+        """Returns an announcement for one host, None if there is none.
+
+        Args:
+            limits: Limits by the key of the organisation.
+            now_s: Loop time in seconds.
+        """
+        if self.accounts is None:
+            return self.forwarded(now_s)
+        return self._make_announcement(limits, is_reply=True)
+
     def step(
         self,
-        hosts: frozenset[str],
-        settled: bool,
+        hosts: Hosts,
         limits: abc.Mapping[int, quota_limits.Limit],
         now_s: float,
     ) -> quota_messages.Announcement | None:
         """Takes over or updates the accounts, periodically.
 
         Args:
-            hosts: Names of the hosts that may be alive, this one included.
-            settled: Whether this host has had time to learn of the others.
+            hosts: The hosts of the deployment.
             limits: Limits by the key of the organisation.
             now_s: Loop time in seconds.
 
         Returns:
             An announcement that should be sent, if any.
         """
-        self._rank_hosts(hosts)
+        self._created_s = min(self._created_s, now_s)
+        settled = hosts.settled
+        self.rank_hosts(hosts)
         if self.accounts is None:
-            if not settled:
+            if not settled and self._own_name not in hosts.listed:
                 self._waiting_since_s = None
                 return None
             if self._waiting_since_s is None:
                 self._waiting_since_s = now_s
             steps = min(MAX_STEPS, self._rank(self._own_name))
             silent_s = now_s - max(self.heard_s, self._waiting_since_s)
-            first_s = TAKEOVER_S if self.coordinator else FIRST_TAKEOVER_S
-            if silent_s < first_s + TAKEOVER_STEP_S * steps:
+            if self.coordinator or settled:
+                wait_s = TAKEOVER_S if self.coordinator else FIRST_TAKEOVER_S
+                wait_s += TAKEOVER_STEP_S * steps
+            else:
+                wait_s = FIRST_STEP_S * steps
+            if silent_s < wait_s:
                 return None
             self._take_over(now_s)
             return self._announce(limits, now_s)
-        alert = self.accounts.update(limits, hosts, now_s)
+        alert = self.accounts.update(
+            limits, hosts.names, now_s, hosts.unseen, hosts.seen
+        )
         if self.accounts.is_provisional(now_s):
             return None
         if self.accounts.share < MIN_SHARE:
@@ -218,25 +325,36 @@
     def _announce(
         self, limits: abc.Mapping[int, quota_limits.Limit], now_s: float
     ) -> quota_messages.Announcement:
-        states, complete = self.accounts.take_states(limits)
-        provisional = self.accounts.is_provisional(now_s)
-        self._own_number += 1
         self._announced_s = now_s
-        announcement = quota_messages.Announcement(
+        announcement = self._make_announcement(limits)
+        self._follow(announcement, now_s)
+        return announcement
+
+    def _make_announcement(
+        self,
+        limits: abc.Mapping[int, quota_limits.Limit],
+        *,
+        is_reply: bool = False,
+    ) -> quota_messages.Announcement:
+        states, complete = self.accounts.take_states(
+            limits, to_all=not is_reply
+        )
+        self._own_number += 1
+        return quota_messages.Announcement(
             self.index,
             self._own_name,
             self._own_incarnation,
             self._own_number,
-            provisional,
+            not self.accounts.is_steered,
             complete,
             quota_messages.pack_states(states),
             quota_messages.pack_names(
                 self.accounts.unheard[: quota_messages.MAX_UNHEARD],
                 self._own_number,
             ),
+            self.accounts.known,
+            is_reply,
         )
-        self._follow(announcement, now_s)
-        return announcement
 
     def _follow(
         self, announcement: quota_messages.Announcement, now_s: float
@@ -244,6 +362,7 @@
         self.coordinator = announcement.coordinator
         self._incarnation = announcement.incarnation
         self._number = announcement.number
+        self.hosts = announcement.hosts
         self.heard_s = now_s
         # A provisional announcement prolongs contact only.
         unheard = quota_messages.has_name(
@@ -254,6 +373,7 @@
         if announcement.provisional or unheard:
             return
         self.announced_s = self._contact_s = now_s
+        self.last = announcement
         states = {
             state.key: state
             for state in quota_messages.unpack_states(announcement.states)
@@ -262,13 +382,23 @@
             states = {**self.states, **states}
         self.states = states
 
-    def _rank_hosts(self, hosts: frozenset[str]) -> None:
-        if hosts == self._ranked_hosts:
+    def rank_hosts(self, hosts: Hosts) -> None:
+        """Ranks the live hosts, while this one starts the listed ones first.
+
+        All hosts that start know these, but not the same others.
+        """
+        first = frozenset() if hosts.settled else hosts.listed
+        alive = frozenset(itertools.chain(hosts.near, *hosts.far, first))
+        if (alive, first) == self._ranked_hosts:
             return
-        self._ranked_hosts = hosts
+        self._ranked_hosts = (alive, first)
         key = f'quota/{self.index}'
-        ranked = sorted(hosts, key=lambda host: shares.weight(key, host))
+        ranked = sorted(
+            alive,
+            key=lambda host: (host not in first, shares.weight(key, host)),
+        )
         self._ranks = {name: rank for rank, name in enumerate(ranked)}
+        self._first = ranked[0] if first else ''
 
     def _rank(self, name: str) -> int:
         """Returns the rank of a host; hosts that are not known come last."""
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -35,6 +35,9 @@
 # A credit that was given back is kept for this long for the next request, in
 # seconds: the body of an upload is read meanwhile.
 RETURNED_S = 1.0
+# Time that is named to callers while it is not known how many hosts there are,
+# in seconds.
+START_WAIT_S = 1.0
 # Longest time that is named to callers, in seconds.
 MAX_WAIT_S = 30.0
 
@@ -70,6 +73,7 @@
         '_returned',
         '_returned_s',
         '_rng',
+        '_started',
         'admitted',
         'changed_s',
         'demanded',
@@ -102,6 +106,8 @@
         self._mark_s = float('-inf')
         self._returned = 0
         self._returned_s = 0.0
+        # Requests that were admitted as the host had just started.
+        self._started = 0
         self._bucket: shares.TokenBucket | None = None
 
     def admit(self, now_s: float, announced_s: float, hosts: int) -> float:
@@ -128,25 +134,45 @@
         self.admitted += 1
         return 0.0
 
+    def admit_started(self, now_s: float, age_s: float) -> bool:
+        """Admits a request if this host has only just started.
+
+        Args:
+            now_s: Loop time in seconds.
+            age_s: Time in seconds since the host has its configuration.
+
+        Returns:
+            Whether it is admitted. Else it is not counted.
+        """
+        if age_s >= self.limit.start_s:
+            return False
+        self._note_request(now_s)
+        self._started += 1
+        self.admitted += 1
+        return True
+
     def admit_alone(self, now_s: float, hosts: int, *, fresh: bool) -> float:
         """Admits a request within the share of a host without contact.
 
         Args:
             now_s: Loop time in seconds.
-            hosts: Number of hosts that may be alive.
+            hosts: Number of hosts that may be alive, 0 if it is not known yet.
             fresh: Whether this host has had no contact since its start.
 
         Returns:
             0.0 if it is admitted, else the time until credit is expected.
         """
         self._note_request(now_s)
+        if not hosts:
+            return START_WAIT_S
         hosts = shares.assumed_hosts(hosts)
         tokens = self.limit.alone_tokens / hosts
         if fresh:
             tokens *= quota_limits.FRESH_FACTOR
         if self._bucket is None:
             # Shares below one request add up to the whole over all hosts.
-            self._bucket = shares.TokenBucket(tokens + self._rng.random())
+            first = tokens + self._rng.random() - self._started
+            self._bucket = shares.TokenBucket(max(0.0, first))
         rate_per_s = (
             self.limit.rate_per_s * quota_limits.ALONE_RATE_FRACTION / hosts
         )
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -8,11 +8,10 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import random
 
-import msgspec
-
 from ragwortchute import errors
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
@@ -26,6 +25,9 @@
 # Interval of the task, and the number of intervals between two reports.
 TICK_S = 0.1
 TICKS_PER_REPORT = 2
+# A host that starts reports at each tick, up to this one, until it has heard of
+# a coordinator: how many hosts there are is not known before.
+START_TICKS = 30
 # A host that has nothing to report shows that it is there after this time.
 EMPTY_REPORT_S = 0.5
 # Organisations without a request for this long are not followed until the next
@@ -33,28 +35,16 @@
 # earlier.
 IDLE_S = 5.0
 FORGET_S = 4 * quota_accounts.RETENTION_S
+# Replies to hosts without contact: as many as hosts that start at once, and per
+# second.
+MAX_REPLIES = 2.0 * quota_roles.HOSTS_PER_SHARD
+REPLIES_PER_S = 20.0
 # Hosts of each other region that the coordinator sends announcements to.
 REGION_SENDS = 2
 # Organisations whose use is shown in metrics.
 MAX_GAUGES = 100
 
 
-class Hosts(msgspec.Struct, frozen=True):
-    """The hosts of the deployment as a host knows them.
-
-    Attributes:
-        names: Names of the hosts that may be alive, this one included.
-        near: Names of the live hosts of the own region, this one included.
-        far: Names of the live hosts of each other region.
-        settled: Whether this host has had time to learn of the others.
-    """
-
-    names: frozenset[str] = frozenset()
-    near: tuple[str, ...] = ()
-    far: tuple[tuple[str, ...], ...] = ()
-    settled: bool = False
-
-
 # Organisations by name.
 Organisations = abc.Mapping[str, model.Organisation]
 # Sends a payload to hosts, without a guarantee of delivery.
@@ -70,7 +60,7 @@
         send: Sends a message to other hosts.
         hosts: Returns the hosts of the deployment at a loop time in seconds.
         organisations_: Returns the organisations in force by name, None if
-            there are none.
+            there is no configuration yet.
         log: Event log.
         rng: Source of randomness.
 
@@ -83,12 +73,14 @@
     """
 
     __slots__ = (
+        '_askers',
         '_bounds',
         '_contact',
         '_coordinates',
         '_followed',
         '_hosts',
         '_limits',
+        '_limited_s',
         '_limits_by_name',
         '_log',
         '_me',
@@ -97,6 +89,8 @@
         '_read_organisations',
         '_read_hosts',
         '_reported_s',
+        '_replied_s',
+        '_replies',
         '_reports',
         '_rng',
         '_send',
@@ -116,7 +110,7 @@
         me: model.HostEntry,
         bounds: quota_limits.Bounds,
         send: SendCallback,
-        hosts: abc.Callable[[float], Hosts],
+        hosts: abc.Callable[[float], quota_roles.Hosts],
         organisations_: abc.Callable[[], Organisations | None],
         log: eventlog.EventLog,
         rng: random.Random,
@@ -125,7 +119,7 @@
         self._bounds = bounds
         self._send = send
         self._read_hosts = hosts
-        self._hosts = Hosts()
+        self._hosts = quota_roles.Hosts()
         self._log = log
         self._rng = rng
         self._read_organisations = organisations_
@@ -135,10 +129,15 @@
         self._uses: dict[str, quota_use.Use] = {}
         self._followed: dict[str, quota_use.Use] = {}
         self._swept_s = float('-inf')
+        self._limited_s = float('inf')
         self._shards = [self._make_shard(0)]
         self._contact: dict[int, bool] = {}
         self._coordinates: dict[int, bool] = {}
         self._reports = 0
+        self._replies = MAX_REPLIES
+        # Hosts, by shard, that were told that this one takes over.
+        self._askers = collections.defaultdict(set)
+        self._replied_s = 0.0
         self._reported_s: dict[int, float] = {}
         self._ticks = rng.randrange(TICKS_PER_REPORT)
         self._measured_s: float | None = None
@@ -165,17 +164,28 @@
             self.admitted += 1
             return 0.0
         shard = self._shards[use.limit.key % len(self._shards)]
-        hosts = len(self._hosts.names)
         if shard.has_contact(now_s, throttled=use.throttled):
+            hosts = len(self._hosts.names)
             wait_s = use.admit(now_s, shard.announced_s, hosts)
             self.refused += wait_s > 0
         else:
-            fresh = shard.announced_s == float('-inf')
-            wait_s = use.admit_alone(now_s, hosts, fresh=fresh)
+            wait_s = self._admit_alone(use, shard, now_s)
             self.refused_alone += wait_s > 0
         self.admitted += wait_s == 0
         return wait_s
 
+    def _admit_alone(
+        self, use: quota_use.Use, shard: quota_roles.Shard, now_s: float
+    ) -> float:
+        """Admits a request without contact to a coordinator."""
+        fresh = shard.announced_s == float('-inf')
+        if fresh and use.admit_started(now_s, now_s - self._limited_s):
+            return 0.0
+        hosts = shard.hosts
+        if not fresh or self._hosts.settled:
+            hosts = max(hosts, len(self._hosts.names))
+        return use.admit_alone(now_s, hosts, fresh=fresh)
+
     def give_back(self, organisation: model.Organisation, now_s: float) -> None:
         """See base class."""
         use = self._uses.get(organisation.name)
@@ -226,24 +236,33 @@
         organisations_ = self._read_organisations()
         if organisations_ is not self._organisations:
             self._set_organisations(organisations_)
-        if not self._limits:
+        if self._limits:
+            self._limited_s = min(self._limited_s, now_s)
+        elif organisations_ is not None:
             return
+        # Without a configuration there may be limits: hosts that start find a
+        # coordinator meanwhile.
         self._ticks += 1
-        if self._ticks % TICKS_PER_REPORT == 0:
+        if self._ticks % TICKS_PER_REPORT == 0 or self._is_starting():
             self._set_hosts(self._read_hosts(now_s))
             self._report(now_s)
         for shard in self._shards:
-            announcement = shard.step(
-                self._hosts.names, self._hosts.settled, self._limits, now_s
-            )
+            announcement = shard.step(self._hosts, self._limits, now_s)
             if announcement is not None:
                 if announcement.provisional:
                     self._report_again(shard, now_s)
                 else:
                     self._apply(shard)
                 self._announce(announcement)
+                if not announcement.provisional:
+                    for name in self._askers.pop(shard.index, ()):
+                        self._reply(shard, name, now_s)
             self._log_changes(shard, now_s)
 
+    def _is_starting(self) -> bool:
+        """Returns whether this host has started and knows no coordinator."""
+        return self._ticks < START_TICKS and not self._shards[0].coordinator
+
     def handle(self, sender: str, payload: bytes, now_s: float) -> None:
         """Handles a message of another host.
 
@@ -260,9 +279,13 @@
         if isinstance(message, quota_messages.Announcement):
             self._handle_announcement(message, now_s)
             return
-        for shard in self._shards:
-            if shard.index == message.shard and shard.accounts is not None:
-                shard.accounts.record(sender, message, self._limits, now_s)
+        if message.shard >= len(self._shards):
+            return
+        shard = self._shards[message.shard]
+        if shard.accounts is not None:
+            shard.accounts.record(sender, message, self._limits, now_s)
+        if message.asks:
+            self._reply(shard, sender, now_s)
 
     def used(self) -> dict[str, float]:
         """Returns the used part of quotas, by organisation.
@@ -309,12 +332,14 @@
         shard = self._shards[use.limit.key % len(self._shards)]
         use.note_announcement(shard.states.get(use.limit.key))
 
-    def _set_hosts(self, hosts: Hosts) -> None:
+    def _set_hosts(self, hosts: quota_roles.Hosts) -> None:
         self._hosts = hosts
         count = quota_roles.shard_count(len(hosts.names))
         del self._shards[count:]
         while len(self._shards) < count:
             self._shards.append(self._make_shard(len(self._shards)))
+        for shard in self._shards:
+            shard.rank_hosts(hosts)
 
     def _report(self, now_s: float) -> None:
         """Reports counts that have changed to the coordinators."""
@@ -337,8 +362,10 @@
                     del self._uses[name]
         for shard, uses in zip(self._shards, changed, strict=True):
             reported_s = self._reported_s.get(shard.index, float('-inf'))
-            if shard.coordinator and (
-                uses or now_s - reported_s >= EMPTY_REPORT_S
+            if shard.receiver and (
+                uses
+                or shard.asks(now_s)
+                or now_s - reported_s >= EMPTY_REPORT_S
             ):
                 self._reported_s[shard.index] = now_s
                 reported = uses[: quota_messages.MAX_ENTRIES]
@@ -364,13 +391,14 @@
             self._me.incarnation,
             self._reports,
             quota_messages.pack_uses([use.report() for use in uses]),
+            shard.asks(now_s),
         )
         if shard.accounts is not None:
             shard.accounts.record(self._me.name, report, self._limits, now_s)
             return
         self.reports_sent += 1
         self._send(
-            [shard.coordinator],
+            [shard.receiver],
             quota_messages.PART,
             quota_messages.encode(report),
         )
@@ -382,13 +410,32 @@
             return
         shard = self._shards[announcement.shard]
         coordinator = shard.coordinator
+        name = announcement.coordinator
         if not shard.accept(announcement, now_s):
+            if announcement.provisional and name != shard.coordinator:
+                # The host has just started, or did not hear the other one.
+                self._reply(shard, name, now_s)
             return
         if shard.coordinator != coordinator:
             self._report_again(shard, now_s)
         if not announcement.provisional:
             self._apply(shard)
-        self._pass_on(announcement)
+        if not announcement.is_reply:
+            self._pass_on(announcement)
+
+    def _reply(self, shard: quota_roles.Shard, name: str, now_s: float) -> None:
+        """Announces the state of a shard to a host without contact."""
+        elapsed_s = now_s - self._replied_s
+        self._replied_s = now_s
+        self._replies = min(
+            MAX_REPLIES, self._replies + elapsed_s * REPLIES_PER_S
+        )
+        announcement = shard.reply(self._limits, now_s)
+        if announcement is not None and self._replies >= 1:
+            self._replies -= 1
+            self._send_announcement([name], announcement)
+            if announcement.provisional:
+                self._askers[shard.index].add(name)
 
     def _report_again(self, shard: quota_roles.Shard, now_s: float) -> None:
         """Makes a new coordinator learn of recent requests."""
--- a/tests/test_gateway/quota_model.py
+++ b/tests/test_gateway/quota_model.py
@@ -9,6 +9,7 @@
 
 from ragwortchute.gateway import model
 from ragwortchute.gateway.organisations import quota_limits
+from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quotas
 from tests.test_gateway import rig
 
@@ -21,11 +22,12 @@
 FAR_DELAY_S = (0.012, 0.014)
 # Longest delay of a late message.
 LATE_S = 2.0
-# How long a host counts as alive, and as possibly alive, after its last sign,
-# and how long a host needs after its start to learn of the others.
+# How long a host counts as alive after its last sign, and how long a host needs
+# after its start to learn of the others.
 ALIVE_S = 5.4
-RETAINED_S = 30.0
 SETTLE_S = 1.2
+# Hosts of each failure domain in the host list of the store.
+LISTED = 2
 # Longest time from admission until a request is sent.
 SEND_DELAY_S = 0.5
 # UDP and IP headers, and what `heartbeats.Message` adds to a payload.
@@ -110,6 +112,9 @@
         self.queue = []
         self.events = 0
         self.names = [f'h{number:03}' for number in range(scenario.hosts)]
+        # Hosts that fell silent are members as long as they have not left.
+        self.members = frozenset(self.names)
+        self.listed = frozenset(self.names[: LISTED * len(DOMAINS)])
         self.domain = {
             name: DOMAINS[number % len(DOMAINS)]
             for number, name in enumerate(self.names)
@@ -182,18 +187,14 @@
             for other in self.names
             if now_s - self.last_sign_s(name, other) < ALIVE_S
         ]
-        retained = frozenset(
-            other
-            for other in self.names
-            if now_s - self.last_sign_s(name, other) < RETAINED_S
-        )
         region = self.domain[name][0]
         far = tuple(other for other in alive if self.domain[other][0] != region)
-        return quotas.Hosts(
-            retained,
+        return quota_roles.Hosts(
+            self.members,
             tuple(other for other in alive if self.domain[other][0] == region),
             (far,) if far else (),
             now_s - self.started_s[name] > SETTLE_S,
+            self.listed,
         )
 
     def last_sign_s(self, name, other):
--- a/tests/test_gateway/quota_scenes.py
+++ b/tests/test_gateway/quota_scenes.py
@@ -17,6 +17,9 @@
 # The measured share of requests that are few is off by chance.
 MIN_REQUESTS = 500
 
+# Scenario with faults in which requests below the quota must be served.
+FIFTH_KILLED = f'fifth killed, load {USUAL}'
+
 _FIFTH = slice(0, None, 5)
 _THIRD = slice(0, None, 3)
 _ALL = slice(None)
@@ -74,6 +77,17 @@
             f'{name}, load 7.5',
             steady(hosts, rate_per_s, 7.5, 0, faults=faults, duration_s=20.0),
         )
+    yield (
+        FIFTH_KILLED,
+        steady(
+            hosts,
+            rate_per_s,
+            USUAL,
+            0,
+            faults=cuts['fifth killed'],
+            duration_s=20.0,
+        ),
+    )
     # No report arrives, while all hosts go on.
     yield (
         'all mute, load 7.5',
@@ -126,11 +140,17 @@
     faults = []
     if outcome.worst > 1:
         faults.append('bound')
+    load = scenario.loads[-1][1] / scenario.rate_per_s
+    kinds = {kind for _, kind, _ in scenario.faults}
+    if load < BELOW and kinds <= {'kill', 'restart'}:
+        requests = outcome.offered * scenario.rate_per_s * scenario.duration_s
+        allowed = max(
+            MAX_REFUSED, 1 / requests if kinds or scenario.cold else 0
+        )
+        if outcome.refused > allowed + 1e-9:
+            faults.append('refused')
     if scenario.faults or scenario.cold:
         return faults
-    load = scenario.loads[-1][1] / scenario.rate_per_s
-    if load < BELOW and outcome.refused > MAX_REFUSED:
-        faults.append('refused')
     if load >= 1 and outcome.used < MIN_USED * min(1.0, outcome.offered):
         faults.append('used')
     return faults
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ragwortchute.gateway import model
+from ragwortchute.gateway import peer_table
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
@@ -19,6 +20,7 @@
 from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quota_use
 from ragwortchute.gateway.organisations import quotas
+from tests.test_gateway import host_network
 from tests.test_gateway import quota_model
 from tests.test_gateway import quota_scenes
 from tests.test_gateway import rig as rigs
@@ -35,6 +37,16 @@
     return outcome
 
 
+def kill_coordinator(run):
+    name = next(
+        name
+        for name, host in run.hosts.items()
+        if host._shards[0].accounts is not None
+    )
+    number = run.names.index(name)
+    run.fault('kill', slice(number, number + 1))
+
+
 class TestSteadyLoad:
     """The bound must hold, and what the quota allows must be admitted."""
 
@@ -93,11 +105,26 @@
             check(scenario, seed)
 
     @pytest.mark.parametrize(
-        'name', ['region cut, jump', 'all restarted, load 7.5']
+        'name',
+        [
+            'region cut, jump',
+            'all restarted, load 7.5',
+            quota_scenes.FIFTH_KILLED,
+            f'start, load {quota_scenes.USUAL}',
+        ],
     )
     def test_many_hosts(self, name):
         check(dict(quota_scenes.fault_scenes(117, 142.0))[name])
 
+    def test_loss_of_the_coordinator_refuses_few(self):
+        # Another one must take over about as soon as contact to it ends.
+        scenario = dict(quota_scenes.fault_scenes(117, 142.0))[
+            quota_scenes.FIFTH_KILLED
+        ]
+        run = quota_model.Model(scenario, 1)
+        run.at(9.0, lambda: kill_coordinator(run))
+        assert run.run().refused <= 2 * quota_scenes.MAX_REFUSED
+
     def test_loss_of_a_fifth_leaves_most_of_the_quota(self):
         scenes = dict(quota_scenes.fault_scenes(8, 142.0))
         outcome = check(scenes['fifth killed, load 7.5'])
@@ -270,7 +297,7 @@
         rigs.host(),
         BOUNDS,
         lambda names, part, payload: sent.append((names, part, payload)),
-        lambda now_s: quotas.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
+        lambda now_s: quota_roles.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
         lambda: organisations,
         rigs.MemoryLog(),
         random.Random(1),
@@ -352,11 +379,12 @@
         # With the credit of all, each of many hosts that are cut off would
         # admit as much as all together.
         names = frozenset(f'h{number}' for number in range(20))
+        hosts = quota_roles.Hosts(names, tuple(names), settled=True)
         shard = quota_roles.Shard(0, 'h1', 1)
         accounts_s = [
             now_s
             for now_s in (step * 0.1 for step in range(100))
-            if not shard.step(names, True, LIMITS, now_s)
+            if not shard.step(hosts, LIMITS, now_s)
             and shard.accounts is not None
             and not shard.accounts.is_provisional(now_s)
         ]
@@ -378,6 +406,47 @@
         assert host.used() == {'hot': pytest.approx(0.8, abs=0.01)}
 
 
+class TestLongPartition:
+    """The sides of a partition must give out the quota once at any time.
+
+    Hosts that are not heard of were forgotten after 30 s, and each side then
+    gave out the whole rate.
+    """
+
+    async def test_sides_give_out_the_rate_once(self):
+        rig = rigs.Rig()
+        net = host_network.network(3)
+        created = [
+            quota_part.create(
+                frozenset({'quota'}),
+                {},
+                host,
+                rig.state,
+                lambda: True,
+                rig.log,
+                rig.rng,
+            )
+            for host in net.hosts.values()
+        ]
+        net.run(4)
+        sides = [{1, 2, 3, 4}, set(range(5, 13))]
+        shares = []
+        for side in sides:
+            net.dead = set(net.hosts) - side
+            net.run(2 * peer_table.DEAD_RETENTION_S)
+            shares += [
+                quota_accounts.rate_share(
+                    len(side),
+                    len(created[port - 1]._read_hosts(net.now_s).names),
+                )
+                for port in (min(side), max(side))
+            ]
+            net.dead = set()
+            net.run(10)
+        assert shares[0] + shares[2] <= 1.0001
+        assert shares[1] + shares[3] <= 1.0001
+
+
 class TestPart:
     """The part must cost nothing where no quotas are enforced."""
 
