Report the returned credit of long requests

A host follows an organisation for 5 s after its last request, and only then looks for credit that was given back. The credit of a request that ended later without having run (a long body) was reported with the next request of the organisation or never. Besides, that request got the credit, however old it was.

Returning credit now counts as a change and makes the host follow the organisation again, and credit that was given back more than 1 s ago is not used. For requests shorter than 5 s nothing was late: the report follows 1.0 to 1.2 s after the return, as before.

test_credit_of_a_long_request_is_reported_as_returned failed before (no report).

--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -55,7 +55,8 @@
         admitted: Requests admitted since the start of the host.
         demanded: Requests received since the start of the host.
         reports_left: Reports that should still name the counts.
-        changed_s: Loop time of the last request, in seconds.
+        changed_s: Loop time of the last request or credit that was returned, in
+            seconds.
         state: Last announced state, None if the organisation is not listed.
         is_idle: Whether the host does not follow the organisation, as it got no
             request for a while.
@@ -191,15 +192,15 @@
     def give_back(self, now_s: float) -> None:
         """Keeps the credit of an admitted request for the next one."""
         self._returned += 1
-        self._returned_s = now_s
+        self._returned_s = self.changed_s = now_s
 
-    def take_returned(self) -> bool:
+    def take_returned(self, now_s: float) -> bool:
         """Uses a credit that was given back; returns False if there is none.
 
         The request is not counted: its credit was, and its demand was if it is
         the same request, which asks again once its body has been read.
         """
-        if not self._returned:
+        if not self._returned or now_s - self._returned_s > RETURNED_S:
             return False
         self._returned -= 1
         return True
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -160,7 +160,7 @@
             use = self._use(organisation)
         if use.is_idle:
             self._follow(use)
-        if use.take_returned():
+        if use.take_returned(now_s):
             self.admitted += 1
             return 0.0
         shard = self._shards[use.limit.key % len(self._shards)]
@@ -192,6 +192,8 @@
         if use is not None and organisation.rate_per_s > 0:
             use.give_back(now_s)
             self.admitted -= 1
+            if use.is_idle:
+                self._follow(use)
 
     def _set_organisations(self, organisations_: Organisations | None) -> None:
         """Sets the organisations of the configuration in force."""
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -265,6 +265,34 @@
         use.measure(0.2, 1.1 + quota_use.RETURNED_S)
         assert use.report().admitted == 0
 
+    def test_credit_of_a_long_request_is_reported_as_returned(self):
+        # The host follows the organisation for 5 s after its last request; a
+        # body may take longer.
+        sent = []
+        host = make_host({'hot': HOT}, sent)
+        announce(host, [])
+        assert not host.admit(HOT, 1.1)
+        tick_until(host, 1.1, 8.0)
+        host.give_back(HOT, 8.0)
+        sent.clear()
+        tick_until(host, 8.0, 8.5 + quota_use.RETURNED_S)
+        uses = [
+            use
+            for _, _, payload in sent
+            for use in quota_messages.unpack_uses(
+                quota_messages.decode(payload).uses
+            )
+        ]
+        assert [use.admitted for use in uses] == [0, 0]
+
+    def test_credit_that_was_given_back_long_ago_is_not_used(self):
+        # It was reported as returned, or is about to be.
+        use = quota_use.Use(LIMIT, random.Random(1))
+        assert not use.admit(1.0, 1.0, 8)
+        use.give_back(1.0)
+        assert not use.take_returned(1.1 + quota_use.RETURNED_S)
+        assert use.take_returned(0.9 + quota_use.RETURNED_S)
+
     def test_host_without_contact_uses_less_than_its_share(self):
         hosts = [quota_use.Use(LIMIT, random.Random(n)) for n in range(100)]
         admitted = 0
@@ -307,6 +335,11 @@
     return host
 
 
+def tick_until(host, start_s, end_s):
+    for step in range(round((end_s - start_s) / quotas.TICK_S)):
+        host.tick(start_s + step * quotas.TICK_S)
+
+
 _numbers = itertools.count(1)
 
 
