Mend faults of quotas with removed organisations, clocks and late news

- An organisation that is removed and added again lost its account, and got its whole burst anew.
- Its counts at hosts began at zero again.
A coordinator that knew earlier ones took a part of the new requests for those.
- A host that restarts after its clock was set back has an earlier incarnation.
Its reports were ignored as long as it was listed as a host, and so were the announcements of a coordinator.
They count once the earlier process was silent for 3 s.
- A late copy of the last announcement of a coordinator that has died made a coordinator of a higher rank give up its accounts, and nobody coordinated until the next takeover.
Hosts know the last announcements of 8 coordinators.

Each has a test that failed before, in test_quotas.

--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -37,6 +37,10 @@
 # A host that was not heard of for less than this was not cut off: its reports
 # were lost.
 REGAIN_S = 2.0
+# A host that was silent for this long and then reports with an earlier
+# incarnation has restarted after its clock was set back. Late reports of its
+# earlier process have arrived by then.
+REPLACED_S = 3.0
 # Counts that a new coordinator hears of first are those of this time at least.
 RECENT_S = 0.5
 RECENT_MEAN_S = 0.75
@@ -70,6 +74,7 @@
         admit_fraction: Share of the requests that hosts should admit.
         announced_fraction: The same in the last announcement.
         announced_level: Credit at the last announcement.
+        is_removed: Whether the organisation was missing for a while.
     """
 
     level: float
@@ -78,6 +83,7 @@
     admit_fraction: float = 1.0
     announced_fraction: float = 1.0
     announced_level: float = 0.0
+    is_removed: bool = False
 
 
 class _Reporter:
@@ -209,7 +215,14 @@
             now_s: Loop time in seconds.
         """
         reporter = self._reporters.get(sender)
-        if reporter is None or reporter.incarnation < report.incarnation:
+        if (
+            reporter is None
+            or reporter.incarnation < report.incarnation
+            or (
+                reporter.incarnation > report.incarnation
+                and now_s - reporter.heard_s >= REPLACED_S
+            )
+        ):
             reporter = _Reporter(report.incarnation)
             self._reporters[sender] = reporter
         elif (
@@ -278,12 +291,12 @@
         self.unheard = [name for name in hosts if name not in heard]
         lost = self._update_share(len(heard), now_s)
         if now_s - self._dropped_s >= RETENTION_S:
-            self._drop_old(hosts, now_s)
+            self._drop_old(limits, hosts, now_s)
         alert = False
         for key, account in list(self._accounts.items()):
             limit = limits.get(key)
             if limit is None:
-                del self._accounts[key]
+                # It may be added again, and must not get its burst anew.
                 continue
             account.level -= lost * limit.depth
             self._steer(account, limit, elapsed_s, measured_s)
@@ -417,9 +430,18 @@
                 spare_per_s, account.demand_per_s
             )
 
-    def _drop_old(self, hosts: abc.Collection[str], now_s: float) -> None:
+    def _drop_old(
+        self,
+        limits: abc.Mapping[int, quota_limits.Limit],
+        hosts: abc.Collection[str],
+        now_s: float,
+    ) -> None:
         """Drops counts and accounts that are no longer needed."""
         self._dropped_s = now_s
+        for key, account in list(self._accounts.items()):
+            if account.is_removed and key not in limits:
+                del self._accounts[key]
+            account.is_removed = key not in limits
         for name, reporter in list(self._reporters.items()):
             reporter.drop_unchanged()
             if name not in hosts and now_s - reporter.heard_s > RETENTION_S:
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -41,6 +41,11 @@
 # needs not wait while a deployment starts: others reply if there is one.
 FIRST_TAKEOVER_S = 0.1
 MAX_STEPS = 8
+# A coordinator that was silent for this long and then announces with an earlier
+# incarnation has restarted after its clock was set back.
+REPLACED_S = quota_accounts.REPLACED_S
+# Earlier coordinators whose last announcements are known.
+MAX_EARLIER = 8
 # A new coordinator announces nothing new for this long, until it has heard
 # which hosts report to it. The shorter time holds if there was none before it.
 HOLD_S = 0.25
@@ -68,6 +73,10 @@
     return 1 + hosts // HOSTS_PER_SHARD
 
 
+# In place of the last announcement of a host that never coordinated.
+_NEVER = (-1, -1, float('-inf'))
+
+
 class Hosts(msgspec.Struct, frozen=True):
     """The hosts of the deployment as a host knows them.
 
@@ -116,8 +125,7 @@
         '_contact_s',
         '_created_s',
         '_first',
-        '_incarnation',
-        '_number',
+        '_heard',
         '_own_incarnation',
         '_own_name',
         '_own_number',
@@ -147,8 +155,8 @@
         self._own_name = own_name
         self._own_incarnation = incarnation
         self._own_number = 0
-        self._incarnation = 0
-        self._number = 0
+        # Incarnation, number and loop time of last announcements, by name.
+        self._heard: dict[str, tuple[int, int, float]] = {}
         self._contact_s = float('-inf')
         self._created_s = float('inf')
         self._ranked_hosts = (frozenset(), frozenset())
@@ -199,11 +207,16 @@
         name = announcement.coordinator
         if name == self._own_name:
             return False
-        if name == self.coordinator:
-            last = (self._incarnation, self._number)
-            if (announcement.incarnation, announcement.number) <= last:
+        incarnation, number, heard_s = self._heard.get(name, _NEVER)
+        if announcement.incarnation < incarnation:
+            if now_s - heard_s < REPLACED_S:
                 return False
-        elif self._prefers_own(announcement, now_s):
+        elif (announcement.incarnation, announcement.number) <= (
+            incarnation,
+            number,
+        ):
+            return False
+        if name != self.coordinator and self._prefers_own(announcement, now_s):
             return False
         self.accounts = None
         self._follow(announcement, now_s)
@@ -360,8 +373,14 @@
         self, announcement: quota_messages.Announcement, now_s: float
     ) -> None:
         self.coordinator = announcement.coordinator
-        self._incarnation = announcement.incarnation
-        self._number = announcement.number
+        self._heard.pop(announcement.coordinator, None)
+        self._heard[announcement.coordinator] = (
+            announcement.incarnation,
+            announcement.number,
+            now_s,
+        )
+        if len(self._heard) > MAX_EARLIER:
+            del self._heard[next(iter(self._heard))]
         self.hosts = announcement.hosts
         self.heard_s = now_s
         # A provisional announcement prolongs contact only.
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -206,10 +206,6 @@
         ]
         self._limits_by_name = {limit.name: limit for limit in limits}
         self._limits = {limit.key: limit for limit in limits}
-        for name in [*self._uses]:
-            if name not in organisations_:
-                del self._uses[name]
-                self._followed.pop(name, None)
 
     def _limit(self, organisation: model.Organisation) -> quota_limits.Limit:
         """Returns the limit of an organisation, the known one if it holds."""
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -227,6 +227,41 @@
         assert accounts.share == 0.5
         assert after <= before + refill - 0.49 * LIMIT.depth
 
+    def test_restarted_host_with_an_earlier_clock_is_heard(self):
+        # Incarnations are times of the wall clock, which may have been set back
+        # before the restart.
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(7, 5, 5, 5, incarnation=9), LIMITS, 0.6)
+        later_s = 0.7 + quota_accounts.REPLACED_S
+        early = report(1, 1, 1, 1, incarnation=4)
+        accounts.record('h1', early, LIMITS, 0.7)
+        accounts.update(LIMITS, {'h1'}, later_s)
+        assert accounts.unheard == ['h1']
+        accounts.record('h1', early, LIMITS, later_s)
+        accounts.update(LIMITS, {'h1'}, later_s + 0.1)
+        assert accounts.unheard == []
+
+    def test_debt_outlives_the_removal_of_the_organisation(self):
+        # One that is removed and added again would get its whole burst anew.
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(1, 30, 30, 30), LIMITS, 0.6)
+        accounts.update(LIMITS, {'h1'}, 0.7)
+        before = accounts.take_states(LIMITS)[0][0].level
+        accounts.update({}, {'h1'}, 0.8)
+        assert accounts.take_states({})[0] == []
+        accounts.record('h1', report(2, 31, 31, 31), LIMITS, 1.0)
+        accounts.update(LIMITS, {'h1'}, 1.1)
+        after = accounts.take_states(LIMITS)[0][0].level
+        assert after <= before + 0.4 * LIMIT.rate_per_s
+
+    def test_account_of_a_removed_organisation_is_dropped(self):
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(1, 30, 30, 30), LIMITS, 0.6)
+        for step in range(3):
+            now_s = 1.0 + step * quota_accounts.RETENTION_S
+            accounts.update({}, {'h1'}, now_s)
+        assert not accounts._accounts
+
     @pytest.mark.parametrize('hosts', [1, 8, 117])
     def test_parts_give_out_the_rate_once(self, hosts):
         for heard in range(hosts + 1):
@@ -293,6 +328,22 @@
         assert not use.take_returned(1.1 + quota_use.RETURNED_S)
         assert use.take_returned(0.9 + quota_use.RETURNED_S)
 
+    def test_organisation_that_is_added_again_keeps_its_counts(self):
+        # With counts from zero, the coordinator would take a part of the new
+        # ones for those that it knows.
+        organisations = {'hot': HOT}
+        host = make_host()
+        host._read_organisations = lambda: organisations
+        host.tick(1.0)
+        for _ in range(3):
+            host.admit(HOT, 1.0)
+        organisations = {}
+        host.tick(1.1)
+        organisations = {'hot': HOT}
+        host.tick(1.2)
+        host.admit(HOT, 1.2)
+        assert host._uses['hot'].demanded == 4
+
     def test_host_without_contact_uses_less_than_its_share(self):
         hosts = [quota_use.Use(LIMIT, random.Random(n)) for n in range(100)]
         admitted = 0
@@ -392,6 +443,29 @@
             announcement = quota_messages.Announcement(0, 'h2', 1, number)
             assert shard.accept(announcement, 1.0) == news
 
+    def test_restarted_coordinator_with_an_earlier_clock_is_followed(self):
+        shard = quota_roles.Shard(0, 'h1', 1)
+        new = quota_messages.Announcement(0, 'h2', 4, 1)
+        assert shard.accept(quota_messages.Announcement(0, 'h2', 9, 5), 1.0)
+        assert not shard.accept(new, 1.1)
+        assert shard.accept(new, 1.1 + quota_roles.REPLACED_S)
+
+    def test_late_announcement_of_the_last_coordinator_is_ignored(self):
+        # The coordinator that has taken over would give up its accounts, and
+        # nobody would coordinate.
+        shard = quota_roles.Shard(0, 'h1', 1)
+        hosts = quota_roles.Hosts(
+            frozenset({'h1', 'h2'}), ('h1', 'h2'), settled=True
+        )
+        late = quota_messages.Announcement(0, 'h2', 1, 7)
+        assert shard.accept(late, 1.0)
+        steps = [shard.step(hosts, LIMITS, 1 + n * 0.1) for n in range(20)]
+        assert shard.accounts is not None
+        assert any(steps)
+        shard._ranks = {'h2': 0, 'h1': 1}
+        assert not shard.accept(late, 3.0)
+        assert shard.accounts is not None
+
     def test_host_that_is_not_heard_has_no_contact(self):
         shard = quota_roles.Shard(0, 'h1', 1)
         for number, names in ((1, ['h7']), (2, ['h1', 'h7'])):
