--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/membership.py
@@ -78,6 +78,7 @@
             on and the loop time of their arrival.
         on_loan: Called with the name of a host, its message about a loan of
             retries and the loop time of its arrival.
+        listed: Names in the host list of the store, as last read.
         parts: Messages of optional parts.
         peers: The other hosts.
     """
@@ -102,6 +103,7 @@
         self.local_statements: abc.Callable[[float], bytes] = lambda _: b''
         self.on_statements: abc.Callable[[bytes, float], None] = lambda *_: None
         self.leaving = False
+        self.listed: frozenset[str] = frozenset()
         self.parts = part_messages.PartMessages(me.name, self._send_to_names)
         self.peers = peer_table.PeerTable(me, dead_s)
         self._transport = transport
@@ -127,11 +129,15 @@
     def possible_senders(self, now_s: float) -> list[str]:
         """Returns the names of the hosts that may be sending to targets.
 
-        Hosts without recent heartbeats are included: they may be alive behind
-        a network partition.
+        These include hosts that fell silent a short time ago: they may be alive
+        behind a network partition. See `members` for longer ones.
         """
         return [self.me.name, *self.peers.retained_names(now_s)]
 
+    def members(self, now_s: float) -> list[str]:
+        """Returns the hosts that are not known to be gone, see `PeerTable`."""
+        return [self.me.name, *self.peers.member_names(now_s)]
+
     def regions(self) -> dict[str, str]:
         """Returns the regions of all known hosts by name."""
         regions = {
@@ -168,6 +174,16 @@
         for entry in entries:
             self.peers.add_entry(entry, now_s)
 
+    def note_listed(self, entries: list[model.HostEntry], now_s: float) -> None:
+        """Adds the entries of the host list of the store.
+
+        Args:
+            entries: All entries of the list.
+            now_s: Loop time in seconds.
+        """
+        self.listed = frozenset(entry.name for entry in entries)
+        self.add_entries(entries, now_s)
+
     def announce_start(self, now_s: float) -> None:
         """Announces this host to all hosts of its region.
 
@@ -180,7 +196,7 @@
         receivers = [
             peer for peer in peers if peer.entry.region == self.me.region
         ]
-        for peer in receivers or self._domain_delegates(peers, now_s):
+        for peer in receivers or self.peers.delegates(peers, self._rng, now_s):
             self._send(peer, data)
 
     def announce_stop(self, now_s: float) -> None:
@@ -246,6 +262,9 @@
             self._transport.send(*sender_address, self._encoder.encode(request))
         sender = self.peers.get(message.sender)
         if sender is None:
+            self.parts.handle_early(
+                message.sender, message.parts, now_s, sender_address
+            )
             return
         for prefix, revision in message.revisions.items():
             self.on_peer_revision(sender.entry, prefix, revision)
@@ -262,12 +281,14 @@
         if message.parts:
             self.parts.handle(sender.entry.name, message.parts, now_s)
         if message.requested_keys:
-            self._send_entries(sender, message.requested_keys)
+            self._send_entries(sender, message.requested_keys, now_s)
         if is_new:
             # A host that has just started looks for replicas of the store.
-            is_bootstrap_sender = self._is_bootstrap_sender(sender, now_s)
-            alive = self.peers.alive(now_s) if is_bootstrap_sender else ()
-            self._send(sender, self._encode(alive, now_s))
+            known = []
+            if self._is_bootstrap_sender(sender, now_s):
+                known = self.peers.alive(now_s)
+                known += self.peers.silent_members(now_s)
+            self._send(sender, self._encode(known, now_s))
 
     def alive_names(self, now_s: float) -> list[str]:
         """See base class."""
@@ -363,26 +384,35 @@
         return len(preceding) < BOOTSTRAP_SENDERS
 
     def _send_entries(
-        self, receiver: peer_table.Peer, requested_keys: tuple[int, ...]
+        self,
+        receiver: peer_table.Peer,
+        requested_keys: tuple[int, ...],
+        now_s: float,
     ) -> None:
         known = (self.peers.entry_of(key) for key in requested_keys)
         entries = [entry for entry in known if entry is not None]
         entries.append(self.me)
+        # No other host sends the heartbeats of those that are silent.
+        silent = self.peers.silent_members(now_s)
         for start in range(0, len(entries), ENTRIES_PER_DATAGRAM):
             part = tuple(entries[start : start + ENTRIES_PER_DATAGRAM])
-            message = heartbeats.Message(self.me.name, entries=part)
+            beats = heartbeats.pack(
+                peer.heartbeat(now_s) for peer in silent if peer.entry in part
+            )
+            message = heartbeats.Message(self.me.name, beats, entries=part)
             self._send(receiver, self._encoder.encode(message))
 
     def _log_membership_changes(self, alive: list[peer_table.Peer]) -> None:
         names = {peer.entry.name for peer in alive}
-        if names != self._logged_alive:
-            self._log.event(
-                'hosts',
-                joined=sorted(names - self._logged_alive),
-                lost=sorted(self._logged_alive - names),
-                alive=len(names) + 1,
-            )
-            self._logged_alive = names
+        if names == self._logged_alive:
+            return
+        self._log.event(
+            'hosts',
+            joined=sorted(names - self._logged_alive),
+            lost=sorted(self._logged_alive - names),
+            alive=len(names) + 1,
+        )
+        self._logged_alive = names
 
     def _other_domain_delegates(
         self, now_s: float, local_peers: list[peer_table.Peer]
@@ -400,7 +430,7 @@
             if peer.entry.region == self.me.region
             and peer.entry.failure_domain != self.me.failure_domain
         ]
-        return self._domain_delegates(others, now_s)
+        return self.peers.delegates(others, self._rng, now_s)
 
     def _send_to_delegate(
         self, local_peers: list[peer_table.Peer], now_s: float
@@ -429,42 +459,16 @@
             if peer.entry.region != self.me.region
         ]
         data = self._encode(region_peers, now_s)
-        for peer in self._domain_delegates(others, now_s):
+        for peer in self.peers.delegates(others, self._rng, now_s):
             self._send(peer, data)
 
-    def _domain_delegates(
-        self, peers: list[peer_table.Peer], now_s: float
-    ) -> list[peer_table.Peer]:
-        """Returns the delegate of each failure domain among some hosts."""
-        domains: dict[str, list[peer_table.Peer]] = {}
-        for peer in peers:
-            domains.setdefault(peer.entry.failure_domain, []).append(peer)
-        return [self._delegate(group, now_s) for group in domains.values()]
-
-    def _delegate(
-        self, peers: list[peer_table.Peer], now_s: float
-    ) -> peer_table.Peer:
-        """Returns the first live host by name, or any host if none is alive."""
-        alive = [peer for peer in peers if self.peers.is_alive(peer, now_s)]
-        if alive:
-            return min(alive, key=lambda peer: peer.entry.name)
-        return self._rng.choice(peers)
-
     def _encode(
         self,
         peers: abc.Iterable[peer_table.Peer],
         now_s: float,
         entries: tuple[model.HostEntry, ...] = (),
     ) -> bytes:
-        known = [
-            heartbeats.Heartbeat(
-                peer.key,
-                peer.count,
-                now_s - peer.last_heartbeat_s,
-                peer.leaving,
-            )
-            for peer in peers
-        ]
+        known = [peer.heartbeat(now_s) for peer in peers]
         known.append(
             heartbeats.Heartbeat(self._key, self._count, 0.0, self.leaving)
         )
@@ -485,6 +489,8 @@
             peer = self.peers.get(name)
             if peer is not None:
                 self._send(peer, data)
+            elif name in self.parts.addresses:
+                self._transport.send(*self.parts.addresses[name], data)
 
     def _send(self, peer: peer_table.Peer, data: bytes) -> None:
         self._transport.send(peer.entry.ip, peer.entry.peer_port, data)
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -12,6 +12,7 @@
 import pytest
 
 from ragwortchute.gateway import model
+from ragwortchute.gateway import peer_table
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
@@ -19,6 +20,7 @@
 from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quota_use
 from ragwortchute.gateway.organisations import quotas
+from tests.test_gateway import host_network
 from tests.test_gateway import quota_model
 from tests.test_gateway import quota_scenes
 from tests.test_gateway import rig as rigs
@@ -35,6 +37,16 @@
     return outcome
 
 
+def kill_coordinator(run):
+    name = next(
+        name
+        for name, host in run.hosts.items()
+        if host._shards[0].accounts is not None
+    )
+    number = run.names.index(name)
+    run.fault('kill', slice(number, number + 1))
+
+
 class TestSteadyLoad:
     """The bound must hold, and what the quota allows must be admitted."""
 
@@ -93,11 +105,26 @@
             check(scenario, seed)
 
     @pytest.mark.parametrize(
-        'name', ['region cut, jump', 'all restarted, load 7.5']
+        'name',
+        [
+            'region cut, jump',
+            'all restarted, load 7.5',
+            quota_scenes.FIFTH_KILLED,
+            f'start, load {quota_scenes.USUAL}',
+        ],
     )
     def test_many_hosts(self, name):
         check(dict(quota_scenes.fault_scenes(117, 142.0))[name])
 
+    def test_loss_of_the_coordinator_refuses_few(self):
+        # Another one must take over about as soon as contact to it ends.
+        scenario = dict(quota_scenes.fault_scenes(117, 142.0))[
+            quota_scenes.FIFTH_KILLED
+        ]
+        run = quota_model.Model(scenario, 1)
+        run.at(9.0, lambda: kill_coordinator(run))
+        assert run.run().refused <= 2 * quota_scenes.MAX_REFUSED
+
     def test_loss_of_a_fifth_leaves_most_of_the_quota(self):
         scenes = dict(quota_scenes.fault_scenes(8, 142.0))
         outcome = check(scenes['fifth killed, load 7.5'])
@@ -200,6 +227,41 @@
         assert accounts.share == 0.5
         assert after <= before + refill - 0.49 * LIMIT.depth
 
+    def test_restarted_host_with_an_earlier_clock_is_heard(self):
+        # Incarnations are times of the wall clock, which may have been set back
+        # before the restart.
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(7, 5, 5, 5, incarnation=9), LIMITS, 0.6)
+        later_s = 0.7 + quota_accounts.REPLACED_S
+        early = report(1, 1, 1, 1, incarnation=4)
+        accounts.record('h1', early, LIMITS, 0.7)
+        accounts.update(LIMITS, {'h1'}, later_s)
+        assert accounts.unheard == ['h1']
+        accounts.record('h1', early, LIMITS, later_s)
+        accounts.update(LIMITS, {'h1'}, later_s + 0.1)
+        assert accounts.unheard == []
+
+    def test_debt_outlives_the_removal_of_the_organisation(self):
+        # One that is removed and added again would get its whole burst anew.
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(1, 30, 30, 30), LIMITS, 0.6)
+        accounts.update(LIMITS, {'h1'}, 0.7)
+        before = accounts.take_states(LIMITS)[0][0].level
+        accounts.update({}, {'h1'}, 0.8)
+        assert accounts.take_states({})[0] == []
+        accounts.record('h1', report(2, 31, 31, 31), LIMITS, 1.0)
+        accounts.update(LIMITS, {'h1'}, 1.1)
+        after = accounts.take_states(LIMITS)[0][0].level
+        assert after <= before + 0.4 * LIMIT.rate_per_s
+
+    def test_account_of_a_removed_organisation_is_dropped(self):
+        accounts = quota_accounts.Accounts({}, 0.0, 1.0, 0.0, 0.5)
+        accounts.record('h1', report(1, 30, 30, 30), LIMITS, 0.6)
+        for step in range(3):
+            now_s = 1.0 + step * quota_accounts.RETENTION_S
+            accounts.update({}, {'h1'}, now_s)
+        assert not accounts._accounts
+
     @pytest.mark.parametrize('hosts', [1, 8, 117])
     def test_parts_give_out_the_rate_once(self, hosts):
         for heard in range(hosts + 1):
@@ -238,6 +300,50 @@
         use.measure(0.2, 1.1 + quota_use.RETURNED_S)
         assert use.report().admitted == 0
 
+    def test_credit_of_a_long_request_is_reported_as_returned(self):
+        # The host follows the organisation for 5 s after its last request; a
+        # body may take longer.
+        sent = []
+        host = make_host({'hot': HOT}, sent)
+        announce(host, [])
+        assert not host.admit(HOT, 1.1)
+        tick_until(host, 1.1, 8.0)
+        host.give_back(HOT, 8.0)
+        sent.clear()
+        tick_until(host, 8.0, 8.5 + quota_use.RETURNED_S)
+        uses = [
+            use
+            for _, _, payload in sent
+            for use in quota_messages.unpack_uses(
+                quota_messages.decode(payload).uses
+            )
+        ]
+        assert [use.admitted for use in uses] == [0, 0]
+
+    def test_credit_that_was_given_back_long_ago_is_not_used(self):
+        # It was reported as returned, or is about to be.
+        use = quota_use.Use(LIMIT, random.Random(1))
+        assert not use.admit(1.0, 1.0, 8)
+        use.give_back(1.0)
+        assert not use.take_returned(1.1 + quota_use.RETURNED_S)
+        assert use.take_returned(0.9 + quota_use.RETURNED_S)
+
+    def test_organisation_that_is_added_again_keeps_its_counts(self):
+        # With counts from zero, the coordinator would take a part of the new
+        # ones for those that it knows.
+        organisations = {'hot': HOT}
+        host = make_host()
+        host._read_organisations = lambda: organisations
+        host.tick(1.0)
+        for _ in range(3):
+            host.admit(HOT, 1.0)
+        organisations = {}
+        host.tick(1.1)
+        organisations = {'hot': HOT}
+        host.tick(1.2)
+        host.admit(HOT, 1.2)
+        assert host._uses['hot'].demanded == 4
+
     def test_host_without_contact_uses_less_than_its_share(self):
         hosts = [quota_use.Use(LIMIT, random.Random(n)) for n in range(100)]
         admitted = 0
@@ -270,7 +376,7 @@
         rigs.host(),
         BOUNDS,
         lambda names, part, payload: sent.append((names, part, payload)),
-        lambda now_s: quotas.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
+        lambda now_s: quota_roles.Hosts(frozenset({'h1', 'h2'}), ('h1', 'h2')),
         lambda: organisations,
         rigs.MemoryLog(),
         random.Random(1),
@@ -280,6 +386,11 @@
     return host
 
 
+def tick_until(host, start_s, end_s):
+    for step in range(round((end_s - start_s) / quotas.TICK_S)):
+        host.tick(start_s + step * quotas.TICK_S)
+
+
 _numbers = itertools.count(1)
 
 
@@ -332,6 +443,29 @@
             announcement = quota_messages.Announcement(0, 'h2', 1, number)
             assert shard.accept(announcement, 1.0) == news
 
+    def test_restarted_coordinator_with_an_earlier_clock_is_followed(self):
+        shard = quota_roles.Shard(0, 'h1', 1)
+        new = quota_messages.Announcement(0, 'h2', 4, 1)
+        assert shard.accept(quota_messages.Announcement(0, 'h2', 9, 5), 1.0)
+        assert not shard.accept(new, 1.1)
+        assert shard.accept(new, 1.1 + quota_roles.REPLACED_S)
+
+    def test_late_announcement_of_the_last_coordinator_is_ignored(self):
+        # The coordinator that has taken over would give up its accounts, and
+        # nobody would coordinate.
+        shard = quota_roles.Shard(0, 'h1', 1)
+        hosts = quota_roles.Hosts(
+            frozenset({'h1', 'h2'}), ('h1', 'h2'), settled=True
+        )
+        late = quota_messages.Announcement(0, 'h2', 1, 7)
+        assert shard.accept(late, 1.0)
+        steps = [shard.step(hosts, LIMITS, 1 + n * 0.1) for n in range(20)]
+        assert shard.accounts is not None
+        assert any(steps)
+        shard._ranks = {'h2': 0, 'h1': 1}
+        assert not shard.accept(late, 3.0)
+        assert shard.accounts is not None
+
     def test_host_that_is_not_heard_has_no_contact(self):
         shard = quota_roles.Shard(0, 'h1', 1)
         for number, names in ((1, ['h7']), (2, ['h1', 'h7'])):
@@ -352,11 +486,12 @@
         # With the credit of all, each of many hosts that are cut off would
         # admit as much as all together.
         names = frozenset(f'h{number}' for number in range(20))
+        hosts = quota_roles.Hosts(names, tuple(names), settled=True)
         shard = quota_roles.Shard(0, 'h1', 1)
         accounts_s = [
             now_s
             for now_s in (step * 0.1 for step in range(100))
-            if not shard.step(names, True, LIMITS, now_s)
+            if not shard.step(hosts, LIMITS, now_s)
             and shard.accounts is not None
             and not shard.accounts.is_provisional(now_s)
         ]
@@ -378,6 +513,47 @@
         assert host.used() == {'hot': pytest.approx(0.8, abs=0.01)}
 
 
+class TestLongPartition:
+    """The sides of a partition must give out the quota once at any time.
+
+    Hosts that are not heard of were forgotten after 30 s, and each side then
+    gave out the whole rate.
+    """
+
+    async def test_sides_give_out_the_rate_once(self):
+        rig = rigs.Rig()
+        net = host_network.network(3)
+        created = [
+            quota_part.create(
+                frozenset({'quota'}),
+                {},
+                host,
+                rig.state,
+                lambda: True,
+                rig.log,
+                rig.rng,
+            )
+            for host in net.hosts.values()
+        ]
+        net.run(4)
+        sides = [{1, 2, 3, 4}, set(range(5, 13))]
+        shares = []
+        for side in sides:
+            net.dead = set(net.hosts) - side
+            net.run(2 * peer_table.DEAD_RETENTION_S)
+            shares += [
+                quota_accounts.rate_share(
+                    len(side),
+                    len(created[port - 1]._read_hosts(net.now_s).names),
+                )
+                for port in (min(side), max(side))
+            ]
+            net.dead = set()
+            net.run(10)
+        assert shares[0] + shares[2] <= 1.0001
+        assert shares[1] + shares[3] <= 1.0001
+
+
 class TestPart:
     """The part must cost nothing where no quotas are enforced."""
 
