--- a/ragwortchute/platform/settings.py
+++ b/ragwortchute/platform/settings.py
@@ -140,14 +140,14 @@
 ) -> crossings.Worth | None:
     """Returns the worth of a crossing between failure domains.
 
-    It is None if the setting is off or there is only one failure domain.
+    It is None unless the setting is on and there are several failure domains.
     """
     default = crossings.Worth()
     worth = crossings.Worth(
         values.duration_s('crossing_worth_ms', default.domain_s),
         values.duration_s('region_crossing_worth_ms', default.region_s),
     )
-    mode = values.choice('crossing', ('on', 'off'))
+    mode = values.choice('crossing', ('off', 'on'))
     return worth if mode == 'on' and len(domains) > 1 else None
 
 
