End the connection behind a body that ends with it

A caller of HTTP/1.0 that asks to keep the connection and sends a request ahead gets a long response of unknown length without chunks: its body ends with the connection. The connection stayed open for the request behind, whose response was appended to the body. The request behind stays unread now, or without a response if it had been started.

test_pipelines: the body had the next response behind it before.

--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -386,11 +386,13 @@
         writer, self._writer = self._writer, None
         if self._transport is None:
             return
-        if not writer.broken:
-            self._pipeline.pop()
         self._idle_since_s = self._loop.time()
         self._delivery.note_write(self._idle_since_s)
-        if writer.broken or (self._reader.ended and not self._pipeline):
+        if writer.broken or writer.response.close:
+            self._begin_close()
+            return
+        self._pipeline.pop()
+        if self._reader.ended and not self._pipeline:
             self._begin_close()
         else:
             self._flush()
--- a/tests/test_resources/test_pipelines.py
+++ b/tests/test_resources/test_pipelines.py
@@ -181,3 +181,22 @@
         assert server.handled == ['/stream']
         assert memory.shares == 0
         writer.close()
+
+    async def test_body_that_ends_with_the_connection_has_nothing_behind(
+        self, serve
+    ):
+        # The next response was appended to it.
+        server = await serve()
+        server.answer.set()
+        resp = stream(answer_memory.AnswerMemory(servers.MIB))
+        resp.rest.finish()
+        server.at_once['/stream'] = resp
+        reader, writer = await server.connect()
+        get = b'GET %b HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n'
+        writer.write(get % b'/stream' + get % b'/behind')
+        data = await asyncio.wait_for(reader.read(), 5)
+        head, _, body = data.partition(b'\r\n\r\n')
+        assert b'connection: close' in head
+        assert body == b'x'
+        assert server.handled == ['/stream']
+        writer.close()
