Read the orders before a version is used for lack of another

Cause: a version without an order was taken into use at once if no version in use had a ready target, also at hosts that had not read an order written shortly before. It then got all of their requests.

Change: such a version is taken into use once the orders have been read since the last old target became unready. Hosts of the model look at the targets each second and after each reading, as real ones do.

--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -399,6 +399,7 @@
             versions.seen_targets(targets),
             self._loop.time(),
             int(time.time() * 1000),
+            self.participant.confirmed_s,
         )
         self._log_obstacle(state)
 
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -196,6 +196,7 @@
         targets: abc.Collection[versions.SeenTarget],
         now_s: float,
         now_ms: int,
+        read_s: float = float('inf'),
     ) -> None:
         """Notes which targets are registered.
 
@@ -203,8 +204,11 @@
             targets: All targets of the service.
             now_s: Loop time in seconds.
             now_ms: Unix time in milliseconds.
+            read_s: Loop time until which all orders are known.
         """
-        adopted = self.versions.update(targets, self.ordered, now_s, now_ms)
+        adopted = self.versions.update(
+            targets, self.ordered, now_s, now_ms, read_s
+        )
         for version in adopted:
             self._log.event(
                 'rollout-version-used', service=self.service, version=version
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -52,12 +52,14 @@
             seen, in seconds.
     """
 
-    __slots__ = ('refused', 'used', 'waiting')
+    __slots__ = ('_unready_s', 'refused', 'used', 'waiting')
 
     def __init__(self) -> None:
         self.used: set[str] = set()
         self.refused: set[str] = set()
         self.waiting: dict[str, float] = {}
+        # Loop time since which no version in use has a ready target.
+        self._unready_s = float('inf')
 
     @property
     def single(self) -> bool:
@@ -78,6 +80,7 @@
         ordered: str | None,
         now_s: float,
         now_ms: int,
+        read_s: float = float('inf'),
     ) -> list[str]:
         """Classifies the versions of the registered targets.
 
@@ -87,6 +90,7 @@
                 it can't be read, None without an order.
             now_s: Loop time in seconds.
             now_ms: Unix time in milliseconds.
+            read_s: Loop time until which all orders are known.
 
         Returns:
             The versions that are in use from now on, though no order has
@@ -101,7 +105,7 @@
         for version in [*self.waiting]:
             if version not in seen:
                 del self.waiting[version]
-        return self._adopt(targets, ordered, now_s)
+        return self._adopt(targets, ordered, now_s, read_s)
 
     def settle(self, version: str, *, succeeded: bool) -> None:
         """Applies the outcome of an order.
@@ -175,20 +179,27 @@
         targets: abc.Collection[SeenTarget],
         ordered: str | None,
         now_s: float,
+        read_s: float,
     ) -> list[str]:
         """Takes versions into use that no order names.
 
         That are those for which none came in time, and all of them if the
-        versions in use have no ready target left.
+        versions in use have no ready target left. An order may have been
+        written shortly before, so the orders must have been read since then.
         """
         ready = {target.version for target in targets if target.ready}
+        if ready & self.used:
+            self._unready_s = float('inf')
+        else:
+            self._unready_s = min(self._unready_s, now_s)
+        is_left = not ready & self.used and self._unready_s <= read_s
         adopted = [
             version
             for version, first_s in self.waiting.items()
             if version != ordered
             and (
                 (ordered is None and now_s - first_s >= SETTLE_S)
-                or (version in ready and not ready & self.used and not ordered)
+                or (version in ready and is_left and not ordered)
             )
         ]
         for version in adopted:
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -208,6 +208,11 @@
             return
         if record is not None:
             host.part.set_record(record, self.now_s)
+            if not self.old_ready:
+                state = host.part.service(simulated_host.SERVICE)
+                state.update_targets(
+                    self._seen, self.now_s, 0, host.part.confirmed_s
+                )
         host.part.confirmed_s = max(host.part.confirmed_s, read_s)
 
     def _kill_any(self, restarts):
@@ -242,13 +247,18 @@
         self._ready_targets = [
             target for target in self.targets if target.entry.ready
         ]
-        seen = versions.seen_targets(self.targets)
+        self._seen = versions.seen_targets(self.targets)
         for host in self.hosts.values():
-            self.after(self.rng.uniform(0, 0.3), self._see_targets, host, seen)
-
-    def _see_targets(self, host, seen):
-        state = host.part.service(simulated_host.SERVICE)
-        state.update_targets(seen, self.now_s, 0)
+            self.after(self.rng.uniform(0, 0.3), self._see_targets, host)
+
+    def _see_targets(self, host):
+        """Tells a host of the targets, then every second as a host does."""
+        if host.alive:
+            state = host.part.service(simulated_host.SERVICE)
+            state.update_targets(
+                self._seen, self.now_s, 0, host.part.confirmed_s
+            )
+            self.after(1.0, self._see_targets, host)
 
     def set_cut(self, value, names, reaches_store):
         if value:
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -128,6 +128,15 @@
         known.update([seen('v1', ready=False), seen('v2')], None, 1.0, 0)
         assert 'v2' in known.used
 
+    def test_only_ready_version_waits_for_the_orders(self):
+        # An order that names it may have been written just before.
+        known = versions.Versions()
+        known.update([seen('v1')], None, 0.0, 0, 0.0)
+        left = [seen('v1', ready=False), seen('v2')]
+        assert known.update(left, None, 1.0, 0, 0.9) == []
+        assert known.update(left, 'v2', 1.5, 0, 1.1) == []
+        assert known.update(left, None, 2.0, 0, 1.1) == ['v2']
+
     def test_restarted_host_uses_the_older_version(self):
         known = versions.Versions()
         known.update([seen('v2', 90_000), seen('v1', 5)], None, 0.0, 100_000)
