Name live hosts first among those that are not heard

An announcement names at most 80 hosts that the coordinator does not hear. Dead hosts are members until they are released, so more than 80 of them could displace a live one, which would then act as if it were heard.

--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -64,6 +64,32 @@
     return min(1.0, max(0.0, 0.5 + (heard_share - 0.5) * _SHARE_SLOPE))
 
 
+def _count_hosts(
+    hosts: abc.Collection[str],
+    heard: set[str],
+    unseen: abc.Sequence[frozenset[str]],
+    seen: int,
+) -> int:
+    """Returns how many hosts there may be.
+
+    Hosts that report may not be known otherwise yet.
+
+    Args:
+        hosts: Names of the hosts that may be alive.
+        heard: Names of the hosts that report.
+        unseen: Names of the listed hosts of each failure domain of which no
+            host was heard of.
+        seen: Number of the other failure domains.
+    """
+    found = len(hosts) + sum(name not in hosts for name in heard)
+    silent = [listed for listed in unseen if listed.isdisjoint(heard)]
+    if not silent:
+        return found
+    found -= sum(len(listed.intersection(hosts)) for listed in silent)
+    domains = seen + len(unseen) - len(silent)
+    return found + round(len(silent) * found / domains)
+
+
 class _Account(msgspec.Struct):
     """Account of one organisation.
 
@@ -275,14 +301,7 @@
         """
         elapsed_s = now_s - self._updated_s
         heard = self._heard(now_s)
-        # Hosts that report may not be known otherwise yet.
-        self.known = len(hosts) + sum(name not in hosts for name in heard)
-        silent = [listed for listed in unseen if listed.isdisjoint(heard)]
-        if silent:
-            listed = frozenset().union(*silent)
-            found = self.known - len(listed.intersection(hosts))
-            domains = seen + len(unseen) - len(silent)
-            self.known = found + round(len(silent) * found / domains)
+        self.known = _count_hosts(hosts, heard, unseen, seen)
         if elapsed_s <= 0 or self.is_provisional(now_s):
             return False
         self.is_steered = True
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -3,7 +3,8 @@
 The hosts of each shard are ranked by rendezvous hashing. The first one that is
 alive coordinates: another takes over once it has heard no announcement for a
 while that grows with its rank. Of two coordinators that hear of each other,
-the one of the lower rank goes on.
+the one of the lower rank goes on. While hosts start, those in the host list of
+the store come first, since all others know them.
 """
 
 from collections import abc
@@ -34,13 +35,14 @@
 # before.
 TAKEOVER_S = 0.65
 TAKEOVER_STEP_S = 0.1
+MAX_STEPS = 8
+# The same times at a host that has never heard an announcement. A listed host
+# that starts waits for hosts of a lower rank only: others reply if there is a
+# coordinator.
+FIRST_TAKEOVER_S = 0.1
+FIRST_STEP_S = 0.1
 # A coordinator works for a host that has heard it in this time.
 WORKS_S = 0.6
-FIRST_STEP_S = 0.1
-# The same time at a host that has never heard an announcement. A listed host
-# needs not wait while a deployment starts: others reply if there is one.
-FIRST_TAKEOVER_S = 0.1
-MAX_STEPS = 8
 # A coordinator that was silent for this long and then announces with an earlier
 # incarnation has restarted after its clock was set back.
 REPLACED_S = quota_accounts.REPLACED_S
@@ -282,22 +284,9 @@
             An announcement that should be sent, if any.
         """
         self._created_s = min(self._created_s, now_s)
-        settled = hosts.settled
         self.rank_hosts(hosts)
         if self.accounts is None:
-            if not settled and self._own_name not in hosts.listed:
-                self._waiting_since_s = None
-                return None
-            if self._waiting_since_s is None:
-                self._waiting_since_s = now_s
-            steps = min(MAX_STEPS, self._rank(self._own_name))
-            silent_s = now_s - max(self.heard_s, self._waiting_since_s)
-            if self.coordinator or settled:
-                wait_s = TAKEOVER_S if self.coordinator else FIRST_TAKEOVER_S
-                wait_s += TAKEOVER_STEP_S * steps
-            else:
-                wait_s = FIRST_STEP_S * steps
-            if silent_s < wait_s:
+            if not self._should_take_over(hosts, now_s):
                 return None
             self._take_over(now_s)
             return self._announce(limits, now_s)
@@ -323,6 +312,20 @@
             self._alert_tokens -= 1
         return self._announce(limits, now_s)
 
+    def _should_take_over(self, hosts: Hosts, now_s: float) -> bool:
+        """Returns whether no coordinator and no host of a lower rank works."""
+        if not hosts.settled and self._own_name not in hosts.listed:
+            self._waiting_since_s = None
+            return False
+        if self._waiting_since_s is None:
+            self._waiting_since_s = now_s
+        steps = min(MAX_STEPS, self._rank(self._own_name))
+        silent_s = now_s - max(self.heard_s, self._waiting_since_s)
+        if self.coordinator or hosts.settled:
+            wait_s = TAKEOVER_S if self.coordinator else FIRST_TAKEOVER_S
+            return silent_s >= wait_s + TAKEOVER_STEP_S * steps
+        return silent_s >= FIRST_STEP_S * steps
+
     def _take_over(self, now_s: float) -> None:
         """Starts to coordinate with the credit that was last announced."""
         known = self.heard_s > float('-inf')
@@ -352,6 +355,10 @@
         states, complete = self.accounts.take_states(
             limits, to_all=not is_reply
         )
+        # Hosts that are dead for good must not displace live ones.
+        unheard = sorted(
+            self.accounts.unheard, key=lambda name: name not in self._ranks
+        )
         self._own_number += 1
         return quota_messages.Announcement(
             self.index,
@@ -362,7 +369,7 @@
             complete,
             quota_messages.pack_states(states),
             quota_messages.pack_names(
-                self.accounts.unheard[: quota_messages.MAX_UNHEARD],
+                unheard[: quota_messages.MAX_UNHEARD],
                 self._own_number,
             ),
             self.accounts.known,
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -2,7 +2,8 @@
 
 In contact with a coordinator, a host admits the share of its requests that was
 announced, and between two announcements no more than a part of the credit.
-Without contact, it admits a part of its equal share of the rate.
+Without contact, it admits a part of its equal share of the rate, and everything
+for a short time after its start.
 """
 
 import random
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -498,6 +498,23 @@
         assert not accounts_s
         assert shard.announced_s == float('-inf')
 
+    def test_live_hosts_are_named_before_dead_ones(self):
+        # Hosts that are dead for good are members until they are released.
+        dead = [f'd{number:03}' for number in range(200)]
+        alive = ['h1', *(f'h{number}' for number in range(2, 400))]
+        hosts = quota_roles.Hosts(
+            frozenset([*dead, *alive]), tuple(alive), settled=True
+        )
+        shard = quota_roles.Shard(0, 'h1', 1)
+        shard._waiting_since_s = -10.0
+        assert shard.step(hosts, LIMITS, 1.0)
+        for name in alive[:-1]:
+            shard.accounts.record(name, report(1, 0, 0), LIMITS, 1.2)
+        announcement = shard.step(hosts, LIMITS, 1.4)
+        assert quota_messages.has_name(
+            announcement.unheard, alive[-1], announcement.number
+        )
+
     def test_each_host_has_as_many_senders_as_receivers(self):
         names = [f'h{number}' for number in range(60)]
         received = [
