--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -189,6 +189,23 @@
         net.run(peer_table.DEAD_RETENTION_S)
         assert net.hosts[5].me.name not in self.members(net, 1)
 
+    def test_name_of_a_lost_host_is_released_by_a_stop(self):
+        # OPERATIONS.md: a host with this name is started elsewhere and stopped.
+        net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
+        name = net.hosts[5].me.name
+        other = net.add(name, 'a2', incarnation=2)
+        other.add_entries([net.hosts[1].me], net.now_s)
+        other.announce_start(net.now_s)
+        net.run(2)
+        assert name in net.names(net.hosts[1])
+        other.leaving = True
+        other.announce_stop(net.now_s)
+        net.run(0.5)
+        net.dead.add(13)
+        net.run(1.2 * peer_table.DEAD_RETENTION_S)
+        assert name not in self.members(net, 1)
+        assert len(self.members(net, 1)) == 11
+
     def test_host_whose_address_another_has_is_forgotten(self):
         net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
         gone = net.hosts[5].me
