Let a request ask other domains before it is refused

Where probes are short, a request of a busy domain may have asked a single target, and was refused without having asked another domain. It now looks there first, once.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -138,7 +138,9 @@
             A target with an open connection, or why there is none.
         """
         placed = await self._select_once(required)
-        if isinstance(placed, NoPlacement) and placed.reason == NO_ANSWER:
+        if isinstance(placed, NoPlacement) and (
+            required.may_leave() or placed.reason == NO_ANSWER
+        ):
             # The connection of the best target may break after its probe.
             placed = await self._select_once(required)
         return placed
@@ -340,11 +342,8 @@
         now_s = self._loop.time()
         domain_key = probe_order.other_domain_key
         if self.locality is not None and required.targets:
-            service = required.targets[0].entry.service
-            request_s = required.work_s * self.load(service).mean_slowness
-            required.locality = self.locality.begin(
-                service, request_s, required.body_bytes, now_s
-            )
+            load = self.load(required.targets[0].entry.service)
+            self.locality.begin(required, load.mean_slowness, now_s)
             domain_key = required.locality.key
         keyed = probe_order.keyed(
             required.targets, self.limits, self._rng, now_s, domain_key
--- a/ragwortchute/gateway/locality/locality_part.py
+++ b/ragwortchute/gateway/locality/locality_part.py
@@ -6,6 +6,7 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import http_client
+from ragwortchute.gateway import requirements
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.locality import crossings
 from ragwortchute.gateway.locality import selection
@@ -73,16 +74,20 @@
         self.moved_bytes: collections.Counter[str] = collections.Counter()
 
     def begin(
-        self, service: str, request_s: float, body_bytes: int, now_s: float
-    ) -> selection.Selection:
-        """Returns how locality is used for a request.
+        self,
+        required: requirements.Requirements,
+        mean_slowness: float,
+        now_s: float,
+    ) -> None:
+        """Decides how locality is used for a request.
 
         Args:
-            service: Name of the service.
-            request_s: Time that the request takes at the mean slowness.
-            body_bytes: Size of its body.
+            required: What the request requires; `locality` is set.
+            mean_slowness: Mean slowness of the targets of the service.
             now_s: Loop time in seconds.
         """
+        service = required.targets[0].entry.service
+        request_s = required.work_s * mean_slowness
         state = self._service(service)
         spillover = state.spillover
         spillover.update(now_s, request_s, self._worth.domain_s)
@@ -92,11 +97,11 @@
         ):
             state.logged_share = share
             self._log_share(service, spillover, now_s)
-        return selection.Selection(
+        required.locality = selection.Selection(
             spillover,
             self._worth,
-            body_bytes + state.answer_bytes,
-            self._rng.random(),
+            required.body_bytes + state.answer_bytes,
+            -1.0 if required.leaves else self._rng.random(),
             now_s,
         )
 
--- a/ragwortchute/gateway/locality/selection.py
+++ b/ragwortchute/gateway/locality/selection.py
@@ -50,7 +50,8 @@
         spillover: What is known of the service.
         worth: Worth of a crossing.
         moved_bytes: Expected size of the request and its answer.
-        draw: Random number from 0 to 1.
+        draw: Random number from 0 to 1; below 0 if the request must look
+            outside first.
         now_s: Loop time in seconds.
 
     Attributes:
@@ -97,6 +98,11 @@
         self._own_full = 0
         self._others_probed = 0
 
+    @property
+    def has_unprobed_domains(self) -> bool:
+        """Whether only the own domain of several was probed."""
+        return self._has_others and not self._others_probed
+
     @property
     def small_round(self) -> int:
         """Number of targets to probe at first if probes are short."""
--- a/ragwortchute/gateway/requirements.py
+++ b/ragwortchute/gateway/requirements.py
@@ -21,6 +21,7 @@
         limit: Which targets have room for it, None if all have.
         body_bytes: Size of its body; used for locality only.
         locality: How locality is used for it, None if it is off.
+        leaves: Whether it looks outside its failure domain first.
     """
 
     targets: list[targets_.Target]
@@ -31,6 +32,7 @@
     limit: room.Limit | None = None
     body_bytes: int = 0
     locality: selection.Selection | None = None
+    leaves: bool = False
 
     def small_round(self) -> int:
         """Returns how many targets to probe at first if probes are short.
@@ -41,3 +43,14 @@
             small = probe_rounds.SMALL_ROUND_TARGETS
             return small if self.limit.urgent else 0
         return 0 if self.locality is None else self.locality.small_round
+
+    def may_leave(self) -> bool:
+        """Returns whether other domains may take what the own one can't.
+
+        If so, the request looks there first from now on. Where probes are
+        short, it may have asked a single target.
+        """
+        if self.locality is None or self.leaves or self.limit is not None:
+            return False
+        self.leaves = self.locality.has_unprobed_domains
+        return self.leaves
--- a/tests/test_gateway/test_locality.py
+++ b/tests/test_gateway/test_locality.py
@@ -7,6 +7,7 @@
 
 from ragwortchute.gateway import model
 from ragwortchute.gateway import probe_order
+from ragwortchute.gateway import requirements
 from ragwortchute.gateway.locality import crossings
 from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.locality import selection
@@ -215,6 +216,25 @@
         assert not used.looks_further(0.119, 0.1)
         assert used.looks_further(0.121, 0.1)
 
+    def test_request_that_cannot_stay_asks_other_domains_once(self):
+        self.spillover.note_other('a2', 0.5, 0.9)
+        used, order = self.order(0.5)
+        used.begin_round(order[:1], 0.02)
+        required = requirements.Requirements(order, 0.1, 0.3, 1.0)
+        assert not required.may_leave()
+        required.locality = used
+        assert required.may_leave()
+        assert not required.may_leave()
+        _, order = self.order(-1.0)
+        assert order[0] in self.others
+
+    def test_request_that_has_asked_other_domains_is_refused(self):
+        used, order = self.order(0.5)
+        used.begin_round(self.others[:1], 0.02)
+        required = requirements.Requirements(order, 0.1, 0.3, 1.0)
+        required.locality = used
+        assert not required.may_leave()
+
 
 class _Domain:
     """Domain of many hosts; its occupancy follows their shares with a lag."""
