Drop the evidence of an order that has ended

Cause: coordinators kept the reports of all hosts for an order until the next order of the same service.

Change: they are dropped at the next tick once the order has ended or was withdrawn (test_evidence_of_an_ended_order_is_dropped failed before).

--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -221,6 +221,10 @@
             if state.record is not None and not state.record.ended
         ]
         self._update_neighbours(now_s)
+        for name in self._coordinators.keys() - {
+            item.service for item in active
+        }:
+            del self._coordinators[name]
         writes = []
         for state in active:
             if state.running:
--- a/tests/test_gateway/test_rollouts/test_partitions.py
+++ b/tests/test_gateway/test_rollouts/test_partitions.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from ragwortchute.gateway.rollouts import messages
@@ -156,6 +157,20 @@
         world.reply(10.0, confirmed_age_ms=messages.UNCONFIRMED_MS)
         assert self.chosen(world, 10.0) == {'v2'}
 
+    def test_evidence_of_an_ended_order_is_dropped(self):
+        # At 784 hosts it takes megabytes, for each service.
+        world = World()
+        state = world.follow(Phase.OBSERVE, 0.0)
+        world.part.coordinator(state)
+        world.part.set_record(
+            msgspec.structs.replace(
+                state.record, phase=Phase.ROLLED_BACK, revision=8
+            ),
+            1.0,
+        )
+        world.part.tick(1.1)
+        assert not world.part._coordinators
+
     def test_nothing_is_chosen_that_is_not_admitted(self):
         # A request would choose targets over and over until its deadline.
         world = World()
