Bound the search for targets by the worth of a crossing

One probe at a time costs a round trip each, and on a slow host the search could take longer than a crossing is worth. It now ends after that time, or 10 ms. A host without readings of other domains uses the usual rounds, as without locality. Shares are logged at most once a second for each service.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -149,7 +149,6 @@
         self, required: requirements.Requirements
     ) -> Placement | NoPlacement:
         order = self._probe_order(required)
-        locality = required.locality
         if not order:
             return self._no_target(required)
         best: _ProbeResult | None = None
@@ -194,9 +193,8 @@
                 or (
                     best_cost_s <= acceptable_s
                     and self._has_room(best, required)
-                    and not (
-                        locality
-                        and locality.looks_further(best_cost_s, early_accept_s)
+                    and not required.looks_further(
+                        best_cost_s, early_accept_s, self._loop.time()
                     )
                 )
             ):
@@ -220,7 +218,8 @@
         if best is None:
             return True
         expected_s = self._expected_s(best, required)
-        return expected_s > required.objective_s * ACCEPTABLE_OBJECTIVES
+        slow_s = required.objective_s * ACCEPTABLE_OBJECTIVES
+        return expected_s > slow_s and required.has_asked_region()
 
     def _expected_s(
         self, result: _ProbeResult, required: requirements.Requirements
--- a/ragwortchute/gateway/locality/locality_part.py
+++ b/ragwortchute/gateway/locality/locality_part.py
@@ -12,8 +12,10 @@
 from ragwortchute.gateway.locality import selection
 from ragwortchute.gateway.locality import spillover as spillover_
 
-# Changes of a share are logged from this difference on.
+# Changes of a share are logged from this difference on, and at most once in
+# this time for each service.
 LOGGED_CHANGE = 0.1
+LOG_INTERVAL_S = 1.0
 _BYTES_SMOOTHING = 0.05
 
 
@@ -23,14 +25,16 @@
     Attributes:
         spillover: Occupancies and share.
         answer_bytes: Mean size of answers.
+        logged_s: Loop time at which the share was logged last, in seconds.
         logged_share: Share that was logged last.
     """
 
-    __slots__ = ('answer_bytes', 'logged_share', 'spillover')
+    __slots__ = ('answer_bytes', 'logged_s', 'logged_share', 'spillover')
 
     def __init__(self) -> None:
         self.spillover = spillover_.Spillover()
         self.answer_bytes = 0.0
+        self.logged_s = float('-inf')
         self.logged_share = 0.0
 
 
@@ -91,12 +95,7 @@
         state = self._service(service)
         spillover = state.spillover
         spillover.update(now_s, request_s, self._worth.domain_s)
-        share = spillover.share
-        if abs(share - state.logged_share) >= LOGGED_CHANGE or (
-            not share and state.logged_share
-        ):
-            state.logged_share = share
-            self._log_share(service, spillover, now_s)
+        self._log_change(service, state, now_s)
         required.locality = selection.Selection(
             spillover,
             self._worth,
@@ -105,9 +104,14 @@
             now_s,
         )
 
-    def _log_share(
-        self, service: str, spillover: spillover_.Spillover, now_s: float
-    ) -> None:
+    def _log_change(self, service: str, state: _Service, now_s: float) -> None:
+        spillover = state.spillover
+        share, logged = spillover.share, state.logged_share
+        changed = abs(share - logged) >= LOGGED_CHANGE or (logged and not share)
+        if not changed or now_s - state.logged_s < LOG_INTERVAL_S:
+            return
+        state.logged_share = share
+        state.logged_s = now_s
         self._log.event(
             'spillover',
             service=service,
--- a/ragwortchute/gateway/locality/selection.py
+++ b/ragwortchute/gateway/locality/selection.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from ragwortchute.gateway import estimates
 from ragwortchute.gateway import probe_order
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.locality import crossings
@@ -19,6 +20,9 @@
 # A reading of another domain is taken by the second probe of a request if the
 # last one is older than this.
 REFRESH_S = 4.0
+# However little a crossing is worth, a request may probe its own domain for
+# this long before others, in seconds.
+MIN_PROBING_S = 0.01
 # Share of the requests that probe the own domain while it does not answer.
 LOST_PROBE_SHARE = 0.25
 
@@ -59,6 +63,7 @@
     """
 
     __slots__ = (
+        '_begun_s',
         '_has_others',
         '_has_own',
         '_moved_bytes',
@@ -67,6 +72,7 @@
         '_own_full',
         '_own_probed',
         '_probes_lost',
+        '_probing_s',
         '_refreshes',
         '_spillover',
         '_worth',
@@ -83,6 +89,8 @@
     ) -> None:
         self._spillover = spillover
         self._worth = worth
+        self._begun_s = now_s
+        self._probing_s = max(worth.domain_s, MIN_PROBING_S)
         self._moved_bytes = moved_bytes
         self.mode = Mode.OWN
         if not spillover.knows_others(now_s):
@@ -103,9 +111,25 @@
         """Whether only the own domain of several was probed."""
         return self._has_others and not self._others_probed
 
+    @property
+    def prefers_region(self) -> bool:
+        """Whether other domains of the region must be asked before regions.
+
+        They need not be if they are known to be as full as the own one.
+        """
+        return self.has_unprobed_domains and (
+            self._spillover.others_mean(self._begun_s)
+            < estimates.HIGH_OCCUPANCY
+        )
+
     @property
     def small_round(self) -> int:
-        """Number of targets to probe at first if probes are short."""
+        """Number of targets to probe at first if probes are short.
+
+        It is 0 for the number without locality.
+        """
+        if self.mode is Mode.UNRESTRICTED:
+            return 0
         return 1 if self.mode is Mode.OWN and not self._refreshes else 2
 
     def crossing_s(self, target: targets_.Target) -> float:
@@ -184,7 +208,7 @@
         """
         may_shorten = self._has_others and not self._others_probed
         if may_shorten and all(target.same_region for target in group):
-            timeout_s = min(timeout_s, max(self._worth.domain_s, timeout_s / 2))
+            timeout_s = min(timeout_s, self._probing_s)
         own = sum(1 for target in group if target.same_domain)
         self._own_probed += own
         self._others_probed += len(group) - own
@@ -208,14 +232,24 @@
         if self._own_probed > 1 and self._has_others:
             self._spillover.note_lost()
 
-    def looks_further(self, cost_s: float, good_cost_s: float) -> bool:
-        """Returns whether targets of other domains should be probed, too.
+    def looks_further(
+        self, cost_s: float, good_cost_s: float, now_s: float
+    ) -> bool:
+        """Returns whether further targets should be probed.
+
+        A search costs time, too, and ends when it has taken as long as a
+        crossing is worth.
 
         Args:
             cost_s: Least cost found so far, in seconds.
             good_cost_s: Cost of a good target in seconds.
+            now_s: Loop time in seconds.
         """
-        return self._has_others and cost_s > good_cost_s + self._worth.domain_s
+        return (
+            self._has_others
+            and cost_s > good_cost_s + self._worth.domain_s
+            and now_s - self._begun_s < self._probing_s
+        )
 
     def reason(self, target: targets_.Target) -> str:
         """Returns why a request leaves, empty if it doesn't."""
@@ -223,7 +257,7 @@
             return ''
         if not self._has_own:
             return Reason.NO_TARGET
-        if self.mode is Mode.UNRESTRICTED:
+        if self.mode is Mode.UNRESTRICTED and target.same_region:
             return Reason.NO_READINGS
         if not self._own_probed:
             is_spill = self.mode is Mode.SPILL
--- a/ragwortchute/gateway/requirements.py
+++ b/ragwortchute/gateway/requirements.py
@@ -54,3 +54,21 @@
             return False
         self.leaves = self.locality.has_unprobed_domains
         return self.leaves
+
+    def looks_further(
+        self, cost_s: float, good_cost_s: float, now_s: float
+    ) -> bool:
+        """Returns whether locality calls for further probes.
+
+        Args:
+            cost_s: Least cost found so far, in seconds.
+            good_cost_s: Cost of a good target in seconds.
+            now_s: Loop time in seconds.
+        """
+        return self.locality is not None and self.locality.looks_further(
+            cost_s, good_cost_s, now_s
+        )
+
+    def has_asked_region(self) -> bool:
+        """Returns whether no domain of the region must be asked first."""
+        return self.locality is None or not self.locality.prefers_region
--- a/tests/test_gateway/test_locality.py
+++ b/tests/test_gateway/test_locality.py
@@ -213,8 +213,30 @@
         self.spillover.note_other('a2', 0.5, 0.9)
         used, order = self.order(0.5)
         used.begin_round(order[:2], 0.02)
-        assert not used.looks_further(0.119, 0.1)
-        assert used.looks_further(0.121, 0.1)
+        assert not used.looks_further(0.119, 0.1, 1.0)
+        assert used.looks_further(0.121, 0.1, 1.0)
+
+    def test_other_regions_come_after_domains_of_the_region_with_room(self):
+        self.spillover.note_other('a2', 0.5, 0.9)
+        used, order = self.order(0.5)
+        used.begin_round(order[:2], 0.02)
+        assert used.prefers_region
+        used.begin_round(self.others[:1], 0.02)
+        assert not used.prefers_region
+
+    def test_other_regions_need_not_wait_for_full_domains(self):
+        self.spillover.note_other('a2', 1.0, 0.9)
+        used, order = self.order(0.5)
+        used.begin_round(order[:2], 0.02)
+        assert not used.prefers_region
+
+    def test_search_takes_no_longer_than_a_crossing_is_worth(self):
+        self.spillover.note_other('a2', 0.5, 0.9)
+        used, order = self.order(0.5)
+        assert used.begin_round(order[:2], 0.5) == WORTH.domain_s
+        end_s = 1.0 + WORTH.domain_s
+        assert used.looks_further(0.2, 0.1, end_s - 0.001)
+        assert not used.looks_further(0.2, 0.1, end_s)
 
     def test_request_that_cannot_stay_asks_other_domains_once(self):
         self.spillover.note_other('a2', 0.5, 0.9)
@@ -316,6 +338,19 @@
         assert not part.reasons
         assert not part.moved_bytes
 
+    async def test_changes_of_the_share_are_logged(self, start):
+        rig, _, _ = await self.start(start, 'a1')
+        part = rig.dispatcher.choice.locality
+        part._service('svc').spillover.note_lost()
+        required = requirements.Requirements(
+            list(rig.state.targets.values()), 0.1, 0.3, 1.0
+        )
+        for now_s in (10.0, 10.1):
+            part.begin(required, 1.0, now_s)
+        lines = [item for kind, item in rig.log.lines if kind == 'spillover']
+        assert [(item['share'], item['lost']) for item in lines] == [(1, True)]
+        assert part.shares() == {'svc': 1.0}
+
     async def test_nothing_is_kept_while_it_is_off(self, start):
         rig, line, _ = await self.start(start, 'a2', is_on=False)
         assert 'left' not in line
