--- a/tests/test_gateway/test_locality.py
+++ b/tests/test_gateway/test_locality.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from ragwortchute import scraping
 from ragwortchute.gateway import model
+from ragwortchute.gateway import part_metrics
 from ragwortchute.gateway import probe_order
 from ragwortchute.gateway import requirements
 from ragwortchute.gateway.locality import crossings
@@ -356,3 +358,16 @@
         assert 'left' not in line
         assert locality_part.create(None, rig.rng, rig.log) is None
         assert rig.dispatcher.choice.locality is None
+
+    async def test_metrics_name_domains_and_reasons(self, start):
+        rig, _, _ = await self.start(start, 'a2')
+        metrics = scraping.Metrics()
+        part_metrics.add_locality(metrics, rig.dispatcher.choice.locality)
+        content, _ = metrics.render(())
+        for text in (
+            b'ragwortchute_gateway_spillover_share{service="svc"} 0',
+            b'ragwortchute_gateway_domain_sends_total{domain="svc/a2"} 1',
+            b'crossings_total{reason="svc/no-local-target"} 1',
+            b'ragwortchute_gateway_crossing_bytes_total{domain="svc/a2"}',
+        ):
+            assert text in content
