Wait for the configuration in the test of a former home

Cause: the test changed the configuration of a host that had heard of the other host, but had possibly not read its configuration yet. It failed so once, in a run of three test modules: 'NoneType' object has no attribute 'routes'.

--- a/tests/test_gateway/test_status_changes.py
+++ b/tests/test_gateway/test_status_changes.py
@@ -153,7 +153,12 @@
     async def test_request_is_not_relayed_to_a_former_home(self, deployment):
         await deployment.start('a1', 'b1')
         host = deployment.hosts[0]
-        await deployment.until(lambda: len(host.hosts()) == 2)
+        await deployment.until(
+            lambda: (
+                len(host.hosts()) == 2
+                and all(item.state.complete for item in deployment.hosts)
+            )
+        )
         self.set_homes(host, ('b',))
         relays = host.dispatcher._relays
         recheck = relays.recheck
