Count silent hosts for an hour, not for good

Quotas and rollouts counted hosts that had died without a stop until all processes were restarted. After more than an eighth of the hosts had been replaced under new names and addresses, each quota would shrink, and hosts would refuse all requests in an outage of the store of 9 s once a third had.

Both parts use one rule now, PeerTable.may_be_alive. The new test in test_membership fails without the limit; test_quotas, test_membership and test_rollouts/test_hosts pass.

--- a/ragwortchute/gateway/peer_table.py
+++ b/ragwortchute/gateway/peer_table.py
@@ -8,6 +8,10 @@
 
 # How long a dead host still counts in limits that hold over all hosts.
 DEAD_RETENTION_S = 30.0
+# How long a silent host may be behind a partition, for parts whose limits must
+# hold in one. Without an end, hosts that were replaced over months would count:
+# quotas would shrink, and rollouts and isolated hosts would wait for them.
+SILENT_RETENTION_S = 3600.0
 # Hosts that are known at most, dead ones included: two and a half times the
 # design size. Those that were silent for longest are dropped beyond that.
 MAX_PEERS = 2000
@@ -63,7 +67,7 @@
     Attributes:
         last_discovery_s: Loop time at which the last host was discovered.
         keeps_silent: Whether silent hosts are members until they leave; set by
-            parts whose limits must hold in partitions of any length. Hosts that
+            parts whose limits must hold in long partitions. Hosts that
             start are then told of them, too.
     """
 
@@ -156,6 +160,13 @@
         peers.sort(key=lambda peer: peer.last_heartbeat_s, reverse=True)
         return [peer.entry.name for peer in peers]
 
+    def may_be_alive(self, peer: Peer, now_s: float) -> bool:
+        """Returns whether a host may be alive, also behind a partition."""
+        silent_s = now_s - max(peer.last_heartbeat_s, peer.discovered_s)
+        if peer.leaving:
+            return silent_s < DEAD_RETENTION_S
+        return silent_s < SILENT_RETENTION_S
+
     def retained_names(self, now_s: float) -> list[str]:
         """Returns the names of the hosts that may be alive.
 
@@ -184,7 +195,7 @@
     def silent_members(self, now_s: float) -> list[Peer]:
         """Returns the hosts that are not heard of any more and did not leave.
 
-        They may be dead or behind a partition, which may last for any time. A
+        They may be dead or behind a partition of up to `SILENT_RETENTION_S`. A
         host is gone for certain if another live host has its address.
 
         Returns:
@@ -198,6 +209,7 @@
             if peer.count >= 0
             and not peer.leaving
             and not self.is_alive(peer, now_s)
+            and self.may_be_alive(peer, now_s)
         ]
         if not silent:
             return []
--- a/ragwortchute/gateway/rollouts/neighbours.py
+++ b/ragwortchute/gateway/rollouts/neighbours.py
@@ -1,7 +1,7 @@
 """The other hosts, as rollouts see them.
 
-A host is never forgotten because it is silent: it may be alive behind a
-partition of any length and send to old targets.
+A silent host may be alive behind a partition and send to old targets. It counts
+for as long as `peer_table.PeerTable.may_be_alive` says.
 """
 
 import bisect
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -18,7 +18,6 @@
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
-from ragwortchute.gateway import peer_table
 from ragwortchute.gateway import rollouts
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.rollouts import environment
@@ -325,10 +324,8 @@
     # What the participant asks.
 
     def neighbours(self, now_s: float) -> neighbours.Neighbours:
-        """See base class.
-
-        Only hosts that have said that they stop are forgotten.
-        """
+        """See base class."""
+        peers = self._membership.peers
         items = [
             neighbours.Neighbour(
                 peer.entry.name,
@@ -336,9 +333,8 @@
                 peer.last_heartbeat_s,
                 peer.discovered_s,
             )
-            for peer in self._membership.peers.all()
-            if not peer.leaving
-            or now_s - peer.last_heartbeat_s < peer_table.DEAD_RETENTION_S
+            for peer in peers.all()
+            if peers.may_be_alive(peer, now_s)
         ]
         return neighbours.Neighbours(items, now_s)
 
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -148,6 +148,14 @@
         net = self.partitioned(4 * peer_table.DEAD_RETENTION_S)
         assert len(self.members(net, 1)) == 12
 
+    def test_host_that_was_replaced_does_not_count_for_good(self, monkeypatch):
+        # After months, most hosts that were ever known would be dead ones.
+        monkeypatch.setattr(peer_table, 'SILENT_RETENTION_S', 60.0)
+        net = self.partitioned(40)
+        assert len(self.members(net, 1)) == 12
+        net.run(30)
+        assert len(self.members(net, 1)) == 4
+
     def test_host_that_starts_learns_of_silent_hosts(self):
         net = self.partitioned(2 * peer_table.DEAD_RETENTION_S)
         net.dead.add(2)
