Give reasons instead of timings of one machine for constants

Six comments justified a constant by milliseconds that one machine had measured. They now say what grows and whom it holds up. Comments only.

--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -10,9 +10,9 @@
 from ragwortchute.gateway import part_metrics
 
 PATH = '/metrics'
-# Load: callers that ask again and again. Rendering 1,000 routes takes 89 ms, in
-# which no request is served, so a response is given again until rendering has
-# taken less than this share of the time.
+# Load: callers that ask again and again. No request is served during rendering,
+# which takes longer with each route, so a response is given again until
+# rendering has taken less than this share of the time.
 MAX_RENDER_SHARE = 0.2
 
 
--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/pipeline.py
@@ -17,7 +17,7 @@
 # Named to a caller whose request waited behind others and was refused.
 RETRY_AFTER_S = 0.5
 # Requests behind others that a connection starts before other connections get
-# their turn. A handler takes up to a millisecond before it first waits.
+# their turn: no other connection is served until a handler first waits.
 STARTS_PER_TURN = 4
 
 Handler = abc.Callable[
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -26,8 +26,8 @@
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # Bytes read at once: of a body whose length is known, of one in long chunks,
-# and of anything else. The shortest requests, 26 bytes each, take 7
-# microseconds to parse, so that 8 KiB of them take 2 ms.
+# and of anything else. What is read is parsed before any other connection is
+# served, and the shortest requests (26 bytes) take the longest for each byte.
 LONG_READ_BYTES = 64 << 10
 CHUNK_READ_BYTES = 8 << 10
 READ_BYTES = 4 << 10
--- a/ragwortchute/gateway/resources/victims.py
+++ b/ragwortchute/gateway/resources/victims.py
@@ -10,7 +10,8 @@
 
 # Shortest time between two searches for connections.
 SEARCH_INTERVAL_S = 0.05
-# The same where there are few: a search takes less than a microsecond for each.
+# The same for each connection that may be open, if that is less: a search looks
+# at all of them, so it takes little time where there are few.
 SEARCH_INTERVAL_S_PER_HOLDER = 2e-5
 
 
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -32,8 +32,9 @@
 _SILENT_INTERVALS = 5.0
 # The evidence is judged anew at most this often.
 _JUDGE_INTERVAL_S = 0.25
-# Counters that are judged per second. With many routes and much load there are
-# 10,000 after the move, which take 45 ms of a core.
+# Counters that are judged per second. A judgement looks at all of them, which
+# are 10,000 after the move with many routes and much load; no request is served
+# meanwhile.
 _JUDGED_CELLS_PER_S = 8000.0
 # Share of sends to old targets below which the requests have moved.
 _MOVED_SHARE = 0.05
--- a/ragwortchute/gateway/routing.py
+++ b/ragwortchute/gateway/routing.py
@@ -41,7 +41,7 @@
         if prefixes is None:
             return None
         # A look-up for each slash of a path would take time that grows with the
-        # square of its length: 31 ms for 16,000 slashes.
+        # square of its length, in which no other request is served.
         end = path.rfind('/', 0, self._longest[host])
         while end >= 0:
             route = prefixes.get(path[: end + 1])
