Name the reason of a crossing in Placement by what it is

Placement.left could be read as what remains; it is the reason for which a request leaves its failure domain. The field of the log line stays left. test_locality and test_dispatcher pass.

--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -55,8 +55,8 @@
         reading: State that the probe returned.
         expected_s: Expected time until the answer, in seconds.
         probed: Number of targets that were probed.
-        left: Why the request leaves its failure domain, empty if it does not
-            or locality is off.
+        crossing_reason: Why the request leaves its failure domain, empty if it
+            does not or locality is off.
     """
 
     target: targets_.Target
@@ -64,7 +64,7 @@
     reading: dialects.Reading
     expected_s: float
     probed: int
-    left: str = ''
+    crossing_reason: str = ''
 
 
 class NoPlacement(msgspec.Struct, frozen=True):
@@ -314,9 +314,14 @@
             target.pool.release(best.conn)
             return NoPlacement(NO_ANSWER, required.objective_s / 4, probed)
         self.limits.record_send(target, now_s, is_cold=best.reading.cold_s > 0)
-        left = required.locality.reason(target) if required.locality else ''
+        locality = required.locality
         return Placement(
-            target, best.conn, best.reading, expected_s, probed, left
+            target,
+            best.conn,
+            best.reading,
+            expected_s,
+            probed,
+            locality.reason(target) if locality else '',
         )
 
     def _must_queue(self, result: _ProbeResult) -> bool:
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -337,7 +337,7 @@
         self.choice.versions.note_send(call, outstanding[-1])
         if self.choice.locality is not None:
             self.choice.locality.note_send(
-                target, placed.left, call.req.body_bytes
+                target, placed.crossing_reason, call.req.body_bytes
             )
         self._request_log.log_send(call, outstanding[-1])
 
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -59,7 +59,7 @@
             age_ms=round((attempt.sent_s - reading.taken_s) * 1000, 1),
             expected_ms=round(placed.expected_s * 1000),
             revision=self._state.cfg_revision,
-            **_left_field(placed),
+            **_crossing_field(placed),
             **_organisation_field(call.organisation),
         )
 
@@ -210,5 +210,6 @@
     return {} if organisation is None else {'organisation': organisation.name}
 
 
-def _left_field(placed: candidates.Placement) -> dict[str, str]:
-    return {'left': placed.left} if placed.left else {}
+def _crossing_field(placed: candidates.Placement) -> dict[str, str]:
+    reason = placed.crossing_reason
+    return {'left': reason} if reason else {}
