Call requests of a connection that are started by that name

max_at_work limited the requests that were begun, including those whose answer waits, so that its name said something else.

--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/pipeline.py
@@ -1,7 +1,7 @@
 """Pending requests of a connection: their handlers and responses, in order.
 
 Load: a caller may send thousands of requests before it reads a response. Only
-some of them are at work at the same time, and the others wait in order.
+some of them are started, and the others wait in order.
 """
 
 import asyncio
@@ -201,10 +201,10 @@
         """
         if exchange is self.exchanges[0]:
             return True
-        begun = len(self.exchanges) - len(self._waiting)
+        started = len(self.exchanges) - len(self._waiting)
         if (
             not self._starts_left
-            or begun >= self._account.max_at_work()
+            or started >= self._account.max_started()
             or not self._account.reserve_answer()
         ):
             return False
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -23,11 +23,11 @@
 )
 # Share of the memory for requests that such answers may take.
 KEPT_ANSWERS_FRACTION = 0.5
-# Requests of a connection that are begun before the first of them is answered,
+# Requests of a connection that are started before the first is answered,
 # by the share of the memory or of the connections that is in use.
-MAX_AT_WORK = 64
+MAX_STARTED = 64
 _HIGH_PRESSURE = 0.5
-_HIGH_PRESSURE_AT_WORK = 4
+_HIGH_PRESSURE_STARTED = 4
 _FULL_PRESSURE = 0.75
 # A body that has not grown for this long gives way to others. Time for which
 # the process was held up doesn't count: nobody's body could be read then.
@@ -104,8 +104,11 @@
         )
         return victims.Victims(eligible, self.connections, interval_s)
 
-    def max_at_work(self) -> int:
-        """Returns how many requests of a connection may be begun."""
+    def max_started(self) -> int:
+        """Returns how many requests of a connection may be started.
+
+        These are the pending ones whose handlers run or have ended.
+        """
         pressure = max(
             self.held_bytes / max(1, self.limits.request_bytes),
             self.upstream.pressure,
@@ -113,9 +116,9 @@
         if pressure >= _FULL_PRESSURE:
             return 1
         if pressure >= _HIGH_PRESSURE:
-            return _HIGH_PRESSURE_AT_WORK
+            return _HIGH_PRESSURE_STARTED
         share = int(self._upstream_limit() * limits_.PIPELINE_FRACTION)
-        return max(1, min(MAX_AT_WORK, share))
+        return max(1, min(MAX_STARTED, share))
 
     # Connections.
 
--- a/ragwortchute/gateway/resources/limits.py
+++ b/ragwortchute/gateway/resources/limits.py
@@ -31,8 +31,8 @@
 # The same for connections to targets and other hosts, so that callers can
 # connect in any case.
 UPSTREAM_FRACTION = 0.75
-# Requests of one connection that are at work at the same time may take this
-# share of the connections to targets.
+# Requests of one connection that are started before the first is answered may
+# take this share of the connections to targets.
 PIPELINE_FRACTION = 1 / 16
 # Used if neither the settings nor the system name a number of descriptors.
 DEFAULT_DESCRIPTORS = 4096
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -52,9 +52,9 @@
         # The shortest headers of a head take 30 times its length.
         assert derived.request_bytes > 30 * configured.max_header_bytes
         assert derived.connections - derived.accepted_connections > (
-            2 * account_.MAX_AT_WORK
+            2 * account_.MAX_STARTED
         )
-        kept_bytes = account_.KEPT_ANSWER_BYTES * account_.MAX_AT_WORK
+        kept_bytes = account_.KEPT_ANSWER_BYTES * account_.MAX_STARTED
         assert kept_bytes <= (
             derived.request_bytes * account_.KEPT_ANSWERS_FRACTION
         )
@@ -238,11 +238,11 @@
 
     async def test_pressure_leaves_connections_to_others(self):
         account = await self.account(connections=400)
-        assert account.max_at_work() > 4
+        assert account.max_started() > 4
         slots = [account.upstream.take() for _ in range(200)]
-        assert account.max_at_work() == 4
+        assert account.max_started() == 4
         slots += [account.upstream.take() for _ in range(100)]
-        assert account.max_at_work() == 1
+        assert account.max_started() == 1
 
 
 class Connection:
@@ -361,7 +361,7 @@
         reader, writer = await server.connect()
         writer.write(b''.join(GET % number for number in range(50)))
         await asyncio.sleep(0.2)
-        assert len(server.handled) == server.account.max_at_work()
+        assert len(server.handled) == server.account.max_started()
         server.answer.set()
         for number in range(50):
             resp = await asyncio.wait_for(rigs.read_response(reader), 5)
--- a/tests/test_resources/test_pipelines.py
+++ b/tests/test_resources/test_pipelines.py
@@ -167,7 +167,7 @@
     async def test_request_that_waits_does_not_spare_a_stream(self, serve):
         # One further request behind each kept long answers from being ended.
         server = await serve()
-        assert server.account.max_at_work() == 1
+        assert server.account.max_started() == 1
         memory = answer_memory.AnswerMemory(servers.MIB)
         server.at_once['/stream'] = stream(memory)
         _, writer = await server.connect()
