--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -222,7 +222,7 @@
                     return False
         unaware += hosts - view.hosts
         return not unaware or (
-            view.is_enough(hosts)
+            view.others_are_isolated(hosts)
             and now_s >= _unaware_stop_s(state, hosts - view.heard) + ends_s
         )
 
--- a/ragwortchute/gateway/rollouts/neighbours.py
+++ b/ragwortchute/gateway/rollouts/neighbours.py
@@ -186,9 +186,11 @@
             return False
         return unconfirmed_s > GROUP_ISOLATION_S
 
-    def is_enough(self, hosts: int) -> bool:
+    def others_are_isolated(self, hosts: int) -> bool:
         """Returns whether the hosts that are not heard count as isolated.
 
+        They then hear at most two thirds of the hosts, see `is_isolated`.
+
         Args:
             hosts: Number of hosts that may be alive.
         """
