--- a/ragwortchute/gateway/locality/locality_part.py
+++ b/ragwortchute/gateway/locality/locality_part.py
@@ -14,6 +14,7 @@
 
 # Changes of a share are logged from this difference on.
 LOGGED_CHANGE = 0.1
+# Weight of an answer in the mean size of answers.
 _BYTES_SMOOTHING = 0.05
 
 
--- a/ragwortchute/gateway/locality/selection.py
+++ b/ragwortchute/gateway/locality/selection.py
@@ -50,8 +50,8 @@
         spillover: What is known of the service.
         worth: Worth of a crossing.
         moved_bytes: Expected size of the request and its answer.
-        draw: Random number from 0 to 1; below 0 if the request must look
-            outside first.
+        draw: Random number from 0 to 1, compared with the share; below 0 if the
+            request must look outside first.
         now_s: Loop time in seconds.
 
     Attributes:
@@ -166,7 +166,7 @@
         if others[0][0] < UNFIT_KEY:
             _move_up(order, others[0][1], 0)
             if own[0][0] < UNFIT_KEY or self._probes_lost:
-                # A fresh reading of the own domain has the last word.
+                # The request stays if a fresh reading of its domain is as good.
                 _move_up(order, own[0][1], 1)
         return order
 
--- a/ragwortchute/gateway/locality/spillover.py
+++ b/ragwortchute/gateway/locality/spillover.py
@@ -33,9 +33,11 @@
 SHARE_LAG_S = 0.25
 # A share that differs less from the wanted one is kept.
 DEAD_BAND = 0.1
+# A share that falls to 0 gradually would never reach it; below this, it is 0.
 _END_SHARE = 0.02
 # Readings of other domains that are older than this are not used, in seconds.
 MAX_AGE_S = 60.0
+# Weight of a request in the time of a mean request.
 _WORK_SMOOTHING = 0.05
 
 
--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -43,6 +43,7 @@
 REPLACED_S = 3.0
 # Counts that a new coordinator hears of first are those of this time at least.
 RECENT_S = 0.5
+# They are those of once to twice this time, of this much on average.
 RECENT_MEAN_S = 0.75
 # Counts of a host that have not changed for this long or twice as long are
 # dropped.
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -41,12 +41,13 @@
 # coordinator.
 FIRST_TAKEOVER_S = 0.1
 FIRST_STEP_S = 0.1
-# A coordinator works for a host that has heard it in this time.
+# A host takes a coordinator for working if it has heard an announcement of it
+# in this time.
 WORKS_S = 0.6
 # A coordinator that was silent for this long and then announces with an earlier
 # incarnation has restarted after its clock was set back.
 REPLACED_S = quota_accounts.REPLACED_S
-# Earlier coordinators whose last announcements are known.
+# Coordinators, earlier ones included, whose last announcements are known.
 MAX_EARLIER = 8
 # A new coordinator announces nothing new for this long, until it has heard
 # which hosts report to it. The shorter time holds if there was none before it.
--- a/ragwortchute/gateway/probe_wait.py
+++ b/ragwortchute/gateway/probe_wait.py
@@ -10,7 +10,9 @@
 # The wait is divided into timers of this length, which are late by the time in
 # which the process was held up.
 CHECK_INTERVAL_S = 0.005
+# Timers are late by less without a delay of the process.
 MIN_DELAY_S = 0.001
+# Number of delays that extend a wait, at most.
 MAX_DELAYS = 8
 
 
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -32,6 +32,7 @@
 # A body that has not grown for this long gives way to others. Time for which
 # the process was held up doesn't count: nobody's body could be read then.
 STALLED_S = 0.4
+# Number of past delays of the process that are known for that.
 _KEPT_DELAYS = 8
 # Interval of the periodic update, which comes before the log is written.
 UPDATE_INTERVAL_S = eventlog.FLUSH_S
