--- a/ragwortchute/platform/config_check/organisation_rules.py
+++ b/ragwortchute/platform/config_check/organisation_rules.py
@@ -28,15 +28,7 @@
 @rules.error('duplicate-organisation')
 def duplicate_organisation(context: rules.Context) -> Faults:
     """An organisation that a later one of the same name replaces."""
-    tenants = context.entries.tenants or ()
-    last = {entry.name: index for index, entry in enumerate(tenants)}
-    for index, entry in enumerate(tenants):
-        if last[entry.name] != index:
-            yield findings.Fault(
-                f'tenants[{index}].name',
-                f'has no effect: tenants[{last[entry.name]}] has the same name '
-                f'{context.show(entry.name)}, and the last one applies',
-            )
+    return context.replaced_entries('tenants')
 
 
 @rules.error('unusable-name')
--- a/ragwortchute/platform/config_check/rules.py
+++ b/ragwortchute/platform/config_check/rules.py
@@ -82,7 +82,7 @@
         Of several with the same name, the last is in use.
         """
         organisations = self.cfg.organisations or {}
-        last = {e.name: i for i, e in enumerate(self.entries.tenants or ())}
+        last = _last_indexes(self.entries.tenants or ())
         for name, index in last.items():
             yield (
                 f'tenants[{index}]',
@@ -90,6 +90,23 @@
                 organisations[name],
             )
 
+    def replaced_entries(self, section: str) -> abc.Iterator[findings.Fault]:
+        """Yields a fault for each entry that a later one replaces.
+
+        Args:
+            section: Name of the list in the file.
+        """
+        entries = getattr(self.entries, section) or ()
+        last = _last_indexes(entries)
+        for index, entry in enumerate(entries):
+            if last[entry.name] != index:
+                yield findings.Fault(
+                    f'{section}[{index}].name',
+                    f'has no effect: {section}[{last[entry.name]}] has the '
+                    f'same name {self.show(entry.name)}, and the last one '
+                    'applies',
+                )
+
     def listed(self, values: abc.Collection[Any]) -> str:
         """Returns the first of several values for a message."""
         shown = [self.show(value) for value in list(values)[:_MAX_LISTED]]
@@ -97,6 +114,11 @@
         return ', '.join(shown) + (f' and {more} more' if more else '')
 
 
+def _last_indexes(entries: abc.Iterable[Any]) -> dict[str, int]:
+    """Returns the index of the last entry of each name."""
+    return {entry.name: index for index, entry in enumerate(entries)}
+
+
 Check = abc.Callable[[Context], abc.Iterator[findings.Fault]]
 
 
--- a/ragwortchute/platform/config_check/service_rules.py
+++ b/ragwortchute/platform/config_check/service_rules.py
@@ -11,14 +11,7 @@
 @rules.error('duplicate-service')
 def duplicate_service(context: rules.Context) -> Faults:
     """A service that a later one of the same name replaces."""
-    last = {e.name: i for i, e in enumerate(context.entries.services)}
-    for index, entry in enumerate(context.entries.services):
-        if last[entry.name] != index:
-            yield findings.Fault(
-                f'services[{index}].name',
-                f'has no effect: services[{last[entry.name]}] has the same '
-                f'name {context.show(entry.name)}, and the last one applies',
-            )
+    return context.replaced_entries('services')
 
 
 @rules.warning('warmup-without-rate')
