--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -113,6 +113,13 @@
     is_removed: bool = False
 
 
+def _has_fallen(account: _Account, limit: quota_limits.Limit) -> bool:
+    """Returns whether hosts should learn of an account at once."""
+    fraction = account.announced_fraction * ALERT_FACTOR
+    level = account.announced_level - limit.depth * ALERT_FALL
+    return account.admit_fraction < fraction or account.level < level
+
+
 class _Reporter:
     """Counts of one host.
 
@@ -326,12 +333,7 @@
             ):
                 del self._accounts[key]
                 continue
-            alert = alert or (
-                account.admit_fraction
-                < account.announced_fraction * ALERT_FACTOR
-                or account.level
-                < account.announced_level - limit.depth * ALERT_FALL
-            )
+            alert = alert or _has_fallen(account, limit)
         return alert
 
     def take_states(
