--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -365,8 +365,8 @@
         """Probes targets concurrently.
 
         Returns once a target costs at most `early_accept_s`, all probes have
-        ended, or the timeout has passed, without time in which this process was
-        held up.
+        ended, or the timeout has passed. Time in which this process was held up
+        does not count towards it, see `probe_wait`.
         """
         tasks = {
             self._loop.create_task(target.probe()): target for target in group
--- a/ragwortchute/gateway/rollouts/evidence.py
+++ b/ragwortchute/gateway/rollouts/evidence.py
@@ -3,7 +3,7 @@
 Hosts send cumulative counters. What a counter is above the highest that the
 same incarnation of a host has reported is added to the evidence, so lost
 reports are made up for by later ones, and late or repeated ones add nothing
-twice. A report holds the counters that have changed, and others by turns.
+twice. A report holds the counters that have changed, and others in turn.
 """
 
 import struct
