Say which failures some tests guard against

Class comments of test_log, test_quotas, test_admission gave a fact or the setting instead of the failure; test_turns and test_deployment told how their bounds came about.

--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -297,7 +297,10 @@
 
 
 class TestRequests:
-    """Requests of one host to real servers."""
+    """A host must send, delay or refuse requests as their urgency demands.
+
+    The targets are real servers.
+    """
 
     def server(self, **fields):
         return platform_targets.TargetServer('t0', **fields)
--- a/tests/test_gateway/test_held_up.py
+++ b/tests/test_gateway/test_held_up.py
@@ -52,9 +52,7 @@
         assert (await rig.request()).status == 200
         assert left < 8
 
-    async def test_silent_target_is_waited_for_twice_at_most(
-        self, rig, monkeypatch
-    ):
+    async def test_wait_for_a_silent_target_is_bounded(self, rig, monkeypatch):
         monkeypatch.setattr(rig.targets[0], '_answer_probe', lambda writer: 0)
         self.held_s = 0.05
         started_s = time.monotonic()
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -73,7 +73,11 @@
 
 
 class TestJump:
-    """Hosts do not know yet that an organisation demands more everywhere."""
+    """The bound must hold when an organisation suddenly demands more.
+
+    Each host sees its own part first, and does not know yet that the demand has
+    risen everywhere.
+    """
 
     @pytest.mark.parametrize('arrival', quota_scenes.ARRIVALS)
     @pytest.mark.parametrize('rate_per_s', quota_scenes.RATES_PER_S)
--- a/tests/test_resources/test_deployment.py
+++ b/tests/test_resources/test_deployment.py
@@ -1,7 +1,4 @@
-"""Tests of crowds at all hosts of a deployment, at their start and their stop.
-
-Crowds and bounds were fixed before anything was changed for them.
-"""
+"""Tests of crowds at the hosts of a deployment, at their start and stop."""
 
 import asyncio
 import signal
--- a/tests/test_resources/test_log.py
+++ b/tests/test_resources/test_log.py
@@ -13,7 +13,10 @@
 
 
 class TestRequestLog:
-    """400 lines a second with an identity of 16 KB each are 6 MB a second."""
+    """Callers must not fill the log by long identities or request targets.
+
+    400 lines a second with an identity of 16 KB each are 6 MB a second.
+    """
 
     async def test_long_identity_is_cut(self):
         log = rigs.MemoryLog()
--- a/tests/test_resources/test_turns.py
+++ b/tests/test_resources/test_turns.py
@@ -14,7 +14,8 @@
     byte behind a long one 8 ms. The work is counted here, not the time.
     """
 
-    # Requests, and headers or chunks, that took 5 ms before the change.
+    # Requests, and headers or chunks, that one read may bring: with more, other
+    # connections wait for more than a few milliseconds.
     MAX_REQUESTS = 350
     MAX_PARTS = 4_000
     TINY = b'GET / HTTP/1.1\r\nHost:x\r\n\r\n'
