Tidy the models of starting hosts and of locality

Network.at took a delay, not a time, and is named after now, as in the model of rollouts. A branch for a membership without note_listed was never taken.

--- a/tests/test_gateway/locality_model.py
+++ b/tests/test_gateway/locality_model.py
@@ -87,7 +87,7 @@
     at_s: float
     domain: str
     to: str
-    left: str
+    crossing_reason: str
 
 
 class _Link:
@@ -98,7 +98,7 @@
         self._free_s = 0.0
 
     def delay_s(self, now_s, size):
-        """Returns when a message that is sent now arrives."""
+        """Returns the delay in seconds of a message that is sent now."""
         self._free_s = max(now_s, self._free_s) + size / self._bytes_per_s
         return self._free_s - now_s + OTHER_REGION_DELAY_S
 
@@ -148,7 +148,7 @@
     Attributes:
         outcomes: Final answers to callers.
         sends: Sends to targets.
-        shares: Mean share of the hosts of each domain, by sample.
+        shares: Samples of the mean share of the hosts of each domain.
     """
 
     def __init__(self, scenario: Scenario, seed: int) -> None:
@@ -221,8 +221,8 @@
         if kind == 'send':
             place, _ = self._targets[fields['target']]
             at_s = self._loop.time() - self._start_s
-            left = fields.get('left', '')
-            self.sends.append(Send(at_s, domain.name, place.name, left))
+            reason = fields.get('left', '')
+            self.sends.append(Send(at_s, domain.name, place.name, reason))
 
     async def run(self) -> None:
         """Sends requests and waits until all have been answered."""
@@ -350,7 +350,7 @@
 
 
 def simulate(scenario: Scenario, seed: int) -> Simulation:
-    """Runs a scenario and returns its end."""
+    """Runs a scenario and returns the simulation after its end."""
 
     async def run():
         simulation = Simulation(scenario, seed)
--- a/tests/test_gateway/quota_start.py
+++ b/tests/test_gateway/quota_start.py
@@ -156,15 +156,15 @@
             if number in start.dead:
                 continue
             late_s = start.late_s * (self.rng.random() < start.late)
-            self.at(
+            self.after(
                 late_s + self.rng.random() * start.over_s,
                 lambda number=number: self.boot(number),
             )
-        self.at(0.0, self.request)
+        self.after(0.0, self.request)
         for at_s, share in start.killed:
-            self.at(at_s, lambda share=share: self.kill(share))
+            self.after(at_s, lambda share=share: self.kill(share))
 
-    def at(self, after_s, action):
+    def after(self, after_s, action):
         self.events += 1
         heapq.heappush(self.queue, (self.now_s + after_s, self.events, action))
 
@@ -173,15 +173,17 @@
             sorted(self.hosts), round(share * len(self.hosts))
         ):
             del self.hosts[number]
-            self.at(
+            self.after(
                 self.start.restart_s, lambda number=number: self.boot(number)
             )
 
     def boot(self, number):
         host = _Host(self, number, round(1000 * (1 + self.now_s)))
         self.hosts[number] = host
-        self.at(self.rng.uniform(*LIST_S), lambda: self.read_list(number, host))
-        self.at(
+        self.after(
+            self.rng.uniform(*LIST_S), lambda: self.read_list(number, host)
+        )
+        self.after(
             self.rng.random() * self.start.configured_s,
             lambda: self.configure(host),
         )
@@ -195,7 +197,7 @@
         if self.hosts.get(number) is host:
             host.members.send_heartbeats(self.now_s)
             varied = 1 + BEAT_VARIATION * (2 * self.rng.random() - 1)
-            self.at(
+            self.after(
                 membership.HEARTBEAT_INTERVAL_S * varied,
                 lambda: self.beat(number, host),
             )
@@ -204,7 +206,7 @@
         if self.hosts.get(number) is host:
             host.quotas.tick(self.now_s)
             self.note_contact(host)
-            self.at(quotas.TICK_S, lambda: self.tick(number, host))
+            self.after(quotas.TICK_S, lambda: self.tick(number, host))
 
     def note_contact(self, host):
         if host.contact_s is None and host.quotas._shards[0].has_contact(
@@ -213,10 +215,7 @@
             host.contact_s = self.now_s - host.started_s
 
     def read_list(self, number, host):
-        if hasattr(host.members, 'note_listed'):
-            host.members.note_listed(self.listed, self.now_s)
-        else:
-            host.members.add_entries(self.listed, self.now_s)
+        host.members.note_listed(self.listed, self.now_s)
         self.announce(number, host)
 
     def announce(self, number, host):
@@ -230,7 +229,7 @@
             host.registered = True
             return
         host.members.announce_start(self.now_s)
-        self.at(
+        self.after(
             registration.ANNOUNCE_INTERVAL_S,
             lambda: self.announce(number, host),
         )
@@ -247,7 +246,7 @@
             if self.now_s < self.start.cut_s:
                 return
         if self.rng.random() >= self.start.loss:
-            self.at(
+            self.after(
                 self.rng.uniform(*delay_s),
                 lambda: self.arrive(sender, number, data),
             )
@@ -259,7 +258,7 @@
 
     def request(self):
         load_per_s = self.start.load * self.start.rate_per_s
-        self.at(self.rng.expovariate(load_per_s), self.request)
+        self.after(self.rng.expovariate(load_per_s), self.request)
         ready = [
             host
             for host in self.hosts.values()
--- a/tests/test_gateway/test_locality_load.py
+++ b/tests/test_gateway/test_locality_load.py
@@ -109,7 +109,7 @@
     def test_every_crossing_has_a_reason(self):
         for name in SCENARIOS:
             for send in run(name, SEEDS[0]).sends:
-                assert bool(send.left) == (send.domain != send.to)
+                assert bool(send.crossing_reason) == (send.domain != send.to)
 
     def test_uneven_load_moves_half_of_the_bytes(self):
         new, old = both('uneven')
