Correct comments that were unclear or said something else

seen counts the failure domains of which a host was heard of, the own one included, not the other ones; a progress, a loop time and a provisional reply are described by what the code does. Comments only.

--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -52,7 +52,7 @@
             self._rendered = self._render()
             duration_s = self._loop.time() - started_s
             self._fresh_until_s = started_s + duration_s / MAX_RENDER_SHARE
-        # The connection notes in it whether it is the last one.
+        # The connection sets `close` in what it gets.
         return msgspec.structs.replace(self._rendered)
 
     def _render(self) -> http_messages.Response:
--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -80,7 +80,8 @@
         heard: Names of the hosts that report.
         unseen: Names of the listed hosts of each failure domain of which no
             host was heard of.
-        seen: Number of the other failure domains.
+        seen: Number of failure domains of which a host was heard of, the own
+            one included.
     """
     found = len(hosts) + sum(name not in hosts for name in heard)
     silent = [listed for listed in unseen if listed.isdisjoint(heard)]
@@ -302,7 +303,8 @@
             now_s: Loop time in seconds.
             unseen: Names of the listed hosts of each failure domain of which no
                 host was heard of. These have as many hosts as others.
-            seen: Number of the other failure domains.
+            seen: Number of failure domains of which a host was heard of, the
+                own one included.
 
         Returns:
             Whether hosts should learn of a change at once.
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -91,7 +91,8 @@
         listed: Names of the hosts in the host list of the store.
         unseen: Names of the listed hosts of each failure domain of which no
             host was heard of.
-        seen: Number of the other failure domains.
+        seen: Number of failure domains of which a host was heard of, the own
+            one included.
     """
 
     names: frozenset[str] = frozenset()
@@ -226,7 +227,7 @@
         return True
 
     def forwarded(self, now_s: float) -> quota_messages.Announcement | None:
-        """Returns what another host should be told that knows no coordinator.
+        """Returns an announcement for a host that knows no coordinator.
 
         Args:
             now_s: Loop time in seconds.
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -129,13 +129,15 @@
         self._uses: dict[str, quota_use.Use] = {}
         self._followed: dict[str, quota_use.Use] = {}
         self._swept_s = float('-inf')
+        # Loop time since which this host knows limits.
         self._limited_s = float('inf')
         self._shards = [self._make_shard(0)]
         self._contact: dict[int, bool] = {}
         self._coordinates: dict[int, bool] = {}
         self._reports = 0
         self._replies = MAX_REPLIES
-        # Hosts, by shard, that were told that this one takes over.
+        # Hosts, by shard, that got a provisional reply. They get another one
+        # once the accounts of this host are not provisional any more.
         self._askers = collections.defaultdict(set)
         self._replied_s = 0.0
         self._reported_s: dict[int, float] = {}
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -170,7 +170,10 @@
         return self._parser.should_keep_alive()
 
     def note_progress(self) -> bool:
-        """Returns whether the caller has sent something that counts."""
+        """Returns whether the caller has made progress since the last call.
+
+        Within a body that takes `MIN_PROGRESS_BYTES`, else any bytes.
+        """
         if not self._in_body:
             return True
         if self._body.size_bytes - self._noted_bytes < MIN_PROGRESS_BYTES:
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -313,9 +313,9 @@
 
 
 def _silent_stop_s(state: service_state.ServiceState) -> float:
-    """Returns when a silent host that knows the order sends to none any more.
+    """Returns the loop time from which old targets get nothing of silent hosts.
 
-    That is to none of the old targets; the result is a loop time.
+    It holds for hosts that know the order.
     """
     contact_s = phases.OLD_BY_CONTACT_UNTIL * state.longest_duration_s
     return max(
@@ -325,7 +325,7 @@
 
 
 def _unaware_stop_s(state: service_state.ServiceState, silent: int) -> float:
-    """Returns when silent hosts that don't know the order send to none.
+    """Returns the same for silent hosts that don't know the order.
 
     They have not read the store since the order was written, and count as
     isolated after some time.
--- a/ragwortchute/gateway/rollouts/evidence.py
+++ b/ragwortchute/gateway/rollouts/evidence.py
@@ -17,8 +17,8 @@
 # Targets of the canary version are counted in as many groups, by a hash of
 # their names: a report on a hundred targets would be too long.
 _TARGET_GROUPS = 8
-# Cells that fit a datagram beside the other fields of a report. Targets of the
-# canary version are counted without groups beyond so many cells of it.
+# Cells that fit a datagram beside the other fields of a report. Once the canary
+# version has so many, its further targets are counted together, not by group.
 MAX_CELLS = 68
 # Period within which the versions are compared with each other.
 BUCKET_S = 0.5
--- a/ragwortchute/gateway/rollouts/neighbours.py
+++ b/ragwortchute/gateway/rollouts/neighbours.py
@@ -154,7 +154,7 @@
 
         Args:
             neighbours: The hosts.
-            passed_over: Names of hosts that don't coordinate.
+            passed_over: Names of hosts that do not reply, see `Unanswered`.
             now_s: Loop time in seconds.
         """
         self._neighbours = neighbours
