Name two functions of quotas by what they decide

_prefers_own returns whether the known coordinator goes on, not the own host; admit_started admits a request at the start of the host, not one that was started. test_quotas and test_quota_start: 121 passed.

--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -220,7 +220,9 @@
             number,
         ):
             return False
-        if name != self.coordinator and self._prefers_own(announcement, now_s):
+        if name != self.coordinator and self._keeps_coordinator(
+            announcement, now_s
+        ):
             return False
         self.accounts = None
         self._follow(announcement, now_s)
@@ -239,7 +241,7 @@
             return None
         return msgspec.structs.replace(self.last, is_reply=True)
 
-    def _prefers_own(
+    def _keeps_coordinator(
         self, announcement: quota_messages.Announcement, now_s: float
     ) -> bool:
         """Returns whether the known coordinator goes on, not another one.
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -75,7 +75,7 @@
         '_returned',
         '_returned_s',
         '_rng',
-        '_started',
+        '_admitted_at_start',
         'admitted',
         'changed_s',
         'demanded',
@@ -109,7 +109,7 @@
         self._returned = 0
         self._returned_s = 0.0
         # Requests that were admitted as the host had just started.
-        self._started = 0
+        self._admitted_at_start = 0
         self._bucket: shares.TokenBucket | None = None
 
     def admit(self, now_s: float, announced_s: float, hosts: int) -> float:
@@ -136,7 +136,7 @@
         self.admitted += 1
         return 0.0
 
-    def admit_started(self, now_s: float, age_s: float) -> bool:
+    def admit_at_start(self, now_s: float, age_s: float) -> bool:
         """Admits a request if this host has only just started.
 
         Args:
@@ -149,7 +149,7 @@
         if age_s >= self.limit.start_s:
             return False
         self._note_request(now_s)
-        self._started += 1
+        self._admitted_at_start += 1
         self.admitted += 1
         return True
 
@@ -173,7 +173,7 @@
             tokens *= quota_limits.FRESH_FACTOR
         if self._bucket is None:
             # Shares below one request add up to the whole over all hosts.
-            first = tokens + self._rng.random() - self._started
+            first = tokens + self._rng.random() - self._admitted_at_start
             self._bucket = shares.TokenBucket(max(0.0, first))
         rate_per_s = (
             self.limit.rate_per_s * quota_limits.ALONE_RATE_FRACTION / hosts
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -181,7 +181,7 @@
     ) -> float:
         """Admits a request without contact to a coordinator."""
         fresh = shard.announced_s == float('-inf')
-        if fresh and use.admit_started(now_s, now_s - self._limited_s):
+        if fresh and use.admit_at_start(now_s, now_s - self._limited_s):
             return 0.0
         hosts = shard.hosts
         if not fresh or self._hosts.settled:
