--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -129,8 +129,9 @@
         and now.verdict.late_responses >= judgement.MIN_LATE_RESPONSES
     )
     if not (enough or now.old_ready):
-        # Few responses usually mean few requests, which the bound on exposure
-        # allows for. Here most requests are refused, and all would be sent.
+        # While no old target is ready, most requests are refused, so that few
+        # responses do not mean few requests: a version that has hardly been
+        # judged would get all of them after the move.
         if now.fraction >= 1:
             return Step(records.Phase.ROLLED_BACK, 'too-little-evidence')
         return None
