--- a/ragwortchute/gateway/locality/locality_part.py
+++ b/ragwortchute/gateway/locality/locality_part.py
@@ -16,6 +16,7 @@
 # this time for each service.
 LOGGED_CHANGE = 0.1
 LOG_INTERVAL_S = 1.0
+# Weight of an answer in the mean size of answers.
 _BYTES_SMOOTHING = 0.05
 
 
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -10,9 +10,9 @@
 from ragwortchute.gateway import part_metrics
 
 PATH = '/metrics'
-# Load: callers that ask again and again. Rendering 1,000 routes takes 89 ms, in
-# which no request is served, so a response is given again until rendering has
-# taken less than this share of the time.
+# Load: callers that ask again and again. No request is served during rendering,
+# which takes longer with each route, so a response is given again until
+# rendering has taken less than this share of the time.
 MAX_RENDER_SHARE = 0.2
 
 
@@ -52,7 +52,7 @@
             self._rendered = self._render()
             duration_s = self._loop.time() - started_s
             self._fresh_until_s = started_s + duration_s / MAX_RENDER_SHARE
-        # The connection notes in it whether it is the last one.
+        # The connection sets `close` in what it gets.
         return msgspec.structs.replace(self._rendered)
 
     def _render(self) -> http_messages.Response:
--- a/ragwortchute/gateway/organisations/quota_accounts.py
+++ b/ragwortchute/gateway/organisations/quota_accounts.py
@@ -43,6 +43,7 @@
 REPLACED_S = 3.0
 # Counts that a new coordinator hears of first are those of this time at least.
 RECENT_S = 0.5
+# They are those of once to twice this time, of this much on average.
 RECENT_MEAN_S = 0.75
 # Counts of a host that have not changed for this long or twice as long are
 # dropped.
@@ -79,7 +80,8 @@
         heard: Names of the hosts that report.
         unseen: Names of the listed hosts of each failure domain of which no
             host was heard of.
-        seen: Number of the other failure domains.
+        seen: Number of failure domains of which a host was heard of, the own
+            one included.
     """
     found = len(hosts) + sum(name not in hosts for name in heard)
     silent = [listed for listed in unseen if listed.isdisjoint(heard)]
@@ -112,6 +114,13 @@
     is_removed: bool = False
 
 
+def _has_fallen(account: _Account, limit: quota_limits.Limit) -> bool:
+    """Returns whether hosts should learn of an account at once."""
+    fraction = account.announced_fraction * ALERT_FACTOR
+    level = account.announced_level - limit.depth * ALERT_FALL
+    return account.admit_fraction < fraction or account.level < level
+
+
 class _Reporter:
     """Counts of one host.
 
@@ -294,7 +303,8 @@
             now_s: Loop time in seconds.
             unseen: Names of the listed hosts of each failure domain of which no
                 host was heard of. These have as many hosts as others.
-            seen: Number of the other failure domains.
+            seen: Number of failure domains of which a host was heard of, the
+                own one included.
 
         Returns:
             Whether hosts should learn of a change at once.
@@ -325,12 +335,7 @@
             ):
                 del self._accounts[key]
                 continue
-            alert = alert or (
-                account.admit_fraction
-                < account.announced_fraction * ALERT_FACTOR
-                or account.level
-                < account.announced_level - limit.depth * ALERT_FALL
-            )
+            alert = alert or _has_fallen(account, limit)
         return alert
 
     def take_states(
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -41,12 +41,13 @@
 # coordinator.
 FIRST_TAKEOVER_S = 0.1
 FIRST_STEP_S = 0.1
-# A coordinator works for a host that has heard it in this time.
+# A host takes a coordinator for working if it has heard an announcement of it
+# in this time.
 WORKS_S = 0.6
 # A coordinator that was silent for this long and then announces with an earlier
 # incarnation has restarted after its clock was set back.
 REPLACED_S = quota_accounts.REPLACED_S
-# Earlier coordinators whose last announcements are known.
+# Coordinators, earlier ones included, whose last announcements are known.
 MAX_EARLIER = 8
 # A new coordinator announces nothing new for this long, until it has heard
 # which hosts report to it. The shorter time holds if there was none before it.
@@ -90,7 +91,8 @@
         listed: Names of the hosts in the host list of the store.
         unseen: Names of the listed hosts of each failure domain of which no
             host was heard of.
-        seen: Number of the other failure domains.
+        seen: Number of failure domains of which a host was heard of, the own
+            one included.
     """
 
     names: frozenset[str] = frozenset()
@@ -218,14 +220,16 @@
             number,
         ):
             return False
-        if name != self.coordinator and self._prefers_own(announcement, now_s):
+        if name != self.coordinator and self._keeps_coordinator(
+            announcement, now_s
+        ):
             return False
         self.accounts = None
         self._follow(announcement, now_s)
         return True
 
     def forwarded(self, now_s: float) -> quota_messages.Announcement | None:
-        """Returns what another host should be told that knows no coordinator.
+        """Returns an announcement for a host that knows no coordinator.
 
         Args:
             now_s: Loop time in seconds.
@@ -237,7 +241,7 @@
             return None
         return msgspec.structs.replace(self.last, is_reply=True)
 
-    def _prefers_own(
+    def _keeps_coordinator(
         self, announcement: quota_messages.Announcement, now_s: float
     ) -> bool:
         """Returns whether the known coordinator goes on, not another one.
--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/pipeline.py
@@ -1,7 +1,7 @@
 """Pending requests of a connection: their handlers and responses, in order.
 
 Load: a caller may send thousands of requests before it reads a response. Only
-some of them are at work at the same time, and the others wait in order.
+some of them are started, and the others wait in order.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 # Named to a caller whose request waited behind others and was refused.
 RETRY_AFTER_S = 0.5
 # Requests behind others that a connection starts before other connections get
-# their turn. A handler takes up to a millisecond before it first waits.
+# their turn: no other connection is served until a handler first waits.
 STARTS_PER_TURN = 4
 
 Handler = abc.Callable[
@@ -201,10 +201,10 @@
         """
         if exchange is self.exchanges[0]:
             return True
-        begun = len(self.exchanges) - len(self._waiting)
+        started = len(self.exchanges) - len(self._waiting)
         if (
             not self._starts_left
-            or begun >= self._account.max_at_work()
+            or started >= self._account.max_started()
             or not self._account.reserve_answer()
         ):
             return False
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -26,8 +26,8 @@
 # Framing of a chunk that carries a single byte, rounded up.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # Bytes read at once: of a body whose length is known, of one in long chunks,
-# and of anything else. The shortest requests, 26 bytes each, take 7
-# microseconds to parse, so that 8 KiB of them take 2 ms.
+# and of anything else. What is read is parsed before any other connection is
+# served, and the shortest requests (26 bytes) take the longest for each byte.
 LONG_READ_BYTES = 64 << 10
 CHUNK_READ_BYTES = 8 << 10
 READ_BYTES = 4 << 10
@@ -170,7 +170,10 @@
         return self._parser.should_keep_alive()
 
     def note_progress(self) -> bool:
-        """Returns whether the caller has sent something that counts."""
+        """Returns whether the caller has made progress since the last call.
+
+        Within a body that takes `MIN_PROGRESS_BYTES`, else any bytes.
+        """
         if not self._in_body:
             return True
         if self._body.size_bytes - self._noted_bytes < MIN_PROGRESS_BYTES:
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -32,8 +32,9 @@
 _SILENT_INTERVALS = 5.0
 # The evidence is judged anew at most this often.
 _JUDGE_INTERVAL_S = 0.25
-# Counters that are judged per second. With many routes and much load there are
-# 10,000 after the move, which take 45 ms of a core.
+# Counters that are judged per second. A judgement looks at all of them, which
+# are 10,000 after the move with many routes and much load; no request is served
+# meanwhile.
 _JUDGED_CELLS_PER_S = 8000.0
 # Share of sends to old targets below which the requests have moved.
 _MOVED_SHARE = 0.05
@@ -221,7 +222,7 @@
                     return False
         unaware += hosts - view.hosts
         return not unaware or (
-            view.is_enough(hosts)
+            view.others_are_isolated(hosts)
             and now_s >= _unaware_stop_s(state, hosts - view.heard) + ends_s
         )
 
@@ -312,9 +313,9 @@
 
 
 def _silent_stop_s(state: service_state.ServiceState) -> float:
-    """Returns when a silent host that knows the order sends to none any more.
+    """Returns the loop time from which old targets get nothing of silent hosts.
 
-    That is to none of the old targets; the result is a loop time.
+    It holds for hosts that know the order.
     """
     contact_s = phases.OLD_BY_CONTACT_UNTIL * state.longest_duration_s
     return max(
@@ -324,7 +325,7 @@
 
 
 def _unaware_stop_s(state: service_state.ServiceState, silent: int) -> float:
-    """Returns when silent hosts that don't know the order send to none.
+    """Returns the same for silent hosts that don't know the order.
 
     They have not read the store since the order was written, and count as
     isolated after some time.
--- a/ragwortchute/gateway/rollouts/neighbours.py
+++ b/ragwortchute/gateway/rollouts/neighbours.py
@@ -154,7 +154,7 @@
 
         Args:
             neighbours: The hosts.
-            passed_over: Names of hosts that don't coordinate.
+            passed_over: Names of hosts that do not reply, see `Unanswered`.
             now_s: Loop time in seconds.
         """
         self._neighbours = neighbours
@@ -186,9 +186,11 @@
             return False
         return unconfirmed_s > GROUP_ISOLATION_S
 
-    def is_enough(self, hosts: int) -> bool:
+    def others_are_isolated(self, hosts: int) -> bool:
         """Returns whether the hosts that are not heard count as isolated.
 
+        They then hear at most two thirds of the hosts, see `is_isolated`.
+
         Args:
             hosts: Number of hosts that may be alive.
         """
