--- a/tests/test_commands/test_node_commands.py
+++ b/tests/test_commands/test_node_commands.py
@@ -3,7 +3,7 @@
 from typer import testing
 
 from ragwortchute.commands import main
-from tests.test_platform import test_adapter
+from tests.test_platform import test_settings
 
 runner = testing.CliRunner()
 
@@ -58,11 +58,11 @@
         return runner.invoke(main.app, ['node', 'check', str(file)])
 
     def test_valid_settings_are_printed(self, tmp_path):
-        result = self.check(tmp_path, test_adapter.SETTINGS)
+        result = self.check(tmp_path, test_settings.SETTINGS)
         assert result.exit_code == 0
         assert '10.200.1.7:8142' in result.stdout
 
     def test_error_names_the_invalid_setting(self, tmp_path):
-        result = self.check(tmp_path, test_adapter.SETTINGS + 'zone=x')
+        result = self.check(tmp_path, test_settings.SETTINGS + 'zone=x')
         assert result.exit_code == 2
         assert 'zone' in result.output
