--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -430,8 +430,10 @@
         self._replies = min(
             MAX_REPLIES, self._replies + elapsed_s * REPLIES_PER_S
         )
+        if self._replies < 1:
+            return
         announcement = shard.reply(self._limits, now_s)
-        if announcement is not None and self._replies >= 1:
+        if announcement is not None:
             self._replies -= 1
             self._send_announcement([name], announcement)
             if announcement.provisional:
