--- a/tests/test_gateway/quota_model.py
+++ b/tests/test_gateway/quota_model.py
@@ -2,7 +2,6 @@
 
 import bisect
 import collections
-import heapq
 import random
 
 import msgspec
@@ -11,6 +10,7 @@
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quotas
+from tests.test_gateway import event_queue
 from tests.test_gateway import rig
 
 BOUNDS = quota_limits.Bounds()
@@ -97,7 +97,7 @@
     far_bytes_per_s: float
 
 
-class Model:
+class Model(event_queue.EventQueue):
     """Hosts, their network and their callers.
 
     Args:
@@ -106,11 +106,9 @@
     """
 
     def __init__(self, scenario, seed):
+        super().__init__()
         self.scenario = scenario
         self.rng = random.Random(seed)
-        self.now_s = 0.0
-        self.queue = []
-        self.events = 0
         self.names = [f'h{number:03}' for number in range(scenario.hosts)]
         # Hosts that fell silent are members as long as they have not left.
         self.members = frozenset(self.names)
@@ -141,7 +139,7 @@
             'hot', frozenset(), None, rate_per_s, burst
         )
         for host in self.hosts.values():
-            self.at(
+            self.after(
                 self.rng.random() * 3,
                 lambda host=host, org=self.organisation: self.configure(
                     host, org
@@ -152,10 +150,6 @@
         host.in_force = organisation
         host.configuration = {organisation.name: organisation}
 
-    def at(self, after_s, action):
-        self.events += 1
-        heapq.heappush(self.queue, (self.now_s + after_s, self.events, action))
-
     def start(self, name):
         self.incarnation[name] += 1
         self.died_s.pop(name, None)
@@ -172,14 +166,14 @@
         )
         self.hosts[name] = host
         self.configure(host, self.organisation)
-        self.at(
+        self.after(
             self.rng.random() * quotas.TICK_S, lambda: self.tick(name, host)
         )
 
     def tick(self, name, host):
         if self.hosts.get(name) is host:
             host.tick(self.now_s)
-            self.at(quotas.TICK_S, lambda: self.tick(name, host))
+            self.after(quotas.TICK_S, lambda: self.tick(name, host))
 
     def view(self, name, now_s):
         alive = [
@@ -236,7 +230,7 @@
             if host is not None:
                 host.handle(sender, payload, self.now_s)
 
-        self.at(wait_s, arrive)
+        self.after(wait_s, arrive)
 
     def request(self):
         """Handles one request and plans the next one."""
@@ -245,9 +239,9 @@
             if self.now_s >= start_s:
                 load = rate_per_s
         if not load:
-            self.at(0.05, self.request)
+            self.after(0.05, self.request)
             return
-        self.at(self.rng.expovariate(load), self.request)
+        self.after(self.rng.expovariate(load), self.request)
         alive = [name for name in self.at_names if name in self.hosts]
         if not alive:
             self.choose_hosts()
@@ -302,11 +296,11 @@
         """Runs the scenario and returns its outcome."""
         scenario = self.scenario
         lead_s = 0.0 if scenario.cold else 4.0
-        self.at(lead_s, self.choose_hosts)
+        self.after(lead_s, self.choose_hosts)
         for at_s in scenario.moves_s:
-            self.at(lead_s + at_s, self.choose_hosts)
+            self.after(lead_s + at_s, self.choose_hosts)
         for at_s, kind, what in scenario.faults:
-            self.at(
+            self.after(
                 lead_s + at_s,
                 lambda kind=kind, what=what: self.fault(kind, what),
             )
@@ -316,11 +310,10 @@
                 (lead_s + start_s, load) for start_s, load in scenario.loads
             ),
         )
-        self.at(lead_s, self.request)
+        self.after(lead_s, self.request)
         end_s = lead_s + scenario.duration_s
-        while self.queue[0][0] < end_s:
-            self.now_s, _, action = heapq.heappop(self.queue)
-            action()
+        while self.next_s < end_s:
+            self.step()
         return self.outcome(lead_s + scenario.measure_s, end_s)
 
     def outcome(self, start_s, end_s):
--- a/tests/test_gateway/quota_start.py
+++ b/tests/test_gateway/quota_start.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import heapq
 import random
 
 import msgspec
@@ -16,6 +15,7 @@
 from ragwortchute.gateway import registration
 from ragwortchute.gateway.organisations import quota_part
 from ragwortchute.gateway.organisations import quotas
+from tests.test_gateway import event_queue
 from tests.test_gateway import quota_model
 from tests.test_gateway import rig
 
@@ -119,7 +119,7 @@
         return settled_s > application.DISCOVERY_SETTLE_S and self.registered
 
 
-class Network:
+class Network(event_queue.EventQueue):
     """Hosts, their network and their callers.
 
     Args:
@@ -128,11 +128,9 @@
     """
 
     def __init__(self, start, seed):
+        super().__init__()
         self.start = start
         self.rng = random.Random(seed)
-        self.now_s = 0.0
-        self.queue = []
-        self.events = 0
         self.hosts = {}
         self.sent_bytes = collections.Counter()
         self.received_s = []
@@ -164,10 +162,6 @@
         for at_s, share in start.killed:
             self.after(at_s, lambda share=share: self.kill(share))
 
-    def after(self, after_s, action):
-        self.events += 1
-        heapq.heappush(self.queue, (self.now_s + after_s, self.events, action))
-
     def kill(self, share):
         for number in self.rng.sample(
             sorted(self.hosts), round(share * len(self.hosts))
@@ -278,9 +272,8 @@
 
     def run(self):
         """Runs the start and returns this network."""
-        while self.queue[0][0] < self.start.duration_s:
-            self.now_s, _, action = heapq.heappop(self.queue)
-            action()
+        while self.next_s < self.start.duration_s:
+            self.step()
         return self
 
     def refused_share(self):
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -126,7 +126,7 @@
             quota_scenes.FIFTH_KILLED
         ]
         run = quota_model.Model(scenario, 1)
-        run.at(9.0, lambda: kill_coordinator(run))
+        run.after(9.0, lambda: kill_coordinator(run))
         assert run.run().refused <= 2 * quota_scenes.MAX_REFUSED
 
     def test_loss_of_a_fifth_leaves_most_of_the_quota(self):
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -4,7 +4,6 @@
 targets are simulated, with faults that a seed determines.
 """
 
-import heapq
 import itertools
 import random
 
@@ -13,6 +12,7 @@
 from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import versions
+from tests.test_gateway import event_queue
 from tests.test_gateway.test_rollouts import simulated_faults
 from tests.test_gateway.test_rollouts import simulated_host
 
@@ -35,7 +35,7 @@
 )
 
 
-class World:
+class World(event_queue.EventQueue):
     """One simulated rollout.
 
     Args:
@@ -50,11 +50,12 @@
     def __init__(
         self, seed, hosts, kind, per_s=300.0, cut=None, unready_s=None
     ):
+        super().__init__()
         self.rng = random.Random(f'{seed}/{hosts}/{kind}')
         self.seed, self.kind, self.per_s = seed, kind, per_s
-        self.now_s = 0.0
         self.log = simulated_host.Log()
-        self._queue, self._order = [], itertools.count()
+        # Keys of sends; 0 stands for those before the order.
+        self._send_keys = itertools.count(1)
         self.requests = self.canary = self.bad_responses = 0
         self.fiftieth_s = float('inf')
         self.outcomes, self.broken = [], []
@@ -128,17 +129,12 @@
 
     # Events.
 
-    def at(self, time_s, call, *args):
-        heapq.heappush(self._queue, (time_s, next(self._order), call, args))
-
-    def after(self, delay_s, call, *args):
-        self.at(self.now_s + delay_s, call, *args)
-
     def run(self, until_s=30.0):
         """Runs until the outcome has been in force for a while."""
-        while self._queue and self.now_s < min(until_s, self.outcome_s + 3):
-            self.now_s, _, call, args = heapq.heappop(self._queue)
-            call(*args)
+        while self.next_s < float('inf') and self.now_s < min(
+            until_s, self.outcome_s + 3
+        ):
+            self.step()
         return self
 
     # Hosts.
@@ -402,7 +398,7 @@
         rng = self.rng
         canary = target.entry.software_version == NEW
         self._count(canary)
-        key = next(self._order)
+        key = next(self._send_keys)
         waiting = target.running >= simulated_host.SLOTS
         target.running += 1
         load = target.running / simulated_host.SLOTS
