--- a/ragwortchute/gateway/rollouts/judgement.py
+++ b/ragwortchute/gateway/rollouts/judgement.py
@@ -11,6 +11,7 @@
 
 from collections import abc
 import math
+import operator
 
 import msgspec
 
@@ -106,6 +107,12 @@
     ratios: tuple[float, ...]
 
 
+# Groups of a sample.
+_ROUTE = operator.attrgetter('route')
+_DOMAIN = operator.attrgetter('domain')
+_TARGET = operator.attrgetter('target')
+
+
 def judge(buckets: abc.Sequence[evidence.Bucket], half_s: float) -> Verdict:
     """Judges the canary version.
 
@@ -220,11 +227,14 @@
     return max(map(sum, columns))
 
 
-def _by_route(samples: list[_Sample]) -> dict[int, list[_Sample]]:
-    routes: dict[int, list[_Sample]] = {}
+def _grouped(
+    samples: list[_Sample], group_of: abc.Callable[[_Sample], int]
+) -> dict[int, list[_Sample]]:
+    """Returns samples by their groups."""
+    groups: dict[int, list[_Sample]] = {}
     for sample in samples:
-        routes.setdefault(sample.route, []).append(sample)
-    return routes
+        groups.setdefault(group_of(sample), []).append(sample)
+    return groups
 
 
 def _find_fault(
@@ -233,7 +243,7 @@
     """Returns what is bad, if anything, and the highest log ratio."""
     highest = float('-inf')
     for name, samples in (('failures', failures), ('slow', slow)):
-        routes = _by_route(samples)
+        routes = _grouped(samples, _ROUTE)
         views = {'': samples}
         for route in routes if len(routes) > 1 else ():
             views[f'-on-route-{route}'] = routes[route]
@@ -256,22 +266,12 @@
     all_samples: list[_Sample],
 ) -> bool:
     """Returns whether more than one target is bad, or there is only one."""
-    targets = {sample.target for sample in samples}
     if len({sample.target for sample in all_samples}) < 2:
         return True
-    by_target = {
-        target: _highest(
-            [sample for sample in samples if sample.target == target]
-        )
-        for target in targets
-    }
-    worst = max(by_target, key=by_target.__getitem__)
     if sum(sample.hits for sample in samples) >= MAX_BAD_OF_ONE:
         return True
-    others = [sample for sample in samples if sample.target != worst]
-    if not others:
-        return False
-    return _highest(others) >= OTHERS_LOG_RATIO
+    others = _without_worst(samples, _TARGET)
+    return bool(others) and _highest(others) >= OTHERS_LOG_RATIO
 
 
 def _holds_without_worst_domain(samples: list[_Sample]) -> bool:
@@ -283,17 +283,24 @@
     hits = sum(sample.hits for sample in samples)
     if len(domains) < 2 or hits >= MAX_BAD_OF_DOMAIN:
         return True
-    by_domain = {
-        domain: _highest(
-            [sample for sample in samples if sample.domain == domain]
-        )
-        for domain in domains
-    }
-    worst = max(by_domain, key=by_domain.__getitem__)
-    others = [sample for sample in samples if sample.domain != worst]
+    others = _without_worst(samples, _DOMAIN)
     return _highest(others) >= OTHERS_LOG_RATIO
 
 
+def _without_worst(
+    samples: list[_Sample], group_of: abc.Callable[[_Sample], int]
+) -> list[_Sample]:
+    """Returns the samples of all groups but the worst one.
+
+    Args:
+        samples: The samples, at least one.
+        group_of: Returns the group of a sample.
+    """
+    groups = _grouped(samples, group_of)
+    worst = max(groups, key=lambda group: _highest(groups[group]))
+    return [sample for sample in samples if group_of(sample) != worst]
+
+
 def _is_doubtful(failures: list[_Sample], slow: list[_Sample]) -> bool:
     """Returns whether the evidence points to a bad version at all.
 
@@ -307,7 +314,7 @@
         late_hits = sum(sample.hits for sample in late)
         if late_hits >= _MIN_DOUBTFUL_HITS and _log_ratio(late, 1) > 0:
             return True
-        for on_route in _by_route(samples).values():
+        for on_route in _grouped(samples, _ROUTE).values():
             if _log_ratio(on_route, 0) > _DOUBTFUL_ROUTE_LOG_RATIO:
                 return True
         if _log_ratio(samples, 0) > _doubtful_log_ratio(samples):
