--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/candidates.py
@@ -259,10 +259,8 @@
             reading: Its state.
             limit: Limit of the request.
         """
-        occupied = reading.running + reading.waiting
-        occupied += target.sent_since(reading)
         return limit.allows(
-            occupied,
+            target.occupied(reading),
             reading.slots or target.entry.slots,
             self.full_share(target.entry.service),
             target.draw,
@@ -325,10 +323,9 @@
 
     def _must_queue(self, result: _ProbeResult) -> bool:
         """Returns whether all slots of a target are taken."""
-        candidate = self._candidate(result)
-        reading = candidate.reading
-        occupied = reading.running + reading.waiting + candidate.sent_since
-        return occupied >= max(1, reading.slots or candidate.slots)
+        reading, target = result.reading, result.target
+        slots = max(1, reading.slots or target.entry.slots)
+        return target.occupied(reading) >= slots
 
     def _early_accept_s(self, required: requirements.Requirements) -> float:
         """Returns the cost up to which a target is accepted at once."""
--- a/ragwortchute/gateway/probe_order.py
+++ b/ragwortchute/gateway/probe_order.py
@@ -51,8 +51,7 @@
             key += 0.5
         reading = target.reading
         if reading is not None and now_s - reading.taken_s < 0.1:
-            occupied = reading.running + reading.waiting
-            occupied += target.sent_since(reading)
+            occupied = target.occupied(reading)
             if occupied >= max(1, reading.slots) or reading.slowness > 2:
                 key += 2.0
         result.append((key, target))
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/targets.py
@@ -133,6 +133,10 @@
         """Returns the number of requests sent after a reading was taken."""
         return sum(1 for sent_s in self._sent_s if sent_s >= reading.taken_s)
 
+    def occupied(self, reading: dialects.Reading) -> int:
+        """Returns the requests that run, wait or are on their way there."""
+        return reading.running + reading.waiting + self.sent_since(reading)
+
     def note_sent(self, now_s: float) -> None:
         """Counts a request that is sent to the target."""
         self._sent_s.append(now_s)
