--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -49,9 +49,10 @@
         service: What this host knows of its service.
         rank: How many priorities are more urgent.
         limit: Which targets have room for it.
+        work_s: Its expected work in seconds, known once it was selected for.
     """
 
-    __slots__ = ('call', 'limit', 'rank', 'require', 'service')
+    __slots__ = ('call', 'limit', 'rank', 'require', 'service', 'work_s')
 
     def __init__(
         self,
@@ -66,6 +67,7 @@
         self.service = service
         self.rank = rank
         self.limit = limit
+        self.work_s = 0.0
 
     @property
     def organisation(self) -> str:
@@ -124,7 +126,7 @@
         placed = await self._admit(entrant)
         if not call.sends and isinstance(placed, candidates.Placement):
             entrant.service.shares.note_admitted(
-                entrant.rank, entrant.organisation, require(call).work_s
+                entrant.rank, entrant.organisation, entrant.work_s
             )
         return placed
 
@@ -302,6 +304,7 @@
     ) -> Placed:
         required = entrant.require(entrant.call)
         required.limit = entrant.limit
+        entrant.work_s = required.work_s
         if only in required.targets:
             required.targets = [only]
         return await self._selector.select(required)
