--- a/ragwortchute/gateway/rollouts/__init__.py
+++ b/ragwortchute/gateway/rollouts/__init__.py
@@ -8,10 +8,15 @@
     """Which targets of a service may get a request, by their versions.
 
     The base class restricts nothing; it is used where no rollouts occur.
+
+    Attributes:
+        restricts: Whether `choose` is to be asked before a selection.
     """
 
     __slots__ = ()
 
+    restricts = False
+
     def choose(
         self, call: attempts.Call, targets: list[targets_.Target]
     ) -> tuple[list[targets_.Target], list[targets_.Target]]:
@@ -25,8 +30,7 @@
             The targets to select from, and those to select from if none of
             the first takes it.
         """
-        del call  # Needed by subclasses.
-        return targets, []
+        raise NotImplementedError
 
     def admits(self, call: attempts.Call, target: targets_.Target) -> bool:
         """Returns whether a request may still be sent to a chosen target."""
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -92,6 +92,8 @@
         'sends',
     )
 
+    restricts = True
+
     def __init__(
         self,
         *,
--- a/ragwortchute/gateway/target_choice.py
+++ b/ragwortchute/gateway/target_choice.py
@@ -70,6 +70,8 @@
         ) and self.versions.admits(call, target)
 
     async def _select(self, call: attempts.Call, place: gate_.Place) -> Placed:
+        if not self.versions.restricts:
+            return await place(call, self._requirements)
         targets = self._untried_targets(call)
         first, second = self.versions.choose(call, targets)
         chosen = None if first is targets else frozenset(first)
@@ -94,7 +96,7 @@
     def _requirements(
         self,
         call: attempts.Call,
-        chosen: frozenset[targets_.Target] | None,
+        chosen: frozenset[targets_.Target] | None = None,
     ) -> requirements.Requirements:
         """Returns what a request requires of a target now.
 
