--- a/tests/test_gateway/host_deployment.py
+++ b/tests/test_gateway/host_deployment.py
@@ -33,10 +33,17 @@
         await self.server.start()
         await self.server.put('config', 'main', self.configuration)
         for number in range(targets):
-            target = platform_targets.TargetServer(f't{number}', 's')
-            await target.start()
-            self.targets.append(target)
-            await self.server.put('servers', target.name, target.entry)
+            await self.add_target(
+                platform_targets.TargetServer(f't{number}', 's')
+            )
+        await self.add_hosts(domains)
+
+    async def add_target(self, target):
+        await target.start()
+        self.targets.append(target)
+        await self.server.put('servers', target.name, target.entry)
+
+    async def add_hosts(self, domains):
         await asyncio.gather(
             *(
                 self.add(f'h{number}', domain)
@@ -78,13 +85,14 @@
         return host
 
     async def run(self, host):
-        await host.start(
-            [
-                feeds.ConfigFeed(host.state, host.log),
-                feeds.TargetFeed(host.state, host.log),
-                feeds.EvacuationFeed(host.state),
-            ]
-        )
+        await host.start(self.feeds(host))
+
+    def feeds(self, host):
+        return [
+            feeds.ConfigFeed(host.state, host.log),
+            feeds.TargetFeed(host.state, host.log),
+            feeds.EvacuationFeed(host.state),
+        ]
 
     def registration(self, host):
         return registration.Registration(
--- a/tests/test_gateway/stop_scenes.py
+++ b/tests/test_gateway/stop_scenes.py
@@ -306,15 +306,8 @@
         for number in range(targets):
             target = Target(f't{number}', 's', slots=8)
             target.work_s = WORK_S
-            await target.start()
-            self.targets.append(target)
-            await self.server.put('servers', target.name, target.entry)
-        await asyncio.gather(
-            *(
-                self.add(f'h{number}', domain)
-                for number, domain in enumerate(domains)
-            )
-        )
+            await self.add_target(target)
+        await self.add_hosts(domains)
         await self.until(
             lambda: all(
                 host.ready and len(host.hosts()) == len(domains)
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -6,14 +6,9 @@
 
 import pytest
 
-from ragwortchute.gateway import application
-from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import metrics
-from ragwortchute.platform import feeds
-from ragwortchute.platform import objects
 from ragwortchute.platform import rollout_feed
-from ragwortchute.platform import wire
 from standins import platform_targets
 from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
@@ -29,38 +24,17 @@
 
     def __init__(self):
         super().__init__()
+        self.contracts = CONTRACTS
         self.statuses = []
         # Status, time in seconds and Retry-After of the requests that ended.
         self.answers = []
         self.callers = None
 
-    def build(self, me):
-        settings = host_settings.Settings(
-            me,
-            rigs.DOMAINS,
-            me.ip,
-            self.grace_s,
-            5.4,
-            host_settings.FleetLimits(),
-            contracts=CONTRACTS,
-        )
-        store = objects.ObjectStore('127.0.0.1', self.server.port)
-        log = rigs.MemoryLog()
-        host = application.Gateway(settings, store, wire.PlatformDialect(), log)
-        host.log = log
-        self.hosts.append(host)
-        return host
-
-    async def run(self, host):
-        rollout_feeds = rollout_feed.enable(host, CONTRACTS, host.log)
-        await host.start(
-            [
-                feeds.ConfigFeed(host.state, host.log),
-                feeds.TargetFeed(host.state, host.log),
-                feeds.EvacuationFeed(host.state),
-                *rollout_feeds,
-            ]
-        )
+    def feeds(self, host):
+        return [
+            *super().feeds(host),
+            *rollout_feed.enable(host, CONTRACTS, host.log),
+        ]
 
     async def begin(self, hosts=3, **new_target):
         """Starts hosts and targets, and orders a rollout."""
@@ -76,9 +50,7 @@
             target.born_ms = int(time.time() * 1000)
             for name, value in new_target.items():
                 setattr(target, name, value)
-            await target.start()
-            self.targets.append(target)
-            await self.server.put('servers', target.name, target.entry)
+            await self.add_target(target)
         self.callers = asyncio.create_task(self.call())
         await asyncio.sleep(1.0)
         assert not self.new_arrivals
