--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -284,8 +284,7 @@
 
     def test_hosts_of_a_domain_never_wait_for_each_other(self):
         # While hosts are added, each knows others. Readers that left their role
-        # to each other then read no change for four seconds
-        # (kplma-gate-grown, scale-1).
+        # to each other then read no change for four seconds.
         rng = random.Random(4)
         hosts = [
             rigs.host(f'h{number}', 'a1', incarnation=rng.randrange(4))
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -133,7 +133,7 @@
     async def test_new_reader_does_not_wait_long_for_a_silent_store(self, rig):
         # The reader of a failure domain stops while the store is silent, and
         # this host takes its place. A watch of 4 s would still be pending when
-        # the store is back (kplma-gate, trouble-3, seed 1053968240604).
+        # the store is back.
         rig.other = ReplicaStore()
         rig.other.replica.replace((), rig.server.revision)
         rig.follow()
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -131,7 +131,7 @@
 
     async def test_revision_without_its_change_is_not_relied_on(self, rig):
         # Watches hear nothing for a second while the configuration changes, but
-        # return the revision after it (kplma-gate-grown, scale-1).
+        # return the revision after it.
         rig.feed.watch_timeout_s = 0.3
         await rig.server.put('things', 'a', 1)
         rig.follow()
