--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -32,6 +32,7 @@
         scraping.add_process(self._metrics)
         self._add_request_metrics()
         self._add_answer_metrics()
+        self._add_load_metrics()
         self._add_state_metrics()
         part_metrics.add_refusals(self._metrics, gateway.stats)
         part_metrics.add_limits(self._metrics, gateway.account)
@@ -99,7 +100,7 @@
             metrics.add_counter(
                 name,
                 help_text,
-                lambda read_value=read_value: {'': read_value()},
+                read_value,
             )
 
     def _add_answer_metrics(self) -> None:
@@ -121,18 +122,18 @@
             'route',
         )
 
-    def _add_state_metrics(self) -> None:
+    def _add_load_metrics(self) -> None:
         gateway = self._gateway
         metrics = self._metrics
         metrics.add_gauge(
             'ragwortchute_gateway_requests_running',
             'Requests of callers that run at this moment.',
-            lambda: {'': gateway.callers.running},
+            lambda: gateway.callers.running,
         )
         metrics.add_gauge(
             'ragwortchute_gateway_requests_waiting',
             'Requests of callers that wait for room on a target.',
-            lambda: {'': gateway.dispatcher.gate.waiting_requests},
+            lambda: gateway.dispatcher.gate.waiting_requests,
         )
         metrics.add_gauge(
             'ragwortchute_gateway_full_targets_share',
@@ -143,8 +144,12 @@
         metrics.add_gauge(
             'ragwortchute_gateway_body_bytes',
             'Memory reserved for long bodies of requests.',
-            lambda: {'': gateway.bodies.used_bytes},
+            lambda: gateway.bodies.used_bytes,
         )
+
+    def _add_state_metrics(self) -> None:
+        gateway = self._gateway
+        metrics = self._metrics
         metrics.add_gauge(
             'ragwortchute_gateway_revision',
             'Revision up to which changes are known, by prefix.',
@@ -161,17 +166,17 @@
         metrics.add_gauge(
             'ragwortchute_gateway_store_down',
             'Whether the last call to the store failed.',
-            lambda: {'': int(gateway.health.down)},
+            lambda: int(gateway.health.down),
         )
         metrics.add_gauge(
             'ragwortchute_gateway_hosts',
             'Hosts that are alive, this one included.',
-            lambda: {'': len(gateway.hosts())},
+            lambda: len(gateway.hosts()),
         )
         metrics.add_gauge(
             'ragwortchute_gateway_targets',
             'Targets that are known.',
-            lambda: {'': len(gateway.state.targets)},
+            lambda: len(gateway.state.targets),
         )
         metrics.add_counter(
             'ragwortchute_gateway_part_failures_total',
--- a/ragwortchute/gateway/part_metrics.py
+++ b/ragwortchute/gateway/part_metrics.py
@@ -71,7 +71,7 @@
         metrics.add_gauge(
             name,
             help_text,
-            lambda read_value=read_value: {'': read_value()},
+            read_value,
         )
 
 
@@ -121,7 +121,7 @@
         metrics.add_counter(
             name,
             help_text,
-            lambda read_value=read_value: {'': read_value()},
+            read_value,
         )
     metrics.add_gauge(
         'ragwortchute_gateway_quota_used',
@@ -133,7 +133,7 @@
     metrics.add_gauge(
         'ragwortchute_gateway_quota_alone',
         'Whether this host uses only its own share of quotas.',
-        lambda: {'': int(quotas.is_alone())},
+        lambda: int(quotas.is_alone()),
     )
 
 
--- a/ragwortchute/operators/metrics.py
+++ b/ragwortchute/operators/metrics.py
@@ -98,17 +98,17 @@
     metrics.add_gauge(
         'ragwortchute_calls_running',
         'Calls that run at this moment.',
-        lambda: {'': app.running},
+        lambda: app.running,
     )
     metrics.add_gauge(
         'ragwortchute_calls_buffered_bytes',
         'Bodies of the running calls in bytes.',
-        lambda: {'': app.buffered_bytes},
+        lambda: app.buffered_bytes,
     )
     metrics.add_counter(
         'ragwortchute_calls_total',
         'Calls that got an answer of a target.',
-        lambda: {'': app.answered},
+        lambda: app.answered,
     )
     metrics.add_counter(
         'ragwortchute_refusals_total',
@@ -119,7 +119,7 @@
     metrics.add_counter(
         'ragwortchute_call_seconds_total',
         'Time of all ended calls in seconds.',
-        lambda: {'': app.durations.total_s},
+        lambda: app.durations.total_s,
     )
     metrics.add_counter(
         'ragwortchute_calls_within_milliseconds_total',
@@ -166,12 +166,12 @@
     metrics.add_counter(
         'ragwortchute_control_cpu_seconds_total',
         'CPU time of encoding and decoding control messages in seconds.',
-        lambda: {'': counts.control_cpu_s},
+        lambda: counts.control_cpu_s,
     )
     metrics.add_counter(
         'ragwortchute_control_dropped_frames_total',
         'Frames that failed their check.',
-        lambda: {'': counts.dropped_frames},
+        lambda: counts.dropped_frames,
     )
 
 
@@ -180,12 +180,12 @@
     metrics.add_gauge(
         'ragwortchute_record_bytes',
         'Memory of the request records in bytes.',
-        lambda: {'': budget.used_bytes},
+        lambda: budget.used_bytes,
     )
     metrics.add_gauge(
         'ragwortchute_record_limit_bytes',
         'Bound of the memory of the request records in bytes.',
-        lambda: {'': budget.limit_bytes},
+        lambda: budget.limit_bytes,
     )
 
 
--- a/ragwortchute/scraping.py
+++ b/ragwortchute/scraping.py
@@ -15,8 +15,8 @@
 _PAGE_BYTES = resource.getpagesize()
 _STATM = '/proc/self/statm'
 
-# Returns metric values by label value; an empty label value means no label.
-Source = abc.Callable[[], abc.Mapping[str, float]]
+# Returns metric values by label value, or the value of a metric without labels.
+Source = abc.Callable[[], abc.Mapping[str, float] | float]
 
 
 class Metrics:
@@ -34,7 +34,7 @@
         Args:
             name: Name of the metric.
             help_text: Help text of the metric.
-            source: Returns the values by label value.
+            source: Returns the values by label value, or the only one.
             label: Name of the label, or an empty string.
         """
         self._add(
@@ -51,7 +51,7 @@
         Args:
             name: Name of the metric.
             help_text: Help text of the metric.
-            source: Returns the values by label value.
+            source: Returns the values by label value, or the only one.
             label: Name of the label, or an empty string.
         """
         self._add(
@@ -69,7 +69,10 @@
         for collector, label, source in self._sources:
             # Removes series whose label value is gone, such as old targets.
             collector.values.clear()
-            for label_value, value in source().items():
+            values = source()
+            if not isinstance(values, abc.Mapping):
+                values = {'': values}
+            for label_value, value in values.items():
                 collector.set({label: label_value} if label else {}, value)
         return aioprometheus.render(self._registry, accept)
 
@@ -84,12 +87,12 @@
     metrics.add_counter(
         'ragwortchute_process_cpu_seconds_total',
         'CPU time of the process in seconds.',
-        lambda: {'': time.process_time()},
+        time.process_time,
     )
     metrics.add_gauge(
         'ragwortchute_process_resident_bytes',
         'Resident memory of the process in bytes.',
-        lambda: {'': resident_bytes()},
+        resident_bytes,
     )
 
 
