--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -171,7 +171,7 @@
         """
         self._writing.discard(write.record.service)
         if record is None:
-            self._write_failed_s = now_s
+            self.note_write_failed(now_s)
             return
         self.set_record(record, now_s)
 
