--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -16,6 +16,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 from ragwortchute.gateway import organisations
+from ragwortchute.gateway import shares
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
@@ -89,7 +90,6 @@
         '_read_organisations',
         '_read_hosts',
         '_reported_s',
-        '_replied_s',
         '_replies',
         '_reports',
         '_rng',
@@ -135,11 +135,10 @@
         self._contact: dict[int, bool] = {}
         self._coordinates: dict[int, bool] = {}
         self._reports = 0
-        self._replies = MAX_REPLIES
+        self._replies = shares.TokenBucket(MAX_REPLIES)
         # Hosts, by shard, that got a provisional reply. They get another one
         # once the accounts of this host are not provisional any more.
         self._askers = collections.defaultdict(set)
-        self._replied_s = 0.0
         self._reported_s: dict[int, float] = {}
         self._ticks = rng.randrange(TICKS_PER_REPORT)
         self._measured_s: float | None = None
@@ -425,16 +424,11 @@
 
     def _reply(self, shard: quota_roles.Shard, name: str, now_s: float) -> None:
         """Announces the state of a shard to a host without contact."""
-        elapsed_s = now_s - self._replied_s
-        self._replied_s = now_s
-        self._replies = min(
-            MAX_REPLIES, self._replies + elapsed_s * REPLIES_PER_S
-        )
-        if self._replies < 1:
+        if self._replies.wait_s(now_s, REPLIES_PER_S, MAX_REPLIES) > 0:
             return
         announcement = shard.reply(self._limits, now_s)
         if announcement is not None:
-            self._replies -= 1
+            self._replies.spend()
             self._send_announcement([name], announcement)
             if announcement.provisional:
                 self._askers[shard.index].add(name)
