--- a/tests/test_gateway/test_locality.py
+++ b/tests/test_gateway/test_locality.py
@@ -67,7 +67,7 @@
 
 
 class TestSpillover:
-    """A share must follow lasting congestion only, and not swing."""
+    """A share must follow lasting congestion only, and not oscillate."""
 
     def test_no_share_while_the_own_domain_has_room(self):
         spillover = spillover_.Spillover()
--- a/tests/test_gateway/test_locality_load.py
+++ b/tests/test_gateway/test_locality_load.py
@@ -123,7 +123,7 @@
 
 
 class TestSteadyShares:
-    """Hosts that decide independently must not swing together."""
+    """Hosts that decide independently must not oscillate in step."""
 
     @pytest.mark.parametrize(
         ('name', 'start_s'),
