Admit urgent requests of an organisation over its quota first

Cause: while an organisation sends more than its quota, each of its requests was refused with the same probability, whatever the priority of its route.

--- a/ragwortchute/gateway/http/intake.py
+++ b/ragwortchute/gateway/http/intake.py
@@ -168,7 +168,7 @@
         caller = self._identity.identify(req, route, relayed=False)
         if isinstance(caller, str):
             return self._refuse(req, caller)
-        return self._refuse_over_quota(req, caller)
+        return self._refuse_over_quota(req, caller, route.priority)
 
     def recheck(self, call: attempts.Call) -> str:
         """Returns why a request must not be sent any more, empty if it may."""
@@ -202,7 +202,9 @@
         if self._quotas is None or not call.key:
             return 0.0
         now_s = self._loop.time()
-        wait_s = self._quotas.admit(call.organisation, now_s)
+        wait_s = self._quotas.admit(
+            call.organisation, now_s, call.route.priority
+        )
         call.has_credit = wait_s <= 0
         return wait_s
 
@@ -213,7 +215,10 @@
             self._quotas.give_back(call.organisation, self._loop.time())
 
     def _refuse_over_quota(
-        self, req: http_messages.Request, caller: identity_.Caller
+        self,
+        req: http_messages.Request,
+        caller: identity_.Caller,
+        priority: int,
     ) -> http_messages.Response | None:
         """Refuses a request for which there is no credit now.
 
@@ -222,7 +227,7 @@
         if self._quotas is None or caller.organisation is None:
             return None
         now_s = self._loop.time()
-        wait_s = self._quotas.admit(caller.organisation, now_s)
+        wait_s = self._quotas.admit(caller.organisation, now_s, priority)
         if wait_s <= 0:
             self._quotas.give_back(caller.organisation, now_s)
             return None
--- a/ragwortchute/gateway/organisations/__init__.py
+++ b/ragwortchute/gateway/organisations/__init__.py
@@ -20,12 +20,16 @@
     __slots__ = ()
 
     @abc.abstractmethod
-    def admit(self, organisation: model.Organisation, now_s: float) -> float:
+    def admit(
+        self, organisation: model.Organisation, now_s: float, priority: int = 0
+    ) -> float:
         """Spends one credit for a request of an organisation.
 
         Args:
             organisation: The organisation, of the configuration in force.
             now_s: Loop time in seconds.
+            priority: Priority of the route; 0 is the most urgent. Beyond the
+                quota, more urgent requests of the organisation go first.
 
         Returns:
             0.0 if the request is admitted; else the time in seconds until
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -12,6 +12,7 @@
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.organisations import quota_priorities
 from ragwortchute.gateway.peers import shares
 
 # Requests that a host may admit between two announcements: at least this many,
@@ -72,6 +73,7 @@
         '_mark_s',
         '_marks',
         '_measured',
+        '_mix',
         '_returned',
         '_returned_s',
         '_rng',
@@ -96,9 +98,10 @@
         self.state: quota_messages.State | None = None
         self.is_idle = True
         self._rng = rng
-        # Fractions of requests that add up; hosts begin at random places, so
-        # that the sum over all hosts is exact.
-        self._carried = rng.random()
+        # Fractions of requests that add up, by priority; hosts begin at random
+        # places, so that the sum over all hosts is exact.
+        self._carried: dict[int, float] = {}
+        self._mix = quota_priorities.PriorityMix()
         self._between = 0
         # Demand of this host as a share of the rate at the last announcement.
         self._announced_share = 0.0
@@ -112,24 +115,28 @@
         self._admitted_at_start = 0
         self._bucket: shares.TokenBucket | None = None
 
-    def admit(self, now_s: float, announced_s: float, hosts: int) -> float:
+    def admit(
+        self, now_s: float, announced_s: float, hosts: int, priority: int = 0
+    ) -> float:
         """Admits a request as announced.
 
         Args:
             now_s: Loop time in seconds.
             announced_s: Loop time of the last announcement.
             hosts: Number of hosts that may be alive.
+            priority: Priority of its route; 0 is the most urgent.
 
         Returns:
             0.0 if it is admitted, else the time until credit is expected.
         """
         self._note_request(now_s)
-        state = self.state
+        mix = self._mix
+        if self.throttled:
+            portion = mix.portion(priority, self.state.admit_fraction)
+        mix.note(priority, now_s)
         if self.throttled:
-            self._carried += state.admit_fraction
-            if self._carried < 1:
-                return self._shared_wait_s(state)
-            self._carried -= 1
+            if not self._is_next(priority, portion.admitted):
+                return self._shared_wait_s(self.state, portion)
         if self._between >= self._most_between(now_s - announced_s, hosts):
             return 1 / self.limit.rate_per_s
         self._between += 1
@@ -244,6 +251,15 @@
             self.admitted - self._marks[0],
         )
 
+    def _is_next(self, priority: int, admitted: float) -> bool:
+        """Returns whether the fractions of a priority add up to a request."""
+        carried = self._carried.get(priority)
+        if carried is None:
+            carried = self._rng.random()
+        carried += admitted
+        self._carried[priority] = carried % 1
+        return carried >= 1
+
     def _note_request(self, now_s: float) -> None:
         self.demanded += 1
         self.reports_left = REPORTS_PER_CHANGE
@@ -269,14 +285,17 @@
             + own_share * limit.rate_per_s * elapsed_s * RATE_HEADROOM
         )
 
-    def _shared_wait_s(self, state: quota_messages.State) -> float:
+    def _shared_wait_s(
+        self, state: quota_messages.State, portion: quota_priorities.Portion
+    ) -> float:
         """Returns when a refused caller should return.
 
         The callers that are refused in a second return spread over the time in
-        which the rate has room for all of them.
+        which the rate has room for all of them, the most urgent ones first.
         """
         rate_per_s = self.limit.rate_per_s
         credit_s = max(0.0, 1 - state.level) / rate_per_s
-        waiting = state.demand_per_s * (1 - state.admit_fraction)
-        spread_s = 2 * self._rng.random() * max(1.0, waiting) / rate_per_s
+        before = state.demand_per_s * portion.refused_before
+        waiting = max(1.0, state.demand_per_s * portion.refused)
+        spread_s = (before + 2 * self._rng.random() * waiting) / rate_per_s
         return min(MAX_WAIT_S, credit_s + spread_s)
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -148,7 +148,9 @@
         self.reports_sent = 0
         self.announcements_sent = 0
 
-    def admit(self, organisation: model.Organisation, now_s: float) -> float:
+    def admit(
+        self, organisation: model.Organisation, now_s: float, priority: int = 0
+    ) -> float:
         """See base class.
 
         The time differs between callers, so that those who wait return spread
@@ -167,7 +169,7 @@
         shard = self._shards[use.limit.key % len(self._shards)]
         if shard.has_contact(now_s, throttled=use.throttled):
             hosts = len(self._hosts.names)
-            wait_s = use.admit(now_s, shard.announced_s, hosts)
+            wait_s = use.admit(now_s, shard.announced_s, hosts, priority)
             self.refused += wait_s > 0
         else:
             wait_s = self._admit_alone(use, shard, now_s)
--- a/tests/test_gateway/quota_model.py
+++ b/tests/test_gateway/quota_model.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import itertools
 import random
 
 import msgspec
@@ -32,6 +33,8 @@
 SEND_DELAY_S = 0.5
 # UDP and IP headers, and what `heartbeats.Message` adds to a payload.
 MESSAGE_BYTES = 28 + 40
+# Priorities of the routes of successive requests.
+PRIORITIES = (1, 0, 1, 2, 1, 1)
 
 
 class Scenario(msgspec.Struct, frozen=True):
@@ -127,6 +130,7 @@
         self.sent_bytes = collections.Counter()
         self.far_bytes = 0
         self.received = []
+        self.priorities = itertools.cycle(PRIORITIES)
         self.admitted_s = []
         self.at_names = []
         self.set_limit(scenario.rate_per_s)
@@ -249,7 +253,8 @@
         if not alive:
             return
         host = self.hosts[self.rng.choice(alive)]
-        wait_s = host.admit(host.in_force, self.now_s)
+        priority = next(self.priorities)
+        wait_s = host.admit(host.in_force, self.now_s, priority)
         self.received.append(self.now_s)
         if not wait_s:
             self.admitted_s.append(self.now_s)
--- a/tests/test_gateway/test_organisations.py
+++ b/tests/test_gateway/test_organisations.py
@@ -42,7 +42,7 @@
         self.admitted = 0
         self.returned = 0
 
-    def admit(self, organisation, now_s):
+    def admit(self, organisation, now_s, priority=0):
         assert organisation.name == 'acme'
         self.admitted += not self.wait_s
         return self.wait_s
