Collect the hosts that share limits in a module of its own

Change: FleetView computes them from the membership. Behaviour is unchanged. Result: test_target_limits and test_target_statements pass.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -17,13 +17,13 @@
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import failure_reports
+from ragwortchute.gateway import fleet_view
 from ragwortchute.gateway import grace
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_server
 from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
 from ragwortchute.gateway import pauses
 from ragwortchute.gateway import peer_api
 from ragwortchute.gateway import peer_socket
@@ -142,6 +142,7 @@
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
+        self._fleet_view = fleet_view.FleetView(self.membership)
         reader = statement_reader.StatementReader(
             dialect, self.state, self.statements, self.pauses, log
         )
@@ -475,11 +476,8 @@
             self.account.update(self.state.limits.max_body_bytes)
             senders = self.membership.possible_senders(now_s)
             self._host_pools.keep_only(frozenset(senders))
-            self._send_limits.fleet = pacing.make_fleet(
-                self._settings.me.name,
-                senders,
-                self._knows_all_hosts(now_s - started_s),
-                self.membership.regions(),
+            self._send_limits.fleet = self._fleet_view.observe(
+                now_s, discovered=self._knows_all_hosts(now_s - started_s)
             )
             self._selector.targets = len(self.state.targets)
             self.statements.forget_old(now_s)
