Count silent hosts in stated limits and in limits of cold targets

Cause: hosts that were not heard of for 30 s no longer counted, so each side of a longer partition divided the whole limit among its own hosts. Change: shares are divided among the hosts that are not known to be gone, as in quotas, where a target names a limit or the configuration has cold limits. Retry budgets, probes and connections to hosts count them for 30 s as before. Hosts that die for good keep their shares for an hour or until they are replaced.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -142,7 +142,9 @@
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
-        self._fleet_view = fleet_view.FleetView(self.membership)
+        self._fleet_view = fleet_view.FleetView(
+            self.membership, self.statements, self.state
+        )
         reader = statement_reader.StatementReader(
             dialect, self.state, self.statements, self.pauses, log
         )
--- a/ragwortchute/gateway/pacing.py
+++ b/ragwortchute/gateway/pacing.py
@@ -78,15 +78,19 @@
 
     Attributes:
         own_name: Name of this host.
-        names: Names of the hosts that may be alive, this one included.
+        names: Names of the hosts that were heard of a short time ago, this one
+            included.
         discovered: Whether this host has had time to learn of the others.
-        names_by_region: Names of the hosts by region.
+        members: Names of the hosts that are not known to be gone: also those
+            that have been silent for longer, as they may be behind a partition.
+        members_by_region: The same by region.
     """
 
     own_name: str = ''
     names: frozenset[str] = frozenset()
     discovered: bool = False
-    names_by_region: dict[str, frozenset[str]] = {}
+    members: frozenset[str] = frozenset()
+    members_by_region: dict[str, frozenset[str]] = {}
 
     def sends_per_window(self, target: str, limit_per_s: float) -> int:
         """Returns how many requests this host may send to a cold target.
@@ -100,8 +104,8 @@
         """
         if not self.discovered:
             return 0
-        share = cold_share(limit_per_s, len(self.names))
-        owner_names = shares.owners(target, self.names, share.owners)
+        share = cold_share(limit_per_s, len(self.members))
+        owner_names = shares.owners(target, self.members, share.owners)
         return share.sends_per_window if self.own_name in owner_names else 0
 
     def share_of_limit(
@@ -122,7 +126,7 @@
         """
         if not self.discovered:
             return None
-        names = self.names_by_region.get(region) or self.names
+        names = self.members_by_region.get(region) or self.members
         share = limit_shares.divide(limit_per_s, len(names))
         if self.own_name not in shares.owners(target, names, share.owners):
             return None
@@ -134,27 +138,30 @@
     names: abc.Iterable[str],
     discovered: bool,
     regions: abc.Mapping[str, str] | None = None,
+    members: abc.Iterable[str] = (),
 ) -> Fleet:
     """Returns the hosts among which rate limits are divided.
 
     Args:
         own_name: Name of this host.
-        names: Names of the hosts that may be alive, with or without this one.
+        names: Names of the hosts that were heard of a short time ago, with or
+            without this one.
         discovered: Whether this host has had time to learn of the others.
         regions: Regions of the hosts by name; empty if they are not known.
+        members: Names of the hosts that are not known to be gone; those of
+            `names` always count.
     """
     all_names = frozenset(names) | {own_name}
-    names_by_region: dict[str, set[str]] = {}
-    for name in all_names:
+    all_members = all_names.union(members)
+    by_region: dict[str, set[str]] = {}
+    for name in all_members:
         region = (regions or {}).get(name)
         if region is not None:
-            names_by_region.setdefault(region, set()).add(name)
+            by_region.setdefault(region, set()).add(name)
     return Fleet(
         own_name,
         all_names,
         discovered,
-        {
-            region: frozenset(members)
-            for region, members in names_by_region.items()
-        },
+        all_members,
+        {region: frozenset(group) for region, group in by_region.items()},
     )
--- a/ragwortchute/gateway/target_statements.py
+++ b/ragwortchute/gateway/target_statements.py
@@ -98,6 +98,11 @@
             return
         self._record_limit(key, _Limit(limit_per_s, now_s), now_s, 'answer')
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether a target has stated a limit lately."""
+        return bool(self._limits)
+
     def limit_per_s(self, key: int, now_s: float) -> float | None:
         """Returns the limit of a target per second, None if it has none.
 
