Ask for a limit whose owners are all silent

Cause: a side of a partition on which no host owns a share sends the target nothing, so it hears no limit. After 30 s it forgot the limit, and each of its hosts sent what it had until the target named the limit again. Change: while no owner is heard, one host sends a request in 10 s, if more than a third of the hosts are heard. Its answer keeps the limit in force. Result: of 21 hosts of 60 without an owner one asks, of 20 none; a part that small still forgets the limit.

--- a/ragwortchute/gateway/fleet_view.py
+++ b/ragwortchute/gateway/fleet_view.py
@@ -49,6 +49,7 @@
             discovered,
             membership.regions(),
             (peer.entry.name for peer in peers.silent_members(now_s)),
+            membership.alive_names(now_s) if peers.keeps_silent else None,
         )
 
     def _has_limits(self) -> bool:
--- a/ragwortchute/gateway/pacing.py
+++ b/ragwortchute/gateway/pacing.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections import abc
+import functools
 
 import msgspec
 
@@ -84,6 +85,7 @@
         members: Names of the hosts that are not known to be gone: also those
             that have been silent for longer, as they may be behind a partition.
         members_by_region: The same by region.
+        live: Names of the hosts that are heard, this one included.
     """
 
     own_name: str = ''
@@ -91,6 +93,7 @@
     discovered: bool = False
     members: frozenset[str] = frozenset()
     members_by_region: dict[str, frozenset[str]] = {}
+    live: frozenset[str] = frozenset()
 
     def sends_per_window(self, target: str, limit_per_s: float) -> int:
         """Returns how many requests this host may send to a cold target.
@@ -128,9 +131,32 @@
             return None
         names = self.members_by_region.get(region) or self.members
         share = limit_shares.divide(limit_per_s, len(names))
-        if self.own_name not in shares.owners(target, names, share.owners):
-            return None
-        return share
+        owners = shares.owners(target, names, share.owners)
+        if self.own_name in owners:
+            return share
+        if owners.isdisjoint(self.live) and self._inquires(target, names):
+            return limit_shares.INQUIRY
+        return None
+
+    def _inquires(self, target: str, names: frozenset[str]) -> bool:
+        """Returns whether this host asks for a limit whose owners are silent.
+
+        Args:
+            target: Name of the target.
+            names: Names of the hosts that share its limit.
+        """
+        live = _common(names, self.live)
+        if not live:
+            names, live = self.members, self.live
+        if len(live) <= len(names) * limit_shares.INQUIRY_FRACTION:
+            return False
+        return self.own_name in shares.owners(target, live, 1)
+
+
+# The names change five times a second, and each request asks for some.
+@functools.lru_cache(maxsize=16)
+def _common(names: frozenset[str], others: frozenset[str]) -> frozenset[str]:
+    return names & others
 
 
 def make_fleet(
@@ -139,6 +165,7 @@
     discovered: bool,
     regions: abc.Mapping[str, str] | None = None,
     members: abc.Iterable[str] = (),
+    live: abc.Iterable[str] | None = None,
 ) -> Fleet:
     """Returns the hosts among which rate limits are divided.
 
@@ -150,6 +177,7 @@
         regions: Regions of the hosts by name; empty if they are not known.
         members: Names of the hosts that are not known to be gone; those of
             `names` always count.
+        live: Names of the hosts that are heard; None if all members are.
     """
     all_names = frozenset(names) | {own_name}
     all_members = all_names.union(members)
@@ -164,4 +192,5 @@
         discovered,
         all_members,
         {region: frozenset(group) for region, group in by_region.items()},
+        all_members if live is None else frozenset(live),
     )
--- a/tests/test_gateway/test_limit_shares.py
+++ b/tests/test_gateway/test_limit_shares.py
@@ -86,6 +86,20 @@
         fleet = pacing.make_fleet('h', [], False)
         assert fleet.share_of_limit('t', 'a', 300.0) is None
 
+    @pytest.mark.parametrize('heard', [20, 21])
+    def test_one_host_asks_while_no_owner_is_heard(self, heard):
+        # A limit that no host hears of is forgotten, and all would send.
+        names = [f'h{number}' for number in range(60)]
+        owners = shares.owners('t', frozenset(names), 8)
+        live = sorted(set(names) - owners)[:heard]
+        fleets = [
+            pacing.make_fleet(name, live, True, None, names, live)
+            for name in live
+        ]
+        given = [fleet.share_of_limit('t', 'a', 3.0) for fleet in fleets]
+        asking = [share for share in given if share]
+        assert asking == [limit_shares.INQUIRY] * (heard > 20)
+
     def test_share_that_was_not_used_does_not_pile_up(self):
         share = limit_shares.divide(3.0, 8)
         pacer = shares.TokenBucket()
