Tell a request that meets all pauses when they end

Cause: a request whose own sends were what made the last targets ask for a pause was refused as no-more-attempts, with a Retry-After of 0.04 s, and as retry-budget or no-target in the same way. Change: a refusal after a send that has not run names the earliest end if all targets of the service refuse requests of this host.

--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -126,7 +126,7 @@
         self.gate = gate.Gate(state, selector)
         self.work_times = work_times.WorkTimes()
         self.choice = target_choice.TargetChoice(
-            state, self.gate, self.work_times
+            state, self.gate, selector.limits, self.work_times
         )
         self._measurements = measurements.Measurements(
             selector, self.work_times, grace_period
@@ -270,14 +270,11 @@
         refusal = self._refuse_if_blocked(call)
         if refusal is not None:
             return refusal
-        if call.sends:
-            if not self.retries.may_repeat(call):
-                return self._answers.give_up(call, 'no-more-attempts')
-            await self.retries.borrow(call, self._loop.time())
-            if not self._may_retry(call):
-                return self._answers.give_up(call, 'retry-budget')
-        placed = await self.choice.select(call)
+        placed = await self.retries.refusal(call) if call.sends else None
+        if placed is None:
+            placed = await self.choice.select(call)
         if isinstance(placed, candidates.NoPlacement):
+            placed = self.choice.refusal(call, placed)
             return self._answers.give_up(
                 call, placed.reason, answers.retry_after_s(placed)
             )
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -5,9 +5,11 @@
 not been executed or is idempotent, and that the retry budget is not exhausted.
 """
 
+import asyncio
 import random
 
 from ragwortchute.gateway import attempts
+from ragwortchute.gateway import candidates
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import retry_loans
 from ragwortchute.gateway import send_limits
@@ -70,10 +72,21 @@
             return False
         return call.route.idempotent or not call.maybe_executed
 
-    async def borrow(self, call: attempts.Call, now_s: float) -> None:
-        """Borrows a retry from another host if the budget is exhausted."""
-        if self.may_repeat(call) and not self.allowed(call, now_s):
-            await self.loans.borrow(call.service, now_s)
+    async def refusal(
+        self, call: attempts.Call
+    ) -> candidates.NoPlacement | None:
+        """Returns why a request may not be sent again, None if it may.
+
+        If the budget is exhausted, a retry is borrowed from another host.
+        """
+        if not self.may_repeat(call):
+            return candidates.NoPlacement('no-more-attempts', 0.0, 0)
+        loop = asyncio.get_running_loop()
+        if not self.allowed(call, loop.time()):
+            await self.loans.borrow(call.service, loop.time())
+            if not self.allowed(call, loop.time()):
+                return candidates.NoPlacement('retry-budget', 0.0, 0)
+        return None
 
     def allowed(self, call: attempts.Call, now_s: float) -> bool:
         """Tells whether a request may be sent to another target now."""
--- a/ragwortchute/gateway/send_limits.py
+++ b/ragwortchute/gateway/send_limits.py
@@ -112,6 +112,23 @@
         stated = [wait for wait in waits if wait.wait_s > 0]
         return min(stated, key=lambda wait: wait.wait_s, default=None)
 
+    def wait_for_all(
+        self, targets: abc.Sequence[targets_.Target], now_s: float
+    ) -> StatedWait | None:
+        """Returns the shortest time if all targets refuse requests.
+
+        Args:
+            targets: The targets.
+            now_s: Loop time in seconds.
+
+        Returns:
+            The time, or None if a target takes a request or none has stated
+            when it does.
+        """
+        if any(self.is_accepting(target, now_s) for target in targets):
+            return None
+        return self.shortest_wait(targets, now_s)
+
     def record_send(
         self, target: targets_.Target, now_s: float, *, is_cold: bool
     ) -> None:
--- a/ragwortchute/gateway/target_choice.py
+++ b/ragwortchute/gateway/target_choice.py
@@ -8,6 +8,7 @@
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import requirements
 from ragwortchute.gateway import rollouts
+from ragwortchute.gateway import send_limits
 from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway import work_times as work_times_
 from ragwortchute.gateway.admission import gate as gate_
@@ -22,6 +23,7 @@
     Args:
         state: Configuration and targets.
         gate: Admission of requests.
+        limits: Limits on the requests that this host sends.
         work_times: Processing times by route.
 
     Attributes:
@@ -31,6 +33,7 @@
 
     __slots__ = (
         '_gate',
+        '_limits',
         '_loop',
         '_state',
         '_work_times',
@@ -42,10 +45,12 @@
         self,
         state: host_state.HostState,
         gate: gate_.Gate,
+        limits: send_limits.SendLimits,
         work_times: work_times_.WorkTimes,
     ) -> None:
         self._state = state
         self._gate = gate
+        self._limits = limits
         self._work_times = work_times
         self._loop = asyncio.get_running_loop()
         self.locality: locality_part.Locality | None = None
@@ -55,6 +60,29 @@
         """Selects a target for a request."""
         return await self._select(call, self._gate.place)
 
+    def refusal(
+        self, call: attempts.Call, refused: candidates.NoPlacement
+    ) -> candidates.NoPlacement:
+        """Returns why a request is refused, and for how long.
+
+        The sends of a request may be what makes the last targets ask for a
+        pause. That these were tried, or that no retry is left, would then name
+        a time at which all targets still refuse.
+
+        Args:
+            call: The request.
+            refused: Why it is not sent to another target.
+        """
+        if refused.stated or not call.sends or call.maybe_executed:
+            return refused
+        targets = self._state.eligible(call.service, call.homes)
+        wait = self._limits.wait_for_all(targets, self._loop.time())
+        if wait is None:
+            return refused
+        return candidates.NoPlacement(
+            wait.reason, wait.wait_s, refused.probed, stated=True
+        )
+
     async def select_hedge(self, call: attempts.Call) -> Placed:
         """Selects a target for a hedge of a request."""
         return await self._select(call, self._gate.place_hedge)
--- a/tests/test_gateway/test_target_statements.py
+++ b/tests/test_gateway/test_target_statements.py
@@ -122,6 +122,15 @@
         assert rig.stats.refusals['target-paused'] > 0
         assert sum(len(target.arrivals) for target in rig.targets) == 2
 
+    async def test_request_that_meets_all_pauses_is_told_of_them(self, rig):
+        # It was told to return at once, as it had no attempt left.
+        for target in rig.targets:
+            target.fault = 'shed'
+            target.retry_after = '20'
+        waits = [(await rig.request()).headers['retry-after'] for _ in range(4)]
+        assert all(18 <= float(wait) <= 34 for wait in waits)
+        assert len(set(waits)) == 4
+
     async def test_first_requests_after_it_are_few(self, rig):
         await self.pause(rig, *rig.targets, seconds='0.3')
         for target in rig.targets:
