Ask targets with little left of their limit later

Cause: a target that names a limit was probed like any other, so its limit was used up while others had room, and nothing was left for requests that find no other target. Change: the used part of this host's share is added to the key of the target in the order of probing. Where no target names a limit, nothing is computed.

--- a/ragwortchute/gateway/probe_order.py
+++ b/ragwortchute/gateway/probe_order.py
@@ -8,6 +8,10 @@
 
 # Added to the random key (0 to 1) of targets of other domains of the region.
 OTHER_DOMAIN_KEY = 0.3
+# Added to the key of a target that names a limit, times the used part of this
+# host's share: the rest is kept for requests that find no other target. With 1,
+# a target without any left comes after all others of the failure domain.
+USED_LIMIT_KEY = 1.0
 
 
 def other_domain_key(target: targets_.Target) -> float:
@@ -38,10 +42,13 @@
         domain_key: Returns what is added to the key of a target for its domain.
     """
     result = []
+    has_limits = limits.has_stated
     for target in targets:
         if not limits.may_send(target, now_s):
             continue
         key = rng.random() + domain_key(target)
+        if has_limits:
+            key += USED_LIMIT_KEY * limits.used_fraction(target, now_s)
         if target.is_ejected(now_s):
             key += 1000.0
         if target.is_cold(now_s):
--- a/ragwortchute/gateway/shares.py
+++ b/ragwortchute/gateway/shares.py
@@ -90,6 +90,14 @@
         self._updated_s = now_s
         return max(0.0, (1.0 - self._tokens) / rate_per_s)
 
+    def used_fraction(self, burst: float) -> float:
+        """Returns which part of the burst was used at the last `wait_s`.
+
+        Args:
+            burst: Requests that may be sent at once after a pause.
+        """
+        return max(0.0, 1.0 - self._tokens / burst)
+
     def spend(self) -> None:
         """Counts a request that is sent."""
         self._tokens -= 1.0
