Test limits with restarts, at three sizes, in one module

Cause: the model of limits had hosts that don't know each other at one size only, no limit of 300, and no host that forgets what it has used. The tests of the hosts that share limits repeated the module of the shares. Change: the test of new hosts covers 8, 60 and 312 hosts with limits of 1, 3, 30 and 300 a second, and all hosts restart in it. The tests of the partition move to test_limit_shares and also cover deployments without limits; that of the order of probing counts the first target instead of the first three. The tests of the partition fail without silent hosts, that of the inquiry without the inquiry, that of the order without the key.

--- a/tests/test_gateway/test_limit_shares.py
+++ b/tests/test_gateway/test_limit_shares.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from ragwortchute.gateway import fleet_view
 from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import model
 from ragwortchute.gateway import pacing
 from ragwortchute.gateway import shares
 from ragwortchute.gateway import target_statements
+from tests.test_gateway import host_network
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_target_limits
 
@@ -24,7 +26,7 @@
     return overage * limit_per_s * window_s + test_target_limits.SLACK
 
 
-def send_all(names, limit_per_s, seed, views=None):
+def send_all(names, limit_per_s, seed, views=None, restart_at_s=DURATION_S):
     """Returns the times at which hosts with steady demand send requests.
 
     Args:
@@ -32,6 +34,7 @@
         limit_per_s: Limit of the target.
         seed: Seed of the times of the requests.
         views: Hosts that each host knows, all of them by default.
+        restart_at_s: Time at which they all restart, in 2.5 s without sends.
     """
     rng = random.Random(seed)
     sent_s = []
@@ -44,7 +47,11 @@
         pacer = shares.TokenBucket()
         step_s = min(STEP_S, 0.2 / share.rate_per_s)
         now_s = rng.random() * STEP_S
+        before_s = restart_at_s
         while now_s < DURATION_S:
+            if now_s >= before_s:
+                before_s, now_s = DURATION_S, now_s + 2.5
+                pacer = shares.TokenBucket()
             if not pacer.wait_s(now_s, share.rate_per_s, share.burst):
                 pacer.spend()
                 sent_s.append(now_s)
@@ -65,12 +72,17 @@
         if hosts >= shares.MIN_HOSTS:
             assert len(sent_s) >= 0.6 * limit_per_s * DURATION_S
 
-    @pytest.mark.parametrize('limit_per_s', [1.0, 3.0, 30.0])
-    def test_limit_holds_while_a_fifth_of_the_hosts_is_new(self, limit_per_s):
-        names = [f'h{number}' for number in range(60)]
-        views = {name: names[:48] for name in names[:48]}
-        views |= {name: names for name in names[48:]}
-        sent_s = send_all(names, limit_per_s, 1, views)
+    @pytest.mark.parametrize('hosts', [8, 60, 312])
+    @pytest.mark.parametrize('limit_per_s', [1.0, 3.0, 30.0, 300.0])
+    def test_limit_holds_while_a_fifth_of_the_hosts_is_new(
+        self, hosts, limit_per_s
+    ):
+        # All restart, too, and forget how much of their share they have used.
+        names = [f'h{number}' for number in range(hosts)]
+        known = names[: hosts * 4 // 5]
+        views = {name: known for name in known}
+        views |= {name: names for name in names[len(known) :]}
+        sent_s = send_all(names, limit_per_s, 1, views, restart_at_s=20.0)
         most = test_target_limits.most_in_window(sent_s)
         assert most <= allowed(limit_per_s)
 
@@ -92,13 +104,14 @@
         names = [f'h{number}' for number in range(60)]
         owners = shares.owners('t', frozenset(names), 8)
         live = sorted(set(names) - owners)[:heard]
-        fleets = [
-            pacing.make_fleet(name, live, True, None, names, live)
+        given = [
+            pacing.make_fleet(
+                name, live, True, members=names, live=live
+            ).share_of_limit('t', 'a', 3.0)
             for name in live
         ]
-        given = [fleet.share_of_limit('t', 'a', 3.0) for fleet in fleets]
-        asking = [share for share in given if share]
-        assert asking == [limit_shares.INQUIRY] * (heard > 20)
+        asking = [limit_shares.INQUIRY] if heard > 20 else []
+        assert [share for share in given if share] == asking
 
     def test_share_that_was_not_used_does_not_pile_up(self):
         share = limit_shares.divide(3.0, 8)
@@ -117,14 +130,50 @@
     )
 
 
+def known_statements(count):
+    return [
+        target_statements.TargetStatements(rigs.MemoryLog())
+        for _ in range(count)
+    ]
+
+
+def isolated(side, limits):
+    """Returns the fleets of hosts that have not heard the others for 120 s."""
+    net = host_network.network(3)
+    (statements,) = known_statements(1)
+    state = rigs.host_state.HostState(
+        None, rigs.DOMAINS, 'a1', rigs.MemoryLog()
+    )
+    if limits == 'stated':
+        statements.note_limit(entry(), 3.0, net.now_s)
+    elif limits == 'cold':
+        state.set_configuration(1, rigs.configuration())
+    net.run(4)
+    net.dead = set(net.hosts).difference(side)
+    net.run(120)
+    views = [
+        fleet_view.FleetView(net.hosts[port], statements, state)
+        for port in side
+    ]
+    return [view.observe(net.now_s, discovered=True) for view in views]
+
+
+@pytest.mark.parametrize('limits', ['stated', 'cold', ''])
+def test_sides_of_a_long_partition_do_not_use_a_limit_once_each(limits):
+    first, second = (1, 2, 4, 7, 10), (3, 5, 6, 8, 9, 11, 12)
+    fleets = isolated(first, limits) + isolated(second, limits)
+    assert len(fleets[0].members) == (12 if limits else 5)
+    for target in 'abcdefghij' if limits else '':
+        given = [fleet.share_of_limit(target, 'a', 3.0) for fleet in fleets]
+        assert sum(share.rate_per_s for share in given if share) <= 3.0001
+        assert sum(fleet.sends_per_window(target, 8) for fleet in fleets) <= 8
+
+
 class TestStatements:
     """Hosts must agree on what a target has said last."""
 
     def test_news_pass_from_host_to_host(self):
-        first, second, third = (
-            target_statements.TargetStatements(rigs.MemoryLog())
-            for _ in range(3)
-        )
+        first, second, third = known_statements(3)
         key = target_statements.target_key(entry())
         first.note_limit(entry(), 3.5, 100.0)
         second.handle(first.encode(100.5), 100.5)
@@ -136,10 +185,7 @@
         assert third.limit_per_s(key, 103.0) is None
 
     def test_older_statement_is_ignored(self):
-        first, second = (
-            target_statements.TargetStatements(rigs.MemoryLog())
-            for _ in range(2)
-        )
+        first, second = known_statements(2)
         key = target_statements.target_key(entry())
         first.note_limit(entry(), 3.0, 100.0)
         second.note_limit(entry(), 9.0, 100.1)
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -152,24 +152,18 @@
     async def test_target_with_little_left_is_not_asked_first(self, rig):
         # Nothing would be left for requests that find no other target.
         entry = rig.entry(rig.targets[0])
-        names = [f't{number}' for number in range(8)]
-        rig.state.set_targets(
-            [msgspec.structs.replace(entry, name=name) for name in names], 2
-        )
+        entries = [msgspec.structs.replace(entry, name=name) for name in 'abcd']
+        rig.state.set_targets(entries, 2)
         targets = list(rig.state.targets.values())
         rig.statements.note_limit(targets[0].entry, 30.0, 100.0)
-        asked = []
-        for now_s in (100.0, 110.0):
-            orders = [
+        for now_s, expected in ((100.0, 0), (110.0, 50)):
+            firsts = [
                 probe_order.keyed(
                     targets, rig.send_limits, rig.rng, now_s, lambda _: 0.0
-                )
+                )[0][1]
                 for _ in range(200)
             ]
-            first = [[target for _, target in order[:3]] for order in orders]
-            asked.append(sum(targets[0] in group for group in first))
-        assert asked[0] < 20
-        assert 50 < asked[1] < 100
+            assert abs(firsts.count(targets[0]) - expected) < 20
 
     async def test_targets_without_a_limit_are_used_instead(self, rig):
         other = platform_targets.TargetServer('u')
