--- a/ragwortchute/gateway/fleet_view.py
+++ b/ragwortchute/gateway/peers/fleet_view.py
@@ -1,9 +1,9 @@
 """Tells which hosts share the limits on requests to targets."""
 
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import membership as membership_
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.peers import membership as membership_
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import target_statements
 
 
 class FleetView:
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from ragwortchute.gateway import probe_order
+from ragwortchute.gateway.selection import probe_order
 from standins import platform_targets
 from tests import steady_load
 from tests.test_gateway import host_deployment
