--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -31,6 +31,7 @@
 from ragwortchute.gateway.organisations import quota_part
 from ragwortchute.gateway.organisations import recency
 from ragwortchute.gateway.peers import failure_reports
+from ragwortchute.gateway.peers import fleet_view
 from ragwortchute.gateway.peers import membership as membership_
 from ragwortchute.gateway.peers import peer_api
 from ragwortchute.gateway.peers import peer_socket
@@ -39,7 +40,6 @@
 from ragwortchute.gateway.rollouts import runtime as rollouts_
 from ragwortchute.gateway.selection import candidates
 from ragwortchute.gateway.selection import crash_guard
-from ragwortchute.gateway.selection import pacing
 from ragwortchute.gateway.selection import pauses
 from ragwortchute.gateway.selection import send_limits
 from ragwortchute.gateway.selection import statement_reader
@@ -142,6 +142,9 @@
             settings.limits.warmup_overage,
             settings.limits.warmup_slack,
         )
+        self._fleet_view = fleet_view.FleetView(
+            self.membership, self.statements, self.state
+        )
         reader = statement_reader.StatementReader(
             dialect, self.state, self.statements, self.pauses, log
         )
@@ -475,11 +478,8 @@
             self.account.update(self.state.limits.max_body_bytes)
             senders = self.membership.possible_senders(now_s)
             self._host_pools.keep_only(frozenset(senders))
-            self._send_limits.fleet = pacing.make_fleet(
-                self._settings.me.name,
-                senders,
-                self._knows_all_hosts(now_s - started_s),
-                self.membership.regions(),
+            self._send_limits.fleet = self._fleet_view.observe(
+                now_s, discovered=self._knows_all_hosts(now_s - started_s)
             )
             self._selector.targets = len(self.state.targets)
             self.statements.forget_old(now_s)
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -5,6 +5,7 @@
 not been executed or is idempotent, and that the retry budget is not exhausted.
 """
 
+import asyncio
 import random
 
 from ragwortchute.gateway import attempts
@@ -12,6 +13,7 @@
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway.peers import retry_loans
 from ragwortchute.gateway.peers import shares
+from ragwortchute.gateway.selection import candidates
 from ragwortchute.gateway.selection import send_limits
 
 # Number of hosts that is assumed until this host has learnt of the others.
@@ -70,10 +72,21 @@
             return False
         return call.route.idempotent or not call.maybe_executed
 
-    async def borrow(self, call: attempts.Call, now_s: float) -> None:
-        """Borrows a retry from another host if the budget is exhausted."""
-        if self.may_repeat(call) and not self.allowed(call, now_s):
-            await self.loans.borrow(call.service, now_s)
+    async def refusal(
+        self, call: attempts.Call
+    ) -> candidates.NoPlacement | None:
+        """Returns why a request may not be sent again, None if it may.
+
+        If the budget is exhausted, a retry is borrowed from another host.
+        """
+        if not self.may_repeat(call):
+            return candidates.NoPlacement('no-more-attempts', 0.0, 0)
+        loop = asyncio.get_running_loop()
+        if not self.allowed(call, loop.time()):
+            await self.loans.borrow(call.service, loop.time())
+            if not self.allowed(call, loop.time()):
+                return candidates.NoPlacement('retry-budget', 0.0, 0)
+        return None
 
     def allowed(self, call: attempts.Call, now_s: float) -> bool:
         """Tells whether a request may be sent to another target now."""
--- a/ragwortchute/gateway/selection/pacing.py
+++ b/ragwortchute/gateway/selection/pacing.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections import abc
+import functools
 
 import msgspec
 
@@ -78,15 +79,21 @@
 
     Attributes:
         own_name: Name of this host.
-        names: Names of the hosts that may be alive, this one included.
+        names: Names of the hosts that were heard of a short time ago, this one
+            included.
         discovered: Whether this host has had time to learn of the others.
-        names_by_region: Names of the hosts by region.
+        members: Names of the hosts that are not known to be gone: also those
+            that have been silent for longer, as they may be behind a partition.
+        members_by_region: The same by region.
+        live: Names of the hosts that are heard, this one included.
     """
 
     own_name: str = ''
     names: frozenset[str] = frozenset()
     discovered: bool = False
-    names_by_region: dict[str, frozenset[str]] = {}
+    members: frozenset[str] = frozenset()
+    members_by_region: dict[str, frozenset[str]] = {}
+    live: frozenset[str] = frozenset()
 
     def sends_per_window(self, target: str, limit_per_s: float) -> int:
         """Returns how many requests this host may send to a cold target.
@@ -100,8 +107,8 @@
         """
         if not self.discovered:
             return 0
-        share = cold_share(limit_per_s, len(self.names))
-        owner_names = shares.owners(target, self.names, share.owners)
+        share = cold_share(limit_per_s, len(self.members))
+        owner_names = shares.owners(target, self.members, share.owners)
         return share.sends_per_window if self.own_name in owner_names else 0
 
     def share_of_limit(
@@ -122,11 +129,34 @@
         """
         if not self.discovered:
             return None
-        names = self.names_by_region.get(region) or self.names
+        names = self.members_by_region.get(region) or self.members
         share = limit_shares.divide(limit_per_s, len(names))
-        if self.own_name not in shares.owners(target, names, share.owners):
-            return None
-        return share
+        owners = shares.owners(target, names, share.owners)
+        if self.own_name in owners:
+            return share
+        if owners.isdisjoint(self.live) and self._inquires(target, names):
+            return limit_shares.INQUIRY
+        return None
+
+    def _inquires(self, target: str, names: frozenset[str]) -> bool:
+        """Returns whether this host asks for a limit whose owners are silent.
+
+        Args:
+            target: Name of the target.
+            names: Names of the hosts that share its limit.
+        """
+        live = _common(names, self.live)
+        if not live:
+            names, live = self.members, self.live
+        if len(live) <= len(names) * limit_shares.INQUIRY_FRACTION:
+            return False
+        return self.own_name in shares.owners(target, live, 1)
+
+
+# The names change five times a second, and each request asks for some.
+@functools.lru_cache(maxsize=16)
+def _common(names: frozenset[str], others: frozenset[str]) -> frozenset[str]:
+    return names & others
 
 
 def make_fleet(
@@ -134,27 +164,33 @@
     names: abc.Iterable[str],
     discovered: bool,
     regions: abc.Mapping[str, str] | None = None,
+    members: abc.Iterable[str] = (),
+    live: abc.Iterable[str] | None = None,
 ) -> Fleet:
     """Returns the hosts among which rate limits are divided.
 
     Args:
         own_name: Name of this host.
-        names: Names of the hosts that may be alive, with or without this one.
+        names: Names of the hosts that were heard of a short time ago, with or
+            without this one.
         discovered: Whether this host has had time to learn of the others.
         regions: Regions of the hosts by name; empty if they are not known.
+        members: Names of the hosts that are not known to be gone; those of
+            `names` always count.
+        live: Names of the hosts that are heard; None if all members are.
     """
     all_names = frozenset(names) | {own_name}
-    names_by_region: dict[str, set[str]] = {}
-    for name in all_names:
+    all_members = all_names.union(members)
+    by_region: dict[str, set[str]] = {}
+    for name in all_members:
         region = (regions or {}).get(name)
         if region is not None:
-            names_by_region.setdefault(region, set()).add(name)
+            by_region.setdefault(region, set()).add(name)
     return Fleet(
         own_name,
         all_names,
         discovered,
-        {
-            region: frozenset(members)
-            for region, members in names_by_region.items()
-        },
+        all_members,
+        {region: frozenset(group) for region, group in by_region.items()},
+        all_members if live is None else frozenset(live),
     )
--- a/tests/test_gateway/test_target_limits.py
+++ b/tests/test_gateway/test_target_limits.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from ragwortchute.gateway.selection import probe_order
 from standins import platform_targets
 from tests import steady_load
 from tests.test_gateway import host_deployment
@@ -147,6 +149,22 @@
         assert set(statuses) == {503}
         assert len(target.arrivals) <= 3
 
+    async def test_target_with_little_left_is_not_asked_first(self, rig):
+        # Nothing would be left for requests that find no other target.
+        entry = rig.entry(rig.targets[0])
+        entries = [msgspec.structs.replace(entry, name=name) for name in 'abcd']
+        rig.state.set_targets(entries, 2)
+        targets = list(rig.state.targets.values())
+        rig.statements.note_limit(targets[0].entry, 30.0, 100.0)
+        for now_s, expected in ((100.0, 0), (110.0, 50)):
+            firsts = [
+                probe_order.keyed(
+                    targets, rig.send_limits, rig.rng, now_s, lambda _: 0.0
+                )[0][1]
+                for _ in range(200)
+            ]
+            assert abs(firsts.count(targets[0]) - expected) < 20
+
     async def test_targets_without_a_limit_are_used_instead(self, rig):
         other = platform_targets.TargetServer('u')
         await other.start()
