--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -130,13 +130,12 @@
             0.0 if it is admitted, else the time until credit is expected.
         """
         self._note_request(now_s)
-        mix = self._mix
+        portion = None
         if self.throttled:
-            portion = mix.portion(priority, self.state.admit_fraction)
-        mix.note(priority, now_s)
-        if self.throttled:
-            if not self._is_next(priority, portion.admitted):
-                return self._shared_wait_s(self.state, portion)
+            portion = self._mix.portion(priority, self.state.admit_fraction)
+        self._mix.note(priority, now_s)
+        if portion and not self._is_next(priority, portion.admitted):
+            return self._shared_wait_s(self.state, portion)
         if self._between >= self._most_between(now_s - announced_s, hosts):
             return 1 / self.limit.rate_per_s
         self._between += 1
