Split sources and deferred removals from the code that uses them

The sources of a host move to store_sources, the removals that are put off to a class, and the wait that an event ends early to interruptible. Behaviour is unchanged: the tests of the follower, of replicas as sources, of lost readers, of hosts and of decisions pass.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -34,13 +34,12 @@
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import sources
 from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
 from ragwortchute.gateway import store_feed
 from ragwortchute.gateway import store_follower
 from ragwortchute.gateway import store_health
+from ragwortchute.gateway import store_sources
 from ragwortchute.gateway import supervisor
 from ragwortchute.gateway import target_report
 from ragwortchute.gateway import target_statements
@@ -310,11 +309,18 @@
         The listener for callers starts last.
         """
         me = self._settings.me
+        self._sources = store_sources.StoreSources(
+            self._store, self.membership, self._host_pools, self._replicas
+        )
         await self._socket.open(self._settings.peer_ip, me.peer_port)
         await self.peers.start(self._settings.peer_ip, me.peer_port)
         for feed in feeds:
             follower = store_follower.Follower(
-                self._sources, feed, self.health, self._log, self.rng
+                self._sources.in_order,
+                feed,
+                self.health,
+                self._log,
+                self.rng,
             )
             self._followers[feed.prefix] = follower
             self._replicas[feed.prefix] = follower.replica
@@ -388,27 +394,6 @@
         await self._store.close()
         self._log.flush()
 
-    def _sources(self) -> list[source_choice.Source]:
-        """Returns the sources of the store's objects, in order of use."""
-        now_s = self._loop.time()
-        heard = self.membership.peers.heard(now_s - sources.HEARD_S)
-        order = sources.source_order(self._settings.me, self.hosts(), heard)
-        return [
-            self._replica_source(host)
-            if host
-            else source_choice.Source('', self._store)
-            for host in order
-        ]
-
-    def _replica_source(self, host: model.HostEntry) -> source_choice.Source:
-        pool = self._host_pools.get(host)
-        peer = self.membership.peers.get(host.name)
-        return source_choice.Source(
-            host.name,
-            peer_api.PeerStore(host.name, pool, self._replicas, host.token),
-            peer.last_heartbeat_s if peer is not None else float('-inf'),
-        )
-
     async def _follow(self, follower: store_follower.Follower) -> None:
         """Runs a follower once this host has looked for others.
 
@@ -454,7 +439,7 @@
     ) -> None:
         follower = self._followers.get(prefix)
         if follower is not None and revision > follower.known_revision:
-            follower.on_newer_revision(revision, self._replica_source(host))
+            follower.on_newer_revision(revision, self._sources.replica_of(host))
 
     async def _report_failures(self) -> None:
         """Sends the reports of failures of targets, periodically."""
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -17,6 +17,7 @@
 from ragwortchute.gateway import age_limit
 from ragwortchute.gateway import deferred_removals
 from ragwortchute.gateway import eventlog
+from ragwortchute.gateway import interruptible
 from ragwortchute.gateway import replica as replica_
 from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import store_feed
@@ -88,6 +89,9 @@
         self.prefix = feed.prefix
         self.holds_configuration = feed.holds_configuration
         self.replica = replica_.Replica()
+        self._removals = deferred_removals.DeferredRemovals(
+            feed, self.replica, health, log, self._request_full_read
+        )
 
     @property
     def has_hint(self) -> bool:
@@ -317,7 +321,6 @@
         asked_s = self._loop.time()
         # A stale answer could list a target that left before this host started.
         answer = await self._watch_until_woken(
-            source,
             source.store.watch(
                 self.prefix,
                 after_revision=0,
@@ -329,7 +332,8 @@
             return
         self._record_success(source, answer)
         self._needs_full_read = False
-        answer = self._defer_removals(source, answer, full_read=True)
+        if not source.name:
+            answer = self._removals.filter(answer, full_read=True)
         changes = self.replica.replace(answer.objects, answer.revision)
         if changes is not None:
             self._feed.replace(list(answer.objects), answer.revision)
@@ -340,7 +344,6 @@
         wait_s = self._watch_timeout_s(source, asked_s)
         self._checks_store = not (source.name or wait_s)
         answer = await self._watch_until_woken(
-            source,
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
@@ -392,8 +395,14 @@
             asked_s: Loop time of the request in seconds.
         """
         confirmed_s = asked_s + answer.confirmed_after_s
-        answer = self._confirm(source, answer)
-        answer = self._defer_removals(source, answer, full_read=False)
+        self._seen_revision = max(self._seen_revision, answer.revision)
+        if source.name:
+            self._unchanged.clear()
+        else:
+            answer = self._unchanged.reliable_answer(
+                self._loop.time(), answer, self.replica.revision
+            )
+            answer = self._removals.filter(answer, full_read=False)
         if self.replica.apply(answer):
             for obj in answer.objects:
                 self._feed.put(obj, obj.version)
@@ -410,9 +419,7 @@
         self._filled.set()
 
     async def _watch_until_woken(
-        self,
-        source: source_choice.Source,
-        coro: cabc.Coroutine[object, object, stores.WatchAnswer],
+        self, coro: cabc.Coroutine[object, object, stores.WatchAnswer]
     ) -> stores.WatchAnswer | None:
         """Waits for an answer, at most until another source is to be read.
 
@@ -423,57 +430,11 @@
             StoreError: The source has no valid answer.
         """
         self._wake.clear()
-        watch = self._loop.create_task(coro)
-        wake = self._loop.create_task(self._wake.wait())
         try:
-            await asyncio.wait(
-                (watch, wake), return_when=asyncio.FIRST_COMPLETED
-            )
+            return await interruptible.result_unless_set(coro, self._wake)
         finally:
             self._progress = progress.Progress()
             self._checks_store = False
-            wake.cancel()
-            if not watch.done():
-                watch.cancel()
-            elif not watch.cancelled():
-                watch.exception()  # marks it as retrieved
-        return watch.result() if watch.done() else None
-
-    def _confirm(
-        self, source: source_choice.Source, answer: stores.WatchAnswer
-    ) -> stores.WatchAnswer:
-        """Returns an answer with a revision that can be relied on."""
-        self._seen_revision = max(self._seen_revision, answer.revision)
-        if source.name:
-            self._unchanged.clear()
-            return answer
-        return self._unchanged.reliable_answer(
-            self._loop.time(), answer, self.replica.revision
-        )
-
-    def _defer_removals(
-        self,
-        source: source_choice.Source,
-        answer: stores.WatchAnswer,
-        *,
-        full_read: bool,
-    ) -> stores.WatchAnswer:
-        """Defers removals right after an outage of the store.
-
-        Entries that are still missing at the end of the delay are removed.
-        """
-        left_s = self._health.removal_delay_left_s()
-        if source.name or not self._feed.entries_expire or left_s <= 0:
-            return answer
-        filtered, names = deferred_removals.without_removals(
-            answer, self.replica, full_read=full_read
-        )
-        if names:
-            self._log.event(
-                'removals-put-off', names=names, for_s=round(left_s, 2)
-            )
-            self._loop.call_later(left_s, self._request_full_read)
-        return filtered
 
     def _request_full_read(self) -> None:
         self._needs_full_read = True
