Ask the store again when a watch of it is overdue

Cause: when the store answers a watch late or never, its reader confirms nothing, and all hosts that read from it check for themselves at the age limit. Change: 0.3 s after the end of its wait, a watch counts as overdue, and the reader asks the store with a wait of 0 beside it, once after each confirmation. The watch goes on, as a slow store may answer it first. The age limit applies as before. If the answer comes after the reader has left the store, it returns.

--- a/ragwortchute/gateway/source_choice.py
+++ b/ragwortchute/gateway/source_choice.py
@@ -47,6 +47,10 @@
         """Notes that a source has failed now or lacks a change."""
         self._failed_s[name] = self._loop.time()
 
+    def note_success(self, name: str) -> None:
+        """Notes that a source answers again."""
+        self._failed_s.pop(name, None)
+
     def first_usable(self) -> Source:
         """Returns the first source without a recent failure, else the store."""
         sources = self._sources()
--- a/ragwortchute/gateway/store_feed.py
+++ b/ragwortchute/gateway/store_feed.py
@@ -4,6 +4,10 @@
 
 from ragwortchute import stores
 
+# How long after its wait a watch of the store is overdue. A slow store answers
+# within 0.34 s; hosts that read from the reader ask the store themselves later.
+OVERDUE_S = 0.3
+
 
 class Feed(abc.ABC):
     """Receives the objects below a prefix and their changes.
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -18,6 +18,7 @@
 from ragwortchute.gateway import deferred_removals
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import interruptible
+from ragwortchute.gateway import overdue_check
 from ragwortchute.gateway import replica as replica_
 from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import store_feed
@@ -70,6 +71,8 @@
         # Whether the store is asked without waiting for a change. If its answer
         # is late because many hosts ask, to ask anew makes it later.
         self._checks_store = False
+        # The store while a watch of it waits for a change.
+        self._watched: source_choice.Source | None = None
         self._filled = asyncio.Event()
         self._age_limit = age_limit.AgeLimit(lambda: feed.max_age_s)
         self._needs_full_read = True
@@ -89,6 +92,13 @@
         self.prefix = feed.prefix
         self.holds_configuration = feed.holds_configuration
         self.replica = replica_.Replica()
+        self._overdue_check = overdue_check.OverdueCheck(
+            feed,
+            self.replica,
+            lambda: self._watched,
+            self._on_check_answer,
+            self._request_full_read,
+        )
         self._removals = deferred_removals.DeferredRemovals(
             feed, self.replica, health, log, self._request_full_read
         )
@@ -152,6 +162,7 @@
             group.create_task(self._read())
             if math.isfinite(self._feed.max_age_s):
                 group.create_task(self._limit_age())
+                group.create_task(self._overdue_check.run())
 
     async def _limit_age(self) -> None:
         """Reads another source if the replica is not confirmed in time.
@@ -343,6 +354,7 @@
         asked_s = self._loop.time()
         wait_s = self._watch_timeout_s(source, asked_s)
         self._checks_store = not (source.name or wait_s)
+        self._watched = None if source.name or not wait_s else source
         answer = await self._watch_until_woken(
             source.store.watch(
                 self.prefix,
@@ -410,6 +422,21 @@
                 self._feed.remove(name, answer.revision)
         self._note_confirmed(confirmed_s)
 
+    def _on_check_answer(
+        self,
+        source: source_choice.Source,
+        answer: stores.WatchAnswer,
+        asked_s: float,
+    ) -> None:
+        """Applies the answer to a check while a watch is waiting."""
+        self._record_success(source, answer)
+        self._apply_changes(source, answer, asked_s)
+        # A host that has left the store for another reader returns to it.
+        self._sources.note_success(source.name)
+        arriving = self._is_arriving(self._loop.time())
+        if self._watched is source or (self._source_name and not arriving):
+            self._wake.set()
+
     def _note_confirmed(self, confirmed_s: float) -> None:
         """Notes until when the store is known to have had no later change."""
         self.replica.confirm(min(confirmed_s, self._loop.time()))
@@ -435,6 +462,7 @@
         finally:
             self._progress = progress.Progress()
             self._checks_store = False
+            self._watched = None
 
     def _request_full_read(self) -> None:
         self._needs_full_read = True
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.replica = replica.Replica()
         self.failing = False
+        self.longest_wait_s = 0.2
 
     async def get(self, name):
         raise NotImplementedError
@@ -49,7 +50,8 @@
         if self.failing:
             raise errors.StoreUnavailable('down')
         if after_revision:
-            await self.replica.wait(after_revision, min(timeout_s, 0.2))
+            wait_s = min(timeout_s, self.longest_wait_s)
+            await self.replica.wait(after_revision, wait_s)
         return msgspec.structs.replace(
             self.replica.read(after_revision),
             confirmed_after_s=self.replica.confirmed_s - asked_s,
@@ -86,6 +88,81 @@
         return await super().watch(prefix, **kwargs)
 
 
+class LostWatchStore(ReplicaStore):
+    """Store that does not answer watches that wait, while others can ask."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits_s = []
+        self.lossy = False
+        self.delay_s = 0.0
+
+    async def watch(self, prefix, *, timeout_s, **kwargs):
+        self.waits_s.append(timeout_s)
+        if self.lossy and timeout_s:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
+        self.replica.confirm(asyncio.get_running_loop().time())
+        return await super().watch(prefix, timeout_s=timeout_s, **kwargs)
+
+
+class TestOverdueWatches:
+    """A reader whose watch is overdue must ask before hosts that read it."""
+
+    WATCH_S = 0.8
+    MAX_AGE_S = 1.4
+
+    async def start(self, rig):
+        store, self.other = LostWatchStore(), ReplicaStore()
+        store.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        rig.feed.watch_timeout_s = self.WATCH_S
+        rig.feed.max_age_s = self.MAX_AGE_S
+        rig.sources = lambda: [
+            source_choice.Source('', store),
+            source_choice.Source('h2', self.other),
+        ]
+        rig.follow()
+        await rig.until({'a': '1'})
+        return store
+
+    async def test_store_is_asked_again(self, rig):
+        # Otherwise, hundreds of hosts with the same copy checked the store
+        # (KNOWN-RED 9).
+        store = await self.start(rig)
+        store.lossy = True
+        changed = stores.StoredObject('a', 2, b'2')
+        await asyncio.sleep(self.WATCH_S)
+        store.replica.apply(stores.WatchAnswer(2, (changed,)))
+        await rig.until({'a': '2'}, self.MAX_AGE_S - self.WATCH_S)
+        await asyncio.sleep(1.0)
+        assert 'replica-old' not in rig.log.kinds()
+        assert 0 in store.waits_s
+
+    async def test_late_answer_brings_the_reader_back(self, rig):
+        # Two readers that had left the store read each other for 1 s more.
+        store = await self.start(rig)
+        store.lossy, store.delay_s = True, 0.6
+        self.other.longest_wait_s = 1.0
+        self.other.replica.replace((stores.StoredObject('a', 1, b'1'),), 1)
+        for _ in range(200):
+            if ('source', {'prefix': 'things/', 'source': 'h2'}) in (
+                rig.log.lines
+            ):
+                break
+            await asyncio.sleep(0.01)
+        store.lossy = False
+        changed = stores.StoredObject('a', 2, b'2')
+        store.replica.apply(stores.WatchAnswer(2, (changed,)))
+        await rig.until({'a': '2'}, 0.38)
+        await asyncio.sleep(0.1)
+        assert not rig.follower._source_name
+
+    async def test_store_that_answers_in_time_is_not_asked_again(self, rig):
+        store = await self.start(rig)
+        await asyncio.sleep(2.0)
+        assert 0 not in store.waits_s[1:]
+
+
 class TestArrivingAnswers:
     """An answer that is arriving must not be given up for another source."""
 
