Let one reader of a region confirm what both read from the store

Both readers of each region end theirs after 1.2 s, as the copy must be confirmed within 1.6 s, though one confirmation would do for both. Change: the second reader watches the store for 4 s, for changes, and reads the replica of the first for confirmations. Changes reach it as before. If the confirmations stay away, its overdue check asks the store before the age limit of any host, and its watches are as short as before. Feeds whose watches wait for 4 s in any case make no read for this; a running rollout uses it.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -321,6 +321,7 @@
                 self.health,
                 self._log,
                 self.rng,
+                self._sources.confirming,
             )
             self._followers[feed.prefix] = follower
             self._replicas[feed.prefix] = follower.replica
--- a/ragwortchute/gateway/sources.py
+++ b/ragwortchute/gateway/sources.py
@@ -70,6 +70,23 @@
     return [*store_readers, None, *replicas]
 
 
+def confirming_reader(
+    me: model.HostEntry, hosts: list[model.HostEntry]
+) -> model.HostEntry | None:
+    """Returns the reader that confirms what a host reads from the store.
+
+    It is the first reader of the store in the region, for the second one. All
+    other hosts have none.
+
+    Args:
+        me: The host.
+        hosts: Live hosts, including the host itself.
+    """
+    others = [host for host in hosts if host.name != me.name]
+    first, *rest = _store_readers(me.region, [*others, me])
+    return first if me.name in {host.name for host in rest} else None
+
+
 def _deputies(
     me: model.HostEntry,
     reader: model.HostEntry,
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store_follower.py
@@ -15,6 +15,7 @@
 from ragwortchute import progress
 from ragwortchute import stores
 from ragwortchute.gateway import age_limit
+from ragwortchute.gateway import confirming_reader
 from ragwortchute.gateway import deferred_removals
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import interruptible
@@ -44,6 +45,7 @@
         health: Availability of the store.
         log: Event log.
         rng: Random number generator for jitter.
+        confirming: Returns the reader that confirms what the store returns.
 
     Attributes:
         prefix: Prefix of the objects.
@@ -58,6 +60,7 @@
         health: store_health.StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
+        confirming: confirming_reader.SourceCallback = confirming_reader.none,
     ) -> None:
         self._sources = source_choice.SourceChoice(sources)
         self._feed = feed
@@ -92,6 +95,12 @@
         self.prefix = feed.prefix
         self.holds_configuration = feed.holds_configuration
         self.replica = replica_.Replica()
+        self._confirming = confirming_reader.ConfirmingReader(
+            lambda: confirming() if self._watched else None,
+            feed,
+            self.replica,
+            self._note_confirmed,
+        )
         self._overdue_check = overdue_check.OverdueCheck(
             feed,
             self.replica,
@@ -163,6 +172,7 @@
             if math.isfinite(self._feed.max_age_s):
                 group.create_task(self._limit_age())
                 group.create_task(self._overdue_check.run())
+                group.create_task(self._confirming.run())
 
     async def _limit_age(self) -> None:
         """Reads another source if the replica is not confirmed in time.
@@ -383,13 +393,16 @@
         A long watch that is sent to an unresponsive store would still be
         pending after the store has recovered. A host that has just become a
         reader does not know yet whether the store responds. Other watches of
-        the store end a fixed time after the last confirmation.
+        the store end a fixed time after the last confirmation, unless another
+        reader confirms the replica meanwhile.
         """
         wait_s = self._feed.watch_timeout_s
         if source.name:
             return wait_s
         if self._health.down or self._answered_by != source.name:
             return 0.0
+        if self._confirming.confirms():
+            return max(wait_s, confirming_reader.LONG_WATCH_S)
         left_s = self.replica.confirmed_s + wait_s - now_s
         return min(wait_s, max(0.0, left_s))
 
--- a/ragwortchute/gateway/store_sources.py
+++ b/ragwortchute/gateway/store_sources.py
@@ -53,6 +53,12 @@
             for host in sources.source_order(self._membership.me, hosts, heard)
         ]
 
+    def confirming(self) -> source_choice.Source | None:
+        """Returns the replica that confirms what is read from the store."""
+        hosts = self._membership.available_hosts(self._loop.time())
+        host = sources.confirming_reader(self._membership.me, hosts)
+        return self.replica_of(host) if host else None
+
     def replica_of(self, host: model.HostEntry) -> source_choice.Source:
         """Returns the replica of another host as a source."""
         pool = self._host_pools.get(host)
--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -326,6 +326,13 @@
         left = [host for host in hosts if host.name != 'h00']
         assert not self.order('h01', hosts=left)[0]
 
+    def test_first_reader_confirms_what_the_second_reads(self):
+        # Two readers that each wait for confirmations by the other get none.
+        confirming = [
+            sources.confirming_reader(me, self.HOSTS) for me in self.HOSTS
+        ]
+        assert confirming == [None, None, self.HOSTS[0], None]
+
     def test_older_host_that_was_heard_of_comes_before_the_store(self):
         hosts = [rigs.host(f'h{number}', 'a1') for number in range(5)]
         heard = ['h4', 'h0', 'h2', 'h1']
--- a/tests/test_gateway/test_reader_loss.py
+++ b/tests/test_gateway/test_reader_loss.py
@@ -47,3 +47,17 @@
         now_s = asyncio.get_running_loop().time()
         follower.replica.confirmed_s = now_s - 2.1
         assert host._is_outdated()
+
+
+class TestQuietStore:
+    """Watches that only confirm a copy must be few, as each is billed."""
+
+    async def test_one_reader_of_a_region_confirms(self, deployment):
+        await deployment.start('a1', 'a2')
+        await asyncio.sleep(3.0)
+        calls = deployment.server.calls['GET config']
+        await asyncio.sleep(6.0)
+        # Both readers together sent 10.
+        assert deployment.server.calls['GET config'] - calls <= 8
+        for host in deployment.hosts:
+            assert host.replica_ages_s()['config/'] < 1.5
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -7,6 +7,7 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
+from ragwortchute.gateway import confirming_reader
 from ragwortchute.gateway import replica
 from ragwortchute.gateway import source_choice
 from ragwortchute.gateway import store_feed
@@ -41,6 +42,7 @@
 
     Attributes:
         other: Replica that is read in preference to the store, if set.
+        confirming: Returns the reader that confirms what the store returns.
     """
 
     def __init__(self):
@@ -48,6 +50,7 @@
         self.feed = RecordingFeed()
         self.log = rigs.MemoryLog()
         self.other = None
+        self.confirming = confirming_reader.none
         self.task = None
 
     async def start(self):
@@ -62,6 +65,7 @@
             store_health.StoreHealth(self.log),
             self.log,
             random.Random(1),
+            self.confirming,
         )
 
     def store_source(self):
