--- a/benchmarks/store_calls.py
+++ b/benchmarks/store_calls.py
@@ -14,9 +14,9 @@
 
 from ragwortchute import progress as progress_
 from ragwortchute.gateway import application
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.platform import objects
 from tests.test_gateway import host_deployment
 from tests.test_gateway import rig as rigs
--- a/ragwortchute/gateway/confirming_reader.py
+++ b/ragwortchute/gateway/store/confirming_reader.py
@@ -10,9 +10,9 @@
 from collections import abc
 
 from ragwortchute import errors
-from ragwortchute.gateway import replica as replica_
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import store_feed
+from ragwortchute.gateway.store import replica as replica_
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import store_feed
 
 # Wait of a watch of the store by a host whose replica another reader confirms.
 LONG_WATCH_S = 4.0
--- a/ragwortchute/gateway/deferred_removals.py
+++ b/ragwortchute/gateway/store/deferred_removals.py
@@ -11,9 +11,9 @@
 
 from ragwortchute import stores
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import replica as replica_
-from ragwortchute.gateway import store_feed
-from ragwortchute.gateway import store_health
+from ragwortchute.gateway.store import replica as replica_
+from ragwortchute.gateway.store import store_feed
+from ragwortchute.gateway.store import store_health
 
 
 class DeferredRemovals:
--- a/ragwortchute/gateway/overdue_check.py
+++ b/ragwortchute/gateway/store/overdue_check.py
@@ -10,9 +10,9 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
-from ragwortchute.gateway import replica as replica_
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import store_feed
+from ragwortchute.gateway.store import replica as replica_
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import store_feed
 
 
 class OverdueCheck:
--- a/ragwortchute/gateway/store_sources.py
+++ b/ragwortchute/gateway/store/store_sources.py
@@ -7,13 +7,13 @@
 from collections import abc
 
 from ragwortchute import stores
-from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
-from ragwortchute.gateway import peer_api
-from ragwortchute.gateway import pools
-from ragwortchute.gateway import replica as replica_
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import sources
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.peers import membership as membership_
+from ragwortchute.gateway.peers import peer_api
+from ragwortchute.gateway.store import replica as replica_
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import sources
 
 
 class StoreSources:
--- a/tests/test_gateway/test_confirming_reader.py
+++ b/tests/test_gateway/test_confirming_reader.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragwortchute import stores
-from ragwortchute.gateway import source_choice
+from ragwortchute.gateway.store import source_choice
 from tests.test_gateway import test_replica_sources
 from tests.test_gateway import test_store_follower
 
