--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -46,11 +46,10 @@
 from ragwortchute.gateway.selection import target_report
 from ragwortchute.gateway.selection import target_statements
 from ragwortchute.gateway.store import replica
-from ragwortchute.gateway.store import source_choice
-from ragwortchute.gateway.store import sources
 from ragwortchute.gateway.store import store_feed
 from ragwortchute.gateway.store import store_follower
 from ragwortchute.gateway.store import store_health
+from ragwortchute.gateway.store import store_sources
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
@@ -313,11 +312,19 @@
         The listener for callers starts last.
         """
         me = self._settings.me
+        self._sources = store_sources.StoreSources(
+            self._store, self.membership, self._host_pools, self._replicas
+        )
         await self._socket.open(self._settings.peer_ip, me.peer_port)
         await self.peers.start(self._settings.peer_ip, me.peer_port)
         for feed in feeds:
             follower = store_follower.Follower(
-                self._sources, feed, self.health, self._log, self.rng
+                self._sources.in_order,
+                feed,
+                self.health,
+                self._log,
+                self.rng,
+                self._sources.confirming,
             )
             self._followers[feed.prefix] = follower
             self._replicas[feed.prefix] = follower.replica
@@ -391,27 +398,6 @@
         await self._store.close()
         self._log.flush()
 
-    def _sources(self) -> list[source_choice.Source]:
-        """Returns the sources of the store's objects, in order of use."""
-        now_s = self._loop.time()
-        heard = self.membership.peers.heard(now_s - sources.HEARD_S)
-        order = sources.source_order(self._settings.me, self.hosts(), heard)
-        return [
-            self._replica_source(host)
-            if host
-            else source_choice.Source('', self._store)
-            for host in order
-        ]
-
-    def _replica_source(self, host: model.HostEntry) -> source_choice.Source:
-        pool = self._host_pools.get(host)
-        peer = self.membership.peers.get(host.name)
-        return source_choice.Source(
-            host.name,
-            peer_api.PeerStore(host.name, pool, self._replicas, host.token),
-            peer.last_heartbeat_s if peer is not None else float('-inf'),
-        )
-
     async def _follow(self, follower: store_follower.Follower) -> None:
         """Runs a follower once this host has looked for others.
 
@@ -457,7 +443,7 @@
     ) -> None:
         follower = self._followers.get(prefix)
         if follower is not None and revision > follower.known_revision:
-            follower.on_newer_revision(revision, self._replica_source(host))
+            follower.on_newer_revision(revision, self._sources.replica_of(host))
 
     async def _report_failures(self) -> None:
         """Sends the reports of failures of targets, periodically."""
--- a/ragwortchute/gateway/store/store_follower.py
+++ b/ragwortchute/gateway/store/store_follower.py
@@ -16,7 +16,10 @@
 from ragwortchute import stores
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway.store import age_limit
+from ragwortchute.gateway.store import confirming_reader
 from ragwortchute.gateway.store import deferred_removals
+from ragwortchute.gateway.store import interruptible
+from ragwortchute.gateway.store import overdue_check
 from ragwortchute.gateway.store import replica as replica_
 from ragwortchute.gateway.store import source_choice
 from ragwortchute.gateway.store import store_feed
@@ -42,6 +45,7 @@
         health: Availability of the store.
         log: Event log.
         rng: Random number generator for jitter.
+        confirming: Returns the reader that confirms what the store returns.
 
     Attributes:
         prefix: Prefix of the objects.
@@ -56,6 +60,7 @@
         health: store_health.StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
+        confirming: confirming_reader.SourceCallback = confirming_reader.none,
     ) -> None:
         self._sources = source_choice.SourceChoice(sources)
         self._feed = feed
@@ -69,6 +74,8 @@
         # Whether the store is asked without waiting for a change. If its answer
         # is late because many hosts ask, to ask anew makes it later.
         self._checks_store = False
+        # The store while a watch of it waits for a change.
+        self._watched: source_choice.Source | None = None
         self._filled = asyncio.Event()
         self._age_limit = age_limit.AgeLimit(lambda: feed.max_age_s)
         self._needs_full_read = True
@@ -88,6 +95,22 @@
         self.prefix = feed.prefix
         self.holds_configuration = feed.holds_configuration
         self.replica = replica_.Replica()
+        self._confirming = confirming_reader.ConfirmingReader(
+            lambda: confirming() if self._watched else None,
+            feed,
+            self.replica,
+            self._note_confirmed,
+        )
+        self._overdue_check = overdue_check.OverdueCheck(
+            feed,
+            self.replica,
+            lambda: self._watched,
+            self._on_check_answer,
+            self._request_full_read,
+        )
+        self._removals = deferred_removals.DeferredRemovals(
+            feed, self.replica, health, log, self._request_full_read
+        )
 
     @property
     def has_hint(self) -> bool:
@@ -148,6 +171,8 @@
             group.create_task(self._read())
             if math.isfinite(self._feed.max_age_s):
                 group.create_task(self._limit_age())
+                group.create_task(self._overdue_check.run())
+                group.create_task(self._confirming.run())
 
     async def _limit_age(self) -> None:
         """Reads another source if the replica is not confirmed in time.
@@ -317,7 +342,6 @@
         asked_s = self._loop.time()
         # A stale answer could list a target that left before this host started.
         answer = await self._watch_until_woken(
-            source,
             source.store.watch(
                 self.prefix,
                 after_revision=0,
@@ -329,7 +353,8 @@
             return
         self._record_success(source, answer)
         self._needs_full_read = False
-        answer = self._defer_removals(source, answer, full_read=True)
+        if not source.name:
+            answer = self._removals.filter(answer, full_read=True)
         changes = self.replica.replace(answer.objects, answer.revision)
         if changes is not None:
             self._feed.replace(list(answer.objects), answer.revision)
@@ -339,8 +364,8 @@
         asked_s = self._loop.time()
         wait_s = self._watch_timeout_s(source, asked_s)
         self._checks_store = not (source.name or wait_s)
+        self._watched = None if source.name or not wait_s else source
         answer = await self._watch_until_woken(
-            source,
             source.store.watch(
                 self.prefix,
                 after_revision=self.replica.revision,
@@ -368,13 +393,16 @@
         A long watch that is sent to an unresponsive store would still be
         pending after the store has recovered. A host that has just become a
         reader does not know yet whether the store responds. Other watches of
-        the store end a fixed time after the last confirmation.
+        the store end a fixed time after the last confirmation, unless another
+        reader confirms the replica meanwhile.
         """
         wait_s = self._feed.watch_timeout_s
         if source.name:
             return wait_s
         if self._health.down or self._answered_by != source.name:
             return 0.0
+        if self._confirming.confirms():
+            return max(wait_s, confirming_reader.LONG_WATCH_S)
         left_s = self.replica.confirmed_s + wait_s - now_s
         return min(wait_s, max(0.0, left_s))
 
@@ -392,8 +420,14 @@
             asked_s: Loop time of the request in seconds.
         """
         confirmed_s = asked_s + answer.confirmed_after_s
-        answer = self._confirm(source, answer)
-        answer = self._defer_removals(source, answer, full_read=False)
+        self._seen_revision = max(self._seen_revision, answer.revision)
+        if source.name:
+            self._unchanged.clear()
+        else:
+            answer = self._unchanged.reliable_answer(
+                self._loop.time(), answer, self.replica.revision
+            )
+            answer = self._removals.filter(answer, full_read=False)
         if self.replica.apply(answer):
             for obj in answer.objects:
                 self._feed.put(obj, obj.version)
@@ -401,6 +435,21 @@
                 self._feed.remove(name, answer.revision)
         self._note_confirmed(confirmed_s)
 
+    def _on_check_answer(
+        self,
+        source: source_choice.Source,
+        answer: stores.WatchAnswer,
+        asked_s: float,
+    ) -> None:
+        """Applies the answer to a check while a watch is waiting."""
+        self._record_success(source, answer)
+        self._apply_changes(source, answer, asked_s)
+        # A host that has left the store for another reader returns to it.
+        self._sources.note_success(source.name)
+        arriving = self._is_arriving(self._loop.time())
+        if self._watched is source or (self._source_name and not arriving):
+            self._wake.set()
+
     def _note_confirmed(self, confirmed_s: float) -> None:
         """Notes until when the store is known to have had no later change."""
         self.replica.confirm(min(confirmed_s, self._loop.time()))
@@ -410,9 +459,7 @@
         self._filled.set()
 
     async def _watch_until_woken(
-        self,
-        source: source_choice.Source,
-        coro: cabc.Coroutine[object, object, stores.WatchAnswer],
+        self, coro: cabc.Coroutine[object, object, stores.WatchAnswer]
     ) -> stores.WatchAnswer | None:
         """Waits for an answer, at most until another source is to be read.
 
@@ -423,57 +470,12 @@
             StoreError: The source has no valid answer.
         """
         self._wake.clear()
-        watch = self._loop.create_task(coro)
-        wake = self._loop.create_task(self._wake.wait())
         try:
-            await asyncio.wait(
-                (watch, wake), return_when=asyncio.FIRST_COMPLETED
-            )
+            return await interruptible.result_unless_set(coro, self._wake)
         finally:
             self._progress = progress.Progress()
             self._checks_store = False
-            wake.cancel()
-            if not watch.done():
-                watch.cancel()
-            elif not watch.cancelled():
-                watch.exception()  # marks it as retrieved
-        return watch.result() if watch.done() else None
-
-    def _confirm(
-        self, source: source_choice.Source, answer: stores.WatchAnswer
-    ) -> stores.WatchAnswer:
-        """Returns an answer with a revision that can be relied on."""
-        self._seen_revision = max(self._seen_revision, answer.revision)
-        if source.name:
-            self._unchanged.clear()
-            return answer
-        return self._unchanged.reliable_answer(
-            self._loop.time(), answer, self.replica.revision
-        )
-
-    def _defer_removals(
-        self,
-        source: source_choice.Source,
-        answer: stores.WatchAnswer,
-        *,
-        full_read: bool,
-    ) -> stores.WatchAnswer:
-        """Defers removals right after an outage of the store.
-
-        Entries that are still missing at the end of the delay are removed.
-        """
-        left_s = self._health.removal_delay_left_s()
-        if source.name or not self._feed.entries_expire or left_s <= 0:
-            return answer
-        filtered, names = deferred_removals.without_removals(
-            answer, self.replica, full_read=full_read
-        )
-        if names:
-            self._log.event(
-                'removals-put-off', names=names, for_s=round(left_s, 2)
-            )
-            self._loop.call_later(left_s, self._request_full_read)
-        return filtered
+            self._watched = None
 
     def _request_full_read(self) -> None:
         self._needs_full_read = True
