Count the bodies that failed attempts keep

Cause: a check whether a target crashed, and a long answer that is passed on, referred to the request and its body after the memory of the body had been returned. The last failure of a request that is tried again (up to 64 KiB) was not counted at all.

Change: the body is dropped with its reservation, and its digest is computed before. Failures that are kept take part of the memory for long answers, at most half of it. Without memory the request is not tried again, and its failure is delivered.

--- a/ragwortchute/gateway/answer_memory.py
+++ b/ragwortchute/gateway/answer_memory.py
@@ -2,7 +2,8 @@
 
 Each long answer may hold the same share, which shrinks as there are more of
 them. None waits for the memory of another, so that no caller or target can stop
-the answers of others.
+the answers of others. Failures that are kept while their requests are tried
+again take up to half of the memory.
 """
 
 # Answers up to this length have no share.
@@ -11,29 +12,49 @@
 MAX_SHARE_BYTES = 128 << 10
 # An answer is read in parts of up to this length.
 MAX_READ_BYTES = 64 << 10
+# Share of the memory for failures that are kept.
+KEPT_FRACTION = 0.5
 
 
 class AnswerMemory:
     """Divides memory among long answers.
 
     Args:
-        limit_bytes: Bytes that all of them may hold. Each may hold
-            `MIN_SHARE_BYTES` in any case.
+        limit_bytes: Bytes that all of them and the kept failures may hold. Each
+            long answer may hold `MIN_SHARE_BYTES` in any case.
 
     Attributes:
         shares: Number of long answers.
+        kept_bytes: Bytes of failures that are kept.
     """
 
-    __slots__ = ('_limit_bytes', 'shares')
+    __slots__ = ('_limit_bytes', 'kept_bytes', 'shares')
 
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
         self.shares = 0
+        self.kept_bytes = 0
+
+    def keep(self, size_bytes: int) -> bool:
+        """Reserves memory for a failure that is kept.
+
+        Returns:
+            Whether there was enough; `release` returns it.
+        """
+        if self.kept_bytes + size_bytes > self._limit_bytes * KEPT_FRACTION:
+            return False
+        self.kept_bytes += size_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Returns memory that `keep` has reserved."""
+        self.kept_bytes -= size_bytes
 
     @property
     def share_bytes(self) -> int:
         """Bytes that each long answer may hold."""
-        share_bytes = self._limit_bytes // max(1, self.shares)
+        left_bytes = self._limit_bytes - self.kept_bytes
+        share_bytes = left_bytes // max(1, self.shares)
         return min(MAX_SHARE_BYTES, max(MIN_SHARE_BYTES, share_bytes))
 
 
--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -9,9 +9,11 @@
 from collections import abc
 import random
 
+from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dialect as dialects
+from ragwortchute.gateway import exchanges
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
@@ -45,6 +47,7 @@
         request_log: Log of requests.
         stats: Counters.
         rng: Source of randomness.
+        memory: Memory for answers that are kept.
 
     Attributes:
         on_not_run: Called with a request that is answered by a refusal which
@@ -54,6 +57,7 @@
     __slots__ = (
         '_dialect',
         '_loop',
+        '_memory',
         '_request_log',
         '_rng',
         '_stats',
@@ -66,11 +70,13 @@
         request_log: request_log_.RequestLog,
         stats: stats_.Stats,
         rng: random.Random,
+        memory: answer_memory.AnswerMemory,
     ) -> None:
         self._dialect = dialect
         self._request_log = request_log
         self._stats = stats
         self._rng = rng
+        self._memory = memory
         self._loop = asyncio.get_running_loop()
         self.on_not_run: abc.Callable[[attempts.Call], None] = lambda _: None
 
@@ -101,6 +107,36 @@
         )
         return self._pass_on(reply)
 
+    def keep_failure(
+        self, call: attempts.Call, reply: http_client.Reply
+    ) -> bool:
+        """Keeps an answer for the case that no later one is better.
+
+        One that is still arriving is not kept.
+
+        Args:
+            call: The request, which is tried again.
+            reply: Answer of a target with a server error.
+
+        Returns:
+            Whether there is memory for it, or it needs none.
+        """
+        if reply.rest is not None:
+            return True
+        size_bytes = exchanges.response_bytes(reply)
+        if not self._memory.keep(size_bytes):
+            return False
+        self.forget_failure(call)
+        call.last_failure = reply
+        call.kept_bytes = size_bytes
+        return True
+
+    def forget_failure(self, call: attempts.Call) -> None:
+        """Drops the answer that was kept for a request, if there is one."""
+        if call.last_failure is not None:
+            self._memory.release(call.kept_bytes)
+            call.last_failure = None
+
     def pass_on_refusal(
         self, call: attempts.Call, reply: http_client.Reply
     ) -> http_messages.Response:
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -33,6 +33,7 @@
         maybe_executed: Whether a target may have executed the request.
         sends: Number of targets or hosts that it was sent to.
         last_failure: Last answer of a target with a server error.
+        kept_bytes: Memory that is reserved for it.
         tried_targets: Names of the targets that it was sent to.
         waited_s: Time for which it waited for room, in seconds.
     """
@@ -45,6 +46,7 @@
         'has_credit',
         'hedge_decided',
         'homes',
+        'kept_bytes',
         'key',
         'last_failure',
         'maybe_executed',
@@ -85,6 +87,7 @@
         self.maybe_executed = False
         self.sends = 0
         self.last_failure: http_client.Reply | None = None
+        self.kept_bytes = 0
         self.tried_targets: set[str] = set()
         self.waited_s = 0.0
 
--- a/ragwortchute/gateway/crash_checks.py
+++ b/ragwortchute/gateway/crash_checks.py
@@ -34,7 +34,8 @@
         """Starts a check of the target unless one is running.
 
         Args:
-            call: The request.
+            call: The request, with its digest, as its body may be dropped
+                before the check ends.
             attempt: Its attempt whose connection broke.
         """
         name = attempt.target.entry.name
--- a/ragwortchute/gateway/crash_guard.py
+++ b/ragwortchute/gateway/crash_guard.py
@@ -208,14 +208,18 @@
 def digest(req: http_messages.Request) -> int:
     """Returns a hash of a request that does not depend on its identity.
 
-    It covers the method, host name, request target and body.
+    It covers the method, host name, request target and body, and is computed
+    only once.
     """
+    if req.digest:
+        return req.digest
     hashed = xxhash.xxh3_64()
     for part in (req.method, req.host, req.target):
         hashed.update(part.encode('latin-1') + b'\0')
     for body_part in req.body_parts:
         hashed.update(body_part)
-    return hashed.intdigest()
+    req.digest = hashed.intdigest()
+    return req.digest
 
 
 def _put_bounded(
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -116,7 +116,9 @@
             rng,
         )
         self._request_log = request_log
-        self._answers = answers.Answers(dialect, self._request_log, stats, rng)
+        self._answers = answers.Answers(
+            dialect, self._request_log, stats, rng, memory
+        )
         self._stats = stats
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -174,7 +176,17 @@
         accepted = await self._intake.accept(req, relayed=relayed)
         if isinstance(accepted, http_messages.Response):
             return accepted
-        call = accepted
+        try:
+            return await self._serve(accepted, relayed=relayed)
+        finally:
+            # The memory of its body is returned now, whoever refers to it.
+            req.body_parts = []
+            self._answers.forget_failure(accepted)
+
+    async def _serve(
+        self, call: attempts.Call, *, relayed: bool
+    ) -> http_messages.Response:
+        """Relays a request or sends it to targets until it has an answer."""
         if self._intake.is_outside_homes(call):
             resp = await self._relay(call)
             if resp is not None:
@@ -328,7 +340,7 @@
         target.note_sent(now_s)
         fut = placed.conn.send(
             head,
-            self._accept(call, target),
+            self._request_log.accept(call, target, self.dialect),
             body_parts=call.req.body_parts,
             memory=self._memory,
         )
@@ -341,20 +353,6 @@
             )
         self._request_log.log_send(call, outstanding[-1])
 
-    def _accept(
-        self, call: attempts.Call, target: targets_.Target
-    ) -> http_client.Accept:
-        """Returns a predicate that logs the answers of others that it skips."""
-        belongs = self.dialect.accept(call.req)
-
-        def accept(reply: http_client.Reply) -> bool:
-            accepted = belongs(reply)
-            if not accepted:
-                self._request_log.log_skipped_answer(call, target, reply)
-            return accepted
-
-        return accept
-
     # Hedging.
 
     async def _try_hedge(
@@ -433,9 +431,11 @@
             self._request_log.log_failed_attempt(
                 call, attempt, f'status-{reply.status}'
             )
-            if call.route.idempotent and self._may_retry(call):
-                if reply.rest is None:
-                    call.last_failure = reply
+            if (
+                call.route.idempotent
+                and self._may_retry(call)
+                and self._answers.keep_failure(call, reply)
+            ):
                 return None
         else:
             target.note_success()
@@ -459,6 +459,7 @@
             self._request_log.log_failed_attempt(
                 call, attempt, type(exc).__name__, str(exc)
             )
+            crash_guard_.digest(call.req)
             self._crash_checks.check(call, attempt)
             return None
         if reply.reusable:
--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http_messages.py
@@ -45,6 +45,8 @@
         trailer_names: Names of the headers that came behind the body.
         organisation: Name of the organisation that the host which relayed the
             request has found, empty if none.
+        digest: Hash of the request, 0 until it is needed. It is kept because
+            the body is dropped once the request has its response.
     """
 
     method: str
@@ -57,6 +59,7 @@
     accepts_chunks: bool = True
     trailer_names: frozenset[bytes] = frozenset()
     organisation: str = ''
+    digest: int = 0
 
     def __repr__(self) -> str:
         # Headers may hold keys.
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -5,6 +5,7 @@
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import candidates
+from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import http_client
@@ -152,6 +153,29 @@
             status=reply.status,
         )
 
+    def accept(
+        self,
+        call: attempts.Call,
+        target: targets_.Target,
+        dialect: dialects.Dialect,
+    ) -> http_client.Accept:
+        """Returns a predicate that logs the answers of others that it skips.
+
+        Args:
+            call: The request that awaits its answer.
+            target: The target.
+            dialect: Protocol of the target.
+        """
+        belongs = dialect.accept(call.req)
+
+        def accept(reply: http_client.Reply) -> bool:
+            accepted = belongs(reply)
+            if not accepted:
+                self.log_skipped_answer(call, target, reply)
+            return accepted
+
+        return accept
+
     def log_broken_answer(
         self, call: attempts.Call, sender: str, error: errors.TargetError
     ) -> None:
--- a/ragwortchute/gateway/streamed_answers.py
+++ b/ragwortchute/gateway/streamed_answers.py
@@ -11,6 +11,7 @@
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import crash_checks
+from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import http_client
 from ragwortchute.gateway import measurements as measurements_
 from ragwortchute.gateway import pools
@@ -58,6 +59,8 @@
         if reply.rest is None:
             return
         target = attempt.target
+        # The body is dropped before the answer ends.
+        crash_guard.digest(call.req)
 
         def end(error: errors.TargetError | None) -> None:
             target.pool.release(attempt.conn)
