Spare connections that other hosts may be sending on

Cause: an idle connection of another host could be closed when descriptors ran out, while a relay was on its way on it. The other host can't tell whether that has run, and answers 502.

New connections without a request are chosen as before.

Measured: the host's connection was closed in test_idle_one_outlives_callers before the change.

--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/accounted_connection.py
@@ -3,15 +3,24 @@
 import asyncio
 from collections import abc
 
+from ragwortchute.gateway import connection_owner
 from ragwortchute.gateway import delivery as delivery_
 from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import pipeline as pipeline_
+from ragwortchute.gateway import pools
 from ragwortchute.gateway import request_reader
 from ragwortchute.gateway import response_writer
 from ragwortchute.gateway.resources import account as account_
 
 # Named to a caller whose request is refused at a limit.
 _RETRY_AFTER_S = 0.5
+# Another host sends no request on a connection that has been idle for longer.
+# If its connection is closed while a request is on its way, it can't tell
+# whether that has run, and answers 502.
+HOST_REUSE_S = pools.DEFAULT_IDLE_S
+# Idle connections of other hosts are spared while these hold at most this share
+# of the accepted connections.
+HOSTS_FRACTION = 0.5
 
 
 class AccountedConnection:
@@ -24,6 +33,8 @@
     _delivery: delivery_.Delivery
     _held_bytes: int
     _idle_since_s: float
+    _listener: connection_owner.Owner
+    _loop: asyncio.AbstractEventLoop
     _pipeline: pipeline_.Pipeline
     _reader: request_reader.RequestReader
     _received_s: float
@@ -44,6 +55,18 @@
         """See `victims.Holder`."""
         return self._pipeline.has_running()
 
+    def awaits_host(self) -> bool:
+        """See `victims.Holder`."""
+        most = self._account.limits.accepted_connections * HOSTS_FRACTION
+        return (
+            self._listener.essential
+            and self._reader.has_begun
+            and not self._reader.started_s
+            and not self._pipeline
+            and self._loop.time() - self.progress_s < HOST_REUSE_S
+            and len(self._listener.connections) <= most
+        )
+
     def is_incomplete(self) -> bool:
         """See `victims.Holder`."""
         return bool(self._reader.started_s) and not self._reader.waiting
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/request_reader.py
@@ -133,6 +133,11 @@
         """Whether the rest of a body must wait for memory."""
         return self._body.waiting
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a request has ever begun."""
+        return self._requests_begun > 0
+
     @property
     def in_head(self) -> bool:
         """Whether the head of a request has been read in part."""
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -91,7 +91,7 @@
         self._queue_victims = self._victims(lambda holder: holder.has_queue())
         self._body_victims = self._victims(lambda holder: holder.has_body())
         self._accepted_victims = self._victims(
-            lambda holder: not holder.is_at_work()
+            lambda holder: not (holder.is_at_work() or holder.awaits_host())
         )
         self._stream_victims = self._victims(
             lambda holder: holder.has_streams()
--- a/ragwortchute/gateway/resources/victims.py
+++ b/ragwortchute/gateway/resources/victims.py
@@ -27,6 +27,9 @@
     def is_at_work(self) -> bool:
         """Whether a request runs that has no response yet."""
 
+    def awaits_host(self) -> bool:
+        """Whether another host may be sending a request on it, though idle."""
+
     def is_incomplete(self) -> bool:
         """Whether a request has been read in part, and may be read on."""
 
