Handle events of a few callers in each turn of the event loop

Cause: the event loop handles all sockets with data before it looks at timers and tasks again. A read of a connection is bounded by 1.0 ms, but nothing bounded all reads of many callers together.

Change: connections of callers and address look-ups are polled apart from all other sockets, and 8 of them are handled in each turn, in order. Other sockets come first. The daemon runs on an event loop with such a selector.

--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -49,6 +49,7 @@
 from ragwortchute.gateway.organisations import quota_part
 from ragwortchute.gateway.organisations import recency
 from ragwortchute.gateway.resources import account
+from ragwortchute.gateway.resources import caller_turns
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.rollouts import runtime as rollouts_
 
@@ -175,6 +176,7 @@
         self._replicas: dict[str, replica.Replica] = {}
         self.bodies = self.account.bodies
         self.callers = self._create_listener(self.dispatcher.serve, 'callers')
+        self.callers.turns = caller_turns.current()
         self.callers.refuse_early = self.dispatcher.refuse_early
         gate = host_tokens.HostGate(me.token, self.state.has_organisations)
         api = peer_api.PeerApi(self._replicas, self.dispatcher, gate)
--- a/ragwortchute/gateway/connection_owner.py
+++ b/ragwortchute/gateway/connection_owner.py
@@ -10,6 +10,7 @@
 from ragwortchute.gateway import pipeline
 from ragwortchute.gateway import request_reader
 from ragwortchute.gateway.resources import account as account_
+from ragwortchute.gateway.resources import caller_turns
 
 
 class Owner(typing.Protocol):
@@ -25,6 +26,8 @@
         bodies: Memory for long bodies.
         account: Account of memory and connections.
         essential: Whether its connections may take reserved descriptors.
+        turns: Divides the time among connections of callers; None if these are
+            handled like those to targets and other hosts.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
     """
@@ -37,6 +40,7 @@
     bodies: body_budget.BodyBudget
     account: account_.Account
     essential: bool
+    turns: caller_turns.TurnSelector | None
     draining: bool
     connections: set[asyncio.BufferedProtocol]
 
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -11,6 +11,7 @@
 from ragwortchute.gateway import request_reader
 from ragwortchute.gateway import server_connection
 from ragwortchute.gateway.resources import account as account_
+from ragwortchute.gateway.resources import caller_turns
 from ragwortchute.gateway.resources import limits as limits_
 
 EXPIRY_CHECK_S = 0.25
@@ -37,6 +38,8 @@
 
     Attributes:
         essential: Whether connections may take reserved descriptors.
+        turns: Divides the time among connections of callers; None if these are
+            handled like those to targets and other hosts.
         draining: Whether connections are closed after their last response.
         connections: Open connections.
         refuse_early: Returns the refusal of a request whose body has not been
@@ -62,6 +65,7 @@
         )
         self.bodies = bodies or self.account.bodies
         self.essential = False
+        self.turns: caller_turns.TurnSelector | None = None
         self.draining = False
         self.connections: set[server_connection.ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/server_connection.py
@@ -228,9 +228,14 @@
         self._delivery = delivery_.Delivery(transport)
         if self._account.add(self, essential=self._listener.essential):
             self._listener.connections.add(self)
+            if self._listener.turns is not None:
+                self._listener.turns.add_caller(self._descriptor())
         else:
             transport.abort()
 
+    def _descriptor(self) -> int:
+        return self._transport.get_extra_info('socket').fileno()
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """See base class."""
         return _READ_BUFFER[: self._reader.read_bytes]
@@ -263,6 +268,8 @@
         """See base class."""
         self._listener.connections.discard(self)
         self._account.remove(self)
+        if self._listener.turns is not None:
+            self._listener.turns.remove_caller(self._descriptor())
         self._transport = None
         self._reader.end()
         if not self._closed.done():
--- a/ragwortchute/platform/daemon.py
+++ b/ragwortchute/platform/daemon.py
@@ -13,6 +13,7 @@
 from ragwortchute.gateway import model
 from ragwortchute.gateway import registration
 from ragwortchute.gateway.resources import account
+from ragwortchute.gateway.resources import caller_turns
 from ragwortchute.gateway.resources import limits
 from ragwortchute.platform import endpoints
 from ragwortchute.platform import feeds
@@ -60,6 +61,8 @@
             name,
             account=gateway.account if name == 'directory' else operators,
         )
+        if name == 'directory':
+            listener.turns = gateway.callers.turns
         await listener.start(*address)
         listeners.append(listener)
     await gateway.start(
@@ -104,5 +107,6 @@
         print(f'settings: {exc}', file=sys.stderr)
         return EXIT_INVALID_SETTINGS
     log = eventlog.EventLog(node.gateway.me.name)
-    asyncio.run(serve(node, log))
+    with asyncio.Runner(loop_factory=caller_turns.Loop) as runner:
+        runner.run(serve(node, log))
     return 0
