Check no target and send no message after the close of a host

Cause: handlers of requests may outlive their host. If the target of one ended then, a check of it began after the checks had been cancelled.

Change: checks are refused after the close, and the socket for other hosts forgets its transport.

--- a/ragwortchute/gateway/crash_checks.py
+++ b/ragwortchute/gateway/crash_checks.py
@@ -22,10 +22,11 @@
         guard: Receives reports of the crashes that are found.
     """
 
-    __slots__ = ('_guard', '_loop', '_pending', '_tasks')
+    __slots__ = ('_closed', '_guard', '_loop', '_pending', '_tasks')
 
     def __init__(self, guard: crash_guard.CrashGuard) -> None:
         self._guard = guard
+        self._closed = False
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending: dict[str, list[_LostAttempt]] = {}
@@ -33,11 +34,15 @@
     def check(self, call: attempts.Call, attempt: attempts.Attempt) -> None:
         """Starts a check of the target unless one is running.
 
+        After `close`, nothing is checked.
+
         Args:
             call: The request, with its digest, as its body may be dropped
                 before the check ends.
             attempt: Its attempt whose connection broke.
         """
+        if self._closed:
+            return
         name = attempt.target.entry.name
         lost = _LostAttempt(call, attempt.sent_s, self._loop.time())
         pending = self._pending.get(name)
@@ -51,6 +56,7 @@
 
     async def close(self) -> None:
         """Cancels all checks."""
+        self._closed = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/ragwortchute/gateway/peer_socket.py
+++ b/ragwortchute/gateway/peer_socket.py
@@ -29,6 +29,7 @@
 
     def send(self, ip: str, port: int, data: bytes) -> None:
         """See base class."""
+        # Requests may outlive the host; a closed transport raises.
         if self._transport is not None:
             self._transport.sendto(data, (ip, port))
 
@@ -36,6 +37,7 @@
         """Closes the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """See base class."""
--- a/tests/test_gateway/test_stop.py
+++ b/tests/test_gateway/test_stop.py
@@ -1,9 +1,11 @@
 """Tests of planned stops of complete hosts, in one process."""
 
 import asyncio
+import gc
 
 import pytest
 
+from ragwortchute.gateway import crash_checks
 from ragwortchute.gateway import planned_stop
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
@@ -81,6 +83,42 @@
         assert set(statuses) == {200}
 
 
+class TestClose:
+    """A request that outlives its host must not use what the host has closed.
+
+    Its target ended after the host. The check that found the target down told
+    other hosts over a closed socket, which raised AttributeError (issue 33).
+    """
+
+    async def test_target_that_ends_after_the_host(self, deployment):
+        failures = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: failures.append(context)
+        )
+        await deployment.start('a1', 'a1')
+        host = deployment.hosts[0]
+        await deployment.until(lambda: host.ready and len(host.hosts()) == 2)
+        for target in deployment.targets:
+            target.work_s = 5.0
+        request_task = asyncio.create_task(
+            test_application.TestRelay().request(host, 'POST', '/b/x')
+        )
+        await deployment.until(lambda: sum(map(_runs, deployment.targets)))
+        await host.close()
+        for target in deployment.targets:
+            await target.stop()
+        await asyncio.gather(request_task, return_exceptions=True)
+        await asyncio.sleep(5 * crash_checks.CHECK_DELAY_S)
+        gc.collect()
+        raised = [context.get('exception') for context in failures]
+        assert not [exc for exc in raised if isinstance(exc, AttributeError)]
+        assert 'crash-suspect' not in host.log.kinds()
+
+
+def _runs(target):
+    return len(target.runs)
+
+
 class TestIncompleteRequests:
     """A caller that sends a body must learn that its request has not run.
 
