Accept the connections that wait before a listener closes

Cause: the system accepts connections before the host does. Those that waited when a listener closed were reset, and so were those that the loop had accepted but not yet given a transport, as the server then refuses to take them.

Change: the listener stops reading its socket, lets the loop pass on what it has accepted, accepts what waits in parts of 4, 512 at most, and closes the socket in the same turn in which none is left. An immediate stop still closes at once.

--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -21,6 +21,9 @@
 # Connections accepted at once: those beyond the limit hold descriptors until
 # the loop has closed them.
 ACCEPT_BATCH = 4
+# Connections that are accepted at most before the listening socket closes, as
+# many as may wait for that.
+MAX_WAITING = 512
 # Memory of a listener that shares no account.
 DEFAULT_MEMORY_BYTES = 200e6
 
@@ -69,13 +72,21 @@
         self.draining = False
         self.connections: set[server_connection.ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._sock: socket.socket | None = None
+        # Server that is closed once no accepted connection waits.
+        self._closing_server: asyncio.Server | None = None
+        self._accept_tasks: set[asyncio.Task[None]] = set()
+        self._stopped = False
         self._expiry_task: asyncio.Task[None] | None = None
         self._finished_fut: asyncio.Future[None] | None = None
         self._check_is_due = False
 
-    async def start(self, ip: str, port: int, backlog: int = 512) -> None:
+    async def start(
+        self, ip: str, port: int, backlog: int = MAX_WAITING
+    ) -> None:
         """Starts to listen and to close idle connections."""
         loop = asyncio.get_running_loop()
+        self._stopped = False
         sock = socket.socket()
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -90,6 +101,7 @@
         )
         # The loop takes its backlog for the number to accept at once, too.
         sock.listen(backlog)
+        self._sock = sock
         self._limit_unsent(sock)
         self._expiry_task = asyncio.create_task(self._expire_connections())
 
@@ -116,11 +128,67 @@
             conn.drain()
 
     def stop_accepting(self) -> None:
-        """Closes the listening socket and starts to drain."""
+        """Closes the listening socket and starts to drain.
+
+        Connections that the system has accepted already are served: their
+        callers may have sent requests, which a close would reset.
+        """
         self.drain()
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        if self._server is None:
+            return
+        self._closing_server, self._server = self._server, None
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._sock)
+        # Those that the loop is about to pass on need the server before it.
+        loop.call_soon(self._accept_waiting, MAX_WAITING)
+
+    def _accept_waiting(self, left: int) -> None:
+        """Accepts connections that wait, then closes the listening socket.
+
+        Args:
+            left: Number of connections that may still be accepted.
+        """
+        if self._closing_server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for _ in range(ACCEPT_BATCH):
+            try:
+                sock, _ = self._sock.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                # None waits, or no descriptor is left for it.
+                left = 0
+                break
+            task = loop.create_task(self._connect(sock))
+            self._accept_tasks.add(task)
+            task.add_done_callback(self._accept_tasks.discard)
+        left -= ACCEPT_BATCH
+        if left > 0:
+            loop.call_soon(self._accept_waiting, left)
+        else:
+            self._close_server()
+
+    async def _connect(self, sock: socket.socket) -> None:
+        """Hands an accepted connection to the loop."""
+        sock.setblocking(False)
+        try:
+            (
+                transport,
+                _,
+            ) = await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: server_connection.ServerConnection(self), sock
+            )
+        except OSError:
+            sock.close()
+            return
+        if self._stopped:
+            transport.abort()
+
+    def _close_server(self) -> None:
+        if self._closing_server is not None:
+            self._closing_server.close()
+            self._closing_server = None
 
     def close(self) -> None:
         """Stops accepting and closes connections without pending requests."""
@@ -141,6 +209,8 @@
     async def stop(self) -> None:
         """Closes the listener and all connections immediately."""
         self.close()
+        self._close_server()
+        self._stopped = True
         if self._expiry_task is not None:
             self._expiry_task.cancel()
             self._expiry_task = None
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ragwortchute.gateway import http_messages
+from ragwortchute.gateway import http_server
 from ragwortchute.gateway import server_connection
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import servers
@@ -448,3 +449,48 @@
         writer.write(servers.GET % 0)
         await rigs.read_response(reader)
         assert not await self.cut(server)
+
+
+class TestWaitingConnections:
+    """A connection that the system has accepted must not be reset.
+
+    The caller has connected before the listener closed, and its request was
+    answered with a reset (issue 33). Connections wait in the kernel, or between
+    their acceptance by the loop and their transport.
+    """
+
+    # More than the loop accepts at once.
+    CALLERS = 3 * http_server.ACCEPT_BATCH
+
+    @pytest.mark.parametrize('turns', range(4))
+    async def test_they_are_served(self, serve, turns):
+        server = await serve()
+        address = '127.0.0.1', server.listener.port
+        socks = [socket.create_connection(address) for _ in range(self.CALLERS)]
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        server.listener.stop_accepting()
+        for sock in socks:
+            sock.send(servers.GET % 0)
+        for sock in socks:
+            reader, writer = await asyncio.open_connection(sock=sock)
+            resp = await asyncio.wait_for(rigs.read_response(reader), 5)
+            assert resp.status == 200
+            assert resp.headers['connection'] == 'close'
+            writer.close()
+
+    async def test_port_is_free_afterwards(self, serve):
+        server = await serve()
+        port = server.listener.port
+        socks = [
+            socket.create_connection(('127.0.0.1', port))
+            for _ in range(self.CALLERS)
+        ]
+        server.listener.stop_accepting()
+        await server.listener.stop()
+        await asyncio.sleep(0.05)
+        assert not server.listener.connections
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(('127.0.0.1', port))
+        for sock in socks:
+            sock.close()
