--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http_server.py
@@ -162,13 +162,17 @@
                 break
             task = loop.create_task(self._connect(sock))
             self._accept_tasks.add(task)
-            task.add_done_callback(self._accept_tasks.discard)
+            task.add_done_callback(self._end_accept)
         left -= ACCEPT_BATCH
         if left > 0:
             loop.call_soon(self._accept_waiting, left)
         else:
             self._close_server()
 
+    def _end_accept(self, task: asyncio.Task[None]) -> None:
+        self._accept_tasks.discard(task)
+        self.notify_finished()
+
     async def _connect(self, sock: socket.socket) -> None:
         """Hands an accepted connection to the loop."""
         sock.setblocking(False)
@@ -189,6 +193,7 @@
         if self._closing_server is not None:
             self._closing_server.close()
             self._closing_server = None
+            self.notify_finished()
 
     def close(self) -> None:
         """Stops accepting and closes connections without pending requests."""
@@ -255,8 +260,11 @@
 
     def _check_finished(self) -> None:
         self._check_is_due = False
-        if not self._finished_fut.done() and not any(
-            conn.unfinished for conn in self.connections
+        if (
+            not self._finished_fut.done()
+            and self._closing_server is None
+            and not self._accept_tasks
+            and not any(conn.unfinished for conn in self.connections)
         ):
             self._finished_fut.set_result(None)
 
