--- a/tests/test_gateway/test_failed_attempts.py
+++ b/tests/test_gateway/test_failed_attempts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ragwortchute.gateway import crash_checks
+from ragwortchute.gateway.selection import crash_checks
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_stop.py
+++ b/tests/test_gateway/test_stop.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from ragwortchute.gateway import crash_checks
 from ragwortchute.gateway import planned_stop
+from ragwortchute.gateway.selection import crash_checks
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_application
 
--- a/tests/test_resources/test_host_connections.py
+++ b/tests/test_resources/test_host_connections.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ragwortchute.gateway import accounted_connection
+from ragwortchute.gateway.http import accounted_connection
 from tests.test_gateway import rig as rigs
 
 GET = b'GET / HTTP/1.1\r\nHost: example\r\n\r\n'
--- a/tests/test_resources/test_small_chunks.py
+++ b/tests/test_resources/test_small_chunks.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import server_connection
 from ragwortchute.gateway.resources import caller_turns
 from tests.test_resources import crowds
 from tests.test_resources import servers
