--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -36,6 +36,7 @@
 from ragwortchute.gateway.peers import peer_api
 from ragwortchute.gateway.peers import peer_socket
 from ragwortchute.gateway.resources import account
+from ragwortchute.gateway.resources import caller_turns
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.rollouts import runtime as rollouts_
 from ragwortchute.gateway.selection import candidates
@@ -177,6 +178,7 @@
         self._replicas: dict[str, replica.Replica] = {}
         self.bodies = self.account.bodies
         self.callers = self._create_listener(self.dispatcher.serve, 'callers')
+        self.callers.turns = caller_turns.current()
         self.callers.refuse_early = self.dispatcher.refuse_early
         gate = host_tokens.HostGate(me.token, self.state.has_organisations)
         api = peer_api.PeerApi(self._replicas, self.dispatcher, gate)
--- a/ragwortchute/gateway/http/streamed_answers.py
+++ b/ragwortchute/gateway/http/streamed_answers.py
@@ -14,6 +14,7 @@
 from ragwortchute.gateway.http import http_client
 from ragwortchute.gateway.http import pools
 from ragwortchute.gateway.selection import crash_checks
+from ragwortchute.gateway.selection import crash_guard
 from ragwortchute.gateway.selection import measurements as measurements_
 from ragwortchute.gateway.selection import targets as targets_
 
@@ -58,6 +59,8 @@
         if reply.rest is None:
             return
         target = attempt.target
+        # The body is dropped before the answer ends.
+        crash_guard.digest(call.req)
 
         def end(error: errors.TargetError | None) -> None:
             target.pool.release(attempt.conn)
--- a/tests/test_gateway/test_eventlog.py
+++ b/tests/test_gateway/test_eventlog.py
@@ -3,6 +3,8 @@
 import json
 import os
 
+import pytest
+
 from ragwortchute.gateway import eventlog
 
 
@@ -91,3 +93,30 @@
         (line,) = lines(read_fd)
         assert 'broken' in line['trace']
         assert line['subject'] == '/path'
+
+
+class TestKinds:
+    """Lines of one kind must not displace those of the others.
+
+    Many hostile callers caused more `rejected` lines than the rate limit
+    allows, and long `cut` lines filled the buffer.
+    """
+
+    @pytest.mark.parametrize('kind', ['rejected', 'request', 'cut'])
+    def test_others_are_written_beside_a_flood(self, kind):
+        read_fd, log = pipe_log()
+        for _ in range(3_000):
+            log.event(kind, pending='x' * 20_000 if kind == 'cut' else '')
+        log.event('leaving')
+        data = b''
+        for _ in range(20):
+            log.flush()
+            data += drain(read_fd)
+        seen = [json.loads(line) for line in data.splitlines()]
+        kinds = [line['event'] for line in seen]
+        assert 'leaving' in kinds
+        dropped = sum(line.get('kinds', {}).get(kind, 0) for line in seen)
+        assert kinds.count(kind) + dropped == 3_000
+        if kind == 'rejected':
+            # It has no part in the shared rate.
+            assert kinds.count(kind) <= eventlog.KIND_BURST_LINES + 10
