Move the last responses of rollouts to a module

Change: the last responses by which a host suspends a version are in recent_responses, the comparison of orders is in records. Behaviour is unchanged.

Result: test_parts, test_hosts and test_partitions of test_rollouts pass.

--- /dev/null
+++ b/ragwortchute/gateway/rollouts/recent_responses.py
@@ -0,0 +1,40 @@
+"""Last responses of both versions, by which a host suspends one by itself."""
+
+import collections
+
+# A host stops on its own once so many of its last responses of the canary
+# version were bad, unless as many of the old version are.
+_RECENT_RESPONSES = 6
+_BAD_RESPONSES = 4
+
+
+class RecentResponses:
+    """Last responses to this host for one order."""
+
+    __slots__ = ('_bad',)
+
+    def __init__(self) -> None:
+        self._bad = {
+            canary: collections.deque[bool](maxlen=_RECENT_RESPONSES)
+            for canary in (False, True)
+        }
+
+    def note(self, *, canary: bool, bad: bool) -> bool:
+        """Notes a response.
+
+        Args:
+            canary: Whether the canary version has sent it.
+            bad: Whether it failed or was slow.
+
+        Returns:
+            Whether the canary version is to be suspended. Its responses until
+            then no longer count.
+        """
+        self._bad[canary].append(bad)
+        if not canary or not self._is_bad(True) or self._is_bad(False):
+            return False
+        self._bad[True].clear()
+        return True
+
+    def _is_bad(self, canary: bool) -> bool:
+        return sum(self._bad[canary]) >= _BAD_RESPONSES
--- a/ragwortchute/gateway/rollouts/records.py
+++ b/ragwortchute/gateway/rollouts/records.py
@@ -67,6 +67,13 @@
         return self.phase >= Phase.SUCCEEDED
 
 
+def is_other_order(old: Record, new: Record) -> bool:
+    """Returns whether a later record belongs to another order."""
+    if old.version != new.version:
+        return True
+    return old.order_id != 0 and new.order_id != old.order_id
+
+
 class Status(msgspec.Struct, frozen=True, omit_defaults=True):
     """Status of an order as it is stored.
 
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -4,7 +4,6 @@
 comes back.
 """
 
-import collections
 from collections import abc
 import random
 
@@ -16,15 +15,13 @@
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import exposure
 from ragwortchute.gateway.rollouts import phases
+from ragwortchute.gateway.rollouts import recent_responses
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import sends
 from ragwortchute.gateway.rollouts import trust as trust_
 from ragwortchute.gateway.rollouts import versions
 
-# A host stops on its own once so many of its last responses of the canary
-# version were bad, unless as many of the old version are.
-_RECENT_RESPONSES = 6
-_BAD_RESPONSES = 4
+# How long a host sends nothing to a version that it suspends on its own.
 _SUSPENSION_S = 2.0
 # Longest list of versions in a status; targets of others have long been gone.
 _MAX_REFUSED = 8
@@ -145,7 +142,7 @@
         self.versions.refuse(
             version for version in record.refused if version != record.version
         )
-        if old is None or _is_other_order(old, record):
+        if old is None or records.is_other_order(old, record):
             self._begin(old, record, now_s)
         elif record.duration_s != old.duration_s:
             self._log.event(
@@ -340,9 +337,8 @@
         self.counters.note(key, failed=failed, timed=timed, slow=slow)
         if canary and self.record.phase < records.Phase.MOVE:
             self.has_news = True
-        self._recent[canary].append(failed or (timed and slow))
-        if canary and self._recent_is_bad(True) > self._recent_is_bad(False):
-            self._recent[True].clear()
+        bad = failed or (timed and slow)
+        if self._recent.note(canary=canary, bad=bad):
             self.urgent = True
             if self.record.phase < records.Phase.DRAIN:
                 # Later, there is no other version to use.
@@ -392,10 +388,7 @@
         self.has_news = False
         self.drained_s = 0.0
         self._suspended_until_s = float('-inf')
-        self._recent = {
-            canary: collections.deque[bool](maxlen=_RECENT_RESPONSES)
-            for canary in (False, True)
-        }
+        self._recent = recent_responses.RecentResponses()
 
     def _is_canary(self, target: targets_.Target) -> bool:
         return (
@@ -465,13 +458,3 @@
             trust.reaches_most
             and trust.now_s - self.contact_s <= trust.contact_lease_s
         )
-
-    def _recent_is_bad(self, canary: bool) -> bool:
-        recent = self._recent[canary]
-        return sum(recent) >= _BAD_RESPONSES
-
-
-def _is_other_order(old: records.Record, new: records.Record) -> bool:
-    if old.version != new.version:
-        return True
-    return old.order_id != 0 and new.order_id != old.order_id
