Ask other hosts which version of a service is in use

Cause: a host that starts when an order has just replaced the one before finds entries of stopped targets that are still ready, and no record that tells their version was replaced. It took that version for the one in use. A host that missed an outcome did the same.

Change: a host that can't tell asks three random hosts every 0.1 s for 2 s and sends nothing to versions without an order meanwhile. Only hosts answer that are certain and follow as new a record. A host that starts lets requests wait for this for up to 0.5 s, in deployments with rollouts only. If nobody answers, the rule from before decides, and the host asks on for 30 s. A host doubts what it knows if an order ends unseen.

Simulated hosts of the first incarnation are certain of the old version. The numbers that callers in test_hosts give to requests no longer use up the addresses of hosts that are added later.

--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -41,6 +41,7 @@
         domains_out: Failure domains whose targets get no requests.
         upstream: Bounds the connections to targets; None for no bound.
         target_changes: Number of changes of the list of targets.
+        deferred: Whether a part needs more before requests are served.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.domains_out: set[str] = set()
         self.upstream: upstream_.Upstream | None = None
         self.target_changes = 0
+        self.deferred = False
         self._completed = asyncio.Event()
         self._targets_read = False
         self._domains_out_read = False
@@ -75,14 +77,24 @@
         self._target_revisions: dict[str, int] = {}
 
     @property
-    def complete(self) -> bool:
-        """Whether everything has been read that serving requests requires."""
+    def has_read(self) -> bool:
+        """Whether the configuration, targets and domains have been read."""
         return (
             self.cfg is not None
             and self._targets_read
             and self._domains_out_read
         )
 
+    @property
+    def complete(self) -> bool:
+        """Whether everything is known that serving requests requires."""
+        return self.has_read and not self.deferred
+
+    def set_deferred(self, value: bool) -> None:
+        """Sets whether a part needs more before requests are served."""
+        self.deferred = value
+        self._signal_if_complete()
+
     def has_organisations(self) -> bool:
         """Returns whether the configuration in force has organisations."""
         return self.cfg is not None and self.cfg.organisations is not None
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -23,8 +23,6 @@
 # The age of an order may be this much lower at a host that has not heard of it
 # from others yet.
 _AGE_LAG_S = 0.75
-# After this time in the last phase, hosts that have just started are known.
-_MIN_DRAIN_S = 2.0
 # Reports are fresh for this many intervals.
 _FRESH_INTERVALS = 3.0
 # A host that has not reported for this many is silent. With a tenth of the
@@ -201,7 +199,7 @@
             contact_lease_s: See `trust.Trust`.
             now_s: Loop time in seconds.
         """
-        if now_s < state.phase_since_s + _MIN_DRAIN_S:
+        if now_s < state.phase_since_s + phases.MIN_DRAIN_S:
             return False
         if not state.has_drained(now_s):
             return False
--- a/ragwortchute/gateway/rollouts/messages.py
+++ b/ragwortchute/gateway/rollouts/messages.py
@@ -82,7 +82,35 @@
     order_id: int
 
 
-Message = Report | Reply | Stop
+class Question(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Asks which versions of a service are in use.
+
+    Attributes:
+        service: Name of the service.
+        revision: Revision of the record that the sender follows, 0 if none.
+    """
+
+    service: str
+    revision: int
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Answer of a host that knows which versions are in use.
+
+    Attributes:
+        service: Name of the service.
+        revision: Copied from the question.
+        used: Versions in use.
+        refused: Versions that orders have replaced or rolled back.
+    """
+
+    service: str
+    revision: int
+    used: tuple[str, ...]
+    refused: tuple[str, ...]
+
+
+Message = Report | Reply | Stop | Question | Answer
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -16,6 +16,7 @@
 from ragwortchute.gateway.rollouts import coordinator
 from ragwortchute.gateway.rollouts import environment as environment_
 from ragwortchute.gateway.rollouts import evidence
+from ragwortchute.gateway.rollouts import inquiries
 from ragwortchute.gateway.rollouts import messages
 from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import phases
@@ -85,7 +86,8 @@
         self._send = send
         self._log = log
         self._rng = rng
-        self._stops = stops.Stops(send, rng)
+        self._stops = stops.Stops(send, rng, log)
+        self._inquiries = inquiries.Inquiries(send, rng, log)
         self._view = neighbours.View(me.name)
         self._viewed_s = float('-inf')
         self._unanswered = neighbours.Unanswered()
@@ -139,24 +141,30 @@
         """Follows a record that was read from the store or told of."""
         state = self.service(record.service)
         old = state.record
-        state.set_record(record, now_s)
+        state.set_record(record, now_s, self.confirmed_s)
         if state.record is old:
             return
         if old is None or old.phase != state.record.phase:
             rollout_log.log_phase(self._log, state, self.confirmed_s, now_s)
         if record.problem and (old is None or old.problem != record.problem):
-            self._log.event(
-                'rollout-refused',
-                service=record.service,
-                version=record.version,
-                problem=record.problem,
-                revision=record.revision,
-            )
+            rollout_log.log_problem(self._log, record)
 
-    def remove_record(self, service: str, revision: int) -> None:
+    def remove_record(self, service: str, revision: int, now_s: float) -> None:
         """Notes that an order was withdrawn."""
         if service in self.services:
-            self.services[service].remove_record(revision)
+            self.services[service].remove_record(
+                revision, now_s, self.confirmed_s
+            )
+
+    def confirm(self, confirmed_s: float) -> None:
+        """Notes the loop time until which there was no later record."""
+        gap_s = confirmed_s - self.confirmed_s
+        if neighbours.ISOLATION_S < gap_s < float('inf'):
+            # An order may have come and gone meanwhile.
+            for state in self.services.values():
+                if state.record is None:
+                    state.versions.doubt()
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
 
     def note_written(
         self, write: phases.Write, record: records.Record | None, now_s: float
@@ -200,10 +208,13 @@
             self._handle_report(sender, message, now_s)
         elif isinstance(message, messages.Reply):
             self._handle_reply(sender, message, now_s)
-        else:
-            state = self.services.get(message.service)
-            if state is not None and _is_current(state, message.order_id):
-                self._stop(state, now_s)
+        elif message.service in self.services:
+            state = self.services[message.service]
+            if not isinstance(message, messages.Stop):
+                age_s = now_s - self.confirmed_s
+                self._inquiries.handle(sender, message, state, age_s)
+            elif _is_current(state, message.order_id):
+                self._stops.begin(state, self._view, now_s)
 
     def tick(self, now_s: float) -> list[phases.Write]:
         """Sends the reports that are due and decides.
@@ -221,6 +232,8 @@
             if state.record is not None and not state.record.ended
         ]
         self._update_neighbours(now_s)
+        for state in self.services.values():
+            self._inquiries.ask_if_due(state, self._view, now_s)
         for name in self._coordinators.keys() - {
             item.service for item in active
         }:
@@ -402,23 +415,12 @@
         if reply.reaches_most and reply.revision >= state.record.revision:
             state.contact_s = max(state.contact_s, reply.sent_ms / 1000)
 
-    def _stop(self, state: service_state.ServiceState, now_s: float) -> None:
-        """Stops sending to a bad version and tells other hosts."""
-        if state.stopped:
-            return
-        state.stopped = True
-        self._log.event(
-            'rollout-stopped',
-            service=state.service,
-            version=state.record.version,
-            phase=state.record.phase.name.lower(),
-        )
-        self._stops.begin(state, self._view, now_s)
-
     # Coordination.
 
     def _update_neighbours(self, now_s: float) -> None:
-        if now_s - self._viewed_s >= _NEIGHBOURS_INTERVAL_S:
+        # A host that starts asks the first ones that it learns of.
+        alone = self._view.hosts == 1
+        if alone or now_s - self._viewed_s >= _NEIGHBOURS_INTERVAL_S:
             self._viewed_s = now_s
             known = self._environment.neighbours(now_s)
             self._view.update(known, self._unanswered.passed_over(now_s), now_s)
@@ -430,10 +432,8 @@
 
     def _is_able(self, now_s: float) -> bool:
         """Returns whether this host can read and write the store."""
-        return (
-            now_s - self.confirmed_s <= trust_.LEASE_S
-            and now_s - self._write_failed_s > _WRITE_FAILURE_S
-        )
+        reads = now_s - self.confirmed_s <= trust_.LEASE_S
+        return reads and now_s - self._write_failed_s > _WRITE_FAILURE_S
 
     def _leads(self, state: service_state.ServiceState, now_s: float) -> bool:
         """Returns whether this host decides on an order now."""
@@ -476,7 +476,7 @@
             now_s=now_s,
         )
         if state.running and situation.verdict.bad:
-            self._stop(state, now_s)
+            self._stops.begin(state, self._view, now_s)
         if state.service in self._writing:
             return None
         # The first host may have restarted and not know of each dead host
--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ragwortchute.gateway.rollouts import judgement
+from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import records
 
 HALF = 0.5
@@ -28,6 +29,9 @@
 # Requests that still go to old targets, as new ones are cold, are waited for
 # until then.
 DRAIN_BY = 0.68
+# After this time in seconds in the last phase, hosts that have just started are
+# known. `succeeded` is not written earlier.
+MIN_DRAIN_S = 2.0
 # Until then, a host sends to old targets by its contact with a coordinator even
 # if nothing confirms the record. Requests of silent hosts must have ended
 # before the deadline: at 15 s, by 0.94 of the time.
@@ -88,6 +92,23 @@
     status: records.Status
 
 
+def may_have_succeeded(
+    known: records.Record | None, unconfirmed_s: float
+) -> bool:
+    """Returns whether an order may have succeeded since a record was read.
+
+    An order with an outcome, or one that was not known, may have been followed
+    by another one that began and ended meanwhile, which takes longer.
+
+    Args:
+        known: Last record that was read, None if there was none.
+        unconfirmed_s: Time in seconds since it was the newest for certain.
+    """
+    if known is None or known.ended:
+        return unconfirmed_s > neighbours.ISOLATION_S
+    return known.phase >= records.Phase.DRAIN or unconfirmed_s > MIN_DRAIN_S
+
+
 def next_step(now: Situation) -> Step | None:
     """Returns the next step of a rollout, None if none is due."""
     record = now.record
--- a/ragwortchute/gateway/rollouts/rollout_log.py
+++ b/ragwortchute/gateway/rollouts/rollout_log.py
@@ -3,6 +3,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway.rollouts import coordinator
 from ragwortchute.gateway.rollouts import phases
+from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
 
 # Greater ages, and those of what was never known, are logged as this.
@@ -77,3 +78,14 @@
 
 def _rounded_age_s(age_s: float) -> float:
     return round(min(age_s, _MAX_LOGGED_AGE_S), 2)
+
+
+def log_problem(log: eventlog.EventLog, record: records.Record) -> None:
+    """Logs why an order can't be carried out."""
+    log.event(
+        'rollout-refused',
+        service=record.service,
+        version=record.version,
+        problem=record.problem,
+        revision=record.revision,
+    )
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -36,6 +36,12 @@
 SHARE_BOUND = 'expose_share'
 DEFAULT_SHARE = 0.1
 TICK_S = 0.1
+# The same until a host that starts serves requests.
+_START_TICK_S = 0.02
+# For this long after it has read the targets, requests to a host that starts
+# wait if it can't tell which versions of a service are in use. Other services
+# would wait too long otherwise.
+_START_WAIT_S = 0.5
 # Times out before the client of the store does: the object is read back then.
 WRITE_TIMEOUT_S = 0.5
 READ_BACK_S = 0.3
@@ -81,6 +87,7 @@
         '_loop',
         '_membership',
         '_obstacles',
+        '_read_s',
         '_refreshed_s',
         '_seen_changes',
         '_selector',
@@ -118,6 +125,9 @@
         self._loop = asyncio.get_running_loop()
         self._seen_changes = -1
         self._refreshed_s = float('-inf')
+        # Loop time at which the targets have been read first.
+        self._read_s = float('inf')
+        state.set_deferred(True)
         self._longest_revision = -1
         self._longest_s: dict[str, float] = {}
         self._obstacles: dict[str, str] = {}
@@ -150,14 +160,12 @@
 
     def remove_record(self, service: str, revision: int) -> None:
         """Notes that an order was withdrawn."""
-        self.participant.remove_record(service, revision)
+        self.participant.remove_record(service, revision, self._loop.time())
         self._refresh(service)
 
     def confirm(self, confirmed_s: float) -> None:
         """Notes the loop time until which there was no later record."""
-        self.participant.confirmed_s = max(
-            self.participant.confirmed_s, confirmed_s
-        )
+        self.participant.confirm(confirmed_s)
 
     async def run(self) -> None:
         """Reports, decides and writes until cancelled."""
@@ -172,7 +180,23 @@
                     self._refresh_all(now_s)
                 for write in self.participant.tick(now_s):
                     group.create_task(self._write(write))
-                await asyncio.sleep(TICK_S)
+                if self._state.deferred:
+                    self._begin_to_serve(now_s)
+                await asyncio.sleep(
+                    _START_TICK_S if self._state.deferred else TICK_S
+                )
+
+    def _begin_to_serve(self, now_s: float) -> None:
+        """Serves requests once the versions in use are known."""
+        if not self._state.has_read:
+            return
+        self._read_s = min(self._read_s, now_s)
+        is_open = any(
+            state.versions.is_open(now_s)
+            for state in self.participant.services.values()
+        )
+        if not is_open or now_s - self._read_s >= _START_WAIT_S:
+            self._state.set_deferred(False)
 
     async def _write(self, write: phases.Write) -> None:
         """Writes a status and reads the object back if that is not certain."""
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -24,7 +24,7 @@
 # How long a host sends nothing to a version that it suspends on its own.
 _SUSPENSION_S = 2.0
 # Longest list of versions in a status; targets of others have long been gone.
-_MAX_REFUSED = 8
+MAX_REFUSED = 8
 # A host that has followed an order for this long knows the other hosts.
 _KNOWS_HOSTS_S = 4.0
 
@@ -112,7 +112,14 @@
     def refused_versions(self) -> tuple[str, ...]:
         """Returns the versions that the status tells hosts that start."""
         refused = self.versions.refused - {self.record.version}
-        return tuple(sorted(refused)[:_MAX_REFUSED])
+        return tuple(sorted(refused)[:MAX_REFUSED])
+
+    def learn_versions(
+        self, used: abc.Iterable[str], refused: abc.Iterable[str]
+    ) -> None:
+        """Follows what another host knows of the versions in use."""
+        self.versions.learn(used, refused, self.ordered)
+        self.unrestricted = False
 
     def age_s(self, now_s: float) -> float:
         """Returns the age of the order in seconds."""
@@ -122,18 +129,27 @@
         """Notes that the order is at least as old as another host says."""
         self.seen_s = min(self.seen_s, now_s - age_s)
 
-    def set_record(self, record: records.Record, now_s: float) -> None:
+    def set_record(
+        self,
+        record: records.Record,
+        now_s: float,
+        confirmed_s: float = float('inf'),
+    ) -> None:
         """Follows a record unless a later one is known.
 
         Args:
             record: The record.
             now_s: Loop time in seconds.
+            confirmed_s: Loop time until which all orders were known.
         """
         old = self.record
         was_running = old is not None and old.running
         known_revision = old.revision if old else self._removed_revision
         if record.revision <= known_revision:
             return
+        is_other = old is None or records.is_other_order(old, record)
+        if is_other:
+            self._doubt_if_missed(now_s, confirmed_s)
         if record.settled_version:
             self.versions.settle(
                 record.settled_version,
@@ -142,7 +158,7 @@
         self.versions.refuse(
             version for version in record.refused if version != record.version
         )
-        if old is None or records.is_other_order(old, record):
+        if is_other:
             self._begin(old, record, now_s)
         elif record.duration_s != old.duration_s:
             self._log.event(
@@ -168,14 +184,22 @@
                 succeeded=record.phase == records.Phase.SUCCEEDED,
             )
 
-    def remove_record(self, revision: int) -> None:
+    def remove_record(
+        self,
+        revision: int,
+        now_s: float,
+        confirmed_s: float = float('inf'),
+    ) -> None:
         """Notes that the order was withdrawn.
 
         Args:
             revision: Revision of the removal.
+            now_s: Loop time in seconds.
+            confirmed_s: Loop time until which all orders were known.
         """
         if self.record is None or revision < self.record.revision:
             return
+        self._doubt_if_missed(now_s, confirmed_s)
         if not self.record.ended:
             self._log.event(
                 'rollout-withdrawn',
@@ -204,7 +228,7 @@
             read_s: Loop time until which all orders are known.
         """
         adopted = self.versions.update(
-            targets, self.ordered, now_s, now_ms, read_s
+            targets, self.ordered, now_s, now_ms, read_s, may_ask=True
         )
         for version in adopted:
             self._log.event(
@@ -390,6 +414,15 @@
         self._suspended_until_s = float('-inf')
         self._recent = recent_responses.RecentResponses()
 
+    def _doubt_if_missed(self, now_s: float, confirmed_s: float) -> None:
+        """Doubts the versions in use if an outcome may have been replaced."""
+        if confirmed_s == float('-inf'):
+            # A host that has just started has not followed any order.
+            return
+        unconfirmed_s = now_s - max(confirmed_s, self.relayed_s)
+        if phases.may_have_succeeded(self.record, unconfirmed_s):
+            self.versions.doubt()
+
     def _is_canary(self, target: targets_.Target) -> bool:
         return (
             self.running
@@ -398,6 +431,8 @@
 
     def _may_send_old(self, trust: trust_.Trust) -> bool:
         """Returns whether targets of the versions in use get requests."""
+        if self.versions.is_open(trust.now_s):
+            return False
         if not self.running:
             # A host that has just started can't tell which version is in use.
             return not trust.isolated and (
--- a/ragwortchute/gateway/rollouts/stops.py
+++ b/ragwortchute/gateway/rollouts/stops.py
@@ -3,6 +3,7 @@
 from collections import abc
 import random
 
+from ragwortchute.gateway import eventlog
 from ragwortchute.gateway.rollouts import messages
 from ragwortchute.gateway.rollouts import neighbours
 from ragwortchute.gateway.rollouts import service_state
@@ -23,13 +24,18 @@
     Args:
         send: Sends a payload to hosts.
         rng: Source of randomness.
+        log: Event log.
     """
 
-    __slots__ = ('_repeated_s', '_rng', '_send', '_until_s')
+    __slots__ = ('_log', '_repeated_s', '_rng', '_send', '_until_s')
 
     def __init__(
-        self, send: abc.Callable[[list[str], bytes], None], rng: random.Random
+        self,
+        send: abc.Callable[[list[str], bytes], None],
+        rng: random.Random,
+        log: eventlog.EventLog,
     ) -> None:
+        self._log = log
         self._send = send
         self._rng = rng
         self._until_s: dict[str, float] = {}
@@ -41,7 +47,16 @@
         view: neighbours.View,
         now_s: float,
     ) -> None:
-        """Tells some hosts, and repeats that from now on."""
+        """Stops sending to a bad version and tells other hosts."""
+        if state.stopped:
+            return
+        state.stopped = True
+        self._log.event(
+            'rollout-stopped',
+            service=state.service,
+            version=state.record.version,
+            phase=state.record.phase.name.lower(),
+        )
         self._until_s[state.service] = now_s + _REPEAT_S
         self._repeated_s[state.service] = now_s
         self._tell(state, view, _FANOUT)
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -12,6 +12,15 @@
 # When a host starts and finds several versions but no order, targets that were
 # born at least this long ago count as in use.
 IN_USE_AGE_S = 60.0
+# A host that can't tell which of several versions are in use asks other hosts
+# for this long and sends nothing to them meanwhile. A host that starts knows
+# others after 0.5 s, and each answer takes less than 0.1 s.
+ASK_S = 2.0
+# Hosts that have decided by themselves ask on for this long. Entries of stopped
+# targets expire after 4.5 s.
+ASK_ON_S = 30.0
+# A version that has been the only one for this long is in use.
+_SOLE_S = 10.0
 
 
 class SeenTarget(msgspec.Struct, frozen=True):
@@ -50,9 +59,22 @@
         refused: Versions that an order has replaced or rolled back.
         waiting: Other versions and the loop time at which they were first
             seen, in seconds.
+        certain: Whether the versions in use follow from an outcome, from what
+            another host has told, or from there being only one version.
+        several: Whether targets of several versions are registered.
     """
 
-    __slots__ = ('_unready_s', 'refused', 'used', 'waiting')
+    __slots__ = (
+        '_asked_s',
+        '_registered',
+        '_several_s',
+        '_unready_s',
+        'certain',
+        'refused',
+        'several',
+        'used',
+        'waiting',
+    )
 
     def __init__(self) -> None:
         self.used: set[str] = set()
@@ -60,6 +82,13 @@
         self.waiting: dict[str, float] = {}
         # Loop time since which no version in use has a ready target.
         self._unready_s = float('inf')
+        self.certain = False
+        self.several = False
+        self._registered: set[str] = set()
+        # Loop time at which several versions were seen last.
+        self._several_s = float('inf')
+        # Loop time since which other hosts are asked.
+        self._asked_s = float('inf')
 
     @property
     def single(self) -> bool:
@@ -74,6 +103,60 @@
             or version in self.waiting
         )
 
+    def is_open(self, now_s: float) -> bool:
+        """Returns whether another host may still tell what is in use."""
+        return (
+            self.several and not self.certain and now_s < self._asked_s + ASK_S
+        )
+
+    def asks(self, now_s: float) -> bool:
+        """Returns whether other hosts are to be asked what is in use."""
+        return (
+            self.several
+            and not self.certain
+            and self._asked_s <= now_s < self._asked_s + ASK_ON_S
+        )
+
+    def doubt(self) -> None:
+        """Notes that an outcome may have been missed."""
+        self.certain = False
+        self._asked_s = self._several_s = float('inf')
+
+    def learn(
+        self,
+        used: abc.Iterable[str],
+        refused: abc.Iterable[str],
+        ordered: str | None,
+    ) -> None:
+        """Applies what a host has told that is certain.
+
+        Args:
+            used: Versions in use.
+            refused: Versions that orders have replaced or rolled back.
+            ordered: See `update`.
+        """
+        self.used = set(used)
+        if self.used != {ordered}:
+            self.used.discard(ordered)
+        self.refused |= set(refused)
+        self.refused -= self.used | {ordered}
+        for version in self.used | self.refused:
+            self.waiting.pop(version, None)
+        self.certain = True
+
+    def told_refused(self, count: int) -> tuple[str, ...]:
+        """Returns the refused versions that others are told of.
+
+        Args:
+            count: Their highest number. Those without targets are left out
+                first.
+        """
+        order = sorted(
+            self.refused,
+            key=lambda version: (version not in self._registered, version),
+        )
+        return tuple(order[:count])
+
     def update(
         self,
         targets: abc.Collection[SeenTarget],
@@ -81,6 +164,8 @@
         now_s: float,
         now_ms: int,
         read_s: float = float('inf'),
+        *,
+        may_ask: bool = False,
     ) -> list[str]:
         """Classifies the versions of the registered targets.
 
@@ -91,21 +176,28 @@
             now_s: Loop time in seconds.
             now_ms: Unix time in milliseconds.
             read_s: Loop time until which all orders are known.
+            may_ask: Whether other hosts may know what is in use.
 
         Returns:
             The versions that are in use from now on, though no order has
             settled that.
         """
         seen = {target.version for target in targets}
+        self._note_registered(seen, now_s, read_s)
+        guessed: list[str] = []
         if not self.used:
+            if self.is_open(now_s) and may_ask:
+                return []
             self._begin(targets, seen - self.refused, ordered, now_ms)
+            if not self.certain:
+                guessed = sorted(self.used)
         for version in seen:
             if not self.knows(version):
                 self.waiting[version] = now_s
         for version in [*self.waiting]:
             if version not in seen:
                 del self.waiting[version]
-        return self._adopt(targets, ordered, now_s, read_s)
+        return guessed + self._adopt(targets, ordered, now_s, read_s)
 
     def settle(self, version: str, *, succeeded: bool) -> None:
         """Applies the outcome of an order.
@@ -119,6 +211,7 @@
             self.used = {version}
             self.refused.discard(version)
             self.waiting.clear()
+            self.certain = True
         elif self.used != {version}:
             self.used.discard(version)
             self.waiting.pop(version, None)
@@ -148,6 +241,23 @@
             self.refused.discard(version)
             self.waiting[version] = now_s
 
+    def _note_registered(
+        self, seen: set[str], now_s: float, read_s: float
+    ) -> None:
+        """Notes for which versions targets are registered."""
+        self._registered = seen
+        self.several = len(seen) > 1
+        if self.several or self._several_s > now_s:
+            self._several_s = now_s
+        is_first = not (self.used or self.refused or self.waiting)
+        if len(seen) == 1 and (is_first or now_s - self._several_s >= _SOLE_S):
+            self.certain = True
+        if not self.several:
+            self._asked_s = float('inf')
+        elif not self.certain and read_s > float('-inf'):
+            # Before the orders have been read, answers can't be compared.
+            self._asked_s = min(self._asked_s, now_s)
+
     def _begin(
         self,
         targets: abc.Collection[SeenTarget],
--- a/tests/test_gateway/test_rollouts/simulation.py
+++ b/tests/test_gateway/test_rollouts/simulation.py
@@ -142,6 +142,9 @@
     def add_host(self, name, incarnation):
         host = simulated_host.Host(self, name, incarnation)
         self.hosts[name] = host
+        if incarnation == 1:
+            # It has seen the old targets before others were registered.
+            host.part.service(simulated_host.SERVICE).versions.certain = True
         self._alive = []
         self.at(self.now_s + self.rng.random() * TICK_S, self._tick, host)
         self.at(self.now_s + self.rng.random() * 0.3, self._confirm, host)
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -29,6 +29,7 @@
         # Status, time in seconds and Retry-After of the requests that ended.
         self.answers = []
         self.callers = None
+        self.sent = 0
 
     def feeds(self, host):
         return [
@@ -44,19 +45,26 @@
                 host.ready and len(host.hosts()) == hosts for host in self.hosts
             )
         )
+        await self.add_version('v2', **new_target)
+        self.callers = asyncio.create_task(self.call())
+        await asyncio.sleep(1.0)
+        assert not self.new_arrivals
+        await self.order('v2')
+
+    async def add_version(self, version, **new_target):
+        """Starts targets of a version."""
         for number in range(3):
-            target = platform_targets.TargetServer(f'n{number}', 's')
-            target.version = 'v2'
+            target = platform_targets.TargetServer(f'{version}-{number}', 's')
+            target.version = version
             target.born_ms = int(time.time() * 1000)
             for name, value in new_target.items():
                 setattr(target, name, value)
             await self.add_target(target)
-        self.callers = asyncio.create_task(self.call())
-        await asyncio.sleep(1.0)
-        assert not self.new_arrivals
+
+    async def order(self, version):
         spec = {
             'service': 's',
-            'target_version': 'v2',
+            'target_version': version,
             'duration_s': DURATION_S,
         }
         await self.server.put('rollouts', 's', spec)
@@ -72,7 +80,7 @@
                 await asyncio.sleep(1 / PER_S)
 
     async def request(self, host):
-        number = self.addresses = self.addresses + 1
+        number = self.sent = self.sent + 1
         begin_s = time.monotonic()
         try:
             reader, writer = await asyncio.open_connection(
@@ -210,6 +218,26 @@
         assert max(elapsed_s for _, elapsed_s, _ in refusals) < 0.25
 
 
+class TestHostThatStarts:
+    """A host must not use a version that was replaced before its start."""
+
+    async def test_replaced_version_gets_nothing(self, rollout):
+        await rollout.begin()
+        await expect_success(rollout)
+        # The entries of the stopped targets have not expired yet.
+        await rollout.server.delete('rollouts', 's')
+        await rollout.add_version('v3')
+        await rollout.order('v3')
+        before = len(rollout.old_arrivals)
+        host = await rollout.add('h9', 'a1')
+        await asyncio.sleep(2.0)
+        rollout.statuses.clear()
+        await asyncio.sleep(2.0)
+        assert len(rollout.old_arrivals) == before
+        assert 'rollout-versions-learnt' in host.log.kinds()
+        assert set(rollout.statuses) == {200}
+
+
 class TestDisabled:
     """Without the contract, rollouts must cost nothing."""
 
--- a/tests/test_gateway/test_rollouts/test_partitions.py
+++ b/tests/test_gateway/test_rollouts/test_partitions.py
@@ -180,11 +180,13 @@
             simulated_host.Target(name, name, 'a1', 1.0)
             for name in ('v1', 'v2')
         ]
-        state.update_targets(
-            [versions.SeenTarget(name, old_ms, True) for name in ('v1', 'v2')],
-            0.0,
-            10**6,
-        )
+        seen = [
+            versions.SeenTarget(name, old_ms, True) for name in ('v1', 'v2')
+        ]
+        for now_s in (-versions.ASK_S, 0.0):
+            # Other hosts may tell meanwhile which of them are in use.
+            assert not state.versions.used
+            state.update_targets(seen, now_s, 10**6)
         assert state.versions.used == {'v1', 'v2'}
         for confirmed_s, count in ((float('-inf'), 0), (0.9, 2)):
             world.part.confirmed_s = confirmed_s
