Record the versions that an outcome replaces

Cause: the status that says succeeded named only what earlier orders had replaced. A host that starts then kept the version that this order had replaced as one that waits, and used it once no target of the new version was ready. The list was cut to the first 8 versions by name, which could leave out the last replaced one.

Change: refused in the status of succeeded includes the versions that the order replaces. Versions that still have targets come first in the list.

--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -479,8 +479,7 @@
             self._stops.begin(state, self._view, now_s)
         if state.service in self._writing:
             return None
-        # The first host may have restarted and not know of each dead host
-        # whether it had the order.
+        # The first host may have restarted and not know which dead ones had it.
         drained_s = self.coordinator(state).drained_s
         if not self._leads(state, now_s) and now_s - drained_s < TAKEOVER_S:
             return None
@@ -490,8 +489,9 @@
         rollout_log.log_decision(
             self._log, state, step, situation, self.coordinator(state), now_s
         )
+        refused = state.refused_versions(step.phase)
         status = records.make_status(
-            state.record, step.phase, step.reason, state.refused_versions()
+            state.record, step.phase, step.reason, refused
         )
         return phases.Write(state.record, step, status)
 
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -109,10 +109,15 @@
             return None
         return self.record.version
 
-    def refused_versions(self) -> tuple[str, ...]:
-        """Returns the versions that the status tells hosts that start."""
-        refused = self.versions.refused - {self.record.version}
-        return tuple(sorted(refused)[:MAX_REFUSED])
+    def refused_versions(self, phase: records.Phase) -> tuple[str, ...]:
+        """Returns the versions that a status tells hosts that start.
+
+        Args:
+            phase: Phase of the status; `SUCCEEDED` replaces those in use.
+        """
+        ended = phase == records.Phase.SUCCEEDED
+        replaced = self.versions.used - {self.record.version} if ended else ()
+        return self.versions.told_refused(MAX_REFUSED, replaced)
 
     def learn_versions(
         self, used: abc.Iterable[str], refused: abc.Iterable[str]
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -144,15 +144,18 @@
             self.waiting.pop(version, None)
         self.certain = True
 
-    def told_refused(self, count: int) -> tuple[str, ...]:
+    def told_refused(
+        self, count: int, replaced: abc.Collection[str] = ()
+    ) -> tuple[str, ...]:
         """Returns the refused versions that others are told of.
 
         Args:
             count: Their highest number. Those without targets are left out
                 first.
+            replaced: Versions that an order is about to replace.
         """
         order = sorted(
-            self.refused,
+            self.refused.union(replaced),
             key=lambda version: (version not in self._registered, version),
         )
         return tuple(order[:count])
--- a/tests/test_gateway/test_rollouts/test_parts.py
+++ b/tests/test_gateway/test_rollouts/test_parts.py
@@ -163,6 +163,22 @@
             assert known.used == used
 
 
+class TestRefusedVersions:
+    """A host that starts must learn from an outcome what it has replaced."""
+
+    def test_outcome_names_replaced_versions(self):
+        state = service_state.ServiceState(
+            's', 0.1, random.Random(1), rigs.MemoryLog()
+        )
+        state.update_targets([seen('v1')], 0.0, 0)
+        state.set_record(records.Record('s', 'v2', 15.0, 1, Phase.DRAIN), 0.0)
+        assert state.refused_versions(Phase.DRAIN) == ()
+        assert state.refused_versions(Phase.SUCCEEDED) == ('v1',)
+        # The list is bounded; versions without targets matter less.
+        state.versions.refuse(f'old{number}' for number in range(9))
+        assert 'v1' in state.refused_versions(Phase.SUCCEEDED)
+
+
 class TestExposure:
     """The shares of hosts with few requests must add up to the whole."""
 
