--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.rollouts import concentration
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import exposure
@@ -20,6 +19,7 @@
 from ragwortchute.gateway.rollouts import sends
 from ragwortchute.gateway.rollouts import trust as trust_
 from ragwortchute.gateway.rollouts import versions
+from ragwortchute.gateway.selection import targets as targets_
 
 # How long a host sends nothing to a version that it suspends on its own.
 _SUSPENSION_S = 2.0
