--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -23,8 +23,6 @@
 # The age of an order may be this much lower at a host that has not heard of it
 # from others yet.
 _AGE_LAG_S = 0.75
-# After this time in the last phase, hosts that have just started are known.
-_MIN_DRAIN_S = 2.0
 # Reports are fresh for this many intervals.
 _FRESH_INTERVALS = 3.0
 # A host that has not reported for this many is silent. With a tenth of the
@@ -122,7 +120,10 @@
     def is_fresh(
         self, view: neighbours_.View, now_s: float, interval_s: float
     ) -> bool:
-        """Returns whether most hosts that are heard have reported recently.
+        """Returns whether a third of the hosts heard has reported recently.
+
+        Heartbeats tell only after 4 s that a host is dead. Waiting for reports
+        of most hosts made orders 2.5 s late if more than half of them died.
 
         Args:
             view: The other hosts that may be alive.
@@ -137,7 +138,7 @@
         ]
         oldest_s = now_s - interval_s * _FRESH_INTERVALS
         fresh = [time_s for time_s in received_s if time_s >= oldest_s]
-        return 2 * len(fresh) > len(received_s)
+        return 3 * len(fresh) >= len(received_s) > 0
 
     def _has_silent(
         self, view: neighbours_.View, now_s: float, interval_s: float
@@ -201,7 +202,7 @@
             contact_lease_s: See `trust.Trust`.
             now_s: Loop time in seconds.
         """
-        if now_s < state.phase_since_s + _MIN_DRAIN_S:
+        if now_s < state.phase_since_s + phases.MIN_DRAIN_S:
             return False
         if not state.has_drained(now_s):
             return False
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -4,7 +4,6 @@
 comes back.
 """
 
-import collections
 from collections import abc
 import random
 
@@ -15,19 +14,17 @@
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import exposure
 from ragwortchute.gateway.rollouts import phases
+from ragwortchute.gateway.rollouts import recent_responses
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import sends
 from ragwortchute.gateway.rollouts import trust as trust_
 from ragwortchute.gateway.rollouts import versions
 from ragwortchute.gateway.selection import targets as targets_
 
-# A host stops on its own once so many of its last responses of the canary
-# version were bad, unless as many of the old version are.
-_RECENT_RESPONSES = 6
-_BAD_RESPONSES = 4
+# How long a host sends nothing to a version that it suspends on its own.
 _SUSPENSION_S = 2.0
 # Longest list of versions in a status; targets of others have long been gone.
-_MAX_REFUSED = 8
+MAX_REFUSED = 8
 # A host that has followed an order for this long knows the other hosts.
 _KNOWS_HOSTS_S = 4.0
 
@@ -112,10 +109,22 @@
             return None
         return self.record.version
 
-    def refused_versions(self) -> tuple[str, ...]:
-        """Returns the versions that the status tells hosts that start."""
-        refused = self.versions.refused - {self.record.version}
-        return tuple(sorted(refused)[:_MAX_REFUSED])
+    def refused_versions(self, phase: records.Phase) -> tuple[str, ...]:
+        """Returns the versions that a status tells hosts that start.
+
+        Args:
+            phase: Phase of the status; `SUCCEEDED` replaces those in use.
+        """
+        ended = phase == records.Phase.SUCCEEDED
+        replaced = self.versions.used - {self.record.version} if ended else ()
+        return self.versions.told_refused(MAX_REFUSED, replaced)
+
+    def learn_versions(
+        self, used: abc.Iterable[str], refused: abc.Iterable[str]
+    ) -> None:
+        """Follows what another host knows of the versions in use."""
+        self.versions.learn(used, refused, self.ordered)
+        self.unrestricted = False
 
     def age_s(self, now_s: float) -> float:
         """Returns the age of the order in seconds."""
@@ -125,18 +134,27 @@
         """Notes that the order is at least as old as another host says."""
         self.seen_s = min(self.seen_s, now_s - age_s)
 
-    def set_record(self, record: records.Record, now_s: float) -> None:
+    def set_record(
+        self,
+        record: records.Record,
+        now_s: float,
+        confirmed_s: float = float('inf'),
+    ) -> None:
         """Follows a record unless a later one is known.
 
         Args:
             record: The record.
             now_s: Loop time in seconds.
+            confirmed_s: Loop time until which all orders were known.
         """
         old = self.record
         was_running = old is not None and old.running
         known_revision = old.revision if old else self._removed_revision
         if record.revision <= known_revision:
             return
+        is_other = old is None or records.is_other_order(old, record)
+        if is_other:
+            self._doubt_if_missed(now_s, confirmed_s)
         if record.settled_version:
             self.versions.settle(
                 record.settled_version,
@@ -145,7 +163,7 @@
         self.versions.refuse(
             version for version in record.refused if version != record.version
         )
-        if old is None or _is_other_order(old, record):
+        if is_other:
             self._begin(old, record, now_s)
         elif record.duration_s != old.duration_s:
             self._log.event(
@@ -171,14 +189,22 @@
                 succeeded=record.phase == records.Phase.SUCCEEDED,
             )
 
-    def remove_record(self, revision: int) -> None:
+    def remove_record(
+        self,
+        revision: int,
+        now_s: float,
+        confirmed_s: float = float('inf'),
+    ) -> None:
         """Notes that the order was withdrawn.
 
         Args:
             revision: Revision of the removal.
+            now_s: Loop time in seconds.
+            confirmed_s: Loop time until which all orders were known.
         """
         if self.record is None or revision < self.record.revision:
             return
+        self._doubt_if_missed(now_s, confirmed_s)
         if not self.record.ended:
             self._log.event(
                 'rollout-withdrawn',
@@ -207,7 +233,7 @@
             read_s: Loop time until which all orders are known.
         """
         adopted = self.versions.update(
-            targets, self.ordered, now_s, now_ms, read_s
+            targets, self.ordered, now_s, now_ms, read_s, may_ask=True
         )
         for version in adopted:
             self._log.event(
@@ -340,9 +366,8 @@
         self.counters.note(key, failed=failed, timed=timed, slow=slow)
         if canary and self.record.phase < records.Phase.MOVE:
             self.has_news = True
-        self._recent[canary].append(failed or (timed and slow))
-        if canary and self._recent_is_bad(True) > self._recent_is_bad(False):
-            self._recent[True].clear()
+        bad = failed or (timed and slow)
+        if self._recent.note(canary=canary, bad=bad):
             self.urgent = True
             if self.record.phase < records.Phase.DRAIN:
                 # Later, there is no other version to use.
@@ -392,10 +417,16 @@
         self.has_news = False
         self.drained_s = 0.0
         self._suspended_until_s = float('-inf')
-        self._recent = {
-            canary: collections.deque[bool](maxlen=_RECENT_RESPONSES)
-            for canary in (False, True)
-        }
+        self._recent = recent_responses.RecentResponses()
+
+    def _doubt_if_missed(self, now_s: float, confirmed_s: float) -> None:
+        """Doubts the versions in use if an outcome may have been replaced."""
+        if confirmed_s == float('-inf'):
+            # A host that has just started has not followed any order.
+            return
+        unconfirmed_s = now_s - max(confirmed_s, self.relayed_s)
+        if phases.may_have_succeeded(self.record, unconfirmed_s):
+            self.versions.doubt()
 
     def _is_canary(self, target: targets_.Target) -> bool:
         return (
@@ -405,6 +436,8 @@
 
     def _may_send_old(self, trust: trust_.Trust) -> bool:
         """Returns whether targets of the versions in use get requests."""
+        if self.versions.is_open(trust.now_s):
+            return False
         if not self.running:
             # A host that has just started can't tell which version is in use.
             return not trust.isolated and (
@@ -465,13 +498,3 @@
             trust.reaches_most
             and trust.now_s - self.contact_s <= trust.contact_lease_s
         )
-
-    def _recent_is_bad(self, canary: bool) -> bool:
-        recent = self._recent[canary]
-        return sum(recent) >= _BAD_RESPONSES
-
-
-def _is_other_order(old: records.Record, new: records.Record) -> bool:
-    if old.version != new.version:
-        return True
-    return old.order_id != 0 and new.order_id != old.order_id
