--- a/benchmarks/organisations.py
+++ b/benchmarks/organisations.py
@@ -19,8 +19,8 @@
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.organisations import identity
 from ragwortchute.gateway.organisations import key_index
 from ragwortchute.platform import wire
--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -9,15 +9,15 @@
 from collections import abc
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import requirements
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import levels
 from ragwortchute.gateway.admission import room
 from ragwortchute.gateway.admission import scarcity
 from ragwortchute.gateway.admission import shares
 from ragwortchute.gateway.admission import waiting
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import requirements
+from ragwortchute.gateway.selection import targets as targets_
 
 Require = abc.Callable[[attempts.Call], requirements.Requirements]
 Placed = candidates.Placement | candidates.NoPlacement
--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -10,7 +10,7 @@
 import math
 
 from ragwortchute.gateway import dialect
-from ragwortchute.gateway import estimates
+from ragwortchute.gateway.selection import estimates
 
 # Readings that the share of full targets is averaged over, and the time
 # constant at which older ones lose weight at a host that gets few.
--- a/ragwortchute/gateway/admission/waiting.py
+++ b/ragwortchute/gateway/admission/waiting.py
@@ -11,7 +11,7 @@
 
 from ragwortchute import admission
 from ragwortchute.admission import deadline_queue
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import targets as targets_
 
 # A caller that is refused after its wait has at least four fifths of its time
 # left. This share of its time may be spent waiting.
--- a/ragwortchute/gateway/answers.py
+++ b/ragwortchute/gateway/answers.py
@@ -10,14 +10,14 @@
 import random
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dialect as dialects
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.organisations import identity
+from ragwortchute.gateway.selection import candidates
 
 MIN_RETRY_AFTER_S = 0.05
 # Longer estimates are capped, as the load may change within this time.
--- a/ragwortchute/gateway/application.py
+++ b/ragwortchute/gateway/application.py
@@ -9,48 +9,48 @@
 import msgspec
 
 from ragwortchute import stores
-from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import candidates
-from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import directory
 from ragwortchute.gateway import dispatcher
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_server
-from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import pauses
-from ragwortchute.gateway import peer_api
-from ragwortchute.gateway import peer_socket
-from ragwortchute.gateway import pipeline
 from ragwortchute.gateway import planned_stop
-from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
-from ragwortchute.gateway import replica
 from ragwortchute.gateway import request_log
-from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import sources
-from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
-from ragwortchute.gateway import store_feed
-from ragwortchute.gateway import store_follower
-from ragwortchute.gateway import store_health
 from ragwortchute.gateway import supervisor
-from ragwortchute.gateway import target_report
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import http_server
+from ragwortchute.gateway.http import pipeline
+from ragwortchute.gateway.http import pools
 from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.organisations import host_tokens
 from ragwortchute.gateway.organisations import quota_part
 from ragwortchute.gateway.organisations import recency
+from ragwortchute.gateway.peers import failure_reports
+from ragwortchute.gateway.peers import membership as membership_
+from ragwortchute.gateway.peers import peer_api
+from ragwortchute.gateway.peers import peer_socket
 from ragwortchute.gateway.resources import account
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.rollouts import runtime as rollouts_
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import crash_guard
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import pauses
+from ragwortchute.gateway.selection import send_limits
+from ragwortchute.gateway.selection import statement_reader
+from ragwortchute.gateway.selection import target_report
+from ragwortchute.gateway.selection import target_statements
+from ragwortchute.gateway.store import replica
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import sources
+from ragwortchute.gateway.store import store_feed
+from ragwortchute.gateway.store import store_follower
+from ragwortchute.gateway.store import store_health
 
 # How long callers may cache an address response.
 ADDRESS_TTL_S = 2.0
--- a/ragwortchute/gateway/attempts.py
+++ b/ragwortchute/gateway/attempts.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from ragwortchute.gateway import candidates
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import targets as targets_
 
 
 class Call:
--- a/ragwortchute/gateway/dialect.py
+++ b/ragwortchute/gateway/dialect.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
 
 # Header in which a host names the target that answered a relayed request. It is
 # the same with every dialect and not passed on to callers.
--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -9,34 +9,34 @@
 import random
 
 from ragwortchute import errors
-from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import answers
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
-from ragwortchute.gateway import crash_checks
-from ragwortchute.gateway import crash_guard as crash_guard_
 from ragwortchute.gateway import dialect as dialects
-from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
 from ragwortchute.gateway import hedging
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import intake
-from ragwortchute.gateway import measurements
 from ragwortchute.gateway import organisations
 from ragwortchute.gateway import relays as relays_
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import retries
-from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats as stats_
-from ragwortchute.gateway import streamed_answers
-from ragwortchute.gateway import target_choice
-from ragwortchute.gateway import targets as targets_
-from ragwortchute.gateway import work_times
 from ragwortchute.gateway.admission import gate
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import intake
+from ragwortchute.gateway.http import streamed_answers
 from ragwortchute.gateway.organisations import identity
+from ragwortchute.gateway.peers import failure_reports
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import crash_checks
+from ragwortchute.gateway.selection import crash_guard as crash_guard_
+from ragwortchute.gateway.selection import measurements
+from ragwortchute.gateway.selection import statement_reader
+from ragwortchute.gateway.selection import target_choice
+from ragwortchute.gateway.selection import targets as targets_
+from ragwortchute.gateway.selection import work_times
 
 # An attempt without an answer at the deadline is a failure of its target if it
 # took this many times the expected time. Less may be due to long work.
--- a/ragwortchute/gateway/hedging.py
+++ b/ragwortchute/gateway/hedging.py
@@ -1,7 +1,7 @@
 """Decides when a hedge pays: a second send while the first one is running."""
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
+from ragwortchute.gateway.selection import candidates
 
 # A hedge is sent once an answer takes longer than this share of the latency
 # objective and longer than this many times the expected time.
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -9,12 +9,12 @@
 
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import model
 from ragwortchute.gateway import routing
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.organisations import key_index
+from ragwortchute.gateway.peers import failure_reports
 from ragwortchute.gateway.resources import upstream as upstream_
+from ragwortchute.gateway.selection import targets as targets_
 
 # Names of organisations with unusable names or keys in one line of the log.
 MAX_LOGGED_NAMES = 10
--- a/ragwortchute/gateway/accounted_connection.py
+++ b/ragwortchute/gateway/http/accounted_connection.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections import abc
 
-from ragwortchute.gateway import delivery as delivery_
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import pipeline as pipeline_
-from ragwortchute.gateway import request_reader
-from ragwortchute.gateway import response_writer
+from ragwortchute.gateway.http import delivery as delivery_
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import pipeline as pipeline_
+from ragwortchute.gateway.http import request_reader
+from ragwortchute.gateway.http import response_writer
 from ragwortchute.gateway.resources import account as account_
 
 # Named to a caller whose request is refused at a limit.
--- a/ragwortchute/gateway/body_reader.py
+++ b/ragwortchute/gateway/http/body_reader.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import abc
 
-from ragwortchute.gateway import body_budget
+from ragwortchute.gateway.http import body_budget
 
 # Bodies up to this length need no reservation.
 SMALL_BODY_BYTES = 64 << 10
--- a/ragwortchute/gateway/body_stream.py
+++ b/ragwortchute/gateway/http/body_stream.py
@@ -9,7 +9,7 @@
 import typing
 
 from ragwortchute import errors
-from ragwortchute.gateway import answer_memory
+from ragwortchute.gateway.http import answer_memory
 
 # Shortest time between two checks whether a target has stalled.
 MIN_CHECK_S = 0.02
--- a/ragwortchute/gateway/connection_owner.py
+++ b/ragwortchute/gateway/http/connection_owner.py
@@ -4,11 +4,11 @@
 from collections import abc
 import typing
 
-from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pipeline
-from ragwortchute.gateway import request_reader
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import pipeline
+from ragwortchute.gateway.http import request_reader
 from ragwortchute.gateway.resources import account as account_
 
 
--- a/ragwortchute/gateway/exchanges.py
+++ b/ragwortchute/gateway/http/exchanges.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from ragwortchute.gateway import body_budget
-from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.resources import account
 
 # Longest part of a request target that is kept for the log.
--- a/ragwortchute/gateway/http_client.py
+++ b/ragwortchute/gateway/http/http_client.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from ragwortchute import errors
-from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import body_stream
-from ragwortchute.gateway import keepalive
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import body_stream
+from ragwortchute.gateway.http import keepalive
 
 MAX_BODY_BYTES = 16 << 20
 # Bytes received for one request that belong to no body: heads, interim
--- a/ragwortchute/gateway/http_exchange.py
+++ b/ragwortchute/gateway/http/http_exchange.py
@@ -5,7 +5,7 @@
 
 from ragwortchute import errors
 from ragwortchute import progress as progress_
-from ragwortchute.gateway import http_client
+from ragwortchute.gateway.http import http_client
 
 # A response that is arriving at its timeout is given up if no part comes for
 # the first of these times, and after the second in any case.
--- a/ragwortchute/gateway/http_messages.py
+++ b/ragwortchute/gateway/http/http_messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ragwortchute.gateway import body_stream
+from ragwortchute.gateway.http import body_stream
 
 # Headers that concern one connection and are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/ragwortchute/gateway/http_server.py
+++ b/ragwortchute/gateway/http/http_server.py
@@ -4,12 +4,12 @@
 from collections import abc
 import socket
 
-from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pipeline
-from ragwortchute.gateway import request_reader
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import pipeline
+from ragwortchute.gateway.http import request_reader
+from ragwortchute.gateway.http import server_connection
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.resources import limits as limits_
 
--- a/ragwortchute/gateway/intake.py
+++ b/ragwortchute/gateway/http/intake.py
@@ -11,15 +11,15 @@
 
 from ragwortchute.gateway import answers as answers_
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import crash_guard as crash_guard_
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import organisations
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import routing
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.organisations import identity as identity_
+from ragwortchute.gateway.selection import crash_guard as crash_guard_
 
 # The final answer is sent this long before the deadline of the caller.
 ANSWER_MARGIN_S = 0.004
--- a/ragwortchute/gateway/pipeline.py
+++ b/ragwortchute/gateway/http/pipeline.py
@@ -8,10 +8,10 @@
 import collections
 from collections import abc
 
-from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import exchanges as exchanges_
-from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import exchanges as exchanges_
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.resources import account as account_
 
 # Named to a caller whose request waited behind others and was refused.
--- a/ragwortchute/gateway/pools.py
+++ b/ragwortchute/gateway/http/pools.py
@@ -5,8 +5,8 @@
 import functools
 
 from ragwortchute import errors
-from ragwortchute.gateway import http_client
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_client
 from ragwortchute.gateway.resources import upstream as upstream_
 
 # Idle connections are discarded this long before the peer would close them.
--- a/ragwortchute/gateway/request_reader.py
+++ b/ragwortchute/gateway/http/request_reader.py
@@ -6,10 +6,10 @@
 
 import httptools
 
-from ragwortchute.gateway import body_budget
-from ragwortchute.gateway import body_reader
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import body_reader
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.resources import account
 
 # How long the rest of a long body waits for memory. Callers give up on a host
--- a/ragwortchute/gateway/response_writer.py
+++ b/ragwortchute/gateway/http/response_writer.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 
-from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.http import http_messages
 
 _CHUNK_END = b'\r\n'
 _LAST_CHUNK = b'0\r\n\r\n'
--- a/ragwortchute/gateway/server_connection.py
+++ b/ragwortchute/gateway/http/server_connection.py
@@ -9,16 +9,16 @@
 
 import msgspec
 
-from ragwortchute.gateway import accounted_connection
-from ragwortchute.gateway import body_budget
-from ragwortchute.gateway import connection_owner
-from ragwortchute.gateway import delivery as delivery_
-from ragwortchute.gateway import exchanges as exchanges_
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pipeline as pipeline_
-from ragwortchute.gateway import request_reader
-from ragwortchute.gateway import response_writer
+from ragwortchute.gateway.http import accounted_connection
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import connection_owner
+from ragwortchute.gateway.http import delivery as delivery_
+from ragwortchute.gateway.http import exchanges as exchanges_
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import pipeline as pipeline_
+from ragwortchute.gateway.http import request_reader
+from ragwortchute.gateway.http import response_writer
 from ragwortchute.gateway.resources import account as account_
 
 # Reading from a connection pauses while this many requests are pending.
--- a/ragwortchute/gateway/streamed_answers.py
+++ b/ragwortchute/gateway/http/streamed_answers.py
@@ -10,12 +10,12 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import crash_checks
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import measurements as measurements_
-from ragwortchute.gateway import pools
 from ragwortchute.gateway import request_log as request_log_
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.selection import crash_checks
+from ragwortchute.gateway.selection import measurements as measurements_
+from ragwortchute.gateway.selection import targets as targets_
 
 
 class StreamedAnswers:
--- a/ragwortchute/gateway/locality/locality_part.py
+++ b/ragwortchute/gateway/locality/locality_part.py
@@ -5,12 +5,12 @@
 
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import requirements
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.http import http_client
 from ragwortchute.gateway.locality import crossings
 from ragwortchute.gateway.locality import selection
 from ragwortchute.gateway.locality import spillover as spillover_
+from ragwortchute.gateway.selection import requirements
+from ragwortchute.gateway.selection import targets as targets_
 
 # Changes of a share are logged from this difference on, and at most once in
 # this time for each service.
--- a/ragwortchute/gateway/locality/selection.py
+++ b/ragwortchute/gateway/locality/selection.py
@@ -2,11 +2,11 @@
 
 import enum
 
-from ragwortchute.gateway import estimates
-from ragwortchute.gateway import probe_order
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.locality import crossings
 from ragwortchute.gateway.locality import spillover as spillover_
+from ragwortchute.gateway.selection import estimates
+from ragwortchute.gateway.selection import probe_order
+from ragwortchute.gateway.selection import targets as targets_
 
 # Added to the random key (0 to 1) of targets of other domains. Those of the own
 # domain that are known to be slow, full, cold or ejected have 2 or more, and
--- a/ragwortchute/gateway/metrics.py
+++ b/ragwortchute/gateway/metrics.py
@@ -6,8 +6,8 @@
 
 from ragwortchute import scraping
 from ragwortchute.gateway import application
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import part_metrics
+from ragwortchute.gateway.http import http_messages
 
 PATH = '/metrics'
 # Load: callers that ask again and again. No request is served during rendering,
--- a/ragwortchute/gateway/organisations/host_tokens.py
+++ b/ragwortchute/gateway/organisations/host_tokens.py
@@ -14,8 +14,8 @@
 import hmac
 
 from ragwortchute.gateway import dialect as dialects
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
 
 # Contract of deployments whose configuration may contain organisations.
 CONTRACT = 'tenants'
--- a/ragwortchute/gateway/organisations/identity.py
+++ b/ragwortchute/gateway/organisations/identity.py
@@ -14,8 +14,8 @@
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
 
 UNKNOWN_KEY = 'unknown-key'
 KEY_WITHDRAWN = 'key-withdrawn'
--- a/ragwortchute/gateway/organisations/quota_part.py
+++ b/ragwortchute/gateway/organisations/quota_part.py
@@ -5,12 +5,12 @@
 
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
 from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quotas
+from ragwortchute.gateway.peers import membership as membership_
 
 # Name in `Settings.contracts` with which quotas are enforced.
 CONTRACT = 'quota'
--- a/ragwortchute/gateway/organisations/quota_roles.py
+++ b/ragwortchute/gateway/organisations/quota_roles.py
@@ -13,10 +13,10 @@
 
 import msgspec
 
-from ragwortchute.gateway import shares
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.peers import shares
 
 # Hosts of a shard: the coordinator hears each of them several times a second.
 HOSTS_PER_SHARD = 400
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -9,10 +9,10 @@
 import random
 
 from ragwortchute.gateway import model
-from ragwortchute.gateway import shares
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
+from ragwortchute.gateway.peers import shares
 
 # Requests that a host may admit between two announcements: at least this many,
 # and the larger one of this share of the credit and its share of the demand.
--- a/ragwortchute/gateway/organisations/quotas.py
+++ b/ragwortchute/gateway/organisations/quotas.py
@@ -16,12 +16,12 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
 from ragwortchute.gateway import organisations
-from ragwortchute.gateway import shares
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
 from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quota_use
+from ragwortchute.gateway.peers import shares
 
 # Interval of the task, and the number of intervals between two reports.
 TICK_S = 0.1
--- a/ragwortchute/gateway/organisations/recency.py
+++ b/ragwortchute/gateway/organisations/recency.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import store_follower
+from ragwortchute.gateway.store import store_follower
 
 # Share of the time within which a change must be in force. A key that was
 # added longer ago than this is in a configuration that was confirmed within
--- a/ragwortchute/gateway/part_metrics.py
+++ b/ragwortchute/gateway/part_metrics.py
@@ -2,11 +2,11 @@
 
 from ragwortchute import scraping
 from ragwortchute.gateway import stats as stats_
-from ragwortchute.gateway import target_report
 from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.organisations import quotas as quotas_
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.rollouts import runtime
+from ragwortchute.gateway.selection import target_report
 
 
 def add_refusals(metrics: scraping.Metrics, stats: stats_.Stats) -> None:
--- /dev/null
+++ b/ragwortchute/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Other hosts: membership, messages, and figures divided among hosts."""
--- a/ragwortchute/gateway/heartbeats.py
+++ b/ragwortchute/gateway/peers/heartbeats.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import model
-from ragwortchute.gateway import retry_loans
+from ragwortchute.gateway.peers import retry_loans
+from ragwortchute.gateway.selection import crash_guard
 
 # Key, counter and age of a heartbeat on the wire.
 _HEARTBEAT_FORMAT = struct.Struct('<IHB')
--- a/ragwortchute/gateway/limit_shares.py
+++ b/ragwortchute/gateway/peers/limit_shares.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwortchute.gateway import shares
+from ragwortchute.gateway.peers import shares
 
 # What a target bears beyond its limit: in any window of this length, the limit
 # times the overage, and the slack.
--- a/ragwortchute/gateway/membership.py
+++ b/ragwortchute/gateway/peers/membership.py
@@ -15,13 +15,13 @@
 
 from ragwortchute import decoding
 from ragwortchute import errors
-from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
-from ragwortchute.gateway import part_messages
-from ragwortchute.gateway import peer_table
-from ragwortchute.gateway import retry_loans
+from ragwortchute.gateway.peers import heartbeats
+from ragwortchute.gateway.peers import part_messages
+from ragwortchute.gateway.peers import peer_table
+from ragwortchute.gateway.peers import retry_loans
+from ragwortchute.gateway.selection import crash_guard
 
 HEARTBEAT_INTERVAL_S = 0.5
 # Hosts of the local failure domain that receive each heartbeat message.
--- a/ragwortchute/gateway/part_messages.py
+++ b/ragwortchute/gateway/peers/part_messages.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from ragwortchute.gateway import heartbeats
+from ragwortchute.gateway.peers import heartbeats
 
 # Addresses of senders that are not known yet, at most.
 MAX_ADDRESSES = 1000
--- a/ragwortchute/gateway/peer_api.py
+++ b/ragwortchute/gateway/peers/peer_api.py
@@ -17,13 +17,13 @@
 from ragwortchute import progress as progress_
 from ragwortchute import stores
 from ragwortchute.gateway import dispatcher as dispatcher_
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_exchange
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import pools
-from ragwortchute.gateway import replica
-from ragwortchute.gateway import value_delta
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_exchange
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import pools
 from ragwortchute.gateway.organisations import host_tokens
+from ragwortchute.gateway.store import replica
+from ragwortchute.gateway.store import value_delta
 
 HOST_NAME = 'ragwortchute-peer'
 # Milliseconds from the arrival of a request to the time at which the replica
--- a/ragwortchute/gateway/peer_socket.py
+++ b/ragwortchute/gateway/peers/peer_socket.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import abc
 
-from ragwortchute.gateway import membership
+from ragwortchute.gateway.peers import membership
 
 DatagramCallback = abc.Callable[[bytes, float, tuple[str, int]], None]
 
--- a/ragwortchute/gateway/peer_table.py
+++ b/ragwortchute/gateway/peers/peer_table.py
@@ -3,8 +3,8 @@
 from collections import abc
 import random
 
-from ragwortchute.gateway import heartbeats
 from ragwortchute.gateway import model
+from ragwortchute.gateway.peers import heartbeats
 
 # How long a dead host still counts in limits that hold over all hosts.
 DEAD_RETENTION_S = 30.0
--- a/ragwortchute/gateway/planned_stop.py
+++ b/ragwortchute/gateway/planned_stop.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ragwortchute.gateway import grace
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway.http import http_server
 
 # How long a stopping host accepts new connections: callers still have cached
 # address responses that name it.
--- a/ragwortchute/gateway/relays.py
+++ b/ragwortchute/gateway/relays.py
@@ -13,17 +13,17 @@
 import msgspec
 
 from ragwortchute import errors
-from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import dialect as dialects
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import membership
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pools
 from ragwortchute.gateway import request_log as request_log_
 from ragwortchute.gateway import stats as stats_
-from ragwortchute.gateway import streamed_answers
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.http import streamed_answers
 from ragwortchute.gateway.organisations import host_tokens
+from ragwortchute.gateway.peers import membership
 
 _NOT_FOUND = 404
 _FIRST_ERROR = 400
--- a/ragwortchute/gateway/request_log.py
+++ b/ragwortchute/gateway/request_log.py
@@ -4,13 +4,13 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_client
 from ragwortchute.gateway import model
 from ragwortchute.gateway import stats as stats_
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import targets as targets_
 
 # Older configurations, and those that were never confirmed, are logged as this.
 MAX_LOGGED_AGE_S = 1000.0
--- a/ragwortchute/gateway/resources/account.py
+++ b/ragwortchute/gateway/resources/account.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 
-from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import body_budget
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import http_client
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import http_client
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.resources import upstream as upstream_
 from ragwortchute.gateway.resources import victims
--- a/ragwortchute/gateway/retries.py
+++ b/ragwortchute/gateway/retries.py
@@ -9,10 +9,10 @@
 
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import retry_budget
-from ragwortchute.gateway import retry_loans
-from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import shares
 from ragwortchute.gateway import stats as stats_
+from ragwortchute.gateway.peers import retry_loans
+from ragwortchute.gateway.peers import shares
+from ragwortchute.gateway.selection import send_limits
 
 # Number of hosts that is assumed until this host has learnt of the others.
 ASSUMED_HOSTS = 1000
--- a/ragwortchute/gateway/rollouts/__init__.py
+++ b/ragwortchute/gateway/rollouts/__init__.py
@@ -1,7 +1,7 @@
 """Rollouts: moves services to new software versions and judges these."""
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import targets as targets_
 
 
 class VersionChoice:
--- a/ragwortchute/gateway/rollouts/concentration.py
+++ b/ragwortchute/gateway/rollouts/concentration.py
@@ -7,7 +7,7 @@
 import math
 import zlib
 
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import targets as targets_
 
 # Share of the slots of these targets that the requests are to fill.
 FILL_FRACTION = 0.75
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -11,15 +11,13 @@
 from ragwortchute import errors
 from ragwortchute import stores
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import dispatcher as dispatcher_
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import membership as membership_
 from ragwortchute.gateway import model
 from ragwortchute.gateway import rollouts
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.peers import membership as membership_
 from ragwortchute.gateway.rollouts import environment
 from ragwortchute.gateway.rollouts import messages
 from ragwortchute.gateway.rollouts import neighbours
@@ -28,6 +26,8 @@
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import service_state
 from ragwortchute.gateway.rollouts import versions
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import targets as targets_
 
 CONTRACT = 'rollout'
 # Prefix of the names of orders in the store.
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.rollouts import concentration
 from ragwortchute.gateway.rollouts import evidence
 from ragwortchute.gateway.rollouts import exposure
@@ -20,6 +19,7 @@
 from ragwortchute.gateway.rollouts import sends
 from ragwortchute.gateway.rollouts import trust as trust_
 from ragwortchute.gateway.rollouts import versions
+from ragwortchute.gateway.selection import targets as targets_
 
 # A host stops on its own once so many of its last responses of the canary
 # version were bad, unless as many of the old version are.
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import targets as targets_
 
 # A version that appears beside others gets no request for this long if no order
 # names it. Targets of a rollout register at about the time of the order.
--- a/ragwortchute/gateway/candidates.py
+++ b/ragwortchute/gateway/selection/candidates.py
@@ -14,20 +14,20 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import dialect as dialects
-from ragwortchute.gateway import estimates
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import probe_budget
-from ragwortchute.gateway import probe_order
-from ragwortchute.gateway import probe_rounds
-from ragwortchute.gateway import probe_wait
-from ragwortchute.gateway import requirements
-from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import service_load
-from ragwortchute.gateway import statement_reader
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import room
+from ragwortchute.gateway.http import http_client
 from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.locality import selection
+from ragwortchute.gateway.selection import estimates
+from ragwortchute.gateway.selection import probe_budget
+from ragwortchute.gateway.selection import probe_order
+from ragwortchute.gateway.selection import probe_rounds
+from ragwortchute.gateway.selection import probe_wait
+from ragwortchute.gateway.selection import requirements
+from ragwortchute.gateway.selection import send_limits
+from ragwortchute.gateway.selection import service_load
+from ragwortchute.gateway.selection import statement_reader
+from ragwortchute.gateway.selection import targets as targets_
 
 # Another round follows only if the lowest cost found exceeds this share of the
 # latency objective.
--- a/ragwortchute/gateway/crash_checks.py
+++ b/ragwortchute/gateway/selection/crash_checks.py
@@ -8,8 +8,8 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import crash_guard
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import crash_guard
+from ragwortchute.gateway.selection import targets as targets_
 
 # Delay of a check, so that the end of the other connections arrives before it.
 CHECK_DELAY_S = 0.02
--- a/ragwortchute/gateway/crash_guard.py
+++ b/ragwortchute/gateway/selection/crash_guard.py
@@ -13,8 +13,8 @@
 import xxhash
 
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import shares
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.peers import shares
 
 # A request is refused after it has crashed this many targets.
 BLOCK_AFTER_TARGETS = 2
--- a/ragwortchute/gateway/measurements.py
+++ b/ragwortchute/gateway/selection/measurements.py
@@ -1,9 +1,9 @@
 """What this host learns from the durations of attempts."""
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import grace
-from ragwortchute.gateway import work_times as work_times_
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import work_times as work_times_
 
 
 class Measurements:
--- a/ragwortchute/gateway/pacing.py
+++ b/ragwortchute/gateway/selection/pacing.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from ragwortchute.gateway import limit_shares
-from ragwortchute.gateway import shares
+from ragwortchute.gateway.peers import limit_shares
+from ragwortchute.gateway.peers import shares
 
 # Share of the limit that is used. The rest covers hosts that disagree on the
 # owners, and requests that arrive closer together than they were sent.
--- a/ragwortchute/gateway/pauses.py
+++ b/ragwortchute/gateway/selection/pauses.py
@@ -10,7 +10,7 @@
 
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import model
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.selection import target_statements
 
 # A request after a pause that is not served within this time, since its answer
 # was lost or it was turned away as well, is followed by another one.
--- a/ragwortchute/gateway/probe_order.py
+++ b/ragwortchute/gateway/selection/probe_order.py
@@ -3,8 +3,8 @@
 from collections import abc
 import random
 
-from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import send_limits
+from ragwortchute.gateway.selection import targets as targets_
 
 # Added to the random key (0 to 1) of targets of other domains of the region.
 OTHER_DOMAIN_KEY = 0.3
--- a/ragwortchute/gateway/probe_rounds.py
+++ b/ragwortchute/gateway/selection/probe_rounds.py
@@ -1,7 +1,7 @@
 """Rounds in which the targets of a selection are probed."""
 
-from ragwortchute.gateway import probe_budget
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.selection import probe_budget
+from ragwortchute.gateway.selection import targets as targets_
 
 FIRST_ROUND_TARGETS = 3
 LATER_ROUND_TARGETS = 4
--- a/ragwortchute/gateway/requirements.py
+++ b/ragwortchute/gateway/selection/requirements.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from ragwortchute.gateway import probe_rounds
-from ragwortchute.gateway import targets as targets_
 from ragwortchute.gateway.admission import room
 from ragwortchute.gateway.locality import selection
+from ragwortchute.gateway.selection import probe_rounds
+from ragwortchute.gateway.selection import targets as targets_
 
 
 class Requirements(msgspec.Struct, eq=False):
--- a/ragwortchute/gateway/send_limits.py
+++ b/ragwortchute/gateway/selection/send_limits.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from ragwortchute.gateway import limit_shares
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import pauses as pauses_
-from ragwortchute.gateway import target_statements
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.peers import limit_shares
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import pauses as pauses_
+from ragwortchute.gateway.selection import target_statements
+from ragwortchute.gateway.selection import targets as targets_
 
 
 class StatedWait(msgspec.Struct, frozen=True):
--- a/ragwortchute/gateway/statement_reader.py
+++ b/ragwortchute/gateway/selection/statement_reader.py
@@ -3,10 +3,10 @@
 from ragwortchute.gateway import dialect as dialects
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import pauses as pauses_
-from ragwortchute.gateway import target_statements
-from ragwortchute.gateway import targets as targets_
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.selection import pauses as pauses_
+from ragwortchute.gateway.selection import target_statements
+from ragwortchute.gateway.selection import targets as targets_
 
 
 class StatementReader:
--- a/ragwortchute/gateway/target_choice.py
+++ b/ragwortchute/gateway/selection/target_choice.py
@@ -4,14 +4,14 @@
 import functools
 
 from ragwortchute.gateway import attempts
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import requirements
 from ragwortchute.gateway import rollouts
-from ragwortchute.gateway import targets as targets_
-from ragwortchute.gateway import work_times as work_times_
 from ragwortchute.gateway.admission import gate as gate_
 from ragwortchute.gateway.locality import locality_part
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import requirements
+from ragwortchute.gateway.selection import targets as targets_
+from ragwortchute.gateway.selection import work_times as work_times_
 
 Placed = candidates.Placement | candidates.NoPlacement
 
--- a/ragwortchute/gateway/target_report.py
+++ b/ragwortchute/gateway/selection/target_report.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import pauses as pauses_
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.selection import pauses as pauses_
+from ragwortchute.gateway.selection import target_statements
 
 
 class TargetReport:
--- a/ragwortchute/gateway/targets.py
+++ b/ragwortchute/gateway/selection/targets.py
@@ -6,13 +6,13 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import dialect as dialects
-from ragwortchute.gateway import http_client
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import pools
-from ragwortchute.gateway import shares
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.peers import shares
 from ragwortchute.gateway.resources import upstream as upstream_
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import target_statements
 
 CONNECT_TIMEOUT_S = 0.5
 # A health request without an answer is given up after this time, and its
--- a/ragwortchute/gateway/deferred_removals.py
+++ b/ragwortchute/gateway/store/deferred_removals.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ragwortchute import stores
-from ragwortchute.gateway import replica as replica_
+from ragwortchute.gateway.store import replica as replica_
 
 
 def without_removals(
--- a/ragwortchute/gateway/store_follower.py
+++ b/ragwortchute/gateway/store/store_follower.py
@@ -14,14 +14,14 @@
 from ragwortchute import errors
 from ragwortchute import progress
 from ragwortchute import stores
-from ragwortchute.gateway import age_limit
-from ragwortchute.gateway import deferred_removals
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import replica as replica_
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import store_feed
-from ragwortchute.gateway import store_health
-from ragwortchute.gateway import unchanged_answers
+from ragwortchute.gateway.store import age_limit
+from ragwortchute.gateway.store import deferred_removals
+from ragwortchute.gateway.store import replica as replica_
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import store_feed
+from ragwortchute.gateway.store import store_health
+from ragwortchute.gateway.store import unchanged_answers
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
--- a/ragwortchute/platform/config_check/requests.py
+++ b/ragwortchute/platform/config_check/requests.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.platform import wire
 
 
--- a/ragwortchute/platform/config_check/route_rules.py
+++ b/ragwortchute/platform/config_check/route_rules.py
@@ -2,9 +2,9 @@
 
 from collections import abc
 
-from ragwortchute.gateway import intake
 from ragwortchute.gateway import model
-from ragwortchute.gateway import work_times
+from ragwortchute.gateway.http import intake
+from ragwortchute.gateway.selection import work_times
 from ragwortchute.platform.config_check import findings
 from ragwortchute.platform.config_check import requests
 from ragwortchute.platform.config_check import rules
--- a/ragwortchute/platform/daemon.py
+++ b/ragwortchute/platform/daemon.py
@@ -8,12 +8,12 @@
 from ragwortchute import errors
 from ragwortchute.gateway import application
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import metrics
 from ragwortchute.gateway import model
-from ragwortchute.gateway import registration
+from ragwortchute.gateway.http import http_server
 from ragwortchute.gateway.resources import account
 from ragwortchute.gateway.resources import limits
+from ragwortchute.gateway.store import registration
 from ragwortchute.platform import endpoints
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
--- a/ragwortchute/platform/endpoints.py
+++ b/ragwortchute/platform/endpoints.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ragwortchute.gateway import application
-from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.http import http_messages
 
 RESOLVE_PATH = '/resolve'
 READY_PATH = '/ready'
--- a/ragwortchute/platform/feeds.py
+++ b/ragwortchute/platform/feeds.py
@@ -11,7 +11,7 @@
 from ragwortchute.gateway import eventlog
 from ragwortchute.gateway import host_state
 from ragwortchute.gateway import model
-from ragwortchute.gateway import store_feed
+from ragwortchute.gateway.store import store_feed
 
 CONFIG_KIND = 'config/'
 CONFIG_NAME = 'main'
--- a/ragwortchute/platform/objects.py
+++ b/ragwortchute/platform/objects.py
@@ -14,9 +14,9 @@
 from ragwortchute import errors
 from ragwortchute import progress as progress_
 from ragwortchute import stores
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_exchange
-from ragwortchute.gateway import pools
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_exchange
+from ragwortchute.gateway.http import pools
 from ragwortchute.platform import store_answers
 
 T = TypeVar('T')
--- a/ragwortchute/platform/rollout_feed.py
+++ b/ragwortchute/platform/rollout_feed.py
@@ -10,9 +10,9 @@
 from ragwortchute import stores
 from ragwortchute.gateway import application
 from ragwortchute.gateway import eventlog
-from ragwortchute.gateway import store_feed
 from ragwortchute.gateway.rollouts import records
 from ragwortchute.gateway.rollouts import runtime
+from ragwortchute.gateway.store import store_feed
 
 ROLLOUTS_KIND = 'rollouts/'
 # Orders of more time than this count as unlimited.
--- a/ragwortchute/platform/wire.py
+++ b/ragwortchute/platform/wire.py
@@ -4,9 +4,9 @@
 import math
 
 from ragwortchute.gateway import dialect
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
 
 REQUEST_ID = b'x-request-id'
 DEADLINE_MS = b'x-request-deadline-ms'
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
 
 MAX_BODY_BYTES = 1 << 20
 PAGE_SIZE = 50
--- a/tests/test_gateway/host_deployment.py
+++ b/tests/test_gateway/host_deployment.py
@@ -5,7 +5,7 @@
 
 from ragwortchute.gateway import application
 from ragwortchute.gateway import host_settings
-from ragwortchute.gateway import registration
+from ragwortchute.gateway.store import registration
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
 from ragwortchute.platform import wire
--- a/tests/test_gateway/host_network.py
+++ b/tests/test_gateway/host_network.py
@@ -3,7 +3,7 @@
 import collections
 import random
 
-from ragwortchute.gateway import membership
+from ragwortchute.gateway.peers import membership
 from tests.test_gateway import rig as rigs
 
 
--- a/tests/test_gateway/load_model.py
+++ b/tests/test_gateway/load_model.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.selection import pacing
 from tests.test_gateway import load_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/load_targets.py
+++ b/tests/test_gateway/load_targets.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from ragwortchute.gateway import http_client
+from ragwortchute.gateway.http import http_client
 
 # A target is slow for this share of the time, by this factor.
 SLOW_SHARE = 0.25
--- a/tests/test_gateway/locality_model.py
+++ b/tests/test_gateway/locality_model.py
@@ -10,11 +10,11 @@
 
 import msgspec
 
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.gateway.locality import crossings
 from ragwortchute.gateway.locality import locality_part
+from ragwortchute.gateway.selection import pacing
 from tests.test_gateway import load_model
 from tests.test_gateway import load_targets
 from tests.test_gateway import rig as rigs
--- a/tests/test_gateway/quota_start.py
+++ b/tests/test_gateway/quota_start.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from ragwortchute.gateway import application
-from ragwortchute.gateway import membership
 from ragwortchute.gateway import model
-from ragwortchute.gateway import registration
 from ragwortchute.gateway.organisations import quota_part
 from ragwortchute.gateway.organisations import quotas
+from ragwortchute.gateway.peers import membership
+from ragwortchute.gateway.store import registration
 from tests.test_gateway import event_queue
 from tests.test_gateway import quota_model
 from tests.test_gateway import rig
--- a/tests/test_gateway/rig.py
+++ b/tests/test_gateway/rig.py
@@ -4,26 +4,26 @@
 import json
 import random
 
-from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import candidates
-from ragwortchute.gateway import crash_guard
 from ragwortchute.gateway import dispatcher
-from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import grace
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import host_state
-from ragwortchute.gateway import http_server
-from ragwortchute.gateway import membership
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import pauses
-from ragwortchute.gateway import pools
 from ragwortchute.gateway import relays
 from ragwortchute.gateway import request_log
-from ragwortchute.gateway import send_limits
-from ragwortchute.gateway import statement_reader
 from ragwortchute.gateway import stats
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import http_server
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.peers import failure_reports
+from ragwortchute.gateway.peers import membership
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import crash_guard
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import pauses
+from ragwortchute.gateway.selection import send_limits
+from ragwortchute.gateway.selection import statement_reader
+from ragwortchute.gateway.selection import target_statements
 from ragwortchute.platform import feeds
 from ragwortchute.platform import wire
 from standins import platform_targets
--- a/tests/test_gateway/servers.py
+++ b/tests/test_gateway/servers.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
 from tests.test_gateway import rig as rigs
 
 GET = b'GET /%d HTTP/1.1\r\nHost: example\r\n\r\n'
--- a/tests/test_gateway/test_admission.py
+++ b/tests/test_gateway/test_admission.py
@@ -8,13 +8,13 @@
 from ragwortchute.gateway import dialect
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
-from ragwortchute.gateway import probe_budget
-from ragwortchute.gateway import work_times
 from ragwortchute.gateway.admission import levels
 from ragwortchute.gateway.admission import room
 from ragwortchute.gateway.admission import scarcity
 from ragwortchute.gateway.admission import shares
 from ragwortchute.gateway.admission import waiting
+from ragwortchute.gateway.selection import probe_budget
+from ragwortchute.gateway.selection import work_times
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_age_limit.py
+++ b/tests/test_gateway/test_age_limit.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ragwortchute.gateway import age_limit
+from ragwortchute.gateway.store import age_limit
 
 
 class TestAgeLimit:
--- a/tests/test_gateway/test_application.py
+++ b/tests/test_gateway/test_application.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import registration
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.store import registration
 from ragwortchute.platform import objects
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
--- a/tests/test_gateway/test_crash_guard.py
+++ b/tests/test_gateway/test_crash_guard.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ragwortchute.gateway import crash_guard
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import shares
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.peers import shares
+from ragwortchute.gateway.selection import crash_guard
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_decisions.py
+++ b/tests/test_gateway/test_decisions.py
@@ -9,14 +9,14 @@
 
 from ragwortchute.gateway import dialect
 from ragwortchute.gateway import directory
-from ragwortchute.gateway import estimates
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import probe_budget
 from ragwortchute.gateway import retry_budget
 from ragwortchute.gateway import routing
-from ragwortchute.gateway import service_load
-from ragwortchute.gateway import shares
-from ragwortchute.gateway import sources
+from ragwortchute.gateway.peers import shares
+from ragwortchute.gateway.selection import estimates
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import probe_budget
+from ragwortchute.gateway.selection import service_load
+from ragwortchute.gateway.store import sources
 from tests.test_gateway import rig as rigs
 
 
--- a/tests/test_gateway/test_dispatcher.py
+++ b/tests/test_gateway/test_dispatcher.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from ragwortchute.gateway import candidates
 from ragwortchute.gateway import host_settings
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import intake
 from ragwortchute.gateway import model
-from ragwortchute.gateway import requirements
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import intake
+from ragwortchute.gateway.selection import candidates
+from ragwortchute.gateway.selection import requirements
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_endless_answers.py
+++ b/tests/test_gateway/test_endless_answers.py
@@ -7,7 +7,7 @@
 
 from ragwortchute import errors
 from ragwortchute.gateway import host_settings
-from ragwortchute.gateway import http_client
+from ragwortchute.gateway.http import http_client
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
@@ -207,7 +207,9 @@
             '_write',
             lambda writer, *_: writer.write(b'HTTP/1.1 200 OK\r\nx: '),
         )
-        monkeypatch.setattr('ragwortchute.gateway.targets.PROBE_TIMEOUT_S', 0.2)
+        monkeypatch.setattr(
+            'ragwortchute.gateway.selection.targets.PROBE_TIMEOUT_S', 0.2
+        )
         answer = await rig.request(deadline_ms=300)
         assert answer.status == 503
         await asyncio.sleep(0.3)
--- a/tests/test_gateway/test_failure_reports.py
+++ b/tests/test_gateway/test_failure_reports.py
@@ -4,8 +4,8 @@
 import collections
 import random
 
-from ragwortchute.gateway import failure_reports
 from ragwortchute.gateway import host_settings
+from ragwortchute.gateway.peers import failure_reports
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_grace.py
+++ b/tests/test_gateway/test_grace.py
@@ -6,7 +6,7 @@
 
 from ragwortchute.gateway import attempts
 from ragwortchute.gateway import grace
-from ragwortchute.gateway import http_messages
+from ragwortchute.gateway.http import http_messages
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_held_up.py
+++ b/tests/test_gateway/test_held_up.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ragwortchute.gateway import targets
+from ragwortchute.gateway.selection import targets
 from standins import platform_targets
 
 
--- a/tests/test_gateway/test_http_client.py
+++ b/tests/test_gateway/test_http_client.py
@@ -7,9 +7,9 @@
 
 from ragwortchute import errors
 from ragwortchute import progress
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_exchange
-from ragwortchute.gateway import pools
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_exchange
+from ragwortchute.gateway.http import pools
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_parsers
 
--- a/tests/test_gateway/test_identity_headers.py
+++ b/tests/test_gateway/test_identity_headers.py
@@ -11,8 +11,8 @@
 import pytest
 
 from ragwortchute.gateway import dialect
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.platform import feeds
 from standins import platform_targets
 from tests.test_gateway import organisation_scenes as scenes
--- a/tests/test_gateway/test_large_configurations.py
+++ b/tests/test_gateway/test_large_configurations.py
@@ -7,9 +7,9 @@
 import pytest
 
 from ragwortchute import errors
-from ragwortchute.gateway import peer_api
-from ragwortchute.gateway import pools
-from ragwortchute.gateway import replica
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.peers import peer_api
+from ragwortchute.gateway.store import replica
 from ragwortchute.platform import objects
 from standins import fault_proxy
 from tests.test_gateway import host_deployment
--- a/tests/test_gateway/test_limit_shares.py
+++ b/tests/test_gateway/test_limit_shares.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from ragwortchute.gateway import limit_shares
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import shares
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.peers import limit_shares
+from ragwortchute.gateway.peers import shares
+from ragwortchute.gateway.selection import pacing
+from ragwortchute.gateway.selection import target_statements
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import test_target_limits
 
--- a/tests/test_gateway/test_locality.py
+++ b/tests/test_gateway/test_locality.py
@@ -8,12 +8,12 @@
 from ragwortchute import scraping
 from ragwortchute.gateway import model
 from ragwortchute.gateway import part_metrics
-from ragwortchute.gateway import probe_order
-from ragwortchute.gateway import requirements
 from ragwortchute.gateway.locality import crossings
 from ragwortchute.gateway.locality import locality_part
 from ragwortchute.gateway.locality import selection
 from ragwortchute.gateway.locality import spillover as spillover_
+from ragwortchute.gateway.selection import probe_order
+from ragwortchute.gateway.selection import requirements
 from standins import platform_targets
 
 WORTH = crossings.Worth(0.02, 0.1)
--- a/tests/test_gateway/test_long_bodies.py
+++ b/tests/test_gateway/test_long_bodies.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from ragwortchute.gateway import body_budget
-from ragwortchute.gateway import body_reader
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
-from ragwortchute.gateway import request_reader
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import body_reader
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
+from ragwortchute.gateway.http import request_reader
 from tests.test_gateway import rig as rigs
 
 MIB = 1 << 20
--- a/tests/test_gateway/test_membership.py
+++ b/tests/test_gateway/test_membership.py
@@ -3,9 +3,9 @@
 import msgspec
 import pytest
 
-from ragwortchute.gateway import crash_guard
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import peer_table
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.peers import peer_table
+from ragwortchute.gateway.selection import crash_guard
 from tests.test_gateway import host_network
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_organisation_keys.py
+++ b/tests/test_gateway/test_organisation_keys.py
@@ -5,11 +5,11 @@
 import pytest
 
 from ragwortchute import stores
-from ragwortchute.gateway import peer_api
-from ragwortchute.gateway import replica
-from ragwortchute.gateway import value_delta
 from ragwortchute.gateway.organisations import counts
 from ragwortchute.gateway.organisations import key_index
+from ragwortchute.gateway.peers import peer_api
+from ragwortchute.gateway.store import replica
+from ragwortchute.gateway.store import value_delta
 from tests.test_gateway import organisation_scenes as scenes
 from tests.test_gateway import test_peer_api
 
--- a/tests/test_gateway/test_parsers.py
+++ b/tests/test_gateway/test_parsers.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 
 from ragwortchute import errors
-from ragwortchute.gateway import http_client
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import http_client
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
+from ragwortchute.gateway.http import server_connection
 from tests.test_gateway import rig as rigs
 
 MAX_HEADER_BYTES = 2000
--- a/tests/test_gateway/test_pauses.py
+++ b/tests/test_gateway/test_pauses.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ragwortchute.gateway import pauses
-from ragwortchute.gateway import target_statements
+from ragwortchute.gateway.selection import pauses
+from ragwortchute.gateway.selection import target_statements
 from ragwortchute.platform import feeds
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_peer_api.py
+++ b/tests/test_gateway/test_peer_api.py
@@ -10,13 +10,13 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
-from ragwortchute.gateway import peer_api
-from ragwortchute.gateway import pools
-from ragwortchute.gateway import replica
-from ragwortchute.gateway import value_delta
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
+from ragwortchute.gateway.http import pools
+from ragwortchute.gateway.peers import peer_api
+from ragwortchute.gateway.store import replica
+from ragwortchute.gateway.store import value_delta
 from tests.test_gateway import rig as rigs
 
 ROUTES = 2000
--- a/tests/test_gateway/test_quotas.py
+++ b/tests/test_gateway/test_quotas.py
@@ -12,7 +12,6 @@
 import pytest
 
 from ragwortchute.gateway import model
-from ragwortchute.gateway import peer_table
 from ragwortchute.gateway.organisations import quota_accounts
 from ragwortchute.gateway.organisations import quota_limits
 from ragwortchute.gateway.organisations import quota_messages
@@ -20,6 +19,7 @@
 from ragwortchute.gateway.organisations import quota_roles
 from ragwortchute.gateway.organisations import quota_use
 from ragwortchute.gateway.organisations import quotas
+from ragwortchute.gateway.peers import peer_table
 from tests.test_gateway import host_network
 from tests.test_gateway import quota_model
 from tests.test_gateway import quota_scenes
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -7,8 +7,8 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
-from ragwortchute.gateway import replica
-from ragwortchute.gateway import source_choice
+from ragwortchute.gateway.store import replica
+from ragwortchute.gateway.store import source_choice
 from tests.test_gateway import test_store_follower
 
 
--- a/tests/test_gateway/test_retry_loans.py
+++ b/tests/test_gateway/test_retry_loans.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from ragwortchute.gateway import retry_budget
-from ragwortchute.gateway import retry_loans
+from ragwortchute.gateway.peers import retry_loans
 
 RATIO = 0.2
 SLACK = 20.0
--- a/tests/test_gateway/test_rollouts/test_hosts.py
+++ b/tests/test_gateway/test_rollouts/test_hosts.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import metrics
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.platform import rollout_feed
 from standins import platform_targets
 from tests.test_gateway import host_deployment
--- a/tests/test_gateway/test_server_close.py
+++ b/tests/test_gateway/test_server_close.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import server_connection
 from tests.test_gateway import rig as rigs
 from tests.test_gateway import servers
 
--- a/tests/test_gateway/test_shares.py
+++ b/tests/test_gateway/test_shares.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from ragwortchute.gateway import limit_shares
-from ragwortchute.gateway import pacing
-from ragwortchute.gateway import shares
+from ragwortchute.gateway.peers import limit_shares
+from ragwortchute.gateway.peers import shares
+from ragwortchute.gateway.selection import pacing
 
 NAMES = [f'h{number}' for number in range(117)]
 
--- a/tests/test_gateway/test_status_changes.py
+++ b/tests/test_gateway/test_status_changes.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -7,12 +7,12 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
-from ragwortchute.gateway import replica
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import store_feed
-from ragwortchute.gateway import store_follower
-from ragwortchute.gateway import store_health
-from ragwortchute.gateway import unchanged_answers
+from ragwortchute.gateway.store import replica
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import store_feed
+from ragwortchute.gateway.store import store_follower
+from ragwortchute.gateway.store import store_health
+from ragwortchute.gateway.store import unchanged_answers
 from ragwortchute.platform import objects
 from standins import platform_store
 from tests.test_gateway import rig as rigs
--- a/tests/test_gateway/test_streamed_answers.py
+++ b/tests/test_gateway/test_streamed_answers.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from ragwortchute.gateway import answer_memory
 from ragwortchute.gateway import host_settings
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import answer_memory
 from standins import platform_targets
 from tests.test_gateway import rig as rigs
 
@@ -270,7 +270,8 @@
 
     async def test_too_long_body(self, start_call, monkeypatch):
         monkeypatch.setattr(
-            'ragwortchute.gateway.http_client.MAX_BODY_BYTES', len(PART) * 8
+            'ragwortchute.gateway.http.http_client.MAX_BODY_BYTES',
+            len(PART) * 8,
         )
         target = LongTarget(framing='chunks')
         _, caller = await start_call(target)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -6,7 +6,7 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
-from ragwortchute.gateway import http_client
+from ragwortchute.gateway.http import http_client
 from ragwortchute.platform import feeds
 from ragwortchute.platform import objects
 from ragwortchute.platform import wire
--- a/tests/test_platform/test_endpoints.py
+++ b/tests/test_platform/test_endpoints.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import metrics
+from ragwortchute.gateway.http import http_messages
 from ragwortchute.platform import daemon
 from ragwortchute.platform import endpoints
 from tests.test_gateway import host_deployment
--- a/tests/test_platform/test_unreadable_entries.py
+++ b/tests/test_platform/test_unreadable_entries.py
@@ -8,11 +8,11 @@
 
 from ragwortchute import errors
 from ragwortchute import stores
-from ragwortchute.gateway import heartbeats
-from ragwortchute.gateway import membership
-from ragwortchute.gateway import source_choice
-from ragwortchute.gateway import store_follower
-from ragwortchute.gateway import store_health
+from ragwortchute.gateway.peers import heartbeats
+from ragwortchute.gateway.peers import membership
+from ragwortchute.gateway.store import source_choice
+from ragwortchute.gateway.store import store_follower
+from ragwortchute.gateway.store import store_health
 from ragwortchute.platform import feeds
 from ragwortchute.platform import json_parts
 from ragwortchute.platform import objects
--- a/tests/test_resources/servers.py
+++ b/tests/test_resources/servers.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
 from ragwortchute.gateway import model
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.resources import limits as limits_
 from tests.test_gateway import rig as rigs
--- a/tests/test_resources/test_account.py
+++ b/tests/test_resources/test_account.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from ragwortchute.gateway import body_budget
-from ragwortchute.gateway import crash_checks
 from ragwortchute.gateway import model
-from ragwortchute.gateway import pools
+from ragwortchute.gateway.http import body_budget
+from ragwortchute.gateway.http import pools
 from ragwortchute.gateway.resources import account as account_
 from ragwortchute.gateway.resources import limits as limits_
 from ragwortchute.gateway.resources import upstream as upstream_
 from ragwortchute.gateway.resources import victims
+from ragwortchute.gateway.selection import crash_checks
 from tests.test_gateway import rig as rigs
 from tests.test_resources import servers
 
--- a/tests/test_resources/test_log.py
+++ b/tests/test_resources/test_log.py
@@ -2,9 +2,9 @@
 
 import types
 
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import request_log
 from ragwortchute.gateway import stats
+from ragwortchute.gateway.http import http_messages
 from tests.test_gateway import rig as rigs
 from tests.test_resources import servers
 
--- a/tests/test_resources/test_many_lost.py
+++ b/tests/test_resources/test_many_lost.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import server_connection
 from tests.test_resources import servers
 
 CONNECTIONS = 300
--- a/tests/test_resources/test_pipelines.py
+++ b/tests/test_resources/test_pipelines.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from ragwortchute.gateway import answer_memory
-from ragwortchute.gateway import body_stream
-from ragwortchute.gateway import http_messages
 from ragwortchute.gateway import model
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import answer_memory
+from ragwortchute.gateway.http import body_stream
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import server_connection
 from tests.test_gateway import rig as rigs
 from tests.test_resources import servers
 
--- a/tests/test_resources/test_trailers.py
+++ b/tests/test_resources/test_trailers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import server_connection
 from tests.test_gateway import rig as rigs
 from tests.test_resources import servers
 
--- a/tests/test_resources/test_turns.py
+++ b/tests/test_resources/test_turns.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ragwortchute.gateway import request_reader
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import request_reader
+from ragwortchute.gateway.http import server_connection
 from tests.test_resources import servers
 
 
--- a/tests/test_resources/test_unread.py
+++ b/tests/test_resources/test_unread.py
@@ -3,9 +3,9 @@
 import asyncio
 import socket
 
-from ragwortchute.gateway import http_messages
-from ragwortchute.gateway import http_server
-from ragwortchute.gateway import server_connection
+from ragwortchute.gateway.http import http_messages
+from ragwortchute.gateway.http import http_server
+from ragwortchute.gateway.http import server_connection
 from tests.test_gateway import rig as rigs
 from tests.test_resources import servers
 
