--- a/ragwortchute/gateway/resources/caller_turns.py
+++ b/ragwortchute/gateway/resources/caller_turns.py
@@ -8,6 +8,8 @@
 """
 
 import asyncio
+import collections
+from collections import abc
 import select
 import selectors
 import typing
@@ -82,6 +84,10 @@
         key = self._caller_keys.get(fileobj)
         return super().get_key(fileobj) if key is None else key
 
+    def get_map(self) -> abc.Mapping[typing.Any, selectors.SelectorKey]:
+        """See base class."""
+        return collections.ChainMap(self._caller_keys, super().get_map())
+
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
