--- a/ragwortchute/gateway/admission/gate.py
+++ b/ragwortchute/gateway/admission/gate.py
@@ -198,15 +198,15 @@
         return entrant
 
     def _adjust(self, entrant: _Entrant, limit: room.Limit) -> None:
-        """Adjusts the limit of a request to what its like have got."""
+        """Adjusts the limit of a request to the shares of its kind so far."""
         limit.short_of_probes = not self._selector.has_spare_probes()
-        known = entrant.service.shares
+        admitted = entrant.service.shares
         full_share = self._full_share(entrant)
-        if room.is_scarce(entrant.rank, full_share) and known.is_over_share(
+        if room.is_scarce(entrant.rank, full_share) and admitted.is_over_share(
             entrant.organisation
         ):
             limit.recede()
-        elif entrant.rank and known.is_lagging(entrant.rank):
+        elif entrant.rank and admitted.is_lagging(entrant.rank):
             limit.precede()
         elif limit.kept(full_share) == 0 and limit.short_of_probes:
             # It probes one target only, which says little about the others.
@@ -229,7 +229,7 @@
         return await self._join(entrant)
 
     def _note_time(self, entrant: _Entrant, placed: Placed) -> None:
-        """Notes whether a request is expected to end in its objective."""
+        """Notes whether a request is expected to end after its objective."""
         objective_s = entrant.call.route.objective_s
         if entrant.call.sends or entrant.work_s >= objective_s:
             # It would be late on an idle target too.
--- a/ragwortchute/gateway/admission/scarcity.py
+++ b/ragwortchute/gateway/admission/scarcity.py
@@ -12,16 +12,15 @@
 # at which older ones lose weight at a host that gets few.
 MEMORY_REQUESTS = 40
 MEMORY_S = 6.0
-# One late request of fewer than this is scarcity. Each of 100 hosts gets 3 to 5
-# requests a second at full load, and the queues of all targets are full within
-# a second. With 6, 0.82 of urgent requests were in their objective at 1.2 times
-# the capacity (100 hosts, seeds 1 and 2), with 5 0.88.
+# Lower bound on the number of requests that the share is taken of. One late
+# request among fewer reaches `BEGINS_AT`: in large deployments, the queues of
+# all targets are full before a host has many requests to judge by.
 MIN_REQUESTS = 5.0
-# Share of late requests from which a service is scarce. In the load model 0.03
-# to 0.09 are late at 0.7 of the capacity, and 0.29 to 0.55 at 0.8.
+# Share of late requests from which a service is scarce: above the share that is
+# late by chance while targets have capacity to spare.
 BEGINS_AT = 0.2
-# Share below which it no longer is. With admission, fewer requests are late at
-# the same load: 0.18 lack room at 0.8 of the capacity, 0.05 at 0.7.
+# Share below which it no longer is. It is lower because fewer requests are late
+# at the same load once admission acts; otherwise it would begin and end again.
 ENDS_AT = 0.06
 
 
--- a/ragwortchute/gateway/admission/shares.py
+++ b/ragwortchute/gateway/admission/shares.py
@@ -10,9 +10,9 @@
 # Requests count less by this time constant.
 MEMORY_S = 8.0
 # No kind may get less than a quarter of what all get. A kind that is below
-# this share of it comes before others. With 0.35, useful work was 0.02 to 0.03
-# less at 1.2 and 1.7 times the capacity, and 0.67 instead of 0.81 of uploads
-# were served at 0.9 (seeds 2 and 3).
+# this share of it comes before others. With a share closer to a quarter, fewer
+# of the least urgent requests are served near the capacity, and less useful
+# work is done under overload.
 LAGGING_SHARE = 0.7
 # With fewer requests a share says nothing.
 MIN_REQUESTS = 2.0
--- a/ragwortchute/gateway/resources/caller_turns.py
+++ b/ragwortchute/gateway/resources/caller_turns.py
@@ -1,10 +1,10 @@
 """Bounds the work for callers between two turns of everything else.
 
 An event loop runs the callbacks of all sockets that have data before it looks
-at timers and tasks again. With 2,000 callers that send small chunks, timers and
-the tasks for the store and for other hosts waited for up to 2 s. Therefore the
-connections of callers are polled apart from all other sockets, and only a few
-of them in each turn of the loop.
+at timers and tasks again. While many callers send small chunks, timers and the
+tasks for the store and for other hosts would wait until all of them are read.
+Therefore the connections of callers are polled apart from all other sockets,
+and only a few of them in each turn of the loop.
 """
 
 import asyncio
@@ -12,16 +12,17 @@
 import selectors
 import typing
 
-# Connections of callers whose events are handled in one turn of the loop. A
-# read takes 1.0 ms at most on the development machine.
+# Connections of callers whose events are handled in one turn of the loop.
+# Timers, tasks and other sockets wait for this many reads at most. A smaller
+# number would poll all other sockets more often for each read.
 EVENTS_PER_TURN = 8
 
 
 class TurnSelector(selectors.EpollSelector):
     """Selector that returns few events of callers at once, after all others.
 
-    The system returns the connections that are ready in turn, so that none of
-    them waits for longer than all others have had an event.
+    The system returns the ready connections in rotation: each has one event
+    handled before any of them has a second one.
     """
 
     def __init__(self) -> None:
@@ -41,7 +42,7 @@
         self._caller_fds.add(fd)
 
     def remove_caller(self, fd: int) -> None:
-        """Treats a descriptor like all others, once it is not registered."""
+        """Treats a descriptor like all others, after it is unregistered."""
         self._caller_fds.discard(fd)
 
     def register(
@@ -99,7 +100,7 @@
         self._callers.close()
 
     def _select_callers(self) -> list[tuple[selectors.SelectorKey, int]]:
-        """Returns the events of a few callers."""
+        """Returns the events of at most `EVENTS_PER_TURN` callers."""
         found = []
         for fd, events in self._callers.poll(0, EVENTS_PER_TURN):
             key = self._caller_keys[fd]
--- a/ragwortchute/gateway/rollouts/coordinator.py
+++ b/ragwortchute/gateway/rollouts/coordinator.py
@@ -122,8 +122,9 @@
     ) -> bool:
         """Returns whether a third of the hosts heard has reported recently.
 
-        Heartbeats tell only after 4 s that a host is dead. Waiting for reports
-        of most hosts made orders 2.5 s late if more than half of them died.
+        Heartbeats tell only after 4 s that a host is dead. If more than half of
+        the hosts die, a decision that needs reports of most hosts would wait
+        for that, and orders would end late.
 
         Args:
             view: The other hosts that may be alive.
--- a/ragwortchute/gateway/store/store_feed.py
+++ b/ragwortchute/gateway/store/store_feed.py
@@ -4,8 +4,9 @@
 
 from ragwortchute import stores
 
-# How long after its wait a watch of the store is overdue. A slow store answers
-# within 0.34 s; hosts that read from the reader ask the store themselves later.
+# How long after its wait a watch of the store is overdue. The answer of a slow
+# store may take about as long. The hosts that read from the reader must not
+# reach `max_age_s` before, as they would all ask the store themselves.
 OVERDUE_S = 0.3
 
 
