Look up the limit of a target once for each check

Cause: each check whether a target accepts a request looked up its stated limit and looked it up again to divide it. Change: the limit that was read is passed on. has_stated is named has_stated_limits, as it says nothing of pauses. No decision changes.

--- a/ragwortchute/gateway/selection/pacing.py
+++ b/ragwortchute/gateway/selection/pacing.py
@@ -139,7 +139,7 @@
         return None
 
     def _inquires(self, target: str, names: frozenset[str]) -> bool:
-        """Returns whether this host asks for a limit whose owners are silent.
+        """Returns whether this host sends to learn a limit with silent owners.
 
         Args:
             target: Name of the target.
@@ -153,7 +153,7 @@
         return self.own_name in shares.owners(target, live, 1)
 
 
-# The names change five times a second, and each request asks for some.
+# The sets are replaced several times a second and compared for each request.
 @functools.lru_cache(maxsize=16)
 def _common(names: frozenset[str], others: frozenset[str]) -> frozenset[str]:
     return names & others
--- a/ragwortchute/gateway/selection/probe_order.py
+++ b/ragwortchute/gateway/selection/probe_order.py
@@ -42,7 +42,7 @@
         domain_key: Returns what is added to the key of a target for its domain.
     """
     result = []
-    has_limits = limits.has_stated
+    has_limits = limits.has_stated_limits
     for target in targets:
         if not limits.may_send(target, now_s):
             continue
--- a/ragwortchute/gateway/selection/send_limits.py
+++ b/ragwortchute/gateway/selection/send_limits.py
@@ -93,7 +93,7 @@
         )
 
     @property
-    def has_stated(self) -> bool:
+    def has_stated_limits(self) -> bool:
         """Whether any target has stated a limit lately."""
         return self._statements.has_limits
 
@@ -106,7 +106,10 @@
             target: A target that takes a request of this host now.
             now_s: Loop time in seconds.
         """
-        share = self._share(target, now_s)
+        limit_per_s = self._statements.limit_per_s(target.key, now_s)
+        if limit_per_s is None:
+            return 0.0
+        share = self._share(target, limit_per_s)
         return target.limit_pacer.used_fraction(share.burst) if share else 0.0
 
     def shortest_wait(
@@ -184,18 +187,15 @@
         limit_per_s = self._statements.limit_per_s(target.key, now_s)
         if limit_per_s is None:
             return 0.0
-        share = self._share(target, now_s)
+        share = self._share(target, limit_per_s)
         if share is None:
             return 1 / max(limit_shares.MIN_LIMIT_PER_S, limit_per_s)
         return target.limit_pacer.wait_s(now_s, share.rate_per_s, share.burst)
 
     def _share(
-        self, target: targets_.Target, now_s: float
+        self, target: targets_.Target, limit_per_s: float
     ) -> limit_shares.Share | None:
         """Returns the share that this host has of the limit of a target."""
-        limit_per_s = self._statements.limit_per_s(target.key, now_s)
-        if limit_per_s is None:
-            return None
         return self.fleet.share_of_limit(
             target.entry.name, target.region, limit_per_s
         )
