--- a/ragwortchute/gateway/dispatcher.py
+++ b/ragwortchute/gateway/dispatcher.py
@@ -179,7 +179,8 @@
         try:
             return await self._serve(accepted, relayed=relayed)
         finally:
-            # The memory of its body is returned now, whoever refers to it.
+            # The memory of its body is no longer reserved. Tasks that refer to
+            # the request must not keep the body.
             req.body_parts = []
             self._answers.forget_failure(accepted)
 
@@ -456,6 +457,7 @@
             self._request_log.log_failed_attempt(
                 call, attempt, type(exc).__name__, str(exc)
             )
+            # Computed now, as the body may be dropped before the check ends.
             crash_guard_.digest(call.req)
             self._crash_checks.check(call, attempt)
             return None
--- a/ragwortchute/gateway/eventlog.py
+++ b/ragwortchute/gateway/eventlog.py
@@ -19,8 +19,9 @@
 
 LINES_PER_S = 400.0  # about 80 KB/s
 BURST_LINES = 800.0
-# Rate and burst of each kind, which count towards the shared rate. A line
-# counts once for each `LINE_BYTES` of its length: a `cut` line may have 20 KB.
+# Rate and burst of each kind. Its lines count towards the shared rate as well.
+# In the rate of its kind, a line counts once for each `LINE_BYTES` of its
+# length: a `cut` line may have 20 KB.
 KIND_LINES_PER_S = 20.0
 KIND_BURST_LINES = 100.0
 LINE_BYTES = 512
@@ -30,7 +31,8 @@
 # Further bytes of the buffer for lines within the rate of their kind.
 KINDS_BYTES = 1 << 16
 FLUSH_S = 0.2
-# Names buffered lines, of any kind, that the closed pipe did not take.
+# Kind under which buffered lines are counted that could not be written since
+# the reader has closed the pipe.
 UNWRITTEN = 'unwritten'
 
 
@@ -57,10 +59,10 @@
         self.lines = burst_lines
 
     def refill(self, now_s: float) -> None:
-        """Adds the lines that have become due."""
-        due = (now_s - self._refilled_s) * self._lines_per_s
+        """Adds the lines of the time since the last call."""
+        added = (now_s - self._refilled_s) * self._lines_per_s
         self._refilled_s = now_s
-        self.lines = min(self._burst_lines, self.lines + due)
+        self.lines = min(self._burst_lines, self.lines + added)
 
 
 class EventLog:
--- a/ragwortchute/gateway/host_state.py
+++ b/ragwortchute/gateway/host_state.py
@@ -41,7 +41,8 @@
         domains_out: Failure domains whose targets get no requests.
         upstream: Bounds the connections to targets; None for no bound.
         target_changes: Number of changes of the list of targets.
-        deferred: Whether a part needs more before requests are served.
+        deferred: Whether a part of the host still waits for information from
+            other hosts before requests may be served.
     """
 
     def __init__(
@@ -91,7 +92,7 @@
         return self.has_read and not self.deferred
 
     def set_deferred(self, value: bool) -> None:
-        """Sets whether a part needs more before requests are served."""
+        """Sets whether a part still waits before requests may be served."""
         self.deferred = value
         self._signal_if_complete()
 
--- a/ragwortchute/gateway/http/http_server.py
+++ b/ragwortchute/gateway/http/http_server.py
@@ -21,8 +21,8 @@
 # Connections accepted at once: those beyond the limit hold descriptors until
 # the loop has closed them.
 ACCEPT_BATCH = 4
-# Connections that are accepted at most before the listening socket closes, as
-# many as may wait for that.
+# Backlog of the listening socket: connections that may wait to be accepted. As
+# many are accepted at most before the socket closes.
 MAX_WAITING = 512
 # Memory of a listener that shares no account.
 DEFAULT_MEMORY_BYTES = 200e6
@@ -139,7 +139,7 @@
         self._closing_server, self._server = self._server, None
         loop = asyncio.get_running_loop()
         loop.remove_reader(self._sock)
-        # Those that the loop is about to pass on need the server before it.
+        # Connections that the loop has accepted already still need the server.
         loop.call_soon(self._accept_waiting, MAX_WAITING)
 
     def _accept_waiting(self, left: int) -> None:
@@ -175,12 +175,10 @@
 
     async def _connect(self, sock: socket.socket) -> None:
         """Hands an accepted connection to the loop."""
+        loop = asyncio.get_running_loop()
         sock.setblocking(False)
         try:
-            (
-                transport,
-                _,
-            ) = await asyncio.get_running_loop().connect_accepted_socket(
+            transport, _ = await loop.connect_accepted_socket(
                 lambda: server_connection.ServerConnection(self), sock
             )
         except OSError:
--- a/ragwortchute/gateway/http/streamed_answers.py
+++ b/ragwortchute/gateway/http/streamed_answers.py
@@ -59,7 +59,8 @@
         if reply.rest is None:
             return
         target = attempt.target
-        # The body is dropped before the answer ends.
+        # Computed now, as the body is dropped before the answer ends and a
+        # failure is reported by the hash.
         crash_guard.digest(call.req)
 
         def end(error: errors.TargetError | None) -> None:
--- a/ragwortchute/gateway/organisations/quota_priorities.py
+++ b/ragwortchute/gateway/organisations/quota_priorities.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-# Part of the admitted share that each priority gets at least.
+# The share of the requests of each priority that are admitted is at least this
+# part of the share over all priorities.
 MIN_PART = 0.25
 # Time constant of the counts of requests by priority, in seconds.
 MEMORY_S = 8.0
@@ -83,6 +84,7 @@
         share = self._counts.get(priority, 0.0) / total
         extra = min(left, share * (1.0 - least))
         if not share:
+            # There was no such request lately, so that any room is enough.
             admitted = 1.0 if left > 0 else least
         else:
             admitted = least + extra / share
--- a/ragwortchute/gateway/organisations/quota_use.py
+++ b/ragwortchute/gateway/organisations/quota_use.py
@@ -98,8 +98,8 @@
         self.state: quota_messages.State | None = None
         self.is_idle = True
         self._rng = rng
-        # Fractions of requests that add up, by priority; hosts begin at random
-        # places, so that the sum over all hosts is exact.
+        # Sums of the admitted fractions of requests, by priority. Hosts begin
+        # at random values, so that the total over all hosts has no bias.
         self._carried: dict[int, float] = {}
         self._mix = quota_priorities.PriorityMix()
         self._between = 0
@@ -134,7 +134,9 @@
         if self.throttled:
             portion = self._mix.portion(priority, self.state.admit_fraction)
         self._mix.note(priority, now_s)
-        if portion and not self._is_next(priority, portion.admitted):
+        if portion is not None and not self._is_next(
+            priority, portion.admitted
+        ):
             return self._shared_wait_s(self.state, portion)
         if self._between >= self._most_between(now_s - announced_s, hosts):
             return 1 / self.limit.rate_per_s
@@ -251,7 +253,7 @@
         )
 
     def _is_next(self, priority: int, admitted: float) -> bool:
-        """Returns whether the fractions of a priority add up to a request."""
+        """Returns whether the sum of a priority has reached a whole request."""
         carried = self._carried.get(priority)
         if carried is None:
             carried = self._rng.random()
--- a/ragwortchute/gateway/peers/limit_shares.py
+++ b/ragwortchute/gateway/peers/limit_shares.py
@@ -39,12 +39,12 @@
     burst: float
 
 
-# Share of the one host that asks a target for its limit while no owner is
-# heard. Without an answer, the limit would be forgotten after 30 s and each
-# host would send what it has.
+# Share of the one host that sends to a target while no owner of its limit is
+# heard. The answer states the limit again. Otherwise hosts would forget it
+# after 30 s and send without a limit.
 INQUIRY = Share(1, MIN_LIMIT_PER_S, 1.0)
-# A host asks only if it hears more than this share of all hosts. Then at most
-# two parts of a partition ask, by two requests in 10 s, which the reserve
+# It sends only if it hears more than this share of all hosts. Then at most
+# two parts of a partition do so, with two requests in 10 s, which the reserve
 # beyond `USABLE_FRACTION` covers.
 INQUIRY_FRACTION = 1 / 3
 
--- a/ragwortchute/gateway/rollouts/inquiries.py
+++ b/ragwortchute/gateway/rollouts/inquiries.py
@@ -15,9 +15,13 @@
 
 # Hosts that are asked at a time. Those that can't tell do not answer.
 _FANOUT = 3
-# Time between two questions while requests wait for an answer, and later.
+# Time between two questions while requests are held back for an answer, and
+# after the host has decided by itself.
 _INTERVAL_S = 0.1
 _LATER_INTERVAL_S = 1.0
+# Share of an interval after which a question is due. It would wait for another
+# tick if a tick came just before the end of the interval.
+_DUE_FRACTION = 0.9
 
 
 class Inquiries:
@@ -54,7 +58,7 @@
         is_open = state.versions.is_open(now_s)
         interval_s = _INTERVAL_S if is_open else _LATER_INTERVAL_S
         asked_s = self._asked_s.get(state.service, float('-inf'))
-        if now_s - asked_s < interval_s * 0.9:
+        if now_s - asked_s < interval_s * _DUE_FRACTION:
             return
         self._asked_s[state.service] = now_s
         names = [item.name for item in view.others()]
@@ -91,7 +95,7 @@
         question: messages.Question,
         state: service_state.ServiceState,
     ) -> None:
-        """Answers a host if this one is certain and follows as new a record."""
+        """Answers if this host is certain and its record is at least as new."""
         if not (state.versions.certain and state.versions.used):
             return
         if question.revision:
@@ -104,7 +108,7 @@
             state.service,
             question.revision,
             tuple(sorted(state.versions.used)),
-            state.versions.told_refused(service_state.MAX_REFUSED),
+            state.versions.listed_refused(service_state.MAX_REFUSED),
         )
         self._send([sender], messages.encode(answer))
 
@@ -114,7 +118,7 @@
         answer: messages.Answer,
         state: service_state.ServiceState,
     ) -> None:
-        """Follows an answer unless this host can tell by now."""
+        """Applies an answer unless this host is certain by now."""
         if state.versions.certain or answer.revision != _revision(state):
             return
         state.learn_versions(answer.used, answer.refused)
--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -163,7 +163,7 @@
             # An order may have come and gone meanwhile.
             for state in self.services.values():
                 if state.record is None:
-                    state.versions.doubt()
+                    state.versions.mark_uncertain()
         self.confirmed_s = max(self.confirmed_s, confirmed_s)
 
     def note_written(
@@ -418,7 +418,8 @@
     # Coordination.
 
     def _update_neighbours(self, now_s: float) -> None:
-        # A host that starts asks the first ones that it learns of.
+        # A host that knows no other looks for one in each tick, as it can't ask
+        # which versions are in use before.
         alone = self._view.hosts == 1
         if alone or now_s - self._viewed_s >= _NEIGHBOURS_INTERVAL_S:
             self._viewed_s = now_s
@@ -432,8 +433,8 @@
 
     def _is_able(self, now_s: float) -> bool:
         """Returns whether this host can read and write the store."""
-        reads = now_s - self.confirmed_s <= trust_.LEASE_S
-        return reads and now_s - self._write_failed_s > _WRITE_FAILURE_S
+        can_read = now_s - self.confirmed_s <= trust_.LEASE_S
+        return can_read and now_s - self._write_failed_s > _WRITE_FAILURE_S
 
     def _leads(self, state: service_state.ServiceState, now_s: float) -> bool:
         """Returns whether this host decides on an order now."""
@@ -479,7 +480,8 @@
             self._stops.begin(state, self._view, now_s)
         if state.service in self._writing:
             return None
-        # The first host may have restarted and not know which dead ones had it.
+        # The first host may have restarted and then does not know which of the
+        # dead hosts had the order.
         drained_s = self.coordinator(state).drained_s
         if not self._leads(state, now_s) and now_s - drained_s < TAKEOVER_S:
             return None
--- a/ragwortchute/gateway/rollouts/recent_responses.py
+++ b/ragwortchute/gateway/rollouts/recent_responses.py
@@ -1,9 +1,12 @@
-"""Last responses of both versions, by which a host suspends one by itself."""
+"""Last responses by version, from which a host suspends the canary version.
+
+It needs no report of other hosts for this.
+"""
 
 import collections
 
-# A host stops on its own once so many of its last responses of the canary
-# version were bad, unless as many of the old version are.
+# A host suspends the canary version once `_BAD_RESPONSES` of its last responses
+# were bad, unless as many of the last ones of the old version were.
 _RECENT_RESPONSES = 6
 _BAD_RESPONSES = 4
 
--- a/ragwortchute/gateway/rollouts/runtime.py
+++ b/ragwortchute/gateway/rollouts/runtime.py
@@ -36,11 +36,11 @@
 SHARE_BOUND = 'expose_share'
 DEFAULT_SHARE = 0.1
 TICK_S = 0.1
-# The same until a host that starts serves requests.
+# Interval of ticks until a host that starts serves requests.
 _START_TICK_S = 0.02
-# For this long after it has read the targets, requests to a host that starts
-# wait if it can't tell which versions of a service are in use. Other services
-# would wait too long otherwise.
+# A host that starts holds back all requests for this long at most, from when it
+# has read the targets, while it can't tell which versions of a service are in
+# use. The requests of other services must not wait for longer.
 _START_WAIT_S = 0.5
 # Times out before the client of the store does: the object is read back then.
 WRITE_TIMEOUT_S = 0.5
@@ -125,7 +125,7 @@
         self._loop = asyncio.get_running_loop()
         self._seen_changes = -1
         self._refreshed_s = float('-inf')
-        # Loop time at which the targets have been read first.
+        # Loop time at which configuration, targets and domains were read.
         self._read_s = float('inf')
         state.set_deferred(True)
         self._longest_revision = -1
--- a/ragwortchute/gateway/rollouts/service_state.py
+++ b/ragwortchute/gateway/rollouts/service_state.py
@@ -117,7 +117,7 @@
         """
         ended = phase == records.Phase.SUCCEEDED
         replaced = self.versions.used - {self.record.version} if ended else ()
-        return self.versions.told_refused(MAX_REFUSED, replaced)
+        return self.versions.listed_refused(MAX_REFUSED, replaced)
 
     def learn_versions(
         self, used: abc.Iterable[str], refused: abc.Iterable[str]
@@ -154,7 +154,7 @@
             return
         is_other = old is None or records.is_other_order(old, record)
         if is_other:
-            self._doubt_if_missed(now_s, confirmed_s)
+            self._check_missed(now_s, confirmed_s)
         if record.settled_version:
             self.versions.settle(
                 record.settled_version,
@@ -204,7 +204,7 @@
         """
         if self.record is None or revision < self.record.revision:
             return
-        self._doubt_if_missed(now_s, confirmed_s)
+        self._check_missed(now_s, confirmed_s)
         if not self.record.ended:
             self._log.event(
                 'rollout-withdrawn',
@@ -419,14 +419,14 @@
         self._suspended_until_s = float('-inf')
         self._recent = recent_responses.RecentResponses()
 
-    def _doubt_if_missed(self, now_s: float, confirmed_s: float) -> None:
-        """Doubts the versions in use if an outcome may have been replaced."""
+    def _check_missed(self, now_s: float, confirmed_s: float) -> None:
+        """Marks the versions as uncertain if an outcome may be missing."""
         if confirmed_s == float('-inf'):
             # A host that has just started has not followed any order.
             return
         unconfirmed_s = now_s - max(confirmed_s, self.relayed_s)
         if phases.may_have_succeeded(self.record, unconfirmed_s):
-            self.versions.doubt()
+            self.versions.mark_uncertain()
 
     def _is_canary(self, target: targets_.Target) -> bool:
         return (
--- a/ragwortchute/gateway/rollouts/versions.py
+++ b/ragwortchute/gateway/rollouts/versions.py
@@ -117,7 +117,7 @@
             and self._asked_s <= now_s < self._asked_s + ASK_ON_S
         )
 
-    def doubt(self) -> None:
+    def mark_uncertain(self) -> None:
         """Notes that an outcome may have been missed."""
         self.certain = False
         self._asked_s = self._several_s = float('inf')
@@ -128,7 +128,7 @@
         refused: abc.Iterable[str],
         ordered: str | None,
     ) -> None:
-        """Applies what a host has told that is certain.
+        """Applies the answer of a host that is certain.
 
         Args:
             used: Versions in use.
@@ -144,14 +144,14 @@
             self.waiting.pop(version, None)
         self.certain = True
 
-    def told_refused(
+    def listed_refused(
         self, count: int, replaced: abc.Collection[str] = ()
     ) -> tuple[str, ...]:
-        """Returns the refused versions that others are told of.
+        """Returns the refused versions to be named to other hosts.
 
         Args:
-            count: Their highest number. Those without targets are left out
-                first.
+            count: Maximum number of versions. Those without targets are left
+                out first.
             replaced: Versions that an order is about to replace.
         """
         order = sorted(
--- a/ragwortchute/gateway/store/confirming_reader.py
+++ b/ragwortchute/gateway/store/confirming_reader.py
@@ -27,8 +27,8 @@
 SourceCallback = abc.Callable[[], source_choice.Source | None]
 
 
-def none() -> None:
-    """Returns no reader, for hosts that have none."""
+def no_reader() -> None:
+    """Returns no source, for hosts without a confirming reader."""
 
 
 class ConfirmingReader:
@@ -76,7 +76,7 @@
         wait_s = 0.0
         while True:
             source = None
-            # Other feeds wait for as long in any case.
+            # Watches of other feeds wait for as long in any case.
             if self._feed.watch_timeout_s < LONG_WATCH_S:
                 source = self._source()
             if source is None:
--- a/ragwortchute/gateway/store/store_follower.py
+++ b/ragwortchute/gateway/store/store_follower.py
@@ -60,7 +60,9 @@
         health: store_health.StoreHealth,
         log: eventlog.EventLog,
         rng: random.Random,
-        confirming: confirming_reader.SourceCallback = confirming_reader.none,
+        confirming: confirming_reader.SourceCallback = (
+            confirming_reader.no_reader
+        ),
     ) -> None:
         self._sources = source_choice.SourceChoice(sources)
         self._feed = feed
@@ -444,7 +446,7 @@
         """Applies the answer to a check while a watch is waiting."""
         self._record_success(source, answer)
         self._apply_changes(source, answer, asked_s)
-        # A host that has left the store for another reader returns to it.
+        # A host that reads another host since may return to the store.
         self._sources.note_success(source.name)
         arriving = self._is_arriving(self._loop.time())
         if self._watched is source or (self._source_name and not arriving):
--- a/tests/test_gateway/test_replica_sources.py
+++ b/tests/test_gateway/test_replica_sources.py
@@ -126,8 +126,7 @@
         return store
 
     async def test_store_is_asked_again(self, rig):
-        # Otherwise, hundreds of hosts with the same copy checked the store
-        # (KNOWN-RED 9).
+        # Otherwise, hundreds of hosts with the same copy checked the store.
         store = await self.start(rig)
         store.lossy = True
         changed = stores.StoredObject('a', 2, b'2')
--- a/tests/test_gateway/test_store_follower.py
+++ b/tests/test_gateway/test_store_follower.py
@@ -50,7 +50,7 @@
         self.feed = RecordingFeed()
         self.log = rigs.MemoryLog()
         self.other = None
-        self.confirming = confirming_reader.none
+        self.confirming = confirming_reader.no_reader
         self.task = None
 
     async def start(self):
--- a/tests/test_resources/test_rejections.py
+++ b/tests/test_resources/test_rejections.py
@@ -19,7 +19,7 @@
     """Lines about anything else must be written beside `rejected` ones.
 
     Callers that sent invalid requests one after another used up the rate of the
-    whole log. Callers and bounds were fixed before the change.
+    whole log.
     """
 
     async def test_other_lines_are_written(self, site, gather):
