Explain the floor of priorities and the shortest drain

Cause: the division of a quota did not say what the two parts of the sum are, the comment on MIN_DRAIN_S did not say that it delays succeeded, and two tests had names that did not say what they check. No check changes.

--- a/ragwortchute/gateway/organisations/quota_priorities.py
+++ b/ragwortchute/gateway/organisations/quota_priorities.py
@@ -71,6 +71,8 @@
         total = sum(self._counts.values())
         if not total:
             return Portion(admit_fraction, 0.0, 1.0 - admit_fraction)
+        # The share `least` of each priority is admitted. What is left of the
+        # admitted share is given to the most urgent priorities first.
         least = MIN_PART * admit_fraction
         left = admit_fraction - least
         refused_before = 0.0
--- a/ragwortchute/gateway/rollouts/phases.py
+++ b/ragwortchute/gateway/rollouts/phases.py
@@ -29,8 +29,8 @@
 # Requests that still go to old targets, as new ones are cold, are waited for
 # until then.
 DRAIN_BY = 0.68
-# After this time in seconds in the last phase, hosts that have just started are
-# known. `succeeded` is not written earlier.
+# Shortest time in seconds from `drain` to `succeeded`: hosts that have started
+# just before are known to the coordinator by then.
 MIN_DRAIN_S = 2.0
 # Until then, a host sends to old targets by its contact with a coordinator even
 # if nothing confirms the record. Requests of silent hosts must have ended
--- a/ragwortchute/gateway/store/store_follower.py
+++ b/ragwortchute/gateway/store/store_follower.py
@@ -446,7 +446,7 @@
         """Applies the answer to a check while a watch is waiting."""
         self._record_success(source, answer)
         self._apply_changes(source, answer, asked_s)
-        # A host that reads another host since may return to the store.
+        # A host that has since turned to another host may return to the store.
         self._sources.note_success(source.name)
         arriving = self._is_arriving(self._loop.time())
         if self._watched is source or (self._source_name and not arriving):
--- a/tests/test_gateway/test_rollouts/test_inquiries.py
+++ b/tests/test_gateway/test_rollouts/test_inquiries.py
@@ -107,7 +107,7 @@
             (Phase.DRAIN, 0.1, True),
         ],
     )
-    def test_host_doubts(self, phase, unconfirmed_s, missed):
+    def test_versions_become_uncertain(self, phase, unconfirmed_s, missed):
         known = phase and record(7, 'v1', phase)
         assert phases.may_have_succeeded(known, unconfirmed_s) == missed
         world = World()
@@ -118,7 +118,7 @@
         world.asking.set_record(record(9, 'v2'), unconfirmed_s)
         assert state.versions.certain != missed
 
-    def test_order_that_came_and_went_unseen_is_doubted(self):
+    def test_order_may_have_come_and_gone_unseen(self):
         world = World()
         state = world.asking.service('s')
         state.update_targets(SEEN[:1], 0.0, 0)
