--- a/ragwortchute/gateway/rollouts/participant.py
+++ b/ragwortchute/gateway/rollouts/participant.py
@@ -33,11 +33,9 @@
 # With more hosts than this, each reports less often, so that a coordinator gets
 # no more reports per second.
 MAX_HOSTS_AT_INTERVAL = 200
-# The second coordinator takes over from one that it has not heard for this long
-# or that can't write.
+# The second one takes over from one that is silent this long or can't write.
 TAKEOVER_S = 0.55
-# Hosts that would coordinate next, and how often each host tells them that it
-# has the order.
+# Hosts that coordinate next, and how often they are told who has the order.
 _DEPUTIES = 2
 _DEPUTY_INTERVAL_S = 2.0
 # A coordinator that replied to a report counts as in contact for this many
--- a/ragwortchute/gateway/store/store_follower.py
+++ b/ragwortchute/gateway/store/store_follower.py
@@ -1,9 +1,8 @@
 """Keeps the state of a host in sync with the store.
 
 A follower reads all objects below a prefix, then watches for changes after the
-revision that it has read. If the store has dropped the history since then, the
-follower reads all objects again. During an outage of the store, the last known
-state stays in force.
+revision that it has read, and reads all again if the store has dropped that
+history. During an outage of the store, the last known state stays in force.
 """
 
 import asyncio
@@ -28,8 +27,7 @@
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
-# How long a host that learns of a newer revision from another host waits for
-# its own watch to return that revision.
+# Wait for the own watch to return a revision that another host has named.
 HINT_DELAY_S = 0.3
 # An answer of which a part has come within this time is not given up: another
 # source would send all of it again, on a link that may be slow.
