--- a/ragwortchute/gateway/admission/room.py
+++ b/ragwortchute/gateway/admission/room.py
@@ -28,8 +28,7 @@
 # All slots but one are left free from this much above the share of rank 1.
 KEEP_ALL_AFTER = 0.25
 # With more targets without such a slot, hedges of urgent requests and of others
-# are not sent. Load model, 1.2 and 1.7 times the capacity: with hedges, useful
-# work was 0.02 to 0.04 less, and urgent requests were not in time more often.
+# are not sent: under overload a hedge takes a slot that another request needs.
 HEDGE_BELOW = 0.5
 LESS_URGENT_HEDGE_BELOW = 0.35
 # Factor by which targets are slower above the knee, to weigh idle slots.
