--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -304,7 +304,7 @@
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 if ' /health ' in line:
-                    writer.write(self.health())
+                    await self.answer_health(writer)
                     continue
                 expected = headers.get('x-expect-instance', self.name)
                 if expected != self.name:
@@ -336,6 +336,11 @@
             200, b'', {'X-Instance-Id': self.name, 'X-Server-Load': self.load()}
         )
 
+    async def answer_health(self, writer: asyncio.StreamWriter) -> None:
+        """Answers a health check."""
+        writer.write(self.health())
+        await writer.drain()
+
     def head_for(self, headers: dict[str, str]) -> dict[str, str]:
         """Returns the headers of the answer to a request."""
         return {
